--- /dev/null
+++ b/packages/coordination/src/deadline.ts
@@ -0,0 +1,50 @@
+/**
+ * One deadline shared by all stages of a request.
+ *
+ * @module
+ */
+import type { Clock, Millis } from "@mangoreach/shared";
+
+/** The point in time by which the whole answer must be with the caller. */
+export interface Deadline {
+  readonly at: Millis;
+  /** Milliseconds left; zero or less when it has passed. */
+  remaining(): Millis;
+  hasPassed(): boolean;
+  /** Aborts when the deadline passes, or when the caller goes away. */
+  readonly signal: AbortSignal;
+  /** Aborts now: the request was given up. */
+  cancel(reason: CancelReason): void;
+  /** Frees the timer; must be called once when the request has ended. */
+  release(): void;
+}
+
+/** Why the work of a request was stopped. */
+export type CancelReason = "deadline" | "caller_gone" | "shutdown" | "hopeless";
+
+/** Options of {@linkcode createDeadline}. */
+export interface DeadlineOptions {
+  clock: Clock;
+  /** Time from now until the deadline. */
+  budget: Millis;
+}
+
+/** Creates a deadline that starts to run now. */
+export function createDeadline({ clock, budget }: DeadlineOptions): Deadline {
+  const at = clock.now() + budget;
+  const controller = new AbortController();
+  const stopTimer = clock.startTimer(budget, () => cancel("deadline"));
+
+  function cancel(reason: CancelReason): void {
+    if (!controller.signal.aborted) controller.abort(reason);
+  }
+
+  return {
+    at,
+    remaining: () => at - clock.now(),
+    hasPassed: () => clock.now() >= at,
+    signal: controller.signal,
+    cancel,
+    release: stopTimer,
+  };
+}
--- /dev/null
+++ b/packages/coordination/src/endpoint.ts
@@ -0,0 +1,38 @@
+/**
+ * Endpoints as the instance list and they themselves describe them.
+ *
+ * @module
+ */
+import type { Millis } from "@mangoreach/shared";
+
+/** Whether an endpoint takes new work. */
+export type EndpointState = "live" | "leaving";
+
+/** One endpoint instance. */
+export interface EndpointInfo {
+  id: string;
+  /** Changes when the endpoint restarts, also under the same address. */
+  incarnation: string;
+  pool: string;
+  place: string;
+  /** `ip:port`. */
+  address: string;
+  state: EndpointState;
+}
+
+/** A load report; it describes the past. */
+export interface LoadReport {
+  running: number;
+  queued: number;
+  /** How many requests the endpoint works on at once. */
+  slots: number;
+  /** When the endpoint took the reading, by the reader's clock. */
+  takenAt: Millis;
+}
+
+/** A key that tells incarnations apart. */
+export function formatEndpointKey(
+  { id, incarnation }: Pick<EndpointInfo, "id" | "incarnation">,
+): string {
+  return `${id}#${incarnation}`;
+}
--- /dev/null
+++ b/packages/coordination/src/endpoint_health.ts
@@ -0,0 +1,104 @@
+/**
+ * Takes slow and dead endpoints out of use for a while, with a floor: a surge
+ * that makes all endpoints slow must not empty the pool.
+ *
+ * @module
+ */
+import type { Clock, Millis } from "@mangoreach/shared";
+
+/** Why an endpoint is out of use. */
+export type EjectionCause = "unreachable" | "failing" | "slow";
+
+/** The health of one endpoint as seen by one entry. */
+export interface EndpointHealth {
+  readonly cause: EjectionCause | undefined;
+  /** How slow it is against what is expected; 1 is normal. */
+  readonly slowness: number;
+  isEjected(): boolean;
+  recordSuccess(ratio: number): void;
+  recordFailure(cause: "unreachable" | "failing"): void;
+  /** Takes it out of use; each time in a row for twice as long. */
+  eject(cause: EjectionCause): void;
+}
+
+const SLOWNESS_WEIGHT = 0.1;
+const FAILURES_TO_EJECT = 3;
+const FIRST_EJECTION: Millis = 1_000;
+const LONGEST_EJECTION: Millis = 15_000;
+/** After an ejection ends, it takes this many successes to count as healed. */
+const SUCCESSES_TO_HEAL = 5;
+
+/** Creates the health of an endpoint nothing is known of. */
+export function createEndpointHealth(clock: Clock): EndpointHealth {
+  let slowness = 1;
+  let failures = 0;
+  let successes = 0;
+  let ejections = 0;
+  let ejectedUntil = -Infinity;
+  let cause: EjectionCause | undefined;
+
+  function isEjected(): boolean {
+    return clock.now() < ejectedUntil;
+  }
+
+  function eject(why: EjectionCause): void {
+    if (isEjected()) return;
+    const duration = FIRST_EJECTION * Math.pow(2, ejections);
+    ejectedUntil = clock.now() + Math.min(LONGEST_EJECTION, duration);
+    ejections++;
+    successes = 0;
+    // One failure after the return is enough to take it out again.
+    failures = FAILURES_TO_EJECT - 1;
+    slowness = 1;
+    cause = why;
+  }
+
+  function recordSuccess(ratio: number): void {
+    slowness += SLOWNESS_WEIGHT * (ratio - slowness);
+    failures = 0;
+    if (++successes < SUCCESSES_TO_HEAL) return;
+    ejections = 0;
+    cause = undefined;
+  }
+
+  function recordFailure(why: "unreachable" | "failing"): void {
+    successes = 0;
+    // A refused connection leaves no doubt; an error may be the request's own.
+    failures = why === "unreachable" ? FAILURES_TO_EJECT : failures + 1;
+    if (failures >= FAILURES_TO_EJECT) eject(why);
+  }
+
+  return {
+    get cause() {
+      return isEjected() ? cause : undefined;
+    },
+    get slowness() {
+      return slowness;
+    },
+    isEjected,
+    recordSuccess,
+    recordFailure,
+    eject,
+  };
+}
+
+/** An endpoint is slow at this multiple of the median of its pool. */
+const SLOW_FACTOR = 3;
+/** At most this share of a pool is out of use for being slow. */
+const SLOW_SHARE = 1 / 3;
+
+/** Ejects the slowest endpoint of a pool if it stands out; keeps the floor. */
+export function ejectSlowest(
+  pool: readonly EndpointHealth[],
+): EndpointHealth | undefined {
+  const inUse = pool.filter((health) => !health.isEjected());
+  const ejected = pool.length - inUse.length;
+  if (ejected + 1 > Math.floor(pool.length * SLOW_SHARE)) return undefined;
+  const sorted = [...inUse].sort((a, b) => a.slowness - b.slowness);
+  const median = sorted[Math.floor((sorted.length - 1) / 2)];
+  const slowest = sorted.at(-1);
+  if (median === undefined || slowest === undefined) return undefined;
+  if (slowest.slowness < SLOW_FACTOR * median.slowness) return undefined;
+  slowest.eject("slow");
+  return slowest;
+}
--- /dev/null
+++ b/packages/coordination/src/failure.ts
@@ -0,0 +1,67 @@
+/**
+ * Errors with a verdict: whether the request may have run.
+ *
+ * @module
+ */
+import type { HttpFault, Millis } from "@mangoreach/shared";
+
+/**
+ * Whether a request ran. `not_run` is a promise: no call that might execute
+ * left the system. Whoever cannot prove that says `may_have_run`.
+ */
+export type Verdict = "not_run" | "may_have_run" | "ran";
+
+/** What went wrong. */
+export type FailureKind =
+  | "malformed"
+  | "too_large"
+  | "unauthorized"
+  | "not_found"
+  | "overloaded"
+  | "deadline_exceeded"
+  | "unavailable"
+  | "stopping"
+  | "rejected"
+  | "bad_reply"
+  | "cancelled"
+  | "duplicate"
+  | "outcome_unknown";
+
+/** A typed error; every layer passes it on or makes its verdict weaker. */
+export interface Failure {
+  kind: FailureKind;
+  verdict: Verdict;
+  /** Plain text without secrets, fit for a caller or an operator. */
+  message: string;
+  /** When asking again makes sense; absent where it does not. */
+  retryAfterMs?: Millis;
+}
+
+/** Creates a failure. */
+export function createFailure(
+  kind: FailureKind,
+  fields: Omit<Failure, "kind">,
+): Failure {
+  return { kind, ...fields };
+}
+
+/** The verdict of two facts about the same request: the more careful one. */
+export function combineVerdicts(a: Verdict, b: Verdict): Verdict {
+  if (a === "ran" || b === "ran") return "ran";
+  if (a === "may_have_run" || b === "may_have_run") return "may_have_run";
+  return "not_run";
+}
+
+/** The failure of a call that got no usable answer. */
+export function createCallFailure(peer: string, fault: HttpFault): Failure {
+  const verdict = fault.sent === "no" ? "not_run" : "may_have_run";
+  const kind = FAULT_KINDS[fault.kind];
+  return createFailure(kind, { verdict, message: `${peer}: ${fault.message}` });
+}
+
+const FAULT_KINDS = {
+  unreachable: "unavailable",
+  aborted: "cancelled",
+  cut: "unavailable",
+  too_large: "bad_reply",
+} as const;
--- /dev/null
+++ b/packages/coordination/src/membership.ts
@@ -0,0 +1,160 @@
+/**
+ * What entries know of each other. Each exchanges a bounded number of records
+ * with a bounded number of others, so the cost for one entry does not grow with
+ * the fleet; what grows is only the age of news from far away.
+ *
+ * @module
+ */
+import type { Clock, Millis } from "@mangoreach/shared";
+
+/** What an entry says of itself. */
+export interface PeerRecord {
+  /** Name of the entry from its settings. */
+  entry: string;
+  /** Changes with every start of the process. */
+  incarnation: string;
+  /** When this incarnation started; a later one replaces an earlier one. */
+  startedAt: Millis;
+  place: string;
+  /** Where callers connect, `ip:port`. */
+  callerAddress: string;
+  /** Where peers and operators connect, `ip:port`. */
+  controlAddress: string;
+  state: PeerState;
+  /** Rises by one with every heartbeat. */
+  heartbeat: number;
+  configVersion: number;
+  /** Requests in progress. */
+  inFlight: number;
+}
+
+/** Whether an entry takes new work. */
+export type PeerState = "live" | "leaving";
+
+/** How certain this entry is of another. */
+export type PeerHealth = "alive" | "suspected" | "lost";
+
+/** A peer as seen from here. */
+export interface PeerView {
+  record: PeerRecord;
+  /** Time since its heartbeat last rose here. */
+  age: Millis;
+  health: PeerHealth;
+}
+
+/** Options of {@linkcode createMembership}. */
+export interface MembershipOptions {
+  clock: Clock;
+  self: PeerRecord;
+  /** Returns a number from 0 up to 1. */
+  random: () => number;
+  suspectAfter: Millis;
+  loseAfter: Millis;
+}
+
+/** The peers of one entry. */
+export interface Membership {
+  readonly self: PeerRecord;
+  /** Changes what this entry says of itself and raises its heartbeat. */
+  beat(change: Partial<Pick<PeerRecord, OwnChange>>): void;
+  /** Takes in records of others; returns those that were news. */
+  merge(records: readonly PeerRecord[]): PeerRecord[];
+  list(): PeerView[];
+  /** Records to send: one's own first, then the freshest, at most `limit`. */
+  chooseRecords(limit: number): PeerRecord[];
+  /** Whom to exchange with next: mostly own place, sometimes another. */
+  choosePartner(): PeerRecord | undefined;
+}
+
+type OwnChange = "state" | "configVersion" | "inFlight";
+
+interface KnownPeer {
+  record: PeerRecord;
+  seenAt: Millis;
+}
+
+const OTHER_PLACE_SHARE = 0.3;
+/** A lost peer is tried now and then, so that two halves of a cut find back. */
+const LOST_PARTNER_SHARE = 0.1;
+/** A peer not heard of for this many times `loseAfter` is forgotten. */
+const FORGET_FACTOR = 30;
+
+/** Creates the view of an entry that knows only itself. */
+export function createMembership(
+  { clock, self, random, suspectAfter, loseAfter }: MembershipOptions,
+): Membership {
+  const peers = new Map<string, KnownPeer>();
+  let own = self;
+
+  function beat(change: Partial<Pick<PeerRecord, OwnChange>>): void {
+    own = { ...own, ...change, heartbeat: own.heartbeat + 1 };
+  }
+
+  function merge(records: readonly PeerRecord[]): PeerRecord[] {
+    return records.filter(mergeRecord);
+  }
+
+  function mergeRecord(record: PeerRecord): boolean {
+    if (record.entry === own.entry) return false;
+    const known = peers.get(record.entry);
+    if (known !== undefined && !isNewer(record, known.record)) return false;
+    peers.set(record.entry, { record, seenAt: clock.now() });
+    return true;
+  }
+
+  function list(): PeerView[] {
+    const now = clock.now();
+    const views: PeerView[] = [];
+    for (const [entry, { record, seenAt }] of peers) {
+      const age = now - seenAt;
+      if (age > FORGET_FACTOR * loseAfter) peers.delete(entry);
+      else views.push({ record, age, health: judgeHealth(age) });
+    }
+    return views;
+  }
+
+  function judgeHealth(age: Millis): PeerHealth {
+    if (age >= loseAfter) return "lost";
+    return age >= suspectAfter ? "suspected" : "alive";
+  }
+
+  function chooseRecords(limit: number): PeerRecord[] {
+    const fresh = list()
+      .filter(({ health }) => health !== "lost")
+      .sort((a, b) => a.age - b.age)
+      .map(({ record }) => record);
+    return [own, ...fresh].slice(0, limit);
+  }
+
+  function choosePartner(): PeerRecord | undefined {
+    const views = list();
+    const isLostTurn = random() < LOST_PARTNER_SHARE;
+    const usable = views.filter(({ health }) =>
+      (health === "lost") === isLostTurn
+    );
+    const candidates = usable.length > 0 ? usable : views;
+    const wantsOther = random() < OTHER_PLACE_SHARE;
+    const preferred = candidates.filter(({ record }) =>
+      (record.place !== own.place) === wantsOther
+    );
+    const from = preferred.length > 0 ? preferred : candidates;
+    return from[Math.floor(random() * from.length)]?.record;
+  }
+
+  return {
+    get self() {
+      return own;
+    },
+    beat,
+    merge,
+    list,
+    chooseRecords,
+    choosePartner,
+  };
+}
+
+/** Whether `a` is later news than `b` about the same entry. */
+function isNewer(a: PeerRecord, b: PeerRecord): boolean {
+  if (a.incarnation !== b.incarnation) return a.startedAt > b.startedAt;
+  return a.heartbeat > b.heartbeat;
+}
--- /dev/null
+++ b/packages/coordination/src/mod.ts
@@ -0,0 +1,138 @@
+/**
+ * The decisions of mangoreach as parts that others can embed. No I/O of its
+ * own: clocks, random numbers and whatever else is needed are passed in.
+ *
+ * @module
+ */
+export type { Failure, FailureKind, Verdict } from "./failure.ts";
+export {
+  combineVerdicts,
+  createCallFailure,
+  createFailure,
+} from "./failure.ts";
+export type { CancelReason, Deadline, DeadlineOptions } from "./deadline.ts";
+export { createDeadline } from "./deadline.ts";
+export type { RequestId, RequestKey } from "./request_id.ts";
+export {
+  formatBinding,
+  formatBoundId,
+  formatRequestKey,
+  parseRequestId,
+} from "./request_id.ts";
+export type {
+  BeginOutcome,
+  ForbidOutcome,
+  OutcomeTable,
+  OutcomeTableOptions,
+  OwnedRun,
+} from "./outcome_table.ts";
+export { createOutcomeTable } from "./outcome_table.ts";
+export type {
+  Claim,
+  ClaimOutcome,
+  ClaimTable,
+  ClaimTableOptions,
+} from "./claim_table.ts";
+export { createClaimTable } from "./claim_table.ts";
+export type {
+  ConfigFold,
+  ConfigInForce,
+  ConfigRecord,
+  FoldOutcome,
+  LogPosition,
+} from "./config_fold.ts";
+export { createConfigFold } from "./config_fold.ts";
+export type {
+  HeldLease,
+  HeldLeaseOptions,
+  Lease,
+  LeaseOutcome,
+  LeaseRecord,
+  LeaseTable,
+  LoggedAt,
+} from "./lease.ts";
+export { createHeldLease, createLeaseTable } from "./lease.ts";
+export type {
+  Membership,
+  MembershipOptions,
+  PeerHealth,
+  PeerRecord,
+  PeerState,
+  PeerView,
+} from "./membership.ts";
+export { createMembership } from "./membership.ts";
+export type {
+  AddressCandidate,
+  AddressChoice,
+  AddressChoiceOptions,
+} from "./address_choice.ts";
+export { chooseAddresses } from "./address_choice.ts";
+export type { EndpointInfo, EndpointState, LoadReport } from "./endpoint.ts";
+export { formatEndpointKey } from "./endpoint.ts";
+export type {
+  EndpointDirectory,
+  EndpointDirectoryOptions,
+  LeavingMark,
+  LeavingSource,
+} from "./endpoint_directory.ts";
+export { createEndpointDirectory } from "./endpoint_directory.ts";
+export type { LatencyModel } from "./latency_model.ts";
+export { createLatencyModel } from "./latency_model.ts";
+export type {
+  ConcurrencyLimit,
+  ConcurrencyLimitOptions,
+} from "./concurrency_limit.ts";
+export { createConcurrencyLimit } from "./concurrency_limit.ts";
+export type { EjectionCause, EndpointHealth } from "./endpoint_health.ts";
+export { createEndpointHealth, ejectSlowest } from "./endpoint_health.ts";
+export type { RetryBudget, RetryBudgetOptions } from "./retry_budget.ts";
+export { createRetryBudget } from "./retry_budget.ts";
+export type {
+  AttainmentTracker,
+  ClassAttainment,
+  RequestOutcome,
+} from "./attainment.ts";
+export { createAttainmentTracker } from "./attainment.ts";
+export type {
+  CacheEvent,
+  PrefixAffinity,
+  PrefixAffinityOptions,
+} from "./prefix_affinity.ts";
+export { createPrefixAffinity } from "./prefix_affinity.ts";
+export type {
+  ChooseEndpoint,
+  EndpointView,
+  ExpectedTimeChoiceOptions,
+  RoutingRequest,
+} from "./routing.ts";
+export {
+  createExpectedTimeChoice,
+  createLeastInFlightChoice,
+  createRoundRobinChoice,
+} from "./routing.ts";
+export type {
+  QueuedWork,
+  WorkClass,
+  WorkQueue,
+  WorkQueueOptions,
+} from "./work_queue.ts";
+export { createWorkQueue } from "./work_queue.ts";
+export type {
+  AttemptEnd,
+  EndpointStatus,
+  Permit,
+  PoolPolicy,
+  PoolStatus,
+  PoolWork,
+  StagePool,
+  StagePoolOptions,
+} from "./stage_pool.ts";
+export { createStagePool } from "./stage_pool.ts";
+export type {
+  Admission,
+  AdmissionOptions,
+  AdmissionRequest,
+  AdmittedRequest,
+  StageForecast,
+} from "./admission.ts";
+export { createAdmission, spreadRetryAfter } from "./admission.ts";
--- /dev/null
+++ b/packages/coordination/src/prefix_affinity.ts
@@ -0,0 +1,98 @@
+/**
+ * Which engine holds which prompt prefix in its cache, from cache events that
+ * come late and with gaps.
+ *
+ * @module
+ */
+import type { Clock, Millis } from "@mangoreach/shared";
+
+/** A cache event of an engine. */
+export interface CacheEvent {
+  /** Rises by one with each event of an engine; a jump is a gap. */
+  sequence: number;
+  kind: "stored" | "evicted";
+  /** The prefix as the engine names it. */
+  prefix: string;
+}
+
+/** What is believed about the caches of all engines. */
+export interface PrefixAffinity {
+  /** Takes in events of one engine, in the order in which they were read. */
+  applyEvents(endpointKey: string, events: readonly CacheEvent[]): void;
+  /** Notes that a prompt with this prefix was just sent to an engine. */
+  noteSent(endpointKey: string, prefix: string): void;
+  /** How likely the engine holds the prefix, from 0 to 1. */
+  estimate(endpointKey: string, prefix: string): number;
+}
+
+/** Options of {@linkcode createPrefixAffinity}. */
+export interface PrefixAffinityOptions {
+  clock: Clock;
+  /** Prefixes remembered for each engine. */
+  capacity: number;
+}
+
+interface EngineCache {
+  lastSequence: number;
+  /** Prefix to the time of the last news about it, oldest first. */
+  prefixes: Map<string, Millis>;
+}
+
+/** Belief halves in this time without news; engine caches are small. */
+const HALF_LIFE: Millis = 60_000;
+/** After a gap an eviction may have been missed, so belief is cut once. */
+const GAP_AGING: Millis = HALF_LIFE;
+
+/** Creates a view that believes nothing. */
+export function createPrefixAffinity(
+  { clock, capacity }: PrefixAffinityOptions,
+): PrefixAffinity {
+  const engines = new Map<string, EngineCache>();
+
+  function find(endpointKey: string): EngineCache {
+    const known = engines.get(endpointKey);
+    if (known !== undefined) return known;
+    const created = { lastSequence: -1, prefixes: new Map<string, Millis>() };
+    engines.set(endpointKey, created);
+    return created;
+  }
+
+  function store({ prefixes }: EngineCache, prefix: string): void {
+    prefixes.delete(prefix);
+    prefixes.set(prefix, clock.now());
+    if (prefixes.size <= capacity) return;
+    const oldest = prefixes.keys().next();
+    if (!oldest.done) prefixes.delete(oldest.value);
+  }
+
+  function ageAll({ prefixes }: EngineCache): void {
+    for (const [prefix, time] of prefixes) {
+      prefixes.set(prefix, time - GAP_AGING);
+    }
+  }
+
+  function applyEvents(endpointKey: string, events: readonly CacheEvent[]) {
+    const engine = find(endpointKey);
+    for (const { sequence, kind, prefix } of events) {
+      if (sequence <= engine.lastSequence) continue;
+      const isGap = engine.lastSequence >= 0 &&
+        sequence > engine.lastSequence + 1;
+      if (isGap) ageAll(engine);
+      engine.lastSequence = sequence;
+      if (kind === "stored") store(engine, prefix);
+      else engine.prefixes.delete(prefix);
+    }
+  }
+
+  function estimate(endpointKey: string, prefix: string): number {
+    const time = engines.get(endpointKey)?.prefixes.get(prefix);
+    if (time === undefined) return 0;
+    return Math.pow(0.5, (clock.now() - time) / HALF_LIFE);
+  }
+
+  return {
+    applyEvents,
+    noteSent: (endpointKey, prefix) => store(find(endpointKey), prefix),
+    estimate,
+  };
+}
--- /dev/null
+++ b/packages/coordination/src/stage_pool.ts
@@ -0,0 +1,407 @@
+/**
+ * One pool of endpoints as one entry uses it: a queue in front, an adaptive
+ * limit for each endpoint, and the choice of the endpoint.
+ *
+ * @module
+ */
+import type { CancelTimer, Clock, Millis } from "@mangoreach/shared";
+import { Result } from "true-myth";
+import type { ConcurrencyLimit } from "./concurrency_limit.ts";
+import { createConcurrencyLimit } from "./concurrency_limit.ts";
+import type { Deadline } from "./deadline.ts";
+import type { EndpointInfo, LoadReport } from "./endpoint.ts";
+import { formatEndpointKey } from "./endpoint.ts";
+import type { EndpointHealth } from "./endpoint_health.ts";
+import { createEndpointHealth, ejectSlowest } from "./endpoint_health.ts";
+import type { Failure } from "./failure.ts";
+import { createFailure } from "./failure.ts";
+import { createLatencyModel } from "./latency_model.ts";
+import type { ChooseEndpoint, EndpointView } from "./routing.ts";
+import type { WorkClass } from "./work_queue.ts";
+import { createWorkQueue } from "./work_queue.ts";
+
+/** What one stage of a request needs from a pool. */
+export interface PoolWork {
+  workClass: WorkClass;
+  account: string;
+  /** Input size, in the unit that the pool's time depends on most. */
+  size: number;
+  deadline: Deadline;
+  /** Time that the stages after this one need at least. */
+  reserve: Millis;
+  /** Probability from 0 to 1 that an endpoint holds the prompt's prefix. */
+  affinity?: (endpoint: EndpointInfo) => number;
+}
+
+/** How an attempt at an endpoint ended. */
+export type AttemptEnd =
+  | "done"
+  | "unreachable"
+  | "failing"
+  | "overloaded"
+  /** Given up by us: says nothing about the endpoint. */
+  | "abandoned"
+  /** Given up by us because the endpoint was slower than it should be. */
+  | "too_slow";
+
+/** The right to have one attempt at one endpoint. Must be released once. */
+export interface Permit {
+  readonly endpoint: EndpointInfo;
+  /** Notes the time until the (first part of the) answer. */
+  recordLatency(latency: Millis): void;
+  release(end: AttemptEnd): void;
+}
+
+/** How the pool decides; the baselines of the bench pass others. */
+export interface PoolPolicy {
+  choose: ChooseEndpoint;
+  /** Whether work waits here for a free slot, in order of priority. */
+  hasLimits: boolean;
+  /** Whether slow and dead endpoints are taken out of use. */
+  hasEjection: boolean;
+}
+
+/** Options of {@linkcode createStagePool}. */
+export interface StagePoolOptions {
+  clock: Clock;
+  policy: PoolPolicy;
+  estimateAttainment: (className: string) => number;
+  /** Told when an endpoint is taken out of use. */
+  onEjected: (endpoint: EndpointInfo, cause: string) => void;
+}
+
+/** What can be read off a pool, for metrics. */
+export interface PoolStatus {
+  queued: number;
+  inFlight: number;
+  endpoints: EndpointStatus[];
+}
+
+/** What can be read off one endpoint. */
+export interface EndpointStatus {
+  id: string;
+  inFlight: number;
+  limit: number;
+  slowness: number;
+  isEjected: boolean;
+}
+
+/** One pool of endpoints. */
+export interface StagePool {
+  /** Replaces the endpoints that take new work. */
+  refresh(endpoints: readonly EndpointInfo[]): void;
+  recordReport(endpointKey: string, report: LoadReport): void;
+  /** Waits for a slot; the failure's verdict is `not_run` for this attempt. */
+  acquire(work: PoolWork): Promise<Result<Permit, Failure>>;
+  /** Takes a slot at once at an endpoint other than `avoid`, or none. */
+  tryAcquire(work: PoolWork, avoid: readonly EndpointInfo[]):
+    | Permit
+    | undefined;
+  /** Expected time in the queue for new work of a priority. */
+  estimateWait(priority: number): Millis;
+  /** Expected time of one attempt at present. */
+  estimateService(size: number): Millis;
+  /** Time of one attempt without any queueing. */
+  estimateUnloaded(size: number): Millis;
+  /** Time that about one attempt in twenty exceeds. */
+  estimateSlow(size: number): Millis;
+  readStatus(): PoolStatus;
+}
+
+interface Slot extends EndpointView {
+  info: EndpointInfo;
+  inFlight: number;
+  report: LoadReport | undefined;
+  inFlightAtReport: number;
+  limit: ConcurrencyLimit;
+  health: EndpointHealth;
+  readonly slowness: number;
+}
+
+interface Waiter extends PoolWork {
+  settle(outcome: Result<Permit, Failure>): void;
+}
+
+const START_LIMIT = 4;
+const MAX_LIMIT = 64;
+const MAX_QUEUED = 2_000;
+const EJECTION_CHECK_INTERVAL: Millis = 200;
+/** How soon waiting work looks again when every endpoint is out of use. */
+const RECHECK_INTERVAL: Millis = 50;
+const DURATION_WEIGHT = 0.05;
+const RETRY_AFTER_NO_ENDPOINT: Millis = 1_000;
+
+/** Creates a pool without endpoints. */
+export function createStagePool(
+  { clock, policy, estimateAttainment, onEjected }: StagePoolOptions,
+): StagePool {
+  const slots = new Map<string, Slot>();
+  const inProgress = new Map<string, number>();
+  const latencies = createLatencyModel();
+  const queue = createWorkQueue<Waiter>({
+    estimateAttainment,
+    countInProgress: (account) => inProgress.get(account) ?? 0,
+  });
+  let inFlight = 0;
+  let meanDuration: Millis = 0;
+  let lastEjectionCheck = clock.now();
+  let stopRecheck: CancelTimer | undefined;
+
+  function refresh(endpoints: readonly EndpointInfo[]): void {
+    const keys = new Set<string>();
+    for (const info of endpoints) {
+      const key = formatEndpointKey(info);
+      keys.add(key);
+      const slot = slots.get(key);
+      if (slot === undefined) slots.set(key, createSlot(info));
+      else slot.info = info;
+    }
+    // Attempts in progress at a removed endpoint go on; they hold its slot.
+    for (const key of slots.keys()) if (!keys.has(key)) slots.delete(key);
+    dispatch();
+  }
+
+  function createSlot(info: EndpointInfo): Slot {
+    const health = createEndpointHealth(clock);
+    return {
+      info,
+      inFlight: 0,
+      report: undefined,
+      inFlightAtReport: 0,
+      limit: createConcurrencyLimit({
+        clock,
+        start: START_LIMIT,
+        max: MAX_LIMIT,
+      }),
+      health,
+      get slowness() {
+        return health.slowness;
+      },
+    };
+  }
+
+  function listInUse(): Slot[] {
+    const all = [...slots.values()];
+    if (!policy.hasEjection) return all;
+    const healthy = all.filter(({ health }) => !health.isEjected());
+    // With all out of use any answer is better than none: a refusal by a dead
+    // endpoint costs little and tells at once when it is back.
+    return healthy.length > 0 ? healthy : all;
+  }
+
+  function findFree(avoid: readonly EndpointInfo[]): Slot[] {
+    return listInUse().filter((slot) =>
+      !avoid.includes(slot.info) &&
+      (!policy.hasLimits || slot.inFlight < slot.limit.value)
+    );
+  }
+
+  function choose(
+    work: PoolWork,
+    avoid: readonly EndpointInfo[],
+  ): Slot | undefined {
+    const free = findFree(avoid);
+    const { affinity } = work;
+    return policy.choose(free, affinity === undefined ? {} : { affinity });
+  }
+
+  function grant(slot: Slot, work: PoolWork): Permit {
+    const startedAt = clock.now();
+    let isReleased = false;
+    slot.inFlight++;
+    inFlight++;
+    inProgress.set(work.account, (inProgress.get(work.account) ?? 0) + 1);
+
+    function recordLatency(latency: Millis): void {
+      const ratio = latencies.record(work.size, latency);
+      slot.limit.record(ratio, slot.inFlight);
+      slot.health.recordSuccess(ratio);
+    }
+
+    function release(end: AttemptEnd): void {
+      if (isReleased) return;
+      isReleased = true;
+      slot.inFlight--;
+      inFlight--;
+      forgetInProgress(work.account);
+      const duration = clock.now() - startedAt;
+      if (end === "done") noteDuration(duration);
+      noteEnd(slot, { end, size: work.size, duration });
+      dispatch();
+    }
+
+    return { endpoint: slot.info, recordLatency, release };
+  }
+
+  function noteDuration(duration: Millis): void {
+    meanDuration = meanDuration === 0
+      ? duration
+      : meanDuration + DURATION_WEIGHT * (duration - meanDuration);
+  }
+
+  function forgetInProgress(account: string): void {
+    const count = (inProgress.get(account) ?? 1) - 1;
+    if (count === 0) inProgress.delete(account);
+    else inProgress.set(account, count);
+  }
+
+  function noteEnd(
+    slot: Slot,
+    { end, size, duration }: {
+      end: AttemptEnd;
+      size: number;
+      duration: Millis;
+    },
+  ): void {
+    const wasEjected = slot.health.isEjected();
+    if (end === "unreachable" || end === "failing") {
+      slot.health.recordFailure(end);
+    }
+    if (end === "overloaded") slot.limit.recordOverload();
+    if (end === "too_slow") {
+      slot.limit.recordOverload();
+      slot.health.recordSuccess(duration / latencies.estimateUnloaded(size));
+    }
+    if (!wasEjected && slot.health.isEjected()) {
+      onEjected(slot.info, end);
+    }
+    checkSlowest();
+  }
+
+  function checkSlowest(): void {
+    const now = clock.now();
+    if (!policy.hasEjection) return;
+    if (now - lastEjectionCheck < EJECTION_CHECK_INTERVAL) return;
+    lastEjectionCheck = now;
+    const all = [...slots.values()];
+    const ejected = ejectSlowest(all.map(({ health }) => health));
+    const slot = all.find(({ health }) => health === ejected);
+    if (slot !== undefined) onEjected(slot.info, "slow");
+  }
+
+  function dispatch(): void {
+    while (queue.size > 0) {
+      if (findFree([]).length === 0) return scheduleRecheck();
+      const waiter = queue.take();
+      const slot = waiter && choose(waiter, []);
+      if (waiter === undefined) return;
+      if (slot === undefined) return waiter.settle(Result.err(failEmpty()));
+      waiter.settle(Result.ok(grant(slot, waiter)));
+    }
+  }
+
+  function scheduleRecheck(): void {
+    if (stopRecheck !== undefined) return;
+    stopRecheck = clock.startTimer(RECHECK_INTERVAL, () => {
+      stopRecheck = undefined;
+      dispatch();
+    });
+  }
+
+  function acquire(work: PoolWork): Promise<Result<Permit, Failure>> {
+    if (slots.size === 0) return Promise.resolve(Result.err(failEmpty()));
+    // Nobody overtakes: with work waiting, new work joins the queue.
+    const slot = queue.size === 0 ? choose(work, []) : undefined;
+    if (slot !== undefined) {
+      return Promise.resolve(Result.ok(grant(slot, work)));
+    }
+    if (queue.size >= MAX_QUEUED) {
+      return Promise.resolve(Result.err(failOverloaded("the queue is full")));
+    }
+    return waitForSlot(work);
+  }
+
+  function waitForSlot(work: PoolWork): Promise<Result<Permit, Failure>> {
+    const { deadline, reserve, size } = work;
+    return new Promise((resolve) => {
+      const needed = reserve + latencies.estimateUnloaded(size);
+      const stopTimer = clock.startTimer(
+        deadline.remaining() - needed,
+        () => giveUp(failOverloaded("no endpoint came free in time")),
+      );
+      const onAbort = () => giveUp(failCancelled());
+      const waiter: Waiter = {
+        ...work,
+        settle(outcome) {
+          stopTimer();
+          deadline.signal.removeEventListener("abort", onAbort);
+          resolve(outcome);
+        },
+      };
+      function giveUp(failure: Failure): void {
+        queue.remove(waiter);
+        waiter.settle(Result.err(failure));
+      }
+      deadline.signal.addEventListener("abort", onAbort, { once: true });
+      queue.add(waiter);
+      dispatch();
+    });
+  }
+
+  function failOverloaded(message: string): Failure {
+    return createFailure("overloaded", {
+      verdict: "not_run",
+      message,
+      retryAfterMs: Math.max(RETRY_AFTER_NO_ENDPOINT, estimateWait(Infinity)),
+    });
+  }
+
+  function tryAcquire(
+    work: PoolWork,
+    avoid: readonly EndpointInfo[],
+  ): Permit | undefined {
+    if (queue.size > 0) return undefined;
+    const slot = choose(work, avoid);
+    return slot && grant(slot, work);
+  }
+
+  function estimateWait(priority: number): Millis {
+    if (queue.size === 0 || inFlight === 0) return 0;
+    return queue.countAhead(priority) * meanDuration / inFlight;
+  }
+
+  function recordReport(endpointKey: string, report: LoadReport): void {
+    const slot = slots.get(endpointKey);
+    if (slot === undefined) return;
+    slot.report = report;
+    slot.inFlightAtReport = slot.inFlight;
+  }
+
+  function readStatus(): PoolStatus {
+    const endpoints = [...slots.values()].map((slot) => ({
+      id: slot.info.id,
+      inFlight: slot.inFlight,
+      limit: slot.limit.value,
+      slowness: slot.slowness,
+      isEjected: slot.health.isEjected(),
+    }));
+    return { queued: queue.size, inFlight, endpoints };
+  }
+
+  return {
+    refresh,
+    recordReport,
+    acquire,
+    tryAcquire,
+    estimateWait,
+    estimateService: latencies.estimateTypical,
+    estimateUnloaded: latencies.estimateUnloaded,
+    estimateSlow: latencies.estimateSlow,
+    readStatus,
+  };
+}
+
+function failEmpty(): Failure {
+  return createFailure("unavailable", {
+    verdict: "not_run",
+    message: "no endpoint of the pool takes new work",
+    retryAfterMs: RETRY_AFTER_NO_ENDPOINT,
+  });
+}
+
+function failCancelled(): Failure {
+  return createFailure("cancelled", {
+    verdict: "not_run",
+    message: "the request was given up while it waited",
+  });
+}
--- /dev/null
+++ b/packages/coordination/src/work_queue.ts
@@ -0,0 +1,139 @@
+/**
+ * Work that waits for an endpoint, in the order that targets and priorities
+ * give: the higher priority first; between equal priorities the class furthest
+ * below its target; within a class the client account with the least in
+ * progress; within an account the oldest.
+ *
+ * @module
+ */
+
+/** A class of work as operators publish it. */
+export interface WorkClass {
+  name: string;
+  /** 1 is the highest. */
+  priority: number;
+  /** Share that must be answered whole and in time, from 0 to 1. */
+  target: number;
+}
+
+/** One piece of waiting work. */
+export interface QueuedWork {
+  workClass: WorkClass;
+  account: string;
+}
+
+/** A queue for one pool. */
+export interface WorkQueue<W extends QueuedWork> {
+  readonly size: number;
+  add(work: W): void;
+  remove(work: W): void;
+  /** Takes the next work, or undefined when empty. */
+  take(): W | undefined;
+  /** Work that would go before new work of `priority`. */
+  countAhead(priority: number): number;
+}
+
+/** Options of {@linkcode createWorkQueue}. */
+export interface WorkQueueOptions {
+  /** Recent share of a class that was answered in time. */
+  estimateAttainment: (className: string) => number;
+  /** Requests of an account in progress in this pool. */
+  countInProgress: (account: string) => number;
+}
+
+interface ClassQueue<W> {
+  workClass: WorkClass;
+  size: number;
+  accounts: Map<string, Set<W>>;
+}
+
+/** Creates an empty queue. */
+export function createWorkQueue<W extends QueuedWork>(
+  { estimateAttainment, countInProgress }: WorkQueueOptions,
+): WorkQueue<W> {
+  const classes = new Map<string, ClassQueue<W>>();
+  let size = 0;
+
+  function add(work: W): void {
+    const { workClass, account } = work;
+    let queue = classes.get(workClass.name);
+    if (queue === undefined) {
+      queue = { workClass, size: 0, accounts: new Map() };
+      classes.set(workClass.name, queue);
+    }
+    // Priorities change with the configuration, the queue lives on.
+    queue.workClass = workClass;
+    const waiting = queue.accounts.get(account);
+    if (waiting === undefined) queue.accounts.set(account, new Set([work]));
+    else waiting.add(work);
+    queue.size++;
+    size++;
+  }
+
+  function remove(work: W): void {
+    const queue = classes.get(work.workClass.name);
+    const waiting = queue?.accounts.get(work.account);
+    if (queue === undefined || !waiting?.delete(work)) return;
+    queue.size--;
+    size--;
+    if (waiting.size === 0) queue.accounts.delete(work.account);
+    if (queue.size === 0) classes.delete(work.workClass.name);
+  }
+
+  function take(): W | undefined {
+    const queue = chooseClass();
+    const waiting = queue && chooseAccount(queue);
+    const work = waiting?.values().next().value;
+    if (work !== undefined) remove(work);
+    return work;
+  }
+
+  function chooseClass(): ClassQueue<W> | undefined {
+    let chosen: ClassQueue<W> | undefined;
+    for (const queue of classes.values()) {
+      if (chosen === undefined || goesBefore(queue, chosen)) chosen = queue;
+    }
+    return chosen;
+  }
+
+  function goesBefore(a: ClassQueue<W>, b: ClassQueue<W>): boolean {
+    if (a.workClass.priority !== b.workClass.priority) {
+      return a.workClass.priority < b.workClass.priority;
+    }
+    return computeShortfall(a.workClass) > computeShortfall(b.workClass);
+  }
+
+  function computeShortfall({ name, target }: WorkClass): number {
+    return target - estimateAttainment(name);
+  }
+
+  function chooseAccount({ accounts }: ClassQueue<W>): Set<W> | undefined {
+    let chosen: Set<W> | undefined;
+    let least = Infinity;
+    for (const [account, waiting] of accounts) {
+      const inProgress = countInProgress(account);
+      if (inProgress >= least) continue;
+      least = inProgress;
+      chosen = waiting;
+    }
+    return chosen;
+  }
+
+  function countAhead(priority: number): number {
+    let ahead = 0;
+    for (const { workClass, size } of classes.values()) {
+      if (workClass.priority <= priority) ahead += size;
+    }
+    return ahead;
+  }
+
+  return {
+    get size() {
+      return size;
+    },
+    add,
+    remove,
+    take,
+    countAhead,
+  };
+}
--- /dev/null
+++ b/packages/instance_list/src/instance_list_client.ts
@@ -0,0 +1,124 @@
+/**
+ * The platform's lagging instance list.
+ *
+ * Wire format: `GET /instances?after=…` answers 200
+ * `{"version":…,"instances":[…]}`, or 304 when `version` has not changed.
+ *
+ * @module
+ */
+import type { EndpointInfo, Failure } from "@mangoreach/coordination";
+import { createCallFailure, createFailure } from "@mangoreach/coordination";
+import type { Clock, Millis } from "@mangoreach/shared";
+import {
+  createHttpClient,
+  createSubject,
+  readReplyJson,
+} from "@mangoreach/shared";
+import type { Stream } from "most";
+import { Result } from "true-myth";
+import { z } from "zod";
+
+/** The pool name under which our own entries are listed. */
+export const ENTRY_POOL = "entry";
+
+const listedInstanceSchema = z.object({
+  id: z.string().min(1),
+  incarnation: z.string().min(1),
+  pool: z.string().min(1),
+  place: z.string().min(1),
+  address: z.string().min(1),
+  state: z.enum(["live", "leaving"]),
+});
+
+const snapshotSchema = z.object({
+  version: z.number().int().min(0),
+  instances: z.array(listedInstanceSchema),
+});
+
+/** What the list said at one time. */
+export interface InstanceSnapshot {
+  version: number;
+  instances: EndpointInfo[];
+}
+
+/** Options of {@linkcode createInstanceListClient}. */
+export interface InstanceListClientOptions {
+  clock: Clock;
+  /** `ip:port`. */
+  address: string;
+  timeoutMs: Millis;
+}
+
+/** The instance list. */
+export interface InstanceListClient {
+  /** Reads the list; undefined when it has not changed since `after`. */
+  read(after: number): Promise<Result<InstanceSnapshot | undefined, Failure>>;
+  /** Reads the list again and again until `signal` aborts. */
+  follow(options: FollowOptions): Stream<InstanceSnapshot>;
+  close(): Promise<void>;
+}
+
+/** Options of {@linkcode InstanceListClient.follow}. */
+export interface FollowOptions {
+  interval: Millis;
+  signal: AbortSignal;
+  random: () => number;
+  onAway: (failure: Failure) => void;
+}
+
+const OK = 200;
+const NOT_MODIFIED = 304;
+
+/** Creates the handle; it connects on the first call. */
+export function createInstanceListClient(
+  { clock, address, timeoutMs }: InstanceListClientOptions,
+): InstanceListClient {
+  const http = createHttpClient();
+
+  async function read(
+    after: number,
+  ): Promise<Result<InstanceSnapshot | undefined, Failure>> {
+    const controller = new AbortController();
+    const stopTimer = clock.startTimer(timeoutMs, () => controller.abort());
+    const reply = await http.call({
+      method: "GET",
+      address,
+      path: `/instances?after=${after}`,
+      signal: controller.signal,
+    });
+    stopTimer();
+    if (reply.isErr) {
+      return Result.err(createCallFailure("instance list", reply.error));
+    }
+    if (reply.value.status === NOT_MODIFIED) return Result.ok(undefined);
+    const body = snapshotSchema.safeParse(readReplyJson(reply.value));
+    if (reply.value.status === OK && body.success) return Result.ok(body.data);
+    return Result.err(createFailure("bad_reply", {
+      verdict: "not_run",
+      message: `instance list: unusable answer ${reply.value.status}`,
+    }));
+  }
+
+  function follow(
+    { interval, signal, random, onAway }: FollowOptions,
+  ): Stream<InstanceSnapshot> {
+    const subject = createSubject<InstanceSnapshot>();
+    async function poll(): Promise<void> {
+      let version = -1;
+      while (!signal.aborted) {
+        const snapshot = await read(version);
+        if (snapshot.isErr) onAway(snapshot.error);
+        else if (snapshot.value !== undefined) {
+          version = snapshot.value.version;
+          subject.push(snapshot.value);
+        }
+        await clock.sleep(interval * (0.75 + random() / 2), signal);
+      }
+      subject.end();
+    }
+    void poll();
+    return subject.stream;
+  }
+
+  return { read, follow, close: http.close };
+}
--- /dev/null
+++ b/packages/shared/src/http_client.ts
@@ -0,0 +1,205 @@
+/**
+ * HTTP calls by undici with a typed outcome that says whether the call can
+ * have reached the other side.
+ *
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import type { Readable } from "node:stream";
+import { Result } from "true-myth";
+import type { Dispatcher } from "undici";
+import { Agent, request } from "undici";
+import type { Millis } from "./clock.ts";
+import { parseJson } from "./http_server.ts";
+
+/** Why a call got no usable answer. */
+export type HttpFaultKind =
+  /** No connection: the call was never sent. */
+  | "unreachable"
+  /** Given up by this side. */
+  | "aborted"
+  /** The connection ended before the whole answer was there. */
+  | "cut"
+  /** The answer is larger than allowed. */
+  | "too_large";
+
+/** A call without a usable answer. */
+export interface HttpFault {
+  kind: HttpFaultKind;
+  /** Whether any byte of the call can have reached the other side. */
+  sent: "no" | "maybe";
+  message: string;
+}
+
+/** Headers by lower-case name, as undici gives them. */
+export type HttpHeaders = Record<string, string | string[] | undefined>;
+
+/** A whole answer. */
+export interface HttpReply {
+  status: number;
+  headers: HttpHeaders;
+  text: string;
+}
+
+/** An answer whose body is read by the caller. */
+export interface HttpStreamReply {
+  status: number;
+  headers: HttpHeaders;
+  body: Readable;
+}
+
+/** One call. */
+export interface HttpCall {
+  method: "GET" | "POST" | "PUT" | "DELETE";
+  /** `ip:port`. */
+  address: string;
+  path: string;
+  headers?: Record<string, string>;
+  body?: string | Buffer;
+  signal?: AbortSignal;
+}
+
+/** Options of {@linkcode createHttpClient}. */
+export interface HttpClientOptions {
+  /** Answers larger than this are a fault, in bytes. */
+  maxReplyBytes: number;
+  connectTimeoutMs: Millis;
+}
+
+/** Makes calls over kept connections. */
+export interface HttpClient {
+  call(call: HttpCall): Promise<Result<HttpReply, HttpFault>>;
+  callStream(call: HttpCall): Promise<Result<HttpStreamReply, HttpFault>>;
+  close(): Promise<void>;
+}
+
+const KEEP_ALIVE: Millis = 4_000;
+/** Error codes that are raised before anything is written. */
+const NOT_SENT_CODES = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "EADDRNOTAVAIL",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+const DEFAULT_MAX_REPLY = 4_194_304;
+const DEFAULT_CONNECT_TIMEOUT: Millis = 1_000;
+
+/** Creates a client; one for each kind of peer. */
+export function createHttpClient(
+  {
+    maxReplyBytes = DEFAULT_MAX_REPLY,
+    connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT,
+  }: Partial<HttpClientOptions> = {},
+): HttpClient {
+  const agent = new Agent({
+    pipelining: 1,
+    keepAliveTimeout: KEEP_ALIVE,
+    connectTimeout: connectTimeoutMs,
+    // Deadlines are kept by abort signals, which also cover what undici's own
+    // timeouts leave out.
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+
+  async function callStream(
+    call: HttpCall,
+  ): Promise<Result<HttpStreamReply, HttpFault>> {
+    if (call.signal?.aborted) {
+      return Result.err({ kind: "aborted", sent: "no", message: "given up" });
+    }
+    try {
+      const { statusCode, headers, body } = await request(
+        `http://${call.address}${call.path}`,
+        createRequestOptions(call, agent),
+      );
+      return Result.ok({ status: statusCode, headers, body });
+    } catch (error) {
+      return Result.err(classifyError(error, call.signal));
+    }
+  }
+
+  async function call(
+    options: HttpCall,
+  ): Promise<Result<HttpReply, HttpFault>> {
+    const reply = await callStream(options);
+    if (reply.isErr) return Result.err(reply.error);
+    const { status, headers, body } = reply.value;
+    const text = await readText(body, {
+      maxReplyBytes,
+      signal: options.signal,
+    });
+    return text.map((whole) => ({ status, headers, text: whole }));
+  }
+
+  return { call, callStream, close: () => agent.destroy() };
+}
+
+function createRequestOptions(
+  { method, headers, body, signal }: HttpCall,
+  dispatcher: Dispatcher,
+) {
+  return {
+    method,
+    dispatcher,
+    headers: headers ?? {},
+    body: body ?? null,
+    signal: signal ?? null,
+  };
+}
+
+async function readText(
+  body: Readable,
+  { maxReplyBytes, signal }: {
+    maxReplyBytes: number;
+    signal: AbortSignal | undefined;
+  },
+): Promise<Result<string, HttpFault>> {
+  let text = "";
+  let length = 0;
+  const decoder = new TextDecoder();
+  try {
+    for await (const chunk of body as AsyncIterable<Buffer>) {
+      length += chunk.length;
+      if (length > maxReplyBytes) {
+        body.destroy();
+        return Result.err({
+          kind: "too_large",
+          sent: "maybe",
+          message: `the answer is larger than ${maxReplyBytes} bytes`,
+        });
+      }
+      text += decoder.decode(chunk, { stream: true });
+    }
+    return Result.ok(text + decoder.decode());
+  } catch (error) {
+    const fault = classifyError(error, signal);
+    return Result.err({ ...fault, sent: "maybe" });
+  }
+}
+
+function classifyError(
+  error: unknown,
+  signal: AbortSignal | undefined,
+): HttpFault {
+  if (signal?.aborted) {
+    return { kind: "aborted", sent: "maybe", message: "given up" };
+  }
+  const code = readErrorCode(error);
+  const message = error instanceof Error ? error.message : String(error);
+  if (NOT_SENT_CODES.has(code)) {
+    return { kind: "unreachable", sent: "no", message };
+  }
+  // A reset connection may have carried the call before it broke.
+  return { kind: "cut", sent: "maybe", message };
+}
+
+function readErrorCode(error: unknown): string {
+  if (!(error instanceof Error) || !("code" in error)) return "";
+  return String(error.code);
+}
+
+/** Parses the JSON body of an answer; undefined when it is malformed. */
+export function readReplyJson(reply: HttpReply): unknown {
+  return parseJson(reply.text);
+}
--- /dev/null
+++ b/packages/shared/src/logger.ts
@@ -0,0 +1,70 @@
+/**
+ * Logs by pino: short sentences, each behind the fixed prefix of its part.
+ *
+ * @module
+ */
+import type { Logger as PinoLogger } from "pino";
+import { destination, pino } from "pino";
+
+/** The parts of the system that write logs; each is a fixed prefix. */
+export type LogPart =
+  | "admission"
+  | "callers"
+  | "config"
+  | "control"
+  | "endpoints"
+  | "entry"
+  | "log"
+  | "orders"
+  | "peers"
+  | "pipeline"
+  | "standin"
+  | "streams";
+
+/** How much is logged. */
+export type LogLevel = "silent" | "error" | "warn" | "info" | "debug";
+
+/** Writes log lines; `forPart` gives the same log with a part's prefix. */
+export interface Logger {
+  error(message: string, fields?: Record<string, unknown>): void;
+  warn(message: string, fields?: Record<string, unknown>): void;
+  info(message: string, fields?: Record<string, unknown>): void;
+  debug(message: string, fields?: Record<string, unknown>): void;
+  forPart(part: LogPart): Logger;
+}
+
+/** Options of {@linkcode createLogger}. */
+export interface LoggerOptions {
+  /** The name of this process, on every line. */
+  process: string;
+  level: LogLevel;
+}
+
+const STANDARD_ERROR = 2;
+const SECRET_FIELDS = ["key", "keys", "authorization", "siteKey", "token"];
+
+/** Creates the log of one process; lines go to standard error as NDJSON. */
+export function createLogger({ process, level }: LoggerOptions): Logger {
+  const root = pino({
+    level,
+    base: { process },
+    redact: [...SECRET_FIELDS, ...SECRET_FIELDS.map((field) => `*.${field}`)],
+  }, destination({ dest: STANDARD_ERROR, sync: false }));
+  return wrapLogger(root);
+}
+
+/** Creates a log that drops everything; for tests and embedding. */
+export function createSilentLogger(): Logger {
+  return wrapLogger(pino({ level: "silent" }));
+}
+
+function wrapLogger(logger: PinoLogger): Logger {
+  return {
+    error: (message, fields = {}) => logger.error(fields, message),
+    warn: (message, fields = {}) => logger.warn(fields, message),
+    info: (message, fields = {}) => logger.info(fields, message),
+    debug: (message, fields = {}) => logger.debug(fields, message),
+    forPart: (part) =>
+      wrapLogger(logger.child({ part }, { msgPrefix: `${part}: ` })),
+  };
+}
--- /dev/null
+++ b/packages/shared/src/mod.ts
@@ -0,0 +1,65 @@
+/**
+ * Small helpers that every other package uses.
+ *
+ * @module
+ */
+export type { CancelTimer, Clock, Millis } from "./clock.ts";
+export { createSystemClock } from "./clock.ts";
+export type { FakeClock } from "./fake_clock.ts";
+export { createFakeClock, settlePromises } from "./fake_clock.ts";
+export type { Subject } from "./subject.ts";
+export { createSubject } from "./subject.ts";
+export type { SettingsFault, SettingsSource } from "./settings.ts";
+export { formatSettingsFault, parseSettings } from "./settings.ts";
+export type { Logger, LoggerOptions, LogLevel, LogPart } from "./logger.ts";
+export { createLogger, createSilentLogger } from "./logger.ts";
+export type { CausalClock, CausalTime } from "./causal_clock.ts";
+export {
+  compareCausalTimes,
+  createCausalClock,
+  formatCausalTime,
+  parseCausalTime,
+} from "./causal_clock.ts";
+export type {
+  EventKind,
+  EventSubject,
+  Timeline,
+  TimelineEvent,
+  TimelineOptions,
+} from "./timeline.ts";
+export { createTimeline } from "./timeline.ts";
+export type { TaskSet } from "./task_set.ts";
+export { createTaskSet } from "./task_set.ts";
+export type {
+  BodyOutcome,
+  ListenAddress,
+  SendJsonOptions,
+  ServerLimits,
+} from "./http_server.ts";
+export {
+  parseJson,
+  readBody,
+  readServerAddress,
+  sendJson,
+  startServer,
+  stopServer,
+} from "./http_server.ts";
+export type {
+  ServerSentEvent,
+  ServerSentEventParser,
+} from "./server_sent_events.ts";
+export {
+  createServerSentEventParser,
+  formatServerSentEvent,
+} from "./server_sent_events.ts";
+export type {
+  HttpCall,
+  HttpClient,
+  HttpClientOptions,
+  HttpFault,
+  HttpFaultKind,
+  HttpHeaders,
+  HttpReply,
+  HttpStreamReply,
+} from "./http_client.ts";
+export { createHttpClient, readReplyJson } from "./http_client.ts";
--- /dev/null
+++ b/packages/shared/src/server_sent_events.ts
@@ -0,0 +1,59 @@
+/**
+ * Reads and writes server-sent events (WHATWG HTML, section 9.2), only the
+ * `event`, `id` and `data` fields.
+ *
+ * @module
+ */
+
+/** One server-sent event. */
+export interface ServerSentEvent {
+  event: string;
+  id: string;
+  data: string;
+}
+
+/** Turns chunks of text into whole events, keeping what is incomplete. */
+export interface ServerSentEventParser {
+  /** Returns the events completed by `chunk`, or "too_large". */
+  parse(chunk: string): ServerSentEvent[] | "too_large";
+}
+
+/** An event longer than this is a fault of the sender, in UTF-16 units. */
+const MAX_EVENT_LENGTH = 1_048_576;
+
+/** Creates a parser for one connection. */
+export function createServerSentEventParser(): ServerSentEventParser {
+  let rest = "";
+  return {
+    parse(chunk) {
+      rest += chunk;
+      const events: ServerSentEvent[] = [];
+      for (;;) {
+        const end = rest.indexOf("\n\n");
+        if (end < 0) break;
+        events.push(parseEvent(rest.slice(0, end)));
+        rest = rest.slice(end + 2);
+      }
+      return rest.length > MAX_EVENT_LENGTH ? "too_large" : events;
+    },
+  };
+}
+
+/** Formats an event for the wire. `data` must not contain line breaks. */
+export function formatServerSentEvent(event: ServerSentEvent): string {
+  return `event: ${event.event}\nid: ${event.id}\ndata: ${event.data}\n\n`;
+}
+
+function parseEvent(text: string): ServerSentEvent {
+  const event = { event: "message", id: "", data: "" };
+  for (const line of text.split("\n")) {
+    const colon = line.indexOf(":");
+    if (colon <= 0) continue;
+    const field = line.slice(0, colon);
+    const value = line.slice(line[colon + 1] === " " ? colon + 2 : colon + 1);
+    if (field === "event" || field === "id" || field === "data") {
+      event[field] = value;
+    }
+  }
+  return event;
+}
