--- a/bench/src/process_launcher.ts
+++ b/bench/src/process_launcher.ts
@@ -37,7 +37,7 @@
 ): Promise<LaunchedProcess> {
   const child = spawn(
     process.execPath,
-    ["--enable-source-maps", `dist/${program}.mjs`, ...args],
+    [`dist/${program}.mjs`, ...args],
     { stdio: ["ignore", "pipe", errorFile === undefined ? "ignore" : "pipe"] },
   );
   launched.add(child);
--- /dev/null
+++ b/bench/src/process_usage.ts
@@ -0,0 +1,31 @@
+/**
+ * Reads processor time and memory of a process from the proc file system.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+
+/** What a process has used. */
+export interface ProcessUsage {
+  /** User and system time, in seconds. */
+  cpuSeconds: number;
+  residentBytes: number;
+}
+
+const TICKS_PER_SECOND = 100;
+const PAGE_BYTES = 4_096;
+const USER_TIME_FIELD = 11;
+const RESIDENT_FIELD = 21;
+
+/** Reads the usage of a process of this machine (proc(5), `stat`). */
+export function readProcessUsage(pid: number): ProcessUsage {
+  const text = readFileSync(`/proc/${pid}/stat`, "utf8");
+  // The name in the second field may contain spaces.
+  const fields = text.slice(text.lastIndexOf(")") + 2).split(" ");
+  const ticks = Number(fields[USER_TIME_FIELD]) +
+    Number(fields[USER_TIME_FIELD + 1]);
+  return {
+    cpuSeconds: ticks / TICKS_PER_SECOND,
+    residentBytes: Number(fields[RESIDENT_FIELD]) * PAGE_BYTES,
+  };
+}
--- a/packages/coordination/src/routing.ts
+++ b/packages/coordination/src/routing.ts
@@ -72,7 +72,7 @@
 }
 
 /** In-flight work of other entries, from a report that ages. */
-function estimateOthers(view: EndpointView, now: Millis): number {
+export function estimateOthers(view: EndpointView, now: Millis): number {
   const { report } = view;
   if (report === undefined) return 0;
   const reported = report.running + report.queued - view.inFlightAtReport;
--- a/packages/coordination/src/stage_pool.ts
+++ b/packages/coordination/src/stage_pool.ts
@@ -17,6 +17,7 @@
 import { createFailure } from "./failure.ts";
 import { createLatencyModel } from "./latency_model.ts";
 import type { ChooseEndpoint, EndpointView } from "./routing.ts";
+import { estimateOthers } from "./routing.ts";
 import type { WorkClass } from "./work_queue.ts";
 import { createWorkQueue } from "./work_queue.ts";
 
@@ -128,6 +129,10 @@
 const EJECTION_CHECK_INTERVAL: Millis = 200;
 /** How soon waiting work looks again when every endpoint is out of use. */
 const RECHECK_INTERVAL: Millis = 50;
+/** Reports older than this say nothing about the present. */
+const REPORT_LIFETIME: Millis = 5_000;
+/** A little more than full, so that no slot waits for the next request. */
+const FULL_FACTOR = 1.125;
 const DURATION_WEIGHT = 0.05;
 const RETRY_AFTER_NO_ENDPOINT: Millis = 1_000;
 
@@ -192,10 +197,24 @@
   function findFree(avoid: readonly EndpointInfo[]): Slot[] {
     return listInUse().filter((slot) =>
       !avoid.includes(slot.info) &&
-      (!policy.hasLimits || slot.inFlight < slot.limit.value)
+      (!policy.hasLimits || slot.inFlight < readLimit(slot))
     );
   }
 
+  /**
+   * An endpoint that reports its slots is kept just full: what others have
+   * there by its last report is left to them. For others the limit is learnt.
+   */
+  function readLimit(slot: Slot): number {
+    const { report } = slot;
+    const now = clock.now();
+    if (report === undefined || now - report.takenAt > REPORT_LIFETIME) {
+      return slot.limit.value;
+    }
+    const room = report.slots * FULL_FACTOR - estimateOthers(slot, now);
+    return Math.max(1, Math.floor(room));
+  }
+
   function choose(
     work: PoolWork,
     avoid: readonly EndpointInfo[],
@@ -371,7 +390,7 @@
     const endpoints = [...slots.values()].map((slot) => ({
       id: slot.info.id,
       inFlight: slot.inFlight,
-      limit: slot.limit.value,
+      limit: readLimit(slot),
       slowness: slot.slowness,
       isEjected: slot.health.isEjected(),
     }));
