feat(entry): order engines under leases with fencing numbers

Change: one lease in the log for each engine pool, its offset is the fencing number; the holder plans what each engine holds, checks the weight store, sends whole desired states and corrects what differs in each round. Requests go to engines that hold the model.

--- a/bench/src/local_site.ts
+++ b/bench/src/local_site.ts
@@ -65,7 +65,8 @@
   stageTimes?: StageTimes;
   engineTimes?: EngineTimes;
   checksFencing?: boolean;
-  models?: string[];
+  /** Models that the engines hold from the start; by default all. */
+  models?: ConfigDocument["models"];
   timing?: Partial<EntrySettings["timing"]>;
   settings?: Partial<EntrySettings>;
   listLagMs?: number;
@@ -99,6 +100,13 @@
   portal: "portal-test-key-000001",
 } as const;
 
+function createPool(
+  name: string,
+  kind: ConfigDocument["pools"][number]["kind"],
+) {
+  return { name, kind, checksFencing: kind === "engine", modelsPerEngine: 1 };
+}
+
 /** A configuration with one pipeline of each form and one service. */
 export const LOCAL_CONFIG: ConfigDocument = {
   classes: [
@@ -106,9 +114,9 @@
     { name: "chat", target: 0.9, priority: 2 },
   ],
   pools: [
-    { name: "encoder", kind: "stage", checksFencing: false },
-    { name: "engine", kind: "engine", checksFencing: true },
-    { name: "billing", kind: "service", checksFencing: false },
+    createPool("encoder", "stage"),
+    createPool("engine", "engine"),
+    createPool("billing", "service"),
   ],
   models: [{ name: "drafter", version: "1", adapters: [], minEngines: 1 }],
   pipelines: [
@@ -175,7 +183,7 @@
       lagMs: 20,
       loadMs: 20,
       checksFencing: options.checksFencing ?? true,
-      ...(options.models === undefined ? {} : { models: options.models }),
+      models: options.models ?? (options.config ?? LOCAL_CONFIG).models,
     }));
   const entries: Entry[] = [];
 
--- a/bench/src/site_launcher.ts
+++ b/bench/src/site_launcher.ts
@@ -8,6 +8,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { EntrySettings } from "@mangoreach/entry";
+import type { ConfigDocument } from "@mangoreach/operators";
 import type { HttpCall } from "@mangoreach/shared";
 import { createHttpClient, parseJson } from "@mangoreach/shared";
 import type { Execution, Faults } from "@mangoreach/standins";
@@ -80,6 +81,7 @@
   const folder = mkdtempSync(join(tmpdir(), "mangoreach-"));
   const http = createHttpClient({ maxReplyBytes: 268_435_456 });
   const platform = await launchPlatform(options);
+  const { models } = options.deployment.config;
   const entries: SiteEntry[] = [];
   const endpoints: SiteEndpoint[] = [];
 
@@ -145,7 +147,7 @@
       );
       return;
     }
-    const process = await launchEndpoints(pool, pool.count);
+    const process = await launchEndpoints(pool, { count: pool.count, models });
     const addresses = process.ready.addresses as string[];
     for (const [i, address] of addresses.entries()) {
       await addEndpoint(pool, { number: i + 1, address, process });
@@ -157,7 +159,7 @@
       id.startsWith(`${candidate.pool}-`)
     );
     if (pool === undefined) throw new Error(`no pool for endpoint ${id}`);
-    const process = await launchEndpoints(pool, 1);
+    const process = await launchEndpoints(pool, { count: 1, models });
     const [address = ""] = process.ready.addresses as string[];
     const number = Number(id.slice(pool.pool.length + 1));
     return await addEndpoint(pool, { number, address, process });
@@ -269,10 +271,10 @@
 
 function launchEndpoints(
   pool: PoolPlan,
-  count: number,
+  { count, models }: { count: number; models: ConfigDocument["models"] },
 ): Promise<LaunchedProcess> {
   const options = pool.kind === "engine"
-    ? { times: pool.times, checksFencing: pool.checksFencing }
+    ? { times: pool.times, checksFencing: pool.checksFencing, models }
     : { times: pool.times };
   return launchProcess({
     program: "mangoreach-standin",
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -93,6 +93,15 @@
   RequestOutcome,
 } from "./attainment.ts";
 export { createAttainmentTracker } from "./attainment.ts";
+export type {
+  DemandTracker,
+  EngineHolding,
+  EnginePlan,
+  ModelDemand,
+  PlacedModel,
+  PlacementOptions,
+} from "./placement.ts";
+export { createDemandTracker, isSamePlan, planPlacement } from "./placement.ts";
 export type {
   CacheEvent,
   PrefixAffinity,
--- a/packages/entry/src/endpoint_watch.ts
+++ b/packages/entry/src/endpoint_watch.ts
@@ -10,7 +10,7 @@
   PrefixAffinity,
 } from "@mangoreach/coordination";
 import { formatEndpointKey } from "@mangoreach/coordination";
-import type { EngineClient } from "@mangoreach/engines";
+import type { EngineClient, EngineOrderClient } from "@mangoreach/engines";
 import type { InstanceListClient } from "@mangoreach/instance_list";
 import { ENTRY_POOL } from "@mangoreach/instance_list";
 import type { Millis } from "@mangoreach/shared";
@@ -22,6 +22,7 @@
 export interface EndpointWatchOptions {
   instanceList: InstanceListClient;
   engines: EngineClient;
+  orders: EngineOrderClient;
   directory: EndpointDirectory;
   pools: PoolSet;
   affinity: PrefixAffinity;
@@ -35,11 +36,15 @@
 export interface EndpointWatch {
   /** Marks an endpoint that said itself, or to a peer, that it is leaving. */
   markLeaving(endpointKey: string, age?: Millis): void;
+  /** Whether an engine holds a model, or nothing is known of it yet. */
+  holdsModel(endpoint: EndpointInfo, model: string): boolean;
   readonly tasks: Promise<void>[];
 }
 
 /** Pools are refreshed this often, so that expired marks heal. */
 const REFRESH_INTERVAL: Millis = 250;
+/** What engines hold is read with every so many load reports. */
+const STATE_EVERY = 3;
 /** Load reports read a second at most, however many engines there are. */
 const MAX_READINGS_PER_SECOND = 16;
 
@@ -51,6 +56,8 @@
   const { clock, settings, random, signal, timeline } = context;
   const { directory, pools, instanceList } = options;
   const logger = context.logger.forPart("endpoints");
+  /** Models that an engine held when it was last asked. */
+  const holdings = new Map<string, ReadonlySet<string>>();
   const watched = new Map<string, AbortController>();
   const tasks = createTaskSet((error) =>
     logger.error("Reading load failed.", { error: String(error) })
@@ -79,6 +86,7 @@
       if (keys.has(key)) continue;
       controller.abort();
       watched.delete(key);
+      holdings.delete(key);
     }
     for (const engine of engines) {
       const key = formatEndpointKey(engine);
@@ -96,13 +104,15 @@
     const key = formatEndpointKey(engine);
     const ended = AbortSignal.any([signal, stopped]);
     let lastEvent = -1;
+    let reading = 0;
     while (!ended.aborted) {
       await clock.sleep(computeInterval() * (0.75 + random() / 2), ended);
       if (ended.aborted) return;
       const report = await options.engines.readLoad(engine);
       if (report.isOk) {
-        pools.find(engine.pool).recordReport(key, report.value);
+        pools.recordReport(engine, report.value);
       }
+      if (reading++ % STATE_EVERY === 0) await readHoldings(engine);
       const events = await options.engines.readCacheEvents(engine, lastEvent);
       if (events.isErr) continue;
       options.affinity.applyEvents(key, events.value);
@@ -110,6 +120,17 @@
     }
   }
 
+  async function readHoldings(engine: EndpointInfo): Promise<void> {
+    const state = await options.orders.readState(engine);
+    if (state.isErr) return;
+    const names = state.value.models.map(({ name }) => name);
+    holdings.set(formatEndpointKey(engine), new Set(names));
+  }
+
+  function holdsModel(endpoint: EndpointInfo, model: string): boolean {
+    return holdings.get(formatEndpointKey(endpoint))?.has(model) ?? true;
+  }
+
   /** Grows with the engines, so that the cost of reading does not. */
   function computeInterval(): Millis {
     const bounded = watched.size * 1_000 / MAX_READINGS_PER_SECOND;
@@ -136,5 +157,5 @@
     },
   }).observe(({ instances }) => takeList(instances)).then(() => undefined);
 
-  return { markLeaving, tasks: [following, refreshPools()] };
+  return { markLeaving, holdsModel, tasks: [following, refreshPools()] };
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -8,6 +8,7 @@
 import {
   createAdmission,
   createAttainmentTracker,
+  createDemandTracker,
   createEndpointDirectory,
   createFailure,
   createMembership,
@@ -16,7 +17,10 @@
   createRetryBudget,
   formatEndpointKey,
 } from "@mangoreach/coordination";
-import { createEngineClient } from "@mangoreach/engines";
+import {
+  createEngineClient,
+  createEngineOrderClient,
+} from "@mangoreach/engines";
 import { createInstanceListClient } from "@mangoreach/instance_list";
 import { createLogClient } from "@mangoreach/log";
 import type { EntryStatus } from "@mangoreach/operators";
@@ -33,6 +37,7 @@
   stopServer,
 } from "@mangoreach/shared";
 import { createStageClient } from "@mangoreach/stages";
+import { createWeightStoreClient } from "@mangoreach/weight_store";
 import { createFailureAnswer, sendAnswer } from "./caller_answer.ts";
 import { createCallerListener } from "./caller_listener.ts";
 import { startClaimService } from "./claim_service.ts";
@@ -43,7 +48,9 @@
 import type { EntryContext } from "./entry_context.ts";
 import { createEntryMetrics } from "./entry_metrics.ts";
 import type { EntrySettings } from "./entry_settings.ts";
+import { startLeaseKeeper } from "./lease_keeper.ts";
 import { createOnceGuard } from "./once_guard.ts";
+import { keepOrders } from "./order_keeper.ts";
 import { startPeerExchange } from "./peer_exchange.ts";
 import { createPipelineRunner } from "./pipeline_runner.ts";
 import { createPoolSet } from "./pool_set.ts";
@@ -115,7 +122,18 @@
     markLifetime: settings.timing.leavingMarkMs,
   });
   const attainment = createAttainmentTracker(clock);
-  const pools = createPoolSet(context, { directory, attainment });
+  const pools = createPoolSet(context, {
+    directory,
+    attainment,
+    holdsModel: (endpoint, model) => watch.holdsModel(endpoint, model),
+  });
+  const demand = createDemandTracker(clock);
+  const orders = createEngineOrderClient({ clock, timeoutMs: ENGINE_TIMEOUT });
+  const weights = createWeightStoreClient({
+    clock,
+    address: settings.weightStoreAddress,
+    timeoutMs: PLATFORM_TIMEOUT,
+  });
   const affinity = createPrefixAffinity({ clock, capacity: AFFINITY_CAPACITY });
   const endpointOptions = {
     onLeaving: (endpoint: Parameters<typeof formatEndpointKey>[0]) =>
@@ -174,6 +192,7 @@
       engines,
       affinity,
       policy,
+      demand,
       dropsHopeless: isOwnPolicy,
     }),
     services: createServiceRunner(context, {
@@ -226,6 +245,7 @@
   const watch = startEndpointWatch(context, {
     instanceList,
     engines,
+    orders,
     directory,
     pools,
     affinity,
@@ -254,6 +274,16 @@
     isReady,
     drain: options.onDrain,
   });
+  if (settings.placesModels) {
+    void keepOrders(context, {
+      leases: startLeaseKeeper(context, log),
+      orders,
+      weights,
+      directory,
+      demand,
+      readConfig: () => config.active?.config,
+    });
+  }
   timeline.record("process_started", { detail: incarnation });
   entryLogger.info("Started.", {
     callers: readServerAddress(callerServer),
@@ -302,7 +332,9 @@
     timeline.record("process_stopped", { detail: `${cut} cut off` });
     kill();
     await Promise.all(
-      [log, instanceList, peers, engines].map((peer) => peer.close()),
+      [log, instanceList, peers, engines, orders, weights].map((peer) =>
+        peer.close()
+      ),
     );
     entryLogger.info("Stopped.", { cutOff: cut });
     return cut;
--- /dev/null
+++ b/packages/entry/src/lease_keeper.ts
@@ -0,0 +1,165 @@
+/**
+ * Takes and keeps leases in the log for this entry.
+ *
+ * @module
+ */
+import type { HeldLease, LeaseRecord } from "@mangoreach/coordination";
+import { createHeldLease, createLeaseTable } from "@mangoreach/coordination";
+import type { LogClient, TailEvent } from "@mangoreach/log";
+import { startLogTail } from "@mangoreach/log";
+import type { Millis } from "@mangoreach/shared";
+import { z } from "zod";
+import type { EntryContext } from "./entry_context.ts";
+
+/** The leases of one entry. */
+export interface LeaseKeeper {
+  /**
+   * Takes or renews a lease if that can be had; the lease while it is valid.
+   * Called again and again by whoever needs it.
+   */
+  keep(resource: string): Promise<HeldLease | undefined>;
+  /** Gives a lease up, because an engine knows a later holder. */
+  drop(resource: string): void;
+  readonly tasks: Promise<void>[];
+}
+
+interface OwnLease {
+  held: HeldLease;
+  renewedAt: Millis;
+}
+
+const leaseRecordSchema = z.object({
+  kind: z.enum(["acquire", "renew", "release"]),
+  resource: z.string(),
+  holder: z.string(),
+  attemptId: z.string(),
+  duration: z.number().min(1),
+  fence: z.number().int().optional(),
+});
+
+/** A lease is renewed after this share of its duration. */
+const RENEW_SHARE = 1 / 3;
+/** The end of a lease that is not used, for the way of an order. */
+const MARGIN_SHARE = 0.2;
+const WAIT_LIMIT: Millis = 2_000;
+const WAIT_STEP: Millis = 10;
+
+/** Starts to follow the leases of all entries. */
+export function startLeaseKeeper(
+  context: EntryContext,
+  log: LogClient,
+): LeaseKeeper {
+  const { clock, settings, incarnation, random, signal, timeline } = context;
+  const duration = settings.timing.leaseMs;
+  const table = createLeaseTable();
+  const own = new Map<string, OwnLease>();
+  /** When a grant or renewal of a resource was last read, by this clock. */
+  const seenAt = new Map<string, Millis>();
+
+  function takeEvent(event: TailEvent): void {
+    if (event.kind !== "record") return;
+    const parsed = leaseRecordSchema.safeParse(event.record.value);
+    if (!parsed.success) return;
+    const { fence, ...record } = parsed.data;
+    const outcome = table.apply(
+      fence === undefined ? record : { ...record, fence },
+      event.record,
+    );
+    const isExtended = outcome === "granted" || outcome === "renewed";
+    if (isExtended) seenAt.set(record.resource, clock.now());
+  }
+
+  async function keep(resource: string): Promise<HeldLease | undefined> {
+    const mine = own.get(resource);
+    if (mine !== undefined && mine.held.isValid()) {
+      const isDue = clock.now() - mine.renewedAt > duration * RENEW_SHARE;
+      if (isDue) await renew(resource, mine);
+      return mine.held.isValid() ? mine.held : undefined;
+    }
+    if (mine !== undefined) {
+      drop(resource);
+      timeline.record("lease_lost", { detail: resource });
+    }
+    return isHeldByOther(resource) ? undefined : await acquire(resource);
+  }
+
+  /** By this clock; the log decides in the end. */
+  function isHeldByOther(resource: string): boolean {
+    const lastSeen = seenAt.get(resource);
+    return lastSeen !== undefined && clock.now() - lastSeen < duration;
+  }
+
+  async function acquire(resource: string): Promise<HeldLease | undefined> {
+    const attemptId = context.createUniqueText();
+    const sentAt = clock.now();
+    await log.append(
+      "leases",
+      createRecord("acquire", resource, { attemptId }),
+    );
+    const isGranted = await waitUntil(() =>
+      table.find(resource)?.attemptId === attemptId
+    );
+    const lease = table.find(resource);
+    if (!isGranted || lease === undefined) return undefined;
+    const held = createHeldLease({
+      clock,
+      fence: lease.fence,
+      duration,
+      sentAt,
+      margin: duration * MARGIN_SHARE,
+    });
+    own.set(resource, { held, renewedAt: sentAt });
+    timeline.record("lease_acquired", { detail: `${resource} ${lease.fence}` });
+    return held.isValid() ? held : undefined;
+  }
+
+  async function renew(resource: string, mine: OwnLease): Promise<void> {
+    const { fence } = mine.held;
+    const before = table.find(resource)?.expiresAt ?? 0;
+    const sentAt = clock.now();
+    const attemptId = context.createUniqueText();
+    await log.append(
+      "leases",
+      createRecord("renew", resource, { attemptId, fence }),
+    );
+    const isRenewed = await waitUntil(() => {
+      const lease = table.find(resource);
+      return lease?.fence === fence && lease.expiresAt > before;
+    });
+    if (!isRenewed) return;
+    mine.held.extend(sentAt);
+    mine.renewedAt = sentAt;
+  }
+
+  function createRecord(
+    kind: LeaseRecord["kind"],
+    resource: string,
+    fields: Pick<LeaseRecord, "attemptId" | "fence">,
+  ): LeaseRecord {
+    return { kind, resource, holder: incarnation, duration, ...fields };
+  }
+
+  async function waitUntil(condition: () => boolean): Promise<boolean> {
+    const giveUpAt = clock.now() + WAIT_LIMIT;
+    while (!condition()) {
+      if (clock.now() >= giveUpAt || signal.aborted) return false;
+      await clock.sleep(WAIT_STEP, signal);
+    }
+    return true;
+  }
+
+  function drop(resource: string): void {
+    own.delete(resource);
+  }
+
+  const tail = startLogTail({
+    clock,
+    log,
+    stream: "leases",
+    from: 0,
+    signal,
+    random,
+  });
+  const following = tail.events.observe(takeEvent).then(() => undefined);
+  return { keep, drop, tasks: [tail.task, following] };
+}
--- a/packages/entry/src/pipeline_runner.ts
+++ b/packages/entry/src/pipeline_runner.ts
@@ -6,6 +6,7 @@
 import { createHash } from "node:crypto";
 import type { PipelineBody } from "@mangoreach/callers";
 import type {
+  DemandTracker,
   Failure,
   LatencyModel,
   PoolWork,
@@ -57,6 +58,7 @@
   engines: EngineClient;
   affinity: PrefixAffinity;
   policy: SecondAttemptPolicy;
+  demand: DemandTracker;
   /** Whether work that cannot be finished in time is dropped between stages. */
   dropsHopeless: boolean;
 }
@@ -84,7 +86,7 @@
     stage: StageConfig,
     { priority, textLength }: { priority: number; textLength: number },
   ): StageForecast {
-    const pool = pools.find(stage.pool);
+    const pool = pools.find(stage.pool, stage.model);
     const decode = stage.maxTokens === undefined
       ? undefined
       : findDecodeTimes(stage.pool);
@@ -189,6 +191,7 @@
     { stage, previous, reserve }: StageStep,
   ): Promise<Result<unknown, Failure>> {
     const isLast = stage === pipeline.stages.at(-1);
+    options.demand.record(stage.model ?? "", stage.maxTokens ?? 0);
     const prefix = formatPrefixName(body.prefix);
     const collector = createCollector();
     const ended = await runGeneration(context, {
@@ -196,7 +199,7 @@
         run,
         stage: stage.name,
         poolName: stage.pool,
-        pool: pools.find(stage.pool),
+        pool: pools.find(stage.pool, stage.model),
         model: stage.model ?? "",
         prompt: formatPrompt(body, previous),
         prefix,
--- a/packages/entry/src/pool_set.ts
+++ b/packages/entry/src/pool_set.ts
@@ -7,6 +7,8 @@
   AttainmentTracker,
   ChooseEndpoint,
   EndpointDirectory,
+  EndpointInfo,
+  LoadReport,
   PoolPolicy,
   StagePool,
 } from "@mangoreach/coordination";
@@ -15,6 +17,7 @@
   createLeastInFlightChoice,
   createRoundRobinChoice,
   createStagePool,
+  formatEndpointKey,
 } from "@mangoreach/coordination";
 import type { NamedPoolStatus } from "@mangoreach/operators";
 import type { Millis } from "@mangoreach/shared";
@@ -28,10 +31,15 @@
 
 /** The pools of an entry. */
 export interface PoolSet {
-  /** The pool of this name, created on first use. */
-  find(name: string): StagePool;
+  /**
+   * The pool of this name, created on first use. With a model, only the
+   * engines that hold it, with a queue of their own.
+   */
+  find(name: string, model?: string): StagePool;
   /** Hands the endpoints that take new work to all pools. */
   refresh(): void;
+  /** Hands a load report to the pools that an engine belongs to. */
+  recordReport(endpoint: EndpointInfo, report: LoadReport): void;
   /** Adds time that an endpoint spent, by whether it led to an answer in time. */
   addCost(pool: string, cost: { duration: Millis; isUseful: boolean }): void;
   readStatus(): NamedPoolStatus[];
@@ -41,21 +49,30 @@
 export interface PoolSetOptions {
   directory: EndpointDirectory;
   attainment: AttainmentTracker;
+  /** Whether an engine holds a model, or nothing is known of it yet. */
+  holdsModel: (endpoint: EndpointInfo, model: string) => boolean;
+}
+
+interface NamedPool {
+  name: string;
+  model: string | undefined;
+  pool: StagePool;
 }
 
 /** Creates an empty set. */
 export function createPoolSet(
   context: EntryContext,
-  { directory, attainment }: PoolSetOptions,
+  { directory, attainment, holdsModel }: PoolSetOptions,
 ): PoolSet {
   const { clock, timeline } = context;
   const logger = context.logger.forPart("endpoints");
-  const pools = new Map<string, StagePool>();
+  const pools = new Map<string, NamedPool>();
   const costs = new Map<string, PoolCost>();
 
-  function find(name: string): StagePool {
-    const known = pools.get(name);
-    if (known !== undefined) return known;
+  function find(name: string, model?: string): StagePool {
+    const key = model === undefined ? name : `${name}:${model}`;
+    const known = pools.get(key);
+    if (known !== undefined) return known.pool;
     const pool = createStagePool({
       clock,
       policy: createPolicy(context),
@@ -65,13 +82,33 @@
         logger.warn("Endpoint taken out of use.", { endpoint: id, cause });
       },
     });
-    pools.set(name, pool);
-    pool.refresh(directory.listUsable(name));
+    const named = { name, model, pool };
+    pools.set(key, named);
+    refreshPool(named);
     return pool;
   }
 
+  function refreshPool({ name, model, pool }: NamedPool): void {
+    const usable = directory.listUsable(name);
+    pool.refresh(
+      model === undefined
+        ? usable
+        : usable.filter((endpoint) => holdsModel(endpoint, model)),
+    );
+  }
+
   function refresh(): void {
-    for (const [name, pool] of pools) pool.refresh(directory.listUsable(name));
+    for (const named of pools.values()) refreshPool(named);
+  }
+
+  function recordReport(
+    { pool: name, ...endpoint }: EndpointInfo,
+    report: LoadReport,
+  ): void {
+    const key = formatEndpointKey(endpoint);
+    for (const named of pools.values()) {
+      if (named.name === name) named.pool.recordReport(key, report);
+    }
   }
 
   function findCost(pool: string): PoolCost {
@@ -85,12 +122,13 @@
   return {
     find,
     refresh,
+    recordReport,
     addCost(pool, { duration, isUseful }) {
       findCost(pool)[isUseful ? "useful" : "wasted"] += duration / 1_000;
     },
     readStatus: () =>
-      [...pools].map(([name, pool]) => ({
-        pool: name,
+      [...pools].map(([key, { name, pool }]) => ({
+        pool: key,
         ...pool.readStatus(),
         usefulSeconds: findCost(name).useful,
         wastedSeconds: findCost(name).wasted,
--- a/packages/operators/src/config_document.ts
+++ b/packages/operators/src/config_document.ts
@@ -54,6 +54,8 @@
   kind: z.enum(["stage", "engine", "service"]),
   checksFencing: z.boolean().default(false)
     .describe("Engines only: whether they refuse an old fencing number"),
+  modelsPerEngine: z.number().int().min(1).default(1)
+    .describe("Engines only: models that one engine holds at a time"),
 });
 
 const modelSchema = z.strictObject({
--- a/standins/src/model_engine.ts
+++ b/standins/src/model_engine.ts
@@ -27,8 +27,8 @@
   lagMs?: Millis;
   /** Whether orders with an old fencing number are refused. */
   checksFencing?: boolean;
-  /** Models held from the start; undefined: whatever is asked for. */
-  models?: string[];
+  /** Models held from the start; any other must be ordered. */
+  models?: EngineModels[];
   /** How long loading a model takes. */
   loadMs?: Millis;
 }
@@ -70,7 +70,8 @@
   stopLinger: CancelTimer | undefined;
 }
 
-interface EngineModels {
+/** A model that an engine holds. */
+export interface EngineModels {
   name: string;
   version: string;
   adapters: string[];
@@ -97,9 +98,7 @@
   const generations = new Map<string, Generation>();
   const cache = createPrefixCache(options.cacheSize ?? DEFAULT_CACHE, clock);
   const orders: OrderRecord[] = [];
-  let models: EngineModels[] = (options.models ?? [])
-    .map((name) => ({ name, version: "1", adapters: [] }));
-  const holdsAnything = options.models === undefined;
+  let models: EngineModels[] = options.models ?? [];
   let role = "both";
   let highestFence = -1;
   let isLeaving = false;
@@ -118,7 +117,7 @@
   ): void {
     const call = parseJson(body) as GenerateBody;
     if (isLeaving) return refuse(response, "leaving");
-    const isHeld = holdsAnything || models.some((m) => m.name === call.model);
+    const isHeld = models.some(({ name }) => name === call.model);
     if (!isHeld) return refuse(response, "not_loaded");
     ledger.push({
       requestId: call.request_id,
