--- /dev/null
+++ b/packages/coordination/src/config_fold_test.ts
@@ -0,0 +1,127 @@
+import { expect } from "chai";
+import * as fc from "fast-check";
+import type { ConfigRecord } from "./config_fold.ts";
+import { createConfigFold } from "./config_fold.ts";
+
+type Record = ConfigRecord<string>;
+
+function publish(publishId: string, basedOn: number): Record {
+  return {
+    kind: "publish",
+    publishId,
+    author: publishId,
+    basedOn,
+    config: publishId,
+  };
+}
+
+function carry(publishId: string, version: number, asOf: number): Record {
+  return {
+    kind: "carry_forward",
+    publishId,
+    author: "entry",
+    version,
+    asOf,
+    config: publishId,
+  };
+}
+
+/** Reads `records` from `start` on, as an entry that starts late does. */
+function fold(records: readonly Record[], start = 0) {
+  const reader = createConfigFold<string>();
+  if (start > 0) reader.startAt(start);
+  records.forEach((record, offset) => {
+    if (offset >= start) reader.apply(record, { offset });
+  });
+  return reader;
+}
+
+describe("config fold", () => {
+  // Two operators publish at the same moment, both having seen version 1. The
+  // log puts one first; every place must take that one and reject the other.
+  it("takes the first of two conflicting publishes and rejects the other", () => {
+    const reader = fold([publish("a", 0), publish("b", 1), publish("c", 1)]);
+    expect(reader.inForce).to.include({ version: 2, config: "b" });
+  });
+
+  // The answer to an append was lost and the operator's tool appended again.
+  it("counts a publish once that stands in the log twice", () => {
+    const reader = fold([publish("a", 0), publish("a", 0), publish("b", 1)]);
+    expect(reader.inForce).to.include({ version: 2, config: "b" });
+  });
+
+  // An entry was slow to carry version 1 forward; version 2 was published
+  // meanwhile. The copy comes after it in the log and must not revert it.
+  it("ignores a copy that comes late", () => {
+    const reader = fold([publish("a", 0), publish("b", 1), carry("a", 1, 0)]);
+    expect(reader.inForce).to.include({ version: 2, config: "b" });
+  });
+
+  // Old records have expired. A starting entry sees a publish that had lost to
+  // one it cannot see any more; taking it would split the site.
+  it("does not decide about publishes before a base covers the gap", () => {
+    const records = [publish("a", 0), publish("b", 1), publish("c", 1)];
+    expect(fold(records, 2).inForce).to.equal(undefined);
+    const later = fold([...records, carry("b", 2, 2)], 2);
+    expect(later.inForce).to.include({ version: 2, config: "b" });
+  });
+
+  it("decides what it held back once a base covers the gap", () => {
+    const records = [
+      publish("a", 0),
+      publish("b", 1),
+      publish("c", 2),
+      carry("b", 2, 1),
+    ];
+    expect(fold(records, 2).inForce).to.include({ version: 3, config: "c" });
+  });
+
+  it("takes a newer configuration from a peer and never an older one", () => {
+    const reader = fold([publish("a", 0)]);
+    const peer = {
+      version: 3,
+      publishId: "c",
+      author: "c",
+      asOf: 9,
+      config: "c",
+    };
+    expect(reader.adopt(peer)).to.equal("in_force");
+    expect(reader.adopt({ ...peer, version: 2 })).to.equal("ignored");
+    reader.apply(publish("b", 1), { offset: 1 });
+    expect(reader.inForce).to.include({ version: 3, config: "c" });
+  });
+
+  it("agrees at every reader and never goes back, whatever operators do", () => {
+    const step = fc.record({
+      lag: fc.integer({ min: 0, max: 3 }),
+      isCopy: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(
+        fc.array(step, { maxLength: 40 }),
+        fc.integer({ min: 0, max: 39 }),
+        (steps, lateStart) => {
+          const truth = createConfigFold<string>();
+          const records: Record[] = [];
+          let highest = 0;
+          for (const [offset, { lag, isCopy }] of steps.entries()) {
+            const seen = truth.inForce;
+            const record = isCopy && seen !== undefined
+              ? carry(seen.publishId, seen.version, truth.asOf)
+              : publish(`p${offset}`, Math.max(0, (seen?.version ?? 0) - lag));
+            records.push(record);
+            truth.apply(record, { offset });
+            const version = truth.inForce?.version ?? 0;
+            expect(version).to.be.at.least(highest);
+            highest = version;
+          }
+          const late = fold(records, Math.min(lateStart, records.length));
+          const other = late.inForce;
+          if (!late.isComplete || other === undefined) return;
+          expect(other.publishId).to.equal(truth.inForce?.publishId);
+        },
+      ),
+      { seed: 7, numRuns: 300 },
+    );
+  });
+});
--- /dev/null
+++ b/packages/coordination/src/membership_test.ts
@@ -0,0 +1,82 @@
+import { createFakeClock } from "@mangoreach/shared";
+import { expect } from "chai";
+import type { PeerRecord } from "./membership.ts";
+import { createMembership } from "./membership.ts";
+
+function peer(entry: string, change: Partial<PeerRecord> = {}): PeerRecord {
+  return {
+    entry,
+    incarnation: `${entry}-a`,
+    startedAt: 0,
+    place: "odda",
+    callerAddress: "127.0.0.1:1",
+    controlAddress: "127.0.0.1:2",
+    state: "live",
+    heartbeat: 1,
+    configVersion: 1,
+    inFlight: 0,
+    ...change,
+  };
+}
+
+describe("membership", () => {
+  function create(random = () => 0.5) {
+    const clock = createFakeClock(0);
+    const members = createMembership({
+      clock,
+      self: peer("self"),
+      random,
+      suspectAfter: 100,
+      loseAfter: 300,
+    });
+    return { clock, members };
+  }
+
+  it("suspects, then loses a peer whose heartbeat stands still", async () => {
+    const { clock, members } = create();
+    members.merge([peer("b")]);
+    const health = () => members.list()[0]?.health;
+    expect(health()).to.equal("alive");
+    await clock.advance(100);
+    members.merge([peer("b")]);
+    expect(health()).to.equal("suspected");
+    await clock.advance(200);
+    expect(health()).to.equal("lost");
+    members.merge([peer("b", { heartbeat: 2 })]);
+    expect(health()).to.equal("alive");
+  });
+
+  it("takes a later incarnation and ignores news of an earlier one", () => {
+    const { members } = create();
+    members.merge([peer("b", { incarnation: "b-2", startedAt: 50 })]);
+    members.merge([peer("b", { heartbeat: 99 })]);
+    expect(members.list()[0]?.record.incarnation).to.equal("b-2");
+  });
+
+  it("sends a bounded number of records, its own first", () => {
+    const { members } = create();
+    members.merge(Array.from({ length: 360 }, (_, i) => peer(`e${i}`)));
+    const records = members.chooseRecords(12);
+    expect(records.length).to.equal(12);
+    expect(records[0]?.entry).to.equal("self");
+  });
+
+  it("prefers partners in its own place and tries others too", () => {
+    const own = create(() => 0.9);
+    own.members.merge([peer("near"), peer("far", { place: "voss" })]);
+    expect(own.members.choosePartner()?.entry).to.equal("near");
+    const other = create(() => 0.2);
+    other.members.merge([peer("near"), peer("far", { place: "voss" })]);
+    expect(other.members.choosePartner()?.entry).to.equal("far");
+  });
+
+  // Two regions lose each other for an hour and both halves count the other as
+  // lost. Without a try now and then they would never meet again.
+  it("tries lost peers now and then, so that a cut heals", async () => {
+    const { members, clock } = create(() => 0.05);
+    members.merge([peer("b")]);
+    await clock.advance(1_000);
+    members.merge([peer("c", { heartbeat: 5 })]);
+    expect(members.choosePartner()?.entry).to.equal("b");
+  });
+});
--- /dev/null
+++ b/packages/coordination/src/placement_test.ts
@@ -0,0 +1,69 @@
+import { createFakeClock } from "@mangoreach/shared";
+import { expect } from "chai";
+import type { EngineHolding, PlacedModel } from "./placement.ts";
+import { createDemandTracker, planPlacement } from "./placement.ts";
+
+const model = (name: string, minEngines = 1): PlacedModel => ({
+  name,
+  version: "1",
+  adapters: [],
+  minEngines,
+});
+
+function hold(endpointKey: string, ...names: string[]): EngineHolding {
+  const models = names.map((name) => ({ name, version: "1", adapters: [] }));
+  return { endpointKey, models };
+}
+
+function plan(
+  engines: EngineHolding[],
+  demand: [string, number][],
+  models = [model("a"), model("b")],
+) {
+  return planPlacement({
+    models,
+    engines,
+    demand: new Map(demand),
+    modelsPerEngine: 1,
+  }).map(({ endpointKey, models }) =>
+    `${endpointKey}:${models.map(({ name }) => name)}`
+  );
+}
+
+describe("placement", () => {
+  it("gives engines to models by demand, each at least its least", () => {
+    const engines = [hold("e1"), hold("e2"), hold("e3"), hold("e4")];
+    expect(plan(engines, [["a", 90], ["b", 10]]))
+      .to.deep.equal(["e1:a", "e2:a", "e3:a", "e4:b"]);
+  });
+
+  it("keeps what engines hold rather than loading it elsewhere", () => {
+    const engines = [hold("e1", "b"), hold("e2", "a"), hold("e3", "a")];
+    expect(plan(engines, [["a", 60], ["b", 40]]))
+      .to.deep.equal(["e1:b", "e2:a", "e3:a"]);
+  });
+
+  it("replaces a version without moving the model", () => {
+    const next = [{ ...model("a"), version: "2" }];
+    const plans = planPlacement({
+      models: next,
+      engines: [hold("e1", "a")],
+      demand: new Map(),
+      modelsPerEngine: 1,
+    });
+    expect(plans[0]?.models[0]?.version).to.equal("2");
+  });
+
+  // Demand swings a little from minute to minute. Following each swing would
+  // reload weights all the time, at a store that is rate-limited.
+  it("does not follow small swings of demand", () => {
+    const tracker = createDemandTracker(createFakeClock());
+    tracker.record("a", 50);
+    tracker.record("b", 50);
+    const before = tracker.read();
+    tracker.record("a", 10);
+    expect(tracker.read()).to.equal(before);
+    tracker.record("a", 200);
+    expect(tracker.read().get("a")).to.equal(260);
+  });
+});
--- /dev/null
+++ b/packages/coordination/src/stage_pool_test.ts
@@ -0,0 +1,163 @@
+import type { FakeClock } from "@mangoreach/shared";
+import { createFakeClock } from "@mangoreach/shared";
+import { expect } from "chai";
+import { createDeadline } from "./deadline.ts";
+import type { EndpointInfo } from "./endpoint.ts";
+import type { Permit, PoolWork, StagePool } from "./stage_pool.ts";
+import { createStagePool } from "./stage_pool.ts";
+import { createLeastInFlightChoice } from "./routing.ts";
+import type { WorkClass } from "./work_queue.ts";
+
+const RULINGS: WorkClass = { name: "rulings", priority: 1, target: 0.99 };
+const CHAT: WorkClass = { name: "chat", priority: 3, target: 0.9 };
+
+function endpoint(id: string): EndpointInfo {
+  return {
+    id,
+    incarnation: "1",
+    pool: "encoder",
+    place: "odda",
+    address: id,
+    state: "live",
+  };
+}
+
+describe("stage pool", () => {
+  let clock: FakeClock;
+  let pool: StagePool;
+
+  beforeEach(() => {
+    clock = createFakeClock();
+    pool = createStagePool({
+      clock,
+      policy: {
+        choose: createLeastInFlightChoice(() => 0),
+        hasLimits: true,
+        hasEjection: true,
+      },
+      estimateAttainment: () => 1,
+      onEjected: () => {},
+    });
+  });
+
+  function work(
+    change: Partial<PoolWork> & { budget?: number } = {},
+  ): PoolWork {
+    return {
+      workClass: RULINGS,
+      account: "handlers",
+      size: 100,
+      deadline: createDeadline({ clock, budget: change.budget ?? 1_000 }),
+      reserve: 0,
+      ...change,
+    };
+  }
+
+  async function fill(): Promise<Permit[]> {
+    const permits: Permit[] = [];
+    for (let i = 0; i < 4; i++) {
+      const permit = await pool.acquire(work({ workClass: CHAT }));
+      if (permit.isOk) permits.push(permit.value);
+    }
+    return permits;
+  }
+
+  it("fails at once with not_run when it has no endpoint", async () => {
+    const refused = await pool.acquire(work());
+    expect(refused.isErr && refused.error).to.include({
+      kind: "unavailable",
+      verdict: "not_run",
+    });
+  });
+
+  it("gives a free slot to the higher priority, however long others wait", async () => {
+    pool.refresh([endpoint("e1")]);
+    const [first] = await fill();
+    const order: string[] = [];
+    const chat = pool.acquire(work({ workClass: CHAT }))
+      .then(() => order.push("chat"));
+    const ruling = pool.acquire(work()).then((permit) => {
+      order.push("ruling");
+      if (permit.isOk) permit.value.release("done");
+    });
+    first?.release("done");
+    await Promise.all([chat, ruling]);
+    expect(order).to.deep.equal(["ruling", "chat"]);
+  });
+
+  it("shares slots between accounts of a class", async () => {
+    pool.refresh([endpoint("e1")]);
+    const permits = await fill();
+    const order: string[] = [];
+    const wait = (account: string) =>
+      pool.acquire(work({ account })).then(() => order.push(account));
+    const waiting = [wait("large"), wait("large"), wait("small")];
+    permits[0]?.release("done");
+    permits[1]?.release("done");
+    await clock.advance(0);
+    expect(order.sort()).to.deep.equal(["large", "small"]);
+    permits[2]?.release("done");
+    await Promise.all(waiting);
+  });
+
+  // Chat waits behind rulings until its deadline has nearly passed. It gets its
+  // answer as soon as it cannot be served any more, not at the deadline.
+  it("gives up waiting work as soon as the stages left cannot be done", async () => {
+    pool.refresh([endpoint("e1")]);
+    await fill();
+    let gaveUpAt = 0;
+    const startedAt = clock.now();
+    const waiting = pool.acquire(work({ reserve: 700 })).then((refused) => {
+      gaveUpAt = clock.now() - startedAt;
+      return refused;
+    });
+    await clock.advance(1_000);
+    const refused = await waiting;
+    expect(refused.isErr && refused.error.verdict).to.equal("not_run");
+    expect(gaveUpAt).to.be.below(300);
+  });
+
+  it("leaves the queue when the caller goes away", async () => {
+    pool.refresh([endpoint("e1")]);
+    await fill();
+    const gone = work();
+    const waiting = pool.acquire(gone);
+    gone.deadline.cancel("caller_gone");
+    const refused = await waiting;
+    expect(refused.isErr && refused.error.kind).to.equal("cancelled");
+    expect(pool.readStatus().queued).to.equal(0);
+  });
+
+  it("sends nothing new to an endpoint that has left", async () => {
+    pool.refresh([endpoint("e1"), endpoint("e2")]);
+    pool.refresh([endpoint("e2")]);
+    const permit = await pool.acquire(work());
+    expect(permit.isOk && permit.value.endpoint.id).to.equal("e2");
+  });
+
+  it("takes a dead endpoint out of use and tries it again later", async () => {
+    pool.refresh([endpoint("e1"), endpoint("e2")]);
+    const take = async () => {
+      const permit = await pool.acquire(work());
+      if (permit.isErr) return "none";
+      const { id } = permit.value.endpoint;
+      permit.value.release(id === "e1" ? "unreachable" : "done");
+      return id;
+    };
+    const before = [await take(), await take(), await take(), await take()];
+    expect(before.filter((id) => id === "e1").length).to.equal(1);
+    await clock.advance(1_001);
+    expect([await take(), await take()]).to.include("e1");
+  });
+
+  it("leaves room that others fill, by the endpoint's last report", async () => {
+    pool.refresh([endpoint("e1")]);
+    pool.recordReport("e1#1", {
+      running: 6,
+      queued: 0,
+      slots: 8,
+      takenAt: clock.now(),
+    });
+    expect(pool.readStatus().endpoints[0]?.limit).to.equal(3);
+  });
+});
--- a/standins/src/mod.ts
+++ b/standins/src/mod.ts
@@ -29,3 +29,14 @@
 export type { EngineTimes } from "./engine_batch.ts";
 export type { EngineStandin, ModelEngineOptions } from "./model_engine.ts";
 export { startModelEngine } from "./model_engine.ts";
+export type { EngineModels } from "./model_engine.ts";
+export type {
+  BadReply,
+  ScriptedReply,
+  ScriptedServer,
+} from "./scripted_server.ts";
+export {
+  BAD_REPLIES,
+  formatHttpReply,
+  startScriptedServer,
+} from "./scripted_server.ts";
