feat(bench): failure cases with real processes, judged from outside

Clients of an account spread over entries, so that faults meet requests; an idempotent request leaves a frozen entry after half of its time.

--- a/bench/src/caller_load.ts
+++ b/bench/src/caller_load.ts
@@ -41,6 +41,7 @@
 }
 
 const SERVICE_PATH = "notice";
+const CLIENTS_PER_ACCOUNT = 6;
 
 /** Creates clients for all accounts of a deployment. */
 export function createCallerLoad(
@@ -50,8 +51,10 @@
   const history: HistoryEntry[] = [];
   const clients = new Map<string, CallerClient>();
 
+  /** Several for each account: one client uses one entry at a time. */
   function findClient(account: string): CallerClient {
-    const known = clients.get(account);
+    const key = `${account}/${history.length % CLIENTS_PER_ACCOUNT}`;
+    const known = clients.get(key);
     if (known !== undefined) return known;
     const plan = deployment.plan.accounts.find(({ name }) => name === account);
     if (plan === undefined) throw new Error(`no account ${account}`);
@@ -62,7 +65,7 @@
       knownAddresses: readKnownAddresses(),
       createUniqueText,
     });
-    clients.set(account, client);
+    clients.set(key, client);
     return client;
   }
 
@@ -93,7 +96,7 @@
       className: work.className,
       deadlineMs: work.deadlineMs,
       idempotent: work.isIdempotent,
-      idPart: label,
+      ...(work.isDated ? { id: label } : { idPart: label }),
     };
     if (work.service !== undefined) {
       const answer = await client.callService({
--- /dev/null
+++ b/bench/src/path_test.ts
@@ -0,0 +1,610 @@
+import type { PipelineRequest } from "@mangoreach/callers";
+import { CALLER_HEADERS, CALLER_PATHS } from "@mangoreach/callers";
+import type { HttpClient, HttpReply } from "@mangoreach/shared";
+import { createHttpClient, parseJson } from "@mangoreach/shared";
+import {
+  derivePipelineOutput,
+  deriveServiceAnswer,
+} from "@mangoreach/standins";
+import { expect } from "chai";
+import type { LocalSite } from "./local_site.ts";
+import {
+  LOCAL_CONFIG,
+  LOCAL_KEYS,
+  startLocalSite,
+  waitUntil,
+} from "./local_site.ts";
+
+const TEXT = "a complaint about a water bill";
+const DRAFT: PipelineRequest = {
+  pipeline: "draft",
+  className: "rulings",
+  deadlineMs: 5_000,
+  idempotent: true,
+  body: { text: TEXT },
+};
+const NOTICE = {
+  service: "billing",
+  path: "notice",
+  className: "rulings",
+  deadlineMs: 1_500,
+  idempotent: false,
+  body: { case: 7 },
+};
+const SLOW_ENGINE = {
+  slots: 8,
+  stepMs: 10,
+  perSequenceMs: 0,
+  tokensPerStep: 1,
+  prefillPerThousandMs: 0,
+};
+
+function expectDraft(output: unknown): void {
+  const stages = LOCAL_CONFIG.pipelines[0]!.stages;
+  expect(output).to.equal(derivePipelineOutput(stages, TEXT));
+}
+
+function countExecutions(site: LocalSite, pool: "services" | "encoders") {
+  return site[pool].flatMap(({ ledger }) => ledger).length;
+}
+
+describe("the whole path", () => {
+  let site: LocalSite;
+  afterEach(() => site.stop());
+
+  it("answers whole and streamed requests with what they must get", async () => {
+    site = await startLocalSite();
+    const client = site.createClient();
+    const whole = await client.runPipeline(DRAFT);
+    expectDraft(whole.isOk && whole.value.output);
+    const streamed = await client.streamPipeline(DRAFT, () => {});
+    expectDraft(streamed.isOk && streamed.value.tokens.join(""));
+    const called = await client.callService(NOTICE);
+    expect(called.isOk && called.value.body).to.deep.equal(
+      deriveServiceAnswer("notice", JSON.stringify(NOTICE.body)),
+    );
+    await client.close();
+  });
+
+  // A ruling is being streamed when its entry dies. The client resumes at
+  // another entry with its token, and the text is whole, in order, once.
+  it("resumes a stream at another entry when its entry dies", async () => {
+    site = await startLocalSite({ entries: 2, engineTimes: SLOW_ENGINE });
+    const client = site.createClient();
+    const sequences: number[] = [];
+    const answer = await client.streamPipeline(DRAFT, (_token, sequence) => {
+      sequences.push(sequence);
+      if (sequence === 3) {
+        site.entries.find(({ status }) => status.inProgress > 0)?.kill();
+      }
+    });
+    expectDraft(answer.isOk && answer.value.tokens.join(""));
+    expect(answer.isOk && answer.value.resumes).to.be.at.least(1);
+    expect(sequences).to.deep.equal(sequences.map((_, i) => i));
+    await client.close();
+  });
+
+  // The connection between entry and engine breaks. The entry resumes at the
+  // engine; the caller sees nothing of it.
+  it("hides a cut connection to the engine from the caller", async () => {
+    site = await startLocalSite({ engines: 1, engineTimes: SLOW_ENGINE });
+    const client = site.createClient();
+    const answer = await client.streamPipeline(DRAFT, (_token, sequence) => {
+      if (sequence === 3) site.engines[0]?.cutStreams();
+    });
+    expectDraft(answer.isOk && answer.value.tokens.join(""));
+    expect(answer.isOk && answer.value.resumes).to.equal(0);
+    await client.close();
+  });
+
+  // The engine itself dies in the middle. The generation begins again at
+  // another engine, and the client drops the tokens of the lost one.
+  it("begins a generation again when its engine dies", async () => {
+    site = await startLocalSite({ engines: 2, engineTimes: SLOW_ENGINE });
+    const client = site.createClient();
+    let isStopped = false;
+    const answer = await client.streamPipeline(DRAFT, (_token, sequence) => {
+      if (sequence !== 3 || isStopped) return;
+      isStopped = true;
+      void site.engines.find((engine) => engine.countBusy() > 0)?.stop();
+    });
+    expectDraft(answer.isOk && answer.value.tokens.join(""));
+    await client.close();
+  });
+
+  // A notice is issued and the answer is lost. The caller asks again, at the
+  // same and at another entry. The notice must not go out twice.
+  it("does not repeat a service call whose answer was lost", async () => {
+    site = await startLocalSite({ entries: 2 });
+    for (const { faults } of site.services) faults.loseAnswers = 1;
+    const client = site.createClient();
+    const id = await client.createRequestId();
+    const call = { ...NOTICE, ...(id === undefined ? {} : { id }) };
+    const first = await client.callService(call);
+    const second = await client.callService(call);
+    expect(first.isErr && first.error.verdict).to.equal("may_have_run");
+    expect(second.isErr && second.error.verdict).to.equal("may_have_run");
+    expect(countExecutions(site, "services")).to.equal(1);
+    await client.close();
+  });
+
+  it("repeats an idempotent call at another endpoint", async () => {
+    site = await startLocalSite();
+    for (const { faults } of site.encoders) faults.wrongEchoes = 1;
+    const client = site.createClient();
+    const answer = await client.runPipeline(DRAFT);
+    expectDraft(answer.isOk && answer.value.output);
+    await client.close();
+  });
+
+  // One endpoint refuses connections; the instance list still calls it live.
+  it("goes around a dead endpoint, also for calls that may not be repeated", async () => {
+    site = await startLocalSite();
+    await site.services[0]?.stop();
+    const client = site.createClient();
+    for (let i = 0; i < 6; i++) {
+      const answer = await client.callService(NOTICE);
+      expect(answer.isOk, JSON.stringify(answer)).to.equal(true);
+    }
+    expect(countExecutions(site, "services")).to.equal(6);
+    await client.close();
+  });
+
+  // Nobody waits for a draft any more. Its engine must not go on generating.
+  it("stops the work of a caller that goes away", async () => {
+    site = await startLocalSite({
+      engineTimes: { ...SLOW_ENGINE, stepMs: 40 },
+      timing: { lingerMs: 50 },
+    });
+    const http = createHttpClient();
+    const leaving = new AbortController();
+    const request = http.call({
+      ...createCall(site, "/v1/pipelines/draft"),
+      signal: leaving.signal,
+    });
+    const countBusy = () =>
+      site.engines.reduce((sum, engine) => sum + engine.countBusy(), 0);
+    await waitUntil(site.clock, () => countBusy() === 1);
+    leaving.abort();
+    await request;
+    await waitUntil(site.clock, () => countBusy() === 0);
+    await http.close();
+  });
+
+  it("refuses what cannot be in time, and runs nothing of it", async () => {
+    site = await startLocalSite({
+      stageTimes: { slots: 1, baseMs: 50, perThousandMs: 0 },
+      encoders: 1,
+    });
+    const client = site.createClient();
+    const request = { ...DRAFT, pipeline: "embed", deadlineMs: 400 };
+    for (let i = 0; i < 3; i++) await client.runPipeline(request);
+    const before = countExecutions(site, "encoders");
+    const hopeless = await client.runPipeline({ ...request, deadlineMs: 20 });
+    expect(hopeless.isErr && hopeless.error.verdict).to.equal("not_run");
+    expect(countExecutions(site, "encoders")).to.equal(before);
+    await client.close();
+  });
+});
+
+describe("a log that is away", () => {
+  let site: LocalSite;
+  afterEach(() => site.stop());
+
+  // The log is away for an hour. Notices whose ids are bound to an entry go out
+  // all the same; an id that needs a claim is refused and does not run.
+  it("stops only requests that need a claim, and says not_run", async () => {
+    site = await startLocalSite();
+    site.log.faults.away = true;
+    const client = site.createClient();
+    const bound = await client.callService(NOTICE);
+    expect(bound.isOk).to.equal(true);
+    const now = Math.floor(site.clock.now()).toString(16).padStart(12, "0");
+    const dated = await client.callService({
+      ...NOTICE,
+      id: `${now.slice(0, 8)}-${now.slice(8)}-7abc-8def-0123456789ab`,
+    });
+    expect(dated.isErr && dated.error.verdict).to.equal("not_run");
+    expect(countExecutions(site, "services")).to.equal(1);
+    await client.close();
+  });
+
+  it("lets an entry that starts meanwhile get the configuration from a peer", async () => {
+    site = await startLocalSite();
+    site.log.faults.away = true;
+    const late = await site.startEntry();
+    await waitUntil(site.clock, () => late.status.isReady);
+    expect(late.status.configVersion).to.equal(1);
+  });
+
+  // The record of the configuration expires in the log. An entry carried it
+  // forward before, so an entry that starts alone later still finds it.
+  it("leaves a configuration in the log longer than the log keeps records", async () => {
+    site = await startLocalSite({
+      retentionMs: 600,
+      timing: { carryForwardMs: 150 },
+    });
+    await site.clock.sleep(1_500);
+    const [first] = site.entries;
+    first?.kill();
+    const late = await site.startEntry({ peers: [] });
+    await waitUntil(site.clock, () => late.status.isReady);
+    expect(late.status.configVersion).to.equal(1);
+  });
+});
+
+describe("configuration changes", () => {
+  let site: LocalSite;
+  afterEach(() => site.stop());
+
+  it("reach every entry, once, in the same version", async () => {
+    site = await startLocalSite({ entries: 3 });
+    site.log.faults.loseAnswers = 1;
+    const next = structuredClone(LOCAL_CONFIG);
+    next.classes[0]!.target = 0.5;
+    const [a, b] = await Promise.all([
+      site.publish(next, 1),
+      site.publish(LOCAL_CONFIG, 1),
+    ]);
+    expect([a.kind, b.kind].sort()).to.deep.equal(["conflict", "in_force"]);
+    await waitUntil(
+      site.clock,
+      () => site.entries.every(({ status }) => status.configVersion === 2),
+    );
+  });
+});
+
+describe("planned stops", () => {
+  let site: LocalSite;
+  afterEach(() => site.stop());
+
+  const STOPS = [
+    { name: "", isLogAway: false },
+    { name: " while the log is away", isLogAway: true },
+  ];
+  for (const { name, isLogAway } of STOPS) {
+    it(`cut nothing off that an entry has in progress${name}`, async () => {
+      site = await startLocalSite({ engineTimes: SLOW_ENGINE });
+      site.log.faults.away = isLogAway;
+      const client = site.createClient();
+      const [entry] = site.entries;
+      let stopped: Promise<number> | undefined;
+      const answer = await client.streamPipeline(DRAFT, (_token, sequence) => {
+        if (sequence === 2) stopped = entry?.stop();
+      });
+      expectDraft(answer.isOk && answer.value.tokens.join(""));
+      expect(answer.isOk && answer.value.resumes).to.equal(0);
+      expect(await stopped).to.equal(0);
+      await client.close();
+    });
+  }
+
+  // A caller keeps an address answer for ten seconds. The entry it names leaves
+  // meanwhile, and still serves the caller until that time has passed.
+  it("serve callers that still keep the old address", async () => {
+    site = await startLocalSite({ entries: 2, timing: { drainMs: 3_000 } });
+    const [entry] = site.entries;
+    const stopping = entry?.stop();
+    const http = createHttpClient();
+    const reply = await http.call(createCall(site, "/v1/pipelines/draft"));
+    expect(reply.isOk && reply.value.status).to.equal(200);
+    const addresses = await http.call({
+      ...createCall(site, CALLER_PATHS.addresses, site.entries[1]),
+      method: "GET",
+    });
+    await waitUntil(
+      site.clock,
+      () => site.entries[1]!.status.peers.length === 1,
+    );
+    expect(addresses.isOk && addresses.value.text).not.to.contain("entry-1-");
+    entry?.kill();
+    await stopping;
+    await http.close();
+  });
+
+  // An endpoint leaves; the instance list says so only much later. After the
+  // first refusal nothing new is sent there, and nothing is lost.
+  it("send a leaving endpoint nothing new although the list lags", async () => {
+    site = await startLocalSite({ listLagMs: 0 });
+    const client = site.createClient();
+    site.services[0]?.leave();
+    for (let i = 0; i < 8; i++) {
+      expect((await client.callService(NOTICE)).isOk).to.equal(true);
+    }
+    expect(site.services[0]?.ledger.length).to.equal(0);
+    await client.close();
+  });
+});
+
+describe("engine orders", () => {
+  let site: LocalSite;
+  afterEach(() => site.stop());
+
+  it("make engines hold what the configuration asks for", async () => {
+    site = await startLocalSite({
+      entries: 2,
+      models: [],
+      timing: { leaseMs: 500 },
+    });
+    await waitUntil(
+      site.clock,
+      () => site.engines.every(({ orders }) => orders.length > 0),
+    );
+    const fences = site.engines.flatMap(({ orders }) =>
+      orders.map(({ fence }) => fence)
+    );
+    expect(new Set(fences).size).to.equal(1);
+    const client = site.createClient();
+    let answer = await client.runPipeline(DRAFT);
+    while (answer.isErr) answer = await client.runPipeline(DRAFT);
+    expectDraft(answer.value.output);
+    await client.close();
+  });
+
+  it("wait while the weight store is away", async () => {
+    site = await startLocalSite({ models: [], timing: { leaseMs: 500 } });
+    site.weightStore.faults.away = true;
+    await site.clock.sleep(1_000);
+    expect(site.engines.flatMap(({ orders }) => orders)).to.deep.equal([]);
+    site.weightStore.faults.away = false;
+    await waitUntil(
+      site.clock,
+      () => site.engines.every(({ orders }) => orders.length > 0),
+    );
+  });
+});
+
+function createCall(
+  site: LocalSite,
+  path: string,
+  entry = site.entries[0],
+  account: keyof typeof LOCAL_KEYS = "handlers",
+) {
+  return {
+    method: "POST" as const,
+    address: entry?.callerAddress ?? "",
+    path,
+    headers: {
+      authorization: `Bearer ${account}:${LOCAL_KEYS[account]}`,
+      [CALLER_HEADERS.className]: "rulings",
+      [CALLER_HEADERS.idempotent]: "true",
+    } as Record<string, string>,
+    body: JSON.stringify({ text: TEXT }),
+  };
+}
+
+describe("input that no honest caller sends", () => {
+  let site: LocalSite;
+  let http: HttpClient;
+
+  before(async () => {
+    site = await startLocalSite({
+      settings: { limits: { maxBodyBytes: 2_048 } as never },
+    });
+    http = createHttpClient();
+  });
+  after(async () => {
+    await http.close();
+    await site.stop();
+  });
+
+  interface InputCase {
+    name: string;
+    change: {
+      path?: string;
+      method?: "GET" | "POST" | "PUT";
+      headers?: Record<string, string>;
+      body?: string;
+    };
+    status: number;
+    says: string;
+  }
+
+  const CASES: InputCase[] = [
+    {
+      name: "a body that is not JSON",
+      change: { body: "{" },
+      status: 400,
+      says: "the body is malformed",
+    },
+    {
+      name: "a text that is no text",
+      change: { body: '{"text":1}' },
+      status: 400,
+      says: "text",
+    },
+    {
+      name: "an unknown field",
+      change: { body: '{"text":"x","y":1}' },
+      status: 400,
+      says: '"y"',
+    },
+    { name: "no body", change: { body: "" }, status: 400, says: "malformed" },
+    {
+      name: "too large a body",
+      change: { body: "x".repeat(4_000) },
+      status: 413,
+      says: "larger than 2048",
+    },
+    {
+      name: "an unknown pipeline",
+      change: { path: "/v1/pipelines/what" },
+      status: 404,
+      says: '"what"',
+    },
+    {
+      name: "an unknown service",
+      change: { path: "/v1/services/what/x" },
+      status: 404,
+      says: '"what"',
+    },
+    {
+      name: "an unknown path",
+      change: { path: "/what" },
+      status: 404,
+      says: "nothing at this path",
+    },
+    {
+      name: "a broken path",
+      change: { path: "/%zz" },
+      status: 400,
+      says: "path is malformed",
+    },
+    {
+      name: "a wrong method",
+      change: { method: "PUT" },
+      status: 400,
+      says: "must be POST",
+    },
+    {
+      name: "an unknown class",
+      change: { headers: { [CALLER_HEADERS.className]: "x" } },
+      status: 404,
+      says: '"x"',
+    },
+    {
+      name: "no class",
+      change: { headers: { [CALLER_HEADERS.className]: "" } },
+      status: 404,
+      says: "class",
+    },
+    {
+      name: "a bad deadline",
+      change: { headers: { [CALLER_HEADERS.deadlineMs]: "-1" } },
+      status: 400,
+      says: CALLER_HEADERS.deadlineMs,
+    },
+    {
+      name: "a bad flag",
+      change: { headers: { [CALLER_HEADERS.idempotent]: "yes" } },
+      status: 400,
+      says: CALLER_HEADERS.idempotent,
+    },
+    {
+      name: "a bad id",
+      change: { headers: { [CALLER_HEADERS.requestId]: "a b" } },
+      status: 400,
+      says: CALLER_HEADERS.requestId,
+    },
+    {
+      name: "a bad attempt",
+      change: { headers: { [CALLER_HEADERS.attempt]: "0" } },
+      status: 400,
+      says: CALLER_HEADERS.attempt,
+    },
+    {
+      name: "no account",
+      change: { headers: { authorization: "" } },
+      status: 401,
+      says: "unknown",
+    },
+    {
+      name: "a wrong key",
+      change: { headers: { authorization: "Bearer handlers:x" } },
+      status: 401,
+      says: "unknown",
+    },
+    {
+      name: "an unknown account",
+      change: { headers: { authorization: "Bearer who:x" } },
+      status: 401,
+      says: "unknown",
+    },
+    {
+      name: "a peers' path",
+      change: { path: "/peers/exchange" },
+      status: 404,
+      says: "nothing",
+    },
+    {
+      name: "an operators' path",
+      change: { path: "/operators/drain" },
+      status: 404,
+      says: "nothing",
+    },
+  ];
+
+  for (const { name, change, status, says } of CASES) {
+    it(`is refused with ${status} and not_run: ${name}`, async () => {
+      const call = createCall(site, change.path ?? "/v1/pipelines/draft");
+      const reply = await http.call({
+        ...call,
+        ...change,
+        headers: { ...call.headers, ...change.headers },
+      });
+      expect(readRefusal(reply.isOk ? reply.value : undefined))
+        .to.deep.equal({ status, verdict: "not_run" });
+      expect(readMessage(reply.isOk ? reply.value : undefined))
+        .to.contain(says);
+    });
+  }
+
+  it("is refused for a class that the account may not use", async () => {
+    const reply = await http.call(
+      createCall(site, "/v1/pipelines/draft", site.entries[0], "portal"),
+    );
+    expect(readRefusal(reply.isOk ? reply.value : undefined))
+      .to.deep.equal({ status: 401, verdict: "not_run" });
+  });
+
+  it("gets nothing for a stream's token that is not its own", async () => {
+    for (const token of ["x", "x.y", ""]) {
+      const reply = await http.call({
+        ...createCall(site, `/v1/streams/${token}?next=0`),
+        method: "GET",
+      });
+      expect(reply.isOk && reply.value.status).to.equal(404);
+    }
+  });
+
+  // An entry did not run the request, but cannot know what an earlier attempt
+  // at another entry did, so it does not say "not run".
+  it("is told not_run on a refusal only for a first attempt", async () => {
+    const call = createCall(site, "/v1/pipelines/what");
+    const read = async (attempt: string) => {
+      const reply = await http.call({
+        ...call,
+        headers: {
+          ...call.headers,
+          [CALLER_HEADERS.requestId]: "mine",
+          [CALLER_HEADERS.attempt]: attempt,
+        },
+      });
+      return readRefusal(reply.isOk ? reply.value : undefined).verdict;
+    };
+    expect(await read("1")).to.equal("not_run");
+    expect(await read("2")).to.equal("may_have_run");
+  });
+
+  it("does not reach the control port without a key", async () => {
+    const address = site.entries[0]?.controlAddress ?? "";
+    for (const path of ["/operators/status", "/peers/config"]) {
+      const reply = await http.call({ method: "GET", address, path });
+      expect(reply.isOk && reply.value.status).to.equal(401);
+    }
+    const ready = await http.call({ method: "GET", address, path: "/readyz" });
+    expect(ready.isOk && ready.value.status).to.equal(200);
+    const metrics = await http.call({
+      method: "GET",
+      address,
+      path: "/metrics",
+    });
+    expect(metrics.isOk && metrics.value.text).to.contain(
+      "mangoreach_requests",
+    );
+  });
+});
+
+function readMessage(reply: HttpReply | undefined): string {
+  const body = parseJson(reply?.text ?? "") as
+    | { error?: { message?: string } }
+    | undefined;
+  return body?.error?.message ?? "";
+}
+
+function readRefusal(reply: HttpReply | undefined) {
+  const body = parseJson(reply?.text ?? "") as
+    | { error?: { verdict?: string } }
+    | undefined;
+  return { status: reply?.status, verdict: body?.error?.verdict };
+}
--- a/bench/src/random_load.ts
+++ b/bench/src/random_load.ts
@@ -16,6 +16,15 @@
   drawGap(perSecond: number): number;
 }
 
+/** A UUIDv7 (RFC 9562) of the present time. */
+function createDatedId(random: Random): string {
+  const time = Date.now().toString(16).padStart(12, "0");
+  const rest = random.hex(18);
+  return `${time.slice(0, 8)}-${time.slice(8)}-7${rest.slice(0, 3)}-8${
+    rest.slice(3, 6)
+  }-${rest.slice(6)}`;
+}
+
 const WORDS = ["case", "claim", "gear", "heat", "meter", "notice", "torque"];
 const MIN_LENGTH = 20;
 
@@ -39,7 +48,9 @@
 
   function draw(work: readonly WorkPlan[] = plan): PlannedRequest {
     const chosen = drawWork(work);
-    const label = `r${seed}.${count++}`;
+    const label = chosen.isDated
+      ? createDatedId(random)
+      : `r${seed}.${count++}`;
     const length = Math.max(
       MIN_LENGTH,
       Math.round(-Math.log(1 - random.real(0, 0.999)) * chosen.meanLength),
--- a/bench/src/site_launcher.ts
+++ b/bench/src/site_launcher.ts
@@ -12,8 +12,8 @@
 import type { HttpCall } from "@mangoreach/shared";
 import { createHttpClient, parseJson } from "@mangoreach/shared";
 import type { Execution, Faults } from "@mangoreach/standins";
-import type { LaunchedProcess } from "./process_launcher.ts";
-import { killAll, launchProcess } from "./process_launcher.ts";
+import type { LaunchedProcess, LaunchOptions } from "./process_launcher.ts";
+import { launchProcess } from "./process_launcher.ts";
 import type { Deployment, PoolPlan, SitePlan } from "./site_plan.ts";
 
 /** An entry process of the site. */
@@ -80,7 +80,14 @@
   const { plan } = options.deployment;
   const folder = mkdtempSync(join(tmpdir(), "mangoreach-"));
   const http = createHttpClient({ maxReplyBytes: 268_435_456 });
-  const platform = await launchPlatform(options);
+  /** Every process of this site, also those that were replaced. */
+  const processes = new Set<LaunchedProcess>();
+  const launch: Launch = async (launchOptions) => {
+    const process = await launchProcess(launchOptions);
+    processes.add(process);
+    return process;
+  };
+  const platform = await launchPlatform(options, launch);
   const { models } = options.deployment.config;
   const entries: SiteEntry[] = [];
   const endpoints: SiteEndpoint[] = [];
@@ -115,7 +122,7 @@
     const settingsFile = join(folder, `${name}.jsonc`);
     const settings = createEntrySettings(planned, { options, platform });
     writeFileSync(settingsFile, JSON.stringify(settings, null, 2));
-    const process = await launchProcess({
+    const process = await launch({
       program: "mangoreach-entry",
       args: ["--settings", settingsFile],
       errorFile: join(folder, "logs", `${name}.log`),
@@ -147,7 +154,11 @@
       );
       return;
     }
-    const process = await launchEndpoints(pool, { count: pool.count, models });
+    const process = await launchEndpoints(pool, {
+      count: pool.count,
+      models,
+      launch,
+    });
     const addresses = process.ready.addresses as string[];
     for (const [i, address] of addresses.entries()) {
       await addEndpoint(pool, { number: i + 1, address, process });
@@ -159,7 +170,11 @@
       id.startsWith(`${candidate.pool}-`)
     );
     if (pool === undefined) throw new Error(`no pool for endpoint ${id}`);
-    const process = await launchEndpoints(pool, { count: 1, models });
+    const process = await launchEndpoints(pool, {
+      count: 1,
+      models,
+      launch,
+    });
     const [address = ""] = process.ready.addresses as string[];
     const number = Number(id.slice(pool.pool.length + 1));
     return await addEndpoint(pool, { number, address, process });
@@ -195,14 +210,18 @@
     );
     const ledgers = await Promise.all(
       wanted.map(({ address }) =>
-        call({ method: "GET", address, path: "/ledger" })
+        // An endpoint may be killed between the look and the call.
+        call({ method: "GET", address, path: "/ledger" }).catch(() => [])
       ),
     );
     return (ledgers as Execution[][]).flat();
   }
 
   async function stop(): Promise<void> {
-    killAll();
+    for (const process of processes) {
+      // A stopped process does not die of anything but this.
+      process.send("SIGKILL");
+    }
     await http.close();
     rmSync(folder, { recursive: true, force: true });
   }
@@ -246,11 +265,12 @@
 
 async function launchPlatform(
   { listLagMs = DEFAULT_LIST_LAG, logOptions = {} }: LaunchSiteOptions,
+  launch: Launch,
 ): Promise<Platform> {
   const [log, list, store] = await Promise.all([
-    launchStandin("log", logOptions),
-    launchStandin("instance_list", { lagMs: listLagMs }),
-    launchStandin("weight_store", {}),
+    launch(createStandinOptions("log", logOptions)),
+    launch(createStandinOptions("instance_list", { lagMs: listLagMs })),
+    launch(createStandinOptions("weight_store", {})),
   ]);
   return {
     log: { address: readAddress(log), process: log },
@@ -259,24 +279,31 @@
   };
 }
 
-function launchStandin(
+/** Starts a process that belongs to the site. */
+type Launch = typeof launchProcess;
+
+function createStandinOptions(
   role: string,
   options: Record<string, unknown>,
-): Promise<LaunchedProcess> {
-  return launchProcess({
+): LaunchOptions {
+  return {
     program: "mangoreach-standin",
     args: ["--role", role, "--options", JSON.stringify(options)],
-  });
+  };
 }
 
 function launchEndpoints(
   pool: PoolPlan,
-  { count, models }: { count: number; models: ConfigDocument["models"] },
+  { count, models, launch }: {
+    count: number;
+    models: ConfigDocument["models"];
+    launch: Launch;
+  },
 ): Promise<LaunchedProcess> {
   const options = pool.kind === "engine"
     ? { times: pool.times, checksFencing: pool.checksFencing, models }
     : { times: pool.times };
-  return launchProcess({
+  return launch({
     program: "mangoreach-standin",
     args: [
       "--role",
--- a/bench/src/site_plan.ts
+++ b/bench/src/site_plan.ts
@@ -49,6 +49,8 @@
   share: z.number().min(0),
   isStreamed: z.boolean().default(false),
   isIdempotent: z.boolean().default(true),
+  /** Whether the caller makes ids itself, which are claimed in the log. */
+  isDated: z.boolean().default(false),
   /** Mean length of the text, in characters. */
   meanLength: z.number().int().min(1),
   deadlineMs: z.number().int().min(1),
--- a/packages/callers/src/caller_client.ts
+++ b/packages/callers/src/caller_client.ts
@@ -112,6 +112,8 @@
   number: number;
   remaining: Millis;
   signal: AbortSignal;
+  /** Told that the entry answers; from then on only the deadline counts. */
+  onFirstByte: () => void;
 }
 
 /** An answer together with the id under which it was asked for. */
@@ -124,6 +126,8 @@
 
 const OK = 200;
 const MAX_ATTEMPTS = 5;
+/** Share of the time left after which another entry is tried. */
+const PATIENCE_SHARE = 0.5;
 const ADDRESS_TIMEOUT: Millis = 1_000;
 const RESUME_PAUSE: Millis = 50;
 const RETRIED_KINDS = new Set<Failure["kind"]>(["unavailable", "stopping"]);
@@ -189,8 +193,19 @@
       if (entry === undefined || remaining <= 0) break;
       id ??= formatBoundId(entry.binding, options.idPart ?? createUniqueText());
       const number = sent + 1;
-      const signal = controller.signal;
-      const outcome = await send({ entry, id, number, remaining, signal });
+      const patience = options.idempotent && entries.length > 1
+        ? remaining * PATIENCE_SHARE
+        : remaining;
+      const attempt = startPatience(controller.signal, patience);
+      const outcome = await send({
+        entry,
+        id,
+        number,
+        remaining,
+        signal: attempt.signal,
+        onFirstByte: attempt.stop,
+      });
+      attempt.stop();
       if (outcome.isOk) {
         stopTimer();
         return Result.ok({ id, value: outcome.value });
@@ -211,11 +226,27 @@
     return Result.err(failure);
   }
 
+  /**
+   * Failure guarded against: an entry is frozen, takes connections and answers
+   * nothing. It shows as a request that hangs until its deadline. An idempotent
+   * request is sent to another entry while there is still time; one that is not
+   * stays, because no other entry may run it.
+   */
+  function startPatience(signal: AbortSignal, patience: Millis) {
+    const controller = new AbortController();
+    const stopTimer = clock.startTimer(patience, () => controller.abort());
+    return {
+      signal: AbortSignal.any([signal, controller.signal]),
+      stop: stopTimer,
+    };
+  }
+
   function isWorthRetrying(
     { kind, verdict }: Failure,
     { idempotent }: RequestOptions,
   ): boolean {
     if (RETRIED_KINDS.has(kind)) return true;
+    if (kind === "cancelled" && idempotent) return true;
     // Asking another entry about a lost answer never runs the request again.
     return verdict === "may_have_run" && kind === "bad_reply" && idempotent;
   }
@@ -337,6 +368,7 @@
     if (reply.value.status !== OK) {
       return Result.err(await readFailure(reply.value));
     }
+    attempt.onFirstByte();
     const progress: StreamProgress = {
       requestId: attempt.id,
       resumeToken: undefined,
--- a/packages/coordination/src/stage_pool_test.ts
+++ b/packages/coordination/src/stage_pool_test.ts
@@ -150,7 +150,7 @@
     expect([await take(), await take()]).to.include("e1");
   });
 
-  it("leaves room that others fill, by the endpoint's last report", async () => {
+  it("leaves room that others fill, by the endpoint's last report", () => {
     pool.refresh([endpoint("e1")]);
     pool.recordReport("e1#1", {
       running: 6,
--- a/packages/entry/src/once_guard.ts
+++ b/packages/entry/src/once_guard.ts
@@ -13,7 +13,7 @@
   RequestKey,
 } from "@mangoreach/coordination";
 import { createFailure } from "@mangoreach/coordination";
-import type { Millis } from "@mangoreach/shared";
+import type { Clock, Millis } from "@mangoreach/shared";
 import type {
   OutcomeQuestion,
   OutcomeReply,
@@ -21,7 +21,7 @@
 } from "@mangoreach/peers";
 import { Result } from "true-myth";
 import type { ClaimService } from "./claim_service.ts";
-import type { EntryContext } from "./entry_context.ts";
+import type { EntrySettings } from "./entry_settings.ts";
 import { failMalformed } from "./request_head.ts";
 
 /** What may be done with a request. */
@@ -47,6 +47,15 @@
   question: OutcomeQuestion,
 ) => Promise<OutcomeReply | undefined>;
 
+/** What the guard needs of its entry. */
+export interface OnceGuardContext {
+  clock: Clock;
+  incarnation: string;
+  settings: {
+    timing: Pick<EntrySettings["timing"], "bindingMs" | "claimWindowMs">;
+  };
+}
+
 /** Options of {@linkcode createOnceGuard}. */
 export interface OnceGuardOptions {
   outcomes: OutcomeTable<StoredAnswer>;
@@ -72,7 +81,7 @@
 
 /** Creates the guard of one entry incarnation. */
 export function createOnceGuard(
-  { settings, clock, incarnation }: EntryContext,
+  { settings, clock, incarnation }: OnceGuardContext,
   { outcomes, claims, askOwner }: OnceGuardOptions,
 ): OnceGuard {
   const { bindingMs, claimWindowMs } = settings.timing;
--- /dev/null
+++ b/packages/shared/src/shared_test.ts
@@ -0,0 +1,87 @@
+import { expect } from "chai";
+import * as fc from "fast-check";
+import {
+  compareCausalTimes,
+  createCausalClock,
+  formatCausalTime,
+} from "./causal_clock.ts";
+import { createFakeClock } from "./fake_clock.ts";
+import { createServerSentEventParser } from "./server_sent_events.ts";
+import { createSubject } from "./subject.ts";
+import { createTimeline } from "./timeline.ts";
+
+describe("causal clock", () => {
+  // Two entries' wall clocks differ by minutes. Sorted by wall clock, an answer
+  // would stand before its call.
+  it("puts an answer after its call although the clocks differ", () => {
+    const ahead = createCausalClock(createFakeClock(50_000));
+    const behind = createCausalClock(createFakeClock(10_000));
+    const call = ahead.tick();
+    behind.observe(formatCausalTime(call));
+    expect(compareCausalTimes(behind.tick(), call)).to.be.above(0);
+  });
+
+  it("does not follow a clock that is far ahead, or nonsense", () => {
+    const clock = createCausalClock(createFakeClock(0));
+    for (const text of ["999999999.0", "x", "1.x", "", undefined]) {
+      clock.observe(text);
+    }
+    expect(clock.tick().millis).to.equal(0);
+  });
+});
+
+describe("time line", () => {
+  it("keeps the newest events when it is full", () => {
+    const timeline = createTimeline({
+      process: "e",
+      clock: createCausalClock(createFakeClock()),
+      capacity: 2,
+    });
+    for (const request of ["a", "b", "c"]) {
+      timeline.record("request_received", { request });
+    }
+    expect(timeline.list().map(({ request }) => request))
+      .to.deep.equal(["b", "c"]);
+  });
+});
+
+describe("server-sent event parser", () => {
+  it("reads the same events however the text is cut into chunks", () => {
+    const text = 'event: token\nid: 3\ndata: {"text":"a: b"}\n\n' +
+      "event: end\ndata: 1\n\n";
+    const expected = createServerSentEventParser().parse(text);
+    const cuts = fc.array(fc.integer({ min: 0, max: text.length }));
+    fc.assert(
+      fc.property(cuts, (positions) => {
+        const parser = createServerSentEventParser();
+        const sorted = [0, ...positions.sort((a, b) => a - b), text.length];
+        const events = sorted.slice(1).flatMap((end, i) => {
+          const parsed = parser.parse(text.slice(sorted[i], end));
+          return parsed === "too_large" ? [] : parsed;
+        });
+        expect(events).to.deep.equal(expected);
+      }),
+      { seed: 1, numRuns: 100 },
+    );
+  });
+
+  it("gives up on an event without end", () => {
+    expect(createServerSentEventParser().parse("x".repeat(1_100_000)))
+      .to.equal("too_large");
+  });
+});
+
+describe("subject", () => {
+  it("hands values to each observer until it ends", async () => {
+    const subject = createSubject<number>();
+    const seen: number[] = [];
+    const observed = subject.stream.observe((value) => void seen.push(value));
+    await Promise.resolve();
+    subject.push(1);
+    subject.push(2);
+    subject.end();
+    subject.push(3);
+    await observed;
+    expect(seen).to.deep.equal([1, 2]);
+  });
+});
