--- a/bench/src/caller_load.ts
+++ b/bench/src/caller_load.ts
@@ -37,23 +37,31 @@
   /** Entries that callers know from their own settings. */
   readKnownAddresses: () => string[];
   createUniqueText: () => string;
+  /** Clients of each account; each uses one entry at a time. */
+  clientsPerAccount?: number | undefined;
   onFirstToken?: (planned: PlannedRequest, time: Millis) => void;
 }
 
 const SERVICE_PATH = "notice";
-const CLIENTS_PER_ACCOUNT = 6;
+const DEFAULT_CLIENTS = 6;
 
 /** Creates clients for all accounts of a deployment. */
 export function createCallerLoad(
-  { clock, deployment, readKnownAddresses, createUniqueText, onFirstToken }:
-    CallerLoadOptions,
+  {
+    clock,
+    deployment,
+    readKnownAddresses,
+    createUniqueText,
+    clientsPerAccount = DEFAULT_CLIENTS,
+    onFirstToken,
+  }: CallerLoadOptions,
 ): CallerLoad {
   const history: HistoryEntry[] = [];
   const clients = new Map<string, CallerClient>();
 
   /** Several for each account: one client uses one entry at a time. */
   function findClient(account: string): CallerClient {
-    const key = `${account}/${history.length % CLIENTS_PER_ACCOUNT}`;
+    const key = `${account}/${history.length % clientsPerAccount}`;
     const known = clients.get(key);
     if (known !== undefined) return known;
     const plan = deployment.plan.accounts.find(({ name }) => name === account);
--- a/standins/src/engine_batch.ts
+++ b/standins/src/engine_batch.ts
@@ -48,11 +48,13 @@
   times: EngineTimes;
   /** Multiplies the time of a step; for the fault switch. */
   readSlowFactor: () => number;
+  /** Told the slot-seconds of each step. */
+  onBusy: (seconds: number) => void;
 }
 
 /** Creates an empty batch. */
 export function createEngineBatch(
-  { clock, times, readSlowFactor }: EngineBatchOptions,
+  { clock, times, readSlowFactor, onBusy }: EngineBatchOptions,
 ): EngineBatch {
   const queue: Sequence[] = [];
   const running = new Set<Sequence>();
@@ -96,6 +98,7 @@
   }
 
   function step(steps: number, duration: Millis): void {
+    onBusy(running.size * steps * duration / 1_000);
     for (const sequence of [...running]) {
       sequence.prefillLeft -= steps * duration;
       if (sequence.prefillLeft > 0) continue;
--- a/standins/src/model_engine.ts
+++ b/standins/src/model_engine.ts
@@ -104,10 +104,12 @@
   let isLeaving = false;
   let arrivals = 0;
   let slowFactor = () => 1;
+  let addBusy = (_seconds: number) => {};
   const batch = createEngineBatch({
     clock,
     times,
     readSlowFactor: () => slowFactor(),
+    onBusy: (seconds) => addBusy(seconds),
   });
   let report = { running: 0, queued: 0, takenAt: clock.now() };
 
@@ -282,6 +284,7 @@
     },
     routes: (state) => {
       slowFactor = () => state.faults.slowFactor;
+      addBusy = (seconds) => state.busySeconds += seconds;
       return {
         "POST /generate": (request) => generate(request, state),
         "GET /streams/*": resume,
@@ -320,8 +323,7 @@
       };
     },
   });
-  return {
-    ...standin,
+  return Object.assign(standin, {
     orders,
     leave() {
       isLeaving = true;
@@ -335,7 +337,7 @@
         for (const { response } of readers) response.destroy();
       }
     },
-  };
+  });
 }
 
 interface CacheEventRecord {
--- a/standins/src/stage_endpoint.ts
+++ b/standins/src/stage_endpoint.ts
@@ -57,10 +57,12 @@
   const queue = createSlotQueue(times.slots);
   let isLeaving = false;
 
-  async function work(size: number, { faults }: StandinState): Promise<void> {
+  async function work(size: number, state: StandinState): Promise<void> {
     await queue.acquire();
-    const time = times.baseMs + times.perThousandMs * size / 1_000;
-    if (time > 0) await clock.sleep(time * faults.slowFactor);
+    const unloaded = times.baseMs + times.perThousandMs * size / 1_000;
+    const time = unloaded * state.faults.slowFactor;
+    if (time > 0) await clock.sleep(time);
+    state.busySeconds += time / 1_000;
     queue.release();
   }
 
@@ -136,8 +138,7 @@
       },
     }),
   });
-  return {
-    ...standin,
+  return Object.assign(standin, {
     leave() {
       isLeaving = true;
     },
@@ -145,5 +146,5 @@
       isLeaving = false;
     },
     countBusy: () => queue.running + queue.queued,
-  };
+  });
 }
--- a/standins/src/standin_server.ts
+++ b/standins/src/standin_server.ts
@@ -63,6 +63,8 @@
   readonly address: string;
   readonly faults: Faults;
   readonly ledger: Execution[];
+  /** Slot-seconds spent on work so far. */
+  readonly busySeconds: number;
   stop(): Promise<void>;
 }
 
@@ -72,7 +74,6 @@
   host?: string;
   port?: number;
   routes: (standin: StandinState) => StandinRoutes;
-  /** Requests that the `away` and `hangs` faults do not touch. */
   onStop?: () => void;
 }
 
@@ -80,6 +81,8 @@
 export interface StandinState {
   faults: Faults;
   ledger: Execution[];
+  /** Slot-seconds spent on work so far. */
+  busySeconds: number;
 }
 
 const LIMITS = {
@@ -87,6 +90,8 @@
   requestTimeoutMs: 60_000,
   maxConnections: 100_000,
 };
+/** Paths that the `away` and `hangs` faults do not touch. */
+const CONTROL_PATHS = new Set(["/faults", "/ledger", "/usage"]);
 const MAX_BODY = 33_554_432;
 
 /** Creates faults that are all off. */
@@ -122,7 +127,11 @@
 export async function startStandin(
   { host = "127.0.0.1", port = 0, routes, onStop }: StandinOptions,
 ): Promise<Standin> {
-  const state: StandinState = { faults: createNoFaults(), ledger: [] };
+  const state: StandinState = {
+    faults: createNoFaults(),
+    ledger: [],
+    busySeconds: 0,
+  };
   const table = { ...createControlRoutes(state), ...routes(state) };
 
   async function listen(
@@ -131,7 +140,7 @@
   ): Promise<void> {
     const url = new URL(request.url ?? "/", "http://standin");
     const found = findRoute(table, `${request.method} ${url.pathname}`);
-    const isControl = url.pathname === "/faults" || url.pathname === "/ledger";
+    const isControl = CONTROL_PATHS.has(url.pathname);
     if (!isControl && state.faults.hangs) return;
     if (!isControl && state.faults.away) {
       return sendJson(response, { status: 503, body: { error: "away" } });
@@ -160,6 +169,9 @@
     address: readServerAddress(server),
     faults: state.faults,
     ledger: state.ledger,
+    get busySeconds() {
+      return state.busySeconds;
+    },
     stop: () => stopStandin(server, onStop),
   };
 }
@@ -174,7 +186,8 @@
   await closed;
 }
 
-function createControlRoutes({ faults, ledger }: StandinState): StandinRoutes {
+function createControlRoutes(state: StandinState): StandinRoutes {
+  const { faults, ledger } = state;
   return {
     "PUT /faults": ({ response, body }) => {
       Object.assign(faults, parseJson(body));
@@ -182,6 +195,11 @@
     },
     "GET /ledger": ({ response }) =>
       sendJson(response, { status: 200, body: ledger }),
+    "GET /usage": ({ response }) =>
+      sendJson(response, {
+        status: 200,
+        body: { busy_seconds: state.busySeconds },
+      }),
     "DELETE /ledger": ({ response }) => {
       ledger.length = 0;
       sendJson(response, { status: 200, body: {} });
