perf(entry): weigh a cached prefix by what it saves

Cause: every class sends one prefix, and its engine was preferred by half a service time, although the cached prefill is a few hundredths of it. Change: the saving is the learnt share of the prefill; the failure case list_late makes the list lag (hanging it also hung the runner's own changes to it).

--- a/bench/src/failures.ts
+++ b/bench/src/failures.ts
@@ -42,6 +42,8 @@
 
 const NOTHING = (): Promise<void> => Promise.resolve();
 const SLOW_STAGE = 30;
+/** Multiplies the list's lag of 100 ms. */
+const LATE_LIST = 100;
 const SLOW_LOG = 15;
 const BURST_FACTOR = 6;
 const CUTS = 12;
@@ -202,13 +204,13 @@
       "one at another address; the old address refuses connections.",
     async begin(context) {
       await context.site.setFaults(context.site.instanceListAddress, {
-        hangs: true,
+        slowFactor: LATE_LIST,
       });
       findEndpoint(context, "encoder-1").process.send("SIGKILL");
     },
     async end(context) {
       await context.site.setFaults(context.site.instanceListAddress, {
-        hangs: false,
+        slowFactor: 1,
       });
       await replaceEndpoint(context, "encoder-1");
     },
--- a/packages/coordination/src/routing.ts
+++ b/packages/coordination/src/routing.ts
@@ -22,7 +22,7 @@
 
 /** What an attempt needs. */
 export interface RoutingRequest {
-  /** Probability from 0 to 1 that the endpoint holds the prompt's prefix. */
+  /** Share of one service time that a cached prefix would save there. */
   affinity?: (endpoint: EndpointInfo) => number;
 }
 
@@ -45,8 +45,6 @@
 const DEFAULT_SLOTS = 4;
 /** What another place costs, as a share of one service time. */
 const OTHER_PLACE_COST = 0.05;
-/** What a cached prefix saves, as a share of one service time. */
-const CACHED_PREFIX_SAVING = 0.5;
 
 /** The choice of mangoreach: power of two choices by expected time. */
 export function createExpectedTimeChoice(
@@ -56,7 +54,7 @@
     const slots = view.report?.slots ?? DEFAULT_SLOTS;
     const occupancy = (view.inFlight + estimateOthers(view, now())) / slots;
     const place = view.info.place === ownPlace ? 0 : OTHER_PLACE_COST;
-    const saved = CACHED_PREFIX_SAVING * (request.affinity?.(view.info) ?? 0);
+    const saved = request.affinity?.(view.info) ?? 0;
     return view.slowness * (1 + occupancy) + place - saved;
   }
 
--- a/packages/coordination/src/stage_pool.ts
+++ b/packages/coordination/src/stage_pool.ts
@@ -30,7 +30,7 @@
   deadline: Deadline;
   /** Time that the stages after this one need at least. */
   reserve: Millis;
-  /** Probability from 0 to 1 that an endpoint holds the prompt's prefix. */
+  /** Share of one service time that a cached prefix would save there. */
   affinity?: (endpoint: EndpointInfo) => number;
 }
 
--- a/packages/entry/src/pipeline_runner.ts
+++ b/packages/entry/src/pipeline_runner.ts
@@ -64,6 +64,8 @@
 }
 
 const PREFIX_NAME_LENGTH = 16;
+/** Share of the prefill that a cached prefix makes unnecessary, at most. */
+const CACHED_PREFILL_SHARE = 0.7;
 
 /** Creates the runner of one entry. */
 export function createPipelineRunner(
@@ -194,6 +196,7 @@
     options.demand.record(stage.model ?? "", stage.maxTokens ?? 0);
     const prefix = formatPrefixName(body.prefix);
     const collector = createCollector();
+    const saving = estimatePrefixSaving(stage, body.text.length);
     const ended = await runGeneration(context, {
       task: {
         run,
@@ -208,7 +211,7 @@
         affinity: prefix === ""
           ? undefined
           : (endpoint) =>
-            affinity.estimate(formatEndpointKey(endpoint), prefix),
+            saving * affinity.estimate(formatEndpointKey(endpoint), prefix),
         sink: isLast && sink !== undefined ? sink : collector,
         isResumable: isLast && sink !== undefined,
       },
@@ -221,6 +224,14 @@
     return ended.map(() => collector.readText());
   }
 
+  /** What a cached prefix saves: most of the prefill, nothing of the decode. */
+  function estimatePrefixSaving(stage: StageConfig, length: number): number {
+    const prefill = pools.find(stage.pool, stage.model).estimateUnloaded(length);
+    const decode = findDecodeTimes(stage.pool)
+      .estimateUnloaded(stage.maxTokens ?? 0);
+    return CACHED_PREFILL_SHARE * prefill / (prefill + decode);
+  }
+
   function createTools(pool: string): GenerationTools {
     return {
       engines: options.engines,
--- a/standins/src/instance_list.ts
+++ b/standins/src/instance_list.ts
@@ -6,7 +6,7 @@
 import type { EndpointInfo } from "@mangoreach/coordination";
 import type { Clock, Millis } from "@mangoreach/shared";
 import { parseJson, sendJson } from "@mangoreach/shared";
-import type { Standin } from "./standin_server.ts";
+import type { Standin, StandinState } from "./standin_server.ts";
 import { startStandin } from "./standin_server.ts";
 
 /** Options of {@linkcode startInstanceList}. */
@@ -47,17 +47,17 @@
     if (versions.length > KEPT_VERSIONS) versions.shift();
   }
 
-  function readVisible(): ListVersion {
-    const visibleUntil = clock.now() - lagMs;
+  function readVisible({ faults }: StandinState): ListVersion {
+    const visibleUntil = clock.now() - lagMs * faults.slowFactor;
     return versions.findLast(({ at }) => at <= visibleUntil) ?? versions[0]!;
   }
 
   return startStandin({
     clock,
     port,
-    routes: () => ({
+    routes: (state) => ({
       "GET /instances": ({ response, query }) => {
-        const { version, instances } = readVisible();
+        const { version, instances } = readVisible(state);
         if (String(version) === query.get("after")) {
           response.writeHead(304);
           return void response.end();
