perf(routing): choose by own requests in progress, not by shared late reports

Cause: all entries read the same load reports, up to 0.8 s late, and sent to the engine that looked free until the next report; batches grew uneven, and an uneven batch costs more for each token. Ruled out: hedges (wasted share is near zero), prefix affinity (weighed by saving). Change: the least expected time over all endpoints by own requests in progress; reports only bound what an entry keeps at an engine.

--- a/packages/coordination/src/routing.ts
+++ b/packages/coordination/src/routing.ts
@@ -1,7 +1,6 @@
 /**
- * Chooses the endpoint for one attempt. Several entries decide alone on lagging
- * news, so the choice is between two drawn at random: taking the best of all
- * would send every entry to the same endpoint after each load report.
+ * Chooses the endpoint for one attempt. Several entries decide alone, so each
+ * goes by its own requests in progress, which it knows exactly and at once.
  *
  * @module
  */
@@ -36,7 +35,6 @@
 export interface ExpectedTimeChoiceOptions {
   ownPlace: string;
   random: () => number;
-  now: () => Millis;
 }
 
 /** A load report of this age counts half. */
@@ -46,27 +44,31 @@
 /** What another place costs, as a share of one service time. */
 const OTHER_PLACE_COST = 0.05;
 
-/** The choice of mangoreach: power of two choices by expected time. */
+/** The choice of mangoreach: the least expected time by what is known here. */
 export function createExpectedTimeChoice(
-  { ownPlace, random, now }: ExpectedTimeChoiceOptions,
+  { ownPlace, random }: ExpectedTimeChoiceOptions,
 ): ChooseEndpoint {
   function estimateCost(view: EndpointView, request: RoutingRequest): number {
     const slots = view.report?.slots ?? DEFAULT_SLOTS;
-    const occupancy = (view.inFlight + estimateOthers(view, now())) / slots;
+    // Reports are left out: all entries read the same ones, late, and would
+    // send to the same endpoint until the next (docs/design/routing.md).
+    const occupancy = view.inFlight / slots;
     const place = view.info.place === ownPlace ? 0 : OTHER_PLACE_COST;
     const saved = request.affinity?.(view.info) ?? 0;
     return view.slowness * (1 + occupancy) + place - saved;
   }
 
-  return (candidates, request) => {
-    if (candidates.length <= 1) return candidates[0];
-    const pair = drawPair(candidates, random);
-    const best = request.affinity === undefined
-      ? undefined
-      : findMostAffine(candidates, request.affinity);
-    const options = best === undefined ? pair : [...pair, best];
-    return findCheapest(options, (view) => estimateCost(view, request));
-  };
+  return (candidates, request) =>
+    findCheapest(
+      turnList(candidates, random),
+      (view) => estimateCost(view, request),
+    );
+}
+
+/** The list from a random start, so that equal choices are spread. */
+function turnList<V>(list: readonly V[], random: () => number): V[] {
+  const start = Math.floor(random() * list.length);
+  return [...list.slice(start), ...list.slice(0, start)];
 }
 
 /** In-flight work of other entries, from a report that ages. */
@@ -78,21 +80,6 @@
   return Math.max(0, reported) * trust;
 }
 
-function drawPair<V>(candidates: readonly V[], random: () => number): V[] {
-  const first = Math.floor(random() * candidates.length);
-  const step = 1 + Math.floor(random() * (candidates.length - 1));
-  const second = (first + step) % candidates.length;
-  return [candidates[first]!, candidates[second]!];
-}
-
-function findMostAffine<V extends EndpointView>(
-  candidates: readonly V[],
-  affinity: (endpoint: EndpointInfo) => number,
-): V | undefined {
-  const best = findCheapest(candidates, (view) => -affinity(view.info));
-  return best !== undefined && affinity(best.info) > 0 ? best : undefined;
-}
-
 function findCheapest<V>(
   options: readonly V[],
   estimateCost: (option: V) => number,
@@ -118,9 +105,6 @@
 export function createLeastInFlightChoice(
   random: () => number,
 ): ChooseEndpoint {
-  return (candidates) => {
-    const start = Math.floor(random() * candidates.length);
-    const turned = [...candidates.slice(start), ...candidates.slice(0, start)];
-    return findCheapest(turned, (view) => view.inFlight);
-  };
+  return (candidates) =>
+    findCheapest(turnList(candidates, random), (view) => view.inFlight);
 }
--- a/packages/entry/src/pool_set.ts
+++ b/packages/entry/src/pool_set.ts
@@ -136,20 +136,17 @@
   };
 }
 
-function createPolicy({ settings, random, clock }: EntryContext): PoolPolicy {
+function createPolicy({ settings, random }: EntryContext): PoolPolicy {
   const isOwn = settings.policy === "mangoreach";
   return {
-    choose: createChoice({ settings, random, clock }),
+    choose: createChoice({ settings, random }),
     hasLimits: isOwn,
     hasEjection: isOwn,
   };
 }
 
 function createChoice(
-  { settings, random, clock }: Pick<
-    EntryContext,
-    "settings" | "random" | "clock"
-  >,
+  { settings, random }: Pick<EntryContext, "settings" | "random">,
 ): ChooseEndpoint {
   switch (settings.policy) {
     case "round_robin":
@@ -160,7 +157,6 @@
       return createExpectedTimeChoice({
         ownPlace: settings.place,
         random,
-        now: clock.now,
       });
   }
 }
