perf(pool): let important work queue at engines that others have filled

Cause: an entry left an engine alone when others had filled it by the last report, so rulings waited at one entry behind chat that others had sent. Change: the limit at an engine that reports slots is slots * (1 + 1/priority).

--- a/packages/coordination/src/decisions_test.ts
+++ b/packages/coordination/src/decisions_test.ts
@@ -73,7 +73,9 @@
       });
     add("ratings");
     add("certification");
-    expect(queue.take()?.workClass.name).to.equal("certification");
+    const next = queue.peek();
+    expect(next?.workClass.name).to.equal("certification");
+    if (next !== undefined) queue.remove(next);
     expect(queue.countAhead(1)).to.equal(1);
     expect(queue.countAhead(0)).to.equal(0);
   });
--- a/packages/coordination/src/stage_pool.ts
+++ b/packages/coordination/src/stage_pool.ts
@@ -131,8 +131,8 @@
 const RECHECK_INTERVAL: Millis = 50;
 /** Reports older than this say nothing about the present. */
 const REPORT_LIFETIME: Millis = 5_000;
-/** A little more than full, so that no slot waits for the next request. */
-const FULL_FACTOR = 1.125;
+/** The limit that is shown is the one for the least important work. */
+const LOWEST_PRIORITY = 100;
 const DURATION_WEIGHT = 0.05;
 const RETRY_AFTER_NO_ENDPOINT: Millis = 1_000;
 
@@ -194,24 +194,31 @@
     return healthy.length > 0 ? healthy : all;
   }
 
-  function findFree(avoid: readonly EndpointInfo[]): Slot[] {
+  function findFree(
+    { workClass }: PoolWork,
+    avoid: readonly EndpointInfo[],
+  ): Slot[] {
     return listInUse().filter((slot) =>
       !avoid.includes(slot.info) &&
-      (!policy.hasLimits || slot.inFlight < readLimit(slot))
+      (!policy.hasLimits ||
+        slot.inFlight < readLimit(slot, workClass.priority))
     );
   }
 
   /**
-   * An endpoint that reports its slots is kept just full: what others have
-   * there by its last report is left to them. For others the limit is learnt.
+   * An endpoint that reports its slots is kept full: what others have there by
+   * its last report is left to them. Work of a higher priority may be queued
+   * there too, because such endpoints honour priorities: waiting here, it would
+   * stand behind work of a lower priority that other entries have there. For
+   * endpoints that report nothing the limit is learnt.
    */
-  function readLimit(slot: Slot): number {
+  function readLimit(slot: Slot, priority: number): number {
     const { report } = slot;
     const now = clock.now();
     if (report === undefined || now - report.takenAt > REPORT_LIFETIME) {
       return slot.limit.value;
     }
-    const room = report.slots * FULL_FACTOR - estimateOthers(slot, now);
+    const room = report.slots * (1 + 1 / priority) - estimateOthers(slot, now);
     return Math.max(1, Math.floor(room));
   }
 
@@ -219,7 +226,7 @@
     work: PoolWork,
     avoid: readonly EndpointInfo[],
   ): Slot | undefined {
-    const free = findFree(avoid);
+    const free = findFree(work, avoid);
     const { affinity } = work;
     return policy.choose(free, affinity === undefined ? {} : { affinity });
   }
@@ -299,13 +306,17 @@
   }
 
   function dispatch(): void {
-    while (queue.size > 0) {
-      if (findFree([]).length === 0) return scheduleRecheck();
-      const waiter = queue.take();
-      const slot = waiter && choose(waiter, []);
+    for (;;) {
+      const waiter = queue.peek();
       if (waiter === undefined) return;
-      if (slot === undefined) return waiter.settle(Result.err(failEmpty()));
-      waiter.settle(Result.ok(grant(slot, waiter)));
+      const slot = choose(waiter, []);
+      if (slot === undefined && slots.size > 0) return scheduleRecheck();
+      queue.remove(waiter);
+      waiter.settle(
+        slot === undefined
+          ? Result.err(failEmpty())
+          : Result.ok(grant(slot, waiter)),
+      );
     }
   }
 
@@ -390,7 +401,7 @@
     const endpoints = [...slots.values()].map((slot) => ({
       id: slot.info.id,
       inFlight: slot.inFlight,
-      limit: readLimit(slot),
+      limit: readLimit(slot, LOWEST_PRIORITY),
       slowness: slot.slowness,
       isEjected: slot.health.isEjected(),
     }));
--- a/packages/coordination/src/stage_pool_test.ts
+++ b/packages/coordination/src/stage_pool_test.ts
@@ -158,6 +158,26 @@
       slots: 8,
       takenAt: clock.now(),
     });
-    expect(pool.readStatus().endpoints[0]?.limit).to.equal(3);
+    expect(pool.readStatus().endpoints[0]?.limit).to.equal(2);
+  });
+
+  // Rulings wait at one entry while chat of other entries fills the engines. An
+  // engine that reports its slots honours priorities, so rulings go there.
+  it("queues important work at an endpoint that others have filled", async () => {
+    pool.refresh([endpoint("e1")]);
+    pool.recordReport("e1#1", {
+      running: 8,
+      queued: 0,
+      slots: 8,
+      takenAt: clock.now(),
+    });
+    const acquired: string[] = [];
+    for (const workClass of [CHAT, CHAT, CHAT, CHAT, RULINGS]) {
+      void pool.acquire(work({ workClass }))
+        .then(() => acquired.push(workClass.name));
+    }
+    await clock.advance(0);
+    expect(acquired).to.include("rulings");
+    expect(acquired.length).to.be.below(5);
   });
 });
--- a/packages/coordination/src/work_queue.ts
+++ b/packages/coordination/src/work_queue.ts
@@ -27,8 +27,8 @@
   readonly size: number;
   add(work: W): void;
   remove(work: W): void;
-  /** Takes the next work, or undefined when empty. */
-  take(): W | undefined;
+  /** The next work, which stays in the queue; undefined when empty. */
+  peek(): W | undefined;
   /** Work that would go before new work of `priority`. */
   countAhead(priority: number): number;
 }
@@ -80,12 +80,10 @@
     if (queue.size === 0) classes.delete(work.workClass.name);
   }
 
-  function take(): W | undefined {
+  function peek(): W | undefined {
     const queue = chooseClass();
     const waiting = queue && chooseAccount(queue);
-    const work = waiting?.values().next().value;
-    if (work !== undefined) remove(work);
-    return work;
+    return waiting?.values().next().value;
   }
 
   function chooseClass(): ClassQueue<W> | undefined {
@@ -133,7 +131,7 @@
     },
     add,
     remove,
-    take,
+    peek,
     countAhead,
   };
 }
--- a/packages/entry/src/pipeline_runner.ts
+++ b/packages/entry/src/pipeline_runner.ts
@@ -226,7 +226,9 @@
 
   /** What a cached prefix saves: most of the prefill, nothing of the decode. */
   function estimatePrefixSaving(stage: StageConfig, length: number): number {
-    const prefill = pools.find(stage.pool, stage.model).estimateUnloaded(length);
+    const prefill = pools.find(stage.pool, stage.model).estimateUnloaded(
+      length,
+    );
     const decode = findDecodeTimes(stage.pool)
       .estimateUnloaded(stage.maxTokens ?? 0);
     return CACHED_PREFILL_SHARE * prefill / (prefill + decode);
