fix(entry): cancel at the engine what was given up before its first token

Cause: a streamed generation may be resumed, so its engine goes on for a while without a reader. One given up before its first token cannot be resumed by anybody, but went on too, and held a slot for three seconds for nobody. Change: the entry cancels such a stream by its id; a class limit learnt from misses bounds what is admitted. The test failed before the change.

--- a/bench/src/path_test.ts
+++ b/bench/src/path_test.ts
@@ -171,6 +171,32 @@
     await http.close();
   });
 
+  // Chat waits at a full engine until its deadline and is given up before its
+  // first token. The engine would go on for as long as a resume is allowed, and
+  // generate for nobody in a slot that rulings wait for.
+  it("cancels at the engine what was given up before its first token", async () => {
+    site = await startLocalSite({
+      engines: 1,
+      engineTimes: { ...SLOW_ENGINE, slots: 1, stepMs: 60 },
+      timing: { lingerMs: 60_000 },
+    });
+    const client = site.createClient();
+    const [engine] = site.engines;
+    let isFirstDone = false;
+    const first = client.streamPipeline(DRAFT, () => {})
+      .then(() => isFirstDone = true);
+    await waitUntil(site.clock, () => engine?.countBusy() === 1);
+    const late = await client.streamPipeline(
+      { ...DRAFT, deadlineMs: 400 },
+      () => {},
+    );
+    expect(late.isErr).to.equal(true);
+    await waitUntil(site.clock, () => engine?.countBusy() === 1);
+    expect(isFirstDone).to.equal(false);
+    await first;
+    await client.close();
+  });
+
   it("refuses what cannot be in time, and runs nothing of it", async () => {
     site = await startLocalSite({
       stageTimes: { slots: 1, baseMs: 50, perThousandMs: 0 },
--- a/packages/coordination/src/admission.ts
+++ b/packages/coordination/src/admission.ts
@@ -4,8 +4,10 @@
  *
  * @module
  */
-import type { Millis } from "@mangoreach/shared";
+import type { Clock, Millis } from "@mangoreach/shared";
 import { Result } from "true-myth";
+import type { AdmittedEnd, ClassLimit } from "./class_limit.ts";
+import { createClassLimit } from "./class_limit.ts";
 import type { Failure } from "./failure.ts";
 import { createFailure } from "./failure.ts";
 import type { WorkClass } from "./work_queue.ts";
@@ -31,6 +33,7 @@
 
 /** Options of {@linkcode createAdmission}. */
 export interface AdmissionOptions {
+  clock: Clock;
   random: () => number;
   /** Requests that one entry works on at once; the bound on its memory. */
   maxInProgress: number;
@@ -45,7 +48,7 @@
 
 /** A request that was admitted; must be ended once. */
 export interface AdmittedRequest {
-  end(): void;
+  end(how: AdmittedEnd): void;
 }
 
 /** Forecasts err; a request is refused only if it misses by this much. */
@@ -55,10 +58,19 @@
 
 /** Creates the admission of one entry. */
 export function createAdmission(
-  { random, maxInProgress }: AdmissionOptions,
+  { clock, random, maxInProgress }: AdmissionOptions,
 ): Admission {
+  const limits = new Map<string, ClassLimit>();
   let inProgress = 0;
 
+  function findLimit({ name }: WorkClass): ClassLimit {
+    const known = limits.get(name);
+    if (known !== undefined) return known;
+    const created = createClassLimit(clock);
+    limits.set(name, created);
+    return created;
+  }
+
   function admit(request: AdmissionRequest): Result<AdmittedRequest, Failure> {
     if (inProgress >= maxInProgress) {
       return Result.err(refuse("the entry is full", MIN_RETRY_AFTER));
@@ -78,17 +90,24 @@
       const message = "the deadline cannot be met under the present load";
       return Result.err(refuse(message, forecast - request.remaining));
     }
-    return Result.ok(begin());
+    const limit = findLimit(request.workClass);
+    if (!limit.hasRoom()) {
+      const message = "the class has no more room under the present load";
+      return Result.err(refuse(message, request.remaining / 2));
+    }
+    return Result.ok(begin(limit));
   }
 
-  function begin(): AdmittedRequest {
+  function begin(limit: ClassLimit): AdmittedRequest {
     let hasEnded = false;
     inProgress++;
+    limit.begin();
     return {
-      end() {
+      end(how) {
         if (hasEnded) return;
         hasEnded = true;
         inProgress--;
+        limit.end(how);
       },
     };
   }
--- /dev/null
+++ b/packages/coordination/src/class_limit.ts
@@ -0,0 +1,82 @@
+/**
+ * How many requests of a class one entry works on at a time, learnt from whether
+ * those it admitted were answered in time.
+ *
+ * Failure guarded against: more of a class is admitted than is left for it by
+ * classes before it. It shows as requests that pass the first stages and are
+ * dropped at the last, so that almost none is answered although many could be.
+ * The guard holds because each such drop lowers what is admitted next.
+ *
+ * @module
+ */
+import type { Clock, Millis } from "@mangoreach/shared";
+
+/** How an admitted request ended. */
+export type AdmittedEnd =
+  /** Answered in time, with this share of its time left. */
+  | { kind: "in_time"; slack: number }
+  /** Admitted, and then too late or dropped as hopeless. */
+  | { kind: "missed" }
+  /** Ended for a reason that says nothing about load. */
+  | { kind: "other" };
+
+/** The limit of one class at one entry. */
+export interface ClassLimit {
+  readonly value: number;
+  readonly inProgress: number;
+  hasRoom(): boolean;
+  begin(): void;
+  end(how: AdmittedEnd): void;
+}
+
+const START_LIMIT = 32;
+const MIN_LIMIT = 1;
+const MAX_LIMIT = 4_096;
+const SHRINK_FACTOR = 0.8;
+/** Drops arrive in a bunch; one bunch shrinks the limit once. */
+const SHRINK_INTERVAL: Millis = 150;
+/** With more of its time left than this, a class is far from its limit. */
+const AMPLE_SLACK = 0.5;
+const SOME_SLACK = 0.2;
+const AMPLE_STEP = 0.5;
+
+/** Creates the limit of a class nothing is known of. */
+export function createClassLimit(clock: Clock): ClassLimit {
+  let value = START_LIMIT;
+  let inProgress = 0;
+  let lastShrink = -Infinity;
+
+  function shrink(): void {
+    const now = clock.now();
+    if (now - lastShrink < SHRINK_INTERVAL) return;
+    lastShrink = now;
+    const used = Math.min(value, inProgress + 1);
+    value = Math.max(MIN_LIMIT, used * SHRINK_FACTOR);
+  }
+
+  function grow(slack: number): void {
+    // A limit that was not reached has not been tested.
+    if (inProgress + 1 < Math.floor(value)) return;
+    if (slack > AMPLE_SLACK) value += AMPLE_STEP;
+    else if (slack > SOME_SLACK) value += 1 / value;
+    value = Math.min(MAX_LIMIT, value);
+  }
+
+  return {
+    get value() {
+      return value;
+    },
+    get inProgress() {
+      return inProgress;
+    },
+    hasRoom: () => inProgress < Math.floor(value),
+    begin() {
+      inProgress++;
+    },
+    end(how) {
+      inProgress--;
+      if (how.kind === "missed") shrink();
+      if (how.kind === "in_time") grow(how.slack);
+    },
+  };
+}
--- a/packages/coordination/src/decisions_test.ts
+++ b/packages/coordination/src/decisions_test.ts
@@ -2,6 +2,8 @@
 import { expect } from "chai";
 import { createAdmission, spreadRetryAfter } from "./admission.ts";
 import { createAttainmentTracker } from "./attainment.ts";
+import type { AdmittedEnd } from "./class_limit.ts";
+import { createClassLimit } from "./class_limit.ts";
 import { createConcurrencyLimit } from "./concurrency_limit.ts";
 import type { EndpointInfo } from "./endpoint.ts";
 import { createEndpointHealth, ejectSlowest } from "./endpoint_health.ts";
@@ -19,7 +21,11 @@
   const stage = { wait: 0, service: 100, unloaded: 50 };
 
   function admit(stages = [stage], remaining = 500) {
-    const admission = createAdmission({ random: () => 0, maxInProgress: 1 });
+    const admission = createAdmission({
+      clock: createFakeClock(),
+      random: () => 0,
+      maxInProgress: 1,
+    });
     return {
       admission,
       decide: () => admission.admit({ workClass: RULINGS, remaining, stages }),
@@ -31,8 +37,8 @@
     const admitted = decide();
     expect(admission.inProgress).to.equal(1);
     expect(decide().isErr).to.equal(true);
-    if (admitted.isOk) admitted.value.end();
-    if (admitted.isOk) admitted.value.end();
+    if (admitted.isOk) admitted.value.end({ kind: "other" });
+    if (admitted.isOk) admitted.value.end({ kind: "other" });
     expect(admission.inProgress).to.equal(0);
   });
 
@@ -59,6 +65,39 @@
   });
 });
 
+describe("class limit", () => {
+  function run(limit: ReturnType<typeof createClassLimit>, how: AdmittedEnd) {
+    while (limit.hasRoom()) limit.begin();
+    limit.end(how);
+  }
+
+  // Chat is admitted, passes three stages and is dropped at the last, because
+  // rulings take what is left. Admitting less of it lets some of it be answered.
+  it("falls when admitted requests miss their deadline, once for a bunch", async () => {
+    const clock = createFakeClock();
+    const limit = createClassLimit(clock);
+    run(limit, { kind: "missed" });
+    run(limit, { kind: "missed" });
+    expect(limit.value).to.be.closeTo(25.6, 0.01);
+    for (let i = 0; i < 40; i++) {
+      await clock.advance(200);
+      run(limit, { kind: "missed" });
+    }
+    expect(limit.value).to.be.within(1, 2);
+  });
+
+  it("rises again, faster the more time was left", () => {
+    const limit = createClassLimit(createFakeClock());
+    run(limit, { kind: "in_time", slack: 0.9 });
+    expect(limit.value).to.equal(32.5);
+    run(limit, { kind: "in_time", slack: 0.3 });
+    expect(limit.value).to.be.within(32.5, 32.6);
+    run(limit, { kind: "other" });
+    run(limit, { kind: "in_time", slack: 0.01 });
+    expect(limit.value).to.be.within(32.5, 32.6);
+  });
+});
+
 describe("work queue", () => {
   it("prefers, between equal priorities, the class furthest below its target", () => {
     const attained = new Map([["ratings", 0.95], ["certification", 0.6]]);
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -137,6 +137,8 @@
   StagePoolOptions,
 } from "./stage_pool.ts";
 export { createStagePool } from "./stage_pool.ts";
+export type { AdmittedEnd, ClassLimit } from "./class_limit.ts";
+export { createClassLimit } from "./class_limit.ts";
 export type {
   Admission,
   AdmissionOptions,
--- a/packages/coordination/src/stage_pool.ts
+++ b/packages/coordination/src/stage_pool.ts
@@ -218,7 +218,8 @@
     if (report === undefined || now - report.takenAt > REPORT_LIFETIME) {
       return slot.limit.value;
     }
-    const room = report.slots * (1 + 1 / priority) - estimateOthers(slot, now);
+    const room = report.slots * (1 + 1 / (priority * priority)) -
+      estimateOthers(slot, now);
     return Math.max(1, Math.floor(room));
   }
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -180,6 +180,7 @@
     guard,
     admission: isOwnPolicy
       ? createAdmission({
+        clock,
         random,
         maxInProgress: settings.limits.maxInProgress,
       })
--- a/packages/entry/src/generation_runner.ts
+++ b/packages/entry/src/generation_runner.ts
@@ -173,25 +173,39 @@
   });
   const first = await readUntilToken(events);
   signal.removeEventListener("abort", giveUp);
-  if (first.isErr) return Result.err(first.error);
-  return Result.ok({ events, controller, ...first.value });
+  if (first.event.kind === "broken") {
+    // An engine goes on for a while without a reader, so that a stream can be
+    // resumed. Nobody can resume this one: it would hold a slot for nobody.
+    if (first.streamId !== undefined) {
+      void tools.engines.cancel(endpoint, first.streamId);
+    }
+    return Result.err(first.event.failure);
+  }
+  const { streamId } = first;
+  if (streamId === undefined) {
+    return Result.err(failStream("sent tokens before its start"));
+  }
+  return Result.ok({ events, controller, streamId, first: first.event });
+}
+
+interface FirstRead {
+  streamId: string | undefined;
+  /** The first event that is not `start`. */
+  event: GenerationEvent;
 }
 
 async function readUntilToken(
   events: AsyncGenerator<GenerationEvent>,
-): Promise<
-  Result<Pick<OpenedGeneration, "streamId" | "first">, Failure>
-> {
+): Promise<FirstRead> {
   let streamId: string | undefined;
   for (;;) {
     const next = await events.next();
-    if (next.done) return Result.err(failStream("ended before its start"));
-    const event = next.value;
-    if (event.kind === "broken") return Result.err(event.failure);
-    if (event.kind === "start") streamId = event.streamId;
-    else if (streamId === undefined) {
-      return Result.err(failStream("sent tokens before its start"));
-    } else return Result.ok({ streamId, first: event });
+    if (next.done) {
+      const failure = failStream("ended before its first token");
+      return { streamId, event: { kind: "broken", failure } };
+    }
+    if (next.value.kind !== "start") return { streamId, event: next.value };
+    streamId = next.value.streamId;
   }
 }
 
--- a/packages/entry/src/request_handler.ts
+++ b/packages/entry/src/request_handler.ts
@@ -7,6 +7,7 @@
 import { pipelineBodySchema } from "@mangoreach/callers";
 import type {
   Admission,
+  AdmittedEnd,
   AdmittedRequest,
   AttainmentTracker,
   Deadline,
@@ -293,8 +294,9 @@
     }
     const admitted = admit(run, checked);
     if (admitted.isErr) return { kind: "failed", failure: admitted.error };
+    const budget = run.deadline.remaining();
     const outcome = await checked.execute(run);
-    admitted.value?.end();
+    admitted.value?.end(describeEnd(outcome, { run, budget }));
     return outcome;
   }
 
@@ -478,6 +480,22 @@
   }));
 }
 
+/** What an outcome says about how much of its class may be admitted. */
+function describeEnd(
+  outcome: ExecutedRequest,
+  { run, budget }: { run: RequestRun; budget: Millis },
+): AdmittedEnd {
+  const left = run.deadline.remaining();
+  if (!("failure" in outcome)) {
+    return left > 0
+      ? { kind: "in_time", slack: left / budget }
+      : { kind: "missed" };
+  }
+  const { kind } = outcome.failure;
+  const isMissed = kind === "deadline_exceeded" || kind === "overloaded";
+  return { kind: isMissed ? "missed" : "other" };
+}
+
 function classifyOutcome(
   outcome: ExecutedRequest,
   deadline: Deadline,
