perf(pool): give engines' own queues to the highest priority only

Cause: rulings still waited at entries behind what others had at the engines, and work was sent on that only an idle engine could have finished in time. Change: room of slots * (1 + 3/priority^3); the time kept for decoding is the typical one, not the unloaded.

--- a/packages/coordination/src/stage_pool.ts
+++ b/packages/coordination/src/stage_pool.ts
@@ -131,6 +131,8 @@
 const RECHECK_INTERVAL: Millis = 50;
 /** Reports older than this say nothing about the present. */
 const REPORT_LIFETIME: Millis = 5_000;
+/** What the highest priority may queue at an endpoint, in multiples of slots. */
+const QUEUED_SHARE = 3;
 /** The limit that is shown is the one for the least important work. */
 const LOWEST_PRIORITY = 100;
 const DURATION_WEIGHT = 0.05;
@@ -218,7 +220,7 @@
     if (report === undefined || now - report.takenAt > REPORT_LIFETIME) {
       return slot.limit.value;
     }
-    const room = report.slots * (1 + 1 / (priority * priority)) -
+    const room = report.slots * (1 + QUEUED_SHARE / priority ** 3) -
       estimateOthers(slot, now);
     return Math.max(1, Math.floor(room));
   }
--- a/packages/entry/src/generation_runner.ts
+++ b/packages/entry/src/generation_runner.ts
@@ -126,7 +126,7 @@
       size: prompt.length,
       deadline: run.deadline,
       reserve: task.reserve +
-        tools.decodeTimes.estimateUnloaded(task.maxTokens),
+        tools.decodeTimes.estimateTypical(task.maxTokens),
       ...(affinity === undefined ? {} : { affinity }),
     },
     policy: tools.policy,
