perf(admission): the lowest priority gives way to a miss of any class

Cause: a class that missed admitted less of itself, so rulings were refused while chat went on; forecasts for rulings were drawn from chat's waits. Change: a miss shrinks the limit of the lowest class at work, below one request at a time if need be; times are learnt by priority.

--- a/packages/coordination/src/admission.ts
+++ b/packages/coordination/src/admission.ts
@@ -51,6 +51,11 @@
   end(how: AdmittedEnd): void;
 }
 
+interface LimitedClass {
+  workClass: WorkClass;
+  limit: ClassLimit;
+}
+
 /** Forecasts err; a request is refused only if it misses by this much. */
 const FORECAST_SLACK = 1.1;
 const MIN_RETRY_AFTER: Millis = 250;
@@ -60,15 +65,19 @@
 export function createAdmission(
   { clock, random, maxInProgress }: AdmissionOptions,
 ): Admission {
-  const limits = new Map<string, ClassLimit>();
+  const classes = new Map<string, LimitedClass>();
   let inProgress = 0;
 
-  function findLimit({ name }: WorkClass): ClassLimit {
-    const known = limits.get(name);
-    if (known !== undefined) return known;
-    const created = createClassLimit(clock);
-    limits.set(name, created);
-    return created;
+  function findLimit(workClass: WorkClass): ClassLimit {
+    const known = classes.get(workClass.name);
+    if (known !== undefined) {
+      // Priorities change with the configuration, the limit lives on.
+      known.workClass = workClass;
+      return known.limit;
+    }
+    const limit = createClassLimit(clock);
+    classes.set(workClass.name, { workClass, limit });
+    return limit;
   }
 
   function admit(request: AdmissionRequest): Result<AdmittedRequest, Failure> {
@@ -98,6 +107,17 @@
     return Result.ok(begin(limit));
   }
 
+  /**
+   * After a miss in any class, the class of the lowest priority that has work
+   * here admits less; the one that missed only when no other can give way.
+   */
+  function giveWay(): void {
+    const byPriority = [...classes.values()]
+      .filter(({ limit }) => limit.inProgress > 0 || limit.value < 1)
+      .sort((a, b) => b.workClass.priority - a.workClass.priority);
+    for (const { limit } of byPriority) if (limit.shrink()) return;
+  }
+
   function begin(limit: ClassLimit): AdmittedRequest {
     let hasEnded = false;
     inProgress++;
@@ -108,6 +128,7 @@
         hasEnded = true;
         inProgress--;
         limit.end(how);
+        if (how.kind === "missed") giveWay();
       },
     };
   }
--- a/packages/coordination/src/class_limit.ts
+++ b/packages/coordination/src/class_limit.ts
@@ -1,6 +1,7 @@
 /**
  * How many requests of a class one entry works on at a time, learnt from whether
  * those it admitted were answered in time.
+ * Which class gives way to a miss is admission's decision.
  *
  * Failure guarded against: more of a class is admitted than is left for it by
  * classes before it. It shows as requests that pass the first stages and are
@@ -26,11 +27,16 @@
   readonly inProgress: number;
   hasRoom(): boolean;
   begin(): void;
+  /** Notes the end of one request; a miss shrinks no limit by itself. */
   end(how: AdmittedEnd): void;
+  /** Admits less; false when it cannot give way any further. */
+  shrink(): boolean;
 }
 
 const START_LIMIT = 32;
-const MIN_LIMIT = 1;
+/** Below 1, one request at a time, with pauses in between. */
+const MIN_LIMIT = 0.1;
+const PAUSE_UNIT: Millis = 500;
 const MAX_LIMIT = 4_096;
 const SHRINK_FACTOR = 0.8;
 /** Drops arrive in a bunch; one bunch shrinks the limit once. */
@@ -45,20 +51,23 @@
   let value = START_LIMIT;
   let inProgress = 0;
   let lastShrink = -Infinity;
+  let pausedUntil = -Infinity;
 
-  function shrink(): void {
+  function shrink(): boolean {
+    if (value <= MIN_LIMIT) return false;
     const now = clock.now();
-    if (now - lastShrink < SHRINK_INTERVAL) return;
+    if (now - lastShrink < SHRINK_INTERVAL) return true;
     lastShrink = now;
     const used = Math.min(value, inProgress + 1);
     value = Math.max(MIN_LIMIT, used * SHRINK_FACTOR);
+    return true;
   }
 
   function grow(slack: number): void {
     // A limit that was not reached has not been tested.
     if (inProgress + 1 < Math.floor(value)) return;
     if (slack > AMPLE_SLACK) value += AMPLE_STEP;
-    else if (slack > SOME_SLACK) value += 1 / value;
+    else if (slack > SOME_SLACK) value += Math.min(AMPLE_STEP, 1 / value);
     value = Math.min(MAX_LIMIT, value);
   }
 
@@ -69,13 +78,19 @@
     get inProgress() {
       return inProgress;
     },
-    hasRoom: () => inProgress < Math.floor(value),
+    hasRoom() {
+      if (value >= 1) return inProgress < Math.floor(value);
+      return inProgress === 0 && clock.now() >= pausedUntil;
+    },
     begin() {
       inProgress++;
     },
+    shrink,
     end(how) {
       inProgress--;
-      if (how.kind === "missed") shrink();
+      if (value < 1) {
+        pausedUntil = clock.now() + PAUSE_UNIT * (1 / value - 1);
+      }
       if (how.kind === "in_time") grow(how.slack);
     },
   };
--- a/packages/coordination/src/stage_pool.ts
+++ b/packages/coordination/src/stage_pool.ts
@@ -100,8 +100,8 @@
     | undefined;
   /** Expected time in the queue for new work of a priority. */
   estimateWait(priority: number): Millis;
-  /** Expected time of one attempt at present. */
-  estimateService(size: number): Millis;
+  /** Expected time of one attempt at present, for work of a priority. */
+  estimateService(size: number, priority: number): Millis;
   /** Time of one attempt without any queueing. */
   estimateUnloaded(size: number): Millis;
   /** Time that about one attempt in twenty exceeds. */
@@ -135,6 +135,7 @@
 const QUEUED_SHARE = 3;
 /** The limit that is shown is the one for the least important work. */
 const LOWEST_PRIORITY = 100;
+const RATIO_WEIGHT = 0.1;
 const DURATION_WEIGHT = 0.05;
 const RETRY_AFTER_NO_ENDPOINT: Millis = 1_000;
 
@@ -145,6 +146,8 @@
   const slots = new Map<string, Slot>();
   const inProgress = new Map<string, number>();
   const latencies = createLatencyModel();
+  /** Recent time against the unloaded time, by priority. */
+  const ratios = new Map<number, number>();
   const queue = createWorkQueue<Waiter>({
     estimateAttainment,
     countInProgress: (account) => inProgress.get(account) ?? 0,
@@ -243,6 +246,9 @@
 
     function recordLatency(latency: Millis): void {
       const ratio = latencies.record(work.size, latency);
+      const { priority } = work.workClass;
+      const known = ratios.get(priority) ?? ratio;
+      ratios.set(priority, known + RATIO_WEIGHT * (ratio - known));
       slot.limit.record(ratio, slot.inFlight);
       slot.health.recordSuccess(ratio);
     }
@@ -388,6 +394,11 @@
     return slot && grant(slot, work);
   }
 
+  /** Endpoints that honour priorities serve some classes faster than others. */
+  function estimateService(size: number, priority: number): Millis {
+    return latencies.estimateUnloaded(size) * (ratios.get(priority) ?? 1);
+  }
+
   function estimateWait(priority: number): Millis {
     if (queue.size === 0 || inFlight === 0) return 0;
     return queue.countAhead(priority) * meanDuration / inFlight;
@@ -417,7 +428,7 @@
     acquire,
     tryAcquire,
     estimateWait,
-    estimateService: latencies.estimateTypical,
+    estimateService,
     estimateUnloaded: latencies.estimateUnloaded,
     estimateSlow: latencies.estimateSlow,
     readStatus,
--- a/packages/entry/src/pipeline_runner.ts
+++ b/packages/entry/src/pipeline_runner.ts
@@ -95,7 +95,7 @@
     const tokens = stage.maxTokens ?? 0;
     return {
       wait: pool.estimateWait(priority),
-      service: pool.estimateService(textLength) +
+      service: pool.estimateService(textLength, priority) +
         (decode?.estimateTypical(tokens) ?? 0),
       unloaded: pool.estimateUnloaded(textLength) +
         (decode?.estimateUnloaded(tokens) ?? 0),
--- a/packages/entry/src/service_runner.ts
+++ b/packages/entry/src/service_runner.ts
@@ -107,7 +107,7 @@
       const pool = pools.find(service.pool);
       return [{
         wait: pool.estimateWait(priority),
-        service: pool.estimateService(bodyLength),
+        service: pool.estimateService(bodyLength, priority),
         unloaded: pool.estimateUnloaded(bodyLength),
       }];
     },
