fix(admission): a miss never makes a class of higher priority give way

Cause: misses of chat shrank the limit of summaries and rulings once chat was at its least, so rulings were refused under overload. Change: only classes of the same or a lower priority give way; limits grow by a share, so that about one miss in eight holds them.

--- a/bench/src/bench.ts
+++ b/bench/src/bench.ts
@@ -111,7 +111,7 @@
       all.bound.toFixed(3)
     } wasted ${result.wasted_share} cpu ${result.entry_cpu_share} cost ${
       JSON.stringify(cost_by_stage)
-    } ${result.broken.join(" ")}\n`,
+    } stages ${JSON.stringify(result.stage_ms)} ${result.broken.join(" ")}\n`,
   );
 }
 
--- a/bench/src/load_bench.ts
+++ b/bench/src/load_bench.ts
@@ -72,6 +72,8 @@
   wasted_share: number;
   /** Means over all entries, without requests: see `idle` of the report. */
   entry_cpu_share: number;
+  /** Mean time of each stage at the entries, queues included. */
+  stage_ms: Record<string, number>;
   broken: string[];
 }
 
@@ -159,10 +161,32 @@
   return {
     ...summarize(samples, { options, usage, firstTokens }),
     entry_cpu_share: round(cpu / (seconds * site.entries.length)),
+    stage_ms: await readStageTimes(site),
     broken,
   };
 }
 
+const STAGE_METRIC = /^mangoreach_stage_seconds_(sum|count)\{.*stage="([^"]+)"/;
+
+async function readStageTimes(site: Site): Promise<Record<string, number>> {
+  const sums = new Map<string, { sum: number; count: number }>();
+  for (const entry of site.entries) {
+    for (const line of (await site.readMetrics(entry)).split("\n")) {
+      const match = STAGE_METRIC.exec(line);
+      if (match === null) continue;
+      const stage = match[2]!;
+      const known = sums.get(stage) ?? { sum: 0, count: 0 };
+      known[match[1] as "sum" | "count"] += Number(line.split(" ").at(-1));
+      sums.set(stage, known);
+    }
+  }
+  return Object.fromEntries(
+    [...sums].map(([stage, { sum, count }]) =>
+      [stage, Math.round(1_000 * sum / Math.max(1, count))] as const
+    ),
+  );
+}
+
 function readCpu(pid: number): number {
   try {
     return readProcessUsage(pid).cpuSeconds;
@@ -243,7 +267,7 @@
     usage: ReadonlyMap<string, number>;
     firstTokens: ReadonlyMap<string, Histogram>;
   },
-): Omit<LoadBenchResult, "entry_cpu_share" | "broken"> {
+): Omit<LoadBenchResult, "entry_cpu_share" | "stage_ms" | "broken"> {
   const { scenario, policy, seed, deployment, seconds } = options;
   // Work may be finished until the deadlines of the last requests.
   const slack = Math.max(...deployment.plan.work.map((w) => w.deadlineMs)) /
--- a/bench/src/site_launcher.ts
+++ b/bench/src/site_launcher.ts
@@ -54,6 +54,8 @@
   /** Everything that the endpoints of the pools executed. */
   readExecutions(pools?: readonly string[]): Promise<Execution[]>;
   call(call: HttpCall): Promise<unknown>;
+  /** Reads the metrics of an entry; empty when it does not answer. */
+  readMetrics(entry: SiteEntry): Promise<string>;
   stop(): Promise<void>;
 }
 
@@ -217,6 +219,16 @@
     return (ledgers as Execution[][]).flat();
   }
 
+  async function readMetrics({ controlAddress }: SiteEntry): Promise<string> {
+    const reply = await http.call({
+      method: "GET",
+      address: controlAddress,
+      path: "/metrics",
+      signal: AbortSignal.timeout(1_000),
+    });
+    return reply.isOk ? reply.value.text : "";
+  }
+
   async function stop(): Promise<void> {
     for (const process of processes) {
       // A stopped process does not die of anything but this.
@@ -253,6 +265,7 @@
     setFaults: (address, faults) => putJson(address, "/faults", faults),
     readExecutions,
     call,
+    readMetrics,
     stop,
   };
 }
--- a/packages/coordination/src/admission.ts
+++ b/packages/coordination/src/admission.ts
@@ -104,21 +104,27 @@
       const message = "the class has no more room under the present load";
       return Result.err(refuse(message, request.remaining / 2));
     }
-    return Result.ok(begin(limit));
+    return Result.ok(begin(request.workClass, limit));
   }
 
   /**
-   * After a miss in any class, the class of the lowest priority that has work
-   * here admits less; the one that missed only when no other can give way.
+   * After a miss, the class of the lowest priority that has work here admits
+   * less; the one that missed only when none below it can give way any further.
    */
-  function giveWay(): void {
+  function giveWay(missed: number): void {
     const byPriority = [...classes.values()]
-      .filter(({ limit }) => limit.inProgress > 0 || limit.value < 1)
+      .filter(({ workClass, limit }) =>
+        workClass.priority >= missed &&
+        (limit.inProgress > 0 || limit.value < 1)
+      )
       .sort((a, b) => b.workClass.priority - a.workClass.priority);
     for (const { limit } of byPriority) if (limit.shrink()) return;
   }
 
-  function begin(limit: ClassLimit): AdmittedRequest {
+  function begin(
+    { priority }: WorkClass,
+    limit: ClassLimit,
+  ): AdmittedRequest {
     let hasEnded = false;
     inProgress++;
     limit.begin();
@@ -128,7 +134,7 @@
         hasEnded = true;
         inProgress--;
         limit.end(how);
-        if (how.kind === "missed") giveWay();
+        if (how.kind === "missed") giveWay(priority);
       },
     };
   }
--- a/packages/coordination/src/class_limit.ts
+++ b/packages/coordination/src/class_limit.ts
@@ -38,13 +38,15 @@
 const MIN_LIMIT = 0.1;
 const PAUSE_UNIT: Millis = 500;
 const MAX_LIMIT = 4_096;
-const SHRINK_FACTOR = 0.8;
+const SHRINK_FACTOR = 0.75;
 /** Drops arrive in a bunch; one bunch shrinks the limit once. */
 const SHRINK_INTERVAL: Millis = 150;
 /** With more of its time left than this, a class is far from its limit. */
 const AMPLE_SLACK = 0.5;
 const SOME_SLACK = 0.2;
-const AMPLE_STEP = 0.5;
+/** About one miss in eight holds the limit where it is. */
+const AMPLE_GROWTH = 1.04;
+const SOME_GROWTH = 1.01;
 
 /** Creates the limit of a class nothing is known of. */
 export function createClassLimit(clock: Clock): ClassLimit {
@@ -66,8 +68,8 @@
   function grow(slack: number): void {
     // A limit that was not reached has not been tested.
     if (inProgress + 1 < Math.floor(value)) return;
-    if (slack > AMPLE_SLACK) value += AMPLE_STEP;
-    else if (slack > SOME_SLACK) value += Math.min(AMPLE_STEP, 1 / value);
+    if (slack > AMPLE_SLACK) value *= AMPLE_GROWTH;
+    else if (slack > SOME_SLACK) value *= SOME_GROWTH;
     value = Math.min(MAX_LIMIT, value);
   }
 
