perf(admission): entries tell each other what they are strained by

Cause: callers of rulings and of chat use different entries, so an entry whose rulings missed had no chat to give way and refused rulings instead.

--- a/packages/coordination/src/admission.ts
+++ b/packages/coordination/src/admission.ts
@@ -37,11 +37,20 @@
   random: () => number;
   /** Requests that one entry works on at once; the bound on its memory. */
   maxInProgress: number;
+  /** The lowest priority published, which has the largest number. */
+  readLowestPriority: () => number;
 }
 
 /** Decides about new requests at one entry. */
 export interface Admission {
   readonly inProgress: number;
+  /**
+   * The highest priority that missed a deadline here lately, 0 for none; told to
+   * other entries, which may have the work that should give way.
+   */
+  readonly strainedPriority: number;
+  /** Lets classes below a priority give way, which misses at another entry. */
+  relieve(strainedPriority: number): void;
   /** Admits, or refuses with the verdict `not_run`. */
   admit(request: AdmissionRequest): Result<AdmittedRequest, Failure>;
 }
@@ -58,14 +67,18 @@
 
 /** Forecasts err; a request is refused only if it misses by this much. */
 const FORECAST_SLACK = 1.1;
+/** A miss is told to other entries for this long. */
+const STRAIN_LIFETIME: Millis = 2_000;
 const MIN_RETRY_AFTER: Millis = 250;
 const MAX_RETRY_AFTER: Millis = 30_000;
 
 /** Creates the admission of one entry. */
 export function createAdmission(
-  { clock, random, maxInProgress }: AdmissionOptions,
+  { clock, random, maxInProgress, readLowestPriority }: AdmissionOptions,
 ): Admission {
   const classes = new Map<string, LimitedClass>();
+  /** When each priority last missed a deadline here. */
+  const missedAt = new Map<number, Millis>();
   let inProgress = 0;
 
   function findLimit(workClass: WorkClass): ClassLimit {
@@ -108,13 +121,20 @@
   }
 
   /**
-   * After a miss, the class of the lowest priority that has work here admits
-   * less; the one that missed only when none below it can give way any further.
+   * After a miss the class of the lowest priority that has work here admits
+   * less. The class that missed gives way itself only when it is the lowest
+   * published: the work that took its place may be at another entry.
    */
-  function giveWay(missed: number): void {
+  function noteMiss(priority: number): void {
+    missedAt.set(priority, clock.now());
+    giveWay(Math.min(priority + 1, readLowestPriority()));
+  }
+
+  /** Shrinks the lowest class at work among those from `highest` down. */
+  function giveWay(highest: number): void {
     const byPriority = [...classes.values()]
       .filter(({ workClass, limit }) =>
-        workClass.priority >= missed &&
+        workClass.priority >= highest &&
         (limit.inProgress > 0 || limit.value < 1)
       )
       .sort((a, b) => b.workClass.priority - a.workClass.priority);
@@ -134,7 +154,7 @@
         hasEnded = true;
         inProgress--;
         limit.end(how);
-        if (how.kind === "missed") giveWay(priority);
+        if (how.kind === "missed") noteMiss(priority);
       },
     };
   }
@@ -147,10 +167,23 @@
     });
   }
 
+  function readStrained(): number {
+    const since = clock.now() - STRAIN_LIFETIME;
+    const recent = [...missedAt].filter(([, at]) => at >= since)
+      .map(([priority]) => priority);
+    return recent.length === 0 ? 0 : Math.min(...recent);
+  }
+
   return {
     get inProgress() {
       return inProgress;
     },
+    get strainedPriority() {
+      return readStrained();
+    },
+    relieve(strainedPriority) {
+      if (strainedPriority > 0) giveWay(strainedPriority + 1);
+    },
     admit,
   };
 }
--- a/packages/coordination/src/decisions_test.ts
+++ b/packages/coordination/src/decisions_test.ts
@@ -25,6 +25,7 @@
       clock: createFakeClock(),
       random: () => 0,
       maxInProgress: 1,
+      readLowestPriority: () => 3,
     });
     return {
       admission,
@@ -74,6 +75,7 @@
       clock,
       random: () => 0,
       maxInProgress: 1_000,
+      readLowestPriority: () => 3,
     });
     const admit = (workClass: typeof RULINGS) => {
       const admitted = admission.admit({
@@ -83,7 +85,7 @@
       });
       return admitted.isOk ? admitted.value : undefined;
     };
-    return { clock, admit };
+    return { clock, admission, admit };
   }
 
   // Rulings miss their deadline while chat is being worked on. Chat admits less
@@ -112,6 +114,25 @@
     for (let i = 0; i < 32; i++) expect(admit(RULINGS)).not.to.equal(undefined);
   });
 
+  // Rulings miss at one entry because of the chat that callers send to another.
+  // The first must not refuse rulings; it tells the second, whose chat gives way.
+  it("asks other entries for relief instead of refusing rulings itself", async () => {
+    const strained = create();
+    const busy = create();
+    for (let i = 0; i < 60; i++) {
+      strained.admit(RULINGS)?.end({ kind: "missed" });
+      const chat = busy.admit(CHAT);
+      busy.admission.relieve(strained.admission.strainedPriority);
+      chat?.end({ kind: "other" });
+      await strained.clock.advance(200);
+      await busy.clock.advance(200);
+    }
+    expect(strained.admit(RULINGS)).not.to.equal(undefined);
+    expect(busy.admit(CHAT)).to.equal(undefined);
+    await strained.clock.advance(2_001);
+    expect(strained.admission.strainedPriority).to.equal(0);
+  });
+
   it("lets a class that gave way try again after a pause", async () => {
     const clock = createFakeClock();
     const limit = createClassLimit(clock);
--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -26,6 +26,8 @@
   configVersion: number;
   /** Requests in progress. */
   inFlight: number;
+  /** The highest priority that missed deadlines there lately, 0 for none. */
+  strainedPriority: number;
 }
 
 /** Whether an entry takes new work. */
@@ -66,7 +68,11 @@
   choosePartner(): PeerRecord | undefined;
 }
 
-type OwnChange = "state" | "configVersion" | "inFlight";
+type OwnChange =
+  | "state"
+  | "configVersion"
+  | "inFlight"
+  | "strainedPriority";
 
 interface KnownPeer {
   record: PeerRecord;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -160,6 +160,14 @@
     budget: createRetryBudget(RETRY_BUDGET),
   });
   const isOwnPolicy = settings.policy === "mangoreach";
+  const admission = isOwnPolicy
+    ? createAdmission({
+      clock,
+      random,
+      maxInProgress: settings.limits.maxInProgress,
+      readLowestPriority: () => config.site?.lowestPriority ?? 1,
+    })
+    : undefined;
   const credentials = createCredentialsCheck(settings);
   const resumeTokens = createResumeTokens({
     clock,
@@ -178,13 +186,7 @@
     credentials,
     readSite: () => config.site,
     guard,
-    admission: isOwnPolicy
-      ? createAdmission({
-        clock,
-        random,
-        maxInProgress: settings.limits.maxInProgress,
-      })
-      : undefined,
+    admission,
     attainment,
     pools,
     pipelines: createPipelineRunner(context, {
@@ -260,6 +262,8 @@
     config,
     markLeaving: watch.markLeaving,
     countInFlight: () => requestTasks.size,
+    readStrained: () => admission?.strainedPriority ?? 0,
+    onStrain: (priority) => admission?.relieve(priority),
   });
   listenControl = createControlListener(context, {
     credentials,
@@ -428,6 +432,7 @@
       heartbeat: 0,
       configVersion: 0,
       inFlight: 0,
+      strainedPriority: 0,
     },
   });
 }
--- a/packages/entry/src/peer_exchange.ts
+++ b/packages/entry/src/peer_exchange.ts
@@ -29,6 +29,10 @@
   markLeaving: (endpointKey: string, age: number) => void;
   /** Requests in progress here. */
   countInFlight: () => number;
+  /** The highest priority that missed deadlines here lately, 0 for none. */
+  readStrained: () => number;
+  /** Told what another entry is strained by. */
+  onStrain: (strainedPriority: number) => void;
 }
 
 /** A running exchange. */
@@ -87,7 +91,9 @@
     for (const record of membership.merge(message.introductions)) {
       timeline.record("peer_seen", { detail: record.entry });
     }
-    membership.merge(updates);
+    for (const { strainedPriority } of membership.merge(updates)) {
+      options.onStrain(strainedPriority);
+    }
     for (const { endpointKey, age } of message.leaving) {
       options.markLeaving(endpointKey, age);
     }
@@ -145,6 +151,7 @@
     while (!signal.aborted) {
       membership.beat({
         inFlight: options.countInFlight(),
+        strainedPriority: options.readStrained(),
         configVersion: config.active?.version ?? 0,
       });
       const address = chooseAddress();
@@ -208,5 +215,6 @@
     state: record.state,
     configVersion: record.configVersion,
     inFlight: record.inFlight,
+    strainedPriority: record.strainedPriority,
   };
 }
--- a/packages/entry/src/site_config.ts
+++ b/packages/entry/src/site_config.ts
@@ -14,6 +14,8 @@
 /** Look-ups in the configuration in force. */
 export interface SiteConfig {
   readonly version: number;
+  /** The largest priority number published. */
+  readonly lowestPriority: number;
   findClass(name: string): ClassConfig | undefined;
   findPipeline(name: string): PipelineConfig | undefined;
   findService(name: string): ServiceConfig | undefined;
@@ -34,6 +36,7 @@
   const accounts = indexByName(config.accounts);
   return {
     version,
+    lowestPriority: Math.max(...config.classes.map((one) => one.priority)),
     findClass: (name) => classes.get(name),
     findPipeline: (name) => pipelines.get(name),
     findService: (name) => services.get(name),
--- a/packages/peers/src/peer_protocol.ts
+++ b/packages/peers/src/peer_protocol.ts
@@ -13,6 +13,7 @@
   state: z.enum(["live", "leaving"]),
   configVersion: z.number().int(),
   inFlight: z.number().int(),
+  strainedPriority: z.number().int().min(0),
 });
 
 /** What stays the same for the life of a process; sent to who lacks it. */
--- /dev/null
+++ b/scripts/guards.ts
@@ -0,0 +1,243 @@
+/**
+ * `npm run guards`: takes each guard out of the code, one at a time, puts it back
+ * after its tests have run without it, and reports whether they failed. A test that
+ * passes without its guard proves nothing.
+ *
+ * @module
+ */
+import { spawnSync } from "node:child_process";
+import { readFileSync, writeFileSync } from "node:fs";
+import process from "node:process";
+
+/** A guard, how to take it out, and the test that must notice. */
+interface Guard {
+  name: string;
+  file: string;
+  /** Text of the guard, which must stand in the file once. */
+  text: string;
+  without: string;
+  /** Part of the titles of the tests to run. */
+  test: string;
+}
+
+const COORDINATION = "packages/coordination/src";
+const ENTRY = "packages/entry/src";
+
+const GUARDS: readonly Guard[] = [
+  {
+    name: "a publish must be based on the version in force",
+    file: `${COORDINATION}/config_fold.ts`,
+    text: 'if (record.basedOn !== (inForce?.version ?? 0)) return "rejected";',
+    without: "",
+    test: "takes the first of two conflicting publishes",
+  },
+  {
+    name: "a late copy is ignored",
+    file: `${COORDINATION}/config_fold.ts`,
+    text: "const isNewer = record.version > (inForce?.version ?? 0);",
+    without: "const isNewer = true;",
+    test: "ignores a copy that comes late",
+  },
+  {
+    name: "publishes wait for a base",
+    file: `${COORDINATION}/config_fold.ts`,
+    text:
+      "if (gapBefore === undefined) return applyPublish({ record, offset });",
+    without: "return applyPublish({ record, offset });",
+    test: "before a base covers the gap",
+  },
+  {
+    name: "a lapsed lease cannot be renewed",
+    file: `${COORDINATION}/lease.ts`,
+    text: 'if (!isHolder || at.time > current.expiresAt) return "refused";',
+    without: 'if (!isHolder) return "refused";',
+    test: "paused past its lease",
+  },
+  {
+    name: "the first claim in log order wins",
+    file: `${COORDINATION}/claim_table.ts`,
+    text: "if (holder === undefined) holders.set(key, claim);",
+    without: "holders.set(key, claim);",
+    test:
+      "counts a claim once|keeps accounts apart|lets the first in log order",
+  },
+  {
+    name: "ids too old for the claims are refused",
+    file: `${ENTRY}/once_guard.ts`,
+    text: "if (!claims.table.isWithinWindow(id.issuedAt)) {",
+    without: "if (false) {",
+    test: "older than the claims that are kept",
+  },
+  {
+    name: "only the named incarnation runs a bound id",
+    file: `${ENTRY}/once_guard.ts`,
+    text: "if (id.incarnation !== incarnation) {",
+    without: "if (false) {",
+    test: "never runs what is bound elsewhere|earlier incarnation",
+  },
+  {
+    name: "an expired binding does not run",
+    file: `${ENTRY}/once_guard.ts`,
+    text: 'if (id.expiresAt <= now) return Result.err(failUnknown("expired"));',
+    without: "",
+    test: "expired id whose record may be gone",
+  },
+  {
+    name: "a promise to a peer is kept",
+    file: `${COORDINATION}/outcome_table.ts`,
+    text:
+      'if (record !== undefined) return { kind: "forbidden" };\n    if (records.size >= capacity) return { kind: "full" };\n    const {',
+    without: "const {",
+    test: "keeps its promise to a peer",
+  },
+  {
+    name: "the echo of a stage result is checked",
+    file: "packages/endpoints/src/endpoint_protocol.ts",
+    text:
+      "return echo.request_id === call.requestId && echo.stage === call.stage &&",
+    without: "return echo.stage === call.stage &&",
+    test: "belongs to another call|belongs to another request",
+  },
+  {
+    name: "tokens are counted",
+    file: "packages/engines/src/generation.ts",
+    text: "if (!token.success || Number(event.id) !== expected) {",
+    without: "if (!token.success) {",
+    test: "never ends whole on a stream",
+  },
+  {
+    name: "the end of a stream carries its count",
+    file: "packages/engines/src/generation.ts",
+    text: "if (!end.success || end.data.count !== expected) {",
+    without: "if (!end.success) {",
+    test: "never ends whole on a stream",
+  },
+  {
+    name: "a cut connection may have run",
+    file: "packages/shared/src/http_client.ts",
+    text: 'return { kind: "cut", sent: "maybe", message };',
+    without: 'return { kind: "cut", sent: "no", message };',
+    test: "a lost answer",
+  },
+  {
+    name: "non-idempotent calls are not repeated",
+    file: `${ENTRY}/stage_attempts.ts`,
+    text:
+      'const mayRepeat = run.isIdempotent || failure.verdict === "not_run";',
+    without: "const mayRepeat = true;",
+    test: "does not repeat a service call whose answer was lost",
+  },
+  {
+    name: "a token belongs to one account",
+    file: `${ENTRY}/resume_token.ts`,
+    text:
+      "if (!content.success || content.data.account !== account) return undefined;",
+    without: "if (!content.success) return undefined;",
+    test: "gives nothing to another account",
+  },
+  {
+    name: "tokens are signed",
+    file: `${ENTRY}/resume_token.ts`,
+    text: "if (!timingSafeEqual(given, expected)) return undefined;",
+    without: "",
+    test: "any one character changed|another site's token",
+  },
+  {
+    name: "a leaving mark counts before the list",
+    file: `${COORDINATION}/endpoint_directory.ts`,
+    text: "!isMarked(formatEndpointKey(endpoint))",
+    without: "true",
+    test: "before the instance list",
+  },
+  {
+    name: "a mark's age travels with it",
+    file: `${COORDINATION}/endpoint_directory.ts`,
+    text: "const markedAt = clock.now() - age;",
+    without: "const markedAt = clock.now();",
+    test: "does not keep a mark alive",
+  },
+  {
+    name: "ejection has a floor",
+    file: `${COORDINATION}/endpoint_health.ts`,
+    text:
+      "if (ejected + 1 > Math.floor(pool.length * SLOW_SHARE)) return undefined;",
+    without: "",
+    test: "never takes out more than a third",
+  },
+  {
+    name: "lost peers are tried now and then",
+    file: `${COORDINATION}/membership.ts`,
+    text: "const isLostTurn = random() < LOST_PARTNER_SHARE;",
+    without: "const isLostTurn = false;",
+    test: "so that a cut heals",
+  },
+  {
+    name: "an entry gets the configuration from peers",
+    file: `${ENTRY}/peer_exchange.ts`,
+    text:
+      "if (newer.isOk && newer.value !== undefined) config.adopt(newer.value);",
+    without: "",
+    test: "get the configuration from a peer",
+  },
+  {
+    name: "the configuration is carried forward",
+    file: `${ENTRY}/config_follower.ts`,
+    text: 'const ack = await log.append("config", record);',
+    without: "const ack = { isOk: false };",
+    test: "longer than the log keeps records",
+  },
+  {
+    name: "a stop waits for requests",
+    file: `${ENTRY}/entry.ts`,
+    text: "await waitForRequests();",
+    without: "",
+    test: "cut nothing off",
+  },
+  {
+    name: "what is given up is cancelled at the engine",
+    file: `${ENTRY}/generation_runner.ts`,
+    text: "if (first.streamId !== undefined) {",
+    without: "if (false) {",
+    test: "given up before its first token",
+  },
+  {
+    name: "not_run is said only for a first attempt",
+    file: `${ENTRY}/request_handler.ts`,
+    text:
+      'if (failure.verdict !== "not_run" || head.isFirstAttempt) return failure;',
+    without: 'if (failure.verdict !== "may_have_run") return failure;',
+    test: "only for a first attempt",
+  },
+];
+
+/** Runs the tests of a guard; true when at least one failed. */
+function hasNoticed({ test }: Guard): boolean {
+  const { status, stdout } = spawnSync(
+    "npx",
+    ["--no-install", "mocha", "--reporter", "min", "-g", test],
+    { encoding: "utf8", timeout: 60_000 },
+  );
+  return status !== 0 && /\d+ failing/.test(stdout);
+}
+
+function checkGuard(guard: Guard): "noticed" | "unnoticed" | "no such text" {
+  const original = readFileSync(guard.file, "utf8");
+  if (original.split(guard.text).length !== 2) return "no such text";
+  try {
+    writeFileSync(guard.file, original.replace(guard.text, guard.without));
+    return hasNoticed(guard) ? "noticed" : "unnoticed";
+  } finally {
+    writeFileSync(guard.file, original);
+  }
+}
+
+const counts = { guards: GUARDS.length, noticed: 0, unnoticed: 0, broken: 0 };
+for (const guard of GUARDS) {
+  const outcome = checkGuard(guard);
+  if (outcome === "noticed") counts.noticed++;
+  else if (outcome === "unnoticed") counts.unnoticed++;
+  else counts.broken++;
+  process.stdout.write(`${outcome.padEnd(12)} ${guard.name}\n`);
+}
+process.stdout.write(`${JSON.stringify(counts)}\n`);
+process.exitCode = counts.noticed === counts.guards ? 0 : 1;
