fix(entry): the request's own end says nothing about its endpoint

Cause: chat whose deadline passed at an engine counted as that engine being slow; under overload up to a third of the engines were ejected for it. Change: such attempts are abandoned; the bench tells failures by kind and verdict. What is left: chat that waits for an engine until it is dropped.

--- a/bench/src/bench.ts
+++ b/bench/src/bench.ts
@@ -105,7 +105,9 @@
       } attained ` +
         `${c.attainment.toFixed(3)} bound ${c.bound.toFixed(3)} refused ` +
         `${c.refused} late ${c.late} failed ${c.failed} p50 ${c.p50_ms} p95 ` +
-        `${c.p95_ms} p99 ${c.p99_ms} first ${c.first_token_p95_ms}\n`,
+        `${c.p95_ms} p99 ${c.p99_ms} first ${c.first_token_p95_ms} ${
+          JSON.stringify(c.reasons)
+        }\n`,
     );
   }
   process.stderr.write(
--- a/bench/src/load_bench.ts
+++ b/bench/src/load_bench.ts
@@ -55,6 +55,8 @@
   p95_ms: number;
   p99_ms: number;
   first_token_p95_ms: number;
+  /** Failures by kind and verdict. */
+  reasons: Record<string, number>;
 }
 
 /** The result of a run. */
@@ -352,9 +354,24 @@
     first_token_p95_ms: Math.round(
       (firstTokens?.getValueAtPercentile(95) ?? 0) / MICROSECONDS,
     ),
+    reasons: countReasons(samples),
   };
 }
 
+function countReasons(
+  samples: readonly SentSample[],
+): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const { answer } of samples) {
+    if (answer?.kind === "answered") continue;
+    const reason = answer === undefined
+      ? "no answer"
+      : `${answer.reason} ${answer.verdict}`;
+    counts[reason] = (counts[reason] ?? 0) + 1;
+  }
+  return counts;
+}
+
 function isInTime({ answer, latencyMs, planned }: SentSample): boolean {
   return answer?.kind === "answered" && latencyMs <= planned.work.deadlineMs;
 }
--- a/packages/entry/src/stage_attempts.ts
+++ b/packages/entry/src/stage_attempts.ts
@@ -231,7 +231,10 @@
   const { run, clock, onWasted } = options;
   run.noteVerdict(failure.verdict);
   if (failure.verdict !== "not_run") onWasted(clock.now() - startedAt);
-  permit.release(classifyEnd(failure));
+  // An attempt that the request's own end cut short says nothing about its
+  // endpoint: under overload every endpoint would look slow and be ejected.
+  const isOurs = run.deadline.signal.aborted;
+  permit.release(isOurs ? "abandoned" : classifyEnd(failure));
 }
 
 function classifyEnd({ kind, verdict }: Failure): AttemptEnd {
