perf(admission): expect of a queue what its priority was granted lately

Cause: chat was admitted by the rate at which slots come free in all, which go to rulings first, and was dropped at the engine after three stages. Change: the wait for a priority follows its own grants once three wait.

--- a/packages/coordination/src/stage_pool.ts
+++ b/packages/coordination/src/stage_pool.ts
@@ -13,6 +13,8 @@
 import { formatEndpointKey } from "./endpoint.ts";
 import type { EndpointHealth } from "./endpoint_health.ts";
 import { createEndpointHealth, ejectSlowest } from "./endpoint_health.ts";
+import type { EventRate } from "./event_rate.ts";
+import { createEventRate } from "./event_rate.ts";
 import type { Failure } from "./failure.ts";
 import { createFailure } from "./failure.ts";
 import { createLatencyModel } from "./latency_model.ts";
@@ -135,6 +137,10 @@
 const QUEUED_SHARE = 3;
 /** The limit that is shown is the one for the least important work. */
 const LOWEST_PRIORITY = 100;
+/** With fewer waiting, a rate of grants is mere chance. */
+const MIN_WAITING = 3;
+/** Grants a second that are expected where none were seen lately. */
+const MIN_GRANT_RATE = 0.2;
 const RATIO_WEIGHT = 0.1;
 const DURATION_WEIGHT = 0.05;
 const RETRY_AFTER_NO_ENDPOINT: Millis = 1_000;
@@ -152,6 +158,8 @@
     estimateAttainment,
     countInProgress: (account) => inProgress.get(account) ?? 0,
   });
+  /** Slots granted a second, by priority. */
+  const grants = new Map<number, EventRate>();
   let inFlight = 0;
   let meanDuration: Millis = 0;
   let lastEjectionCheck = clock.now();
@@ -240,6 +248,7 @@
   function grant(slot: Slot, work: PoolWork): Permit {
     const startedAt = clock.now();
     let isReleased = false;
+    noteGrant(work.workClass);
     slot.inFlight++;
     inFlight++;
     inProgress.set(work.account, (inProgress.get(work.account) ?? 0) + 1);
@@ -268,6 +277,12 @@
     return { endpoint: slot.info, recordLatency, release };
   }
 
+  function noteGrant({ priority }: WorkClass): void {
+    const rate = grants.get(priority) ?? createEventRate(clock);
+    grants.set(priority, rate);
+    rate.record();
+  }
+
   function noteDuration(duration: Millis): void {
     meanDuration = meanDuration === 0
       ? duration
@@ -399,9 +414,17 @@
     return latencies.estimateUnloaded(size) * (ratios.get(priority) ?? 1);
   }
 
+  /**
+   * Slots that come free go to higher priorities first, so what a priority may
+   * expect is what it was granted lately, not what the endpoints do in all.
+   */
   function estimateWait(priority: number): Millis {
     if (queue.size === 0 || inFlight === 0) return 0;
-    return queue.countAhead(priority) * meanDuration / inFlight;
+    const byDuration = queue.countAhead(priority) * meanDuration / inFlight;
+    const same = queue.countSame(priority);
+    if (same < MIN_WAITING) return byDuration;
+    const rate = Math.max(MIN_GRANT_RATE, grants.get(priority)?.read() ?? 0);
+    return Math.max(byDuration, 1_000 * same / rate);
   }
 
   function recordReport(endpointKey: string, report: LoadReport): void {
--- a/packages/coordination/src/stage_pool_test.ts
+++ b/packages/coordination/src/stage_pool_test.ts
@@ -117,6 +117,25 @@
     expect(gaveUpAt).to.be.below(300);
   });
 
+  // Rulings take every slot that comes free. What waits of chat would be served
+  // soon if all slots were its own, but it gets none, so new chat must be told.
+  it("expects of a queue what its priority was granted lately", async () => {
+    pool.refresh([endpoint("e1")]);
+    const permits = await fill();
+    for (let i = 0; i < 3; i++) {
+      void pool.acquire(work({ workClass: CHAT, budget: 60_000 }));
+    }
+    for (let i = 0; i < 40; i++) {
+      const ruling = pool.acquire(work());
+      permits.shift()?.release("done");
+      const granted = await ruling;
+      if (granted.isOk) permits.push(granted.value);
+      await clock.advance(100);
+    }
+    expect(pool.estimateWait(CHAT.priority)).to.be.above(3_000);
+    expect(pool.estimateWait(RULINGS.priority)).to.be.below(1_000);
+  });
+
   it("leaves the queue when the caller goes away", async () => {
     pool.refresh([endpoint("e1")]);
     await fill();
--- a/packages/coordination/src/work_queue.ts
+++ b/packages/coordination/src/work_queue.ts
@@ -31,6 +31,8 @@
   peek(): W | undefined;
   /** Work that would go before new work of `priority`. */
   countAhead(priority: number): number;
+  /** Waiting work of just this priority. */
+  countSame(priority: number): number;
 }
 
 /** Options of {@linkcode createWorkQueue}. */
@@ -125,6 +127,14 @@
     return ahead;
   }
 
+  function countSame(priority: number): number {
+    let same = 0;
+    for (const { workClass, size } of classes.values()) {
+      if (workClass.priority === priority) same += size;
+    }
+    return same;
+  }
+
   return {
     get size() {
       return size;
@@ -133,5 +143,6 @@
     remove,
     peek,
     countAhead,
+    countSame,
   };
 }
