--- a/packages/entry/src/endpoint_watch.ts
+++ b/packages/entry/src/endpoint_watch.ts
@@ -45,8 +45,10 @@
 const REFRESH_INTERVAL: Millis = 250;
 /** What engines hold is read with every so many load reports. */
 const STATE_EVERY = 3;
+/** Cache events are read with every so many load reports. */
+const EVENTS_EVERY = 4;
 /** Load reports read a second at most, however many engines there are. */
-const MAX_READINGS_PER_SECOND = 16;
+const MAX_READINGS_PER_SECOND = 4;
 
 /** Starts to watch the endpoints. */
 export function startEndpointWatch(
@@ -113,6 +115,7 @@
         pools.recordReport(engine, report.value);
       }
       if (reading++ % STATE_EVERY === 0) await readHoldings(engine);
+      if (reading % EVENTS_EVERY !== 0) continue;
       const events = await options.engines.readCacheEvents(engine, lastEvent);
       if (events.isErr) continue;
       options.affinity.applyEvents(key, events.value);
--- a/packages/entry/src/entry_settings.ts
+++ b/packages/entry/src/entry_settings.ts
@@ -43,11 +43,11 @@
 }).prefault({});
 
 const timingSchema = z.strictObject({
-  exchangeMs: millis(50, 60_000).default(1_500)
+  exchangeMs: millis(50, 60_000).default(2_000)
     .describe("Time between two exchanges with peers"),
-  suspectMs: millis(100, 600_000).default(5_000)
+  suspectMs: millis(100, 600_000).default(8_000)
     .describe("A peer silent for this long is not named to callers"),
-  loseMs: millis(200, 600_000).default(15_000)
+  loseMs: millis(200, 600_000).default(20_000)
     .describe("A peer silent for this long counts as gone"),
   instanceListMs: millis(50, 60_000).default(1_000)
     .describe("Time between two readings of the instance list"),
--- a/packages/entry/src/entry_settings_test.ts
+++ b/packages/entry/src/entry_settings_test.ts
@@ -28,7 +28,7 @@
       file: "entry.jsonc",
       text: JSON.stringify(GOOD),
     });
-    expect(settings.isOk && settings.value.timing.exchangeMs).to.equal(1_500);
+    expect(settings.isOk && settings.value.timing.exchangeMs).to.equal(2_000);
   });
 
   const FAULTS = [
--- a/packages/entry/src/peer_exchange.ts
+++ b/packages/entry/src/peer_exchange.ts
@@ -52,8 +52,8 @@
 }
 
 /** Bounds of a message, which keep its size independent of the fleet. */
-const MAX_RECORDS = 12;
-const MAX_MARKS = 16;
+const MAX_RECORDS = 6;
+const MAX_MARKS = 8;
 const PEERS_TOLD_AT_ONCE = 3;
 
 /** Starts to exchange peer state. */
