fix(pool): a bad estimate does not stop its own correction

Change: a forecast starts at the unloaded time and returns to it in seconds. The client leaves a silent entry when it resumes a stream; its parts are files.

--- a/packages/callers/src/caller_client.ts
+++ b/packages/callers/src/caller_client.ts
@@ -10,8 +10,8 @@
   createFailure,
   formatBoundId,
 } from "@mangoreach/coordination";
-import type { Clock, HttpStreamReply, Millis } from "@mangoreach/shared";
-import { createHttpClient, parseJson, readReplyJson } from "@mangoreach/shared";
+import type { Clock, Millis } from "@mangoreach/shared";
+import { createHttpClient, readReplyJson } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import { createAddressBook } from "./address_book.ts";
 import type {
@@ -27,8 +27,14 @@
   parseFailure,
   wholeAnswerSchema,
 } from "./caller_protocol.ts";
+import {
+  failUnreached,
+  readFailure,
+  RETRIED_KINDS,
+} from "./caller_failures.ts";
 import type { StreamProgress } from "./stream_reader.ts";
 import { readCallerStream } from "./stream_reader.ts";
+import { createStreamResumer } from "./stream_resumer.ts";
 
 /** What every request has. */
 export interface RequestOptions {
@@ -129,8 +135,6 @@
 /** Share of the time left after which another entry is tried. */
 const PATIENCE_SHARE = 0.5;
 const ADDRESS_TIMEOUT: Millis = 1_000;
-const RESUME_PAUSE: Millis = 50;
-const RETRIED_KINDS = new Set<Failure["kind"]>(["unavailable", "stopping"]);
 
 /** Creates a client; it connects on first use. */
 export function createCallerClient(
@@ -148,6 +152,13 @@
     timeoutMs: ADDRESS_TIMEOUT,
   });
 
+  const resumer = createStreamResumer({
+    clock,
+    http,
+    addresses,
+    authorization,
+  });
+
   function formatHeaders(submission: Submission, attempt: Attempt) {
     const { className, idempotent } = submission.options;
     return {
@@ -340,7 +351,7 @@
     const { progress, isWhole } = opened.value.value;
     const resumes = isWhole
       ? Result.ok<number, Failure>(0)
-      : await resumeStream(progress, { deadlineAt, onToken: note });
+      : await resumer.resume(progress, { deadlineAt, onToken: note });
     return resumes.map((count) => ({
       requestId: progress.requestId,
       tokens: progress.tokens,
@@ -386,48 +397,6 @@
     }));
   }
 
-  async function resumeStream(
-    progress: StreamProgress,
-    { deadlineAt, onToken }: {
-      deadlineAt: Millis;
-      onToken: (token: string, sequence: number) => void;
-    },
-  ): Promise<Result<number, Failure>> {
-    let failure = failUnreached();
-    for (let resumes = 1; clock.now() < deadlineAt; resumes++) {
-      const entries = await addresses.list();
-      const entry = entries[resumes % Math.max(1, entries.length)];
-      if (entry === undefined) break;
-      const controller = new AbortController();
-      const stopTimer = clock.startTimer(
-        deadlineAt - clock.now(),
-        () => controller.abort(),
-      );
-      const reply = await http.callStream({
-        method: "GET",
-        address: entry.address,
-        path:
-          `${CALLER_PATHS.streams}${progress.resumeToken}?next=${progress.tokens.length}`,
-        headers: { authorization },
-        signal: controller.signal,
-      });
-      if (reply.isOk && reply.value.status === OK) {
-        const end = await readCallerStream(reply.value, { progress, onToken });
-        stopTimer();
-        if (end.kind === "whole") return Result.ok(resumes);
-        if (end.kind === "failed") return Result.err(end.failure);
-      } else if (reply.isOk) {
-        stopTimer();
-        failure = await readFailure(reply.value);
-        if (!RETRIED_KINDS.has(failure.kind)) return Result.err(failure);
-      }
-      stopTimer();
-      addresses.demote(entry.address);
-      await clock.sleep(RESUME_PAUSE);
-    }
-    return Result.err({ ...failure, verdict: "may_have_run" });
-  }
-
   return {
     createRequestId,
     runPipeline,
@@ -442,23 +411,6 @@
   isWhole: boolean;
 }
 
-async function readFailure(reply: HttpStreamReply): Promise<Failure> {
-  let text = "";
-  try {
-    for await (const chunk of reply.body) text += String(chunk);
-  } catch {
-    return parseFailure(undefined, reply.status);
-  }
-  return parseFailure(parseJson(text), reply.status);
-}
-
-function failUnreached(): Failure {
-  return createFailure("unavailable", {
-    verdict: "not_run",
-    message: "no entry could be reached in time",
-  });
-}
-
 /** The newest failure; its verdict covers all attempts before it. */
 function mergeFailure(before: Failure, after: Failure): Failure {
   if (before.verdict === "not_run" || after.verdict === "ran") return after;
--- a/packages/coordination/src/stage_pool.ts
+++ b/packages/coordination/src/stage_pool.ts
@@ -125,6 +125,11 @@
   settle(outcome: Result<Permit, Failure>): void;
 }
 
+interface MeasuredRatio {
+  value: number;
+  at: Millis;
+}
+
 const START_LIMIT = 4;
 const MAX_LIMIT = 64;
 const MAX_QUEUED = 2_000;
@@ -142,6 +147,7 @@
 /** Grants a second that are expected where none were seen lately. */
 const MIN_GRANT_RATE = 0.2;
 const RATIO_WEIGHT = 0.1;
+const RATIO_LIFETIME: Millis = 3_000;
 const DURATION_WEIGHT = 0.05;
 const RETRY_AFTER_NO_ENDPOINT: Millis = 1_000;
 
@@ -153,7 +159,7 @@
   const inProgress = new Map<string, number>();
   const latencies = createLatencyModel();
   /** Recent time against the unloaded time, by priority. */
-  const ratios = new Map<number, number>();
+  const ratios = new Map<number, MeasuredRatio>();
   const queue = createWorkQueue<Waiter>({
     estimateAttainment,
     countInProgress: (account) => inProgress.get(account) ?? 0,
@@ -256,8 +262,9 @@
     function recordLatency(latency: Millis): void {
       const ratio = latencies.record(work.size, latency);
       const { priority } = work.workClass;
-      const known = ratios.get(priority) ?? ratio;
-      ratios.set(priority, known + RATIO_WEIGHT * (ratio - known));
+      const known = ratios.get(priority)?.value ?? 1;
+      const value = known + RATIO_WEIGHT * (ratio - known);
+      ratios.set(priority, { value, at: clock.now() });
       slot.limit.record(ratio, slot.inFlight);
       slot.health.recordSuccess(ratio);
     }
@@ -411,7 +418,12 @@
 
   /** Endpoints that honour priorities serve some classes faster than others. */
   function estimateService(size: number, priority: number): Millis {
-    return latencies.estimateUnloaded(size) * (ratios.get(priority) ?? 1);
+    const unloaded = latencies.estimateUnloaded(size);
+    const known = ratios.get(priority);
+    if (known === undefined) return unloaded;
+    // What is refused measures nothing: a bad estimate would refuse for ever.
+    const trust = Math.exp((known.at - clock.now()) / RATIO_LIFETIME);
+    return unloaded * (1 + (known.value - 1) * trust);
   }
 
   /**
--- a/packages/coordination/src/stage_pool_test.ts
+++ b/packages/coordination/src/stage_pool_test.ts
@@ -136,6 +136,22 @@
     expect(pool.estimateWait(RULINGS.priority)).to.be.below(1_000);
   });
 
+  // One ruling was slow. Its time makes the forecast for others too long, they
+  // are refused, and so nothing is measured that could correct the forecast.
+  it("does not hold on to a bad estimate that stops its own correction", async () => {
+    pool.refresh([endpoint("e1")]);
+    for (const latency of [...new Array(30).fill(10), 100, 100, 100]) {
+      const permit = await pool.acquire(work());
+      if (permit.isOk) permit.value.recordLatency(latency);
+      if (permit.isOk) permit.value.release("done");
+    }
+    const slow = pool.estimateService(100, RULINGS.priority);
+    await clock.advance(10_000);
+    expect(slow).to.be.above(2 * pool.estimateUnloaded(100));
+    expect(pool.estimateService(100, RULINGS.priority))
+      .to.be.below(1.1 * pool.estimateUnloaded(100));
+  });
+
   it("leaves the queue when the caller goes away", async () => {
     pool.refresh([endpoint("e1")]);
     await fill();
