fix(admission): refuse nothing before the first miss

Cause: a class began with room for 32 requests at an entry, so an idle entry refused the 33rd of 48 at once; and a pool used for the first time did not know its engines' load reports and began with the learnt limit of 4. Change: a class has no limit until something missed; a new pool takes the last reports.

--- a/packages/coordination/src/class_limit.ts
+++ b/packages/coordination/src/class_limit.ts
@@ -33,10 +33,10 @@
   shrink(): boolean;
 }
 
-const START_LIMIT = 32;
 /** Below 1, one request at a time, with pauses in between. */
 const MIN_LIMIT = 0.1;
 const PAUSE_UNIT: Millis = 500;
+/** Where a class starts: nothing is refused before the first miss. */
 const MAX_LIMIT = 4_096;
 const SHRINK_FACTOR = 0.75;
 /** Drops arrive in a bunch; one bunch shrinks the limit once. */
@@ -50,7 +50,7 @@
 
 /** Creates the limit of a class nothing is known of. */
 export function createClassLimit(clock: Clock): ClassLimit {
-  let value = START_LIMIT;
+  let value = MAX_LIMIT;
   let inProgress = 0;
   let lastShrink = -Infinity;
   let pausedUntil = -Infinity;
--- a/packages/entry/src/pool_set.ts
+++ b/packages/entry/src/pool_set.ts
@@ -67,6 +67,8 @@
   const { clock, timeline } = context;
   const logger = context.logger.forPart("endpoints");
   const pools = new Map<string, NamedPool>();
+  /** The last report of each engine; incarnations that are gone are dropped. */
+  const reports = new Map<string, LoadReport>();
   const costs = new Map<string, PoolCost>();
 
   function find(name: string, model?: string): StagePool {
@@ -85,6 +87,9 @@
     const named = { name, model, pool };
     pools.set(key, named);
     refreshPool(named);
+    // Without its engines' last reports a new pool would start with the learnt
+    // limit, and refuse what idle engines could take.
+    for (const [key, report] of reports) pool.recordReport(key, report);
     return pool;
   }
 
@@ -98,6 +103,10 @@
   }
 
   function refresh(): void {
+    const listed = new Set(directory.listAll().map(formatEndpointKey));
+    for (const key of reports.keys()) {
+      if (!listed.has(key)) reports.delete(key);
+    }
     for (const named of pools.values()) refreshPool(named);
   }
 
@@ -106,6 +115,7 @@
     report: LoadReport,
   ): void {
     const key = formatEndpointKey(endpoint);
+    reports.set(key, report);
     for (const named of pools.values()) {
       if (named.name === name) named.pool.recordReport(key, report);
     }
