--- a/bench/src/overhead.ts
+++ b/bench/src/overhead.ts
@@ -89,9 +89,6 @@
     concurrency: STREAMS,
     send: () => through.streamed("long"),
   });
-  process.stderr.write(
-    `${JSON.stringify({ whole, streamed, plain, tokens })}\n`,
-  );
   const open = await measureOpenStreams(clock, { pid, through });
   await client.close();
   return {
