refactor(peers): one exchange loop, one caller of peers, and the protocol for stage pieces

Cause: entries on the users' platform need the same exchange of peer state as the entry of the product, without its configuration and settings. Ruled out: a second loop beside the first (logic twice). Change: the loop and the trpc caller move to packages/peers and take what they need as options; new procedures hand pieces of stage work to a feeding entry; the decisions for passed routes (route table, roster, batcher, engine choice, age of knowledge) stand in coordination.

--- /dev/null
+++ b/packages/coordination/src/endpoint_roster.ts
@@ -0,0 +1,95 @@
+/**
+ * Which endpoints exist, folded from records that the instance list sends one
+ * by one.
+ *
+ * Entries lapse while the list is away although the endpoints live; they come
+ * back shortly after the list does. Taking those lapses at their word would
+ * leave a pool empty for that time, so an endpoint whose removal is read right
+ * after the list's return stays until the grace has passed.
+ *
+ * @module
+ */
+import type { Clock, Millis } from "@mangoreach/shared";
+import type { EndpointInfo } from "./endpoint.ts";
+
+/** Options of {@linkcode createEndpointRoster}. */
+export interface EndpointRosterOptions {
+  clock: Clock;
+  /** How long after the list's return a removal is not believed. */
+  returnGrace: Millis;
+  /** Told of each change of what exists. */
+  onChange: (endpoints: readonly EndpointInfo[]) => void;
+}
+
+/** The endpoints by the instance list. */
+export interface EndpointRoster {
+  put(endpoint: EndpointInfo): void;
+  remove(id: string): void;
+  /** Takes a full reading of the list. */
+  replaceAll(endpoints: readonly EndpointInfo[]): void;
+  /** Notes that the list cannot be read. */
+  noteAway(): void;
+  /** Notes that the list was read again. */
+  noteBack(): void;
+  list(): EndpointInfo[];
+}
+
+/** Creates an empty roster. */
+export function createEndpointRoster(
+  { clock, returnGrace, onChange }: EndpointRosterOptions,
+): EndpointRoster {
+  const endpoints = new Map<string, EndpointInfo>();
+  /** Removals that are not believed yet. */
+  const doubted = new Map<string, () => void>();
+  let isAway = false;
+  let backAt = -Infinity;
+
+  function tellChange(): void {
+    onChange([...endpoints.values()]);
+  }
+
+  function put(endpoint: EndpointInfo): void {
+    doubted.get(endpoint.id)?.();
+    doubted.delete(endpoint.id);
+    const known = endpoints.get(endpoint.id);
+    endpoints.set(endpoint.id, endpoint);
+    const isNews = known === undefined || known.state !== endpoint.state ||
+      known.address !== endpoint.address || known.pool !== endpoint.pool;
+    if (isNews) tellChange();
+  }
+
+  function remove(id: string): void {
+    const known = endpoints.get(id);
+    if (known === undefined || doubted.has(id)) return;
+    const graceLeft = backAt + returnGrace - clock.now();
+    const isDoubtful = known.state === "live" && (isAway || graceLeft > 0);
+    if (!isDoubtful) return drop(id);
+    const wait = isAway ? returnGrace : graceLeft;
+    doubted.set(id, clock.startTimer(wait, () => drop(id)));
+  }
+
+  function drop(id: string): void {
+    doubted.delete(id);
+    if (endpoints.delete(id)) tellChange();
+  }
+
+  function replaceAll(next: readonly EndpointInfo[]): void {
+    const ids = new Set(next.map(({ id }) => id));
+    for (const id of [...endpoints.keys()]) if (!ids.has(id)) remove(id);
+    for (const endpoint of next) put(endpoint);
+  }
+
+  return {
+    put,
+    remove,
+    replaceAll,
+    noteAway() {
+      isAway = true;
+    },
+    noteBack() {
+      if (isAway) backAt = clock.now();
+      isAway = false;
+    },
+    list: () => [...endpoints.values()],
+  };
+}
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -147,3 +147,38 @@
   StageForecast,
 } from "./admission.ts";
 export { createAdmission, spreadRetryAfter } from "./admission.ts";
+export type {
+  AccountSpec,
+  BatchSpec,
+  EngineSpec,
+  PoolSpec,
+  RequestLimits,
+  Route,
+  RouteKind,
+  RouteStage,
+  ServingConfig,
+  WeightedPool,
+} from "./serving_config.ts";
+export type { RouteTable } from "./route_table.ts";
+export { createRouteTable } from "./route_table.ts";
+export type {
+  KnowledgeAge,
+  KnowledgeAgeOptions,
+  KnowledgeTime,
+} from "./knowledge_age.ts";
+export { createKnowledgeAge } from "./knowledge_age.ts";
+export type {
+  EndpointRoster,
+  EndpointRosterOptions,
+} from "./endpoint_roster.ts";
+export { createEndpointRoster } from "./endpoint_roster.ts";
+export { computeHash, listByRendezvous } from "./rendezvous.ts";
+export type {
+  BatchEndpoint,
+  PieceBatcher,
+  PlannedCall,
+  WaitingPiece,
+} from "./piece_batcher.ts";
+export { createPieceBatcher } from "./piece_batcher.ts";
+export type { EngineView, PromptPart } from "./engine_choice.ts";
+export { listEnginesFor } from "./engine_choice.ts";
--- /dev/null
+++ b/packages/coordination/src/route_table.ts
@@ -0,0 +1,56 @@
+/**
+ * Looks up routes, pools and client accounts of one configuration.
+ *
+ * @module
+ */
+import type {
+  AccountSpec,
+  PoolSpec,
+  Route,
+  ServingConfig,
+} from "./serving_config.ts";
+
+/** One configuration, ready for lookups. */
+export interface RouteTable {
+  readonly config: ServingConfig;
+  /** The route of `host` with the longest prefix that begins `path`. */
+  findRoute(host: string, path: string): Route | undefined;
+  findPool(name: string): PoolSpec | undefined;
+  findAccount(key: string): AccountSpec | undefined;
+}
+
+/** Indexes a configuration. */
+export function createRouteTable(config: ServingConfig): RouteTable {
+  const routes = new Map<string, Map<string, Route>>();
+  for (const route of config.routes) {
+    const ofHost = routes.get(route.host) ?? new Map<string, Route>();
+    routes.set(route.host, ofHost);
+    ofHost.set(route.pathPrefix, route);
+  }
+  const pools = new Map(config.pools.map((pool) => [pool.name, pool]));
+  const accounts = new Map(
+    (config.accounts ?? []).flatMap((account) =>
+      account.keys.map((key) => [key, account] as const)
+    ),
+  );
+
+  function findRoute(host: string, path: string): Route | undefined {
+    const ofHost = routes.get(host);
+    if (ofHost === undefined) return undefined;
+    // Prefixes end with a slash, so only those positions can match.
+    let end = path.lastIndexOf("/");
+    while (end >= 0) {
+      const route = ofHost.get(path.slice(0, end + 1));
+      if (route !== undefined) return route;
+      end = end === 0 ? -1 : path.lastIndexOf("/", end - 1);
+    }
+    return undefined;
+  }
+
+  return {
+    config,
+    findRoute,
+    findPool: (name) => pools.get(name),
+    findAccount: (key) => accounts.get(key),
+  };
+}
--- /dev/null
+++ b/packages/peers/src/exchange_loop.ts
@@ -0,0 +1,164 @@
+/**
+ * Exchanges peer state with other entries, one partner at a time, so that the
+ * messages of one entry do not grow with the fleet.
+ *
+ * @module
+ */
+import type {
+  EndpointDirectory,
+  Failure,
+  Membership,
+  PeerRecord,
+} from "@mangoreach/coordination";
+import type { Clock, Millis } from "@mangoreach/shared";
+import type { Result } from "true-myth";
+import type { Heartbeat, PeerExchange } from "./peer_protocol.ts";
+
+/** What the loop works on. */
+export interface ExchangeLoopOptions {
+  clock: Clock;
+  /** Returns a number from 0 up to 1. */
+  random: () => number;
+  signal: AbortSignal;
+  membership: Membership;
+  directory: Pick<EndpointDirectory, "chooseMarks">;
+  /** Time between two exchanges, spread at random by a quarter. */
+  interval: Millis;
+  /** Raises the own heartbeat with what is news here. */
+  beat: () => void;
+  /** Control addresses of entries that may not be known yet. */
+  listSeeds: () => readonly string[];
+  exchange: (
+    address: string,
+    message: PeerExchange,
+  ) => Promise<Result<PeerExchange, Failure>>;
+  markLeaving: (endpointKey: string, age: Millis) => void;
+  /** Told of entries, or of new incarnations of them. */
+  onIntroduced: (record: PeerRecord) => void;
+  /** Told of each newer heartbeat. */
+  onHeartbeat: (record: PeerRecord) => void;
+  /** Told of each reply, after its news was taken in. */
+  onReply: (reply: PeerExchange, address: string) => Promise<void>;
+  onUnanswered: (address: string) => void;
+  onBytes: (direction: "in" | "out", bytes: number) => void;
+}
+
+/** A running exchange. */
+export interface ExchangeLoop {
+  /** Answers a message of a peer. */
+  answer(message: PeerExchange): PeerExchange;
+  /** Tells some peers at once, such as when this entry begins to leave. */
+  tellPeers(count?: number): Promise<void>;
+  readonly task: Promise<void>;
+}
+
+/** Bounds of a message, which keep its size independent of the fleet. */
+const MAX_RECORDS = 6;
+const MAX_MARKS = 8;
+const PEERS_TOLD_AT_ONCE = 3;
+/** While an entry knows nobody, it tries this often. */
+const LONELY_INTERVAL: Millis = 200;
+/** Share of exchanges with listed entries that are not yet known. */
+const STRANGER_SHARE = 0.5;
+
+/** Starts to exchange peer state. */
+export function startExchangeLoop(options: ExchangeLoopOptions): ExchangeLoop {
+  const { clock, random, signal, membership } = options;
+
+  function createMessage(known: readonly Heartbeat[]): PeerExchange {
+    const records = membership.chooseRecords(MAX_RECORDS);
+    const knownIncarnations = new Set(known.map((peer) => peer.incarnation));
+    const lacking = records.filter((record) =>
+      !knownIncarnations.has(record.incarnation)
+    );
+    const message = {
+      heartbeats: records.map(formatHeartbeat),
+      introductions: lacking,
+      leaving: options.directory.chooseMarks(MAX_MARKS),
+    };
+    options.onBytes("out", JSON.stringify(message).length);
+    return message;
+  }
+
+  function takeMessage(message: PeerExchange): void {
+    options.onBytes("in", JSON.stringify(message).length);
+    const known = new Map(
+      membership.list().map(({ record }) => [record.incarnation, record]),
+    );
+    const updates = message.heartbeats.flatMap((heartbeat) => {
+      const record = known.get(heartbeat.incarnation);
+      return record === undefined ? [] : [{ ...record, ...heartbeat }];
+    });
+    membership.merge(message.introductions).forEach(options.onIntroduced);
+    membership.merge(updates).forEach(options.onHeartbeat);
+    for (const { endpointKey, age } of message.leaving) {
+      options.markLeaving(endpointKey, age);
+    }
+  }
+
+  function answer(message: PeerExchange): PeerExchange {
+    takeMessage(message);
+    return createMessage(message.heartbeats);
+  }
+
+  async function exchangeWith(address: string): Promise<void> {
+    // The own introduction always goes along; of the others only heartbeats,
+    // the partner fetches what it lacks when it is its turn.
+    const message = createMessage(
+      membership.chooseRecords(MAX_RECORDS).slice(1).map(formatHeartbeat),
+    );
+    const reply = await options.exchange(address, message);
+    if (reply.isErr) return options.onUnanswered(address);
+    takeMessage(reply.value);
+    await options.onReply(reply.value, address);
+  }
+
+  function chooseAddress(): string | undefined {
+    const partner = membership.choosePartner()?.controlAddress;
+    const known = new Set(
+      membership.list().map(({ record }) => record.controlAddress),
+    );
+    const strangers = options.listSeeds().filter((address) =>
+      address !== membership.self.controlAddress && !known.has(address)
+    );
+    const isStrangersTurn = partner === undefined || random() < STRANGER_SHARE;
+    if (!isStrangersTurn || strangers.length === 0) return partner;
+    return strangers[Math.floor(random() * strangers.length)];
+  }
+
+  async function run(): Promise<void> {
+    while (!signal.aborted) {
+      options.beat();
+      const address = chooseAddress();
+      if (address !== undefined) await exchangeWith(address);
+      const isAlone = membership.list().length === 0;
+      const interval = isAlone ? LONELY_INTERVAL : options.interval;
+      await clock.sleep(interval * (0.75 + random() / 2), signal);
+    }
+  }
+
+  async function tellPeers(count = PEERS_TOLD_AT_ONCE): Promise<void> {
+    membership.beat({});
+    const alive = membership.list()
+      .filter(({ health }) => health === "alive")
+      .sort(() => random() - 0.5)
+      .slice(0, count);
+    await Promise.all(
+      alive.map(({ record }) => exchangeWith(record.controlAddress)),
+    );
+  }
+
+  return { answer, tellPeers, task: run() };
+}
+
+function formatHeartbeat(record: PeerRecord): Heartbeat {
+  return {
+    entry: record.entry,
+    incarnation: record.incarnation,
+    heartbeat: record.heartbeat,
+    state: record.state,
+    configVersion: record.configVersion,
+    inFlight: record.inFlight,
+    strainedPriority: record.strainedPriority,
+  };
+}
--- a/packages/peers/src/mod.ts
+++ b/packages/peers/src/mod.ts
@@ -11,6 +11,25 @@
   StoredAnswer,
 } from "./peer_protocol.ts";
 export type { PeerHandlers, PeerListenerOptions } from "./peer_server.ts";
-export { createPeerListener, PEER_PATH } from "./peer_server.ts";
+export { createPeerListener } from "./peer_server.ts";
+export { PEER_PATH } from "./peer_path.ts";
 export type { PeerClient, PeerClientOptions } from "./peer_client.ts";
 export { createPeerClient } from "./peer_client.ts";
+export type {
+  PieceOrder,
+  PieceOutcome,
+  PieceRun,
+  PieceRunReply,
+  PieceSource,
+} from "./piece_protocol.ts";
+export { pieceRunSchema } from "./piece_protocol.ts";
+export type {
+  ServingPeerClient,
+  ServingPeerHandlers,
+} from "./serving_peers.ts";
+export {
+  createServingPeerClient,
+  createServingPeerListener,
+} from "./serving_peers.ts";
+export type { ExchangeLoop, ExchangeLoopOptions } from "./exchange_loop.ts";
+export { startExchangeLoop } from "./exchange_loop.ts";
--- a/packages/peers/src/peer_client.ts
+++ b/packages/peers/src/peer_client.ts
@@ -4,15 +4,11 @@
  * @module
  */
 import type { Failure } from "@mangoreach/coordination";
-import { createFailure } from "@mangoreach/coordination";
 import type { ActiveConfig } from "@mangoreach/operators";
 import { configInForceSchema } from "@mangoreach/operators";
 import type { Clock, Millis } from "@mangoreach/shared";
-import type { TRPCClient } from "@trpc/client";
-import { createTRPCClient, httpLink } from "@trpc/client";
-import { Result } from "true-myth";
-import { Agent, fetch } from "undici";
-import type { z } from "zod";
+import type { Result } from "true-myth";
+import { createPeerCaller } from "./peer_caller.ts";
 import type {
   OutcomeQuestion,
   OutcomeReply,
@@ -20,7 +16,6 @@
 } from "./peer_protocol.ts";
 import { exchangeSchema, outcomeReplySchema } from "./peer_protocol.ts";
 import type { PeerRouter } from "./peer_server.ts";
-import { PEER_PATH } from "./peer_server.ts";
 
 /** Options of {@linkcode createPeerClient}. */
 export interface PeerClientOptions {
@@ -45,68 +40,16 @@
   close(): Promise<void>;
 }
 
-const MAX_CLIENTS = 64;
-const KEEP_ALIVE: Millis = 4_000;
-
 /** Creates the handle. */
 export function createPeerClient(
   { clock, siteKey, timeoutMs }: PeerClientOptions,
 ): PeerClient {
-  const agent = new Agent({
-    keepAliveTimeout: KEEP_ALIVE,
+  const caller = createPeerCaller<PeerRouter>({
+    clock,
+    siteKey,
     connectTimeout: timeoutMs,
   });
-  const clients = new Map<string, TRPCClient<PeerRouter>>();
-
-  function findClient(address: string): TRPCClient<PeerRouter> {
-    const known = clients.get(address);
-    if (known !== undefined) return known;
-    if (clients.size >= MAX_CLIENTS) clients.clear();
-    const client = createTRPCClient<PeerRouter>({
-      links: [httpLink({
-        url: `http://${address}${PEER_PATH.slice(0, -1)}`,
-        headers: { authorization: `Bearer ${siteKey}` },
-        fetch: (url, options) =>
-          fetch(
-            url as string,
-            {
-              ...options as RequestInit,
-              dispatcher: agent,
-            } as Parameters<typeof fetch>[1],
-          ),
-      })],
-    });
-    clients.set(address, client);
-    return client;
-  }
-
-  async function ask<T>(
-    { address, schema, timeout }: {
-      address: string;
-      schema: z.ZodType<T>;
-      timeout: Millis;
-    },
-    send: (
-      client: TRPCClient<PeerRouter>,
-      options: { signal: AbortSignal },
-    ) => Promise<unknown>,
-  ): Promise<Result<T, Failure>> {
-    const controller = new AbortController();
-    const stopTimer = clock.startTimer(timeout, () => controller.abort());
-    try {
-      const reply = await send(findClient(address), {
-        signal: controller.signal,
-      });
-      const parsed = schema.safeParse(reply);
-      if (parsed.success) return Result.ok(parsed.data);
-      return Result.err(fail(address, "the reply is malformed"));
-    } catch (error) {
-      const message = error instanceof Error ? error.message : String(error);
-      return Result.err(fail(address, message));
-    } finally {
-      stopTimer();
-    }
-  }
+  const { ask } = caller;
 
   return {
     exchange: (address, message) =>
@@ -134,13 +77,6 @@
         },
         (client, options) => client.outcome.mutate(question, options),
       ),
-    close: () => agent.destroy(),
+    close: () => caller.close(),
   };
 }
-
-function fail(address: string, message: string): Failure {
-  return createFailure("unavailable", {
-    verdict: "may_have_run",
-    message: `peer ${address}: ${message}`,
-  });
-}
--- a/packages/peers/src/peer_server.ts
+++ b/packages/peers/src/peer_server.ts
@@ -12,11 +12,9 @@
   OutcomeReply,
   PeerExchange,
 } from "./peer_protocol.ts";
+import { PEER_PATH } from "./peer_path.ts";
 import { exchangeSchema, outcomeQuestionSchema } from "./peer_protocol.ts";
 
-/** Path prefix of the peers' protocol on the control port. */
-export const PEER_PATH = "/peers/";
-
 /** What an entry does for its peers. */
 export interface PeerHandlers {
   exchange(message: PeerExchange): PeerExchange;
--- /dev/null
+++ b/packages/peers/src/piece_protocol.ts
@@ -0,0 +1,74 @@
+/**
+ * How an entry hands pieces of stage work to the entry that feeds a pool.
+ *
+ * @module
+ */
+import { z } from "zod";
+
+/** What a piece is made from: the request's own key, or earlier results. */
+const pieceSourceSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("key"), key: z.string() }),
+  z.object({ kind: z.literal("results"), results: z.array(z.string()) }),
+]);
+
+/** What a piece is made from. */
+export type PieceSource = z.infer<typeof pieceSourceSchema>;
+
+const pieceOrderSchema = z.object({
+  stage: z.number().int().min(0),
+  /** Number within its stage, from 0. */
+  piece: z.number().int().min(0),
+  source: pieceSourceSchema,
+});
+
+/** One piece of a stage. */
+export type PieceOrder = z.infer<typeof pieceOrderSchema>;
+
+const MAX_PIECES = 1_024;
+
+/** The pieces of one stage of one request. */
+export const pieceRunSchema = z.object({
+  pool: z.string(),
+  requestId: z.string(),
+  /** 0 is the highest. */
+  priority: z.number().int().min(0),
+  /** Milliseconds after which the results are of no use. */
+  remaining: z.number(),
+  /** Where the results will be fetched to. */
+  place: z.string().optional(),
+  resultBytes: z.number().min(0),
+  pieces: z.array(pieceOrderSchema).max(MAX_PIECES),
+});
+
+/** The pieces of one stage of one request. */
+export type PieceRun = z.infer<typeof pieceRunSchema>;
+
+/** The outcome of one piece. */
+export const pieceOutcomeSchema = z.discriminatedUnion("kind", [
+  /** Where the result lies. */
+  z.object({ kind: z.literal("done"), result: z.string() }),
+  z.object({
+    kind: z.literal("failed"),
+    reason: z.enum(["late", "input_gone", "no_room", "error", "unavailable"]),
+  }),
+]);
+
+/** The outcome of one piece. */
+export type PieceOutcome = z.infer<typeof pieceOutcomeSchema>;
+
+/** The outcomes of a run, in the order of its pieces. */
+export const pieceRunReplySchema = z.object({
+  outcomes: z.array(pieceOutcomeSchema),
+});
+
+/** The outcomes of a run, in the order of its pieces. */
+export type PieceRunReply = z.infer<typeof pieceRunReplySchema>;
+
+/** Results that nobody needs any more. */
+export const releaseSchema = z.object({
+  pool: z.string(),
+  results: z.array(z.string()).max(MAX_PIECES),
+});
+
+/** Results that nobody needs any more. */
+export type ResultRelease = z.infer<typeof releaseSchema>;
--- /dev/null
+++ b/packages/peers/src/serving_peers.ts
@@ -0,0 +1,137 @@
+/**
+ * The peers' protocol of entries that pass routes through: news of each other,
+ * and pieces of stage work for the entry that feeds a pool.
+ *
+ * @module
+ */
+import type { IncomingMessage, RequestListener } from "node:http";
+import type { Failure } from "@mangoreach/coordination";
+import type { Clock, Millis } from "@mangoreach/shared";
+import { initTRPC, TRPCError } from "@trpc/server";
+import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import type { Result } from "true-myth";
+import { z } from "zod";
+import { createPeerCaller } from "./peer_caller.ts";
+import { PEER_PATH } from "./peer_path.ts";
+import type { PeerExchange } from "./peer_protocol.ts";
+import { exchangeSchema } from "./peer_protocol.ts";
+import type {
+  PieceRun,
+  PieceRunReply,
+  ResultRelease,
+} from "./piece_protocol.ts";
+import {
+  pieceRunReplySchema,
+  pieceRunSchema,
+  releaseSchema,
+} from "./piece_protocol.ts";
+
+/** What an entry does for its peers. */
+export interface ServingPeerHandlers {
+  exchange(message: PeerExchange): PeerExchange;
+  /** Runs pieces here; the signal aborts when the peer gives them up. */
+  runPieces(run: PieceRun, signal: AbortSignal): Promise<PieceRunReply>;
+  releaseResults(release: ResultRelease): void;
+}
+
+interface PeerContext {
+  isPeer: boolean;
+}
+
+function createServingRouter(handlers: ServingPeerHandlers) {
+  const builder = initTRPC.context<PeerContext>().create();
+  const procedure = builder.procedure.use(({ ctx, next }) => {
+    if (!ctx.isPeer) throw new TRPCError({ code: "UNAUTHORIZED" });
+    return next();
+  });
+  return builder.router({
+    exchange: procedure.input(exchangeSchema)
+      .mutation(({ input }) => handlers.exchange(input)),
+    runPieces: procedure.input(pieceRunSchema)
+      .mutation(({ input, signal }) =>
+        handlers.runPieces(input, signal ?? new AbortController().signal)
+      ),
+    releaseResults: procedure.input(releaseSchema)
+      .mutation(({ input }) => {
+        handlers.releaseResults(input);
+        return null;
+      }),
+  });
+}
+
+type ServingRouter = ReturnType<typeof createServingRouter>;
+
+/** Creates the listener for requests whose path begins with the prefix. */
+export function createServingPeerListener(
+  { handlers, isPeer }: {
+    handlers: ServingPeerHandlers;
+    isPeer: (request: IncomingMessage) => boolean;
+  },
+): RequestListener {
+  return createHTTPHandler({
+    router: createServingRouter(handlers),
+    basePath: PEER_PATH,
+    createContext: ({ req }): PeerContext => ({ isPeer: isPeer(req) }),
+  });
+}
+
+/** Asks peers; `address` is a control address, `ip:port`. */
+export interface ServingPeerClient {
+  exchange(
+    address: string,
+    message: PeerExchange,
+  ): Promise<Result<PeerExchange, Failure>>;
+  runPieces(
+    address: string,
+    run: PieceRun,
+    signal: AbortSignal,
+  ): Promise<Result<PieceRunReply, Failure>>;
+  releaseResults(
+    address: string,
+    release: ResultRelease,
+  ): Promise<Result<null, Failure>>;
+  close(): Promise<void>;
+}
+
+/** A feeder answers a little after the results are of no use any more. */
+const RUN_SLACK: Millis = 250;
+
+/** Creates the handle. */
+export function createServingPeerClient(
+  { clock, siteKey, timeout }: {
+    clock: Clock;
+    siteKey: string;
+    /** Limit of a short exchange; a peer that needs longer is in trouble. */
+    timeout: Millis;
+  },
+): ServingPeerClient {
+  const caller = createPeerCaller<ServingRouter>({
+    clock,
+    siteKey,
+    connectTimeout: timeout,
+  });
+
+  return {
+    exchange: (address, message) =>
+      caller.ask(
+        { address, schema: exchangeSchema, timeout },
+        (client, options) => client.exchange.mutate(message, options),
+      ),
+    runPieces: (address, run, signal) =>
+      caller.ask(
+        {
+          address,
+          schema: pieceRunReplySchema,
+          timeout: run.remaining + RUN_SLACK,
+          signal,
+        },
+        (client, options) => client.runPieces.mutate(run, options),
+      ),
+    releaseResults: (address, release) =>
+      caller.ask(
+        { address, schema: z.null(), timeout },
+        (client, options) => client.releaseResults.mutate(release, options),
+      ),
+    close: () => caller.close(),
+  };
+}
