--- a/packages/coordination/src/knowledge_age.ts
+++ b/packages/coordination/src/knowledge_age.ts
@@ -27,7 +27,7 @@
   /** The present by both clocks; to be taken before the source is asked. */
   readTime(): KnowledgeTime;
   /** Notes that the source confirmed what is known, as of `askedAt`. */
-  confirm(askedAt: KnowledgeTime): void;
+  noteConfirmed(askedAt: KnowledgeTime): void;
   /** Infinity before the first confirmation. */
   read(): Millis;
 }
@@ -42,7 +42,7 @@
     return { monotonic: clock.now(), wall: readWallTime() };
   }
 
-  function confirm(askedAt: KnowledgeTime): void {
+  function noteConfirmed(askedAt: KnowledgeTime): void {
     const isNewer = confirmed === undefined ||
       askedAt.monotonic >= confirmed.monotonic;
     if (isNewer) confirmed = askedAt;
@@ -57,5 +57,5 @@
     );
   }
 
-  return { readTime, confirm, read };
+  return { readTime, noteConfirmed, read };
 }
--- a/packages/coordination/src/serving_config.ts
+++ b/packages/coordination/src/serving_config.ts
@@ -59,6 +59,8 @@
   pieceTime: Millis;
   /** Room for results at one endpoint, in bytes. */
   roomBytes: number;
+  /** How long a result is kept that nobody frees. */
+  resultLifetime: Millis;
 }
 
 /** How model engines of a pool run. */
--- a/packages/peers/src/peer_protocol.ts
+++ b/packages/peers/src/peer_protocol.ts
@@ -17,7 +17,7 @@
 });
 
 /** What stays the same for the life of a process; sent to who lacks it. */
-const introductionSchema = heartbeatSchema.extend({
+export const introductionSchema = heartbeatSchema.extend({
   startedAt: z.number(),
   place: z.string(),
   callerAddress: z.string(),
--- /dev/null
+++ b/packages/serving/src/attempt_loop.ts
@@ -0,0 +1,343 @@
+/**
+ * The attempts of one request at endpoints.
+ *
+ * What may not be repeated reaches a second endpoint only after the first has
+ * said that it did not run it, or if nothing was sent. Every further attempt
+ * draws on the pool's retry budget.
+ *
+ * @module
+ */
+import type {
+  Deadline,
+  EndpointInfo,
+  Failure,
+  Verdict,
+} from "@mangoreach/coordination";
+import {
+  createFailure,
+  formatEndpointKey,
+  listEnginesFor,
+  spreadRetryAfter,
+} from "@mangoreach/coordination";
+import { readBodyBytes } from "@mangoreach/shared";
+import type { CallerResponse } from "./caller_response.ts";
+import type { EndpointLoad, LoadEnd } from "./endpoint_load.ts";
+import type { AdmittedRoute } from "./request_admission.ts";
+import type {
+  EndpointAnswer,
+  EndpointReply,
+  NotRunReason,
+  PassedRequest,
+} from "./serving_handles.ts";
+import type { ServingState } from "./serving_state.ts";
+import type { StageResults } from "./stage_graph.ts";
+
+/** What the attempts work on. */
+export interface AttemptOptions {
+  request: PassedRequest;
+  response: CallerResponse;
+  admitted: AdmittedRoute;
+  deadline: Deadline;
+  /** Results of the stages; undefined where the route has none. */
+  results: StageResults | undefined;
+}
+
+/** How the attempts ended. */
+export interface AttemptOutcome {
+  /** Undefined if an endpoint's answer was passed on. */
+  failure?: Failure;
+  attempts: number;
+  status?: number;
+  endpoint?: string;
+  /** Whether a passed answer was complete. */
+  end?: "complete" | "cut";
+}
+
+/** The end of one attempt that gave the caller nothing. */
+interface LostAttempt {
+  kind: "lost";
+  verdict: Verdict;
+  message: string;
+  load: LoadEnd;
+  reason?: NotRunReason;
+  /** An endpoint's failure that may be passed on if nothing better comes. */
+  fallback?: WholeReply;
+}
+
+interface WholeReply {
+  reply: EndpointReply;
+  body: Buffer;
+}
+
+type AttemptEnd = LostAttempt | {
+  kind: "answered";
+  status: number;
+  end: "complete" | "cut";
+  load: LoadEnd;
+};
+
+/** Attempts that did not run anywhere are repeated this often. */
+const MAX_TRIES = 4;
+const MAX_ANSWER_BYTES = 8_388_608;
+const FIRST_FAILING_STATUS = 500;
+
+/** The usable endpoints for a request, best first. */
+export function chooseEndpoints(
+  { directory, loads, membership }: ServingState,
+  { request, admitted, avoid }: {
+    request: PassedRequest;
+    admitted: AdmittedRoute;
+    avoid: readonly string[];
+  },
+): EndpointInfo[] {
+  const usable = loads.view(directory.listUsable(admitted.pool))
+    .filter(({ info }) => !avoid.includes(info.id));
+  const healthy = usable.filter(({ health }) => !health.isEjected());
+  // With all out of use any answer is better than none.
+  const inUse = healthy.length > 0 ? healthy : usable;
+  const isEngine = admitted.table.findPool(admitted.pool)?.engine !== undefined;
+  const ranked = isEngine
+    ? listEnginesFor(request.head.promptParts, inUse)
+    : listByLoad(inUse, membership.self.place);
+  return ranked.map(({ info }) => info);
+}
+
+/** A place away costs as much as this many requests in progress. */
+const OTHER_PLACE_LOAD = 0.5;
+
+function listByLoad(
+  endpoints: readonly EndpointLoad[],
+  ownPlace: string,
+): EndpointLoad[] {
+  const estimateCost = ({ info, load, slowness }: EndpointLoad) =>
+    (1 + load) * slowness + (info.place === ownPlace ? 0 : OTHER_PLACE_LOAD);
+  return [...endpoints].sort((a, b) => estimateCost(a) - estimateCost(b));
+}
+
+/** Makes attempts until one is answered or no more is allowed. */
+export async function runAttempts(
+  state: ServingState,
+  options: AttemptOptions,
+): Promise<AttemptOutcome> {
+  const { request, response, admitted, deadline } = options;
+  const { route, pool } = admitted;
+  const mayRepeat = route.kind === "idempotent" || route.isResumable;
+  const avoid: string[] = [];
+  let runs = 0;
+  let last: LostAttempt | undefined;
+  let endpointId: string | undefined;
+  for (let attempts = 0;; attempts++) {
+    const isAllowed = attempts < MAX_TRIES && runs < route.maxAttempts &&
+      (runs === 0 || mayRepeat) && !deadline.signal.aborted;
+    const [endpoint] = isAllowed
+      ? chooseEndpoints(state, { request, admitted, avoid })
+      : [];
+    const isPaid = attempts === 0 || endpoint === undefined ||
+      state.findBudget(pool).withdraw();
+    if (endpoint === undefined || !isPaid) {
+      return finishLost(state, options, { last, attempts, endpointId, runs });
+    }
+    endpointId = endpoint.id;
+    const end = await runAttempt(state, options, endpoint);
+    state.log.record("attempt_ended", {
+      request: request.head.id,
+      pool,
+      endpoint: endpoint.id,
+      attempt: attempts + 1,
+      left: deadline.remaining(),
+      outcome: end.kind === "lost" ? end.message : `status ${end.status}`,
+      verdict: end.kind === "lost" ? end.verdict : "ran",
+    });
+    if (end.kind === "answered") {
+      const { status, end: how } = end;
+      return {
+        attempts: attempts + 1,
+        status,
+        endpoint: endpoint.id,
+        end: how,
+      };
+    }
+    avoid.push(endpoint.id);
+    last = end;
+    if (end.verdict !== "not_run") runs++;
+    if (end.reason === "other_instance") {
+      state.directory.markLeaving(formatEndpointKey(endpoint));
+    }
+    if (response.isStarted) {
+      return finishLost(state, options, { last, attempts, endpointId, runs });
+    }
+  }
+}
+
+function finishLost(
+  { random }: ServingState,
+  { response, deadline }: AttemptOptions,
+  { last, attempts, endpointId, runs }: {
+    last: LostAttempt | undefined;
+    attempts: number;
+    endpointId: string | undefined;
+    runs: number;
+  },
+): AttemptOutcome {
+  const place = endpointId === undefined ? {} : { endpoint: endpointId };
+  if (last?.fallback !== undefined && !response.isStarted) {
+    const { reply, body } = last.fallback;
+    const { status, headers } = reply;
+    response.sendWhole({ status, headers, body });
+    return { attempts, status, end: "complete", ...place };
+  }
+  const verdict: Verdict = runs === 0 ? "not_run" : "may_have_run";
+  const message = last?.message ?? "no endpoint takes work";
+  const kind = deadline.hasPassed() ? "deadline_exceeded" : "unavailable";
+  const failure = createFailure(kind, {
+    verdict,
+    message,
+    ...(verdict === "not_run"
+      ? { retryAfterMs: spreadRetryAfter(0, random) }
+      : {}),
+  });
+  return { failure, attempts, ...place };
+}
+
+async function runAttempt(
+  state: ServingState,
+  options: AttemptOptions,
+  endpoint: EndpointInfo,
+): Promise<AttemptEnd> {
+  const { clock, loads, callEndpoint, findLatencies } = state;
+  const { request, admitted, deadline, results } = options;
+  const startedAt = clock.now();
+  loads.begin(endpoint);
+  const answer = await callEndpoint({
+    endpoint,
+    request,
+    remaining: deadline.remaining(),
+    account: admitted.account,
+    priority: admitted.priority,
+    inputs: results?.inputs,
+    signal: deadline.signal,
+  });
+  const recordLatency = () => {
+    const size = request.head.promptParts
+      .reduce((sum, { tokens }) => sum + tokens, 1);
+    const latency = clock.now() - startedAt;
+    const ratio = findLatencies(admitted.pool).record(size, latency);
+    loads.recordRatio(endpoint, ratio);
+  };
+  const end = answer.isErr
+    ? rejectFault(answer.error.sent, {
+      message: answer.error.message,
+      deadline,
+    })
+    : await takeAnswer(options, answer.value, recordLatency);
+  loads.end(endpoint, end.load);
+  const load = answer.isOk && answer.value.kind !== "invalid"
+    ? answer.value.load
+    : undefined;
+  if (load !== undefined) loads.recordReport(endpoint, load);
+  return end;
+}
+
+function rejectFault(
+  sent: "no" | "maybe",
+  { message, deadline }: { message: string; deadline: Deadline },
+): LostAttempt {
+  const isOurs = deadline.signal.aborted;
+  return {
+    kind: "lost",
+    verdict: sent === "no" ? "not_run" : "may_have_run",
+    message,
+    load: isOurs ? "neutral" : sent === "no" ? "unreachable" : "failing",
+  };
+}
+
+async function takeAnswer(
+  options: AttemptOptions,
+  answer: EndpointAnswer,
+  recordLatency: () => void,
+): Promise<AttemptEnd> {
+  if (answer.kind === "not_run") {
+    return {
+      kind: "lost",
+      verdict: "not_run",
+      message: `the endpoint did not run it: ${answer.reason}`,
+      load: "neutral",
+      reason: answer.reason,
+    };
+  }
+  if (answer.kind === "invalid") {
+    return {
+      kind: "lost",
+      verdict: "may_have_run",
+      message: `not a valid answer: ${answer.reason}`,
+      load: "failing",
+    };
+  }
+  const isStream = options.admitted.route.kind === "stream" &&
+    answer.status < 300;
+  return isStream
+    ? await streamReply(options, answer, recordLatency)
+    : await sendWholeReply(options, answer, recordLatency);
+}
+
+/** Nothing is sent before the whole body is in: a cut one may be tried again. */
+async function sendWholeReply(
+  { response, admitted, deadline }: AttemptOptions,
+  reply: EndpointReply,
+  recordLatency: () => void,
+): Promise<AttemptEnd> {
+  const body = await readBodyBytes(reply.body, MAX_ANSWER_BYTES);
+  if (body === undefined) {
+    return rejectFault("maybe", {
+      message: "the answer broke off",
+      deadline,
+    });
+  }
+  recordLatency();
+  const { status, headers } = reply;
+  const isFailure = status >= FIRST_FAILING_STATUS;
+  if (isFailure && admitted.route.kind === "idempotent") {
+    return {
+      kind: "lost",
+      verdict: "may_have_run",
+      message: `the endpoint failed with status ${status}`,
+      load: "neutral",
+      fallback: { reply, body },
+    };
+  }
+  response.sendWhole({ status, headers, body });
+  return { kind: "answered", status, end: "complete", load: "done" };
+}
+
+/** Passes events on as they come; the head waits for the first bytes. */
+async function streamReply(
+  { response, deadline, results }: AttemptOptions,
+  { status, headers, body }: EndpointReply,
+  recordLatency: () => void,
+): Promise<AttemptEnd> {
+  try {
+    for await (const chunk of body as AsyncIterable<Buffer>) {
+      if (!response.isStarted) {
+        recordLatency();
+        // The engine has fetched the results before it read the prompt.
+        results?.release();
+        response.startStream({ status, headers });
+      }
+      await response.write(chunk);
+    }
+  } catch {
+    // A broken stream must not look complete; the reason is the endpoint's.
+    if (!response.isStarted) {
+      return rejectFault("maybe", {
+        message: "the stream broke off before its first event",
+        deadline,
+      });
+    }
+    response.endStream("cut");
+    const load = deadline.signal.aborted ? "neutral" : "failing";
+    return { kind: "answered", status, end: "cut", load };
+  }
+  if (!response.isStarted) response.startStream({ status, headers });
+  response.endStream("complete");
+  return { kind: "answered", status, end: "complete", load: "done" };
+}
--- /dev/null
+++ b/packages/serving/src/caller_listener.ts
@@ -0,0 +1,130 @@
+/**
+ * Where callers connect: reads whole requests within their limits and hands
+ * them to the service. Nothing reaches an endpoint before a request is whole.
+ *
+ * @module
+ */
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Failure, RequestLimits } from "@mangoreach/coordination";
+import { createFailure } from "@mangoreach/coordination";
+import type { Clock, ListenAddress, Millis, TaskSet } from "@mangoreach/shared";
+import { readBody, startServer } from "@mangoreach/shared";
+import type { Result } from "true-myth";
+import type { CallerResponse, EncodeFailure } from "./caller_response.ts";
+import { createCallerResponse } from "./caller_response.ts";
+import type { RequestHead } from "./serving_handles.ts";
+import type { ServedRequest } from "./request_service.ts";
+
+/** Whether callers are served. */
+export type ListenerPhase =
+  | "open"
+  /** Serves, and asks callers to connect elsewhere. */
+  | "leaving"
+  /** Refuses new requests and finishes what it has. */
+  | "refusing";
+
+/** Options of {@linkcode startCallerListener}. */
+export interface CallerListenerOptions {
+  clock: Clock;
+  address: ListenAddress;
+  tasks: TaskSet;
+  decodeHead: (message: IncomingMessage) => Result<RequestHead, Failure>;
+  encodeFailure: EncodeFailure;
+  serve: (served: ServedRequest) => Promise<void>;
+  readLimits: () => RequestLimits;
+  readPhase: () => ListenerPhase;
+  /** Told of requests that were refused before they had a route. */
+  onRefused: (failure: Failure, id: string | undefined) => void;
+}
+
+/** A running listener. */
+export interface CallerListener {
+  readonly server: Server;
+  /** Brings the server's own limits up to date. */
+  applyLimits(limits: RequestLimits): void;
+}
+
+/** Node rejects longer heads itself, with status 431. */
+const MAX_HEADER_BYTES = 16_384;
+const MAX_CONNECTIONS = 3_000;
+/** A caller that comes back this soon finds another entry. */
+const RETRY_AFTER_STOPPING: Millis = 50;
+/** A whole request may take this many times as long as its head. */
+const BODY_TIME_FACTOR = 4;
+
+/** Starts to listen. */
+export async function startCallerListener(
+  options: CallerListenerOptions,
+): Promise<CallerListener> {
+  const { clock, address, tasks, readLimits, readPhase } = options;
+
+  async function handle(
+    message: IncomingMessage,
+    raw: ServerResponse,
+  ): Promise<void> {
+    const receivedAt = clock.now();
+    const response = createCallerResponse(raw, {
+      encodeFailure: options.encodeFailure,
+      isClosing: () => readPhase() !== "open",
+    });
+    const head = options.decodeHead(message);
+    const { maxBodyBytes } = readLimits();
+    const body = await readBody(message, maxBodyBytes);
+    const id = head.isOk ? head.value.id : undefined;
+    if (body.kind === "cut") return;
+    if (body.kind === "too_large") {
+      return refuse(response, failTooLarge(maxBodyBytes), id);
+    }
+    if (head.isErr) return refuse(response, head.error, id);
+    if (readPhase() === "refusing") {
+      return refuse(response, failStopping(), id);
+    }
+    const request = { head: head.value, body: body.body };
+    await options.serve({ request, response, receivedAt });
+  }
+
+  function refuse(
+    response: CallerResponse,
+    failure: Failure,
+    id: string | undefined,
+  ): void {
+    response.refuse(failure);
+    options.onRefused(failure, id);
+  }
+
+  const server = await startServer(
+    (message, response) => tasks.add(handle(message, response)),
+    {
+      address,
+      limits: {
+        maxHeaderBytes: MAX_HEADER_BYTES,
+        requestTimeoutMs: readLimits().headerTimeout,
+        maxConnections: MAX_CONNECTIONS,
+      },
+    },
+  );
+
+  function applyLimits({ headerTimeout, idleTimeout }: RequestLimits): void {
+    server.headersTimeout = headerTimeout;
+    server.requestTimeout = BODY_TIME_FACTOR * headerTimeout;
+    server.keepAliveTimeout = idleTimeout;
+  }
+
+  applyLimits(readLimits());
+  return { server, applyLimits };
+}
+
+function failTooLarge(limit: number): Failure {
+  return createFailure("too_large", {
+    verdict: "not_run",
+    message: `the body is larger than ${limit} bytes`,
+  });
+}
+
+function failStopping(): Failure {
+  return createFailure("stopping", {
+    verdict: "not_run",
+    message: "this entry is stopping; another one serves at once",
+    retryAfterMs: RETRY_AFTER_STOPPING,
+  });
+}
--- /dev/null
+++ b/packages/serving/src/decision_log.ts
@@ -0,0 +1,88 @@
+/**
+ * One structured line for each decision that touches a request or changes what
+ * this process believes. Bounded: above a rate, lines of one kind are left out
+ * and counted, so that the worst burst costs no more than a bounded share of
+ * the processor.
+ *
+ * @module
+ */
+import type { Clock, Logger, Millis } from "@mangoreach/shared";
+
+/** What is decided or believed. */
+export type DecisionKind =
+  | "request_answered"
+  | "request_refused"
+  | "request_failed"
+  | "attempt_sent"
+  | "attempt_ended"
+  | "stage_started"
+  | "stage_ended"
+  | "stage_call"
+  | "piece_dropped"
+  | "feeder_changed"
+  | "config_in_force"
+  | "config_rejected"
+  | "endpoint_changed"
+  | "peer_changed"
+  | "dependency_lost"
+  | "dependency_regained"
+  | "process_started"
+  | "process_stopping"
+  | "process_stopped"
+  | "settings_reloaded";
+
+/** What decided, its age or version, and the outcome. */
+export type DecisionFields = Readonly<
+  Record<string, string | number | boolean | readonly string[] | undefined>
+>;
+
+/** Writes decisions. */
+export interface DecisionLog {
+  record(kind: DecisionKind, fields: DecisionFields): void;
+}
+
+/** Options of {@linkcode createDecisionLog}. */
+export interface DecisionLogOptions {
+  clock: Clock;
+  logger: Logger;
+  /** Told how many lines of a kind were left out. */
+  onDropped: (kind: DecisionKind) => void;
+}
+
+/** Lines a second of one kind; a line costs about 20 microseconds. */
+const RATE = 100;
+const WINDOW: Millis = 1_000;
+
+/** Creates the log of one process. */
+export function createDecisionLog(
+  { clock, logger, onDropped }: DecisionLogOptions,
+): DecisionLog {
+  const counts = new Map<DecisionKind, number>();
+  let windowStart = clock.now();
+
+  function record(kind: DecisionKind, fields: DecisionFields): void {
+    const now = clock.now();
+    if (now - windowStart >= WINDOW) {
+      windowStart = now;
+      counts.clear();
+    }
+    const count = (counts.get(kind) ?? 0) + 1;
+    counts.set(kind, count);
+    if (count > RATE) return onDropped(kind);
+    logger.info(kind, formatNumbers(fields));
+  }
+
+  return { record };
+}
+
+function formatNumbers(fields: DecisionFields): Record<string, unknown> {
+  const entries = Object.entries(fields).map((
+    [name, value],
+  ) => [name, typeof value === "number" ? Math.round(value * 10) / 10 : value]);
+  return Object.fromEntries(entries);
+}
+
+/** A log that writes nothing; for tests and embedding. */
+export function createSilentDecisionLog(): DecisionLog {
+  return { record: () => {} };
+}
--- /dev/null
+++ b/packages/serving/src/keyed_follower.ts
@@ -0,0 +1,94 @@
+/**
+ * Follows a keyed topic: the newest record of each key first, then every change.
+ * Survives outages, lost answers and expired records.
+ *
+ * @module
+ */
+import type { KnowledgeTime } from "@mangoreach/coordination";
+import type { Clock, Millis } from "@mangoreach/shared";
+import type {
+  KeyedReading,
+  KeyedRecord,
+  KeyedSource,
+} from "./serving_handles.ts";
+
+/** What is done with what is read. */
+export interface KeyedSink {
+  /** Takes the newest record of every key. */
+  replaceAll(records: readonly KeyedRecord[]): void;
+  /** Takes one change. */
+  apply(record: KeyedRecord): void;
+  /** What was taken so far was complete at `askedAt`. */
+  confirm(askedAt: KnowledgeTime): void;
+  /** The topic cannot be read any more. */
+  noteAway(): void;
+  /** The topic can be read again. */
+  noteBack(): void;
+}
+
+/** Options of {@linkcode followKeyedTopic}. */
+export interface KeyedFollowerOptions {
+  clock: Clock;
+  random: () => number;
+  signal: AbortSignal;
+  source: KeyedSource;
+  sink: KeyedSink;
+  readTime: () => KnowledgeTime;
+  /** How long one reading waits for a change. */
+  wait: Millis;
+  /** Pause between two readings that found something. */
+  pause: Millis;
+}
+
+/** The first pause after a failed reading; doubles up to the longest. */
+const FIRST_BACKOFF: Millis = 50;
+const LONGEST_BACKOFF: Millis = 400;
+
+/** Follows until the signal aborts. */
+export async function followKeyedTopic(
+  { clock, random, signal, source, sink, readTime, wait, pause }:
+    KeyedFollowerOptions,
+): Promise<void> {
+  let next: number | undefined;
+  let backoff = FIRST_BACKOFF;
+  let isAway = false;
+
+  /** Returns what was read, or undefined after a failure. */
+  async function readOnce(): Promise<KeyedReading | undefined> {
+    const reading = next === undefined
+      ? await source.readNewest()
+      : await source.readFrom(next, wait);
+    if (reading.isOk) return reading.value;
+    if (reading.error === "expired") next = undefined;
+    else noteFailure();
+    return undefined;
+  }
+
+  function noteFailure(): void {
+    if (!isAway) sink.noteAway();
+    isAway = true;
+  }
+
+  function takeReading(reading: KeyedReading, askedAt: KnowledgeTime): void {
+    if (isAway) sink.noteBack();
+    isAway = false;
+    backoff = FIRST_BACKOFF;
+    if (next === undefined) sink.replaceAll(reading.records);
+    else reading.records.forEach((record) => sink.apply(record));
+    next = reading.next;
+    sink.confirm(askedAt);
+  }
+
+  while (!signal.aborted) {
+    const askedAt = readTime();
+    const reading = await readOnce();
+    if (reading !== undefined) {
+      takeReading(reading, askedAt);
+      // A spread pause keeps entries that started together from asking together.
+      await clock.sleep(pause * (0.75 + random() / 2), signal);
+      continue;
+    }
+    await clock.sleep(backoff * (0.5 + random()), signal);
+    backoff = Math.min(LONGEST_BACKOFF, backoff * 2);
+  }
+}
--- /dev/null
+++ b/packages/serving/src/member_registry.ts
@@ -0,0 +1,71 @@
+/**
+ * Where entries find each other: the platform's store holds one record of each.
+ * It only introduces them; whether one lives is told by the exchange of
+ * heartbeats, which goes on while the store is away.
+ *
+ * @module
+ */
+import type { PeerRecord } from "@mangoreach/coordination";
+import type { Clock, Millis } from "@mangoreach/shared";
+import type { Result } from "true-myth";
+
+/** The records of entries in the platform's store. */
+export interface MemberStore {
+  announce(record: PeerRecord): Promise<Result<null, string>>;
+  /** Takes the record of a stopping entry away. */
+  withdraw(record: PeerRecord): Promise<Result<null, string>>;
+  list(): Promise<Result<readonly PeerRecord[], string>>;
+}
+
+/** Options of {@linkcode startMemberRegistry}. */
+export interface MemberRegistryOptions {
+  clock: Clock;
+  random: () => number;
+  signal: AbortSignal;
+  store: MemberStore;
+  self: PeerRecord;
+  onFault: (reason: string) => void;
+}
+
+/** The entries by the store. */
+export interface MemberRegistry {
+  /** Control addresses of all entries in the store. */
+  listAddresses(): readonly string[];
+  readonly task: Promise<void>;
+}
+
+/** A new entry is known to all after this time at the latest. */
+const READ_INTERVAL: Millis = 3_000;
+/** After a start the others are still writing their records. */
+const FIRST_INTERVAL: Millis = 600;
+const RETRY_INTERVAL: Millis = 500;
+
+/** Announces this entry and reads the others again and again. */
+export function startMemberRegistry(
+  { clock, random, signal, store, self, onFault }: MemberRegistryOptions,
+): MemberRegistry {
+  let addresses: readonly string[] = [];
+
+  async function publishSelf(): Promise<void> {
+    while (!signal.aborted) {
+      const written = await store.announce(self);
+      if (written.isOk) return;
+      onFault(written.error);
+      await clock.sleep(RETRY_INTERVAL * (0.5 + random()), signal);
+    }
+  }
+
+  async function run(): Promise<void> {
+    await publishSelf();
+    await clock.sleep(FIRST_INTERVAL, signal);
+    while (!signal.aborted) {
+      const read = await store.list();
+      if (read.isOk) {
+        addresses = read.value.map(({ controlAddress }) => controlAddress);
+      } else onFault(read.error);
+      await clock.sleep(READ_INTERVAL * (0.75 + random() / 2), signal);
+    }
+  }
+
+  return { listAddresses: () => addresses, task: run() };
+}
--- /dev/null
+++ b/packages/serving/src/mod.ts
@@ -0,0 +1,34 @@
+/**
+ * Serves published routes: passes requests through to endpoints unchanged, with
+ * their stages done first and shared between entries.
+ *
+ * @module
+ */
+export type {
+  CalledPiece,
+  CallEndpoint,
+  EndpointAnswer,
+  EndpointCall,
+  EndpointReply,
+  HeaderList,
+  KeyedFault,
+  KeyedReading,
+  KeyedRecord,
+  KeyedSource,
+  NotRunReason,
+  PassedRequest,
+  RequestHead,
+  StageCall,
+  StageEndpoints,
+  StageReply,
+  StageResult,
+} from "./serving_handles.ts";
+export type { EncodeFailure } from "./caller_response.ts";
+export type { MemberStore } from "./member_registry.ts";
+export type {
+  ServingEntry,
+  ServingEntryOptions,
+  ServingPlatform,
+  ServingSettings,
+} from "./serving_entry.ts";
+export { startServingEntry } from "./serving_entry.ts";
--- /dev/null
+++ b/packages/serving/src/request_service.ts
@@ -0,0 +1,164 @@
+/**
+ * The life of one request: admission, its stages, attempts at endpoints, and
+ * the answer passed through.
+ *
+ * @module
+ */
+import type { Deadline, Failure } from "@mangoreach/coordination";
+import { createDeadline, createFailure } from "@mangoreach/coordination";
+import type { Millis } from "@mangoreach/shared";
+import type { Result } from "true-myth";
+import type { AttemptOutcome } from "./attempt_loop.ts";
+import { chooseEndpoints, runAttempts } from "./attempt_loop.ts";
+import type { CallerResponse } from "./caller_response.ts";
+import type { AdmittedRoute } from "./request_admission.ts";
+import { admitRequest } from "./request_admission.ts";
+import type { PassedRequest } from "./serving_handles.ts";
+import type { ServingState } from "./serving_state.ts";
+import type { StageResults } from "./stage_graph.ts";
+import { runStages } from "./stage_graph.ts";
+
+/** A request with the way to its caller. */
+export interface ServedRequest {
+  request: PassedRequest;
+  response: CallerResponse;
+  /** When its head was read. */
+  receivedAt: Millis;
+}
+
+/** What an engine needs at least after the stages, for a first event. */
+const ENGINE_RESERVE: Millis = 150;
+
+/** Serves one request to its final answer. */
+export async function serveRequest(
+  state: ServingState,
+  served: ServedRequest,
+): Promise<void> {
+  const { clock } = state;
+  const { request, response, receivedAt } = served;
+  const admitted = admitRequest(state, request.head);
+  if (admitted.isErr) {
+    response.refuse(admitted.error);
+    return recordEnd(state, served, { failure: admitted.error });
+  }
+  const { route } = admitted.value;
+  const elapsed = clock.now() - receivedAt;
+  const deadline = createDeadline({
+    clock,
+    budget: Math.min(request.head.budget, route.timeout) - elapsed,
+  });
+  const onGone = () => deadline.cancel("caller_gone");
+  response.gone.addEventListener("abort", onGone, { once: true });
+  if (response.gone.aborted) onGone();
+  const outcome = await runAdmitted(state, served, {
+    admitted: admitted.value,
+    deadline,
+  });
+  deadline.release();
+  if (outcome.failure !== undefined && !response.isStarted) {
+    response.refuse(outcome.failure);
+  }
+  recordEnd(state, served, { admitted: admitted.value, ...outcome });
+}
+
+interface AdmittedWork {
+  admitted: AdmittedRoute;
+  deadline: Deadline;
+}
+
+async function runAdmitted(
+  state: ServingState,
+  { request, response }: ServedRequest,
+  { admitted, deadline }: AdmittedWork,
+): Promise<AttemptOutcome> {
+  state.findBudget(admitted.pool).deposit();
+  let results: StageResults | undefined;
+  if (admitted.route.stages.length > 0) {
+    const made = await runStagesFirst(state, request, { admitted, deadline });
+    if (made.isErr) {
+      return {
+        failure: explainStageFailure(made.error, deadline),
+        attempts: 0,
+      };
+    }
+    results = made.value;
+  }
+  const outcome = await runAttempts(state, {
+    request,
+    response,
+    admitted,
+    deadline,
+    results,
+  });
+  results?.release();
+  return outcome;
+}
+
+/** Runs the stages near the engine that will probably serve the request. */
+function runStagesFirst(
+  state: ServingState,
+  request: PassedRequest,
+  { admitted, deadline }: AdmittedWork,
+): Promise<Result<StageResults, Failure>> {
+  const { clock, log, router } = state;
+  const [likely] = chooseEndpoints(state, { request, admitted, avoid: [] });
+  return runStages({
+    clock,
+    log,
+    router,
+    route: admitted.route,
+    head: request.head,
+    priority: admitted.priority,
+    dueAt: deadline.at - ENGINE_RESERVE,
+    place: likely?.place,
+    signal: deadline.signal,
+  });
+}
+
+/** A stage that failed for the deadline or the caller is told as that. */
+function explainStageFailure(failure: Failure, deadline: Deadline): Failure {
+  if (!deadline.hasPassed()) return { ...failure, retryAfterMs: 300 };
+  return createFailure("deadline_exceeded", {
+    verdict: "not_run",
+    message: "the stages were not done in time",
+  });
+}
+
+function recordEnd(
+  { clock, log, metrics, configAge, readTable, membership }: ServingState,
+  { request, receivedAt, response }: ServedRequest,
+  { admitted, failure, attempts, status, endpoint, end }:
+    & Partial<AttemptOutcome>
+    & { admitted?: AdmittedRoute },
+): void {
+  const took = clock.now() - receivedAt;
+  const routeName = admitted?.route.name ?? "none";
+  const kind = failure === undefined
+    ? "request_answered"
+    : failure.verdict === "not_run"
+    ? "request_refused"
+    : "request_failed";
+  metrics.countRequest(routeName, kind);
+  metrics.observeRequest(routeName, took / 1_000);
+  log.record(kind, {
+    request: request.head.id,
+    route: routeName,
+    pool: admitted?.pool,
+    account: admitted?.account,
+    priority: admitted?.priority,
+    endpoint,
+    attempts,
+    status,
+    end,
+    took,
+    budget: request.head.budget,
+    configVersion: readTable()?.config.version,
+    configAge: configAge.read(),
+    peers: membership.list().length,
+    reason: failure?.message,
+    failure: failure?.kind,
+    verdict: failure?.verdict,
+    retryAfter: failure?.retryAfterMs,
+    callerGone: response.gone.aborted || undefined,
+  });
+}
--- /dev/null
+++ b/packages/serving/src/serving_metrics.ts
@@ -0,0 +1,80 @@
+/**
+ * Counters and latency histograms of an entry that passes routes through.
+ *
+ * @module
+ */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Where an entry counts. */
+export interface ServingMetrics {
+  readonly registry: Registry;
+  countRequest(route: string, outcome: string): void;
+  observeRequest(route: string, seconds: number): void;
+  countDroppedLine(kind: string): void;
+  countUnanswered(): void;
+  countPeerBytes(direction: "in" | "out", bytes: number): void;
+  setConfigVersion(version: number): void;
+  setKnown(what: "endpoints" | "peers", count: number): void;
+}
+
+/** Seconds; from a plain service's answer to the longest stream. */
+const LATENCY_BUCKETS = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+
+/** Creates the metrics of one entry. */
+export function createServingMetrics(entry: string): ServingMetrics {
+  const registry = new Registry();
+  registry.setDefaultLabels({ entry });
+  const registers = [registry];
+  const requests = new Counter({
+    name: "mangoreach_requests_total",
+    help: "Requests by route and outcome",
+    labelNames: ["route", "outcome"],
+    registers,
+  });
+  const durations = new Histogram({
+    name: "mangoreach_request_seconds",
+    help: "Time from the request's head to its final answer",
+    labelNames: ["route"],
+    buckets: LATENCY_BUCKETS,
+    registers,
+  });
+  const droppedLines = new Counter({
+    name: "mangoreach_log_lines_dropped_total",
+    help: "Log lines left out above the rate of their kind",
+    labelNames: ["kind"],
+    registers,
+  });
+  const unanswered = new Counter({
+    name: "mangoreach_peer_exchanges_unanswered_total",
+    help: "Exchanges with peers that got no answer",
+    registers,
+  });
+  const peerBytes = new Counter({
+    name: "mangoreach_peer_bytes_total",
+    help: "Bytes exchanged with peers, bodies only",
+    labelNames: ["direction"],
+    registers,
+  });
+  const configVersion = new Gauge({
+    name: "mangoreach_config_version",
+    help: "Version of the configuration in force here",
+    registers,
+  });
+  const known = new Gauge({
+    name: "mangoreach_known",
+    help: "Endpoints and peers known here",
+    labelNames: ["what"],
+    registers,
+  });
+
+  return {
+    registry,
+    countRequest: (route, outcome) => requests.inc({ route, outcome }),
+    observeRequest: (route, seconds) => durations.observe({ route }, seconds),
+    countDroppedLine: (kind) => droppedLines.inc({ kind }),
+    countUnanswered: () => unanswered.inc(),
+    countPeerBytes: (direction, bytes) => peerBytes.inc({ direction }, bytes),
+    setConfigVersion: (version) => configVersion.set(version),
+    setKnown: (what, count) => known.set({ what }, count),
+  };
+}
--- /dev/null
+++ b/packages/serving/src/serving_state.ts
@@ -0,0 +1,39 @@
+/**
+ * What an entry that passes routes through knows, and the parts that decide.
+ *
+ * @module
+ */
+import type {
+  EndpointDirectory,
+  KnowledgeAge,
+  LatencyModel,
+  Membership,
+  RetryBudget,
+  RouteTable,
+} from "@mangoreach/coordination";
+import type { Clock, Millis } from "@mangoreach/shared";
+import type { DecisionLog } from "./decision_log.ts";
+import type { EndpointLoads } from "./endpoint_load.ts";
+import type { PieceRouter } from "./piece_router.ts";
+import type { CallEndpoint } from "./serving_handles.ts";
+import type { ServingMetrics } from "./serving_metrics.ts";
+
+/** What serving a request needs. */
+export interface ServingState {
+  clock: Clock;
+  random: () => number;
+  log: DecisionLog;
+  metrics: ServingMetrics;
+  /** The configuration in force; undefined before the first. */
+  readTable: () => RouteTable | undefined;
+  configAge: KnowledgeAge;
+  /** Knowledge older than this serves no client account. */
+  maxKeyAge: Millis;
+  membership: Membership;
+  directory: EndpointDirectory;
+  loads: EndpointLoads;
+  router: PieceRouter;
+  callEndpoint: CallEndpoint;
+  findBudget: (pool: string) => RetryBudget;
+  findLatencies: (pool: string) => LatencyModel;
+}
--- /dev/null
+++ b/packages/serving/src/stage_feeder.ts
@@ -0,0 +1,326 @@
+/**
+ * Feeds the endpoints of one stage pool: gathers pieces of many requests, also
+ * of other entries, into calls, and keeps count of the room at each endpoint.
+ *
+ * A piece may be made again, so a feeder needs no agreement: if two entries feed
+ * a pool for a moment, calls are less full and nothing breaks.
+ *
+ * @module
+ */
+import type {
+  BatchEndpoint,
+  BatchSpec,
+  EndpointInfo,
+  PieceBatcher,
+  RetryBudget,
+  WaitingPiece,
+} from "@mangoreach/coordination";
+import { createPieceBatcher } from "@mangoreach/coordination";
+import type { PieceOutcome, PieceRun, PieceRunReply } from "@mangoreach/peers";
+import type { Clock, Millis } from "@mangoreach/shared";
+import type { EndpointLoads } from "./endpoint_load.ts";
+import type {
+  CalledPiece,
+  StageEndpoints,
+  StageReply,
+  StageResult,
+} from "./serving_handles.ts";
+import type { DecisionLog } from "./decision_log.ts";
+
+/** Options of {@linkcode createStageFeeder}. */
+export interface StageFeederOptions {
+  clock: Clock;
+  log: DecisionLog;
+  pool: string;
+  stages: StageEndpoints;
+  loads: EndpointLoads;
+  /** Endpoints that take new work now. */
+  listEndpoints: () => readonly EndpointInfo[];
+  readSpec: () => BatchSpec;
+  /** Pieces that are made a second time draw on it. */
+  budget: RetryBudget;
+}
+
+/** Feeds one pool. */
+export interface StageFeeder {
+  /** Runs the pieces of one stage of one request. */
+  run(run: PieceRun, signal: AbortSignal): Promise<PieceRunReply>;
+  /** Frees results that nobody needs any more. */
+  release(results: readonly string[]): void;
+  /** Expected time until a new piece of this priority is in a call. */
+  estimateWait(priority: number): Millis;
+  /** Looks again for calls to make, after endpoints have changed. */
+  refresh(): void;
+}
+
+interface FeederPiece extends WaitingPiece {
+  order: CalledPiece;
+  avoid: Set<string>;
+  attempts: number;
+  isCancelled: boolean;
+  settle(outcome: PieceOutcome): void;
+}
+
+interface HeldResult {
+  endpointId: string;
+  bytes: number;
+  /** When its maker drops it if nobody frees it. */
+  lapsesAt: Millis;
+}
+
+interface Feeding extends BatchEndpoint {
+  calls: number;
+  roomTaken: number;
+}
+
+/** A piece that failed this often fails for good. */
+const MAX_ATTEMPTS = 3;
+/** A call is given up after this many times what it should take, and more. */
+const CALL_TIMEOUT_FACTOR = 6;
+const CALL_TIMEOUT_SLACK: Millis = 1_000;
+/** How soon waiting pieces are looked at again when no endpoint was free. */
+const RECHECK_INTERVAL: Millis = 50;
+
+/** Creates the feeder of one pool. */
+export function createStageFeeder(options: StageFeederOptions): StageFeeder {
+  const { clock, log, pool, stages, loads, readSpec, budget } = options;
+  const batcher: PieceBatcher<FeederPiece> = createPieceBatcher(readSpec);
+  const feedings = new Map<string, Feeding>();
+  /** Result to the endpoint and the size that was reserved for it. */
+  const held = new Map<string, HeldResult>();
+  let isRecheckDue = false;
+
+  function run(request: PieceRun, signal: AbortSignal): Promise<PieceRunReply> {
+    const pieces = request.pieces.map((order) => createPiece(request, order));
+    const outcomes = Promise.all(pieces.map(({ promise }) => promise));
+    const cancel = () => pieces.forEach(({ piece }) => cancelPiece(piece));
+    signal.addEventListener("abort", cancel, { once: true });
+    for (const { piece } of pieces) batcher.add(piece);
+    if (signal.aborted) cancel();
+    dispatch();
+    return outcomes.then((list) => {
+      signal.removeEventListener("abort", cancel);
+      return { outcomes: list };
+    });
+  }
+
+  function createPiece(request: PieceRun, order: PieceRun["pieces"][number]) {
+    let settle: (outcome: PieceOutcome) => void = () => {};
+    const promise = new Promise<PieceOutcome>((resolve) => settle = resolve);
+    const piece: FeederPiece = {
+      priority: request.priority,
+      dueAt: clock.now() + request.remaining,
+      place: request.place,
+      resultBytes: request.resultBytes,
+      avoid: new Set(),
+      order: { ...order, requestId: request.requestId, remaining: 0 },
+      attempts: 0,
+      isCancelled: false,
+      settle,
+    };
+    return { piece, promise };
+  }
+
+  function cancelPiece(piece: FeederPiece): void {
+    piece.isCancelled = true;
+    batcher.remove(piece);
+    piece.settle({ kind: "failed", reason: "late" });
+  }
+
+  function listFeedings(): Feeding[] {
+    const usable = loads.view(options.listEndpoints());
+    const healthy = usable.filter(({ health }) => !health.isEjected());
+    // With all out of use any endpoint is better than none.
+    const inUse = healthy.length > 0 ? healthy : usable;
+    const ids = new Set(usable.map(({ info }) => info.id));
+    for (const [id, { calls }] of feedings) {
+      if (calls === 0 && !ids.has(id)) feedings.delete(id);
+    }
+    return inUse.map(({ info, slowness }) => {
+      const known = feedings.get(info.id);
+      const feeding: Feeding = known ??
+        { info, calls: 0, roomTaken: 0, slowness };
+      feedings.set(info.id, feeding);
+      return Object.assign(feeding, { info, slowness });
+    });
+  }
+
+  /** An entry that died frees nothing; its results lapse at their makers. */
+  function dropLapsed(now: Millis): void {
+    for (const [result, { lapsesAt }] of held) {
+      if (lapsesAt <= now) dropHeld(result);
+    }
+  }
+
+  function dispatch(): void {
+    const now = clock.now();
+    dropLapsed(now);
+    for (const piece of batcher.dropLate(now)) {
+      log.record("piece_dropped", {
+        request: piece.order.requestId,
+        pool,
+        waiting: batcher.size,
+        reason: "it could not be done in time",
+      });
+      piece.settle({ kind: "failed", reason: "late" });
+    }
+    for (;;) {
+      const call = batcher.planCall(listFeedings());
+      if (call === undefined) break;
+      void runCall(call.endpoint, call.pieces);
+    }
+    if (batcher.size > 0) startRecheck();
+  }
+
+  /** Endpoints come back and pieces grow late without any event here. */
+  function startRecheck(): void {
+    if (isRecheckDue) return;
+    isRecheckDue = true;
+    clock.startTimer(RECHECK_INTERVAL, () => {
+      isRecheckDue = false;
+      dispatch();
+    });
+  }
+
+  async function runCall(
+    feeding: Feeding,
+    pieces: readonly FeederPiece[],
+  ): Promise<void> {
+    const { info } = feeding;
+    const { callTime, pieceTime } = readSpec();
+    const expected = callTime + pieces.length * pieceTime;
+    const bytes = pieces.reduce((sum, piece) => sum + piece.resultBytes, 0);
+    const startedAt = clock.now();
+    feeding.calls++;
+    feeding.roomTaken += bytes;
+    loads.begin(info);
+    for (const piece of pieces) piece.attempts++;
+    const reply = await stages.run({
+      endpoint: info,
+      pieces: pieces.map(({ order, dueAt }) => ({
+        ...order,
+        remaining: dueAt - startedAt,
+      })),
+      timeout: CALL_TIMEOUT_FACTOR * expected + CALL_TIMEOUT_SLACK,
+    });
+    feeding.calls--;
+    const took = clock.now() - startedAt;
+    if (reply.isErr) {
+      const isUnreachable = reply.error.sent === "no";
+      loads.end(info, isUnreachable ? "unreachable" : "failing");
+      feeding.roomTaken -= bytes;
+      pieces.forEach((piece) => tryAgain(piece, info, "unavailable"));
+    } else {
+      takeReply(feeding, {
+        pieces,
+        reply: reply.value,
+        ratio: took / expected,
+      });
+    }
+    log.record("stage_call", {
+      pool,
+      endpoint: info.id,
+      requests: pieces.map(({ order }) => order.requestId),
+      pieces: pieces.length,
+      roomTaken: feeding.roomTaken,
+      waiting: batcher.size,
+      took,
+      expected,
+      outcome: reply.isErr ? reply.error.message : reply.value.kind,
+    });
+    dispatch();
+  }
+
+  function takeReply(
+    feeding: Feeding,
+    { pieces, reply, ratio }: {
+      pieces: readonly FeederPiece[];
+      reply: StageReply;
+      ratio: number;
+    },
+  ): void {
+    const { info } = feeding;
+    if (reply.kind === "results") {
+      loads.end(info, "done");
+      loads.recordRatio(info, ratio);
+      pieces.forEach((piece, index) =>
+        takeResult(feeding, piece, reply.results[index])
+      );
+      return;
+    }
+    loads.end(info, reply.kind === "invalid" ? "failing" : "neutral");
+    for (const piece of pieces) {
+      feeding.roomTaken -= piece.resultBytes;
+      tryAgain(piece, info, "unavailable");
+    }
+  }
+
+  function takeResult(
+    feeding: Feeding,
+    piece: FeederPiece,
+    result: StageResult | undefined,
+  ): void {
+    if (result?.kind === "done") {
+      const { resultBytes } = piece;
+      held.set(result.result, {
+        endpointId: feeding.info.id,
+        bytes: resultBytes,
+        lapsesAt: clock.now() + readSpec().resultLifetime,
+      });
+      // Nobody waits for it any more, but it takes room at its maker.
+      if (piece.isCancelled) release([result.result]);
+      else piece.settle(result);
+      return;
+    }
+    feeding.roomTaken -= piece.resultBytes;
+    const reason = result?.reason ?? "error";
+    if (reason === "late" || reason === "input_gone") {
+      piece.settle({ kind: "failed", reason });
+    } else tryAgain(piece, feeding.info, reason);
+  }
+
+  function tryAgain(
+    piece: FeederPiece,
+    { id }: EndpointInfo,
+    reason: "no_room" | "error" | "unavailable",
+  ): void {
+    if (piece.isCancelled) return;
+    piece.avoid.add(id);
+    const others = options.listEndpoints()
+      .filter((endpoint) => !piece.avoid.has(endpoint.id));
+    if (others.length === 0) piece.avoid.clear();
+    if (piece.attempts >= MAX_ATTEMPTS || !budget.withdraw()) {
+      return piece.settle({ kind: "failed", reason });
+    }
+    batcher.add(piece);
+  }
+
+  function release(results: readonly string[]): void {
+    const byMaker = new Map<string, string[]>();
+    for (const result of results) {
+      const maker = stages.readMaker(result);
+      const list = byMaker.get(maker) ?? [];
+      byMaker.set(maker, list);
+      list.push(result);
+      dropHeld(result);
+    }
+    for (const [maker, list] of byMaker) void stages.release(maker, list);
+    dispatch();
+  }
+
+  function dropHeld(result: string): void {
+    const reserved = held.get(result);
+    if (reserved === undefined) return;
+    held.delete(result);
+    const feeding = feedings.get(reserved.endpointId);
+    if (feeding !== undefined) feeding.roomTaken -= reserved.bytes;
+  }
+
+  return {
+    run,
+    release,
+    estimateWait: (priority) =>
+      batcher.estimateWait(priority, options.listEndpoints().length),
+    refresh: dispatch,
+  };
+}
--- /dev/null
+++ b/packages/serving/src/stage_graph.ts
@@ -0,0 +1,186 @@
+/**
+ * Runs the stages of one request as a graph: each starts as soon as the stages
+ * it needs are done, and gets the results of all their pieces.
+ *
+ * @module
+ */
+import type { Failure, Route, RouteStage } from "@mangoreach/coordination";
+import { createFailure } from "@mangoreach/coordination";
+import type { PieceOutcome, PieceSource } from "@mangoreach/peers";
+import type { Clock, Millis } from "@mangoreach/shared";
+import { Result } from "true-myth";
+import type { DecisionLog } from "./decision_log.ts";
+import type { PieceRouter } from "./piece_router.ts";
+import type { RequestHead } from "./serving_handles.ts";
+
+/** What the stages of a request need. */
+export interface StageGraphOptions {
+  clock: Clock;
+  log: DecisionLog;
+  router: PieceRouter;
+  route: Route;
+  head: RequestHead;
+  priority: number;
+  /** When the results have to be there. */
+  dueAt: Millis;
+  /** Where the results will be fetched to. */
+  place: string | undefined;
+  signal: AbortSignal;
+}
+
+/** The results of a request's stages. */
+export interface StageResults {
+  /** Results of the stages that no other stage needs, in order. */
+  readonly inputs: readonly string[];
+  /** Frees all results; harmless when called again. */
+  release(): void;
+}
+
+/** Runs all stages; after a failure nothing is left at any maker. */
+export async function runStages(
+  options: StageGraphOptions,
+): Promise<Result<StageResults, Failure>> {
+  const { clock, log, route, head, router } = options;
+  const { stages } = route;
+  const controller = new AbortController();
+  const abort = () => controller.abort();
+  options.signal.addEventListener("abort", abort, { once: true });
+  if (options.signal.aborted) abort();
+  const made = new Map<number, readonly string[]>();
+  const finished = new Set<number>();
+  const running = new Map<number, Promise<Result<string[], Failure>>>();
+
+  function startStage(number: number): Promise<Result<string[], Failure>> {
+    const known = running.get(number);
+    if (known !== undefined) return known;
+    const task = runStage(number);
+    running.set(number, task);
+    return task;
+  }
+
+  async function runStage(number: number): Promise<Result<string[], Failure>> {
+    const stage = stages[number];
+    if (stage === undefined) {
+      return Result.err(failStage(number, "the route has no such stage"));
+    }
+    const needed = await Promise.all(stage.after.map(startStage));
+    const inputs: string[] = [];
+    for (const result of needed) {
+      if (result.isErr) return Result.err(result.error);
+      inputs.push(...result.value);
+    }
+    return await runPieces(number, stage, inputs);
+  }
+
+  async function runPieces(
+    number: number,
+    stage: RouteStage,
+    inputs: string[],
+  ): Promise<Result<string[], Failure>> {
+    const count = head.pieceCounts[number] ?? 0;
+    if (count === 0) return Result.ok([]);
+    const source: PieceSource = stage.after.length === 0
+      ? { kind: "key", key: head.pieceKey ?? "" }
+      : { kind: "results", results: inputs };
+    const startedAt = clock.now();
+    const reply = await router.run({
+      pool: stage.pool,
+      requestId: head.id,
+      priority: options.priority,
+      remaining: options.dueAt - startedAt,
+      ...(options.place === undefined ? {} : { place: options.place }),
+      resultBytes: stage.resultBytes,
+      pieces: Array.from({ length: count }, (_, piece) => ({
+        stage: number,
+        piece,
+        source,
+      })),
+    }, controller.signal);
+    if (reply.isErr) return Result.err(reply.error);
+    const { outcomes } = reply.value;
+    const results = outcomes.flatMap((outcome) =>
+      outcome.kind === "done" ? [outcome.result] : []
+    );
+    made.set(number, results);
+    finished.add(number);
+    releaseUsed();
+    const failed = findFailure(outcomes, count);
+    log.record("stage_ended", {
+      request: head.id,
+      stage: number,
+      pool: stage.pool,
+      pieces: count,
+      took: clock.now() - startedAt,
+      outcome: failed ?? "done",
+    });
+    if (failed === undefined) return Result.ok(results);
+    return Result.err(failStage(number, failed));
+  }
+
+  /**
+   * Frees the results that every stage which needs them has used. The room at
+   * makers is short: results kept until the request's end block their pool.
+   */
+  function releaseUsed(): void {
+    for (const number of [...made.keys()]) {
+      const users = stages.flatMap(({ after }, user) =>
+        after.includes(number) ? [user] : []
+      );
+      const isUsed = users.length > 0 &&
+        users.every((user) => finished.has(user));
+      if (isUsed) releaseStage(number);
+    }
+  }
+
+  function releaseStage(number: number): void {
+    const pool = stages[number]?.pool;
+    if (pool !== undefined) router.release(pool, made.get(number) ?? []);
+    made.delete(number);
+  }
+
+  function release(): void {
+    [...made.keys()].forEach(releaseStage);
+  }
+
+  const outcomes = await Promise.all(
+    stages.map(async (_, number) => {
+      const outcome = await startStage(number);
+      // The others cannot help any more; their pieces only cost.
+      if (outcome.isErr) controller.abort();
+      return outcome;
+    }),
+  );
+  options.signal.removeEventListener("abort", abort);
+  const failed = outcomes.find((outcome) => outcome.isErr);
+  if (failed?.isErr) {
+    release();
+    return Result.err(failed.error);
+  }
+  const last = listLastStages(stages);
+  const inputs = last.flatMap((number) => made.get(number) ?? []);
+  return Result.ok({ inputs, release });
+}
+
+/** The stages that no other stage needs. */
+function listLastStages(stages: readonly RouteStage[]): number[] {
+  const needed = new Set(stages.flatMap(({ after }) => after));
+  return stages.map((_, number) => number)
+    .filter((number) => !needed.has(number));
+}
+
+function findFailure(
+  outcomes: readonly PieceOutcome[],
+  count: number,
+): string | undefined {
+  if (outcomes.length !== count) return "the feeder answered in part";
+  const failed = outcomes.find((outcome) => outcome.kind === "failed");
+  return failed?.kind === "failed" ? failed.reason : undefined;
+}
+
+/** A stage alone is not the request: that has not run. */
+function failStage(number: number, message: string): Failure {
+  return createFailure("unavailable", {
+    verdict: "not_run",
+    message: `stage ${number}: ${message}`,
+  });
+}
--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
+import { Buffer as NodeBuffer } from "node:buffer";
 import type { Readable } from "node:stream";
 import { Result } from "true-myth";
 import type { Dispatcher } from "undici";
@@ -50,11 +51,12 @@
 
 /** One call. */
 export interface HttpCall {
-  method: "GET" | "POST" | "PUT" | "DELETE";
+  method: string;
   /** `ip:port`. */
   address: string;
   path: string;
-  headers?: Record<string, string>;
+  /** By name, or names and values in turn. */
+  headers?: Record<string, string> | string[];
   body?: string | Buffer;
   signal?: AbortSignal;
 }
@@ -64,9 +66,14 @@
   /** Answers larger than this are a fault, in bytes. */
   maxReplyBytes: number;
   connectTimeoutMs: Millis;
+  /**
+   * Whether connections serve more than one call. One that serves a single call
+   * cannot hand a late or doubled answer to the next.
+   */
+  connections: "kept" | "single";
 }
 
-/** Makes calls over kept connections. */
+/** Makes calls. */
 export interface HttpClient {
   call(call: HttpCall): Promise<Result<HttpReply, HttpFault>>;
   callStream(call: HttpCall): Promise<Result<HttpStreamReply, HttpFault>>;
@@ -90,10 +97,12 @@
   {
     maxReplyBytes = DEFAULT_MAX_REPLY,
     connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT,
+    connections = "kept",
   }: Partial<HttpClientOptions> = {},
 ): HttpClient {
   const agent = new Agent({
-    pipelining: 1,
+    // undici closes a connection after each call when nothing is pipelined.
+    pipelining: connections === "kept" ? 1 : 0,
     keepAliveTimeout: KEEP_ALIVE,
     connectTimeout: connectTimeoutMs,
     // Deadlines are kept by abort signals, which also cover what undici's own
@@ -148,6 +157,26 @@
   };
 }
 
+/** Reads a body to its end; undefined when it broke off or is too large. */
+export async function readBodyBytes(
+  body: AsyncIterable<Buffer>,
+  limit: number,
+): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  try {
+    for await (const chunk of body) {
+      length += chunk.length;
+      if (length > limit) return undefined;
+      chunks.push(chunk);
+    }
+    return NodeBuffer.concat(chunks);
+  } catch {
+    // Whether it broke off or was given up, there is no whole body.
+    return undefined;
+  }
+}
+
 async function readText(
   body: Readable,
   { maxReplyBytes, signal }: {
--- a/packages/shared/src/logger.ts
+++ b/packages/shared/src/logger.ts
@@ -18,6 +18,7 @@
   | "orders"
   | "peers"
   | "pipeline"
+  | "platform"
   | "standin"
   | "streams";
 
@@ -38,18 +39,29 @@
   /** The name of this process, on every line. */
   process: string;
   level: LogLevel;
+  /** Where lines go; standard error unless standard output is free for them. */
+  output?: "stdout" | "stderr";
 }
 
+const STANDARD_OUTPUT = 1;
 const STANDARD_ERROR = 2;
+/**
+ * Lines are written by a thread in pieces of this size, so that a reader who
+ * does not read cannot block the process; what does not fit is dropped.
+ */
+const WRITE_BUFFER = { minLength: 0, maxLength: 1_048_576, sync: false };
 const SECRET_FIELDS = ["key", "keys", "authorization", "siteKey", "token"];
 
-/** Creates the log of one process; lines go to standard error as NDJSON. */
-export function createLogger({ process, level }: LoggerOptions): Logger {
+/** Creates the log of one process; lines go out as NDJSON. */
+export function createLogger(
+  { process, level, output = "stderr" }: LoggerOptions,
+): Logger {
+  const dest = output === "stdout" ? STANDARD_OUTPUT : STANDARD_ERROR;
   const root = pino({
     level,
     base: { process },
     redact: [...SECRET_FIELDS, ...SECRET_FIELDS.map((field) => `*.${field}`)],
-  }, destination({ dest: STANDARD_ERROR, sync: false }));
+  }, destination({ dest, ...WRITE_BUFFER }));
   return createWrapped(root);
 }
 
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -62,6 +62,10 @@
   HttpReply,
   HttpStreamReply,
 } from "./http_client.ts";
-export { createHttpClient, readReplyJson } from "./http_client.ts";
+export {
+  createHttpClient,
+  readBodyBytes,
+  readReplyJson,
+} from "./http_client.ts";
 export type { Timeout } from "./timeout.ts";
 export { startTimeout } from "./timeout.ts";
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { build } from "esbuild";
+import { BUNDLE_OPTIONS } from "./bundle_options.ts";
 
 const PROGRAMS = {
   "mangoreach-entry": "packages/entry/src/main.ts",
@@ -12,22 +13,9 @@
   "mangoreach-standin": "standins/src/main.ts",
 };
 
-/** Some packages are CommonJS and ask for `require` at run time. */
-const BANNER = `#!/usr/bin/env node
-import { createRequire as createRequireForBundle } from "node:module";
-const require = createRequireForBundle(import.meta.url);`;
-
 await build({
+  ...BUNDLE_OPTIONS,
   entryPoints: PROGRAMS,
   outdir: "dist",
-  outExtension: { ".js": ".mjs" },
-  bundle: true,
-  platform: "node",
-  // jsonc-parser's main is UMD, which cannot be bundled; its module can.
-  mainFields: ["module", "main"],
-  target: "node20",
-  format: "esm",
   sourcemap: true,
-  banner: { js: BANNER },
-  logLevel: "warning",
 });
--- a/scripts/check_names.ts
+++ b/scripts/check_names.ts
@@ -50,7 +50,7 @@
 process.exitCode = faults === 0 ? 0 : 1;
 
 function listFiles(): string[] {
-  return ["packages", "standins/src", "bench/src", "scripts"]
+  return ["packages", "platform/src", "standins/src", "bench/src", "scripts"]
     .flatMap((folder) =>
       readdirSync(folder, { recursive: true, encoding: "utf8" })
         .map((file) => `${folder}/${file}`)
