--- a/packages/serving/src/keyed_follower.ts
+++ b/packages/serving/src/keyed_follower.ts
@@ -19,7 +19,7 @@
   /** Takes one change. */
   apply(record: KeyedRecord): void;
   /** What was taken so far was complete at `askedAt`. */
-  confirm(askedAt: KnowledgeTime): void;
+  noteConfirmed(askedAt: KnowledgeTime): void;
   /** The topic cannot be read any more. */
   noteAway(): void;
   /** The topic can be read again. */
@@ -76,7 +76,7 @@
     if (next === undefined) sink.replaceAll(reading.records);
     else reading.records.forEach((record) => sink.apply(record));
     next = reading.next;
-    sink.confirm(askedAt);
+    sink.noteConfirmed(askedAt);
   }
 
   while (!signal.aborted) {
--- /dev/null
+++ b/packages/serving/src/keyed_follower_test.ts
@@ -0,0 +1,92 @@
+import { createFakeClock } from "@mangoreach/shared";
+import { expect } from "chai";
+import { Result } from "true-myth";
+import { followKeyedTopic } from "./keyed_follower.ts";
+import type { KeyedFault, KeyedReading } from "./serving_handles.ts";
+
+type Script = (KeyedReading | KeyedFault)[];
+
+function createReading(next: number, ...keys: string[]): KeyedReading {
+  return { records: keys.map((key) => ({ key, value: key })), next };
+}
+
+describe("following a keyed topic", () => {
+  async function follow(newest: Script, changes: Script) {
+    const clock = createFakeClock(0);
+    const controller = new AbortController();
+    const seen: string[] = [];
+    const take = (script: Script) => {
+      const step = script.shift();
+      if (step === undefined) controller.abort();
+      return Promise.resolve<Result<KeyedReading, KeyedFault>>(
+        typeof step === "object" ? Result.ok(step) : Result.err(
+          step ?? "unavailable",
+        ),
+      );
+    };
+    const task = followKeyedTopic({
+      clock,
+      random: () => 0.5,
+      signal: controller.signal,
+      source: {
+        readNewest: () => take(newest),
+        readFrom(offset) {
+          seen.push(`from ${offset}`);
+          return take(changes);
+        },
+      },
+      sink: {
+        replaceAll: (records) =>
+          seen.push(`all ${records.map(({ key }) => key).join("+")}`),
+        apply: ({ key }) => seen.push(`one ${key}`),
+        noteConfirmed: () => {},
+        noteAway: () => seen.push("away"),
+        noteBack: () => seen.push("back"),
+      },
+      readTime: () => ({ monotonic: clock.now(), wall: clock.now() }),
+      wait: 1_000,
+      pause: 10,
+    });
+    await clock.advance(10_000);
+    controller.abort();
+    await task;
+    return seen;
+  }
+
+  it("reads on behind the newest records", async () => {
+    const seen = await follow([createReading(4, "a", "b")], [
+      createReading(5, "c"),
+      createReading(5),
+    ]);
+    expect(seen.slice(0, 5))
+      .to.deep.equal(["all a+b", "from 4", "one c", "from 5", "from 5"]);
+  });
+
+  // The store drops its history. Reading on at the old offset fails for ever;
+  // users would keep the configuration of that moment.
+  it("reads the newest again when the history is gone", async () => {
+    const seen = await follow(
+      [createReading(4, "a"), createReading(9, "a", "d")],
+      ["expired"],
+    );
+    expect(seen.slice(0, 4))
+      .to.deep.equal(["all a", "from 4", "all a+d", "from 9"]);
+  });
+
+  it("tells an outage once, and its end, and misses nothing", async () => {
+    const seen = await follow([createReading(4, "a")], [
+      "unavailable",
+      "unavailable",
+      createReading(5, "b"),
+    ]);
+    expect(seen.slice(0, 7)).to.deep.equal([
+      "all a",
+      "from 4",
+      "away",
+      "from 4",
+      "from 4",
+      "back",
+      "one b",
+    ]);
+  });
+});
--- /dev/null
+++ b/packages/serving/src/piece_router_test.ts
@@ -0,0 +1,127 @@
+import type { PeerRecord } from "@mangoreach/coordination";
+import { createFailure, createMembership } from "@mangoreach/coordination";
+import type {
+  PieceRun,
+  PieceRunReply,
+  ServingPeerClient,
+} from "@mangoreach/peers";
+import { createFakeClock } from "@mangoreach/shared";
+import { expect } from "chai";
+import { Result } from "true-myth";
+import { createSilentDecisionLog } from "./decision_log.ts";
+import { createPieceRouter } from "./piece_router.ts";
+
+const RUN: PieceRun = {
+  pool: "pool",
+  requestId: "r",
+  priority: 1,
+  remaining: 8_000,
+  resultBytes: 1,
+  pieces: [{ stage: 0, piece: 0, source: { kind: "key", key: "k" } }],
+};
+const EMPTY = { heartbeats: [], introductions: [], leaving: [] };
+
+function createRecord(entry: string): PeerRecord {
+  return {
+    entry,
+    incarnation: entry,
+    startedAt: 0,
+    place: "here",
+    callerAddress: entry,
+    controlAddress: entry,
+    state: "live",
+    heartbeat: 1,
+    configVersion: 1,
+    inFlight: 0,
+    strainedPriority: 0,
+  };
+}
+
+type PeerMode = "good" | "refuses" | "silent";
+
+describe("routing pieces to feeders", () => {
+  function create(mode: PeerMode) {
+    const clock = createFakeClock(0);
+    const membership = createMembership({
+      clock,
+      self: createRecord("self"),
+      random: () => 0,
+      suspectAfter: 10_000,
+      loseAfter: 20_000,
+    });
+    membership.merge(["a", "b", "c", "d"].map(createRecord));
+    const asked: string[] = [];
+    const fail = (address: string) =>
+      Result.err<never, ReturnType<typeof createFailure>>(
+        createFailure("unavailable", {
+          verdict: "may_have_run",
+          message: address,
+        }),
+      );
+    const runPieces: ServingPeerClient["runPieces"] = (address, _, signal) => {
+      asked.push(address);
+      if (mode === "refuses") return Promise.resolve(fail(address));
+      if (mode === "good") {
+        const outcomes = [{ kind: "done" as const, result: address }];
+        return Promise.resolve(Result.ok({ outcomes }));
+      }
+      return new Promise((resolve) =>
+        signal.addEventListener("abort", () => resolve(fail(address)))
+      );
+    };
+    const router = createPieceRouter({
+      clock,
+      log: createSilentDecisionLog(),
+      membership,
+      peers: {
+        runPieces,
+        exchange: (address) =>
+          Promise.resolve(mode === "silent" ? fail(address) : Result.ok(EMPTY)),
+        releaseResults: () => Promise.resolve(Result.ok(null)),
+        close: () => Promise.resolve(),
+      },
+      findFeeder: () => ({
+        run: () => {
+          const outcomes = [{ kind: "done" as const, result: "self" }];
+          return Promise.resolve({ outcomes });
+        },
+        release: () => {},
+        estimateWait: () => 0,
+        refresh: () => {},
+      }),
+    });
+    const run = () => router.run(RUN, new AbortController().signal);
+    return { clock, run, asked };
+  }
+
+  const readMaker = (reply: Result<PieceRunReply, unknown>) =>
+    reply.isOk && reply.value.outcomes[0];
+
+  it("keeps to one feeder for a pool", async () => {
+    const { run, asked } = create("good");
+    for (let index = 0; index < 5; index++) await run();
+    expect(new Set(asked).size).to.be.at.most(1);
+  });
+
+  it("feeds the pool itself when the feeders fail", async () => {
+    const { run, asked } = create("refuses");
+    expect(readMaker(await run()))
+      .to.deep.equal({ kind: "done", result: "self" });
+    expect(new Set(asked).size).to.equal(asked.length);
+    const before = asked.length;
+    await run();
+    expect(asked.slice(before)).not.to.include(asked[0]);
+  });
+
+  // The feeder is frozen: its connections stay open and nothing comes. Requests
+  // would wait for their deadline; the watch sees two unanswered exchanges.
+  it("takes pieces away from a feeder that has fallen silent", async () => {
+    const { run, clock, asked } = create("silent");
+    const reply = run();
+    await clock.advance(600);
+    expect(asked.length).to.equal(2);
+    await clock.advance(600);
+    expect(readMaker(await reply))
+      .to.deep.equal({ kind: "done", result: "self" });
+  });
+});
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -412,7 +412,7 @@
   const configSink: KeyedSink = {
     replaceAll: (records) => records.forEach(takeConfigRecord),
     apply: takeConfigRecord,
-    confirm: configAge.noteConfirmed,
+    noteConfirmed: configAge.noteConfirmed,
     noteAway: () => noteDependency("lost", "config"),
     noteBack: () => noteDependency("regained", "config"),
   };
@@ -445,7 +445,7 @@
       }
       readEndpoint(record).forEach(putEndpoint);
     },
-    confirm: endpointAge.noteConfirmed,
+    noteConfirmed: endpointAge.noteConfirmed,
     noteAway() {
       roster.noteAway();
       noteDependency("lost", "instance_list");
--- /dev/null
+++ b/packages/serving/src/stage_feeder_test.ts
@@ -0,0 +1,158 @@
+import type { PieceRun } from "@mangoreach/peers";
+import { createFakeClock, settlePromises } from "@mangoreach/shared";
+import { expect } from "chai";
+import { createTestEndpoint, createTestFeeder } from "./test_support.ts";
+
+function createRun(
+  requestId: string,
+  count: number,
+  change: Partial<PieceRun> = {},
+): PieceRun {
+  return {
+    pool: "pool",
+    requestId,
+    priority: 1,
+    remaining: 5_000,
+    resultBytes: 100,
+    pieces: Array.from({ length: count }, (_, piece) => ({
+      stage: 0,
+      piece,
+      source: { kind: "key", key: "k" },
+    })),
+    ...change,
+  };
+}
+
+describe("stage feeder", () => {
+  function create(...ids: string[]) {
+    const clock = createFakeClock(0);
+    const endpoints = ids.map((id) => createTestEndpoint(id));
+    const { signal } = new AbortController();
+    return { clock, signal, ...createTestFeeder(clock, endpoints) };
+  }
+
+  it("gathers pieces of many requests into one call", async () => {
+    const { feeder, stages, signal } = create("e1");
+    const first = feeder.run(createRun("a", 1), signal);
+    const others = ["b", "c"].map((id) => feeder.run(createRun(id, 2), signal));
+    expect(stages.calls.length).to.equal(1);
+    stages.calls[0]?.finish();
+    await first;
+    expect(stages.calls[1]?.pieces.map(({ requestId }) => requestId))
+      .to.deep.equal(["b", "b", "c", "c"]);
+    stages.calls[1]?.finish();
+    const replies = await Promise.all(others);
+    expect(replies[1]?.outcomes).to.deep.equal([
+      { kind: "done", result: "e1/c.0.0" },
+      { kind: "done", result: "e1/c.0.1" },
+    ]);
+  });
+
+  // A maker is full of results. What is sent there fails for want of room and
+  // costs a whole call; after results are freed it can take work again.
+  it("keeps count of the room at a maker", async () => {
+    const { feeder, stages, signal } = create("e1");
+    void feeder.run(createRun("a", 2, { resultBytes: 500 }), signal);
+    stages.calls[0]?.finish();
+    await settlePromises();
+    void feeder.run(createRun("b", 1, { resultBytes: 500 }), signal);
+    expect(stages.calls.length).to.equal(1);
+    feeder.release(["e1/a.0.0"]);
+    expect(stages.released).to.deep.equal(["e1/a.0.0"]);
+    expect(stages.calls.length).to.equal(2);
+  });
+
+  // An entry dies with results in use and never frees them. The maker drops
+  // them after their lifetime; a feeder that did not would leave it idle.
+  it("takes lapsed results off the room", async () => {
+    const { feeder, stages, signal, clock } = create("e1");
+    void feeder.run(createRun("a", 2, { resultBytes: 500 }), signal);
+    stages.calls[0]?.finish();
+    await settlePromises();
+    void feeder.run(createRun("b", 1, { resultBytes: 500 }), signal);
+    await clock.advance(4_100);
+    expect(stages.calls.length).to.equal(2);
+  });
+
+  const FAILURES = [
+    {
+      name: "an endpoint that cannot be reached",
+      end: "no",
+    },
+    { name: "a call that broke off", end: "maybe" },
+    {
+      name: "an endpoint that ran nothing",
+      end: { kind: "not_run", reason: "full" },
+    },
+    {
+      name: "a reply that is malformed",
+      end: { kind: "invalid", reason: "status 500" },
+    },
+    {
+      name: "a piece that failed",
+      end: { kind: "results", results: [{ kind: "failed", reason: "error" }] },
+    },
+    {
+      name: "a maker without room",
+      end: {
+        kind: "results",
+        results: [{ kind: "failed", reason: "no_room" }],
+      },
+    },
+  ] as const;
+  for (const { name, end } of FAILURES) {
+    it(`makes the piece elsewhere after ${name}`, async () => {
+      const { feeder, stages, signal } = create("e1", "e2");
+      const run = feeder.run(createRun("a", 1), signal);
+      const [call] = stages.calls;
+      if (typeof end === "string") call?.breakOff(end);
+      else call?.end(end);
+      await settlePromises();
+      expect(stages.calls[1]?.endpoint.id).not.to.equal(call?.endpoint.id);
+      stages.calls[1]?.finish();
+      expect((await run).outcomes[0]?.kind).to.equal("done");
+    });
+  }
+
+  it("gives a piece up after its attempts", async () => {
+    const { feeder, stages, signal } = create("e1");
+    const run = feeder.run(createRun("a", 1), signal);
+    for (let index = 0; index < 3; index++) {
+      stages.calls[index]?.end({ kind: "invalid", reason: "status 500" });
+      await settlePromises();
+    }
+    expect((await run).outcomes)
+      .to.deep.equal([{ kind: "failed", reason: "unavailable" }]);
+  });
+
+  // The caller leaves while its piece is in a call. Nobody will use the result,
+  // and room at the maker is short.
+  it("frees the result of a piece whose caller has left", async () => {
+    const { feeder, stages } = create("e1");
+    const caller = new AbortController();
+    const run = feeder.run(createRun("a", 1), caller.signal);
+    caller.abort();
+    expect((await run).outcomes[0]?.kind).to.equal("failed");
+    stages.calls[0]?.finish();
+    await settlePromises();
+    expect(stages.released).to.deep.equal(["e1/a.0.0"]);
+  });
+
+  it("drops waiting pieces of a caller that has left", async () => {
+    const { feeder, stages, signal } = create("e1");
+    void feeder.run(createRun("a", 1), signal);
+    const caller = new AbortController();
+    void feeder.run(createRun("b", 1), caller.signal);
+    caller.abort();
+    stages.calls[0]?.finish();
+    await settlePromises();
+    expect(stages.calls.length).to.equal(1);
+  });
+
+  it("fails at once what could not be done in time any more", async () => {
+    const { feeder, signal } = create("e1");
+    const run = await feeder.run(createRun("a", 1, { remaining: 200 }), signal);
+    expect(run.outcomes)
+      .to.deep.equal([{ kind: "failed", reason: "late" }]);
+  });
+});
--- /dev/null
+++ b/packages/serving/src/stage_graph_test.ts
@@ -0,0 +1,104 @@
+import type { PieceRun, PieceRunReply } from "@mangoreach/peers";
+import { createFakeClock, settlePromises } from "@mangoreach/shared";
+import { expect } from "chai";
+import { Result } from "true-myth";
+import { createSilentDecisionLog } from "./decision_log.ts";
+import { runStages } from "./stage_graph.ts";
+import { createTestHead, createTestRoute } from "./test_support.ts";
+
+/** Stage 0 beside stage 1, which stages 2 and 3 follow in turn. */
+const STAGES = [
+  { pool: "p0", after: [], resultBytes: 1 },
+  { pool: "p1", after: [], resultBytes: 1 },
+  { pool: "p2", after: [1], resultBytes: 1 },
+  { pool: "p3", after: [2], resultBytes: 1 },
+];
+
+describe("stage graph", () => {
+  function create(pieceCounts: number[]) {
+    const runs: (PieceRun & { end: (reply: PieceRunReply) => void })[] = [];
+    const released: string[] = [];
+    const stage = (number: number) =>
+      runs.find(({ pieces }) => pieces[0]?.stage === number);
+    const finish = async (number: number) => {
+      const run = stage(number);
+      run?.end({
+        outcomes: run.pieces.map(({ piece }) => ({
+          kind: "done",
+          result: `${number}.${piece}`,
+        })),
+      });
+      await settlePromises();
+    };
+    const outcome = runStages({
+      clock: createFakeClock(0),
+      log: createSilentDecisionLog(),
+      router: {
+        run: (run) =>
+          new Promise((resolve) =>
+            runs.push({ ...run, end: (reply) => resolve(Result.ok(reply)) })
+          ),
+        release: (_pool, results) => void released.push(...results),
+      },
+      route: createTestRoute({ stages: STAGES }),
+      head: createTestHead({ pieceCounts }),
+      priority: 1,
+      dueAt: 5_000,
+      place: "here",
+      signal: new AbortController().signal,
+    });
+    return { runs, released, stage, finish, outcome };
+  }
+
+  it("gives each stage all results of the stages it needs", async () => {
+    const { stage, finish, outcome } = create([1, 2, 1, 2]);
+    await settlePromises();
+    expect(stage(0)?.pieces[0]?.source)
+      .to.deep.equal({ kind: "key", key: "key-1" });
+    expect(stage(2)).to.equal(undefined);
+    await finish(1);
+    expect(stage(2)?.pieces[0]?.source)
+      .to.deep.equal({ kind: "results", results: ["1.0", "1.1"] });
+    await finish(2);
+    await finish(3);
+    await finish(0);
+    const results = await outcome;
+    expect(results.isOk && results.value.inputs)
+      .to.deep.equal(["0.0", "3.0", "3.1"]);
+  });
+
+  // Makers have room for a few results only. Results kept until the end of the
+  // request block their pool, and all later requests wait.
+  it("frees results as soon as the stages that need them are done", async () => {
+    const { released, finish } = create([0, 2, 1, 1]);
+    await settlePromises();
+    await finish(1);
+    expect(released).to.deep.equal([]);
+    await finish(2);
+    expect(released).to.deep.equal(["1.0", "1.1"]);
+  });
+
+  it("leaves out stages without pieces", async () => {
+    const { runs, outcome } = create([0, 0, 0, 0]);
+    const results = await outcome;
+    expect(results.isOk && results.value.inputs).to.deep.equal([]);
+    expect(runs).to.deep.equal([]);
+  });
+
+  it("frees everything after a failure, which has not run", async () => {
+    const { released, finish, stage, outcome } = create([1, 1, 1, 1]);
+    await settlePromises();
+    await finish(0);
+    stage(1)?.end({ outcomes: [{ kind: "failed", reason: "late" }] });
+    const results = await outcome;
+    expect(results.isErr && results.error.verdict).to.equal("not_run");
+    expect(released).to.include("0.0");
+  });
+
+  it("does not take an answer in part for a whole one", async () => {
+    const { stage, outcome } = create([0, 2, 1, 1]);
+    await settlePromises();
+    stage(1)?.end({ outcomes: [{ kind: "done", result: "1.0" }] });
+    expect((await outcome).isErr).to.equal(true);
+  });
+});
--- /dev/null
+++ b/packages/serving/src/test_support.ts
@@ -0,0 +1,167 @@
+/**
+ * Small fakes of serving's handles, for its tests.
+ *
+ * @module
+ */
+import { Readable } from "node:stream";
+import type { EndpointInfo, Route } from "@mangoreach/coordination";
+import { createRetryBudget } from "@mangoreach/coordination";
+import type { FakeClock } from "@mangoreach/shared";
+import { Result } from "true-myth";
+import { createSilentDecisionLog } from "./decision_log.ts";
+import { createEndpointLoads } from "./endpoint_load.ts";
+import type {
+  EndpointReply,
+  RequestHead,
+  StageCall,
+  StageEndpoints,
+  StageReply,
+} from "./serving_handles.ts";
+import { createStageFeeder } from "./stage_feeder.ts";
+
+/** An endpoint with its id as address. */
+export function createTestEndpoint(
+  id: string,
+  change: Partial<EndpointInfo> = {},
+): EndpointInfo {
+  return {
+    id,
+    incarnation: "1",
+    pool: "pool",
+    place: "here",
+    address: id,
+    state: "live",
+    ...change,
+  };
+}
+
+/** A route of one pool. */
+export function createTestRoute(change: Partial<Route> = {}): Route {
+  return {
+    name: "route",
+    host: "a.example",
+    pathPrefix: "/r/",
+    kind: "idempotent",
+    timeout: 4_000,
+    objective: 300,
+    priority: 1,
+    pools: [{ pool: "pool", weight: 1 }],
+    maxAttempts: 2,
+    stages: [],
+    isPublic: false,
+    isResumable: false,
+    ...change,
+  };
+}
+
+/** A caller's head. */
+export function createTestHead(change: Partial<RequestHead> = {}): RequestHead {
+  return {
+    id: "request-1",
+    method: "POST",
+    target: "/r/x",
+    host: "a.example",
+    budget: 5_000,
+    key: undefined,
+    promptParts: [],
+    pieceCounts: [],
+    pieceKey: "key-1",
+    passedHeaders: [],
+    ...change,
+  };
+}
+
+/** An answer whose body comes in these chunks, and breaks after them. */
+export function createTestReply(
+  chunks: readonly string[],
+  { status = 200, isBroken = false } = {},
+): EndpointReply {
+  async function* generate() {
+    for (const chunk of chunks) yield await Promise.resolve(Buffer.from(chunk));
+    if (isBroken) throw new Error("connection reset");
+  }
+  return {
+    kind: "reply",
+    status,
+    headers: [["proof", "p"]],
+    body: Readable.from(generate(), { objectMode: false }),
+    load: undefined,
+  };
+}
+
+/** Stage endpoints whose calls end when the test says so. */
+export interface FakeStages extends StageEndpoints {
+  readonly calls: FakeStageCall[];
+  readonly released: string[];
+}
+
+/** A call that waits for its end. */
+export interface FakeStageCall extends StageCall {
+  /** Ends it with results named after endpoint, request, stage and piece. */
+  finish(): void;
+  end(reply: StageReply): void;
+  /** Ends it without an answer. */
+  breakOff(sent: "no" | "maybe"): void;
+}
+
+/** Creates stage endpoints without any call. */
+export function createFakeStages(): FakeStages {
+  const calls: FakeStageCall[] = [];
+  const released: string[] = [];
+  return {
+    calls,
+    released,
+    run: (call) =>
+      new Promise((resolve) => {
+        const end = (reply: StageReply) => resolve(Result.ok(reply));
+        calls.push({
+          ...call,
+          end,
+          finish: () =>
+            end({
+              kind: "results",
+              results: call.pieces.map(({ requestId, stage, piece }) => ({
+                kind: "done",
+                result: `${call.endpoint.id}/${requestId}.${stage}.${piece}`,
+              })),
+            }),
+          breakOff: (sent) =>
+            resolve(Result.err({ kind: "cut", sent, message: "cut" })),
+        });
+      }),
+    release: (_address, results) => {
+      released.push(...results);
+      return Promise.resolve();
+    },
+    readMaker: (result) => result.split("/")[0] ?? "",
+  };
+}
+
+/** The specification of the pool that test feeders feed. */
+export const TEST_SPEC = {
+  slots: 1,
+  maxPieces: 4,
+  callTime: 200,
+  pieceTime: 25,
+  roomBytes: 1_000,
+  resultLifetime: 4_000,
+};
+
+/** A feeder before fake stage endpoints. */
+export function createTestFeeder(
+  clock: FakeClock,
+  endpoints: readonly EndpointInfo[],
+) {
+  const stages = createFakeStages();
+  const feeder = createStageFeeder({
+    clock,
+    log: createSilentDecisionLog(),
+    pool: "pool",
+    stages,
+    loads: createEndpointLoads(clock),
+    listEndpoints: () => endpoints,
+    readSpec: () => TEST_SPEC,
+    budget: createRetryBudget({ share: 0, max: 4 }),
+  });
+  return { feeder, stages };
+}
