fix(shared): an answer whose connection was reset is never whole

Change: a call with a connection of its own watches its socket from before undici sees it; the body fails after a system error.

--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -176,9 +176,12 @@
 export type {
   BatchEndpoint,
   PieceBatcher,
+  PieceGroup,
   PlannedCall,
   WaitingPiece,
 } from "./piece_batcher.ts";
 export { createPieceBatcher } from "./piece_batcher.ts";
 export type { EngineView, PromptPart } from "./engine_choice.ts";
 export { listEnginesFor } from "./engine_choice.ts";
+export type { PlannedStage } from "./stage_plan.ts";
+export { planStages } from "./stage_plan.ts";
--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -4,9 +4,14 @@
  *
  * A call costs a fixed time whatever it holds, so under load calls must be full.
  * While an endpoint is free nothing waits for company: pieces gather by
- * themselves while all endpoints are busy. Pieces go by priority, then by what
- * is due first. An endpoint holds results until they are freed; a call that
- * would not fit its room is not sent, and pieces with small results overtake.
+ * themselves while all endpoints are busy.
+ *
+ * What can still meet its objective goes first, then by priority, then what is
+ * due first: in a burst, first come first served makes everybody late. An
+ * endpoint holds results until they are freed, so room binds as often as time.
+ * Requests of which some pieces are made go before others, and a request begins
+ * only where all its pieces have room: half-made ones would fill the room with
+ * results that nobody can use yet.
  *
  * @module
  */
@@ -14,10 +19,19 @@
 import type { EndpointInfo } from "./endpoint.ts";
 import type { BatchSpec } from "./serving_config.ts";
 
+/** The pieces of one stage of one request. */
+export interface PieceGroup {
+  /** Pieces that are in a call or made. */
+  started: number;
+}
+
 /** One piece of work that waits for a call. */
 export interface WaitingPiece {
+  readonly group: PieceGroup;
   /** 0 is the highest. */
   priority: number;
+  /** After this time its request misses its latency objective. */
+  onTimeAt: Millis;
   /** After this time its result is of no use. */
   dueAt: Millis;
   /** Where its result will be fetched to, if that is known. */
@@ -49,11 +63,15 @@
   readonly size: number;
   add(piece: P): void;
   remove(piece: P): void;
-  /** Takes out the pieces that no call started now could finish in time. */
-  dropLate(now: Millis): P[];
+  /**
+   * Takes out the pieces that cannot be finished in time behind those before
+   * them: whoever waits for them learns at once, and not at the deadline.
+   */
+  dropLate(now: Millis, endpointCount: number): P[];
   /** Takes out the pieces of the next call, if one can be made now. */
   planCall<E extends BatchEndpoint>(
     endpoints: readonly E[],
+    now: Millis,
   ): PlannedCall<P, E> | undefined;
   /** Expected time until a new piece of this priority is in a call. */
   estimateWait(priority: number, endpointCount: number): Millis;
@@ -62,17 +80,29 @@
 /** An endpoint this many times slower than the fastest free one waits. */
 const SLOW_FACTOR = 2.5;
 
+/** Results of this size, in bytes, are worth waiting for a near endpoint. */
+const LARGE_RESULT = 500_000;
+/** The wait takes one full call at most, the piece itself another. */
+const NEAR_SLACK_CALLS = 2;
+
 /** Creates an empty batcher; the specification is read anew for each call. */
 export function createPieceBatcher<P extends WaitingPiece>(
   readSpec: () => BatchSpec,
 ): PieceBatcher<P> {
-  /** In the order in which they go. */
   let waiting: P[] = [];
 
   function add(piece: P): void {
-    const index = waiting.findIndex((other) => comparePieces(piece, other) < 0);
-    if (index < 0) waiting.push(piece);
-    else waiting.splice(index, 0, piece);
+    waiting.push(piece);
+  }
+
+  /** Lateness and started groups change with time, so the order does. */
+  function sortWaiting(now: Millis, { callTime, pieceTime }: BatchSpec): void {
+    const isLate = (piece: P) => now + callTime + pieceTime > piece.onTimeAt;
+    const ranked = waiting.map((piece) => ({ piece, late: isLate(piece) }));
+    ranked.sort((a, b) =>
+      Number(a.late) - Number(b.late) || comparePieces(a.piece, b.piece)
+    );
+    waiting = ranked.map(({ piece }) => piece);
   }
 
   function remove(piece: P): void {
@@ -80,41 +110,93 @@
     if (index >= 0) waiting.splice(index, 1);
   }
 
-  function dropLate(now: Millis): P[] {
-    const { callTime, pieceTime } = readSpec();
-    const isLate = (piece: P) => now + callTime + pieceTime > piece.dueAt;
-    const late = waiting.filter(isLate);
-    if (late.length > 0) waiting = waiting.filter((piece) => !isLate(piece));
+  function dropLate(now: Millis, endpointCount: number): P[] {
+    const spec = readSpec();
+    const { callTime, pieceTime } = spec;
+    sortWaiting(now, spec);
+    const timeEach = endpointCount === 0
+      ? 0
+      : computeFullCall(spec) / (spec.maxPieces * spec.slots * endpointCount);
+    const late: P[] = [];
+    const kept: P[] = [];
+    for (const piece of waiting) {
+      const startsAt = now + kept.length * timeEach;
+      const isLate = startsAt + callTime + pieceTime > piece.dueAt;
+      (isLate ? late : kept).push(piece);
+    }
+    waiting = kept;
     return late;
   }
 
   function planCall<E extends BatchEndpoint>(
     endpoints: readonly E[],
+    now: Millis,
   ): PlannedCall<P, E> | undefined {
     const spec = readSpec();
     const free = listFast(endpoints.filter(({ calls }) => calls < spec.slots));
+    if (free.length === 0) return undefined;
+    sortWaiting(now, spec);
+    const places = new Set(endpoints.map(({ info }) => info.place));
     for (const first of waiting) {
+      if (mayWaitForNear(first, { free, places, now, spec })) continue;
       const endpoint = chooseEndpoint(first, { free, spec });
       if (endpoint === undefined) continue;
       const pieces = choosePieces(first, { endpoint, spec });
       const chosen = new Set(pieces);
       waiting = waiting.filter((piece) => !chosen.has(piece));
+      for (const { group } of pieces) group.started++;
       return { endpoint, pieces };
     }
     return undefined;
   }
 
+  /** Room for a piece: for all of its group if that has not begun. */
+  function sumNeeded(piece: P): number {
+    const { group, resultBytes } = piece;
+    if (group.started > 0) return resultBytes;
+    return waiting.filter((other) => other.group === group)
+      .reduce((sum, other) => sum + other.resultBytes, 0);
+  }
+
+  function hasRoom(
+    piece: P,
+    { roomTaken, roomLeft }: { roomTaken: number; roomLeft: number },
+  ): boolean {
+    // A group that is larger than an empty endpoint begins all the same.
+    if (roomTaken === 0) return piece.resultBytes <= roomLeft;
+    return sumNeeded(piece) <= roomLeft;
+  }
+
+  /** Results travel to the engine: its own place first, then the most room. */
+  function chooseEndpoint<E extends BatchEndpoint>(
+    piece: P,
+    { free, spec }: { free: readonly E[]; spec: BatchSpec },
+  ): E | undefined {
+    const fitting = free.filter(({ info, roomTaken }) =>
+      !piece.avoid.has(info.id) &&
+      hasRoom(piece, { roomTaken, roomLeft: spec.roomBytes - roomTaken })
+    );
+    const near = fitting.filter(({ info }) => info.place === piece.place);
+    return findEmptiest(near.length > 0 ? near : fitting);
+  }
+
   function choosePieces(
     first: P,
     { endpoint, spec }: { endpoint: BatchEndpoint; spec: BatchSpec },
   ): P[] {
     const chosen = [first];
-    let roomLeft = spec.roomBytes - endpoint.roomTaken - first.resultBytes;
+    const begun = new Set([first.group]);
+    let roomTaken = endpoint.roomTaken + first.resultBytes;
     for (const piece of waiting) {
       if (chosen.length >= spec.maxPieces) break;
-      if (piece === first || piece.resultBytes > roomLeft) continue;
-      if (piece.avoid.has(endpoint.info.id)) continue;
-      roomLeft -= piece.resultBytes;
+      if (piece === first || piece.avoid.has(endpoint.info.id)) continue;
+      const roomLeft = spec.roomBytes - roomTaken;
+      const fits = begun.has(piece.group)
+        ? piece.resultBytes <= roomLeft
+        : hasRoom(piece, { roomTaken, roomLeft });
+      if (!fits) continue;
+      begun.add(piece.group);
+      roomTaken += piece.resultBytes;
       chosen.push(piece);
     }
     return chosen;
@@ -122,10 +204,10 @@
 
   function estimateWait(priority: number, endpointCount: number): Millis {
     if (endpointCount === 0) return Infinity;
-    const { callTime, pieceTime, maxPieces, slots } = readSpec();
+    const spec = readSpec();
     const ahead = waiting.filter((piece) => piece.priority <= priority).length;
-    const fullCall = callTime + maxPieces * pieceTime;
-    return ahead * fullCall / (maxPieces * slots * endpointCount);
+    return ahead * computeFullCall(spec) /
+      (spec.maxPieces * spec.slots * endpointCount);
   }
 
   return {
@@ -140,8 +222,34 @@
   };
 }
 
+function computeFullCall(
+  { callTime, pieceTime, maxPieces }: BatchSpec,
+): Millis {
+  return callTime + maxPieces * pieceTime;
+}
+
 function comparePieces(a: WaitingPiece, b: WaitingPiece): number {
-  return a.priority - b.priority || a.dueAt - b.dueAt;
+  const byStart = Number(b.group.started > 0) - Number(a.group.started > 0);
+  return a.priority - b.priority || byStart || a.onTimeAt - b.onTimeAt;
+}
+
+/**
+ * Results of megabytes cost more between places than a short wait, as long as
+ * the request can still meet its objective.
+ */
+function mayWaitForNear(
+  { place, resultBytes, onTimeAt }: WaitingPiece,
+  { free, places, now, spec }: {
+    free: readonly BatchEndpoint[];
+    places: ReadonlySet<string>;
+    now: Millis;
+    spec: BatchSpec;
+  },
+): boolean {
+  if (place === undefined || resultBytes < LARGE_RESULT) return false;
+  if (free.some(({ info }) => info.place === place)) return false;
+  const slack = onTimeAt - now - NEAR_SLACK_CALLS * computeFullCall(spec);
+  return places.has(place) && slack > 0;
 }
 
 /** Leaves out what is far slower than the fastest; never leaves nothing. */
@@ -150,18 +258,6 @@
   return endpoints.filter(({ slowness }) => slowness <= SLOW_FACTOR * fastest);
 }
 
-/** Results travel to the engine: its own place first, then the most room. */
-function chooseEndpoint<E extends BatchEndpoint>(
-  piece: WaitingPiece,
-  { free, spec }: { free: readonly E[]; spec: BatchSpec },
-): E | undefined {
-  const fitting = free.filter(({ info, roomTaken }) =>
-    roomTaken + piece.resultBytes <= spec.roomBytes && !piece.avoid.has(info.id)
-  );
-  const near = fitting.filter(({ info }) => info.place === piece.place);
-  return findEmptiest(near.length > 0 ? near : fitting);
-}
-
 function findEmptiest<E extends BatchEndpoint>(
   endpoints: readonly E[],
 ): E | undefined {
--- a/packages/coordination/src/piece_batcher_test.ts
+++ b/packages/coordination/src/piece_batcher_test.ts
@@ -23,7 +23,9 @@
 ): NamedPiece {
   return {
     name,
+    group: { started: 0 },
     priority: 1,
+    onTimeAt: 5_000,
     dueAt: 10_000,
     place: undefined,
     resultBytes: 10,
@@ -52,7 +54,7 @@
     const batcher = createPieceBatcher<NamedPiece>(() => SPEC);
     pieces.forEach((piece) => batcher.add(piece));
     const plan = (...endpoints: BatchEndpoint[]) => {
-      const call = batcher.planCall(endpoints);
+      const call = batcher.planCall(endpoints, 0);
       return call && {
         endpoint: call.endpoint.info.id,
         pieces: call.pieces.map(({ name }) => name).join(" "),
@@ -78,15 +80,49 @@
 
   it("orders by priority, then by what is due first", () => {
     const { plan } = create([
-      createPiece("late", { dueAt: 9_000 }),
-      createPiece("low", { priority: 2, dueAt: 1_000 }),
-      createPiece("soon", { dueAt: 2_000 }),
+      createPiece("late", { onTimeAt: 4_000 }),
+      createPiece("low", { priority: 2, onTimeAt: 1_000 }),
+      createPiece("soon", { onTimeAt: 2_000 }),
       createPiece("high", { priority: 0 }),
     ]);
     expect(plan(createEndpoint("e1"))?.pieces)
       .to.equal("high soon late low");
   });
 
+  // A burst of drafting: what waited longest has missed its objective already.
+  // Served first, it would make everybody behind it late as well.
+  it("puts what has missed its objective behind what can meet it", () => {
+    const { plan } = create([
+      createPiece("missed", { onTimeAt: 100 }),
+      createPiece("low", { priority: 2 }),
+      createPiece("high"),
+    ]);
+    expect(plan(createEndpoint("e1"))?.pieces).to.equal("high low missed");
+  });
+
+  // Room for four results, three of them taken. A request of two pieces that
+  // began here would hold room while its other piece waits for room.
+  it("begins a request only where all its pieces have room", () => {
+    const group = { started: 0 };
+    const half = ["a1", "a2"].map((name) =>
+      createPiece(name, { group, resultBytes: 250 })
+    );
+    const { plan } = create([...half, createPiece("b", { resultBytes: 250 })]);
+    const full = createEndpoint("e1", { roomTaken: 750 });
+    expect(plan(full)?.pieces).to.equal("b");
+    expect(plan(full)).to.equal(undefined);
+    expect(plan(createEndpoint("e1", { roomTaken: 500 }))?.pieces)
+      .to.equal("a1 a2");
+  });
+
+  it("finishes requests that have begun before it begins others", () => {
+    const { plan } = create([
+      createPiece("new", { onTimeAt: 1_000 }),
+      createPiece("begun", { group: { started: 2 }, onTimeAt: 2_000 }),
+    ]);
+    expect(plan(createEndpoint("e1"))?.pieces).to.equal("begun new");
+  });
+
   // Results of rulings fill the room of every maker. Small results of other
   // requests still fit, and must not wait behind the large ones.
   it("lets small results overtake where large ones have no room", () => {
@@ -118,11 +154,41 @@
       createPiece("hopeless", { dueAt: 1_200 }),
       createPiece("possible", { dueAt: 1_225 }),
     ]);
-    expect(batcher.dropLate(1_000).map(({ name }) => name))
+    expect(batcher.dropLate(1_000, 1).map(({ name }) => name))
       .to.deep.equal(["hopeless"]);
     expect(batcher.size).to.equal(1);
   });
 
+  // A queue is longer than its last ones can wait. Kept until their deadline
+  // they would be refused then; now they can still be served elsewhere or later.
+  it("takes out at once what is too far behind", () => {
+    const names = ["a", "b", "c", "d", "e", "f", "g", "h", "i"];
+    const { batcher } = create(
+      names.map((name) => createPiece(name, { dueAt: 750 })),
+    );
+    expect(batcher.dropLate(0, 1).map(({ name }) => name))
+      .to.deep.equal(["h", "i"]);
+    expect(batcher.dropLate(0, 1)).to.deep.equal([]);
+  });
+
+  // Rulings' results are megabytes that cross between places, where the next
+  // call of the near maker is a quarter of a second away.
+  it("waits for a near endpoint with large results, if there is time", () => {
+    const large = { place: "e1", resultBytes: 600_000 };
+    const spec = { ...SPEC, roomBytes: 10_000_000 };
+    const endpoints = [
+      createEndpoint("e1", { calls: 1 }),
+      createEndpoint("e2"),
+    ];
+    const plan = (onTimeAt: number) => {
+      const batcher = createPieceBatcher<NamedPiece>(() => spec);
+      batcher.add(createPiece("a", { ...large, onTimeAt }));
+      return batcher.planCall(endpoints, 0)?.endpoint.info.id;
+    };
+    expect(plan(2_000)).to.equal(undefined);
+    expect(plan(500)).to.equal("e2");
+  });
+
   it("never sends more than fits, and each piece once", () => {
     const pieces = fc.array(
       fc.record({
@@ -139,7 +205,7 @@
       );
       const sent: string[] = [];
       for (;;) {
-        const call = batcher.planCall([createEndpoint("e1")]);
+        const call = batcher.planCall([createEndpoint("e1")], 0);
         if (call === undefined) break;
         const bytes = call.pieces
           .reduce((sum, { resultBytes }) => sum + resultBytes, 0);
--- /dev/null
+++ b/packages/coordination/src/stage_plan.ts
@@ -0,0 +1,64 @@
+/**
+ * When each stage of a request should start and how much time the stages behind
+ * it need.
+ *
+ * Results take room at their makers until the request's engine has fetched them,
+ * and room is short. So a stage that nothing waits for starts as late as the
+ * longest chain allows, and not with the request: the large results of a stage
+ * beside a chain of three would be held for the whole chain.
+ *
+ * @module
+ */
+import type { Millis } from "@mangoreach/shared";
+import type { RouteStage } from "./serving_config.ts";
+
+/** The place of one stage in its request. */
+export interface PlannedStage {
+  /** Stages that must be done before this one starts. */
+  waitsFor: readonly number[];
+  /** Time from its end to the end of the last stage. */
+  timeBehind: Millis;
+}
+
+/** A stage may make its request this much later for holding room less long. */
+const DELAY_ALLOWED: Millis = 100;
+
+/** Plans the stages of a request; `durations` are the expected times of each. */
+export function planStages(
+  stages: readonly RouteStage[],
+  durations: readonly Millis[],
+): PlannedStage[] {
+  const numbers = stages.map((_, number) => number);
+  const readDuration = (number: number) => durations[number] ?? 0;
+  const behind = new Map<number, Millis>();
+
+  function computeBehind(number: number): Millis {
+    const known = behind.get(number);
+    if (known !== undefined) return known;
+    const users = numbers.filter((user) =>
+      user > number && stages[user]?.after.includes(number)
+    );
+    const times = users.map((user) => readDuration(user) + computeBehind(user));
+    const longest = Math.max(0, ...times);
+    behind.set(number, longest);
+    return longest;
+  }
+
+  const total = Math.max(
+    0,
+    ...numbers.map((number) => readDuration(number) + computeBehind(number)),
+  );
+  const readLatestEnd = (number: number) => total - computeBehind(number);
+  const readLatestStart = (number: number) =>
+    readLatestEnd(number) - readDuration(number);
+
+  return stages.map(({ after }, number) => {
+    const earlier = numbers.filter((other) =>
+      other !== number && readDuration(other) > 0 &&
+      readLatestStart(other) < readLatestStart(number) &&
+      readLatestEnd(other) <= readLatestStart(number) + DELAY_ALLOWED
+    );
+    const waitsFor = [...new Set([...after, ...earlier])];
+    return { waitsFor, timeBehind: computeBehind(number) };
+  });
+}
--- /dev/null
+++ b/packages/coordination/src/stage_plan_test.ts
@@ -0,0 +1,46 @@
+import { expect } from "chai";
+import { planStages } from "./stage_plan.ts";
+
+function createStage(...after: number[]) {
+  return { pool: "p", after, resultBytes: 1 };
+}
+
+describe("plan of stages", () => {
+  it("starts a chain in order and knows what is behind each stage", () => {
+    const plan = planStages(
+      [createStage(), createStage(0), createStage(1)],
+      [200, 300, 400],
+    );
+    expect(plan).to.deep.equal([
+      { waitsFor: [], timeBehind: 700 },
+      { waitsFor: [0], timeBehind: 400 },
+      { waitsFor: [1, 0], timeBehind: 0 },
+    ]);
+  });
+
+  // Stage 0 makes results of megabytes beside a chain of three stages. Made
+  // first, they hold room through the whole chain; users of other requests wait
+  // for that room.
+  it("starts a stage beside a chain with the chain's last stage", () => {
+    const plan = planStages(
+      [createStage(), createStage(), createStage(1), createStage(2)],
+      [270, 220, 280, 280],
+    );
+    expect(plan[0]?.waitsFor).to.have.members([1, 2]);
+    expect(plan[3]?.waitsFor).to.have.members([1, 2]);
+    expect(plan[1]?.waitsFor).to.deep.equal([]);
+  });
+
+  it("starts a stage earlier that takes longer than the chain's end", () => {
+    const plan = planStages(
+      [createStage(), createStage(), createStage(1), createStage(2)],
+      [500, 220, 280, 280],
+    );
+    expect(plan[0]?.waitsFor).to.deep.equal([1]);
+  });
+
+  it("never waits in a circle", () => {
+    const plan = planStages([createStage(), createStage()], [200, 200]);
+    expect(plan.map(({ waitsFor }) => waitsFor)).to.deep.equal([[], []]);
+  });
+});
--- a/packages/peers/src/piece_protocol.ts
+++ b/packages/peers/src/piece_protocol.ts
@@ -32,6 +32,8 @@
   requestId: z.string(),
   /** 0 is the highest. */
   priority: z.number().int().min(0),
+  /** Milliseconds after which the request misses its latency objective. */
+  onTime: z.number(),
   /** Milliseconds after which the results are of no use. */
   remaining: z.number(),
   /** Where the results will be fetched to. */
--- a/packages/serving/src/piece_router.ts
+++ b/packages/serving/src/piece_router.ts
@@ -96,15 +96,18 @@
     for (let tried = 0; tried < MAX_FEEDERS; tried++) {
       const address = listFeeders(order.pool)[0];
       if (address === undefined) break;
-      const remaining = order.remaining - (clock.now() - startedAt);
-      const reply = await runAt(address, { ...order, remaining }, signal);
+      const left = shortenRun(order, clock.now() - startedAt);
+      const reply = await runAt(address, left, signal);
       if (reply.isOk) return reply;
       if (signal.aborted) return Result.err(failGivenUp());
+      // Out of time is no fault of the feeder, which is under load then.
+      if (clock.now() - startedAt >= order.remaining) {
+        return Result.ok(failAllLate(order));
+      }
       demoteFeeder(address, order.pool, reply.error.message);
     }
-    const remaining = order.remaining - (clock.now() - startedAt);
-    const feeder = findFeeder(order.pool);
-    return Result.ok(await feeder.run({ ...order, remaining }, signal));
+    const left = shortenRun(order, clock.now() - startedAt);
+    return Result.ok(await findFeeder(order.pool).run(left, signal));
   }
 
   async function runAt(
@@ -161,6 +164,16 @@
   return { run, release };
 }
 
+function failAllLate({ pieces }: PieceRun): PieceRunReply {
+  return { outcomes: pieces.map(() => ({ kind: "failed", reason: "late" })) };
+}
+
+/** The same run after some time has passed. */
+function shortenRun(run: PieceRun, passed: Millis): PieceRun {
+  const { onTime, remaining } = run;
+  return { ...run, onTime: onTime - passed, remaining: remaining - passed };
+}
+
 interface FeederWatch {
   /** Gives up each run that is with the feeder. */
   pending: Set<() => void>;
--- a/packages/serving/src/piece_router_test.ts
+++ b/packages/serving/src/piece_router_test.ts
@@ -15,6 +15,7 @@
   pool: "pool",
   requestId: "r",
   priority: 1,
+  onTime: 2_000,
   remaining: 8_000,
   resultBytes: 1,
   pieces: [{ stage: 0, piece: 0, source: { kind: "key", key: "k" } }],
--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { Deadline, Failure } from "@mangoreach/coordination";
+import type { Deadline, Failure, PoolSpec } from "@mangoreach/coordination";
 import { createDeadline, createFailure } from "@mangoreach/coordination";
 import type { Millis } from "@mangoreach/shared";
 import type { Result } from "true-myth";
@@ -68,13 +68,14 @@
 
 async function runAdmitted(
   state: ServingState,
-  { request, response }: ServedRequest,
+  served: ServedRequest,
   { admitted, deadline }: AdmittedWork,
 ): Promise<AttemptOutcome> {
+  const { request, response } = served;
   state.findBudget(admitted.pool).deposit();
   let results: StageResults | undefined;
   if (admitted.route.stages.length > 0) {
-    const made = await runStagesFirst(state, request, { admitted, deadline });
+    const made = await runStagesFirst(state, served, { admitted, deadline });
     if (made.isErr) {
       return {
         failure: explainStageFailure(made.error, deadline),
@@ -97,7 +98,7 @@
 /** Runs the stages near the engine that will probably serve the request. */
 function runStagesFirst(
   state: ServingState,
-  request: PassedRequest,
+  { request, receivedAt }: ServedRequest,
   { admitted, deadline }: AdmittedWork,
 ): Promise<Result<StageResults, Failure>> {
   const { clock, log, router } = state;
@@ -109,12 +110,24 @@
     route: admitted.route,
     head: request.head,
     priority: admitted.priority,
+    onTimeAt: receivedAt + admitted.route.objective - ENGINE_RESERVE,
     dueAt: deadline.at - ENGINE_RESERVE,
+    estimateStage: (pool, pieces) =>
+      estimateStage(admitted.table.findPool(pool), pieces),
+    readLifetime: (pool) =>
+      admitted.table.findPool(pool)?.batching?.resultLifetime ?? Infinity,
     place: likely?.place,
     signal: deadline.signal,
   });
 }
 
+/** Fewest calls that the pieces fit in, one after the other. */
+function estimateStage(pool: PoolSpec | undefined, pieces: number): Millis {
+  if (pool?.batching === undefined) return 0;
+  const { callTime, pieceTime, maxPieces } = pool.batching;
+  return Math.ceil(pieces / maxPieces) * callTime + pieces * pieceTime;
+}
+
 /** A stage that failed for the deadline or the caller is told as that. */
 function explainStageFailure(failure: Failure, deadline: Deadline): Failure {
   if (!deadline.hasPassed()) return { ...failure, retryAfterMs: 300 };
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -12,11 +12,17 @@
   BatchSpec,
   EndpointInfo,
   PieceBatcher,
+  PieceGroup,
   RetryBudget,
   WaitingPiece,
 } from "@mangoreach/coordination";
 import { createPieceBatcher } from "@mangoreach/coordination";
-import type { PieceOutcome, PieceRun, PieceRunReply } from "@mangoreach/peers";
+import type {
+  PieceOrder,
+  PieceOutcome,
+  PieceRun,
+  PieceRunReply,
+} from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { EndpointLoads } from "./endpoint_load.ts";
 import type {
@@ -91,7 +97,10 @@
   let isRecheckDue = false;
 
   function run(request: PieceRun, signal: AbortSignal): Promise<PieceRunReply> {
-    const pieces = request.pieces.map((order) => createPiece(request, order));
+    const group = { started: 0 };
+    const pieces = request.pieces.map((order) =>
+      createPiece({ request, order, group })
+    );
     const outcomes = Promise.all(pieces.map(({ promise }) => promise));
     const cancel = () => pieces.forEach(({ piece }) => cancelPiece(piece));
     signal.addEventListener("abort", cancel, { once: true });
@@ -104,11 +113,19 @@
     });
   }
 
-  function createPiece(request: PieceRun, order: PieceRun["pieces"][number]) {
+  function createPiece(
+    { request, order, group }: {
+      request: PieceRun;
+      order: PieceOrder;
+      group: PieceGroup;
+    },
+  ) {
     let settle: (outcome: PieceOutcome) => void = () => {};
     const promise = new Promise<PieceOutcome>((resolve) => settle = resolve);
     const piece: FeederPiece = {
       priority: request.priority,
+      group,
+      onTimeAt: clock.now() + request.onTime,
       dueAt: clock.now() + request.remaining,
       place: request.place,
       resultBytes: request.resultBytes,
@@ -155,7 +172,7 @@
   function dispatch(): void {
     const now = clock.now();
     dropLapsed(now);
-    for (const piece of batcher.dropLate(now)) {
+    for (const piece of batcher.dropLate(now, options.listEndpoints().length)) {
       log.record("piece_dropped", {
         request: piece.order.requestId,
         pool,
@@ -165,7 +182,7 @@
       piece.settle({ kind: "failed", reason: "late" });
     }
     for (;;) {
-      const call = batcher.planCall(listFeedings());
+      const call = batcher.planCall(listFeedings(), now);
       if (call === undefined) break;
       void runCall(call.endpoint, call.pieces);
     }
--- a/packages/serving/src/stage_feeder_test.ts
+++ b/packages/serving/src/stage_feeder_test.ts
@@ -12,6 +12,7 @@
     pool: "pool",
     requestId,
     priority: 1,
+    onTime: 2_000,
     remaining: 5_000,
     resultBytes: 100,
     pieces: Array.from({ length: count }, (_, piece) => ({
--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Failure, Route, RouteStage } from "@mangoreach/coordination";
-import { createFailure } from "@mangoreach/coordination";
+import { createFailure, planStages } from "@mangoreach/coordination";
 import type { PieceOutcome, PieceSource } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
 import { Result } from "true-myth";
@@ -21,8 +21,14 @@
   route: Route;
   head: RequestHead;
   priority: number;
-  /** When the results have to be there. */
+  /** When the results have to be there for the latency objective. */
+  onTimeAt: Millis;
+  /** When the results have to be there at all. */
   dueAt: Millis;
+  /** How long a stage takes for this many pieces, without waiting. */
+  estimateStage: (pool: string, pieces: number) => Millis;
+  /** How long a pool's endpoints keep results. */
+  readLifetime: (pool: string) => Millis;
   /** Where the results will be fetched to. */
   place: string | undefined;
   signal: AbortSignal;
@@ -42,12 +48,21 @@
 ): Promise<Result<StageResults, Failure>> {
   const { clock, log, route, head, router } = options;
   const { stages } = route;
+  const plan = planStages(
+    stages,
+    stages.map(({ pool }, number) => {
+      const count = head.pieceCounts[number] ?? 0;
+      return count === 0 ? 0 : options.estimateStage(pool, count);
+    }),
+  );
   const controller = new AbortController();
   const abort = () => controller.abort();
   options.signal.addEventListener("abort", abort, { once: true });
   if (options.signal.aborted) abort();
   const made = new Map<number, readonly string[]>();
   const finished = new Set<number>();
+  /** When the results of a stage lapse at their makers. */
+  const lapses = new Map<number, Millis>();
   const running = new Map<number, Promise<Result<string[], Failure>>>();
 
   function startStage(number: number): Promise<Result<string[], Failure>> {
@@ -63,12 +78,11 @@
     if (stage === undefined) {
       return Result.err(failStage(number, "the route has no such stage"));
     }
-    const needed = await Promise.all(stage.after.map(startStage));
-    const inputs: string[] = [];
-    for (const result of needed) {
-      if (result.isErr) return Result.err(result.error);
-      inputs.push(...result.value);
-    }
+    const waitsFor = plan[number]?.waitsFor ?? stage.after;
+    const earlier = await Promise.all(waitsFor.map(startStage));
+    const failed = earlier.find((result) => result.isErr);
+    if (failed?.isErr) return Result.err(failed.error);
+    const inputs = stage.after.flatMap((needed) => made.get(needed) ?? []);
     return await runPieces(number, stage, inputs);
   }
 
@@ -83,11 +97,17 @@
       ? { kind: "key", key: head.pieceKey ?? "" }
       : { kind: "results", results: inputs };
     const startedAt = clock.now();
+    const timeBehind = plan[number]?.timeBehind ?? 0;
+    const usableUntil = Math.min(
+      options.dueAt - timeBehind,
+      ...stage.after.map((needed) => lapses.get(needed) ?? Infinity),
+    );
     const reply = await router.run({
       pool: stage.pool,
       requestId: head.id,
       priority: options.priority,
-      remaining: options.dueAt - startedAt,
+      onTime: options.onTimeAt - timeBehind - startedAt,
+      remaining: usableUntil - startedAt,
       ...(options.place === undefined ? {} : { place: options.place }),
       resultBytes: stage.resultBytes,
       pieces: Array.from({ length: count }, (_, piece) => ({
@@ -102,6 +122,7 @@
       outcome.kind === "done" ? [outcome.result] : []
     );
     made.set(number, results);
+    lapses.set(number, clock.now() + options.readLifetime(stage.pool));
     finished.add(number);
     releaseUsed();
     const failed = findFailure(outcomes, count);
--- a/packages/serving/src/stage_graph_test.ts
+++ b/packages/serving/src/stage_graph_test.ts
@@ -15,7 +15,7 @@
 ];
 
 describe("stage graph", () => {
-  function create(pieceCounts: number[]) {
+  function create(pieceCounts: number[], { dueAt = 5_000 } = {}) {
     const runs: (PieceRun & { end: (reply: PieceRunReply) => void })[] = [];
     const released: string[] = [];
     const stage = (number: number) =>
@@ -43,7 +43,10 @@
       route: createTestRoute({ stages: STAGES }),
       head: createTestHead({ pieceCounts }),
       priority: 1,
-      dueAt: 5_000,
+      onTimeAt: 2_000,
+      dueAt,
+      estimateStage: () => 300,
+      readLifetime: () => 4_000,
       place: "here",
       signal: new AbortController().signal,
     });
@@ -53,12 +56,13 @@
   it("gives each stage all results of the stages it needs", async () => {
     const { stage, finish, outcome } = create([1, 2, 1, 2]);
     await settlePromises();
-    expect(stage(0)?.pieces[0]?.source)
+    expect(stage(1)?.pieces[0]?.source)
       .to.deep.equal({ kind: "key", key: "key-1" });
     expect(stage(2)).to.equal(undefined);
     await finish(1);
     expect(stage(2)?.pieces[0]?.source)
       .to.deep.equal({ kind: "results", results: ["1.0", "1.1"] });
+    expect(stage(0)).to.equal(undefined);
     await finish(2);
     await finish(3);
     await finish(0);
@@ -78,6 +82,15 @@
     expect(released).to.deep.equal(["1.0", "1.1"]);
   });
 
+  // A queue grows while a request has results in it. They lapse at their maker
+  // before the request's deadline; a call with lapsed inputs is wasted.
+  it("lets no stage wait longer than its inputs are kept", async () => {
+    const { stage, finish } = create([0, 1, 1, 1], { dueAt: 60_000 });
+    await settlePromises();
+    await finish(1);
+    expect(stage(2)?.remaining).to.equal(4_000);
+  });
+
   it("leaves out stages without pieces", async () => {
     const { runs, outcome } = create([0, 0, 0, 0]);
     const results = await outcome;
@@ -88,11 +101,13 @@
   it("frees everything after a failure, which has not run", async () => {
     const { released, finish, stage, outcome } = create([1, 1, 1, 1]);
     await settlePromises();
+    await finish(1);
+    await finish(2);
     await finish(0);
-    stage(1)?.end({ outcomes: [{ kind: "failed", reason: "late" }] });
+    stage(3)?.end({ outcomes: [{ kind: "failed", reason: "late" }] });
     const results = await outcome;
     expect(results.isErr && results.error.verdict).to.equal("not_run");
-    expect(released).to.include("0.0");
+    expect(released).to.have.members(["0.0", "1.0", "2.0"]);
   });
 
   it("does not take an answer in part for a whole one", async () => {
--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -7,9 +7,10 @@
 import type { Buffer } from "node:buffer";
 import { Buffer as NodeBuffer } from "node:buffer";
 import type { Readable } from "node:stream";
+import { Readable as NodeReadable } from "node:stream";
 import { Result } from "true-myth";
 import type { Dispatcher } from "undici";
-import { Agent, request } from "undici";
+import { Agent, buildConnector, Client, request } from "undici";
 import type { Millis } from "./clock.ts";
 import { parseJson } from "./http_server.ts";
 
@@ -101,8 +102,7 @@
   }: Partial<HttpClientOptions> = {},
 ): HttpClient {
   const agent = new Agent({
-    // undici closes a connection after each call when nothing is pipelined.
-    pipelining: connections === "kept" ? 1 : 0,
+    pipelining: 1,
     keepAliveTimeout: KEEP_ALIVE,
     connectTimeout: connectTimeoutMs,
     // Deadlines are kept by abort signals, which also cover what undici's own
@@ -117,13 +117,21 @@
     if (call.signal?.aborted) {
       return Result.err({ kind: "aborted", sent: "no", message: "given up" });
     }
+    const link = connections === "single"
+      ? createSingleLink(call.address, connectTimeoutMs)
+      : undefined;
     try {
       const { statusCode, headers, body } = await request(
         `http://${call.address}${call.path}`,
-        createRequestOptions(call, agent),
+        createRequestOptions(call, link?.dispatcher ?? agent),
       );
-      return Result.ok({ status: statusCode, headers, body });
+      return Result.ok({
+        status: statusCode,
+        headers,
+        body: link === undefined ? body : link.guard(body),
+      });
     } catch (error) {
+      void link?.dispatcher.destroy();
       return Result.err(classifyError(error, call.signal));
     }
   }
@@ -144,6 +152,60 @@
   return { call, callStream, close: () => agent.destroy() };
 }
 
+/** A connection for one call, which knows how it ended. */
+interface SingleLink {
+  dispatcher: Client;
+  /** The body, which fails if the connection was reset. */
+  guard(body: Readable): Readable;
+}
+
+/**
+ * undici takes a reset for the end of an answer where the connection is not to
+ * be kept: half an answer without a length would look whole. So the socket is
+ * watched from before undici sees it, and the body fails after a reset.
+ */
+function createSingleLink(address: string, timeout: Millis): SingleLink {
+  const connect = buildConnector({ timeout });
+  let isReset = false;
+  const dispatcher = new Client(`http://${address}`, {
+    pipelining: 0,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect(options, callback) {
+      connect(options, (...outcome) => {
+        outcome[1]?.on("error", (error: Error) => {
+          // undici's own errors, such as for a plain close, come from no call
+          // of the system.
+          if ("syscall" in error) isReset = true;
+        });
+        callback(...outcome);
+      });
+    },
+  });
+
+  async function* read(body: Readable) {
+    try {
+      yield* body as AsyncIterable<Buffer>;
+      if (isReset) throw new Error("the connection was reset");
+    } finally {
+      void dispatcher.destroy();
+    }
+  }
+
+  function guard(body: Readable): Readable {
+    const guarded = NodeReadable.from(read(body), { objectMode: false });
+    // A body that nobody begins to read never enters the generator.
+    guarded.once("close", () => {
+      body.on("error", () => {});
+      body.destroy();
+      void dispatcher.destroy();
+    });
+    return guarded;
+  }
+
+  return { dispatcher, guard };
+}
+
 function createRequestOptions(
   { method, headers, body, signal }: HttpCall,
   dispatcher: Dispatcher,
