test(shared): the reset follows the bytes that the test has read

Cause: reset at once, the kernel of a test machine may tell a plain end instead, and the test failed by chance. Change: the server ends the connection when the client has read its bytes; as strict as before.

--- a/packages/shared/src/http_client_test.ts
+++ b/packages/shared/src/http_client_test.ts
@@ -1,28 +1,35 @@
 import type { Buffer } from "node:buffer";
-import type { AddressInfo, Server } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
 import { createServer } from "node:net";
 import { expect } from "chai";
 import { createHttpClient, readBodyBytes } from "./http_client.ts";
 
 type Ending = "close" | "reset";
 
-/** Answers the first call with raw bytes, then ends the connection. */
-async function startRawServer(text: string, ending: Ending): Promise<Server> {
+interface RawServer {
+  server: Server;
+  /** Ends the connection; to be called when its bytes were read. */
+  end(ending: Ending): void;
+}
+
+/** Answers the first call with raw bytes and keeps the connection open. */
+async function startRawServer(text: string): Promise<RawServer> {
+  let connection: Socket | undefined;
   const server = createServer((socket) => {
+    connection = socket;
     socket.on("error", () => {});
-    socket.once("data", () => {
-      socket.write(text, () => {
-        // The reset follows the bytes; both are read before it is seen.
-        setImmediate(() =>
-          ending === "close" ? socket.end() : socket.resetAndDestroy()
-        );
-      });
-    });
+    socket.once("data", () => socket.write(text));
   });
   await new Promise<void>((resolve) =>
     server.listen(0, "127.0.0.1", () => resolve())
   );
-  return server;
+  return {
+    server,
+    end: (ending) =>
+      void (ending === "close"
+        ? connection?.end()
+        : connection?.resetAndDestroy()),
+  };
 }
 
 const UNFRAMED = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf";
@@ -36,15 +43,24 @@
   after(() => http.close());
 
   async function read(text: string, ending: Ending) {
-    const server = await startRawServer(text, ending);
+    const { server, end } = await startRawServer(text);
     const { address, port } = server.address() as AddressInfo;
     const reply = await http.callStream({
       method: "GET",
       address: `${address}:${port}`,
       path: "/",
     });
+    async function* readAndEnd(body: AsyncIterable<Buffer>) {
+      for await (const chunk of body) {
+        yield chunk;
+        end(ending);
+      }
+    }
     const body = reply.isOk
-      ? await readBodyBytes(reply.value.body as AsyncIterable<Buffer>, 100)
+      ? await readBodyBytes(
+        readAndEnd(reply.value.body as AsyncIterable<Buffer>),
+        100,
+      )
       : undefined;
     server.close();
     return body?.toString();
