fix(shared): a reset that comes with the last bytes is told from a plain end

Ruled out: a shutdown as probe (Node hides its result), small read buffers (undici reads by its own). Change: at the end of a connection two bytes are written; one that was reset refuses them. The sockets stay half open for it.

--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -6,6 +6,7 @@
  */
 import type { Buffer } from "node:buffer";
 import { Buffer as NodeBuffer } from "node:buffer";
+import type { Socket } from "node:net";
 import type { Readable } from "node:stream";
 import { Readable as NodeReadable } from "node:stream";
 import { Result } from "true-myth";
@@ -81,6 +82,8 @@
   close(): Promise<void>;
 }
 
+/** An empty line between requests, which servers pass over. */
+const PROBE = "\r\n";
 const KEEP_ALIVE: Millis = 4_000;
 /** Error codes that are raised before anything is written. */
 const NOT_SENT_CODES = new Set([
@@ -160,24 +163,47 @@
 }
 
 /**
- * undici takes a reset for the end of an answer where the connection is not to
- * be kept: half an answer without a length would look whole. So the socket is
- * watched from before undici sees it, and the body fails after a reset.
+ * An answer without a length ends with its connection, and half of it would look
+ * whole after a reset. undici takes a reset for the end where the connection is
+ * not to be kept; and libuv tells a plain end if the reset is there with the
+ * last bytes. So the socket is watched from before undici sees it, and at its
+ * end two bytes are written, which only a connection that was closed in order
+ * still takes.
  */
 function createSingleLink(address: string, timeout: Millis): SingleLink {
   const connect = buildConnector({ timeout });
   let isReset = false;
+  let probe: Promise<void> | undefined;
+
+  function watchSocket(socket: Socket): void {
+    // Or the socket's own end would refuse the probe.
+    socket.allowHalfOpen = true;
+    socket.on("error", noteError);
+    socket.once("end", () => {
+      probe = new Promise((resolve) =>
+        socket.write(PROBE, (error) => {
+          if (error) noteError(error);
+          resolve();
+        })
+      );
+    });
+  }
+
+  function noteError(error: Error): void {
+    // undici's own errors, such as for a plain close, come from no call of the
+    // system.
+    if ("syscall" in error) isReset = true;
+  }
+
   const dispatcher = new Client(`http://${address}`, {
     pipelining: 0,
     headersTimeout: 0,
     bodyTimeout: 0,
     connect(options, callback) {
       connect(options, (...outcome) => {
-        outcome[1]?.on("error", (error: Error) => {
-          // undici's own errors, such as for a plain close, come from no call
-          // of the system.
-          if ("syscall" in error) isReset = true;
-        });
+        const [, socket] = outcome;
+        // Absent after a failure, whatever the types say.
+        if (socket) watchSocket(socket);
         callback(...outcome);
       });
     },
@@ -186,6 +212,7 @@
   async function* read(body: Readable) {
     try {
       yield* body as AsyncIterable<Buffer>;
+      await probe;
       if (isReset) throw new Error("the connection was reset");
     } finally {
       void dispatcher.destroy();
