perf(serving): stages order requests by the route's priority within accounts of one priority

Ruled out: leaks of room (oldest result at an endpoint is logged now: median 0.3 s), ejections (none). Change: rank = account's priority, then the route's; results of a request that was given up halfway are freed.

--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -96,7 +96,7 @@
   }
 
   /** Lateness and started groups change with time, so the order does. */
-  function sortWaiting(now: Millis, { callTime, pieceTime }: BatchSpec): void {
+  function refreshOrder(now: Millis, { callTime, pieceTime }: BatchSpec): void {
     const isLate = (piece: P) => now + callTime + pieceTime > piece.onTimeAt;
     const ranked = waiting.map((piece) => ({ piece, late: isLate(piece) }));
     ranked.sort((a, b) =>
@@ -113,7 +113,7 @@
   function dropLate(now: Millis, endpointCount: number): P[] {
     const spec = readSpec();
     const { callTime, pieceTime } = spec;
-    sortWaiting(now, spec);
+    refreshOrder(now, spec);
     const timeEach = endpointCount === 0
       ? 0
       : computeFullCall(spec) / (spec.maxPieces * spec.slots * endpointCount);
@@ -135,7 +135,7 @@
     const spec = readSpec();
     const free = listFast(endpoints.filter(({ calls }) => calls < spec.slots));
     if (free.length === 0) return undefined;
-    sortWaiting(now, spec);
+    refreshOrder(now, spec);
     const places = new Set(endpoints.map(({ info }) => info.place));
     for (const first of waiting) {
       if (mayWaitForNear(first, { free, places, now, spec })) continue;
--- a/packages/serving/src/attempt_loop_test.ts
+++ b/packages/serving/src/attempt_loop_test.ts
@@ -119,6 +119,7 @@
       pool: "pool",
       account: undefined,
       priority: 1,
+      rank: 17,
     },
     deadline: createDeadline({ clock, budget: 4_000 }),
     results: undefined,
--- a/packages/serving/src/piece_router.ts
+++ b/packages/serving/src/piece_router.ts
@@ -96,7 +96,7 @@
     for (let tried = 0; tried < MAX_FEEDERS; tried++) {
       const address = listFeeders(order.pool)[0];
       if (address === undefined) break;
-      const left = shortenRun(order, clock.now() - startedAt);
+      const left = computeRest(order, clock.now() - startedAt);
       const reply = await runAt(address, left, signal);
       if (reply.isOk) return reply;
       if (signal.aborted) return Result.err(failGivenUp());
@@ -106,7 +106,7 @@
       }
       demoteFeeder(address, order.pool, reply.error.message);
     }
-    const left = shortenRun(order, clock.now() - startedAt);
+    const left = computeRest(order, clock.now() - startedAt);
     return Result.ok(await findFeeder(order.pool).run(left, signal));
   }
 
@@ -169,7 +169,7 @@
 }
 
 /** The same run after some time has passed. */
-function shortenRun(run: PieceRun, passed: Millis): PieceRun {
+function computeRest(run: PieceRun, passed: Millis): PieceRun {
   const { onTime, remaining } = run;
   return { ...run, onTime: onTime - passed, remaining: remaining - passed };
 }
--- a/packages/serving/src/request_admission.ts
+++ b/packages/serving/src/request_admission.ts
@@ -26,8 +26,16 @@
   account: string | undefined;
   /** 0 is the highest. */
   priority: number;
+  /**
+   * The order at stages, 0 first: by priority, and among the requests of
+   * accounts of one priority by that of their routes.
+   */
+  rank: number;
 }
 
+/** Priorities of routes that are told apart within one of an account. */
+const ROUTE_PRIORITIES = 16;
+
 /** A caller that comes back this much later may find another entry. */
 const RETRY_AFTER_STALE: Millis = 300;
 
@@ -56,7 +64,15 @@
   const { accounts } = table.config;
   if (accounts === undefined || route.isPublic) {
     const { priority } = route;
-    return Result.ok({ route, table, pool, account: undefined, priority });
+    const rank = computeRank(priority, priority);
+    return Result.ok({
+      route,
+      table,
+      pool,
+      account: undefined,
+      priority,
+      rank,
+    });
   }
   if (isStale) return Result.err(failStale("the keys known here are old"));
   const account = head.key === undefined
@@ -64,7 +80,13 @@
     : table.findAccount(head.key);
   if (account === undefined) return Result.err(failUnauthorized());
   const priority = account.priority ?? route.priority;
-  return Result.ok({ route, table, pool, account: account.name, priority });
+  const rank = computeRank(priority, route.priority);
+  const { name } = account;
+  return Result.ok({ route, table, pool, account: name, priority, rank });
+}
+
+function computeRank(priority: number, ofRoute: number): number {
+  return priority * ROUTE_PRIORITIES + Math.min(ROUTE_PRIORITIES - 1, ofRoute);
 }
 
 function readPath(target: string): string {
--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -109,7 +109,7 @@
     router,
     route: admitted.route,
     head: request.head,
-    priority: admitted.priority,
+    rank: admitted.rank,
     onTimeAt: receivedAt + admitted.route.objective - ENGINE_RESERVE,
     dueAt: deadline.at - ENGINE_RESERVE,
     estimateStage: (pool, pieces) =>
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -64,6 +64,8 @@
   avoid: Set<string>;
   attempts: number;
   isCancelled: boolean;
+  /** Where its result lies once it is made. */
+  result: string | undefined;
   settle(outcome: PieceOutcome): void;
 }
 
@@ -102,7 +104,11 @@
       createPiece({ request, order, group })
     );
     const outcomes = Promise.all(pieces.map(({ promise }) => promise));
-    const cancel = () => pieces.forEach(({ piece }) => cancelPiece(piece));
+    const cancel = () => {
+      pieces.forEach(({ piece }) => cancelPiece(piece));
+      // Nobody will take the results that are there already.
+      release(pieces.flatMap(({ piece }) => piece.result ?? []));
+    };
     signal.addEventListener("abort", cancel, { once: true });
     for (const { piece } of pieces) batcher.add(piece);
     if (signal.aborted) cancel();
@@ -133,6 +139,7 @@
       order: { ...order, requestId: request.requestId, remaining: 0 },
       attempts: 0,
       isCancelled: false,
+      result: undefined,
       settle,
     };
     return { piece, promise };
@@ -240,6 +247,7 @@
       requests: pieces.map(({ order }) => order.requestId),
       pieces: pieces.length,
       roomTaken: feeding.roomTaken,
+      oldestResult: readOldestResult(info, clock.now()),
       waiting: batcher.size,
       took,
       expected,
@@ -248,6 +256,16 @@
     dispatch();
   }
 
+  /** The age of the oldest result that is still held at an endpoint. */
+  function readOldestResult({ id }: EndpointInfo, now: Millis): Millis {
+    let oldest = now;
+    for (const { endpointId, lapsesAt } of held.values()) {
+      if (endpointId !== id) continue;
+      oldest = Math.min(oldest, lapsesAt - readSpec().resultLifetime);
+    }
+    return now - oldest;
+  }
+
   function takeReply(
     feeding: Feeding,
     { pieces, reply, ratio }: {
@@ -285,8 +303,9 @@
         lapsesAt: clock.now() + readSpec().resultLifetime,
       });
       // Nobody waits for it any more, but it takes room at its maker.
-      if (piece.isCancelled) release([result.result]);
-      else piece.settle(result);
+      if (piece.isCancelled) return release([result.result]);
+      piece.result = result.result;
+      piece.settle(result);
       return;
     }
     feeding.roomTaken -= piece.resultBytes;
--- a/packages/serving/src/stage_feeder_test.ts
+++ b/packages/serving/src/stage_feeder_test.ts
@@ -139,6 +139,18 @@
     expect(stages.released).to.deep.equal(["e1/a.0.0"]);
   });
 
+  // Half of a request's pieces are made when its caller leaves. The reply with
+  // their results reaches nobody, so nobody would free them.
+  it("frees the results of a request that was given up halfway", async () => {
+    const { feeder, stages } = create("e1");
+    const caller = new AbortController();
+    void feeder.run(createRun("a", 5), caller.signal);
+    stages.calls[0]?.finish();
+    await settlePromises();
+    caller.abort();
+    expect(stages.released.length).to.equal(4);
+  });
+
   it("drops waiting pieces of a caller that has left", async () => {
     const { feeder, stages, signal } = create("e1");
     void feeder.run(createRun("a", 1), signal);
--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -20,7 +20,8 @@
   router: PieceRouter;
   route: Route;
   head: RequestHead;
-  priority: number;
+  /** The order at stages, 0 first. */
+  rank: number;
   /** When the results have to be there for the latency objective. */
   onTimeAt: Millis;
   /** When the results have to be there at all. */
@@ -105,7 +106,7 @@
     const reply = await router.run({
       pool: stage.pool,
       requestId: head.id,
-      priority: options.priority,
+      priority: options.rank,
       onTime: options.onTimeAt - timeBehind - startedAt,
       remaining: usableUntil - startedAt,
       ...(options.place === undefined ? {} : { place: options.place }),
--- a/packages/serving/src/stage_graph_test.ts
+++ b/packages/serving/src/stage_graph_test.ts
@@ -42,7 +42,7 @@
       },
       route: createTestRoute({ stages: STAGES }),
       head: createTestHead({ pieceCounts }),
-      priority: 1,
+      rank: 1,
       onTimeAt: 2_000,
       dueAt,
       estimateStage: () => 300,
--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -131,7 +131,7 @@
       return Result.ok({
         status: statusCode,
         headers,
-        body: link === undefined ? body : link.guard(body),
+        body: link === undefined ? body : link.createGuarded(body),
       });
     } catch (error) {
       void link?.dispatcher.destroy();
@@ -159,7 +159,7 @@
 interface SingleLink {
   dispatcher: Client;
   /** The body, which fails if the connection was reset. */
-  guard(body: Readable): Readable;
+  createGuarded(body: Readable): Readable;
 }
 
 /**
@@ -219,7 +219,7 @@
     }
   }
 
-  function guard(body: Readable): Readable {
+  function createGuarded(body: Readable): Readable {
     const guarded = NodeReadable.from(read(body), { objectMode: false });
     // A body that nobody begins to read never enters the generator.
     guarded.once("close", () => {
@@ -230,7 +230,7 @@
     return guarded;
   }
 
-  return { dispatcher, guard };
+  return { dispatcher, createGuarded };
 }
 
 function createRequestOptions(
