fix(serving): a full maker makes pieces wait, repeats are earned, and a piece never waits for endpoints that are out of use

Ruled out: crashed endpoints alone (others of the pool were free). Change: each piece deposits; full makers get nothing for half a call and the piece waits; endpoints that failed a piece are taken again when the others are out of use, and slowness is judged among those that fit.

--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -133,7 +133,7 @@
     now: Millis,
   ): PlannedCall<P, E> | undefined {
     const spec = readSpec();
-    const free = listFast(endpoints.filter(({ calls }) => calls < spec.slots));
+    const free = endpoints.filter(({ calls }) => calls < spec.slots);
     if (free.length === 0) return undefined;
     refreshOrder(now, spec);
     const places = new Set(endpoints.map(({ info }) => info.place));
@@ -172,9 +172,11 @@
     piece: P,
     { free, spec }: { free: readonly E[]; spec: BatchSpec },
   ): E | undefined {
-    const fitting = free.filter(({ info, roomTaken }) =>
-      !piece.avoid.has(info.id) &&
-      hasRoom(piece, { roomTaken, roomLeft: spec.roomBytes - roomTaken })
+    const fitting = listFast(
+      free.filter(({ info, roomTaken }) =>
+        !piece.avoid.has(info.id) &&
+        hasRoom(piece, { roomTaken, roomLeft: spec.roomBytes - roomTaken })
+      ),
     );
     const near = fitting.filter(({ info }) => info.place === piece.place);
     return findEmptiest(near.length > 0 ? near : fitting);
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -24,7 +24,7 @@
   PieceRunReply,
 } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
-import type { EndpointLoads } from "./endpoint_load.ts";
+import type { EndpointLoad, EndpointLoads } from "./endpoint_load.ts";
 import type {
   CalledPiece,
   StageEndpoints,
@@ -79,6 +79,8 @@
 interface Feeding extends BatchEndpoint {
   calls: number;
   roomTaken: number;
+  /** It said that it is full or has no room; until then it gets nothing. */
+  blockedUntil: Millis;
 }
 
 /** A piece that failed this often fails for good. */
@@ -86,6 +88,8 @@
 /** A call is given up after this many times what it should take, and more. */
 const CALL_TIMEOUT_FACTOR = 6;
 const CALL_TIMEOUT_SLACK: Millis = 1_000;
+/** An endpoint that is full has room again after about half a call. */
+const BLOCK_TIME: Millis = 150;
 /** How soon waiting pieces are looked at again when no endpoint was free. */
 const RECHECK_INTERVAL: Millis = 50;
 
@@ -110,7 +114,10 @@
       release(pieces.flatMap(({ piece }) => piece.result ?? []));
     };
     signal.addEventListener("abort", cancel, { once: true });
-    for (const { piece } of pieces) batcher.add(piece);
+    for (const { piece } of pieces) {
+      batcher.add(piece);
+      budget.deposit();
+    }
     if (signal.aborted) cancel();
     dispatch();
     return outcomes.then((list) => {
@@ -151,22 +158,27 @@
     piece.settle({ kind: "failed", reason: "late" });
   }
 
-  function listFeedings(): Feeding[] {
+  function listInUse(): EndpointLoad[] {
     const usable = loads.view(options.listEndpoints());
     const healthy = usable.filter(({ health }) => !health.isEjected());
     // With all out of use any endpoint is better than none.
-    const inUse = healthy.length > 0 ? healthy : usable;
-    const ids = new Set(usable.map(({ info }) => info.id));
+    return healthy.length > 0 ? healthy : usable;
+  }
+
+  function listFeedings(): Feeding[] {
+    const inUse = listInUse();
+    const ids = new Set(options.listEndpoints().map(({ id }) => id));
     for (const [id, { calls }] of feedings) {
       if (calls === 0 && !ids.has(id)) feedings.delete(id);
     }
+    const now = clock.now();
     return inUse.map(({ info, slowness }) => {
       const known = feedings.get(info.id);
       const feeding: Feeding = known ??
-        { info, calls: 0, roomTaken: 0, slowness };
+        { info, calls: 0, roomTaken: 0, slowness, blockedUntil: 0 };
       feedings.set(info.id, feeding);
       return Object.assign(feeding, { info, slowness });
-    });
+    }).filter(({ blockedUntil }) => blockedUntil <= now);
   }
 
   /** An entry that died frees nothing; its results lapse at their makers. */
@@ -284,9 +296,11 @@
       return;
     }
     loads.end(info, reply.kind === "invalid" ? "failing" : "neutral");
+    const isFull = reply.kind === "not_run" && reply.reason === "full";
     for (const piece of pieces) {
       feeding.roomTaken -= piece.resultBytes;
-      tryAgain(piece, info, "unavailable");
+      if (isFull) waitForRoom(feeding, piece);
+      else tryAgain(piece, info, "unavailable");
     }
   }
 
@@ -312,18 +326,31 @@
     const reason = result?.reason ?? "error";
     if (reason === "late" || reason === "input_gone") {
       piece.settle({ kind: "failed", reason });
-    } else tryAgain(piece, feeding.info, reason);
+    } else if (reason === "no_room") waitForRoom(feeding, piece);
+    else tryAgain(piece, feeding.info, reason);
+  }
+
+  /**
+   * Results of another feeder, or of an entry that died, take room that is not
+   * counted here. Nothing ran, so the piece waits like any other.
+   */
+  function waitForRoom(feeding: Feeding, piece: FeederPiece): void {
+    feeding.blockedUntil = clock.now() + BLOCK_TIME;
+    if (piece.isCancelled) return;
+    if (budget.withdraw()) batcher.add(piece);
+    else piece.settle({ kind: "failed", reason: "no_room" });
   }
 
   function tryAgain(
     piece: FeederPiece,
     { id }: EndpointInfo,
-    reason: "no_room" | "error" | "unavailable",
+    reason: "error" | "unavailable",
   ): void {
     if (piece.isCancelled) return;
     piece.avoid.add(id);
-    const others = options.listEndpoints()
-      .filter((endpoint) => !piece.avoid.has(endpoint.id));
+    // With the others out of use, the endpoint that failed it is better than
+    // none.
+    const others = listInUse().filter(({ info }) => !piece.avoid.has(info.id));
     if (others.length === 0) piece.avoid.clear();
     if (piece.attempts >= MAX_ATTEMPTS || !budget.withdraw()) {
       return piece.settle({ kind: "failed", reason });
