--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -177,6 +177,7 @@
   BatchEndpoint,
   PieceBatcher,
   PieceGroup,
+  PieceWaits,
   PlannedCall,
   WaitingPiece,
 } from "./piece_batcher.ts";
@@ -184,4 +185,4 @@
 export type { EngineView, PromptPart } from "./engine_choice.ts";
 export { listEnginesFor } from "./engine_choice.ts";
 export type { PlannedStage } from "./stage_plan.ts";
-export { planStages } from "./stage_plan.ts";
+export { computeStageTime, planStages } from "./stage_plan.ts";
--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -58,6 +58,14 @@
   pieces: P[];
 }
 
+/** Expected times until a new piece is in a call. */
+export interface PieceWaits {
+  /** For one that can still meet its objective. */
+  onTime: Millis;
+  /** For one that cannot, and goes behind all that can. */
+  late: Millis;
+}
+
 /** The pieces that wait at one feeder for endpoints of one pool. */
 export interface PieceBatcher<P extends WaitingPiece> {
   readonly size: number;
@@ -73,8 +81,11 @@
     endpoints: readonly E[],
     now: Millis,
   ): PlannedCall<P, E> | undefined;
-  /** Expected time until a new piece of this priority is in a call. */
-  estimateWait(priority: number, endpointCount: number): Millis;
+  /** Expected times until a new piece of this priority is in a call. */
+  estimateWaits(
+    priority: number,
+    { now, endpointCount }: { now: Millis; endpointCount: number },
+  ): PieceWaits;
 }
 
 /** An endpoint this many times slower than the fastest free one waits. */
@@ -96,9 +107,11 @@
   }
 
   /** Lateness and started groups change with time, so the order does. */
-  function refreshOrder(now: Millis, { callTime, pieceTime }: BatchSpec): void {
-    const isLate = (piece: P) => now + callTime + pieceTime > piece.onTimeAt;
-    const ranked = waiting.map((piece) => ({ piece, late: isLate(piece) }));
+  function refreshOrder(now: Millis, spec: BatchSpec): void {
+    const ranked = waiting.map((piece) => ({
+      piece,
+      late: isLate(piece, { now, spec }),
+    }));
     ranked.sort((a, b) =>
       Number(a.late) - Number(b.late) || comparePieces(a.piece, b.piece)
     );
@@ -204,12 +217,20 @@
     return chosen;
   }
 
-  function estimateWait(priority: number, endpointCount: number): Millis {
-    if (endpointCount === 0) return Infinity;
+  function estimateWaits(
+    priority: number,
+    { now, endpointCount }: { now: Millis; endpointCount: number },
+  ): PieceWaits {
     const spec = readSpec();
-    const ahead = waiting.filter((piece) => piece.priority <= priority).length;
-    return ahead * computeFullCall(spec) /
-      (spec.maxPieces * spec.slots * endpointCount);
+    const timeEach = computeFullCall(spec) /
+      (spec.maxPieces * spec.slots * Math.max(1, endpointCount));
+    const ahead = waiting.filter((piece) =>
+      piece.priority <= priority && !isLate(piece, { now, spec })
+    );
+    return {
+      onTime: ahead.length * timeEach,
+      late: waiting.length * timeEach,
+    };
   }
 
   return {
@@ -220,7 +241,7 @@
     remove,
     dropLate,
     planCall,
-    estimateWait,
+    estimateWaits,
   };
 }
 
@@ -230,6 +251,14 @@
   return callTime + maxPieces * pieceTime;
 }
 
+/** Whether a call that starts now is too late for the objective. */
+function isLate(
+  { onTimeAt }: WaitingPiece,
+  { now, spec }: { now: Millis; spec: BatchSpec },
+): boolean {
+  return now + spec.callTime + spec.pieceTime > onTimeAt;
+}
+
 function comparePieces(a: WaitingPiece, b: WaitingPiece): number {
   const byStart = Number(b.group.started > 0) - Number(a.group.started > 0);
   return a.priority - b.priority || byStart || a.onTimeAt - b.onTimeAt;
--- a/packages/coordination/src/stage_plan.ts
+++ b/packages/coordination/src/stage_plan.ts
@@ -62,3 +62,15 @@
     return { waitsFor, timeBehind: computeBehind(number) };
   });
 }
+
+/** Time from the start of a request to the end of its last stage. */
+export function computeStageTime(
+  stages: readonly RouteStage[],
+  durations: readonly Millis[],
+): Millis {
+  const plan = planStages(stages, durations);
+  const times = plan.map(({ timeBehind }, number) =>
+    (durations[number] ?? 0) + timeBehind
+  );
+  return Math.max(0, ...times);
+}
--- a/packages/peers/src/piece_protocol.ts
+++ b/packages/peers/src/piece_protocol.ts
@@ -61,6 +61,8 @@
 /** The outcomes of a run, in the order of its pieces. */
 export const pieceRunReplySchema = z.object({
   outcomes: z.array(pieceOutcomeSchema),
+  /** Expected waits of new pieces of this priority, in milliseconds. */
+  waits: z.object({ onTime: z.number(), late: z.number() }),
 });
 
 /** The outcomes of a run, in the order of its pieces. */
--- a/packages/serving/src/attempt_loop_test.ts
+++ b/packages/serving/src/attempt_loop_test.ts
@@ -97,6 +97,7 @@
     loads: createEndpointLoads(clock),
     router: {
       run: () => Promise.reject(new Error("no stages")),
+      readWaits: () => ({ onTime: 0, late: 0 }),
       release: () => {},
     },
     callEndpoint: ({ endpoint }) => {
--- a/packages/serving/src/piece_router.ts
+++ b/packages/serving/src/piece_router.ts
@@ -9,7 +9,12 @@
  *
  * @module
  */
-import type { Failure, Membership, PeerRecord } from "@mangoreach/coordination";
+import type {
+  Failure,
+  Membership,
+  PeerRecord,
+  PieceWaits,
+} from "@mangoreach/coordination";
 import { createFailure, listByRendezvous } from "@mangoreach/coordination";
 import type {
   PieceRun,
@@ -37,6 +42,8 @@
     run: PieceRun,
     signal: AbortSignal,
   ): Promise<Result<PieceRunReply, Failure>>;
+  /** What feeders said lately of waits in a pool; none if that is old. */
+  readWaits(pool: string, priority: number): PieceWaits;
   /** Frees results; they are freed by who feeds the pool now. */
   release(pool: string, results: readonly string[]): void;
 }
@@ -47,6 +54,12 @@
 const WATCH_FAILURES = 2;
 /** Feeders that failed are left out for this long. */
 const FEEDER_PENALTY: Millis = 3_000;
+/**
+ * Waits of this age say nothing: nobody asks a feeder while all are refused, so
+ * they must lapse for requests to be let in again.
+ */
+const WAITS_LIFETIME: Millis = 800;
+const NO_WAITS: PieceWaits = { onTime: 0, late: 0 };
 /** Other feeders that are tried before this entry feeds itself. */
 const MAX_FEEDERS = 2;
 
@@ -57,6 +70,8 @@
   /** Control address to the time until which it is left out. */
   const penalties = new Map<string, Millis>();
   const watches = new Map<string, FeederWatch>();
+  /** The last waits by pool and priority. */
+  const waits = new Map<string, { waits: PieceWaits; at: Millis }>();
 
   /** Feeders in order; undefined stands for this entry. */
   function listFeeders(pool: string): (string | undefined)[] {
@@ -91,6 +106,25 @@
   async function run(
     order: PieceRun,
     signal: AbortSignal,
+  ): Promise<Result<PieceRunReply, Failure>> {
+    const reply = await tryFeeders(order, signal);
+    if (reply.isOk) {
+      const key = formatWaitKey(order.pool, order.priority);
+      waits.set(key, { waits: reply.value.waits, at: clock.now() });
+    }
+    return reply;
+  }
+
+  function readWaits(pool: string, priority: number): PieceWaits {
+    const known = waits.get(formatWaitKey(pool, priority));
+    const isFresh = known !== undefined &&
+      clock.now() - known.at <= WAITS_LIFETIME;
+    return isFresh ? known.waits : NO_WAITS;
+  }
+
+  async function tryFeeders(
+    order: PieceRun,
+    signal: AbortSignal,
   ): Promise<Result<PieceRunReply, Failure>> {
     const startedAt = clock.now();
     for (let tried = 0; tried < MAX_FEEDERS; tried++) {
@@ -161,11 +195,18 @@
       });
   }
 
-  return { run, release };
+  return { run, readWaits, release };
+}
+
+function formatWaitKey(pool: string, priority: number): string {
+  return `${pool}/${priority}`;
 }
 
 function failAllLate({ pieces }: PieceRun): PieceRunReply {
-  return { outcomes: pieces.map(() => ({ kind: "failed", reason: "late" })) };
+  return {
+    outcomes: pieces.map(() => ({ kind: "failed", reason: "late" })),
+    waits: { onTime: 0, late: 0 },
+  };
 }
 
 /** The same run after some time has passed. */
--- a/packages/serving/src/piece_router_test.ts
+++ b/packages/serving/src/piece_router_test.ts
@@ -64,7 +64,8 @@
       if (mode === "refuses") return Promise.resolve(fail(address));
       if (mode === "good") {
         const outcomes = [{ kind: "done" as const, result: address }];
-        return Promise.resolve(Result.ok({ outcomes }));
+        const waits = { onTime: 100, late: 900 };
+        return Promise.resolve(Result.ok({ outcomes, waits }));
       }
       return new Promise((resolve) =>
         signal.addEventListener("abort", () => resolve(fail(address)))
@@ -84,15 +85,15 @@
       findFeeder: () => ({
         run: () => {
           const outcomes = [{ kind: "done" as const, result: "self" }];
-          return Promise.resolve({ outcomes });
+          const waits = { onTime: 0, late: 0 };
+          return Promise.resolve({ outcomes, waits });
         },
         release: () => {},
-        estimateWait: () => 0,
         refresh: () => {},
       }),
     });
     const run = () => router.run(RUN, new AbortController().signal);
-    return { clock, run, asked };
+    return { clock, run, asked, router };
   }
 
   const readMaker = (reply: Result<PieceRunReply, unknown>) =>
@@ -114,6 +115,15 @@
     expect(asked.slice(before)).not.to.include(asked[0]);
   });
 
+  it("keeps what a feeder said of waits for a short time", async () => {
+    const { run, router, clock } = create("good");
+    await run();
+    expect(router.readWaits("pool", 1).late).to.equal(900);
+    expect(router.readWaits("pool", 2).late).to.equal(0);
+    await clock.advance(1_000);
+    expect(router.readWaits("pool", 1).late).to.equal(0);
+  });
+
   // The feeder is frozen: its connections stay open and nothing comes. Requests
   // would wait for their deadline; the watch sees two unanswered exchanges.
   it("takes pieces away from a feeder that has fallen silent", async () => {
--- /dev/null
+++ b/packages/serving/src/request_admission_test.ts
@@ -0,0 +1,107 @@
+import { createKnowledgeAge, createRouteTable } from "@mangoreach/coordination";
+import { createFakeClock } from "@mangoreach/shared";
+import { expect } from "chai";
+import { admitRequest } from "./request_admission.ts";
+import type { ServingState } from "./serving_state.ts";
+import { createTestHead, createTestRoute } from "./test_support.ts";
+
+const TABLE = createRouteTable({
+  version: 1,
+  routes: [
+    createTestRoute({ name: "keyed" }),
+    createTestRoute({ name: "open", pathPrefix: "/open/", isPublic: true }),
+  ],
+  pools: [],
+  limits: {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeout: 1,
+    idleTimeout: 1,
+  },
+  accounts: [
+    { name: "one", keys: ["k"], priority: 0 },
+    { name: "two", keys: ["l"], priority: undefined },
+  ],
+});
+const MAX_KEY_AGE = 4_000;
+
+describe("admission of requests", () => {
+  async function admit(
+    head: Parameters<typeof createTestHead>[0],
+    { age = 0, hasConfig = true } = {},
+  ) {
+    const clock = createFakeClock(0);
+    const configAge = createKnowledgeAge({ clock, readWallTime: clock.now });
+    configAge.noteConfirmed(configAge.readTime());
+    await clock.advance(age);
+    const state = {
+      readTable: () => hasConfig ? TABLE : undefined,
+      configAge,
+      maxKeyAge: MAX_KEY_AGE,
+      random: () => 0,
+    } as Partial<ServingState> as ServingState;
+    const admitted = admitRequest(state, createTestHead(head));
+    if (admitted.isErr) return admitted.error.kind;
+    const { route, account, priority } = admitted.value;
+    return `${route.name} ${account} ${priority}`;
+  }
+
+  // What a caller gets by its key, its path, and the age of what is known. An
+  // entry that was cut off must not open anything with a key that may have been
+  // taken away, and must not tell that a new route is unknown.
+  const CASES = [
+    { name: "a known key", head: { key: "k" }, result: "keyed one 0" },
+    {
+      name: "a key without priority of its own",
+      head: { key: "l" },
+      result: "keyed two 1",
+    },
+    { name: "an unknown key", head: { key: "x" }, result: "unauthorized" },
+    { name: "no key", head: {}, result: "unauthorized" },
+    {
+      name: "no key on an open route",
+      head: { target: "/open/x" },
+      result: "open undefined 1",
+    },
+    {
+      name: "an unknown route",
+      head: { target: "/none/" },
+      result: "not_found",
+    },
+    {
+      name: "a known key, old knowledge",
+      head: { key: "k" },
+      age: MAX_KEY_AGE + 1,
+      result: "unavailable",
+    },
+    {
+      name: "an unknown key, old knowledge",
+      head: { key: "x" },
+      age: MAX_KEY_AGE + 1,
+      result: "unavailable",
+    },
+    {
+      name: "an unknown route, old knowledge",
+      head: { target: "/none/" },
+      age: MAX_KEY_AGE + 1,
+      result: "unavailable",
+    },
+    {
+      name: "an open route, old knowledge",
+      head: { target: "/open/x" },
+      age: MAX_KEY_AGE + 1,
+      result: "open undefined 1",
+    },
+    {
+      name: "no configuration",
+      head: { key: "k" },
+      hasConfig: false,
+      result: "unavailable",
+    },
+  ];
+  for (const { name, head, result, ...known } of CASES) {
+    it(`${name}: ${result}`, async () => {
+      expect(await admit(head, known)).to.equal(result);
+    });
+  }
+});
--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -7,7 +7,7 @@
 import type { Deadline, Failure, PoolSpec } from "@mangoreach/coordination";
 import { createDeadline, createFailure } from "@mangoreach/coordination";
 import type { Millis } from "@mangoreach/shared";
-import type { Result } from "true-myth";
+import { Result } from "true-myth";
 import type { AttemptOutcome } from "./attempt_loop.ts";
 import { chooseEndpoints, runAttempts, sumTokens } from "./attempt_loop.ts";
 import type { CallerResponse } from "./caller_response.ts";
@@ -15,6 +15,7 @@
 import { admitRequest } from "./request_admission.ts";
 import type { PassedRequest } from "./serving_handles.ts";
 import type { ServingState } from "./serving_state.ts";
+import { findHopeless } from "./stage_admission.ts";
 import type { StageResults } from "./stage_graph.ts";
 import { runStages } from "./stage_graph.ts";
 
@@ -31,6 +32,9 @@
 /** What a stage takes besides its calls: the way to its feeder and back. */
 const STAGE_OVERHEAD: Millis = 40;
 
+/** A queue that grew behind a request has emptied by then. */
+const RETRY_AFTER_STAGE: Millis = 300;
+
 /** Serves one request to its final answer. */
 export async function serveRequest(
   state: ServingState,
@@ -103,7 +107,8 @@
   { request, receivedAt }: ServedRequest,
   { admitted, deadline }: AdmittedWork,
 ): Promise<Result<StageResults, Failure>> {
-  const { clock, log, router } = state;
+  const { clock, log, router, random } = state;
+  const { route, table, rank } = admitted;
   const size = sumTokens(request.head.promptParts);
   // What has just enough time left misses at the next small delay: in a burst
   // all would be served a little late. So the slow case is reckoned with.
@@ -111,20 +116,33 @@
     ENGINE_RESERVE,
     state.findLatencies(admitted.pool).estimateSlow(size),
   );
+  const onTimeAt = receivedAt + route.objective - reserve;
+  const dueAt = deadline.at - ENGINE_RESERVE;
+  const durations = route.stages.map(({ pool }, number) =>
+    estimateStage(table.findPool(pool), request.head.pieceCounts[number] ?? 0)
+  );
+  const hopeless = findHopeless({
+    stages: route.stages,
+    durations,
+    readWaits: (pool) => router.readWaits(pool, rank),
+    onTime: onTimeAt - clock.now(),
+    remaining: dueAt - clock.now(),
+    random,
+  });
+  if (hopeless !== undefined) return Promise.resolve(Result.err(hopeless));
   const [likely] = chooseEndpoints(state, { request, admitted, avoid: [] });
   return runStages({
     clock,
     log,
     router,
-    route: admitted.route,
+    route,
     head: request.head,
-    rank: admitted.rank,
-    onTimeAt: receivedAt + admitted.route.objective - reserve,
-    dueAt: deadline.at - ENGINE_RESERVE,
-    estimateStage: (pool, pieces) =>
-      estimateStage(admitted.table.findPool(pool), pieces),
+    rank,
+    onTimeAt,
+    dueAt,
+    durations,
     readLifetime: (pool) =>
-      admitted.table.findPool(pool)?.batching?.resultLifetime ?? Infinity,
+      table.findPool(pool)?.batching?.resultLifetime ?? Infinity,
     place: likely?.place,
     signal: deadline.signal,
   });
@@ -132,7 +150,7 @@
 
 /** Fewest calls that the pieces fit in, one after the other. */
 function estimateStage(pool: PoolSpec | undefined, pieces: number): Millis {
-  if (pool?.batching === undefined) return 0;
+  if (pool?.batching === undefined || pieces === 0) return 0;
   const { callTime, pieceTime, maxPieces } = pool.batching;
   return STAGE_OVERHEAD + Math.ceil(pieces / maxPieces) * callTime +
     pieces * pieceTime;
@@ -140,7 +158,9 @@
 
 /** A stage that failed for the deadline or the caller is told as that. */
 function explainStageFailure(failure: Failure, deadline: Deadline): Failure {
-  if (!deadline.hasPassed()) return { ...failure, retryAfterMs: 300 };
+  if (!deadline.hasPassed()) {
+    return { retryAfterMs: RETRY_AFTER_STAGE, ...failure };
+  }
   return createFailure("deadline_exceeded", {
     verdict: "not_run",
     message: "the stages were not done in time",
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -122,6 +122,8 @@
   reload(outcome: string): void;
   /** Leaves, finishes what is in progress and resolves. */
   stop(): Promise<void>;
+  /** Ends at once, whatever is in progress. */
+  kill(): void;
 }
 
 /** Reading waits this long for a change; bounds how old knowledge gets. */
@@ -534,6 +536,14 @@
     log.record("process_stopped", { cutOff: tasks.size });
   }
 
+  function kill(): void {
+    controller.abort();
+    for (const server of [listener.server, control]) {
+      server.closeAllConnections();
+      server.close();
+    }
+  }
+
   async function finishWork(): Promise<void> {
     const closed = stopServer(listener.server);
     await tasks.waitUntilEmpty();
@@ -554,6 +564,7 @@
     },
     reload: (outcome) => log.record("settings_reloaded", { outcome }),
     stop,
+    kill,
   };
 }
 
--- /dev/null
+++ b/packages/serving/src/stage_admission.ts
@@ -0,0 +1,56 @@
+/**
+ * Decides, before any of its stages has cost anything, whether a request can
+ * still be served.
+ *
+ * The load it answers: a burst of one kind fills the queue of a stage pool for
+ * seconds. Who can meet the objective goes first and is always let in; who
+ * cannot is let in only if what waits now leaves time before the deadline.
+ * Without this a request would run its first stages, wait, and be refused when
+ * its time was gone: the room and calls of its stages were wasted, and its
+ * caller could not come back any more.
+ *
+ * @module
+ */
+import type { Failure, PieceWaits, RouteStage } from "@mangoreach/coordination";
+import {
+  computeStageTime,
+  createFailure,
+  spreadRetryAfter,
+} from "@mangoreach/coordination";
+import type { Millis } from "@mangoreach/shared";
+
+/** What is known of a request's stages and its time. */
+export interface StageForecastOptions {
+  stages: readonly RouteStage[];
+  /** Expected time of each stage without waiting; 0 for one without pieces. */
+  durations: readonly Millis[];
+  readWaits: (pool: string) => PieceWaits;
+  /** Time left to be on time, after what the engine needs. */
+  onTime: Millis;
+  /** Time left at all, after what the engine needs. */
+  remaining: Millis;
+  random: () => number;
+}
+
+/** The refusal of a request that cannot be served, or undefined. */
+export function findHopeless(
+  { stages, durations, readWaits, onTime, remaining, random }:
+    StageForecastOptions,
+): Failure | undefined {
+  const computeTime = (readWait: (waits: PieceWaits) => Millis) =>
+    computeStageTime(
+      stages,
+      durations.map((duration, number) => {
+        const pool = stages[number]?.pool ?? "";
+        return duration === 0 ? 0 : duration + readWait(readWaits(pool));
+      }),
+    );
+  if (computeTime((waits) => waits.onTime) <= onTime) return undefined;
+  const excess = computeTime(({ late }) => late) - remaining;
+  if (excess <= 0) return undefined;
+  return createFailure("overloaded", {
+    verdict: "not_run",
+    message: `its stages would take ${Math.round(excess)} ms too long`,
+    retryAfterMs: spreadRetryAfter(excess, random),
+  });
+}
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -53,8 +53,6 @@
   run(run: PieceRun, signal: AbortSignal): Promise<PieceRunReply>;
   /** Frees results that nobody needs any more. */
   release(results: readonly string[]): void;
-  /** Expected time until a new piece of this priority is in a call. */
-  estimateWait(priority: number): Millis;
   /** Looks again for calls to make, after endpoints have changed. */
   refresh(): void;
 }
@@ -122,7 +120,11 @@
     dispatch();
     return outcomes.then((list) => {
       signal.removeEventListener("abort", cancel);
-      return { outcomes: list };
+      const waits = batcher.estimateWaits(request.priority, {
+        now: clock.now(),
+        endpointCount: options.listEndpoints().length,
+      });
+      return { outcomes: list, waits };
     });
   }
 
@@ -382,8 +384,6 @@
   return {
     run,
     release,
-    estimateWait: (priority) =>
-      batcher.estimateWait(priority, options.listEndpoints().length),
     refresh: dispatch,
   };
 }
--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -26,8 +26,8 @@
   onTimeAt: Millis;
   /** When the results have to be there at all. */
   dueAt: Millis;
-  /** How long a stage takes for this many pieces, without waiting. */
-  estimateStage: (pool: string, pieces: number) => Millis;
+  /** Expected time of each stage without waiting; 0 for one without pieces. */
+  durations: readonly Millis[];
   /** How long a pool's endpoints keep results. */
   readLifetime: (pool: string) => Millis;
   /** Where the results will be fetched to. */
@@ -49,13 +49,7 @@
 ): Promise<Result<StageResults, Failure>> {
   const { clock, log, route, head, router } = options;
   const { stages } = route;
-  const plan = planStages(
-    stages,
-    stages.map(({ pool }, number) => {
-      const count = head.pieceCounts[number] ?? 0;
-      return count === 0 ? 0 : options.estimateStage(pool, count);
-    }),
-  );
+  const plan = planStages(stages, options.durations);
   const controller = new AbortController();
   const abort = () => controller.abort();
   options.signal.addEventListener("abort", abort, { once: true });
--- a/packages/serving/src/stage_graph_test.ts
+++ b/packages/serving/src/stage_graph_test.ts
@@ -15,6 +15,8 @@
 ];
 
 describe("stage graph", () => {
+  const waits = { onTime: 0, late: 0 };
+
   function create(pieceCounts: number[], { dueAt = 5_000 } = {}) {
     const runs: (PieceRun & { end: (reply: PieceRunReply) => void })[] = [];
     const released: string[] = [];
@@ -27,6 +29,7 @@
           kind: "done",
           result: `${number}.${piece}`,
         })),
+        waits,
       });
       await settlePromises();
     };
@@ -38,6 +41,7 @@
           new Promise((resolve) =>
             runs.push({ ...run, end: (reply) => resolve(Result.ok(reply)) })
           ),
+        readWaits: () => ({ onTime: 0, late: 0 }),
         release: (_pool, results) => void released.push(...results),
       },
       route: createTestRoute({ stages: STAGES }),
@@ -45,7 +49,7 @@
       rank: 1,
       onTimeAt: 2_000,
       dueAt,
-      estimateStage: () => 300,
+      durations: pieceCounts.map((count) => count === 0 ? 0 : 300),
       readLifetime: () => 4_000,
       place: "here",
       signal: new AbortController().signal,
@@ -104,7 +108,7 @@
     await finish(1);
     await finish(2);
     await finish(0);
-    stage(3)?.end({ outcomes: [{ kind: "failed", reason: "late" }] });
+    stage(3)?.end({ outcomes: [{ kind: "failed", reason: "late" }], waits });
     const results = await outcome;
     expect(results.isErr && results.error.verdict).to.equal("not_run");
     expect(released).to.have.members(["0.0", "1.0", "2.0"]);
@@ -113,7 +117,7 @@
   it("does not take an answer in part for a whole one", async () => {
     const { stage, outcome } = create([0, 2, 1, 1]);
     await settlePromises();
-    stage(1)?.end({ outcomes: [{ kind: "done", result: "1.0" }] });
+    stage(1)?.end({ outcomes: [{ kind: "done", result: "1.0" }], waits });
     expect((await outcome).isErr).to.equal(true);
   });
 });
