--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -194,6 +194,8 @@
   const feeders = new Map<string, StageFeeder>();
   const budgets = new Map<string, RetryBudget>();
   const latencies = new Map<string, LatencyModel>();
+  /** Incarnation and state of each peer as last logged. */
+  const peerStates = new Map<string, string>();
 
   const roster: EndpointRoster = createEndpointRoster({
     clock,
@@ -354,13 +356,8 @@
         });
       }
     },
-    onIntroduced: ({ entry, state: peerState, controlAddress }) =>
-      log.record("peer_changed", {
-        peer: entry,
-        address: controlAddress,
-        outcome: peerState,
-      }),
-    onHeartbeat: () => {},
+    onIntroduced: notePeer,
+    onHeartbeat: notePeer,
     onReply: () => Promise.resolve(),
     onUnanswered: () => metrics.countUnanswered(),
     onBytes: (direction, bytes) => metrics.countPeerBytes(direction, bytes),
@@ -385,6 +382,18 @@
     return reply;
   }
 
+  /** Logs changes only: heartbeats come many times a second. */
+  function notePeer({ entry, incarnation, state, controlAddress }: PeerRecord) {
+    const now = `${incarnation} ${state}`;
+    if (peerStates.get(entry) === now) return;
+    peerStates.set(entry, now);
+    log.record("peer_changed", {
+      peer: entry,
+      address: controlAddress,
+      outcome: state,
+    });
+  }
+
   function isServing(): boolean {
     return phase === "open" && table !== undefined && isEndpointsKnown &&
       configAge.read() <= settings.maxKeyAge;
