perf(serving): inputs are freed when fetched, and a pool has one feeder

Cause: at overload the makers' room binds as often as their time (calls of 5 pieces of 7 with 100 waiting): results lie there until the next stage's call ends. And entries whose news of a feeder was over 2.5 s old chose another, so pools had two. Change: a feeder frees the inputs of a group 120 ms after its last call began; the order of feeders leaves out only lost entries, the watch finds dead ones.

--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -23,6 +23,8 @@
 export interface PieceGroup {
   /** Pieces that are in a call or made. */
   started: number;
+  /** All pieces of the group. */
+  readonly total: number;
 }
 
 /** One piece of work that waits for a call. */
--- a/packages/coordination/src/piece_batcher_test.ts
+++ b/packages/coordination/src/piece_batcher_test.ts
@@ -23,7 +23,7 @@
 ): NamedPiece {
   return {
     name,
-    group: { started: 0 },
+    group: { started: 0, total: 1 },
     priority: 1,
     onTimeAt: 5_000,
     dueAt: 10_000,
@@ -103,7 +103,7 @@
   // Room for four results, three of them taken. A request of two pieces that
   // began here would hold room while its other piece waits for room.
   it("begins a request only where all its pieces have room", () => {
-    const group = { started: 0 };
+    const group = { started: 0, total: 2 };
     const half = ["a1", "a2"].map((name) =>
       createPiece(name, { group, resultBytes: 250 })
     );
@@ -118,7 +118,10 @@
   it("finishes requests that have begun before it begins others", () => {
     const { plan } = create([
       createPiece("new", { onTimeAt: 1_000 }),
-      createPiece("begun", { group: { started: 2 }, onTimeAt: 2_000 }),
+      createPiece("begun", {
+        group: { started: 2, total: 3 },
+        onTimeAt: 2_000,
+      }),
     ]);
     expect(plan(createEndpoint("e1"))?.pieces).to.equal("begun new");
   });
--- a/packages/peers/src/piece_protocol.ts
+++ b/packages/peers/src/piece_protocol.ts
@@ -8,7 +8,12 @@
 /** What a piece is made from: the request's own key, or earlier results. */
 const pieceSourceSchema = z.discriminatedUnion("kind", [
   z.object({ kind: z.literal("key"), key: z.string() }),
-  z.object({ kind: z.literal("results"), results: z.array(z.string()) }),
+  z.object({
+    kind: z.literal("results"),
+    results: z.array(z.string()),
+    /** Pools whose endpoints hold the results. */
+    pools: z.array(z.string()),
+  }),
 ]);
 
 /** What a piece is made from. */
--- a/packages/serving/src/piece_router.ts
+++ b/packages/serving/src/piece_router.ts
@@ -75,9 +75,12 @@
 
   /** Feeders in order; undefined stands for this entry. */
   function listFeeders(pool: string): (string | undefined)[] {
+    // News of others is seconds old at times, and differently old at each entry:
+    // leaving out who is only suspected would give a pool two feeders. The
+    // watch finds a dead one sooner than its silence elsewhere.
     const others = membership.list()
       .filter(({ health, record }) =>
-        health === "alive" && record.state === "live" &&
+        health !== "lost" && record.state === "live" &&
         !isPenalized(record.controlAddress)
       )
       .map(({ record }) => record);
--- a/packages/serving/src/piece_router_test.ts
+++ b/packages/serving/src/piece_router_test.ts
@@ -47,7 +47,7 @@
       clock,
       self: createRecord("self"),
       random: () => 0,
-      suspectAfter: 10_000,
+      suspectAfter: 2_500,
       loseAfter: 20_000,
     });
     membership.merge(["a", "b", "c", "d"].map(createRecord));
@@ -115,6 +115,17 @@
     expect(asked.slice(before)).not.to.include(asked[0]);
   });
 
+  // News of the feeder takes three seconds to one entry and one to another. If
+  // the first left it, two feeders would send to the same endpoints.
+  it("keeps to a feeder that is only suspected", async () => {
+    const { run, asked, clock } = create("good");
+    await run();
+    await clock.advance(3_000);
+    await run();
+    expect(asked.length).to.be.greaterThan(0);
+    expect(asked[1]).to.equal(asked[0]);
+  });
+
   it("keeps what a feeder said of waits for a short time", async () => {
     const { run, router, clock } = create("good");
     await run();
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -246,6 +246,7 @@
       loads,
       listEndpoints: () => directory.listUsable(pool),
       readSpec: () => readBatchSpec(table, pool),
+      releaseInputs: (used, results) => router.release(used, results),
       budget: createRetryBudget({
         share: PIECE_REPEAT_SHARE,
         max: PIECE_REPEAT_SLACK,
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -45,6 +45,8 @@
   readSpec: () => BatchSpec;
   /** Pieces that are made a second time draw on it. */
   budget: RetryBudget;
+  /** Frees results of another pool, at whoever feeds that. */
+  releaseInputs: (pool: string, results: readonly string[]) => void;
 }
 
 /** Feeds one pool. */
@@ -57,7 +59,13 @@
   refresh(): void;
 }
 
+interface FeederGroup extends PieceGroup {
+  /** When the last call with pieces of it began. */
+  lastCallAt: Millis;
+}
+
 interface FeederPiece extends WaitingPiece {
+  readonly group: FeederGroup;
   order: CalledPiece;
   avoid: Set<string>;
   attempts: number;
@@ -88,6 +96,12 @@
 const CALL_TIMEOUT_SLACK: Millis = 1_000;
 /** An endpoint that is full has room again after about half a call. */
 const BLOCK_TIME: Millis = 150;
+/**
+ * An endpoint fetches the inputs of a call at once, in some ten milliseconds;
+ * then their makers may drop them. Kept until the call's end they would hold
+ * the room of the pool before for twice as long.
+ */
+const FETCH_TIME: Millis = 120;
 /** How soon waiting pieces are looked at again when no endpoint was free. */
 const RECHECK_INTERVAL: Millis = 50;
 
@@ -101,7 +115,8 @@
   let isRecheckDue = false;
 
   function run(request: PieceRun, signal: AbortSignal): Promise<PieceRunReply> {
-    const group = { started: 0 };
+    const total = request.pieces.length;
+    const group = { started: 0, total, lastCallAt: 0 };
     const pieces = request.pieces.map((order) =>
       createPiece({ request, order, group })
     );
@@ -132,7 +147,7 @@
     { request, order, group }: {
       request: PieceRun;
       order: PieceOrder;
-      group: PieceGroup;
+      group: FeederGroup;
     },
   ) {
     let settle: (outcome: PieceOutcome) => void = () => {};
@@ -232,7 +247,14 @@
     feeding.calls++;
     feeding.roomTaken += bytes;
     loads.begin(info);
-    for (const piece of pieces) piece.attempts++;
+    for (const piece of pieces) {
+      piece.attempts++;
+      piece.group.lastCallAt = startedAt;
+    }
+    let isRunning = true;
+    clock.startTimer(FETCH_TIME, () => {
+      if (isRunning) releaseFetched(pieces, startedAt);
+    });
     const reply = await stages.run({
       endpoint: info,
       pieces: pieces.map(({ order, dueAt }) => ({
@@ -241,6 +263,7 @@
       })),
       timeout: CALL_TIMEOUT_FACTOR * expected + CALL_TIMEOUT_SLACK,
     });
+    isRunning = false;
     feeding.calls--;
     const took = clock.now() - startedAt;
     if (reply.isErr) {
@@ -270,6 +293,22 @@
     dispatch();
   }
 
+  /** Frees the inputs of groups that are in calls as a whole. */
+  function releaseFetched(
+    pieces: readonly FeederPiece[],
+    calledAt: Millis,
+  ): void {
+    const groups = new Map(pieces.map((piece) => [piece.group, piece.order]));
+    for (const [group, { source }] of groups) {
+      const isLastCall = group.started >= group.total &&
+        group.lastCallAt === calledAt;
+      if (source.kind === "key" || !isLastCall) continue;
+      for (const used of source.pools) {
+        options.releaseInputs(used, source.results);
+      }
+    }
+  }
+
   /** The age of the oldest result that is still held at an endpoint. */
   function readOldestResult({ id }: EndpointInfo, now: Millis): Millis {
     let oldest = now;
--- a/packages/serving/src/stage_feeder_test.ts
+++ b/packages/serving/src/stage_feeder_test.ts
@@ -165,6 +165,42 @@
       .to.deep.equal([{ kind: "failed", reason: "unavailable" }]);
   });
 
+  // Makers of one pool have no room while their results lie there that the next
+  // pool's endpoints have fetched long ago. Inputs are freed once all pieces
+  // that need them are in calls.
+  it("frees inputs when all pieces that need them have fetched them", async () => {
+    const { feeder, stages, signal, clock, fetched } = create("e1");
+    const source = { kind: "results" as const, results: ["m/1"], pools: ["p"] };
+    const pieces = Array.from({ length: 5 }, (_, piece) => ({
+      stage: 1,
+      piece,
+      source,
+    }));
+    void feeder.run(createRun("a", 0, { pieces }), signal);
+    await clock.advance(200);
+    expect(fetched).to.deep.equal([]);
+    stages.calls[0]?.finish();
+    await clock.advance(200);
+    expect(fetched).to.deep.equal(["m/1"]);
+  });
+
+  // Two endpoints make the pieces of one request. The second has not fetched
+  // the inputs yet when the first has; freed then, its pieces would fail.
+  it("keeps inputs until the last call has fetched them", async () => {
+    const { feeder, signal, clock, fetched } = create("e1", "e2");
+    const source = { kind: "results" as const, results: ["m/1"], pools: ["p"] };
+    const pieces = Array.from({ length: 5 }, (_, piece) => ({
+      stage: 1,
+      piece,
+      source,
+    }));
+    const blocker = new AbortController();
+    void feeder.run(createRun("b", 1), blocker.signal);
+    void feeder.run(createRun("a", 0, { pieces }), signal);
+    await clock.advance(100);
+    expect(fetched).to.deep.equal([]);
+  });
+
   // The caller leaves while its piece is in a call. Nobody will use the result,
   // and room at the maker is short.
   it("frees the result of a piece whose caller has left", async () => {
--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -90,7 +90,11 @@
     if (count === 0) return Result.ok([]);
     const source: PieceSource = stage.after.length === 0
       ? { kind: "key", key: head.pieceKey ?? "" }
-      : { kind: "results", results: inputs };
+      : {
+        kind: "results",
+        results: inputs,
+        pools: stage.after.flatMap((needed) => stages[needed]?.pool ?? []),
+      };
     const startedAt = clock.now();
     const timeBehind = plan[number]?.timeBehind ?? 0;
     const usableUntil = Math.min(
--- a/packages/serving/src/stage_graph_test.ts
+++ b/packages/serving/src/stage_graph_test.ts
@@ -65,7 +65,11 @@
     expect(stage(2)).to.equal(undefined);
     await finish(1);
     expect(stage(2)?.pieces[0]?.source)
-      .to.deep.equal({ kind: "results", results: ["1.0", "1.1"] });
+      .to.deep.equal({
+        kind: "results",
+        results: ["1.0", "1.1"],
+        pools: ["p1"],
+      });
     expect(stage(0)).to.equal(undefined);
     await finish(2);
     await finish(3);
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -153,6 +153,8 @@
   endpoints: readonly EndpointInfo[],
 ) {
   const stages = createFakeStages();
+  /** Inputs that endpoints have fetched. */
+  const fetched: string[] = [];
   const feeder = createStageFeeder({
     clock,
     log: createSilentDecisionLog(),
@@ -162,6 +164,7 @@
     listEndpoints: () => endpoints,
     readSpec: () => TEST_SPEC,
     budget: createRetryBudget({ share: 0.1, max: 4 }),
+    releaseInputs: (_pool, results) => fetched.push(...results),
   });
-  return { feeder, stages };
+  return { feeder, stages, fetched };
 }
