perf(serving): a stage runs where its inputs lie

Change: a stage prefers the place of its inputs' makers, and waits for a near endpoint if more than 200 kB would move and its objective allows.

--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -36,9 +36,10 @@
   onTimeAt: Millis;
   /** After this time its result is of no use. */
   dueAt: Millis;
-  /** Where its result will be fetched to, if that is known. */
+  /** Where its inputs lie, or its result will be fetched to. */
   place: string | undefined;
   resultBytes: number;
+  inputBytes: number;
   /** Endpoints that failed it already. */
   avoid: ReadonlySet<string>;
 }
@@ -93,8 +94,8 @@
 /** An endpoint this many times slower than the fastest free one waits. */
 const SLOW_FACTOR = 2.5;
 
-/** Results of this size, in bytes, are worth waiting for a near endpoint. */
-const LARGE_RESULT = 500_000;
+/** Transfers of this size, in bytes, are worth waiting for a near endpoint. */
+const LARGE_TRANSFER = 200_000;
 /** The wait takes one full call at most, the piece itself another. */
 const NEAR_SLACK_CALLS = 2;
 
@@ -267,11 +268,11 @@
 }
 
 /**
- * Results of megabytes cost more between places than a short wait, as long as
- * the request can still meet its objective.
+ * Large transfers cost more between places than a short wait, as long as the
+ * request can still meet its objective.
  */
 function mayWaitForNear(
-  { place, resultBytes, onTimeAt }: WaitingPiece,
+  { place, resultBytes, inputBytes, onTimeAt }: WaitingPiece,
   { free, places, now, spec }: {
     free: readonly BatchEndpoint[];
     places: ReadonlySet<string>;
@@ -279,7 +280,8 @@
     spec: BatchSpec;
   },
 ): boolean {
-  if (place === undefined || resultBytes < LARGE_RESULT) return false;
+  const moved = Math.max(resultBytes, inputBytes);
+  if (place === undefined || moved < LARGE_TRANSFER) return false;
   if (free.some(({ info }) => info.place === place)) return false;
   const slack = onTimeAt - now - NEAR_SLACK_CALLS * computeFullCall(spec);
   return places.has(place) && slack > 0;
--- a/packages/coordination/src/piece_batcher_test.ts
+++ b/packages/coordination/src/piece_batcher_test.ts
@@ -29,6 +29,7 @@
     dueAt: 10_000,
     place: undefined,
     resultBytes: 10,
+    inputBytes: 0,
     avoid: new Set(),
     ...change,
   };
--- a/packages/peers/src/piece_protocol.ts
+++ b/packages/peers/src/piece_protocol.ts
@@ -41,9 +41,11 @@
   onTime: z.number(),
   /** Milliseconds after which the results are of no use. */
   remaining: z.number(),
-  /** Where the results will be fetched to. */
+  /** Where most is fetched to or from. */
   place: z.string().optional(),
   resultBytes: z.number().min(0),
+  /** What each piece fetches, in bytes. */
+  inputBytes: z.number().min(0),
   pieces: z.array(pieceOrderSchema).max(MAX_PIECES),
 });
 
--- a/packages/serving/src/attempt_loop_test.ts
+++ b/packages/serving/src/attempt_loop_test.ts
@@ -109,6 +109,8 @@
           : Result.ok(step),
       );
     },
+    readMaker: () => "",
+    findPlace: () => undefined,
     findBudget: () => createRetryBudget({ share: 0, max: budget }),
     findLatencies: createLatencyModel,
   }, {
--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -143,6 +143,7 @@
     durations,
     readLifetime: (pool) =>
       table.findPool(pool)?.batching?.resultLifetime ?? Infinity,
+    readPlace: (result) => state.findPlace(state.readMaker(result)),
     place: likely?.place,
     signal: deadline.signal,
   });
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -295,6 +295,9 @@
     loads,
     router,
     callEndpoint: platform.callEndpoint,
+    readMaker: platform.stages.readMaker,
+    findPlace: (address) =>
+      roster.list().find((endpoint) => endpoint.address === address)?.place,
     findBudget,
     findLatencies,
   };
--- a/packages/serving/src/serving_state.ts
+++ b/packages/serving/src/serving_state.ts
@@ -34,6 +34,10 @@
   loads: EndpointLoads;
   router: PieceRouter;
   callEndpoint: CallEndpoint;
+  /** The address of the endpoint that holds a result. */
+  readMaker: (result: string) => string;
+  /** The place of the endpoint at an address. */
+  findPlace: (address: string) => string | undefined;
   findBudget: (pool: string) => RetryBudget;
   findLatencies: (pool: string) => LatencyModel;
 }
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -159,6 +159,7 @@
       dueAt: clock.now() + request.remaining,
       place: request.place,
       resultBytes: request.resultBytes,
+      inputBytes: request.inputBytes,
       avoid: new Set(),
       order: { ...order, requestId: request.requestId, remaining: 0 },
       attempts: 0,
--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -30,7 +30,9 @@
   durations: readonly Millis[];
   /** How long a pool's endpoints keep results. */
   readLifetime: (pool: string) => Millis;
-  /** Where the results will be fetched to. */
+  /** The place of the endpoint that holds a result, if it is known. */
+  readPlace: (result: string) => string | undefined;
+  /** Where the last results will be fetched to. */
   place: string | undefined;
   signal: AbortSignal;
 }
@@ -107,8 +109,14 @@
       priority: options.rank,
       onTime: options.onTimeAt - timeBehind - startedAt,
       remaining: usableUntil - startedAt,
-      ...(options.place === undefined ? {} : { place: options.place }),
+      ...choosePlace(inputs),
       resultBytes: stage.resultBytes,
+      inputBytes: stage.after.reduce(
+        (sum, needed) =>
+          sum + (made.get(needed)?.length ?? 0) *
+            (stages[needed]?.resultBytes ?? 0),
+        0,
+      ),
       pieces: Array.from({ length: count }, (_, piece) => ({
         stage: number,
         piece,
@@ -137,6 +145,18 @@
     return Result.err(failStage(number, failed));
   }
 
+  /** Every piece fetches all inputs, which is more than its own result. */
+  function choosePlace(inputs: readonly string[]): { place?: string } {
+    const places = inputs.map(options.readPlace);
+    const most = places.reduce<string | undefined>(
+      (best, place) =>
+        countEqual(places, place) > countEqual(places, best) ? place : best,
+      places[0],
+    );
+    const place = most ?? options.place;
+    return place === undefined ? {} : { place };
+  }
+
   /**
    * Frees the results that every stage which needs them has used. The room at
    * makers is short: results kept until the request's end block their pool.
@@ -188,6 +208,10 @@
     .filter((number) => !needed.has(number));
 }
 
+function countEqual<T>(list: readonly T[], value: T): number {
+  return list.filter((other) => other === value).length;
+}
+
 function findFailure(
   outcomes: readonly PieceOutcome[],
   count: number,
--- a/packages/serving/src/stage_graph_test.ts
+++ b/packages/serving/src/stage_graph_test.ts
@@ -51,6 +51,7 @@
       dueAt,
       durations: pieceCounts.map((count) => count === 0 ? 0 : 300),
       readLifetime: () => 4_000,
+      readPlace: () => "there",
       place: "here",
       signal: new AbortController().signal,
     });
@@ -70,6 +71,8 @@
         results: ["1.0", "1.1"],
         pools: ["p1"],
       });
+    expect(stage(1)?.place).to.equal("here");
+    expect(stage(2)?.place).to.equal("there");
     expect(stage(0)).to.equal(undefined);
     await finish(2);
     await finish(3);
