refactor(serving): the entry's wiring apart from what it knows, its pools and its peers

Change: site_knowledge.ts (configuration, endpoints, their age), pool_parts.ts (feeders, budgets, times), peer_news.ts (members, exchange), serving_options.ts (types); behaviour as before.

--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -26,9 +26,9 @@
 export type { EncodeFailure } from "./caller_response.ts";
 export type { MemberStore } from "./member_registry.ts";
 export type {
-  ServingEntry,
   ServingEntryOptions,
   ServingPlatform,
   ServingSettings,
-} from "./serving_entry.ts";
+} from "./serving_options.ts";
+export type { ServingEntry } from "./serving_entry.ts";
 export { startServingEntry } from "./serving_entry.ts";
--- /dev/null
+++ b/packages/serving/src/peer_news.ts
@@ -0,0 +1,178 @@
+/**
+ * What an entry and its peers tell each other: who lives, who leaves, which
+ * endpoints leave.
+ *
+ * @module
+ */
+import type {
+  EndpointDirectory,
+  Membership,
+  PeerRecord,
+} from "@mangoreach/coordination";
+import { createMembership } from "@mangoreach/coordination";
+import type { ExchangeLoop, ServingPeerClient } from "@mangoreach/peers";
+import { createServingPeerClient, startExchangeLoop } from "@mangoreach/peers";
+import type { Clock, ListenAddress, Millis } from "@mangoreach/shared";
+import type { DecisionLog } from "./decision_log.ts";
+import type { MemberStore } from "./member_registry.ts";
+import { startMemberRegistry } from "./member_registry.ts";
+import type { ServingMetrics } from "./serving_metrics.ts";
+import type { ServingSettings } from "./serving_options.ts";
+
+/** Options of {@linkcode createPeerNews}. */
+export interface PeerNewsOptions {
+  clock: Clock;
+  readWallTime: () => Millis;
+  random: () => number;
+  log: DecisionLog;
+  metrics: ServingMetrics;
+  settings: ServingSettings;
+  /** Changes with every start of the process. */
+  incarnation: string;
+  members: MemberStore;
+  directory: EndpointDirectory;
+  isServing: () => boolean;
+  countInFlight: () => number;
+  readConfigVersion: () => number;
+}
+
+/** The peers of one entry. */
+export interface PeerNews {
+  readonly self: PeerRecord;
+  readonly membership: Membership;
+  readonly peers: ServingPeerClient;
+  /** Begins to exchange news; ends when the signal aborts. */
+  start(signal: AbortSignal): ExchangeLoop;
+  /** Entries that callers may use, with this one if it is ready. */
+  listEntries(): PeerRecord[];
+}
+
+const EXCHANGE_INTERVAL: Millis = 500;
+const PEER_TIMEOUT: Millis = 400;
+/** Five exchanges without news; most news comes through others in two. */
+const SUSPECT_AFTER: Millis = 2_500;
+const LOSE_AFTER: Millis = 6_000;
+
+/** Creates the news of an entry that knows only itself. */
+export function createPeerNews(options: PeerNewsOptions): PeerNews {
+  const { clock, readWallTime, random, log, metrics, settings } = options;
+  /** Incarnation and state of each peer as last logged. */
+  const peerStates = new Map<string, string>();
+
+  const self: PeerRecord = {
+    entry: settings.entry,
+    incarnation: options.incarnation,
+    startedAt: readWallTime(),
+    place: settings.place,
+    callerAddress: formatAddress(settings.callers),
+    controlAddress: formatAddress(settings.control),
+    state: "live",
+    heartbeat: 0,
+    configVersion: 0,
+    inFlight: 0,
+    strainedPriority: 0,
+  };
+  const membership: Membership = createMembership({
+    clock,
+    self,
+    random,
+    suspectAfter: SUSPECT_AFTER,
+    loseAfter: LOSE_AFTER,
+  });
+  // Peers are reachable only inside the platform's network, which gives its
+  // processes no shared secret.
+  const peers = createServingPeerClient({
+    clock,
+    siteKey: "",
+    timeout: PEER_TIMEOUT,
+  });
+
+  function start(signal: AbortSignal): ExchangeLoop {
+    const registry = startMemberRegistry({
+      clock,
+      random,
+      signal,
+      store: options.members,
+      self,
+      onFault: (reason) =>
+        log.record("dependency_lost", { dependency: "members", reason }),
+    });
+
+    registry.task.catch((error) =>
+      log.record("dependency_lost", {
+        dependency: "members",
+        reason: String(error),
+      })
+    );
+    const exchange = startExchangeLoop({
+      clock,
+      random,
+      signal,
+      membership,
+      directory: options.directory,
+      interval: EXCHANGE_INTERVAL,
+      beat: () => {
+        metrics.setKnown("peers", membership.list().length);
+        membership.beat({
+          inFlight: options.countInFlight(),
+          configVersion: options.readConfigVersion(),
+          state: options.isServing() ? "live" : "leaving",
+        });
+      },
+      listSeeds: () => [...settings.seeds, ...registry.listAddresses()],
+      exchange: (address, message) => peers.exchange(address, message),
+      markLeaving: (endpointKey, age) => {
+        if (options.directory.markLeaving(endpointKey, age)) {
+          log.record("endpoint_changed", {
+            endpoint: endpointKey,
+            age,
+            source: "peer",
+            outcome: "leaving",
+          });
+        }
+      },
+      onIntroduced: notePeer,
+      onHeartbeat: notePeer,
+      onReply: () => Promise.resolve(),
+      onUnanswered: () => metrics.countUnanswered(),
+      onBytes: (direction, bytes) => metrics.countPeerBytes(direction, bytes),
+    });
+    return exchange;
+  }
+
+  /** Logs changes only: heartbeats come many times a second. */
+  function notePeer({ entry, incarnation, state, controlAddress }: PeerRecord) {
+    const now = `${incarnation} ${state}`;
+    if (peerStates.get(entry) === now) return;
+    peerStates.set(entry, now);
+    log.record("peer_changed", {
+      peer: entry,
+      address: controlAddress,
+      outcome: state,
+    });
+  }
+
+  return {
+    self,
+    membership,
+    peers,
+    start,
+    listEntries: () => listLiveEntries(membership, options.isServing()),
+  };
+}
+
+function listLiveEntries(
+  membership: Membership,
+  isSelfReady: boolean,
+): PeerRecord[] {
+  const others = membership.list()
+    .filter(({ health, record }) =>
+      health === "alive" && record.state === "live"
+    )
+    .map(({ record }) => record);
+  return isSelfReady ? [membership.self, ...others] : others;
+}
+
+function formatAddress({ host, port }: ListenAddress): string {
+  return `${host}:${port}`;
+}
--- /dev/null
+++ b/packages/serving/src/pool_parts.ts
@@ -0,0 +1,122 @@
+/**
+ * What an entry keeps for each pool: its feeder, its budget of repeats, and the
+ * times that its endpoints take.
+ *
+ * @module
+ */
+import type {
+  EndpointInfo,
+  LatencyModel,
+  RetryBudget,
+  RouteTable,
+} from "@mangoreach/coordination";
+import {
+  createLatencyModel,
+  createRetryBudget,
+} from "@mangoreach/coordination";
+import type { Clock } from "@mangoreach/shared";
+import type { DecisionLog } from "./decision_log.ts";
+import type { EndpointLoads } from "./endpoint_load.ts";
+import type { StageEndpoints } from "./serving_handles.ts";
+import type { StageFeeder } from "./stage_feeder.ts";
+import { createStageFeeder } from "./stage_feeder.ts";
+
+/** Options of {@linkcode createPoolParts}. */
+export interface PoolPartsOptions {
+  clock: Clock;
+  log: DecisionLog;
+  loads: EndpointLoads;
+  stages: StageEndpoints;
+  listUsable: (pool: string) => readonly EndpointInfo[];
+  readTable: () => RouteTable | undefined;
+  /** Frees results of a pool, at whoever feeds it. */
+  releaseInputs: (pool: string, results: readonly string[]) => void;
+  /** Entries that share a pool's budget, with this one. */
+  countEntries: () => number;
+  /** Repeats for each first request. */
+  repeatShare: number;
+  /** Repeats beyond the share, over all entries. */
+  repeatSlack: number;
+}
+
+/** The parts of all pools, made when they are first needed. */
+export interface PoolParts {
+  findFeeder(pool: string): StageFeeder;
+  findBudget(pool: string): RetryBudget;
+  findLatencies(pool: string): LatencyModel;
+  /** Lets all feeders look again, after endpoints have changed. */
+  refreshFeeders(): void;
+}
+
+/** Entries among which the slack of a budget is shared out. */
+const EXPECTED_ENTRIES = 10;
+/** Pieces are repeated at a feeder, which may be any entry. */
+const PIECE_REPEAT_SHARE = 0.1;
+const PIECE_REPEAT_SLACK = 10;
+
+/** A pool whose specification is not published takes one piece a call. */
+const SINGLE_PIECES = {
+  slots: 1,
+  maxPieces: 1,
+  callTime: 200,
+  pieceTime: 20,
+  roomBytes: Infinity,
+  resultLifetime: 4_000,
+};
+
+function readBatchSpec(table: RouteTable | undefined, pool: string) {
+  return table?.findPool(pool)?.batching ?? SINGLE_PIECES;
+}
+
+/** Creates the parts of no pool yet. */
+export function createPoolParts(options: PoolPartsOptions): PoolParts {
+  const { clock, log, loads } = options;
+  const feeders = new Map<string, StageFeeder>();
+  const budgets = new Map<string, RetryBudget>();
+  const latencies = new Map<string, LatencyModel>();
+
+  function findFeeder(pool: string): StageFeeder {
+    const known = feeders.get(pool);
+    if (known !== undefined) return known;
+    const feeder = createStageFeeder({
+      clock,
+      log,
+      pool,
+      stages: options.stages,
+      loads,
+      listEndpoints: () => options.listUsable(pool),
+      readSpec: () => readBatchSpec(options.readTable(), pool),
+      releaseInputs: options.releaseInputs,
+      budget: createRetryBudget({
+        share: PIECE_REPEAT_SHARE,
+        max: PIECE_REPEAT_SLACK,
+      }),
+    });
+    feeders.set(pool, feeder);
+    return feeder;
+  }
+
+  function findBudget(pool: string): RetryBudget {
+    const known = budgets.get(pool);
+    if (known !== undefined) return known;
+    const entries = Math.max(EXPECTED_ENTRIES, options.countEntries());
+    const budget = createRetryBudget({
+      share: options.repeatShare,
+      max: Math.max(1, options.repeatSlack / entries),
+    });
+    budgets.set(pool, budget);
+    return budget;
+  }
+
+  function findLatencies(pool: string): LatencyModel {
+    const known = latencies.get(pool) ?? createLatencyModel();
+    latencies.set(pool, known);
+    return known;
+  }
+
+  function refreshFeeders(): void {
+    for (const feeder of feeders.values()) feeder.refresh();
+  }
+
+  return { findFeeder, findBudget, findLatencies, refreshFeeders };
+}
--- /dev/null
+++ b/packages/serving/src/site_knowledge.ts
@@ -0,0 +1,219 @@
+/**
+ * What an entry knows from the platform's store: the configuration in force and
+ * the endpoints, and how old that is.
+ *
+ * @module
+ */
+import type {
+  EndpointDirectory,
+  EndpointInfo,
+  EndpointRoster,
+  KnowledgeAge,
+  RouteTable,
+  ServingConfig,
+} from "@mangoreach/coordination";
+import {
+  createEndpointDirectory,
+  createEndpointRoster,
+  createKnowledgeAge,
+  createRouteTable,
+} from "@mangoreach/coordination";
+import type { Clock, Logger, Millis } from "@mangoreach/shared";
+import type { DecisionLog } from "./decision_log.ts";
+import type { KeyedSink } from "./keyed_follower.ts";
+import { followKeyedTopic } from "./keyed_follower.ts";
+import type { KeyedRecord } from "./serving_handles.ts";
+import type { ServingMetrics } from "./serving_metrics.ts";
+import type { ServingPlatform } from "./serving_options.ts";
+
+/** Options of {@linkcode createSiteKnowledge}. */
+export interface SiteKnowledgeOptions {
+  clock: Clock;
+  /** The time of day; counts on while a process is suspended. */
+  readWallTime: () => Millis;
+  random: () => number;
+  log: DecisionLog;
+  logger: Logger;
+  metrics: ServingMetrics;
+  platform: ServingPlatform;
+  /** Told of each configuration that comes into force. */
+  onConfig: (config: ServingConfig) => void;
+  /** Told when endpoints come, leave or go. */
+  onEndpoints: () => void;
+}
+
+/** What an entry knows of its site. */
+export interface SiteKnowledge {
+  /** The configuration in force; undefined before the first. */
+  readTable(): RouteTable | undefined;
+  readonly configAge: KnowledgeAge;
+  readonly directory: EndpointDirectory;
+  /** The place of the endpoint at an address. */
+  findPlace(address: string): string | undefined;
+  /** Whether endpoints were read at least once. */
+  hasEndpoints(): boolean;
+  /** Follows the store until the signal aborts. */
+  follow(signal: AbortSignal): Promise<void>;
+}
+
+/** Reading waits this long for a change; bounds how old knowledge gets. */
+const CONFIG_WAIT: Millis = 1_000;
+const CONFIG_PAUSE: Millis = 50;
+/** Endpoints write their heartbeats all the time; reading gathers them. */
+const ENDPOINT_PAUSE: Millis = 500;
+/** Entries lapsed in an outage come back within two seconds. */
+const RETURN_GRACE: Millis = 1_800;
+/** A mark of an endpoint's own is believed this long without confirmation. */
+const MARK_LIFETIME: Millis = 4_000;
+
+/** Creates the knowledge of an entry that has read nothing yet. */
+export function createSiteKnowledge(
+  options: SiteKnowledgeOptions,
+): SiteKnowledge {
+  const { clock, readWallTime, random, log, logger, metrics, platform } =
+    options;
+  const { onConfig, onEndpoints } = options;
+  let table: RouteTable | undefined;
+  let isEndpointsKnown = false;
+  const configAge = createKnowledgeAge({ clock, readWallTime });
+  const endpointAge = createKnowledgeAge({ clock, readWallTime });
+  const directory = createEndpointDirectory({
+    clock,
+    markLifetime: MARK_LIFETIME,
+  });
+
+  const roster: EndpointRoster = createEndpointRoster({
+    clock,
+    returnGrace: RETURN_GRACE,
+    onChange(endpoints) {
+      directory.replaceAll(endpoints);
+      metrics.setKnown("endpoints", endpoints.length);
+      onEndpoints();
+    },
+  });
+
+  function takeConfig(value: string | undefined): void {
+    if (value === undefined) return;
+    const decoded = platform.decodeConfig(value);
+    if (decoded.isErr) {
+      return log.record("config_rejected", { reason: decoded.error });
+    }
+    const config = decoded.value;
+    const version = table?.config.version ?? 0;
+    // Versions only rise: a late answer of the store must not revert.
+    if (config.version <= version) return;
+    table = createRouteTable(config);
+    metrics.setConfigVersion(config.version);
+    onConfig(config);
+    log.record("config_in_force", {
+      version: config.version,
+      before: version,
+      routes: config.routes.length,
+      accounts: config.accounts?.length,
+    });
+  }
+
+  const configSink: KeyedSink = {
+    replaceAll: (records) => records.forEach(takeConfigRecord),
+    apply: takeConfigRecord,
+    noteConfirmed: configAge.noteConfirmed,
+    noteAway: () => noteDependency("lost", "config"),
+    noteBack: () => noteDependency("regained", "config"),
+  };
+
+  function takeConfigRecord({ key, value }: KeyedRecord): void {
+    if (key === platform.configKey) takeConfig(value);
+  }
+
+  function noteDependency(change: "lost" | "regained", name: string): void {
+    log.record(`dependency_${change}`, {
+      dependency: name,
+      configAge: configAge.read(),
+      endpointAge: endpointAge.read(),
+    });
+  }
+
+  const endpointSink: KeyedSink = {
+    replaceAll(records) {
+      roster.replaceAll(records.flatMap(readEndpoint));
+      isEndpointsKnown = true;
+    },
+    apply(record) {
+      if (record.value === undefined) {
+        log.record("endpoint_changed", {
+          endpoint: record.key,
+          source: "instance_list",
+          outcome: "removed",
+        });
+        return roster.remove(record.key);
+      }
+      readEndpoint(record).forEach(putEndpoint);
+    },
+    noteConfirmed: endpointAge.noteConfirmed,
+    noteAway() {
+      roster.noteAway();
+      noteDependency("lost", "instance_list");
+    },
+    noteBack() {
+      roster.noteBack();
+      noteDependency("regained", "instance_list");
+    },
+  };
+
+  function putEndpoint(endpoint: EndpointInfo): void {
+    const known = roster.list().find(({ id }) => id === endpoint.id);
+    if (known?.state !== endpoint.state) {
+      log.record("endpoint_changed", {
+        endpoint: endpoint.id,
+        pool: endpoint.pool,
+        address: endpoint.address,
+        source: "instance_list",
+        outcome: endpoint.state,
+      });
+    }
+    roster.put(endpoint);
+  }
+
+  function readEndpoint(record: KeyedRecord): EndpointInfo[] {
+    if (record.value === undefined) return [];
+    const decoded = platform.decodeEndpoint(record);
+    if (decoded.isOk) return [decoded.value];
+    logger.warn("An endpoint's record cannot be read.", {
+      endpoint: record.key,
+      reason: decoded.error,
+    });
+    return [];
+  }
+
+  async function follow(signal: AbortSignal): Promise<void> {
+    const common = { clock, random, signal };
+    await Promise.all([
+      followKeyedTopic({
+        ...common,
+        source: platform.configSource,
+        sink: configSink,
+        readTime: configAge.readTime,
+        wait: CONFIG_WAIT,
+        pause: CONFIG_PAUSE,
+      }),
+      followKeyedTopic({
+        ...common,
+        source: platform.endpointSource,
+        sink: endpointSink,
+        readTime: endpointAge.readTime,
+        wait: 0,
+        pause: ENDPOINT_PAUSE,
+      }),
+    ]);
+  }
+
+  return {
+    readTable: () => table,
+    configAge,
+    directory,
+    findPlace: (address) =>
+      roster.list().find((endpoint) => endpoint.address === address)?.place,
+    hasEndpoints: () => isEndpointsKnown,
+    follow,
+  };
+}
