fix(serving): only a feeder that is settled frees inputs early

Ruled out: results that lapsed (their age at the failure was under 1 s). Change: inputs are freed early only by who has fed the pool for 5 s and has seen no input gone for as long.

--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -102,6 +102,12 @@
  * the room of the pool before for twice as long.
  */
 const FETCH_TIME: Millis = 120;
+/**
+ * With two feeders for a moment, as after a restart, a call waits at its
+ * endpoint before it fetches anything. So inputs are freed early only by who has
+ * fed the pool for this long, and not for as long after inputs were gone.
+ */
+const SETTLE_TIME: Millis = 5_000;
 /** How soon waiting pieces are looked at again when no endpoint was free. */
 const RECHECK_INTERVAL: Millis = 50;
 
@@ -113,8 +119,15 @@
   /** Result to the endpoint and the size that was reserved for it. */
   const held = new Map<string, HeldResult>();
   let isRecheckDue = false;
+  /** Since when pieces come here without a long pause. */
+  let feedingSince = clock.now();
+  let lastRunAt = -Infinity;
+  let inputsGoneAt = -Infinity;
 
   function run(request: PieceRun, signal: AbortSignal): Promise<PieceRunReply> {
+    const now = clock.now();
+    if (now - lastRunAt > SETTLE_TIME) feedingSince = now;
+    lastRunAt = now;
     const total = request.pieces.length;
     const group = { started: 0, total, lastCallAt: 0 };
     const pieces = request.pieces.map((order) =>
@@ -254,7 +267,7 @@
     }
     let isRunning = true;
     clock.startTimer(FETCH_TIME, () => {
-      if (isRunning) releaseFetched(pieces, startedAt);
+      if (isRunning && isSettled()) releaseFetched(pieces, startedAt);
     });
     const reply = await stages.run({
       endpoint: info,
@@ -294,6 +307,11 @@
     dispatch();
   }
 
+  function isSettled(): boolean {
+    const now = clock.now();
+    return now - feedingSince > SETTLE_TIME && now - inputsGoneAt > SETTLE_TIME;
+  }
+
   /** Frees the inputs of groups that are in calls as a whole. */
   function releaseFetched(
     pieces: readonly FeederPiece[],
@@ -366,6 +384,7 @@
     }
     feeding.roomTaken -= piece.resultBytes;
     const reason = result?.reason ?? "error";
+    if (reason === "input_gone") inputsGoneAt = clock.now();
     if (reason === "late" || reason === "input_gone") {
       piece.settle({ kind: "failed", reason });
     } else if (reason === "no_room") waitForRoom(feeding, piece);
--- a/packages/serving/src/stage_feeder_test.ts
+++ b/packages/serving/src/stage_feeder_test.ts
@@ -1,6 +1,9 @@
 import type { PieceRun } from "@mangoreach/peers";
 import { createFakeClock, settlePromises } from "@mangoreach/shared";
 import { expect } from "chai";
+import type { FakeClock } from "@mangoreach/shared";
+import type { StageFeeder } from "./stage_feeder.ts";
+import type { FakeStages } from "./test_support.ts";
 import { createTestEndpoint, createTestFeeder } from "./test_support.ts";
 
 function createRun(
@@ -25,6 +28,27 @@
   };
 }
 
+const FIVE_PIECES = Array.from({ length: 5 }, (_, piece) => ({
+  stage: 1,
+  piece,
+  source: { kind: "results" as const, results: ["m/1"], pools: ["p"] },
+}));
+
+/** Lets small runs come for long enough that this feeder counts as settled. */
+async function keepFeeding(
+  feeder: StageFeeder,
+  { clock, stages }: { clock: FakeClock; stages: FakeStages },
+): Promise<void> {
+  for (let second = 0; second < 6; second++) {
+    const { signal } = new AbortController();
+    const run = feeder.run(createRun(`warm-${second}`, 1), signal);
+    stages.calls.at(-1)?.finish();
+    const [outcome] = (await run).outcomes;
+    if (outcome?.kind === "done") feeder.release([outcome.result]);
+    await clock.advance(1_000);
+  }
+}
+
 describe("stage feeder", () => {
   function create(...ids: string[]) {
     const clock = createFakeClock(0);
@@ -171,33 +195,45 @@
   // that need them are in calls.
   it("frees inputs when all pieces that need them have fetched them", async () => {
     const { feeder, stages, signal, clock, fetched } = create("e1");
-    const source = { kind: "results" as const, results: ["m/1"], pools: ["p"] };
-    const pieces = Array.from({ length: 5 }, (_, piece) => ({
-      stage: 1,
-      piece,
-      source,
-    }));
-    void feeder.run(createRun("a", 0, { pieces }), signal);
+    await keepFeeding(feeder, { clock, stages });
+    void feeder.run(createRun("a", 0, { pieces: FIVE_PIECES }), signal);
     await clock.advance(200);
     expect(fetched).to.deep.equal([]);
-    stages.calls[0]?.finish();
+    stages.calls.at(-1)?.finish();
     await clock.advance(200);
     expect(fetched).to.deep.equal(["m/1"]);
   });
 
+  // An entry has just begun to feed the pool; calls of the one before it are
+  // still at the endpoints. Its own calls wait there, with inputs to fetch.
+  it("keeps inputs while another feeder may be at work", async () => {
+    const { feeder, stages, signal, clock, fetched } = create("e1");
+    const pieces = FIVE_PIECES.slice(0, 4);
+    void feeder.run(createRun("a", 0, { pieces }), signal);
+    await clock.advance(200);
+    expect(fetched).to.deep.equal([]);
+    stages.calls.at(-1)?.finish();
+    await settlePromises();
+    await keepFeeding(feeder, { clock, stages });
+    void feeder.run(createRun("b", 0, { pieces }), signal);
+    stages.calls.at(-1)?.end({
+      kind: "results",
+      results: pieces.map(() => ({ kind: "failed", reason: "input_gone" })),
+    });
+    await settlePromises();
+    void feeder.run(createRun("c", 0, { pieces }), signal);
+    await clock.advance(200);
+    expect(fetched).to.deep.equal([]);
+  });
+
   // Two endpoints make the pieces of one request. The second has not fetched
   // the inputs yet when the first has; freed then, its pieces would fail.
   it("keeps inputs until the last call has fetched them", async () => {
-    const { feeder, signal, clock, fetched } = create("e1", "e2");
-    const source = { kind: "results" as const, results: ["m/1"], pools: ["p"] };
-    const pieces = Array.from({ length: 5 }, (_, piece) => ({
-      stage: 1,
-      piece,
-      source,
-    }));
+    const { feeder, stages, signal, clock, fetched } = create("e1", "e2");
+    await keepFeeding(feeder, { clock, stages });
     const blocker = new AbortController();
     void feeder.run(createRun("b", 1), blocker.signal);
-    void feeder.run(createRun("a", 0, { pieces }), signal);
+    void feeder.run(createRun("a", 0, { pieces: FIVE_PIECES }), signal);
     await clock.advance(100);
     expect(fetched).to.deep.equal([]);
   });
