--- /dev/null
+++ b/packages/serving/src/endpoint_load_test.ts
@@ -0,0 +1,51 @@
+import { createFakeClock } from "@mangoreach/shared";
+import { expect } from "chai";
+import { createEndpointLoads } from "./endpoint_load.ts";
+import { createTestEndpoint } from "./test_support.ts";
+
+describe("load of endpoints", () => {
+  function create() {
+    const clock = createFakeClock(0);
+    const loads = createEndpointLoads(clock);
+    const endpoint = createTestEndpoint("e1");
+    const readLoad = () => loads.view([endpoint])[0]?.load;
+    return { clock, loads, endpoint, readLoad };
+  }
+
+  it("counts own requests exactly, others by the last report", () => {
+    const { loads, endpoint, readLoad } = create();
+    loads.begin(endpoint);
+    loads.begin(endpoint);
+    const report = { running: 5, queued: 1, slots: 8, takenAt: 0 };
+    loads.recordReport(endpoint, report);
+    expect(readLoad()).to.equal(6);
+    loads.end(endpoint, "done");
+    expect(readLoad()).to.equal(5);
+  });
+
+  // A report is seconds old: the burst it saw is over, and requests would go
+  // round an endpoint that is idle.
+  it("forgets a report that is old", async () => {
+    const { loads, endpoint, readLoad, clock } = create();
+    const report = { running: 9, queued: 9, slots: 8, takenAt: clock.now() };
+    loads.recordReport(endpoint, report);
+    await clock.advance(2_100);
+    expect(readLoad()).to.equal(0);
+  });
+
+  it("takes an endpoint out of use that cannot be reached", () => {
+    const { loads, endpoint } = create();
+    loads.begin(endpoint);
+    loads.end(endpoint, "unreachable");
+    expect(loads.view([endpoint])[0]?.health.isEjected()).to.equal(true);
+  });
+
+  it("never ejects for what we gave up ourselves", () => {
+    const { loads, endpoint } = create();
+    for (let index = 0; index < 20; index++) {
+      loads.begin(endpoint);
+      loads.end(endpoint, "neutral");
+    }
+    expect(loads.view([endpoint])[0]?.health.isEjected()).to.equal(false);
+  });
+});
