perf(coordination): a call is filled with pieces of its place

Only the first piece of a call waited for its place; the rest of the call was filled with whatever waited, also with pieces whose inputs lie elsewhere, and a piece's own result was counted once although several pieces fetch it. Ruled out: the engine's place (stages already prefer it). Change: what a piece moves is its inputs and its result as often as it is fetched; pieces that can still wait for their own place do not fill calls elsewhere.

--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -37,7 +37,8 @@
   /** Where its inputs lie, or its result will be fetched to. */
   place: string | undefined;
   resultBytes: number;
-  inputBytes: number;
+  /** What crosses between places if it is made in another place than its own. */
+  movedBytes: number;
   /** Endpoints that failed it already. */
   avoid: ReadonlySet<string>;
 }
@@ -152,10 +153,11 @@
     refreshOrder(now, spec);
     const places = new Set(endpoints.map(({ info }) => info.place));
     for (const first of waiting) {
-      if (mayWaitForNear(first, { free, places, now, spec })) continue;
+      const isNearFree = free.some(({ info }) => info.place === first.place);
+      if (!isNearFree && mayWaitForNear(first, { places, now, spec })) continue;
       const endpoint = chooseEndpoint(first, { free, spec });
       if (endpoint === undefined) continue;
-      const pieces = choosePieces(first, { endpoint, spec });
+      const pieces = choosePieces(first, { endpoint, places, now, spec });
       const chosen = new Set(pieces);
       waiting = waiting.filter((piece) => !chosen.has(piece));
       for (const { group } of pieces) group.started++;
@@ -196,9 +198,15 @@
     return findEmptiest(near.length > 0 ? near : fitting);
   }
 
+  /** Fills a call; what had better be made in its own place waits for that. */
   function choosePieces(
     first: P,
-    { endpoint, spec }: { endpoint: BatchEndpoint; spec: BatchSpec },
+    { endpoint, places, now, spec }: {
+      endpoint: BatchEndpoint;
+      places: ReadonlySet<string>;
+      now: Millis;
+      spec: BatchSpec;
+    },
   ): P[] {
     const chosen = [first];
     const begun = new Set([first.group]);
@@ -211,6 +219,8 @@
         ? piece.resultBytes <= roomLeft
         : hasRoom(piece, { roomTaken, roomLeft });
       if (!fits) continue;
+      const isNear = piece.place === endpoint.info.place;
+      if (!isNear && mayWaitForNear(piece, { places, now, spec })) continue;
       begun.add(piece.group);
       roomTaken += piece.resultBytes;
       chosen.push(piece);
@@ -270,17 +280,14 @@
  * request can still meet its objective.
  */
 function mayWaitForNear(
-  { place, resultBytes, inputBytes, onTimeAt }: WaitingPiece,
-  { free, places, now, spec }: {
-    free: readonly BatchEndpoint[];
+  { place, movedBytes, onTimeAt }: WaitingPiece,
+  { places, now, spec }: {
     places: ReadonlySet<string>;
     now: Millis;
     spec: BatchSpec;
   },
 ): boolean {
-  const moved = Math.max(resultBytes, inputBytes);
-  if (place === undefined || moved < LARGE_TRANSFER) return false;
-  if (free.some(({ info }) => info.place === place)) return false;
+  if (place === undefined || movedBytes < LARGE_TRANSFER) return false;
   const slack = onTimeAt - now - NEAR_SLACK_CALLS * computeFullCall(spec);
   return places.has(place) && slack > 0;
 }
--- a/packages/coordination/src/piece_batcher_replay_test.ts
+++ b/packages/coordination/src/piece_batcher_replay_test.ts
@@ -86,7 +86,7 @@
         dueAt: now + load.due,
         place: undefined,
         resultBytes,
-        inputBytes: 0,
+        movedBytes: 0,
         avoid: new Set(),
       });
     }
--- a/packages/coordination/src/piece_batcher_test.ts
+++ b/packages/coordination/src/piece_batcher_test.ts
@@ -29,7 +29,7 @@
     dueAt: 10_000,
     place: undefined,
     resultBytes: 10,
-    inputBytes: 0,
+    movedBytes: 0,
     avoid: new Set(),
     ...change,
   };
@@ -178,7 +178,7 @@
   // Rulings' results are megabytes that cross between places, where the next
   // call of the near maker is a quarter of a second away.
   it("waits for a near endpoint with large results, if there is time", () => {
-    const large = { place: "e1", resultBytes: 600_000 };
+    const large = { place: "e1", resultBytes: 600_000, movedBytes: 600_000 };
     const spec = { ...SPEC, roomBytes: 10_000_000 };
     const endpoints = [
       createEndpoint("e1", { calls: 1 }),
@@ -193,6 +193,23 @@
     expect(plan(500)).to.equal("e2");
   });
 
+  // Megabytes of results cross between places all day: a call that starts in one
+  // place is filled up with pieces whose inputs lie in another, although the
+  // endpoint there ends its call soon and there is time to wait for it.
+  it("fills a call with pieces of its place, and others that cannot wait", () => {
+    const moved = { movedBytes: 600_000 };
+    const { plan } = create([
+      createPiece("near", { ...moved, place: "e1" }),
+      createPiece("far", { ...moved, place: "e2" }),
+      createPiece("far urgent", { ...moved, place: "e2", onTimeAt: 500 }),
+      createPiece("far small", { place: "e2" }),
+    ]);
+    const busy = createEndpoint("e2", { calls: 1 });
+    expect(plan(createEndpoint("e1"), busy)?.pieces)
+      .to.equal("far urgent near far small");
+    expect(plan(createEndpoint("e1"), busy)).to.equal(undefined);
+  });
+
   it("never sends more than fits, and each piece once", () => {
     const pieces = fc.array(
       fc.record({
--- a/packages/peers/src/piece_protocol.ts
+++ b/packages/peers/src/piece_protocol.ts
@@ -44,8 +44,8 @@
   /** Where most is fetched to or from. */
   place: z.string().optional(),
   resultBytes: z.number().min(0),
-  /** What each piece fetches, in bytes. */
-  inputBytes: z.number().min(0),
+  /** Bytes that cross between places if a piece is made in another place. */
+  movedBytes: z.number().min(0),
   pieces: z.array(pieceOrderSchema).max(MAX_PIECES),
 });
 
--- a/packages/serving/src/piece_router_test.ts
+++ b/packages/serving/src/piece_router_test.ts
@@ -18,7 +18,7 @@
   onTime: 2_000,
   remaining: 8_000,
   resultBytes: 1,
-  inputBytes: 0,
+  movedBytes: 0,
   pieces: [{ stage: 0, piece: 0, source: { kind: "key", key: "k" } }],
 };
 const EMPTY = { heartbeats: [], introductions: [], leaving: [] };
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -174,7 +174,7 @@
       dueAt: clock.now() + request.remaining,
       place: request.place,
       resultBytes: request.resultBytes,
-      inputBytes: request.inputBytes,
+      movedBytes: request.movedBytes,
       avoid: new Set(),
       order: { ...order, requestId: request.requestId, remaining: 0 },
       attempts: 0,
--- a/packages/serving/src/stage_feeder_test.ts
+++ b/packages/serving/src/stage_feeder_test.ts
@@ -18,7 +18,7 @@
     onTime: 2_000,
     remaining: 5_000,
     resultBytes: 100,
-    inputBytes: 0,
+    movedBytes: 0,
     pieces: Array.from({ length: count }, (_, piece) => ({
       stage: 0,
       piece,
--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -111,12 +111,7 @@
       remaining: usableUntil - startedAt,
       ...choosePlace(inputs),
       resultBytes: stage.resultBytes,
-      inputBytes: stage.after.reduce(
-        (sum, needed) =>
-          sum + (made.get(needed)?.length ?? 0) *
-            (stages[needed]?.resultBytes ?? 0),
-        0,
-      ),
+      movedBytes: sumMoved(number, stage),
       pieces: Array.from({ length: count }, (_, piece) => ({
         stage: number,
         piece,
@@ -145,6 +140,22 @@
     return Result.err(failStage(number, failed));
   }
 
+  /** What one piece fetches, and its result as often as that is fetched. */
+  function sumMoved(number: number, { after, resultBytes }: RouteStage) {
+    const fetched = after.reduce(
+      (sum, needed) =>
+        sum + (made.get(needed)?.length ?? 0) *
+          (stages[needed]?.resultBytes ?? 0),
+      0,
+    );
+    const readers = stages.reduce(
+      (sum, { after: inputs }, user) =>
+        sum + (inputs.includes(number) ? head.pieceCounts[user] ?? 0 : 0),
+      0,
+    );
+    return fetched + Math.max(1, readers) * resultBytes;
+  }
+
   /** Every piece fetches all inputs, which is more than its own result. */
   function choosePlace(inputs: readonly string[]): { place?: string } {
     const places = inputs.map(options.readPlace);
