perf(serving): waits at stage pools reckon with what keeps coming

Entries learnt of waits only when their own runs ended. Of a request that could not be done all pieces but the last were still made. Callers that came back went before those that could still be on time. Ruled out: room (calls held 5.5 to 7 of 7 pieces). Change: piece_flow.ts forecasts waits from the measured rate of calls and the arrivals on time of 5 s; pool_waits.ts asks the feeder before a request is let in; a failed piece fails its request at once; callers that come back are told from first tries by their time left; Retry-After by the excess of late waits; the room of makers got its own file.

--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -177,11 +177,14 @@
   BatchEndpoint,
   PieceBatcher,
   PieceGroup,
-  PieceWaits,
   PlannedCall,
   WaitingPiece,
 } from "./piece_batcher.ts";
 export { createPieceBatcher } from "./piece_batcher.ts";
+export type { CallerElapsed } from "./caller_elapsed.ts";
+export { createCallerElapsed } from "./caller_elapsed.ts";
+export type { FlowForecast, PieceFlow, PieceWaits } from "./piece_flow.ts";
+export { createPieceFlow } from "./piece_flow.ts";
 export type { EngineView, PromptPart } from "./engine_choice.ts";
 export { listEnginesFor } from "./engine_choice.ts";
 export type { PlannedStage } from "./stage_plan.ts";
--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -17,6 +17,7 @@
  */
 import type { Millis } from "@mangoreach/shared";
 import type { EndpointInfo } from "./endpoint.ts";
+import type { FlowForecast, PieceWaits } from "./piece_flow.ts";
 import type { BatchSpec } from "./serving_config.ts";
 
 /** The pieces of one stage of one request. */
@@ -60,14 +61,6 @@
   pieces: P[];
 }
 
-/** Expected times until a new piece is in a call. */
-export interface PieceWaits {
-  /** For one that can still meet its objective. */
-  onTime: Millis;
-  /** For one that cannot, and goes behind all that can. */
-  late: Millis;
-}
-
 /** The pieces that wait at one feeder for endpoints of one pool. */
 export interface PieceBatcher<P extends WaitingPiece> {
   readonly size: number;
@@ -77,7 +70,7 @@
    * Takes out the pieces that cannot be finished in time behind those before
    * them: whoever waits for them learns at once, and not at the deadline.
    */
-  dropLate(now: Millis, endpointCount: number): P[];
+  dropLate(now: Millis, forecast: FlowForecast): P[];
   /** Takes out the pieces of the next call, if one can be made now. */
   planCall<E extends BatchEndpoint>(
     endpoints: readonly E[],
@@ -86,7 +79,7 @@
   /** Expected times until a new piece of this priority is in a call. */
   estimateWaits(
     priority: number,
-    { now, endpointCount }: { now: Millis; endpointCount: number },
+    { now, forecast }: { now: Millis; forecast: FlowForecast },
   ): PieceWaits;
 }
 
@@ -125,22 +118,21 @@
     if (index >= 0) waiting.splice(index, 1);
   }
 
-  function dropLate(now: Millis, endpointCount: number): P[] {
+  function dropLate(now: Millis, forecast: FlowForecast): P[] {
     const spec = readSpec();
     const { callTime, pieceTime } = spec;
     refreshOrder(now, spec);
-    const timeEach = endpointCount === 0
-      ? 0
-      : computeFullCall(spec) / (spec.maxPieces * spec.slots * endpointCount);
-    const late: P[] = [];
+    const hopeless: P[] = [];
     const kept: P[] = [];
     for (const piece of waiting) {
-      const startsAt = now + kept.length * timeEach;
-      const isHopeless = startsAt + callTime + pieceTime > piece.dueAt;
-      (isHopeless ? late : kept).push(piece);
+      const wait = isLate(piece, { now, spec })
+        ? forecast.estimateLate(kept.length)
+        : forecast.estimateOnTime(kept.length, piece.priority);
+      const isHopeless = now + wait + callTime + pieceTime > piece.dueAt;
+      (isHopeless ? hopeless : kept).push(piece);
     }
     waiting = kept;
-    return late;
+    return hopeless;
   }
 
   function planCall<E extends BatchEndpoint>(
@@ -230,17 +222,15 @@
 
   function estimateWaits(
     priority: number,
-    { now, endpointCount }: { now: Millis; endpointCount: number },
+    { now, forecast }: { now: Millis; forecast: FlowForecast },
   ): PieceWaits {
     const spec = readSpec();
-    const timeEach = computeFullCall(spec) /
-      (spec.maxPieces * spec.slots * Math.max(1, endpointCount));
     const ahead = waiting.filter((piece) =>
       piece.priority <= priority && !isLate(piece, { now, spec })
     );
     return {
-      onTime: ahead.length * timeEach,
-      late: waiting.length * timeEach,
+      onTime: forecast.estimateOnTime(ahead.length, priority),
+      late: forecast.estimateLate(waiting.length),
     };
   }
 
--- a/packages/peers/src/piece_protocol.ts
+++ b/packages/peers/src/piece_protocol.ts
@@ -65,11 +65,26 @@
 /** The outcome of one piece. */
 export type PieceOutcome = z.infer<typeof pieceOutcomeSchema>;
 
+/** Asks what new pieces would wait. */
+export const waitsQuestionSchema = z.object({
+  pool: z.string(),
+  /** 0 is the highest. */
+  priority: z.number().int().min(0),
+});
+
+/** Asks what new pieces would wait. */
+export type WaitsQuestion = z.infer<typeof waitsQuestionSchema>;
+
+/** Expected waits of new pieces of one priority, in milliseconds. */
+export const pieceWaitsSchema = z.object({
+  onTime: z.number(),
+  late: z.number(),
+});
+
 /** The outcomes of a run, in the order of its pieces. */
 export const pieceRunReplySchema = z.object({
   outcomes: z.array(pieceOutcomeSchema),
-  /** Expected waits of new pieces of this priority, in milliseconds. */
-  waits: z.object({ onTime: z.number(), late: z.number() }),
+  waits: pieceWaitsSchema,
 });
 
 /** The outcomes of a run, in the order of its pieces. */
--- a/packages/peers/src/serving_peers.ts
+++ b/packages/peers/src/serving_peers.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { IncomingMessage, RequestListener } from "node:http";
-import type { Failure } from "@mangoreach/coordination";
+import type { Failure, PieceWaits } from "@mangoreach/coordination";
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { Result } from "true-myth";
 import { z } from "zod";
@@ -21,11 +21,14 @@
   PieceRun,
   PieceRunReply,
   ResultRelease,
+  WaitsQuestion,
 } from "./piece_protocol.ts";
 import {
   pieceRunReplySchema,
   pieceRunSchema,
+  pieceWaitsSchema,
   releaseSchema,
+  waitsQuestionSchema,
 } from "./piece_protocol.ts";
 
 /** What an entry does for its peers. */
@@ -33,6 +36,7 @@
   exchange(message: PeerExchange): PeerExchange;
   /** Runs pieces here; the signal aborts when the peer gives them up. */
   runPieces(run: PieceRun, signal: AbortSignal): Promise<PieceRunReply>;
+  readWaits(question: WaitsQuestion): PieceWaits;
   releaseResults(release: ResultRelease): void;
 }
 
@@ -44,6 +48,8 @@
       .mutation(({ input, signal }) =>
         handlers.runPieces(input, signal ?? new AbortController().signal)
       ),
+    readWaits: peerProcedure.input(waitsQuestionSchema)
+      .query(({ input }) => handlers.readWaits(input)),
     releaseResults: peerProcedure.input(releaseSchema)
       .mutation(({ input }) => {
         handlers.releaseResults(input);
@@ -75,6 +81,10 @@
     run: PieceRun,
     signal: AbortSignal,
   ): Promise<Result<PieceRunReply, Failure>>;
+  readWaits(
+    address: string,
+    question: WaitsQuestion,
+  ): Promise<Result<PieceWaits, Failure>>;
   releaseResults(
     address: string,
     release: ResultRelease,
@@ -85,6 +95,9 @@
 /** A feeder answers a little after the results are of no use any more. */
 const RUN_SLACK: Millis = 250;
 
+/** Admission waits for the answer, and does without it after this time. */
+const WAITS_TIMEOUT: Millis = 100;
+
 /** Creates the handle. */
 export function createServingPeerClient(
   { clock, siteKey, timeout }: {
@@ -116,6 +129,11 @@
         },
         (client, options) => client.runPieces.mutate(run, options),
       ),
+    readWaits: (address, question) =>
+      caller.ask(
+        { address, schema: pieceWaitsSchema, timeout: WAITS_TIMEOUT },
+        (client, options) => client.readWaits.query(question, options),
+      ),
     releaseResults: (address, release) =>
       caller.ask(
         { address, schema: z.null(), timeout },
--- a/packages/serving/src/attempt_loop_test.ts
+++ b/packages/serving/src/attempt_loop_test.ts
@@ -97,7 +97,7 @@
     loads: createEndpointLoads(clock),
     router: {
       run: () => Promise.reject(new Error("no stages")),
-      readWaits: () => ({ onTime: 0, late: 0 }),
+      readWaits: () => Promise.resolve({ onTime: 0, late: 0 }),
       release: () => {},
     },
     callEndpoint: ({ endpoint }) => {
@@ -110,6 +110,7 @@
       );
     },
     readMaker: () => "",
+    callerElapsed: { read: () => 0 },
     findPlace: () => undefined,
     findBudget: () => createRetryBudget({ share: 0, max: budget }),
     findLatencies: createLatencyModel,
--- a/packages/serving/src/decision_log.ts
+++ b/packages/serving/src/decision_log.ts
@@ -16,7 +16,7 @@
   | "attempt_ended"
   | "stage_ended"
   | "stage_call"
-  | "piece_dropped"
+  | "pieces_dropped"
   | "feeder_changed"
   | "config_in_force"
   | "config_rejected"
--- a/packages/serving/src/piece_router.ts
+++ b/packages/serving/src/piece_router.ts
@@ -24,6 +24,7 @@
 import type { Clock, Millis } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { DecisionLog } from "./decision_log.ts";
+import { createPoolWaits } from "./pool_waits.ts";
 import type { StageFeeder } from "./stage_feeder.ts";
 
 /** Options of {@linkcode createPieceRouter}. */
@@ -42,8 +43,8 @@
     run: PieceRun,
     signal: AbortSignal,
   ): Promise<Result<PieceRunReply, Failure>>;
-  /** What feeders said lately of waits in a pool; none if that is old. */
-  readWaits(pool: string, priority: number): PieceWaits;
+  /** What a new piece would wait; none if nobody can tell. */
+  readWaits(pool: string, priority: number): Promise<PieceWaits>;
   /** Frees results; they are freed by who feeds the pool now. */
   release(pool: string, results: readonly string[]): void;
 }
@@ -54,12 +55,6 @@
 const WATCH_FAILURES = 2;
 /** Feeders that failed are left out for this long. */
 const FEEDER_PENALTY: Millis = 3_000;
-/**
- * Waits of this age say nothing: nobody asks a feeder while all are refused, so
- * they must lapse for requests to be let in again.
- */
-const WAITS_LIFETIME: Millis = 800;
-const NO_WAITS: PieceWaits = { onTime: 0, late: 0 };
 /** Other feeders that are tried before this entry feeds itself. */
 const MAX_FEEDERS = 2;
 
@@ -70,8 +65,7 @@
   /** Control address to the time until which it is left out. */
   const penalties = new Map<string, Millis>();
   const watches = new Map<string, FeederWatch>();
-  /** The last waits by pool and priority. */
-  const waits = new Map<string, { waits: PieceWaits; at: Millis }>();
+  const poolWaits = createPoolWaits({ clock, ask: askWaits });
 
   /** Feeders in order; undefined stands for this entry. */
   function listFeeders(pool: string): (string | undefined)[] {
@@ -111,18 +105,19 @@
     signal: AbortSignal,
   ): Promise<Result<PieceRunReply, Failure>> {
     const reply = await tryFeeders(order, signal);
-    if (reply.isOk) {
-      const key = formatWaitKey(order.pool, order.priority);
-      waits.set(key, { waits: reply.value.waits, at: clock.now() });
-    }
+    const { pool, priority } = order;
+    if (reply.isOk) poolWaits.note(pool, priority, reply.value.waits);
     return reply;
   }
 
-  function readWaits(pool: string, priority: number): PieceWaits {
-    const known = waits.get(formatWaitKey(pool, priority));
-    const isFresh = known !== undefined &&
-      clock.now() - known.at <= WAITS_LIFETIME;
-    return isFresh ? known.waits : NO_WAITS;
+  async function askWaits(
+    pool: string,
+    priority: number,
+  ): Promise<PieceWaits | undefined> {
+    const address = listFeeders(pool)[0];
+    if (address === undefined) return findFeeder(pool).readWaits(priority);
+    const reply = await peers.readWaits(address, { pool, priority });
+    return reply.isOk ? reply.value : undefined;
   }
 
   async function tryFeeders(
@@ -198,11 +193,7 @@
       });
   }
 
-  return { run, readWaits, release };
-}
-
-function formatWaitKey(pool: string, priority: number): string {
-  return `${pool}/${priority}`;
+  return { run, readWaits: poolWaits.read, release };
 }
 
 function failAllLate({ pieces }: PieceRun): PieceRunReply {
--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -102,12 +102,12 @@
 }
 
 /** Runs the stages near the engine that will probably serve the request. */
-function runStagesFirst(
+async function runStagesFirst(
   state: ServingState,
   { request, receivedAt }: ServedRequest,
   { admitted, deadline }: AdmittedWork,
 ): Promise<Result<StageResults, Failure>> {
-  const { clock, log, router, random } = state;
+  const { clock, log, router, random, callerElapsed } = state;
   const { route, table, rank } = admitted;
   const size = sumTokens(request.head.promptParts);
   // What has just enough time left misses at the next small delay: in a burst
@@ -116,12 +116,13 @@
     ENGINE_RESERVE,
     state.findLatencies(admitted.pool).estimateSlow(size),
   );
-  const onTimeAt = receivedAt + route.objective - reserve;
+  const elapsed = callerElapsed.read(route.name, request.head.budget);
+  const onTimeAt = receivedAt - elapsed + route.objective - reserve;
   const dueAt = deadline.at - ENGINE_RESERVE;
   const durations = route.stages.map(({ pool }, number) =>
     estimateStage(table.findPool(pool), request.head.pieceCounts[number] ?? 0)
   );
-  const hopeless = findHopeless({
+  const hopeless = await findHopeless({
     stages: route.stages,
     durations,
     readWaits: (pool) => router.readWaits(pool, rank),
@@ -129,7 +130,7 @@
     remaining: dueAt - clock.now(),
     random,
   });
-  if (hopeless !== undefined) return Promise.resolve(Result.err(hopeless));
+  if (hopeless !== undefined) return Result.err(hopeless);
   const [likely] = chooseEndpoints(state, { request, admitted, avoid: [] });
   return runStages({
     clock,
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -6,6 +6,7 @@
  */
 import type { RequestListener } from "node:http";
 import type { PeerRecord, RequestLimits } from "@mangoreach/coordination";
+import { createCallerElapsed } from "@mangoreach/coordination";
 import type { PieceRun } from "@mangoreach/peers";
 import { createServingPeerListener } from "@mangoreach/peers";
 import type { Millis } from "@mangoreach/shared";
@@ -156,6 +157,7 @@
     findPlace: knowledge.findPlace,
     findBudget: pools.findBudget,
     findLatencies: pools.findLatencies,
+    callerElapsed: createCallerElapsed(clock),
   };
 
   const listener = await startCallerListener({
@@ -186,6 +188,7 @@
       handlers: {
         exchange: (message) => exchange.answer(message),
         runPieces: (run, stop) => runForPeer(run, stop),
+        readWaits: ({ pool, priority }) => findFeeder(pool).readWaits(priority),
         releaseResults: ({ pool, results }) =>
           findFeeder(pool).release(results),
       },
--- a/packages/serving/src/serving_state.ts
+++ b/packages/serving/src/serving_state.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type {
+  CallerElapsed,
   EndpointDirectory,
   KnowledgeAge,
   LatencyModel,
@@ -39,5 +40,6 @@
   /** The place of the endpoint at an address. */
   findPlace: (address: string) => string | undefined;
   findBudget: (pool: string) => RetryBudget;
+  callerElapsed: CallerElapsed;
   findLatencies: (pool: string) => LatencyModel;
 }
--- a/packages/serving/src/stage_admission.ts
+++ b/packages/serving/src/stage_admission.ts
@@ -19,12 +19,15 @@
 } from "@mangoreach/coordination";
 import type { Millis } from "@mangoreach/shared";
 
+const NO_WAITS: PieceWaits = { onTime: 0, late: 0 };
+
 /** What is known of a request's stages and its time. */
 export interface StageForecastOptions {
   stages: readonly RouteStage[];
   /** Expected time of each stage without waiting; 0 for one without pieces. */
   durations: readonly Millis[];
-  readWaits: (pool: string) => PieceWaits;
+  /** What a new piece of the request would wait in a pool. */
+  readWaits: (pool: string) => Promise<PieceWaits>;
   /** Time left to be on time, after what the engine needs. */
   onTime: Millis;
   /** Time left at all, after what the engine needs. */
@@ -33,24 +36,29 @@
 }
 
 /** The refusal of a request that cannot be served, or undefined. */
-export function findHopeless(
+export async function findHopeless(
   { stages, durations, readWaits, onTime, remaining, random }:
     StageForecastOptions,
-): Failure | undefined {
-  const computeTime = (readWait: (waits: PieceWaits) => Millis) =>
+): Promise<Failure | undefined> {
+  const waits = await Promise.all(
+    stages.map(({ pool }, number) =>
+      durations[number] === 0 ? NO_WAITS : readWaits(pool)
+    ),
+  );
+  const computeTime = (kind: keyof PieceWaits) =>
     computeStageTime(
       stages,
-      durations.map((duration, number) => {
-        const pool = stages[number]?.pool ?? "";
-        return duration === 0 ? 0 : duration + readWait(readWaits(pool));
-      }),
+      durations.map((duration, number) =>
+        duration + (waits[number] ?? NO_WAITS)[kind]
+      ),
     );
-  if (computeTime((waits) => waits.onTime) <= onTime) return undefined;
-  const excess = computeTime(({ late }) => late) - remaining;
+  const excess = computeTime("onTime") - onTime;
   if (excess <= 0) return undefined;
+  const lateExcess = computeTime("late") - remaining;
+  if (lateExcess <= 0) return undefined;
   return createFailure("overloaded", {
     verdict: "not_run",
     message: `its stages would take ${Math.round(excess)} ms too long`,
-    retryAfterMs: spreadRetryAfter(excess, random),
+    retryAfterMs: spreadRetryAfter(Math.max(excess, lateExcess), random),
   });
 }
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -13,10 +13,11 @@
   EndpointInfo,
   PieceBatcher,
   PieceGroup,
+  PieceWaits,
   RetryBudget,
   WaitingPiece,
 } from "@mangoreach/coordination";
-import { createPieceBatcher } from "@mangoreach/coordination";
+import { createPieceBatcher, createPieceFlow } from "@mangoreach/coordination";
 import type {
   PieceOrder,
   PieceOutcome,
@@ -25,6 +26,7 @@
 } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { EndpointLoads } from "./endpoint_load.ts";
+import { createMakerRoom } from "./maker_room.ts";
 import type {
   CalledPiece,
   StageEndpoints,
@@ -53,6 +55,8 @@
 export interface StageFeeder {
   /** Runs the pieces of one stage of one request. */
   run(run: PieceRun, signal: AbortSignal): Promise<PieceRunReply>;
+  /** What a new piece of this priority would wait. */
+  readWaits(priority: number): PieceWaits;
   /** Frees results that nobody needs any more. */
   release(results: readonly string[]): void;
   /** Looks again for calls to make, after endpoints have changed. */
@@ -60,12 +64,13 @@
 }
 
 interface FeederGroup extends PieceGroup {
-  /** All pieces of the group. */
-  readonly total: number;
+  readonly pieces: FeederPiece[];
   /** When the last call with pieces of it began. */
   lastCallAt: Millis;
 }
 
+type FailReason = Extract<PieceOutcome, { kind: "failed" }>["reason"];
+
 interface FeederPiece extends WaitingPiece {
   readonly group: FeederGroup;
   order: CalledPiece;
@@ -77,16 +82,8 @@
   settle(outcome: PieceOutcome): void;
 }
 
-interface HeldResult {
-  endpointId: string;
-  bytes: number;
-  /** When its maker drops it if nobody frees it. */
-  lapsesAt: Millis;
-}
-
 interface Feeding extends BatchEndpoint {
   calls: number;
-  roomTaken: number;
   /** It said that it is full or has no room; until then it gets nothing. */
   blockedUntil: Millis;
 }
@@ -117,9 +114,9 @@
 export function createStageFeeder(options: StageFeederOptions): StageFeeder {
   const { clock, log, pool, stages, loads, readSpec, budget } = options;
   const batcher: PieceBatcher<FeederPiece> = createPieceBatcher(readSpec);
+  const flow = createPieceFlow(clock);
+  const room = createMakerRoom();
   const feedings = new Map<string, Feeding>();
-  /** Result to the endpoint and the size that was reserved for it. */
-  const held = new Map<string, HeldResult>();
   let isRecheckDue = false;
   /** Since when pieces come here without a long pause. */
   let feedingSince = clock.now();
@@ -130,41 +127,44 @@
     const now = clock.now();
     if (now - lastRunAt > SETTLE_TIME) feedingSince = now;
     lastRunAt = now;
-    const total = request.pieces.length;
-    const group = { started: 0, total, lastCallAt: 0 };
-    const pieces = request.pieces.map((order) =>
-      createPiece({ request, order, group })
+    const group: FeederGroup = { started: 0, pieces: [], lastCallAt: 0 };
+    const outcomes = Promise.all(
+      request.pieces.map((order) => addPiece({ request, order, group })),
     );
-    const outcomes = Promise.all(pieces.map(({ promise }) => promise));
+    if (request.onTime > readSpec().callTime) {
+      flow.recordArrival(request.priority, group.pieces.length);
+    }
     const cancel = () => {
-      pieces.forEach(({ piece }) => cancelPiece(piece));
+      failGroup(group, "late");
       // Nobody will take the results that are there already.
-      release(pieces.flatMap(({ piece }) => piece.result ?? []));
+      release(group.pieces.flatMap(({ result }) => result ?? []));
     };
     signal.addEventListener("abort", cancel, { once: true });
-    for (const { piece } of pieces) {
-      batcher.add(piece);
-      budget.deposit();
-    }
     if (signal.aborted) cancel();
     dispatch();
     return outcomes.then((list) => {
       signal.removeEventListener("abort", cancel);
-      const waits = batcher.estimateWaits(request.priority, {
-        now: clock.now(),
-        endpointCount: options.listEndpoints().length,
-      });
-      return { outcomes: list, waits };
+      return { outcomes: list, waits: readWaits(request.priority) };
     });
   }
 
-  function createPiece(
+  function readWaits(priority: number): PieceWaits {
+    const now = clock.now();
+    return batcher.estimateWaits(priority, { now, forecast: readForecast() });
+  }
+
+  function readForecast() {
+    const inUse = loads.listInUse(options.listEndpoints());
+    return flow.forecast(readSpec(), inUse.length);
+  }
+
+  function addPiece(
     { request, order, group }: {
       request: PieceRun;
       order: PieceOrder;
       group: FeederGroup;
     },
-  ) {
+  ): Promise<PieceOutcome> {
     let settle: (outcome: PieceOutcome) => void = () => {};
     const promise = new Promise<PieceOutcome>((resolve) => settle = resolve);
     const piece: FeederPiece = {
@@ -182,13 +182,23 @@
       result: undefined,
       settle,
     };
-    return { piece, promise };
+    group.pieces.push(piece);
+    batcher.add(piece);
+    budget.deposit();
+    return promise;
   }
 
-  function cancelPiece(piece: FeederPiece): void {
-    piece.isCancelled = true;
-    batcher.remove(piece);
-    piece.settle({ kind: "failed", reason: "late" });
+  /**
+   * A request needs all its pieces: what is not made yet is not made for
+   * nothing, and whoever waits learns it now and not with the last of them.
+   */
+  function failGroup({ pieces }: FeederGroup, reason: FailReason): void {
+    for (const piece of pieces) {
+      if (piece.result !== undefined) continue;
+      piece.isCancelled = true;
+      batcher.remove(piece);
+      piece.settle({ kind: "failed", reason });
+    }
   }
 
   function listFeedings(): Feeding[] {
@@ -204,37 +214,41 @@
       const feeding: Feeding = known ??
         { info, calls: 0, roomTaken: 0, slowness, blockedUntil: 0 };
       feedings.set(info.id, feeding);
-      return Object.assign(feeding, { info, slowness });
+      const roomTaken = room.readTaken(info.id);
+      return Object.assign(feeding, { info, slowness, roomTaken });
     }).filter(({ blockedUntil }) => blockedUntil <= now);
   }
 
-  /** An entry that died frees nothing; its results lapse at their makers. */
-  function dropLapsed(now: Millis): void {
-    for (const [result, { lapsesAt }] of held) {
-      if (lapsesAt <= now) dropHeld(result);
-    }
-  }
-
   function dispatch(): void {
     const now = clock.now();
-    dropLapsed(now);
-    for (const piece of batcher.dropLate(now, options.listEndpoints().length)) {
-      log.record("piece_dropped", {
-        request: piece.order.requestId,
-        pool,
-        waiting: batcher.size,
-        reason: "it could not be done in time",
-      });
-      piece.settle({ kind: "failed", reason: "late" });
-    }
+    room.dropLapsed(now);
+    dropLate(now);
     for (;;) {
       const call = batcher.planCall(listFeedings(), now);
       if (call === undefined) break;
+      flow.recordCall(call.pieces.length, batcher.size);
       void runCall(call.endpoint, call.pieces);
     }
     if (batcher.size > 0) startRecheck();
   }
 
+  function dropLate(now: Millis): void {
+    const hopeless = batcher.dropLate(now, readForecast());
+    const groups = new Map(hopeless.map((piece) => [piece.group, piece]));
+    for (const [group, { order, dueAt }] of groups) {
+      failGroup(group, "late");
+      log.record("pieces_dropped", {
+        request: order.requestId,
+        pool,
+        stage: order.stage,
+        left: dueAt - now,
+        waiting: batcher.size,
+        ...readWaits(0),
+        reason: "they could not be done in time",
+      });
+    }
+  }
+
   /** Endpoints come back and pieces grow late without any event here. */
   function startRecheck(): void {
     if (isRecheckDue) return;
@@ -255,7 +269,7 @@
     const bytes = pieces.reduce((sum, piece) => sum + piece.resultBytes, 0);
     const startedAt = clock.now();
     feeding.calls++;
-    feeding.roomTaken += bytes;
+    room.reserve(info.id, bytes);
     loads.begin(info);
     for (const piece of pieces) {
       piece.attempts++;
@@ -279,7 +293,7 @@
     if (reply.isErr) {
       const isUnreachable = reply.error.sent === "no";
       loads.end(info, isUnreachable ? "unreachable" : "failing");
-      feeding.roomTaken -= bytes;
+      room.reserve(info.id, -bytes);
       pieces.forEach((piece) => tryAgain(piece, info, "unavailable"));
     } else {
       takeReply(feeding, {
@@ -293,8 +307,9 @@
       endpoint: info.id,
       requests: pieces.map(({ order }) => order.requestId),
       pieces: pieces.length,
-      roomTaken: feeding.roomTaken,
-      oldestResult: readOldestResult(info, clock.now()),
+      place: info.place,
+      roomTaken: room.readTaken(info.id),
+      oldestResult: room.readOldest(info.id, clock.now()),
       waiting: batcher.size,
       took,
       expected,
@@ -315,7 +330,7 @@
   ): void {
     const groups = new Map(pieces.map((piece) => [piece.group, piece.order]));
     for (const [group, { source }] of groups) {
-      const isLastCall = group.started >= group.total &&
+      const isLastCall = group.started >= group.pieces.length &&
         group.lastCallAt === calledAt;
       if (source.kind === "key" || !isLastCall) continue;
       for (const used of source.pools) {
@@ -324,16 +339,6 @@
     }
   }
 
-  /** The age of the oldest result that is still held at an endpoint. */
-  function readOldestResult({ id }: EndpointInfo, now: Millis): Millis {
-    let oldest = now;
-    for (const { endpointId, lapsesAt } of held.values()) {
-      if (endpointId !== id) continue;
-      oldest = Math.min(oldest, lapsesAt - readSpec().resultLifetime);
-    }
-    return now - oldest;
-  }
-
   function takeReply(
     feeding: Feeding,
     { pieces, reply, ratio }: {
@@ -354,7 +359,7 @@
     loads.end(info, reply.kind === "invalid" ? "failing" : "neutral");
     const isFull = reply.kind === "not_run" && reply.reason === "full";
     for (const piece of pieces) {
-      feeding.roomTaken -= piece.resultBytes;
+      room.reserve(info.id, -piece.resultBytes);
       if (isFull) waitForRoom(feeding, piece);
       else tryAgain(piece, info, "unavailable");
     }
@@ -366,11 +371,12 @@
     result: StageResult | undefined,
   ): void {
     if (result?.kind === "done") {
-      const { resultBytes } = piece;
-      held.set(result.result, {
+      const madeAt = clock.now();
+      room.hold(result.result, {
         endpointId: feeding.info.id,
-        bytes: resultBytes,
-        lapsesAt: clock.now() + readSpec().resultLifetime,
+        bytes: piece.resultBytes,
+        madeAt,
+        lapsesAt: madeAt + readSpec().resultLifetime,
       });
       // Nobody waits for it any more, but it takes room at its maker.
       if (piece.isCancelled) return release([result.result]);
@@ -378,11 +384,11 @@
       piece.settle(result);
       return;
     }
-    feeding.roomTaken -= piece.resultBytes;
+    room.reserve(feeding.info.id, -piece.resultBytes);
     const reason = result?.reason ?? "error";
     if (reason === "input_gone") inputsGoneAt = clock.now();
     if (reason === "late" || reason === "input_gone") {
-      piece.settle({ kind: "failed", reason });
+      failGroup(piece.group, reason);
     } else if (reason === "no_room") waitForRoom(feeding, piece);
     else tryAgain(piece, feeding.info, reason);
   }
@@ -395,7 +401,7 @@
     feeding.blockedUntil = clock.now() + BLOCK_TIME;
     if (piece.isCancelled) return;
     if (budget.withdraw()) batcher.add(piece);
-    else piece.settle({ kind: "failed", reason: "no_room" });
+    else failGroup(piece.group, "no_room");
   }
 
   function tryAgain(
@@ -411,7 +417,7 @@
       .filter(({ info }) => !piece.avoid.has(info.id));
     if (others.length === 0) piece.avoid.clear();
     if (piece.attempts >= MAX_ATTEMPTS || !budget.withdraw()) {
-      return piece.settle({ kind: "failed", reason });
+      return failGroup(piece.group, reason);
     }
     batcher.add(piece);
   }
@@ -423,22 +429,15 @@
       const list = byMaker.get(maker) ?? [];
       byMaker.set(maker, list);
       list.push(result);
-      dropHeld(result);
+      room.drop(result);
     }
     for (const [maker, list] of byMaker) void stages.release(maker, list);
     dispatch();
   }
 
-  function dropHeld(result: string): void {
-    const reserved = held.get(result);
-    if (reserved === undefined) return;
-    held.delete(result);
-    const feeding = feedings.get(reserved.endpointId);
-    if (feeding !== undefined) feeding.roomTaken -= reserved.bytes;
-  }
-
   return {
     run,
+    readWaits,
     release,
     refresh: dispatch,
   };
--- a/packages/serving/src/stage_graph_test.ts
+++ b/packages/serving/src/stage_graph_test.ts
@@ -41,7 +41,7 @@
           new Promise((resolve) =>
             runs.push({ ...run, end: (reply) => resolve(Result.ok(reply)) })
           ),
-        readWaits: () => ({ onTime: 0, late: 0 }),
+        readWaits: () => Promise.resolve({ onTime: 0, late: 0 }),
         release: (_pool, results) => void released.push(...results),
       },
       route: createTestRoute({ stages: STAGES }),
