perf(coordination): calls are filled from all places while all makers are busy

Change: PieceFlow.noteBacklog counts only what waits because all endpoints are busy; after a second of that the rest of a call is filled in order.

--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -74,7 +74,7 @@
   /** Takes out the pieces of the next call, if one can be made now. */
   planCall<E extends BatchEndpoint>(
     endpoints: readonly E[],
-    now: Millis,
+    options: { now: Millis; isStrained: boolean },
   ): PlannedCall<P, E> | undefined;
   /** Expected times until a new piece of this priority is in a call. */
   estimateWaits(
@@ -137,7 +137,7 @@
 
   function planCall<E extends BatchEndpoint>(
     endpoints: readonly E[],
-    now: Millis,
+    { now, isStrained }: { now: Millis; isStrained: boolean },
   ): PlannedCall<P, E> | undefined {
     const spec = readSpec();
     const free = endpoints.filter(({ calls }) => calls < spec.slots);
@@ -149,7 +149,15 @@
       if (!isNearFree && mayWaitForNear(first, { places, now, spec })) continue;
       const endpoint = chooseEndpoint(first, { free, spec });
       if (endpoint === undefined) continue;
-      const pieces = choosePieces(first, { endpoint, places, now, spec });
+      const mayWait = (piece: P) =>
+        piece.place !== endpoint.info.place &&
+        mayWaitForNear(piece, { places, now, spec });
+      const pieces = choosePieces(first, {
+        endpoint,
+        mayWait,
+        isStrained,
+        spec,
+      });
       const chosen = new Set(pieces);
       waiting = waiting.filter((piece) => !chosen.has(piece));
       for (const { group } of pieces) group.started++;
@@ -190,34 +198,41 @@
     return findEmptiest(near.length > 0 ? near : fitting);
   }
 
-  /** Fills a call; what had better be made in its own place waits for that. */
+  /**
+   * Fills a call. What had better be made in its own place waits for that, but
+   * not while all endpoints are busy: a place that stays free in a call is lost.
+   */
   function choosePieces(
     first: P,
-    { endpoint, places, now, spec }: {
+    { endpoint, mayWait, isStrained, spec }: {
       endpoint: BatchEndpoint;
-      places: ReadonlySet<string>;
-      now: Millis;
+      mayWait: (piece: P) => boolean;
+      isStrained: boolean;
       spec: BatchSpec;
     },
   ): P[] {
-    const chosen = [first];
+    const chosen = new Set([first]);
     const begun = new Set([first.group]);
     let roomTaken = endpoint.roomTaken + first.resultBytes;
-    for (const piece of waiting) {
-      if (chosen.length >= spec.maxPieces) break;
-      if (piece === first || piece.avoid.has(endpoint.info.id)) continue;
-      const roomLeft = spec.roomBytes - roomTaken;
-      const fits = begun.has(piece.group)
-        ? piece.resultBytes <= roomLeft
-        : hasRoom(piece, { roomTaken, roomLeft });
-      if (!fits) continue;
-      const isNear = piece.place === endpoint.info.place;
-      if (!isNear && mayWaitForNear(piece, { places, now, spec })) continue;
-      begun.add(piece.group);
-      roomTaken += piece.resultBytes;
-      chosen.push(piece);
+
+    function addFitting(pieces: readonly P[]): void {
+      for (const piece of pieces) {
+        if (chosen.size >= spec.maxPieces) return;
+        if (chosen.has(piece) || piece.avoid.has(endpoint.info.id)) continue;
+        const roomLeft = spec.roomBytes - roomTaken;
+        const fits = begun.has(piece.group)
+          ? piece.resultBytes <= roomLeft
+          : hasRoom(piece, { roomTaken, roomLeft });
+        if (!fits) continue;
+        begun.add(piece.group);
+        roomTaken += piece.resultBytes;
+        chosen.add(piece);
+      }
     }
-    return chosen;
+
+    addFitting(waiting.filter((piece) => !mayWait(piece)));
+    if (isStrained) addFitting(waiting);
+    return [...chosen];
   }
 
   function estimateWaits(
--- a/packages/coordination/src/piece_batcher_replay_test.ts
+++ b/packages/coordination/src/piece_batcher_replay_test.ts
@@ -125,10 +125,13 @@
       held.push(now - (arrivedAt.get(request) ?? 0));
     }
     for (;;) {
-      const call = batcher.planCall(endpoints, now);
-      if (call === undefined) return;
+      const call = batcher.planCall(endpoints, {
+        now,
+        isStrained: flow.isStrained(),
+      });
+      if (call === undefined) break;
       const { endpoint, pieces } = call;
-      flow.recordCall(pieces.length, batcher.size);
+      flow.recordCall(pieces.length);
       const time = Math.round(spec.callTime + pieces.length * spec.pieceTime);
       endpoint.calls++;
       endpoint.roomTaken += pieces.length * resultBytes;
@@ -141,6 +144,8 @@
         endpoint.roomTaken -= pieces.length * resultBytes;
       });
     }
+    const isBusy = endpoints.every(({ calls }) => calls >= spec.slots);
+    flow.noteBacklog(isBusy && batcher.size > 0);
   }
 
   for (let now = 0; now < LENGTH; now++) {
--- a/packages/coordination/src/piece_batcher_test.ts
+++ b/packages/coordination/src/piece_batcher_test.ts
@@ -52,6 +52,8 @@
   return { info, calls: 0, roomTaken: 0, slowness: 1, ...change };
 }
 
+const AT_START = { now: 0, isStrained: false };
+
 describe("piece batcher", () => {
   /** One endpoint, and nothing comes any more: four pieces take 300 ms. */
   const forecast = createPieceFlow(createFakeClock(0)).forecast(SPEC, 1);
@@ -60,7 +62,7 @@
     const batcher = createPieceBatcher<NamedPiece>(() => SPEC);
     pieces.forEach((piece) => batcher.add(piece));
     const plan = (...endpoints: BatchEndpoint[]) => {
-      const call = batcher.planCall(endpoints, 0);
+      const call = batcher.planCall(endpoints, AT_START);
       return call && {
         endpoint: call.endpoint.info.id,
         pieces: call.pieces.map(({ name }) => name).join(" "),
@@ -192,7 +194,7 @@
     const plan = (onTimeAt: number) => {
       const batcher = createPieceBatcher<NamedPiece>(() => spec);
       batcher.add(createPiece("a", { ...large, onTimeAt }));
-      return batcher.planCall(endpoints, 0)?.endpoint.info.id;
+      return batcher.planCall(endpoints, AT_START)?.endpoint.info.id;
     };
     expect(plan(2_000)).to.equal(undefined);
     expect(plan(500)).to.equal("e2");
@@ -215,6 +217,22 @@
     expect(plan(createEndpoint("e1"), busy)).to.equal(undefined);
   });
 
+  // All makers are busy for seconds and a third of each call stays empty, since
+  // what waits belongs to other places: requests are late for want of calls.
+  it("fills calls with pieces of all places while all are busy", () => {
+    const batcher = createPieceBatcher<NamedPiece>(() => SPEC);
+    const moved = { movedBytes: 600_000 };
+    batcher.add(createPiece("far", { ...moved, place: "e2", onTimeAt: 2_000 }));
+    batcher.add(createPiece("near", { ...moved, place: "e1" }));
+    const endpoints = [
+      createEndpoint("e1"),
+      createEndpoint("e2", { calls: 1 }),
+    ];
+    const call = batcher.planCall(endpoints, { now: 0, isStrained: true });
+    expect(call?.pieces.map(({ name }) => name))
+      .to.deep.equal(["near", "far"]);
+  });
+
   it("never sends more than fits, and each piece once", () => {
     const pieces = fc.array(
       fc.record({
@@ -231,7 +249,7 @@
       );
       const sent: string[] = [];
       for (;;) {
-        const call = batcher.planCall([createEndpoint("e1")], 0);
+        const call = batcher.planCall([createEndpoint("e1")], AT_START);
         if (call === undefined) break;
         const bytes = call.pieces
           .reduce((sum, { resultBytes }) => sum + resultBytes, 0);
--- a/packages/coordination/src/piece_flow.ts
+++ b/packages/coordination/src/piece_flow.ts
@@ -34,8 +34,12 @@
 export interface PieceFlow {
   /** Pieces of one priority came that can meet their objective. */
   recordArrival(priority: number, pieces: number): void;
-  /** Pieces went into a call while `waiting` others stayed behind. */
-  recordCall(pieces: number, waiting: number): void;
+  /** Pieces went into a call. */
+  recordCall(pieces: number): void;
+  /** Notes whether pieces wait because all endpoints are busy. */
+  noteBacklog(isBacklogged: boolean): void;
+  /** Whether all endpoints have been busy for a while with pieces waiting. */
+  isStrained(): boolean;
   forecast(spec: BatchSpec, endpointCount: number): FlowForecast;
 }
 
@@ -82,13 +86,16 @@
     const { slots, maxPieces, callTime, pieceTime } = spec;
     const perCall = callTime + maxPieces * pieceTime;
     const nominal = 1_000 * endpointCount * slots * maxPieces / perCall;
-    const isBacklogged = backlogSince !== undefined &&
-      clock.now() - backlogSince >= BACKLOG_TIME;
-    if (!isBacklogged) return nominal;
+    if (!isStrained()) return nominal;
     const lowest = LOWEST_SHARE * nominal;
     return Math.min(nominal, Math.max(lowest, called.read()));
   }
 
+  function isStrained(): boolean {
+    return backlogSince !== undefined &&
+      clock.now() - backlogSince >= BACKLOG_TIME;
+  }
+
   function forecast(spec: BatchSpec, endpointCount: number): FlowForecast {
     const capacity = readCapacity(spec, endpointCount);
     const estimate = (ahead: number, before: number) => {
@@ -107,11 +114,12 @@
     recordArrival(priority, pieces) {
       findArrivals(priority).record(pieces);
     },
-    recordCall(pieces, waiting) {
-      called.record(pieces);
-      if (waiting === 0) backlogSince = undefined;
+    recordCall: (pieces) => called.record(pieces),
+    noteBacklog(isBacklogged) {
+      if (!isBacklogged) backlogSince = undefined;
       else backlogSince ??= clock.now();
     },
+    isStrained,
     forecast,
   };
 }
--- a/packages/coordination/src/piece_flow_test.ts
+++ b/packages/coordination/src/piece_flow_test.ts
@@ -29,7 +29,8 @@
         arrivals.forEach((pieces, priority) =>
           flow.recordArrival(priority, pieces)
         );
-        flow.recordCall(calls, waiting);
+        flow.recordCall(calls);
+        flow.noteBacklog(waiting > 0);
         await clock.advance(100);
       }
     };
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -224,11 +224,15 @@
     room.dropLapsed(now);
     dropLate(now);
     for (;;) {
-      const call = batcher.planCall(listFeedings(), now);
+      const isStrained = flow.isStrained();
+      const call = batcher.planCall(listFeedings(), { now, isStrained });
       if (call === undefined) break;
-      flow.recordCall(call.pieces.length, batcher.size);
+      flow.recordCall(call.pieces.length);
       void runCall(call.endpoint, call.pieces);
     }
+    const { slots } = readSpec();
+    const isBusy = listFeedings().every(({ calls }) => calls >= slots);
+    flow.noteBacklog(isBusy && batcher.size > 0);
     if (batcher.size > 0) startRecheck();
   }
 
