perf(serving): inputs are kept where a call fills its maker; a free engine's inputs are freed early

And megabytes were kept until the engine's first event, 400 ms after it had fetched them. Change: inputs are freed early only by calls that leave 15% of the room; a piece that waits again counts as not begun; early_release.ts frees the inputs of what runs once 150 ms after a free engine got it.

--- a/packages/peers/src/serving_peers.ts
+++ b/packages/peers/src/serving_peers.ts
@@ -31,6 +31,9 @@
   waitsQuestionSchema,
 } from "./piece_protocol.ts";
 
+import type { TopicNews, TopicQuestion } from "./topic_protocol.ts";
+import { topicNewsSchema, topicQuestionSchema } from "./topic_protocol.ts";
+
 /** What an entry does for its peers. */
 export interface ServingPeerHandlers {
   exchange(message: PeerExchange): PeerExchange;
@@ -38,6 +41,8 @@
   runPieces(run: PieceRun, signal: AbortSignal): Promise<PieceRunReply>;
   readWaits(question: WaitsQuestion): PieceWaits;
   releaseResults(release: ResultRelease): void;
+  /** Answers from what this entry read of the store. */
+  readTopic(question: TopicQuestion): Promise<TopicNews>;
 }
 
 function createServingRouter(handlers: ServingPeerHandlers) {
@@ -50,6 +55,8 @@
       ),
     readWaits: peerProcedure.input(waitsQuestionSchema)
       .query(({ input }) => handlers.readWaits(input)),
+    readTopic: peerProcedure.input(topicQuestionSchema)
+      .query(({ input }) => handlers.readTopic(input)),
     releaseResults: peerProcedure.input(releaseSchema)
       .mutation(({ input }) => {
         handlers.releaseResults(input);
@@ -89,6 +96,10 @@
     address: string,
     release: ResultRelease,
   ): Promise<Result<null, Failure>>;
+  readTopic(
+    address: string,
+    question: TopicQuestion,
+  ): Promise<Result<TopicNews, Failure>>;
   close(): Promise<void>;
 }
 
@@ -98,6 +109,9 @@
 /** Admission waits for the answer, and does without it after this time. */
 const WAITS_TIMEOUT: Millis = 100;
 
+/** A reader that needs longer than its wait is paused or cut off. */
+const TOPIC_SLACK: Millis = 250;
+
 /** Creates the handle. */
 export function createServingPeerClient(
   { clock, siteKey, timeout }: {
@@ -139,6 +153,15 @@
         { address, schema: z.null(), timeout },
         (client, options) => client.releaseResults.mutate(release, options),
       ),
+    readTopic: (address, question) =>
+      caller.ask(
+        {
+          address,
+          schema: topicNewsSchema,
+          timeout: question.wait + TOPIC_SLACK,
+        },
+        (client, options) => client.readTopic.query(question, options),
+      ),
     close: () => caller.close(),
   };
 }
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -23,6 +23,7 @@
 import { readBodyBytes } from "@mangoreach/shared";
 import type { Millis } from "@mangoreach/shared";
 import type { CallerResponse } from "./caller_response.ts";
+import { mayRunAgain, startEarlyRelease } from "./early_release.ts";
 import type { EndpointLoad, LoadEnd } from "./endpoint_load.ts";
 import type { AdmittedRoute } from "./request_admission.ts";
 import type {
@@ -126,7 +127,7 @@
 ): Promise<AttemptOutcome> {
   const { request, admitted, deadline } = options;
   const { route, pool } = admitted;
-  const mayRepeat = route.kind === "idempotent" || route.isResumable;
+  const mayRepeat = mayRunAgain(route);
   const avoid: string[] = [];
   let runs = 0;
   let last: LostAttempt | undefined;
@@ -200,6 +201,9 @@
   const { clock, loads, callEndpoint, findLatencies } = state;
   const { request, admitted, deadline, results } = options;
   const startedAt = clock.now();
+  const stopRelease = results === undefined
+    ? () => {}
+    : startEarlyRelease({ ...state, endpoint, results, route: admitted.route });
   loads.begin(endpoint);
   const answer = await callEndpoint({
     endpoint,
@@ -210,6 +214,7 @@
     inputs: results?.inputs,
     signal: deadline.signal,
   });
+  stopRelease();
   let latency: Millis | undefined;
   const recordLatency = () => {
     const size = sumTokens(request.head.promptParts);
--- a/packages/serving/src/keyed_follower.ts
+++ b/packages/serving/src/keyed_follower.ts
@@ -76,7 +76,11 @@
     if (next === undefined) sink.replaceAll(reading.records);
     else reading.records.forEach((record) => sink.apply(record));
     next = reading.next;
-    sink.noteConfirmed(askedAt);
+    const { age = 0 } = reading;
+    sink.noteConfirmed({
+      monotonic: askedAt.monotonic - age,
+      wall: askedAt.wall - age,
+    });
   }
 
   while (!signal.aborted) {
--- a/packages/serving/src/member_registry.ts
+++ b/packages/serving/src/member_registry.ts
@@ -34,10 +34,13 @@
   readonly task: Promise<void>;
 }
 
-/** A new entry is known to all after this time at the latest. */
-const READ_INTERVAL: Millis = 3_000;
-/** After a start the others are still writing their records. */
-const FIRST_INTERVAL: Millis = 600;
+/**
+ * Pauses before the first readings: after a start the others are still writing
+ * their records.
+ */
+const FIRST_INTERVALS: readonly Millis[] = [600, 1_500, 3_000];
+/** Later ones find entries that no exchange has told of, after a partition. */
+const READ_INTERVAL: Millis = 15_000;
 const RETRY_INTERVAL: Millis = 500;
 
 /** Announces this entry and reads the others again and again. */
@@ -57,13 +60,13 @@
 
   async function run(): Promise<void> {
     await publishSelf();
-    await clock.sleep(FIRST_INTERVAL, signal);
-    while (!signal.aborted) {
+    for (let count = 0; !signal.aborted; count++) {
+      const pause = FIRST_INTERVALS[count] ?? READ_INTERVAL;
+      await clock.sleep(pause * (0.75 + random() / 2), signal);
       const read = await store.list();
       if (read.isOk) {
         addresses = read.value.map(({ controlAddress }) => controlAddress);
       } else onFault(read.error);
-      await clock.sleep(READ_INTERVAL * (0.75 + random() / 2), signal);
     }
   }
 
--- a/packages/serving/src/piece_router_test.ts
+++ b/packages/serving/src/piece_router_test.ts
@@ -88,6 +88,7 @@
               : fail(address),
           );
         },
+        readTopic: () => Promise.resolve(Result.ok({ kind: "unknown" })),
         releaseResults: () => Promise.resolve(Result.ok(null)),
         close: () => Promise.resolve(),
       },
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -27,7 +27,9 @@
 import { createServingMetrics } from "./serving_metrics.ts";
 import type { ServingEntryOptions } from "./serving_options.ts";
 import type { ServingState } from "./serving_state.ts";
+import { createSharedSource } from "./shared_source.ts";
 import { createSiteKnowledge } from "./site_knowledge.ts";
+import { listTopicReaders } from "./topic_readers.ts";
 
 /** A running entry. */
 export interface ServingEntry {
@@ -93,6 +95,17 @@
     logger,
     metrics,
     platform,
+    shareSource: (topic, source) =>
+      createSharedSource({
+        clock,
+        topic,
+        source,
+        listReaders: () => listTopicReaders(membership),
+        ask: async (address, question) => {
+          const reply = await peers.readTopic(address, question);
+          return reply.isOk ? reply.value : undefined;
+        },
+      }),
     onConfig: ({ limits }) => listener.applyLimits(limits),
     onEndpoints: () => pools.refreshFeeders(),
   });
@@ -188,6 +201,8 @@
       handlers: {
         exchange: (message) => exchange.answer(message),
         runPieces: (run, stop) => runForPeer(run, stop),
+        readTopic: (question) =>
+          knowledge.relays[question.topic].answer(question),
         readWaits: ({ pool, priority }) => findFeeder(pool).readWaits(priority),
         releaseResults: ({ pool, results }) =>
           findFeeder(pool).release(results),
--- a/packages/serving/src/serving_handles.ts
+++ b/packages/serving/src/serving_handles.ts
@@ -131,6 +131,8 @@
   records: readonly KeyedRecord[];
   /** Where to read on. */
   next: number;
+  /** How old it was when it was read; 0 if it comes from the store itself. */
+  age?: Millis;
 }
 
 /** Why a topic could not be read. */
--- a/packages/serving/src/site_knowledge.ts
+++ b/packages/serving/src/site_knowledge.ts
@@ -18,13 +18,16 @@
   createKnowledgeAge,
   createRouteTable,
 } from "@mangoreach/coordination";
+import type { TopicName } from "@mangoreach/peers";
 import type { Clock, Logger, Millis } from "@mangoreach/shared";
 import type { DecisionLog } from "./decision_log.ts";
 import type { KeyedSink } from "./keyed_follower.ts";
 import { followKeyedTopic } from "./keyed_follower.ts";
-import type { KeyedRecord } from "./serving_handles.ts";
+import type { KeyedRecord, KeyedSource } from "./serving_handles.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 import type { ServingPlatform } from "./serving_options.ts";
+import type { TopicRelay } from "./topic_relay.ts";
+import { createTopicRelay } from "./topic_relay.ts";
 
 /** Options of {@linkcode createSiteKnowledge}. */
 export interface SiteKnowledgeOptions {
@@ -36,6 +39,8 @@
   logger: Logger;
   metrics: ServingMetrics;
   platform: ServingPlatform;
+  /** Lets entries share what they read of a topic. */
+  shareSource: (topic: TopicName, source: KeyedSource) => KeyedSource;
   /** Told of each configuration that comes into force. */
   onConfig: (config: ServingConfig) => void;
   /** Told when endpoints come, leave or go. */
@@ -50,6 +55,8 @@
   readonly directory: EndpointDirectory;
   /** The place of the endpoint at an address. */
   findPlace(address: string): string | undefined;
+  /** Passes topics on to other entries. */
+  readonly relays: Readonly<Record<TopicName, TopicRelay>>;
   /** Whether endpoints were read at least once. */
   hasEndpoints(): boolean;
   /** Follows the store until the signal aborts. */
@@ -57,10 +64,10 @@
 }
 
 /** Reading waits this long for a change; bounds how old knowledge gets. */
-const CONFIG_WAIT: Millis = 1_000;
+const CONFIG_WAIT: Millis = 500;
 const CONFIG_PAUSE: Millis = 50;
 /** Endpoints write their heartbeats all the time; reading gathers them. */
-const ENDPOINT_PAUSE: Millis = 500;
+const ENDPOINT_PAUSE: Millis = 300;
 /** Entries lapsed in an outage come back within two seconds. */
 const RETURN_GRACE: Millis = 1_800;
 /** A mark of an endpoint's own is believed this long without confirmation. */
@@ -77,6 +84,24 @@
   let isEndpointsKnown = false;
   const configAge = createKnowledgeAge({ clock, readWallTime });
   const endpointAge = createKnowledgeAge({ clock, readWallTime });
+  const relays = {
+    config: createTopicRelay({
+      clock,
+      source: platform.configSource,
+      age: createKnowledgeAge({ clock, readWallTime }),
+      readContent: ({ value }) => value ?? "",
+    }),
+    endpoints: createTopicRelay({
+      clock,
+      source: platform.endpointSource,
+      age: createKnowledgeAge({ clock, readWallTime }),
+      readContent: (record) => {
+        if (record.value === undefined) return "";
+        const decoded = platform.decodeEndpoint(record);
+        return decoded.isOk ? JSON.stringify(decoded.value) : record.value;
+      },
+    }),
+  };
   const directory = createEndpointDirectory({
     clock,
     markLifetime: MARK_LIFETIME,
@@ -190,7 +215,7 @@
     await Promise.all([
       followKeyedTopic({
         ...common,
-        source: platform.configSource,
+        source: options.shareSource("config", relays.config.source),
         sink: configSink,
         readTime: configAge.readTime,
         wait: CONFIG_WAIT,
@@ -198,7 +223,7 @@
       }),
       followKeyedTopic({
         ...common,
-        source: platform.endpointSource,
+        source: options.shareSource("endpoints", relays.endpoints.source),
         sink: endpointSink,
         readTime: endpointAge.readTime,
         wait: 0,
@@ -213,6 +238,7 @@
     directory,
     findPlace: (address) =>
       roster.list().find((endpoint) => endpoint.address === address)?.place,
+    relays,
     hasEndpoints: () => isEndpointsKnown,
     follow,
   };
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -107,6 +107,11 @@
  * fed the pool for this long, and not for as long after inputs were gone.
  */
 const SETTLE_TIME: Millis = 5_000;
+/**
+ * Sizes of results are approximate: a maker that is filled to the last byte has
+ * no room for some of them, and these are made again from the same inputs.
+ */
+const SURE_ROOM_SHARE = 0.85;
 /** How soon waiting pieces are looked at again when no endpoint was free. */
 const RECHECK_INTERVAL: Millis = 50;
 
@@ -279,9 +284,11 @@
       piece.attempts++;
       piece.group.lastCallAt = startedAt;
     }
+    const isSure =
+      room.readTaken(info.id) <= SURE_ROOM_SHARE * readSpec().roomBytes;
     let isRunning = true;
     clock.startTimer(FETCH_TIME, () => {
-      if (isRunning && isSettled()) releaseFetched(pieces, startedAt);
+      if (isRunning && isSure && isSettled()) releaseFetched(pieces, startedAt);
     });
     const reply = await stages.run({
       endpoint: info,
@@ -404,7 +411,7 @@
   function waitForRoom(feeding: Feeding, piece: FeederPiece): void {
     feeding.blockedUntil = clock.now() + BLOCK_TIME;
     if (piece.isCancelled) return;
-    if (budget.withdraw()) batcher.add(piece);
+    if (budget.withdraw()) waitAgain(piece);
     else failGroup(piece.group, "no_room");
   }
 
@@ -423,6 +430,12 @@
     if (piece.attempts >= MAX_ATTEMPTS || !budget.withdraw()) {
       return failGroup(piece.group, reason);
     }
+    waitAgain(piece);
+  }
+
+  /** It needs its inputs once more. */
+  function waitAgain(piece: FeederPiece): void {
+    piece.group.started--;
     batcher.add(piece);
   }
 
--- a/packages/serving/src/stage_feeder_test.ts
+++ b/packages/serving/src/stage_feeder_test.ts
@@ -204,6 +204,29 @@
     expect(fetched).to.deep.equal(["m/1"]);
   });
 
+  // A maker is filled to the last byte, and results are a little larger than
+  // they should be: some pieces find no room and are made again, from inputs that
+  // were freed when the call had fetched them.
+  it("keeps the inputs of a call that fills its maker", async () => {
+    const { feeder, stages, signal, clock, fetched } = create("e1");
+    await keepFeeding(feeder, { clock, stages });
+    const pieces = FIVE_PIECES.slice(0, 4);
+    const full = createRun("a", 0, { pieces, resultBytes: 250 });
+    const run = feeder.run(full, signal);
+    await clock.advance(200);
+    const done = { kind: "done", result: "e1/x" } as const;
+    const failed = { kind: "failed", reason: "no_room" } as const;
+    stages.calls.at(-1)?.end({
+      kind: "results",
+      results: [done, done, done, failed],
+    });
+    await clock.advance(200);
+    expect(fetched).to.deep.equal([]);
+    stages.calls.at(-1)?.finish();
+    expect((await run).outcomes.map(({ kind }) => kind))
+      .to.deep.equal(["done", "done", "done", "done"]);
+  });
+
   // An entry has just begun to feed the pool; calls of the one before it are
   // still at the endpoints. Its own calls wait there, with inputs to fetch.
   it("keeps inputs while another feeder may be at work", async () => {
--- /dev/null
+++ b/packages/serving/src/topic_relay.ts
@@ -0,0 +1,131 @@
+/**
+ * Passes on to other entries what this one reads of a keyed topic, so that not
+ * every entry has to ask the platform's store.
+ *
+ * Keeps the store's own offsets: an entry may read on here, at another entry or
+ * at the store, and misses nothing.
+ *
+ * @module
+ */
+import type { KnowledgeAge } from "@mangoreach/coordination";
+import type { TopicNews, TopicQuestion } from "@mangoreach/peers";
+import type { Clock } from "@mangoreach/shared";
+import type {
+  KeyedReading,
+  KeyedRecord,
+  KeyedSource,
+} from "./serving_handles.ts";
+
+/** Options of {@linkcode createTopicRelay}. */
+export interface TopicRelayOptions {
+  clock: Clock;
+  /** The store. */
+  source: KeyedSource;
+  /** How long ago the store confirmed what is kept here. */
+  age: KnowledgeAge;
+  /**
+   * What a record says, without heartbeats; a record that says the same as the
+   * one before is not passed on.
+   */
+  readContent: (record: KeyedRecord) => string;
+}
+
+/** A topic as this entry reads it, and passes it on. */
+export interface TopicRelay {
+  /** The store; what is read goes to others too. */
+  readonly source: KeyedSource;
+  /** Answers another entry, after a while if there is nothing new yet. */
+  answer(question: TopicQuestion): Promise<TopicNews>;
+}
+
+interface KeptRecord extends KeyedRecord {
+  offset: number;
+}
+
+/** An entry that has fallen behind by more reads the newest records itself. */
+const MAX_KEPT = 1_000;
+
+/** Creates a relay that has read nothing yet. */
+export function createTopicRelay(
+  { clock, source, age, readContent }: TopicRelayOptions,
+): TopicRelay {
+  let kept: KeptRecord[] = [];
+  /** Nothing is known here of records before this offset. */
+  let first = Infinity;
+  let next = -Infinity;
+  const contents = new Map<string, string>();
+  const waiting = new Set<() => void>();
+
+  function isNews(record: KeyedRecord): boolean {
+    const content = readContent(record);
+    if (contents.get(record.key) === content) return false;
+    if (record.value === undefined) contents.delete(record.key);
+    else contents.set(record.key, content);
+    return true;
+  }
+
+  function takeNewest({ records, next: end }: KeyedReading): void {
+    contents.clear();
+    records.forEach(isNews);
+    kept = [];
+    first = end;
+    next = end;
+  }
+
+  function takeChanges(from: number, reading: KeyedReading): void {
+    const news = reading.records
+      .map((record, index) => ({ ...record, offset: from + index }))
+      .filter(isNews);
+    kept.push(...news);
+    const excess = kept.splice(0, Math.max(0, kept.length - MAX_KEPT));
+    first = Math.max(first, (excess.at(-1)?.offset ?? -1) + 1);
+    next = reading.next;
+    if (news.length > 0) [...waiting].forEach((wake) => wake());
+  }
+
+  async function readNewest() {
+    const askedAt = age.readTime();
+    const reading = await source.readNewest();
+    if (reading.isErr) return reading;
+    takeNewest(reading.value);
+    age.noteConfirmed(askedAt);
+    return reading;
+  }
+
+  async function readFrom(from: number, wait: number) {
+    const askedAt = age.readTime();
+    const reading = await source.readFrom(from, wait);
+    if (reading.isErr) return reading;
+    // Records in between went to this entry by others: those are not kept here.
+    if (from === next) takeChanges(from, reading.value);
+    else takeNewest({ records: [], next: reading.value.next });
+    age.noteConfirmed(askedAt);
+    return reading;
+  }
+
+  function collect(from: number): TopicNews {
+    if (from < first || from > next) return { kind: "unknown" };
+    const records = kept.filter(({ offset }) => offset >= from)
+      .map(({ key, value }) => value === undefined ? { key } : { key, value });
+    return { kind: "records", records, next, age: age.read() };
+  }
+
+  async function answer(
+    { from, wait }: TopicQuestion,
+  ): Promise<TopicNews> {
+    const news = collect(from);
+    if (news.kind === "unknown" || news.records.length > 0) return news;
+    await new Promise<void>((resolve) => {
+      const wake = () => {
+        waiting.delete(wake);
+        stop();
+        resolve();
+      };
+      const stop = clock.startTimer(wait, wake);
+      waiting.add(wake);
+    });
+    return collect(from);
+  }
+
+  return { source: { readNewest, readFrom }, answer };
+}
--- /dev/null
+++ b/packages/serving/src/topic_relay_test.ts
@@ -0,0 +1,111 @@
+import { createKnowledgeAge } from "@mangoreach/coordination";
+import { createFakeClock } from "@mangoreach/shared";
+import { expect } from "chai";
+import { Result } from "true-myth";
+import type { KeyedFault, KeyedReading } from "./serving_handles.ts";
+import { createTopicRelay } from "./topic_relay.ts";
+
+/** Records `key=content/heartbeat`. */
+function createReading(next: number, ...texts: string[]): KeyedReading {
+  const records = texts.map((text) => {
+    const [key = "", value] = text.split("=");
+    return { key, value: value === "" ? undefined : value };
+  });
+  return { records, next };
+}
+
+describe("relay of a topic", () => {
+  async function create(...changes: (KeyedReading | KeyedFault)[]) {
+    const clock = createFakeClock(0);
+    const relay = createTopicRelay({
+      clock,
+      source: {
+        readNewest: () => Promise.resolve(Result.ok(createReading(5, "a=1/1"))),
+        readFrom: () => {
+          const step = changes.shift();
+          return Promise.resolve<Result<KeyedReading, KeyedFault>>(
+            typeof step === "object"
+              ? Result.ok(step)
+              : Result.err(step ?? "unavailable"),
+          );
+        },
+      },
+      age: createKnowledgeAge({ clock, readWallTime: clock.now }),
+      readContent: ({ value }) => value?.split("/")[0] ?? "",
+    });
+    await relay.source.readNewest();
+    const readOn = async (from: number) => {
+      await relay.source.readFrom(from, 0);
+    };
+    const ask = async (from: number, wait = 0) => {
+      const news = relay.answer({ topic: "endpoints", from, wait });
+      await clock.advance(wait);
+      const reply = await news;
+      if (reply.kind === "unknown") return "unknown";
+      const keys = reply.records.map(({ key, value }) => `${key}=${value}`);
+      return `${keys.join(" ")} next ${reply.next} age ${reply.age}`;
+    };
+    return { clock, relay, readOn, ask };
+  }
+
+  it("passes on what changed, with the store's offsets", async () => {
+    const { readOn, ask } = await create(createReading(7, "b=1/1", "a=2/1"));
+    await readOn(5);
+    expect(await ask(5)).to.equal("b=1/1 a=2/1 next 7 age 0");
+    expect(await ask(6)).to.equal("a=2/1 next 7 age 0");
+  });
+
+  // Heartbeats of eighty endpoints, passed on to ninety entries, fill the link of
+  // the smallest instance; they say nothing new.
+  it("leaves out heartbeats, not what comes after a removal", async () => {
+    const { readOn, ask } = await create(
+      createReading(8, "a=1/2", "a=", "a=1/3"),
+    );
+    await readOn(5);
+    expect(await ask(5)).to.equal("a=undefined a=1/3 next 8 age 0");
+  });
+
+  it("tells how long ago the store confirmed what it knows", async () => {
+    const { readOn, ask, clock } = await create("unavailable");
+    await clock.advance(700);
+    await readOn(5);
+    expect(await ask(5)).to.equal(" next 5 age 700");
+  });
+
+  const UNKNOWN = [
+    { name: "before what it has read", from: 4 },
+    { name: "behind what it has read", from: 6 },
+  ];
+  for (const { name, from } of UNKNOWN) {
+    it(`knows nothing of records ${name}`, async () => {
+      const { ask } = await create();
+      expect(await ask(from)).to.equal("unknown");
+    });
+  }
+
+  // While another entry read the store for it, this one kept nothing. Records in
+  // between would be missed by whoever trusted it.
+  it("begins anew where it did not read itself", async () => {
+    const { readOn, ask } = await create(createReading(10, "b=1/1"));
+    await readOn(9);
+    expect(await ask(5)).to.equal("unknown");
+    expect(await ask(10)).to.equal(" next 10 age 0");
+  });
+
+  it("answers a waiting entry when something changes", async () => {
+    const { relay, readOn } = await create(createReading(6, "b=1/1"));
+    const news = relay.answer({ topic: "config", from: 5, wait: 400 });
+    await readOn(5);
+    expect(await news).to.deep.equal({
+      kind: "records",
+      records: [{ key: "b", value: "1/1" }],
+      next: 6,
+      age: 0,
+    });
+  });
+
+  it("answers after the wait if nothing changes", async () => {
+    const { ask } = await create();
+    expect(await ask(5, 400)).to.equal(" next 5 age 400");
+  });
+});
