--- a/packages/coordination/src/retry_budget.ts
+++ b/packages/coordination/src/retry_budget.ts
@@ -20,19 +20,21 @@
   share: number;
   /** Most that can be saved up; also what an idle system starts with. */
   max: number;
+  /** The part of `max` that is this process's own, where several share it. */
+  readPart?: () => number;
 }
 
 /** Creates a full budget. */
 export function createRetryBudget(
-  { share, max }: RetryBudgetOptions,
+  { share, max, readPart = () => 1 }: RetryBudgetOptions,
 ): RetryBudget {
-  let balance = max;
+  let balance = max * readPart();
   return {
     get balance() {
       return balance;
     },
     deposit() {
-      balance = Math.min(max, balance + share);
+      balance = Math.min(max * readPart(), balance + share);
     },
     withdraw() {
       if (balance < 1) return false;
--- a/packages/serving/src/pool_parts.ts
+++ b/packages/serving/src/pool_parts.ts
@@ -14,7 +14,7 @@
   createLatencyModel,
   createRetryBudget,
 } from "@mangoreach/coordination";
-import type { Clock } from "@mangoreach/shared";
+import type { Clock, Millis } from "@mangoreach/shared";
 import type { DecisionLog } from "./decision_log.ts";
 import type { EndpointLoads } from "./endpoint_load.ts";
 import type { StageEndpoints } from "./serving_handles.ts";
@@ -48,8 +48,14 @@
   refreshFeeders(): void;
 }
 
-/** Entries among which the slack of a budget is shared out. */
-const EXPECTED_ENTRIES = 10;
+/** The slack of a budget is shared out among so many entries at least. */
+const LEAST_ENTRIES = 10;
+/**
+ * An entry that has just started knows few others: sharing the slack among those
+ * would give a large fleet many times the slack after a restart of all.
+ */
+const UNKNOWN_ENTRIES = 100;
+const LEARNING_TIME: Millis = 5_000;
 /** Pieces are repeated at a feeder, which may be any entry. */
 const PIECE_REPEAT_SHARE = 0.1;
 const PIECE_REPEAT_SLACK = 10;
@@ -74,6 +80,8 @@
   const feeders = new Map<string, StageFeeder>();
   const budgets = new Map<string, RetryBudget>();
   const latencies = new Map<string, LatencyModel>();
+  const startedAt = clock.now();
+  let mostEntries = LEAST_ENTRIES;
 
   function findFeeder(pool: string): StageFeeder {
     const known = feeders.get(pool);
@@ -96,13 +104,21 @@
     return feeder;
   }
 
+  /** The most entries that were known at a time: some may only be silent. */
+  function countSharers(): number {
+    mostEntries = Math.max(mostEntries, options.countEntries());
+    const isLearning = clock.now() - startedAt < LEARNING_TIME;
+    return isLearning ? Math.max(UNKNOWN_ENTRIES, mostEntries) : mostEntries;
+  }
+
   function findBudget(pool: string): RetryBudget {
     const known = budgets.get(pool);
     if (known !== undefined) return known;
-    const entries = Math.max(EXPECTED_ENTRIES, options.countEntries());
     const budget = createRetryBudget({
       share: options.repeatShare,
-      max: Math.max(1, options.repeatSlack / entries),
+      max: options.repeatSlack,
+      // One repeat is left to each: what is less than that is never saved up.
+      readPart: () => Math.max(1 / options.repeatSlack, 1 / countSharers()),
     });
     budgets.set(pool, budget);
     return budget;
