feat(serving): large instances feed pools and read the store

Cause: grown sites mix instances of 0.32 and 1.35 cores; what many need was done by any of them. Change: PeerRecord.capacity from the settings; feeders and readers are chosen among the entries near the largest.

--- a/bench/src/slopes.ts
+++ b/bench/src/slopes.ts
@@ -117,6 +117,7 @@
     heartbeat: 1,
     configVersion: 1,
     inFlight: 10,
+    capacity: 1,
     strainedPriority: 0,
   };
 }
--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -26,6 +26,8 @@
   configVersion: number;
   /** Requests in progress. */
   inFlight: number;
+  /** Processor time that it may use, in cores; what many need is done by large ones. */
+  capacity: number;
   /** The highest priority that missed deadlines there lately, 0 for none. */
   strainedPriority: number;
 }
--- a/packages/coordination/src/membership_test.ts
+++ b/packages/coordination/src/membership_test.ts
@@ -15,6 +15,7 @@
     heartbeat: 1,
     configVersion: 1,
     inFlight: 0,
+    capacity: 1,
     strainedPriority: 0,
     ...change,
   };
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -172,6 +172,7 @@
   EndpointRosterOptions,
 } from "./endpoint_roster.ts";
 export { createEndpointRoster } from "./endpoint_roster.ts";
+export { listStrong } from "./strong_members.ts";
 export { computeHash, listByRendezvous } from "./rendezvous.ts";
 export type {
   BatchEndpoint,
--- /dev/null
+++ b/packages/coordination/src/strong_members_test.ts
@@ -0,0 +1,17 @@
+import { expect } from "chai";
+import { listStrong } from "./strong_members.ts";
+
+describe("strong members", () => {
+  const CASES = [
+    { members: [], strong: [] },
+    { members: [0.7, 0.7], strong: [0.7, 0.7] },
+    { members: [0.3, 1.35, 0.3, 1.2], strong: [1.35, 1.2] },
+    { members: [0.3, 0.2, 0.1], strong: [0.3, 0.2] },
+  ];
+  for (const { members, strong } of CASES) {
+    it(`of ${members.join(", ") || "none"} are those near the largest`, () => {
+      expect(listStrong(members, (capacity) => capacity))
+        .to.deep.equal(strong);
+    });
+  }
+});
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -400,6 +400,7 @@
       heartbeat: 0,
       configVersion: 0,
       inFlight: 0,
+      capacity: 1,
       strainedPriority: 0,
     },
   });
--- a/packages/peers/src/peer_protocol.ts
+++ b/packages/peers/src/peer_protocol.ts
@@ -19,6 +19,7 @@
 /** What stays the same for the life of a process; sent to who lacks it. */
 export const introductionSchema = heartbeatSchema.extend({
   startedAt: z.number(),
+  capacity: z.number().positive(),
   place: z.string(),
   callerAddress: z.string(),
   controlAddress: z.string(),
--- a/packages/serving/src/attempt_loop_test.ts
+++ b/packages/serving/src/attempt_loop_test.ts
@@ -90,6 +90,7 @@
         heartbeat: 0,
         configVersion: 0,
         inFlight: 0,
+        capacity: 1,
         strainedPriority: 0,
       },
     }),
--- a/packages/serving/src/peer_news.ts
+++ b/packages/serving/src/peer_news.ts
@@ -70,6 +70,7 @@
     heartbeat: 0,
     configVersion: 0,
     inFlight: 0,
+    capacity: settings.capacity,
     strainedPriority: 0,
   };
   const membership: Membership = createMembership({
--- a/packages/serving/src/piece_router.ts
+++ b/packages/serving/src/piece_router.ts
@@ -2,7 +2,7 @@
  * Hands the pieces of a stage to the entry that feeds its pool.
  *
  * The feeder of a pool is the first in the pool's rendezvous order of the live
- * entries, which all entries compute alike. While pieces are with a feeder, it
+ * entries on large instances, which all entries compute alike. While pieces are with a feeder, it
  * is watched: one that is dead, paused or cut off answers no exchange, and the
  * pieces go to the next in order, at last to this entry itself. Without the
  * watch a request would wait for a frozen feeder until its deadline.
@@ -15,7 +15,11 @@
   PeerRecord,
   PieceWaits,
 } from "@mangoreach/coordination";
-import { createFailure, listByRendezvous } from "@mangoreach/coordination";
+import {
+  createFailure,
+  listByRendezvous,
+  listStrong,
+} from "@mangoreach/coordination";
 import type {
   PieceRun,
   PieceRunReply,
@@ -79,7 +83,7 @@
       )
       .map(({ record }) => record);
     const ranked = listByRendezvous<PeerRecord>(
-      [membership.self, ...others],
+      listStrong([membership.self, ...others], ({ capacity }) => capacity),
       { key: pool, readName: ({ entry }) => entry },
     );
     return ranked.map(({ entry, controlAddress }) =>
--- a/packages/serving/src/piece_router_test.ts
+++ b/packages/serving/src/piece_router_test.ts
@@ -35,6 +35,7 @@
     heartbeat: 1,
     configVersion: 1,
     inFlight: 0,
+    capacity: 1,
     strainedPriority: 0,
   };
 }
--- a/packages/serving/src/serving_options.ts
+++ b/packages/serving/src/serving_options.ts
@@ -26,6 +26,8 @@
   /** The name of this entry. */
   entry: string;
   place: string;
+  /** Processor time that it may use, in cores. */
+  capacity: number;
   callers: ListenAddress;
   control: ListenAddress;
   /** Control addresses of entries to begin with; some may be dead. */
--- a/packages/serving/src/topic_readers.ts
+++ b/packages/serving/src/topic_readers.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Membership, PeerRecord } from "@mangoreach/coordination";
-import { listByRendezvous } from "@mangoreach/coordination";
+import { listByRendezvous, listStrong } from "@mangoreach/coordination";
 
 /**
  * One reader for so many entries: its answers cost it about two messages a
@@ -33,7 +33,8 @@
     LEAST_READERS,
     Math.ceil(members.length / ENTRIES_A_READER),
   );
-  const readers = listByRendezvous(members, { key: "readers", readName })
+  const strong = listStrong(members, ({ capacity }) => capacity);
+  const readers = listByRendezvous(strong, { key: "readers", readName })
     .slice(0, count);
   if (readers.some(({ entry }) => entry === self.entry)) return [];
   return listByRendezvous(readers, { key: self.entry, readName })
--- a/packages/serving/src/topic_readers_test.ts
+++ b/packages/serving/src/topic_readers_test.ts
@@ -16,6 +16,7 @@
     heartbeat: 1,
     configVersion: 1,
     inFlight: 0,
+    capacity: 1,
     strainedPriority: 0,
   };
 }
