feat(coordination): a large fleet agrees on its large instances

Change: the store's records introduce all entries at the start, as suspected until they are heard of; records of up to eight large instances go along with every message; news may take up to three times as long in a large fleet; an answered run is a sign of life for the watch; an endpoint full of other calls is a sign of another feeder, after which inputs are not freed early for 5 s.

--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import type { Clock, Millis } from "@mangoreach/shared";
+import { listStrong } from "./strong_members.ts";
 
 /** What an entry says of itself. */
 export interface PeerRecord {
@@ -54,6 +55,8 @@
   random: () => number;
   suspectAfter: Millis;
   loseAfter: Millis;
+  /** How many times longer news may take among so many peers. */
+  scalePatience?: (peers: number) => number;
 }
 
 /** The peers of one entry. */
@@ -63,8 +66,13 @@
   beat(change: Partial<Pick<PeerRecord, OwnChange>>): void;
   /** Takes in records of others; returns those that were news. */
   merge(records: readonly PeerRecord[]): PeerRecord[];
+  /** Takes in records that may be old: suspected until there is later news. */
+  introduce(records: readonly PeerRecord[]): PeerRecord[];
   list(): PeerView[];
-  /** Records to send: one's own first, then the freshest, at most `limit`. */
+  /**
+   * Records to send: one's own first, then the freshest, at most `limit`; in a
+   * mixed fleet those of some large instances besides, on which all must agree.
+   */
   chooseRecords(limit: number): PeerRecord[];
   /** Whom to exchange with next: mostly own place, sometimes another. */
   choosePartner(): PeerRecord | undefined;
@@ -84,13 +92,17 @@
 const OTHER_PLACE_SHARE = 0.3;
 /** A lost peer is tried now and then, so that two halves of a cut find back. */
 const LOST_PARTNER_SHARE = 0.1;
+/** Large instances whose heartbeats go along with every message. */
+const MAX_STRONG_RECORDS = 8;
 /** A peer not heard of for this many times `loseAfter` is forgotten. */
 const FORGET_FACTOR = 30;
 
 /** Creates the view of an entry that knows only itself. */
 export function createMembership(
-  { clock, self, random, suspectAfter, loseAfter }: MembershipOptions,
+  options: MembershipOptions,
 ): Membership {
+  const { clock, self, random, suspectAfter, loseAfter } = options;
+  const { scalePatience = () => 1 } = options;
   const peers = new Map<string, KnownPeer>();
   let own = self;
 
@@ -102,6 +114,13 @@
     return records.filter(mergeRecord);
   }
 
+  function introduce(records: readonly PeerRecord[]): PeerRecord[] {
+    const added = records.filter(mergeRecord);
+    const seenAt = clock.now() - scalePatience(peers.size) * suspectAfter;
+    for (const record of added) peers.set(record.entry, { record, seenAt });
+    return added;
+  }
+
   function mergeRecord(record: PeerRecord): boolean {
     if (record.entry === own.entry) return false;
     const known = peers.get(record.entry);
@@ -122,8 +141,9 @@
   }
 
   function judgeHealth(age: Millis): PeerHealth {
-    if (age >= loseAfter) return "lost";
-    return age >= suspectAfter ? "suspected" : "alive";
+    const patience = scalePatience(peers.size);
+    if (age >= patience * loseAfter) return "lost";
+    return age >= patience * suspectAfter ? "suspected" : "alive";
   }
 
   function chooseRecords(limit: number): PeerRecord[] {
@@ -131,7 +151,11 @@
       .filter(({ health }) => health !== "lost")
       .sort((a, b) => a.age - b.age)
       .map(({ record }) => record);
-    return [own, ...fresh].slice(0, limit);
+    const strong = listStrong(fresh, ({ capacity }) => capacity);
+    const isMixed = strong.length < fresh.length;
+    const always = isMixed ? strong.slice(0, MAX_STRONG_RECORDS) : [];
+    const others = fresh.filter((record) => !always.includes(record));
+    return [own, ...always, ...others.slice(0, limit - 1)];
   }
 
   function choosePartner(): PeerRecord | undefined {
@@ -155,6 +179,7 @@
     },
     beat,
     merge,
+    introduce,
     list,
     chooseRecords,
     choosePartner,
--- a/packages/coordination/src/membership_test.ts
+++ b/packages/coordination/src/membership_test.ts
@@ -63,6 +63,46 @@
     expect(records[0]?.entry).to.equal("self");
   });
 
+  // A fleet of 86 has eight large instances, on whom all must agree: whoever
+  // lacks one chooses another feeder for a pool, and its endpoints get the calls
+  // of both.
+  it("sends the records of some large instances every time", () => {
+    const { members } = create();
+    const large = (i: number) => (i % 10 === 0 ? { capacity: 4 } : {});
+    const all = Array.from({ length: 80 }, (_, i) => peer(`e${i}`, large(i)));
+    members.merge(all);
+    const records = members.chooseRecords(6);
+    expect(records.filter(({ capacity }) => capacity === 4).length)
+      .to.equal(8);
+    expect(records.length).to.equal(14);
+  });
+
+  // The store still holds the record of an instance that has lost its power.
+  // Named to callers, it would cost each of them a second.
+  it("suspects introduced peers until they are heard of", () => {
+    const { members } = create();
+    members.introduce([peer("b")]);
+    expect(members.list()[0]?.health).to.equal("suspected");
+    members.introduce([peer("b")]);
+    members.merge([peer("b", { heartbeat: 2 })]);
+    expect(members.list()[0]?.health).to.equal("alive");
+  });
+
+  it("waits longer for news in a large fleet", async () => {
+    const clock = createFakeClock(0);
+    const members = createMembership({
+      clock,
+      self: peer("self"),
+      random: () => 0.5,
+      suspectAfter: 100,
+      loseAfter: 300,
+      scalePatience: (known) => known,
+    });
+    members.merge([peer("b"), peer("c")]);
+    await clock.advance(150);
+    expect(members.list()[0]?.health).to.equal("alive");
+  });
+
   it("prefers partners in its own place and tries others too", () => {
     const own = create(() => 0.9);
     own.members.merge([peer("near"), peer("far", { place: "voss" })]);
--- a/packages/serving/src/member_registry.ts
+++ b/packages/serving/src/member_registry.ts
@@ -24,6 +24,8 @@
   signal: AbortSignal;
   store: MemberStore;
   self: PeerRecord;
+  /** Told of all entries in the store; some may have ended. */
+  onListed: (records: readonly PeerRecord[]) => void;
   onFault: (reason: string) => void;
 }
 
@@ -45,7 +47,8 @@
 
 /** Announces this entry and reads the others again and again. */
 export function startMemberRegistry(
-  { clock, random, signal, store, self, onFault }: MemberRegistryOptions,
+  { clock, random, signal, store, self, onListed, onFault }:
+    MemberRegistryOptions,
 ): MemberRegistry {
   let addresses: readonly string[] = [];
 
@@ -65,6 +68,7 @@
       await clock.sleep(pause * (0.75 + random() / 2), signal);
       const read = await store.list();
       if (read.isOk) {
+        onListed(read.value);
         addresses = read.value.map(({ controlAddress }) => controlAddress);
       } else onFault(read.error);
     }
--- a/packages/serving/src/peer_news.ts
+++ b/packages/serving/src/peer_news.ts
@@ -52,6 +52,12 @@
 /** Five exchanges without news; most news comes through others in two. */
 const SUSPECT_AFTER: Millis = 2_500;
 const LOSE_AFTER: Millis = 6_000;
+/**
+ * A message carries the news of some six peers, so among more than this many
+ * news of one takes longer; at 86 about three times as long.
+ */
+const PROMPT_PEERS = 24;
+const MAX_PATIENCE = 3;
 
 /** Creates the news of an entry that knows only itself. */
 export function createPeerNews(options: PeerNewsOptions): PeerNews {
@@ -79,6 +85,8 @@
     random,
     suspectAfter: SUSPECT_AFTER,
     loseAfter: LOSE_AFTER,
+    scalePatience: (known) =>
+      Math.min(MAX_PATIENCE, Math.max(1, known / PROMPT_PEERS)),
   });
   // Peers are reachable only inside the platform's network, which gives its
   // processes no shared secret.
@@ -95,6 +103,7 @@
       signal,
       store: options.members,
       self,
+      onListed: (records) => membership.introduce(records).forEach(notePeer),
       onFault: (reason) =>
         log.record("dependency_lost", { dependency: "members", reason }),
     });
--- a/packages/serving/src/piece_router.ts
+++ b/packages/serving/src/piece_router.ts
@@ -55,7 +55,11 @@
 
 /** How often a feeder that has pieces is asked whether it lives. */
 const WATCH_INTERVAL: Millis = 250;
-/** This many unanswered questions in a row and it is taken for dead. */
+/**
+ * This many unanswered questions in a row and it is taken for dead. One that is
+ * only short of processor answers runs meanwhile, which counts as well: taken
+ * for dead, its load would go to the next in order, and that one would fall too.
+ */
 const WATCH_FAILURES = 2;
 /** Feeders that failed are left out for this long. */
 const FEEDER_PENALTY: Millis = 3_000;
@@ -157,6 +161,7 @@
     signal.addEventListener("abort", abort, { once: true });
     watch.pending.add(abort);
     const reply = await peers.runPieces(address, order, controller.signal);
+    if (reply.isOk) watch.failures = 0;
     watch.pending.delete(abort);
     signal.removeEventListener("abort", abort);
     return reply;
@@ -165,7 +170,7 @@
   function findWatch(address: string): FeederWatch {
     const known = watches.get(address);
     if (known !== undefined) return known;
-    const watch: FeederWatch = { pending: new Set() };
+    const watch: FeederWatch = { pending: new Set(), failures: 0 };
     watches.set(address, watch);
     void watchFeeder(address, watch);
     return watch;
@@ -175,16 +180,15 @@
     address: string,
     watch: FeederWatch,
   ): Promise<void> {
-    let failures = 0;
     do {
       await clock.sleep(WATCH_INTERVAL);
       if (watch.pending.size === 0) break;
       const message = { heartbeats: [], introductions: [], leaving: [] };
       const reply = await peers.exchange(address, message);
-      failures = reply.isOk ? 0 : failures + 1;
-    } while (failures < WATCH_FAILURES);
+      watch.failures = reply.isOk ? 0 : watch.failures + 1;
+    } while (watch.failures < WATCH_FAILURES);
     watches.delete(address);
-    if (failures > 0) watch.pending.forEach((abort) => abort());
+    if (watch.failures > 0) watch.pending.forEach((abort) => abort());
   }
 
   function release(pool: string, results: readonly string[]): void {
@@ -214,6 +218,8 @@
 }
 
 interface FeederWatch {
+  /** Unanswered questions since it last gave a sign of life. */
+  failures: number;
   /** Gives up each run that is with the feeder. */
   pending: Set<() => void>;
 }
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -104,7 +104,8 @@
 /**
  * With two feeders for a moment, as after a restart, a call waits at its
  * endpoint before it fetches anything. So inputs are freed early only by who has
- * fed the pool for this long, and not for as long after inputs were gone.
+ * fed the pool for this long, and not for as long after inputs were gone or an
+ * endpoint was full of somebody else's calls.
  */
 const SETTLE_TIME: Millis = 5_000;
 /**
@@ -126,7 +127,8 @@
   /** Since when pieces come here without a long pause. */
   let feedingSince = clock.now();
   let lastRunAt = -Infinity;
-  let inputsGoneAt = -Infinity;
+  /** When there was last a sign of another feeder. */
+  let otherFeederAt = -Infinity;
 
   function run(request: PieceRun, signal: AbortSignal): Promise<PieceRunReply> {
     const now = clock.now();
@@ -331,7 +333,8 @@
 
   function isSettled(): boolean {
     const now = clock.now();
-    return now - feedingSince > SETTLE_TIME && now - inputsGoneAt > SETTLE_TIME;
+    return now - feedingSince > SETTLE_TIME &&
+      now - otherFeederAt > SETTLE_TIME;
   }
 
   /** Frees the inputs of groups that are in calls as a whole. */
@@ -369,6 +372,7 @@
     }
     loads.end(info, reply.kind === "invalid" ? "failing" : "neutral");
     const isFull = reply.kind === "not_run" && reply.reason === "full";
+    if (isFull) otherFeederAt = clock.now();
     for (const piece of pieces) {
       room.reserve(info.id, -piece.resultBytes);
       if (isFull) waitForRoom(feeding, piece);
@@ -397,7 +401,7 @@
     }
     room.reserve(feeding.info.id, -piece.resultBytes);
     const reason = result?.reason ?? "error";
-    if (reason === "input_gone") inputsGoneAt = clock.now();
+    if (reason === "input_gone") otherFeederAt = clock.now();
     if (reason === "late" || reason === "input_gone") {
       failGroup(piece.group, reason);
     } else if (reason === "no_room") waitForRoom(feeding, piece);
