--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -53,6 +53,8 @@
   readonly roomTaken: number;
   /** How slow it is against what is expected; 1 is normal. */
   readonly slowness: number;
+  /** When its calls in progress are expected to end. */
+  readonly freeAt: Millis;
 }
 
 /** One call to make. */
@@ -88,8 +90,6 @@
 
 /** Transfers of this size, in bytes, are worth waiting for a near endpoint. */
 const LARGE_TRANSFER = 200_000;
-/** The wait takes one full call at most, the piece itself another. */
-const NEAR_SLACK_CALLS = 2;
 
 /** Creates an empty batcher; the specification is read anew for each call. */
 export function createPieceBatcher<P extends WaitingPiece>(
@@ -143,15 +143,15 @@
     const free = endpoints.filter(({ calls }) => calls < spec.slots);
     if (free.length === 0) return undefined;
     refreshOrder(now, spec);
-    const places = new Set(endpoints.map(({ info }) => info.place));
+    const freeAt = computeFreeTimes(endpoints);
     for (const first of waiting) {
       const isNearFree = free.some(({ info }) => info.place === first.place);
-      if (!isNearFree && mayWaitForNear(first, { places, now, spec })) continue;
+      if (!isNearFree && mayWaitForNear(first, { freeAt, now, spec })) continue;
       const endpoint = chooseEndpoint(first, { free, spec });
       if (endpoint === undefined) continue;
       const mayWait = (piece: P) =>
         piece.place !== endpoint.info.place &&
-        mayWaitForNear(piece, { places, now, spec });
+        mayWaitForNear(piece, { freeAt, now, spec });
       const pieces = choosePieces(first, {
         endpoint,
         mayWait,
@@ -280,21 +280,33 @@
   return a.priority - b.priority || byStart || a.onTimeAt - b.onTimeAt;
 }
 
+/** When the first endpoint of each place is free. */
+function computeFreeTimes(
+  endpoints: readonly BatchEndpoint[],
+): Map<string, Millis> {
+  const times = new Map<string, Millis>();
+  for (const { info, freeAt } of endpoints) {
+    const known = times.get(info.place) ?? Infinity;
+    times.set(info.place, Math.min(known, freeAt));
+  }
+  return times;
+}
+
 /**
  * Large transfers cost more between places than a short wait, as long as the
- * request can still meet its objective.
+ * request can still meet its objective with the next call there.
  */
 function mayWaitForNear(
   { place, movedBytes, onTimeAt }: WaitingPiece,
-  { places, now, spec }: {
-    places: ReadonlySet<string>;
+  { freeAt, now, spec }: {
+    freeAt: ReadonlyMap<string, Millis>;
     now: Millis;
     spec: BatchSpec;
   },
 ): boolean {
   if (place === undefined || movedBytes < LARGE_TRANSFER) return false;
-  const slack = onTimeAt - now - NEAR_SLACK_CALLS * computeFullCall(spec);
-  return places.has(place) && slack > 0;
+  const startsAt = Math.max(now, freeAt.get(place) ?? Infinity);
+  return startsAt + computeFullCall(spec) < onTimeAt;
 }
 
 /** Leaves out what is far slower than the fastest; never leaves nothing. */
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -92,10 +92,12 @@
 /** The usable endpoints for a request, best first. */
 export function chooseEndpoints(
   { directory, loads, membership }: ServingState,
-  { request, admitted, avoid }: {
+  { request, admitted, avoid, place }: {
     request: PassedRequest;
     admitted: AdmittedRoute;
     avoid: readonly string[];
+    /** Where large inputs lie. */
+    place?: string | undefined;
   },
 ): EndpointInfo[] {
   const usable = directory.listUsable(admitted.pool)
@@ -103,7 +105,7 @@
   const inUse = loads.listInUse(usable);
   const isEngine = admitted.table.findPool(admitted.pool)?.engine !== undefined;
   const ranked = isEngine
-    ? listEnginesFor(request.head.promptParts, inUse)
+    ? listEnginesFor({ parts: request.head.promptParts, place }, inUse)
     : listByLoad(inUse, membership.self.place);
   return ranked.map(({ info }) => info);
 }
@@ -136,7 +138,12 @@
     const isAllowed = attempts < MAX_TRIES && runs < route.maxAttempts &&
       (runs === 0 || mayRepeat) && !deadline.signal.aborted;
     const [endpoint] = isAllowed
-      ? chooseEndpoints(state, { request, admitted, avoid })
+      ? chooseEndpoints(state, {
+        request,
+        admitted,
+        avoid,
+        place: options.results?.place,
+      })
       : [];
     const isPaid = attempts === 0 || endpoint === undefined ||
       state.findBudget(pool).withdraw();
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -84,6 +84,7 @@
 
 interface Feeding extends BatchEndpoint {
   calls: number;
+  freeAt: Millis;
   /** It said that it is full or has no room; until then it gets nothing. */
   blockedUntil: Millis;
 }
@@ -219,7 +220,7 @@
     return inUse.map(({ info, slowness }) => {
       const known = feedings.get(info.id);
       const feeding: Feeding = known ??
-        { info, calls: 0, roomTaken: 0, slowness, blockedUntil: 0 };
+        { info, calls: 0, freeAt: 0, roomTaken: 0, slowness, blockedUntil: 0 };
       feedings.set(info.id, feeding);
       const roomTaken = room.readTaken(info.id);
       return Object.assign(feeding, { info, slowness, roomTaken });
@@ -280,6 +281,7 @@
     const bytes = pieces.reduce((sum, piece) => sum + piece.resultBytes, 0);
     const startedAt = clock.now();
     feeding.calls++;
+    feeding.freeAt = startedAt + feeding.slowness * expected;
     room.reserve(info.id, bytes);
     loads.begin(info);
     for (const piece of pieces) {
