perf(coordination): pieces wait for their place behind its queue; engines by home again

Failed and reverted: engines chosen where megabytes of inputs lie. Change: near_place.ts counts the pieces bound to a place that go before.

--- a/packages/coordination/src/engine_choice.ts
+++ b/packages/coordination/src/engine_choice.ts
@@ -3,8 +3,7 @@
  *
  * Requests of one session share their first parts, so a session has a home:
  * rendezvous hashing over the engines, which every entry computes alike without
- * news; among those where megabytes of inputs lie, if there are any: these cost
- * more between places than a prompt that is read again. The load is bounded: an engine that has far more than its share passes
+ * news. The load is bounded: an engine that has far more than its share passes
  * the request on to the next in the session's order.
  *
  * @module
@@ -32,27 +31,15 @@
 const LOAD_SLACK = 3;
 const SLOW_FACTOR = 2.5;
 
-/** What decides besides the engines' load. */
-export interface EngineWish {
-  parts: readonly PromptPart[];
-  /** Where large inputs lie that the engine has to fetch. */
-  place: string | undefined;
-}
-
 /** Ranks the engines for a request, best first. */
 export function listEnginesFor<E extends EngineView>(
-  { parts, place }: EngineWish,
+  parts: readonly PromptPart[],
   engines: readonly E[],
 ): E[] {
   const home = findSessionPart(parts);
-  const byHome = home === undefined
+  const ranked = home === undefined
     ? [...engines].sort((a, b) => a.load - b.load)
     : listByRendezvous(engines, { key: home, readName: ({ info }) => info.id });
-  const isNear = ({ info }: E) => info.place === place;
-  const ranked = [
-    ...byHome.filter(isNear),
-    ...byHome.filter((engine) => !isNear(engine)),
-  ];
   const mean = engines.reduce((sum, { load }) => sum + load, 0) /
     Math.max(1, engines.length);
   const fastest = Math.min(...engines.map(({ slowness }) => slowness));
--- /dev/null
+++ b/packages/coordination/src/near_place.ts
@@ -0,0 +1,64 @@
+/**
+ * Decides which waiting pieces had better wait for an endpoint in their own
+ * place, where their inputs lie or their results will be fetched to.
+ *
+ * Megabytes between places cost more than a short wait. But the queue for a
+ * place counts: with half of the pieces bound to one place its endpoint would
+ * have a queue of a second while others are idle, and requests would be late.
+ *
+ * @module
+ */
+import type { Millis } from "@mangoreach/shared";
+import type { BatchEndpoint, WaitingPiece } from "./piece_batcher.ts";
+import type { BatchSpec } from "./serving_config.ts";
+import { computeFullCall } from "./serving_config.ts";
+
+/** Transfers of this size, in bytes, are worth waiting for a near endpoint. */
+const LARGE_TRANSFER = 200_000;
+
+interface PlaceState {
+  freeAt: Millis;
+  endpoints: number;
+  /** Pieces bound to the place that go before the next. */
+  ahead: number;
+}
+
+/** The pieces, of those that wait in this order, that may wait for their place. */
+export function listNearWaiting<P extends WaitingPiece>(
+  waiting: readonly P[],
+  { endpoints, now, spec }: {
+    endpoints: readonly BatchEndpoint[];
+    now: Millis;
+    spec: BatchSpec;
+  },
+): Set<P> {
+  const places = createPlaceStates(endpoints);
+  const fullCall = computeFullCall(spec);
+  const chosen = new Set<P>();
+  for (const piece of waiting) {
+    const state = places.get(piece.place ?? "");
+    if (state === undefined || piece.movedBytes < LARGE_TRANSFER) continue;
+    const perRound = state.endpoints * spec.slots * spec.maxPieces;
+    const rounds = Math.floor(state.ahead / perRound);
+    const startsAt = Math.max(now, state.freeAt) + rounds * fullCall;
+    if (startsAt + fullCall >= piece.onTimeAt) continue;
+    state.ahead++;
+    chosen.add(piece);
+  }
+  return chosen;
+}
+
+function createPlaceStates(
+  endpoints: readonly BatchEndpoint[],
+): Map<string, PlaceState> {
+  const places = new Map<string, PlaceState>();
+  for (const { info, freeAt } of endpoints) {
+    const known = places.get(info.place);
+    places.set(info.place, {
+      freeAt: Math.min(known?.freeAt ?? Infinity, freeAt),
+      endpoints: (known?.endpoints ?? 0) + 1,
+      ahead: 0,
+    });
+  }
+  return places;
+}
--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -17,6 +17,7 @@
  */
 import type { Millis } from "@mangoreach/shared";
 import type { EndpointInfo } from "./endpoint.ts";
+import { listNearWaiting } from "./near_place.ts";
 import type { FlowForecast, PieceWaits } from "./piece_flow.ts";
 import type { BatchSpec } from "./serving_config.ts";
 
@@ -88,9 +89,6 @@
 /** An endpoint this many times slower than the fastest free one waits. */
 const SLOW_FACTOR = 2.5;
 
-/** Transfers of this size, in bytes, are worth waiting for a near endpoint. */
-const LARGE_TRANSFER = 200_000;
-
 /** Creates an empty batcher; the specification is read anew for each call. */
 export function createPieceBatcher<P extends WaitingPiece>(
   readSpec: () => BatchSpec,
@@ -143,15 +141,14 @@
     const free = endpoints.filter(({ calls }) => calls < spec.slots);
     if (free.length === 0) return undefined;
     refreshOrder(now, spec);
-    const freeAt = computeFreeTimes(endpoints);
+    const nearWaiting = listNearWaiting(waiting, { endpoints, now, spec });
     for (const first of waiting) {
       const isNearFree = free.some(({ info }) => info.place === first.place);
-      if (!isNearFree && mayWaitForNear(first, { freeAt, now, spec })) continue;
+      if (!isNearFree && nearWaiting.has(first)) continue;
       const endpoint = chooseEndpoint(first, { free, spec });
       if (endpoint === undefined) continue;
       const mayWait = (piece: P) =>
-        piece.place !== endpoint.info.place &&
-        mayWaitForNear(piece, { freeAt, now, spec });
+        piece.place !== endpoint.info.place && nearWaiting.has(piece);
       const pieces = choosePieces(first, {
         endpoint,
         mayWait,
@@ -261,12 +258,6 @@
   };
 }
 
-function computeFullCall(
-  { callTime, pieceTime, maxPieces }: BatchSpec,
-): Millis {
-  return callTime + maxPieces * pieceTime;
-}
-
 /** Whether a call that starts now is too late for the objective. */
 function isLate(
   { onTimeAt }: WaitingPiece,
@@ -280,35 +271,6 @@
   return a.priority - b.priority || byStart || a.onTimeAt - b.onTimeAt;
 }
 
-/** When the first endpoint of each place is free. */
-function computeFreeTimes(
-  endpoints: readonly BatchEndpoint[],
-): Map<string, Millis> {
-  const times = new Map<string, Millis>();
-  for (const { info, freeAt } of endpoints) {
-    const known = times.get(info.place) ?? Infinity;
-    times.set(info.place, Math.min(known, freeAt));
-  }
-  return times;
-}
-
-/**
- * Large transfers cost more between places than a short wait, as long as the
- * request can still meet its objective with the next call there.
- */
-function mayWaitForNear(
-  { place, movedBytes, onTimeAt }: WaitingPiece,
-  { freeAt, now, spec }: {
-    freeAt: ReadonlyMap<string, Millis>;
-    now: Millis;
-    spec: BatchSpec;
-  },
-): boolean {
-  if (place === undefined || movedBytes < LARGE_TRANSFER) return false;
-  const startsAt = Math.max(now, freeAt.get(place) ?? Infinity);
-  return startsAt + computeFullCall(spec) < onTimeAt;
-}
-
 /** Leaves out what is far slower than the fastest; never leaves nothing. */
 function listFast<E extends BatchEndpoint>(endpoints: readonly E[]): E[] {
   const fastest = Math.min(...endpoints.map(({ slowness }) => slowness));
--- a/packages/coordination/src/piece_batcher_test.ts
+++ b/packages/coordination/src/piece_batcher_test.ts
@@ -217,6 +217,24 @@
     expect(plan(createEndpoint("e1"), busy)).to.equal(undefined);
   });
 
+  // A burst belongs to one place: its endpoint has a queue of several calls while
+  // the others are idle, and who waits for it is late.
+  it("uses endpoints elsewhere when the queue of a place is long", () => {
+    const pieces = Array.from(
+      { length: 12 },
+      (_, index) =>
+        createPiece(`p${index}`, {
+          place: "e1",
+          movedBytes: 600_000,
+          onTimeAt: 1_000,
+        }),
+    );
+    const { plan } = create(pieces);
+    const near = createEndpoint("e1", { calls: 1, freeAt: 250 });
+    expect(plan(near, createEndpoint("e2"))?.pieces).to.equal("p8 p9 p10 p11");
+    expect(plan(near, createEndpoint("e2"))).to.equal(undefined);
+  });
+
   // All makers are busy for seconds and a third of each call stays empty, since
   // what waits belongs to other places: requests are late for want of calls.
   it("fills calls with pieces of all places while all are busy", () => {
--- a/packages/coordination/src/piece_flow.ts
+++ b/packages/coordination/src/piece_flow.ts
@@ -13,6 +13,7 @@
 import { createEventRate } from "./event_rate.ts";
 import type { EventRate } from "./event_rate.ts";
 import type { BatchSpec } from "./serving_config.ts";
+import { computeFullCall } from "./serving_config.ts";
 
 /** Expected times until a new piece is in a call. */
 export interface PieceWaits {
@@ -83,9 +84,8 @@
 
   /** Pieces a second: by its specification, or less if that was measured. */
   function readCapacity(spec: BatchSpec, endpointCount: number): number {
-    const { slots, maxPieces, callTime, pieceTime } = spec;
-    const perCall = callTime + maxPieces * pieceTime;
-    const nominal = 1_000 * endpointCount * slots * maxPieces / perCall;
+    const perRound = endpointCount * spec.slots * spec.maxPieces;
+    const nominal = 1_000 * perRound / computeFullCall(spec);
     if (!isStrained()) return nominal;
     const lowest = LOWEST_SHARE * nominal;
     return Math.min(nominal, Math.max(lowest, called.read()));
--- a/packages/coordination/src/serving_config.ts
+++ b/packages/coordination/src/serving_config.ts
@@ -63,6 +63,13 @@
   resultLifetime: Millis;
 }
 
+/** The time of a call with as many pieces as it may hold. */
+export function computeFullCall(
+  { callTime, pieceTime, maxPieces }: BatchSpec,
+): Millis {
+  return callTime + maxPieces * pieceTime;
+}
+
 /** How model engines of a pool run. */
 export interface EngineSpec {
   /** Requests that one engine runs at once. */
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -92,12 +92,10 @@
 /** The usable endpoints for a request, best first. */
 export function chooseEndpoints(
   { directory, loads, membership }: ServingState,
-  { request, admitted, avoid, place }: {
+  { request, admitted, avoid }: {
     request: PassedRequest;
     admitted: AdmittedRoute;
     avoid: readonly string[];
-    /** Where large inputs lie. */
-    place?: string | undefined;
   },
 ): EndpointInfo[] {
   const usable = directory.listUsable(admitted.pool)
@@ -105,7 +103,7 @@
   const inUse = loads.listInUse(usable);
   const isEngine = admitted.table.findPool(admitted.pool)?.engine !== undefined;
   const ranked = isEngine
-    ? listEnginesFor({ parts: request.head.promptParts, place }, inUse)
+    ? listEnginesFor(request.head.promptParts, inUse)
     : listByLoad(inUse, membership.self.place);
   return ranked.map(({ info }) => info);
 }
@@ -138,12 +136,7 @@
     const isAllowed = attempts < MAX_TRIES && runs < route.maxAttempts &&
       (runs === 0 || mayRepeat) && !deadline.signal.aborted;
     const [endpoint] = isAllowed
-      ? chooseEndpoints(state, {
-        request,
-        admitted,
-        avoid,
-        place: options.results?.place,
-      })
+      ? chooseEndpoints(state, { request, admitted, avoid })
       : [];
     const isPaid = attempts === 0 || endpoint === undefined ||
       state.findBudget(pool).withdraw();
--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -41,8 +41,6 @@
 export interface StageResults {
   /** Results of the stages that no other stage needs, in order. */
   readonly inputs: readonly string[];
-  /** Where most of them lie, if that is worth a choice of the engine. */
-  readonly place: string | undefined;
   /** Frees all results; harmless when called again. */
   release(): void;
 }
@@ -211,32 +209,7 @@
   }
   const last = listLastStages(stages);
   const inputs = last.flatMap((number) => made.get(number) ?? []);
-  const place = findHeaviestPlace(
-    last.flatMap((number) =>
-      (made.get(number) ?? []).map((result) => ({
-        place: options.readPlace(result),
-        bytes: stages[number]?.resultBytes ?? 0,
-      }))
-    ),
-  );
-  return Result.ok({ inputs, place, release });
-}
-
-/** Less than this, in bytes, does not decide where a request goes. */
-const LARGE_INPUTS = 1_000_000;
-
-/** The place with the most bytes, if they are many. */
-export function findHeaviestPlace(
-  results: readonly { place: string | undefined; bytes: number }[],
-): string | undefined {
-  const sums = new Map<string, number>();
-  for (const { place, bytes } of results) {
-    if (place !== undefined) sums.set(place, (sums.get(place) ?? 0) + bytes);
-  }
-  const [heaviest] = [...sums].sort(([, a], [, b]) => b - a);
-  return heaviest !== undefined && heaviest[1] >= LARGE_INPUTS
-    ? heaviest[0]
-    : undefined;
+  return Result.ok({ inputs, release });
 }
 
 /** The stages that no other stage needs. */
