--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -26,6 +26,7 @@
 } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { EndpointLoads } from "./endpoint_load.ts";
+import { createInputRelease } from "./input_release.ts";
 import { createMakerRoom } from "./maker_room.ts";
 import type {
   CalledPiece,
@@ -96,45 +97,32 @@
 const CALL_TIMEOUT_SLACK: Millis = 1_000;
 /** An endpoint that is full has room again after about half a call. */
 const BLOCK_TIME: Millis = 150;
-/**
- * An endpoint fetches the inputs of a call at once, in some ten milliseconds;
- * then their makers may drop them. Kept until the call's end they would hold
- * the room of the pool before for twice as long.
- */
-const FETCH_TIME: Millis = 120;
-/**
- * With two feeders for a moment, as after a restart, a call waits at its
- * endpoint before it fetches anything. So inputs are freed early only by who has
- * fed the pool for this long, and not for as long after inputs were gone or an
- * endpoint was full of somebody else's calls.
- */
-const SETTLE_TIME: Millis = 5_000;
-/**
- * Sizes of results are approximate: a maker that is filled to the last byte has
- * no room for some of them, and these are made again from the same inputs.
- */
-const SURE_ROOM_SHARE = 0.85;
 /** How soon waiting pieces are looked at again when no endpoint was free. */
 const RECHECK_INTERVAL: Millis = 50;
 
+/** Each request in a call once, with what its pieces are made from. */
+function listGroups(pieces: readonly FeederPiece[]) {
+  const sources = new Map(
+    pieces.map(({ group, order }) => [group, order.source]),
+  );
+  return [...sources].map(([group, source]) => ({ group, source }));
+}
+
 /** Creates the feeder of one pool. */
 export function createStageFeeder(options: StageFeederOptions): StageFeeder {
   const { clock, log, pool, stages, loads, readSpec, budget } = options;
   const batcher: PieceBatcher<FeederPiece> = createPieceBatcher(readSpec);
   const flow = createPieceFlow(clock);
   const room = createMakerRoom();
+  const inputs = createInputRelease({
+    clock,
+    releaseInputs: options.releaseInputs,
+  });
   const feedings = new Map<string, Feeding>();
   let isRecheckDue = false;
-  /** Since when pieces come here without a long pause. */
-  let feedingSince = clock.now();
-  let lastRunAt = -Infinity;
-  /** When there was last a sign of another feeder. */
-  let otherFeederAt = -Infinity;
 
   function run(request: PieceRun, signal: AbortSignal): Promise<PieceRunReply> {
-    const now = clock.now();
-    if (now - lastRunAt > SETTLE_TIME) feedingSince = now;
-    lastRunAt = now;
+    inputs.noteRun();
     const group: FeederGroup = { started: 0, pieces: [], lastCallAt: 0 };
     const outcomes = Promise.all(
       request.pieces.map((order) => addPiece({ request, order, group })),
@@ -288,11 +276,10 @@
       piece.attempts++;
       piece.group.lastCallAt = startedAt;
     }
-    const isSure =
-      room.readTaken(info.id) <= SURE_ROOM_SHARE * readSpec().roomBytes;
-    let isRunning = true;
-    clock.startTimer(FETCH_TIME, () => {
-      if (isRunning && isSure && isSettled()) releaseFetched(pieces, startedAt);
+    const stopRelease = inputs.startCall({
+      startedAt,
+      groups: listGroups(pieces),
+      roomShare: room.readTaken(info.id) / readSpec().roomBytes,
     });
     const reply = await stages.run({
       endpoint: info,
@@ -302,7 +289,7 @@
       })),
       timeout: CALL_TIMEOUT_FACTOR * expected + CALL_TIMEOUT_SLACK,
     });
-    isRunning = false;
+    stopRelease();
     feeding.calls--;
     const took = clock.now() - startedAt;
     if (reply.isErr) {
@@ -333,28 +320,6 @@
     dispatch();
   }
 
-  function isSettled(): boolean {
-    const now = clock.now();
-    return now - feedingSince > SETTLE_TIME &&
-      now - otherFeederAt > SETTLE_TIME;
-  }
-
-  /** Frees the inputs of groups that are in calls as a whole. */
-  function releaseFetched(
-    pieces: readonly FeederPiece[],
-    calledAt: Millis,
-  ): void {
-    const groups = new Map(pieces.map((piece) => [piece.group, piece.order]));
-    for (const [group, { source }] of groups) {
-      const isLastCall = group.started >= group.pieces.length &&
-        group.lastCallAt === calledAt;
-      if (source.kind === "key" || !isLastCall) continue;
-      for (const used of source.pools) {
-        options.releaseInputs(used, source.results);
-      }
-    }
-  }
-
   function takeReply(
     feeding: Feeding,
     { pieces, reply, ratio }: {
@@ -374,7 +339,7 @@
     }
     loads.end(info, reply.kind === "invalid" ? "failing" : "neutral");
     const isFull = reply.kind === "not_run" && reply.reason === "full";
-    if (isFull) otherFeederAt = clock.now();
+    if (isFull) inputs.noteOtherFeeder();
     for (const piece of pieces) {
       room.reserve(info.id, -piece.resultBytes);
       if (isFull) waitForRoom(feeding, piece);
@@ -403,7 +368,7 @@
     }
     room.reserve(feeding.info.id, -piece.resultBytes);
     const reason = result?.reason ?? "error";
-    if (reason === "input_gone") otherFeederAt = clock.now();
+    if (reason === "input_gone") inputs.noteOtherFeeder();
     if (reason === "late" || reason === "input_gone") {
       failGroup(piece.group, reason);
     } else if (reason === "no_room") waitForRoom(feeding, piece);
