perf(coordination): waits behind a burst; what grows until a request gets there

Change: on-time waits go by the last second's arrivals and tell their growth; late waits by arrivals that fall back to those of the long run within 5 s; Retry-After by the late wait.

--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -243,6 +243,7 @@
     return {
       onTime: forecast.estimateOnTime(ahead.length, priority),
       late: forecast.estimateLate(waiting.length),
+      growth: forecast.estimateGrowth(priority),
     };
   }
 
--- a/packages/coordination/src/piece_flow.ts
+++ b/packages/coordination/src/piece_flow.ts
@@ -21,6 +21,8 @@
   onTime: Millis;
   /** For one that cannot, and goes behind all that can. */
   late: Millis;
+  /** How much longer `onTime` gets with each millisecond from now. */
+  growth: number;
 }
 
 /** The waits behind the pieces that wait now. */
@@ -29,6 +31,8 @@
   estimateOnTime(ahead: number, priority: number): Millis;
   /** For a late piece behind `ahead` others. */
   estimateLate(ahead: number): Millis;
+  /** How the wait of on-time pieces of a priority changes with time. */
+  estimateGrowth(priority: number): number;
 }
 
 /** What comes to a pool and what it takes. */
@@ -45,10 +49,14 @@
 }
 
 /**
- * Arrivals are counted over this time. Bursts last for about as long: what waits
- * behind one can be served after it, so its height alone would refuse too many.
+ * A burst falls back to what comes in the long run within some seconds: what
+ * waits behind one can be served after it. Its height alone would refuse callers
+ * who can wait for twenty seconds.
  */
-const ARRIVAL_TIME: Millis = 5_000;
+const BURST_TIME: Millis = 5_000;
+const LONG_RUN: Millis = 30_000;
+/** Waits of late pieces are reckoned in steps of this. */
+const STEP: Millis = 250;
 /** Before this the queue may have been empty in between. */
 const BACKLOG_TIME: Millis = 1_000;
 /** A measured rate below this share of what calls can hold is a hiccup. */
@@ -62,24 +70,32 @@
 /** Longer waits are all alike: nobody waits that long. */
 const LONGEST_WAIT: Millis = 60_000;
 
+interface Arrivals {
+  lately: EventRate;
+  longer: EventRate;
+}
+
 /** Creates the flow of a pool that nothing has come to. */
 export function createPieceFlow(clock: Clock): PieceFlow {
-  const arrivals = new Map<number, EventRate>();
+  const arrivals = new Map<number, Arrivals>();
   const called = createEventRate(clock);
+  const startedAt = clock.now();
   let backlogSince: Millis | undefined;
 
-  function findArrivals(priority: number): EventRate {
-    const known = arrivals.get(priority) ??
-      createEventRate(clock, ARRIVAL_TIME);
+  function findArrivals(priority: number): Arrivals {
+    const known = arrivals.get(priority) ?? {
+      lately: createEventRate(clock),
+      longer: createEventRate(clock, LONG_RUN),
+    };
     arrivals.set(priority, known);
     return known;
   }
 
   /** Pieces a second that come before a priority. */
-  function readArrivals(before: number): number {
+  function readArrivals(before: number, span: keyof Arrivals): number {
     return [...arrivals]
       .filter(([priority]) => priority < before)
-      .reduce((sum, [, rate]) => sum + rate.read(), 0);
+      .reduce((sum, [, rates]) => sum + rates[span].read(), 0);
   }
 
   /** Pieces a second: by its specification, or less if that was measured. */
@@ -96,23 +112,51 @@
       clock.now() - backlogSince >= BACKLOG_TIME;
   }
 
+  /** When what on-time arrivals leave over has sufficed for `ahead` pieces. */
+  function estimateBehindAll(ahead: number, capacity: number): Millis {
+    const now = readArrivals(Infinity, "lately");
+    const later = readArrivals(Infinity, "longer") / computeSeenShare();
+    let left = ahead;
+    for (let time = 0; time < LONGEST_WAIT; time += STEP) {
+      if (left <= 0) return time;
+      const arriving = later + (now - later) * Math.exp(-time / BURST_TIME);
+      const spare = Math.max(capacity - arriving, SPARE_SHARE * capacity);
+      left -= spare * STEP / 1_000;
+    }
+    return LONGEST_WAIT;
+  }
+
+  /** A rate over the long run has seen only this share of it so far. */
+  function computeSeenShare(): number {
+    const age = Math.max(BACKLOG_TIME, clock.now() - startedAt);
+    return 1 - Math.exp(-age / LONG_RUN);
+  }
+
   function forecast(spec: BatchSpec, endpointCount: number): FlowForecast {
     const capacity = readCapacity(spec, endpointCount);
-    const estimate = (ahead: number, before: number) => {
-      if (ahead === 0) return 0;
-      const spare = capacity - readArrivals(before);
-      const rate = Math.max(spare, SPARE_SHARE * capacity);
-      return Math.min(LONGEST_WAIT, 1_000 * ahead / rate);
-    };
+    const readSpare = (before: number) =>
+      Math.max(
+        capacity - readArrivals(before, "lately"),
+        SPARE_SHARE * capacity,
+      );
+    const estimate = (ahead: number, spare: number) =>
+      ahead === 0 ? 0 : Math.min(LONGEST_WAIT, 1_000 * ahead / spare);
     return {
-      estimateOnTime: estimate,
-      estimateLate: (ahead) => estimate(ahead, Infinity),
+      estimateOnTime: (ahead, priority) => estimate(ahead, readSpare(priority)),
+      estimateLate: (ahead) => estimateBehindAll(ahead, capacity),
+      estimateGrowth(priority) {
+        if (capacity === 0) return 0;
+        const excess = readArrivals(priority + 1, "lately") - capacity;
+        return excess / readSpare(priority);
+      },
     };
   }
 
   return {
     recordArrival(priority, pieces) {
-      findArrivals(priority).record(pieces);
+      const { lately, longer } = findArrivals(priority);
+      lately.record(pieces);
+      longer.record(pieces);
     },
     recordCall: (pieces) => called.record(pieces),
     noteBacklog(isBacklogged) {
--- a/packages/coordination/src/piece_flow_test.ts
+++ b/packages/coordination/src/piece_flow_test.ts
@@ -17,7 +17,7 @@
   function create() {
     const clock = createFakeClock(0);
     const flow = createPieceFlow(clock);
-    /** Lets pieces come and be called for ten seconds, every tenth of one. */
+    /** Lets pieces come and be called for twenty seconds, every tenth of one. */
     const runLoad = async (
       { arrivals, calls, waiting }: {
         arrivals: readonly number[];
@@ -25,7 +25,7 @@
         waiting: number;
       },
     ) => {
-      for (let step = 0; step < 100; step++) {
+      for (let step = 0; step < 200; step++) {
         arrivals.forEach((pieces, priority) =>
           flow.recordArrival(priority, pieces)
         );
@@ -74,6 +74,15 @@
     expect(forecast().estimateLate(10)).to.equal(500);
   });
 
+  // More comes than the pool takes. Whoever is let in now gets there after half a
+  // second in other pools, and finds a longer queue than there is now.
+  it("tells how fast the wait grows, or falls", async () => {
+    const { runLoad, forecast } = create();
+    await runLoad({ arrivals: [1, 2], calls: 2, waiting: 5 });
+    expect(forecast().estimateGrowth(1)).to.be.within(0.8, 1.2);
+    expect(forecast().estimateGrowth(0)).to.be.within(-0.6, -0.4);
+  });
+
   it("names a bounded wait where no endpoint is left", () => {
     const { flow } = create();
     expect(flow.forecast(SPEC, 0).estimateLate(1)).to.equal(60_000);
--- a/packages/peers/src/piece_protocol.ts
+++ b/packages/peers/src/piece_protocol.ts
@@ -79,6 +79,8 @@
 export const pieceWaitsSchema = z.object({
   onTime: z.number(),
   late: z.number(),
+  /** How much longer `onTime` gets with each millisecond from now. */
+  growth: z.number(),
 });
 
 /** The outcomes of a run, in the order of its pieces. */
--- a/packages/serving/src/attempt_loop_test.ts
+++ b/packages/serving/src/attempt_loop_test.ts
@@ -98,7 +98,7 @@
     loads: createEndpointLoads(clock),
     router: {
       run: () => Promise.reject(new Error("no stages")),
-      readWaits: () => Promise.resolve({ onTime: 0, late: 0 }),
+      readWaits: () => Promise.resolve({ onTime: 0, late: 0, growth: 0 }),
       release: () => {},
     },
     callEndpoint: ({ endpoint }) => {
--- a/packages/serving/src/piece_router.ts
+++ b/packages/serving/src/piece_router.ts
@@ -207,7 +207,7 @@
 function failAllLate({ pieces }: PieceRun): PieceRunReply {
   return {
     outcomes: pieces.map(() => ({ kind: "failed", reason: "late" })),
-    waits: { onTime: 0, late: 0 },
+    waits: { onTime: 0, late: 0, growth: 0 },
   };
 }
 
--- a/packages/serving/src/piece_router_test.ts
+++ b/packages/serving/src/piece_router_test.ts
@@ -66,7 +66,7 @@
       if (mode === "refuses") return Promise.resolve(fail(address));
       if (mode === "good") {
         const outcomes = [{ kind: "done" as const, result: address }];
-        const waits = { onTime: 100, late: 900 };
+        const waits = { onTime: 100, late: 900, growth: 0 };
         return Promise.resolve(Result.ok({ outcomes, waits }));
       }
       return new Promise((resolve) =>
@@ -85,7 +85,7 @@
           asked.push(address);
           return Promise.resolve(
             mode === "good"
-              ? Result.ok({ onTime: 0, late: 50 })
+              ? Result.ok({ onTime: 0, late: 50, growth: 0 })
               : fail(address),
           );
         },
@@ -96,10 +96,10 @@
       findFeeder: () => ({
         run: () => {
           const outcomes = [{ kind: "done" as const, result: "self" }];
-          const waits = { onTime: 0, late: 0 };
+          const waits = { onTime: 0, late: 0, growth: 0 };
           return Promise.resolve({ outcomes, waits });
         },
-        readWaits: () => ({ onTime: 0, late: 0 }),
+        readWaits: () => ({ onTime: 0, late: 0, growth: 0 }),
         release: () => {},
         refresh: () => {},
       }),
--- a/packages/serving/src/pool_waits.ts
+++ b/packages/serving/src/pool_waits.ts
@@ -32,7 +32,7 @@
 const LOADED_WAIT: Millis = 100;
 /** Older news of a feeder that does not answer says nothing. */
 const LONGEST_LIFETIME: Millis = 800;
-const NO_WAITS: PieceWaits = { onTime: 0, late: 0 };
+const NO_WAITS: PieceWaits = { onTime: 0, late: 0, growth: 0 };
 
 interface Known {
   waits: PieceWaits;
--- a/packages/serving/src/pool_waits_test.ts
+++ b/packages/serving/src/pool_waits_test.ts
@@ -12,7 +12,7 @@
         const late = answers[Math.min(asked.length, answers.length - 1)];
         asked.push(`${pool}/${priority}`);
         return Promise.resolve(
-          late === undefined ? undefined : { onTime: 0, late },
+          late === undefined ? undefined : { onTime: 0, late, growth: 0 },
         );
       },
     });
@@ -56,7 +56,7 @@
 
   it("takes what a run of pieces tells", async () => {
     const { read, waits, asked } = create([0]);
-    waits.note("pool", 1, { onTime: 5, late: 700 });
+    waits.note("pool", 1, { onTime: 5, late: 700, growth: 0 });
     expect(await read()).to.equal(700);
     expect(asked).to.deep.equal([]);
   });
--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -134,6 +134,7 @@
   const [likely] = chooseEndpoints(state, { request, admitted, avoid: [] });
   return runStages({
     clock,
+    random,
     log,
     router,
     route,
--- a/packages/serving/src/stage_admission.ts
+++ b/packages/serving/src/stage_admission.ts
@@ -19,7 +19,7 @@
 } from "@mangoreach/coordination";
 import type { Millis } from "@mangoreach/shared";
 
-const NO_WAITS: PieceWaits = { onTime: 0, late: 0 };
+const NO_WAITS: PieceWaits = { onTime: 0, late: 0, growth: 0 };
 
 /** What is known of a request's stages and its time. */
 export interface StageForecastOptions {
@@ -45,12 +45,10 @@
       durations[number] === 0 ? NO_WAITS : readWaits(pool)
     ),
   );
-  const computeTime = (kind: keyof PieceWaits) =>
+  const computeTime = (kind: "onTime" | "late") =>
     computeStageTime(
       stages,
-      durations.map((duration, number) =>
-        duration + (waits[number] ?? NO_WAITS)[kind]
-      ),
+      addWaits(stages, { durations, waits, kind }),
     );
   const excess = computeTime("onTime") - onTime;
   if (excess <= 0) return undefined;
@@ -62,3 +60,25 @@
     retryAfterMs: spreadRetryAfter(Math.max(excess, lateExcess), random),
   });
 }
+
+/** The time of each stage with its wait when the request will be there. */
+function addWaits(
+  stages: readonly RouteStage[],
+  { durations, waits, kind }: {
+    durations: readonly Millis[];
+    waits: readonly PieceWaits[];
+    kind: "onTime" | "late";
+  },
+): Millis[] {
+  const ends: Millis[] = [];
+  return stages.map(({ after }, number) => {
+    const startsIn = Math.max(0, ...after.map((earlier) => ends[earlier] ?? 0));
+    const wait = waits[number] ?? NO_WAITS;
+    const atStart = kind === "late"
+      ? wait.late
+      : Math.max(0, wait.onTime + startsIn * wait.growth);
+    const time = (durations[number] ?? 0) + atStart;
+    ends[number] = startsIn + time;
+    return time;
+  });
+}
--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -5,7 +5,11 @@
  * @module
  */
 import type { Failure, Route, RouteStage } from "@mangoreach/coordination";
-import { createFailure, planStages } from "@mangoreach/coordination";
+import {
+  createFailure,
+  planStages,
+  spreadRetryAfter,
+} from "@mangoreach/coordination";
 import type { PieceOutcome, PieceSource } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
 import { Result } from "true-myth";
@@ -16,6 +20,7 @@
 /** What the stages of a request need. */
 export interface StageGraphOptions {
   clock: Clock;
+  random: () => number;
   log: DecisionLog;
   router: PieceRouter;
   route: Route;
@@ -137,7 +142,10 @@
       outcome: failed ?? "done",
     });
     if (failed === undefined) return Result.ok(results);
-    return Result.err(failStage(number, failed));
+    return Result.err({
+      ...failStage(number, failed),
+      retryAfterMs: spreadRetryAfter(reply.value.waits.late, options.random),
+    });
   }
 
   /** What one piece fetches, and its result as often as that is fetched. */
--- a/packages/serving/src/stage_graph_test.ts
+++ b/packages/serving/src/stage_graph_test.ts
@@ -15,7 +15,7 @@
 ];
 
 describe("stage graph", () => {
-  const waits = { onTime: 0, late: 0 };
+  const waits = { onTime: 0, late: 0, growth: 0 };
 
   function create(pieceCounts: number[], { dueAt = 5_000 } = {}) {
     const runs: (PieceRun & { end: (reply: PieceRunReply) => void })[] = [];
@@ -35,13 +35,14 @@
     };
     const outcome = runStages({
       clock: createFakeClock(0),
+      random: () => 0,
       log: createSilentDecisionLog(),
       router: {
         run: (run) =>
           new Promise((resolve) =>
             runs.push({ ...run, end: (reply) => resolve(Result.ok(reply)) })
           ),
-        readWaits: () => Promise.resolve({ onTime: 0, late: 0 }),
+        readWaits: () => Promise.resolve({ onTime: 0, late: 0, growth: 0 }),
         release: (_pool, results) => void released.push(...results),
       },
       route: createTestRoute({ stages: STAGES }),
