feat(soak): random faults from outside against real processes

Change: soak/ starts the program as processes on loopback with stand-ins of the store and of endpoints; a proxy before each entry, store link and endpoint delays, resets, cuts one way or silences; signals kill, pause and stop; the store is silent, failing or slow; endpoints die and leave; keys are taken away. Promises are checked from what callers and endpoints saw. A seeded run of two seeds is part of npm test. Names brought to docs/NAMES.md.

--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -67,7 +67,7 @@
   /** Takes in records of others; returns those that were news. */
   merge(records: readonly PeerRecord[]): PeerRecord[];
   /** Takes in records that may be old: suspected until there is later news. */
-  introduce(records: readonly PeerRecord[]): PeerRecord[];
+  mergeDoubtful(records: readonly PeerRecord[]): PeerRecord[];
   list(): PeerView[];
   /**
    * Records to send: one's own first, then the freshest, at most `limit`; in a
@@ -114,7 +114,7 @@
     return records.filter(mergeRecord);
   }
 
-  function introduce(records: readonly PeerRecord[]): PeerRecord[] {
+  function mergeDoubtful(records: readonly PeerRecord[]): PeerRecord[] {
     const added = records.filter(mergeRecord);
     const seenAt = clock.now() - scalePatience(peers.size) * suspectAfter;
     for (const record of added) peers.set(record.entry, { record, seenAt });
@@ -179,7 +179,7 @@
     },
     beat,
     merge,
-    introduce,
+    mergeDoubtful,
     list,
     chooseRecords,
     choosePartner,
--- a/packages/coordination/src/membership_test.ts
+++ b/packages/coordination/src/membership_test.ts
@@ -81,9 +81,9 @@
   // Named to callers, it would cost each of them a second.
   it("suspects introduced peers until they are heard of", () => {
     const { members } = create();
-    members.introduce([peer("b")]);
+    members.mergeDoubtful([peer("b")]);
     expect(members.list()[0]?.health).to.equal("suspected");
-    members.introduce([peer("b")]);
+    members.mergeDoubtful([peer("b")]);
     members.merge([peer("b", { heartbeat: 2 })]);
     expect(members.list()[0]?.health).to.equal("alive");
   });
--- a/packages/serving/src/maker_room.ts
+++ b/packages/serving/src/maker_room.ts
@@ -19,7 +19,7 @@
 /** The room that is taken at each endpoint, in bytes. */
 export interface MakerRoom {
   /** Changes what is reserved for calls in progress. */
-  reserve(endpointId: string, bytes: number): void;
+  addTaken(endpointId: string, bytes: number): void;
   /** A reserved piece was made: its bytes stay until they are dropped. */
   hold(result: string, held: HeldResult): void;
   drop(result: string): void;
@@ -35,7 +35,7 @@
   const taken = new Map<string, number>();
   const held = new Map<string, HeldResult>();
 
-  function reserve(endpointId: string, bytes: number): void {
+  function addTaken(endpointId: string, bytes: number): void {
     const left = readTaken(endpointId) + bytes;
     if (left > 0) taken.set(endpointId, left);
     else taken.delete(endpointId);
@@ -45,7 +45,7 @@
     const known = held.get(result);
     if (known === undefined) return;
     held.delete(result);
-    reserve(known.endpointId, -known.bytes);
+    addTaken(known.endpointId, -known.bytes);
   }
 
   function dropLapsed(now: Millis): void {
@@ -66,7 +66,7 @@
   }
 
   return {
-    reserve,
+    addTaken,
     hold: (result, kept) => void held.set(result, kept),
     drop,
     dropLapsed,
--- a/packages/serving/src/peer_news.ts
+++ b/packages/serving/src/peer_news.ts
@@ -103,7 +103,8 @@
       signal,
       store: options.members,
       self,
-      onListed: (records) => membership.introduce(records).forEach(notePeer),
+      onListed: (records) =>
+        membership.mergeDoubtful(records).forEach(notePeer),
       onFault: (reason) =>
         log.record("dependency_lost", { dependency: "members", reason }),
     });
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -270,7 +270,7 @@
     const startedAt = clock.now();
     feeding.calls++;
     feeding.freeAt = startedAt + feeding.slowness * expected;
-    room.reserve(info.id, bytes);
+    room.addTaken(info.id, bytes);
     loads.begin(info);
     for (const piece of pieces) {
       piece.attempts++;
@@ -295,7 +295,7 @@
     if (reply.isErr) {
       const isUnreachable = reply.error.sent === "no";
       loads.end(info, isUnreachable ? "unreachable" : "failing");
-      room.reserve(info.id, -bytes);
+      room.addTaken(info.id, -bytes);
       pieces.forEach((piece) => tryAgain(piece, info, "unavailable"));
     } else {
       takeReply(feeding, {
@@ -341,7 +341,7 @@
     const isFull = reply.kind === "not_run" && reply.reason === "full";
     if (isFull) inputs.noteOtherFeeder();
     for (const piece of pieces) {
-      room.reserve(info.id, -piece.resultBytes);
+      room.addTaken(info.id, -piece.resultBytes);
       if (isFull) waitForRoom(feeding, piece);
       else tryAgain(piece, info, "unavailable");
     }
@@ -366,7 +366,7 @@
       piece.settle(result);
       return;
     }
-    room.reserve(feeding.info.id, -piece.resultBytes);
+    room.addTaken(feeding.info.id, -piece.resultBytes);
     const reason = result?.reason ?? "error";
     if (reason === "input_gone") inputs.noteOtherFeeder();
     if (reason === "late" || reason === "input_gone") {
--- a/packages/serving/src/topic_relay.ts
+++ b/packages/serving/src/topic_relay.ts
@@ -103,7 +103,7 @@
     return reading;
   }
 
-  function collect(from: number): TopicNews {
+  function listNews(from: number): TopicNews {
     if (from < first || from > next) return { kind: "unknown" };
     const records = kept.filter(({ offset }) => offset >= from)
       .map(({ key, value }) => value === undefined ? { key } : { key, value });
@@ -113,7 +113,7 @@
   async function answer(
     { from, wait }: TopicQuestion,
   ): Promise<TopicNews> {
-    const news = collect(from);
+    const news = listNews(from);
     if (news.kind === "unknown" || news.records.length > 0) return news;
     await new Promise<void>((resolve) => {
       const wake = () => {
@@ -124,7 +124,7 @@
       const stop = clock.startTimer(wait, wake);
       waiting.add(wake);
     });
-    return collect(from);
+    return listNews(from);
   }
 
   return { source: { readNewest, readFrom }, answer };
--- a/scripts/check_names.ts
+++ b/scripts/check_names.ts
@@ -8,6 +8,14 @@
 import ts from "typescript";
 
 const LIST = "docs/NAMES.md";
+const FOLDERS = [
+  "packages",
+  "platform/src",
+  "standins/src",
+  "bench/src",
+  "soak/src",
+  "scripts",
+];
 
 /** Reads the verbs: the first word in code quotes of each table row. */
 function readVerbs(): Set<string> {
@@ -50,7 +58,7 @@
 process.exitCode = faults === 0 ? 0 : 1;
 
 function listFiles(): string[] {
-  return ["packages", "platform/src", "standins/src", "bench/src", "scripts"]
+  return FOLDERS
     .flatMap((folder) =>
       readdirSync(folder, { recursive: true, encoding: "utf8" })
         .map((file) => `${folder}/${file}`)
--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -19,6 +19,8 @@
 }
 
 const REPORT = "node_modules/.cache-mocha-report.json";
+/** A short run of the soak; fresh seeds are run by hand. */
+const SOAK_SEED = "20261202";
 const KNOWN_RED = "KNOWN-RED.txt";
 
 function run(command: string, args: readonly string[]): boolean {
@@ -69,7 +71,13 @@
   "--check",
 ], counts);
 check("build", ["tsx", "scripts/build.ts"], counts);
+check("platform build", ["tsx", "scripts/build_platform.ts"], counts);
 runTests(counts);
+check("soak", [
+  "tsx",
+  "soak/src/main.ts",
+  ...["--seed", SOAK_SEED, "--seeds", "2", "--jobs", "2", "--seconds", "4"],
+], counts);
 
 const knownRed = readKnownRed();
 const isCi = process.argv.includes("--ci");
--- /dev/null
+++ b/soak/src/soak_config.ts
@@ -0,0 +1,81 @@
+/**
+ * The configuration that the soak publishes.
+ *
+ * @module
+ */
+
+/** The account of each key. */
+export const ACCOUNTS: ReadonlyMap<string, string> = new Map([
+  ["key-1", "one"],
+  ["revoked", "two"],
+]);
+
+function createRoute(name: string, change: object) {
+  return {
+    name,
+    pathPrefix: `/${name}/`,
+    timeoutMs: 3_000,
+    targetLatencyMs: 1_000,
+    priority: 1,
+    host: "soak.example",
+    ...change,
+  };
+}
+
+/** A configuration in the platform's form. */
+export function createSoakConfig(
+  version: number,
+  { isRevoked }: { isRevoked: boolean },
+): object {
+  const stages = [
+    { service: "stage", after: [], bytes: 10 },
+    { service: "stage", after: [0], bytes: 10 },
+  ];
+  const pieces = {
+    slots: 1,
+    queue: 2,
+    batch: 6,
+    callMs: 40,
+    itemMs: 1,
+    headroomMb: 1,
+    handleS: 4,
+    linkMbps: 100,
+  };
+  const engine = { slots: 32, kvCapacity: 100_000 };
+  const tenants = [...ACCOUNTS]
+    .filter(([key]) => key !== "revoked" || !isRevoked)
+    .map(([key, name]) => ({ name, apiKeys: [key] }));
+  return {
+    version,
+    routes: [
+      createRoute("plain", {
+        kind: "idempotent",
+        service: "plain",
+        maxAttempts: 2,
+      }),
+      createRoute("once", {
+        kind: "non_idempotent",
+        service: "plain",
+        maxAttempts: 1,
+      }),
+      createRoute("draft", {
+        kind: "stream",
+        service: "engine",
+        maxAttempts: 1,
+        stages,
+      }),
+    ],
+    services: [
+      { name: "plain", maxConns: 100 },
+      { name: "engine", maxConns: 100, engine },
+      { name: "stage", maxConns: 100, pieces },
+    ],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 10_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 5_000,
+    },
+    tenants,
+  };
+}
--- /dev/null
+++ b/soak/src/soak_endpoints.ts
@@ -0,0 +1,127 @@
+/**
+ * Endpoints of the soak: plain ones, a stage endpoint and an engine. They write
+ * down what ran, from which the promises are checked.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { HEADER, PATH } from "../../platform/src/wire_names.ts";
+
+/** One run of one request at one endpoint. */
+export interface SeenRun {
+  endpoint: string;
+  account: string | undefined;
+  path: string;
+  at: number;
+}
+
+/** What all endpoints saw, by request id. */
+export type RunLog = Map<string, SeenRun[]>;
+
+/** A running endpoint. */
+export interface SoakEndpoint {
+  readonly id: string;
+  readonly address: string;
+  /** Ends all connections and takes no new ones. */
+  kill(): void;
+  close(): void;
+}
+
+/** Events of a stream; the last one tells that it is whole. */
+export const STREAM_EVENTS = 5;
+const EVENT_GAP_MS = 20;
+const WORK_MS = 15;
+const STAGE_CALL_MS = 40;
+
+/** The body that an endpoint answers to a request. */
+export function computeBody(id: string): string {
+  return createHash("sha256").update(id).digest("hex").repeat(4);
+}
+
+async function readBody(request: IncomingMessage): Promise<string> {
+  let text = "";
+  for await (const chunk of request) text += String(chunk);
+  return text;
+}
+
+function readHeader(request: IncomingMessage, name: string) {
+  const value = request.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+/** Starts an endpoint that answers requests and streams. */
+export async function startServingEndpoint(
+  id: string,
+  runs: RunLog,
+): Promise<SoakEndpoint> {
+  async function answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    await readBody(request);
+    const requestId = readHeader(request, HEADER.requestId) ?? "";
+    response.setHeader(HEADER.requestId, requestId);
+    if (readHeader(request, HEADER.targetInstance) !== id) {
+      return void response.writeHead(421, { [HEADER.notRun]: "1" }).end();
+    }
+    const path = request.url ?? "";
+    const run = {
+      endpoint: id,
+      account: readHeader(request, HEADER.account),
+      path,
+      at: Date.now(),
+    };
+    runs.set(requestId, [...(runs.get(requestId) ?? []), run]);
+    response.setHeader(HEADER.proof, computeBody(requestId).slice(0, 16));
+    await sleep(WORK_MS);
+    if (!path.startsWith("/draft/")) {
+      return void response.end(computeBody(requestId));
+    }
+    response.setHeader("content-type", "text/event-stream");
+    for (let event = 1; event <= STREAM_EVENTS; event++) {
+      response.write(`id: ${event}\ndata: ${requestId}\n\n`);
+      await sleep(EVENT_GAP_MS);
+    }
+    response.end();
+  }
+  return await startEndpoint(id, answer);
+}
+
+/** Starts an endpoint that makes pieces; results live as long as it does. */
+export async function startStageEndpoint(id: string): Promise<SoakEndpoint> {
+  const endpoint = await startEndpoint(id, async (request, response) => {
+    const body = JSON.parse(await readBody(request) || "{}");
+    if (request.url === PATH.stageFree) return void response.end("{}");
+    if (readHeader(request, HEADER.targetInstance) !== id) {
+      return void response.writeHead(421, { [HEADER.notRun]: "1" }).end();
+    }
+    await sleep(STAGE_CALL_MS);
+    const items = (body.items as { id: string; stage: number; piece: number }[])
+      .map((item) => ({
+        handle: `${endpoint.address}/${item.id}.${item.stage}.${item.piece}`,
+      }));
+    response.end(JSON.stringify({ items }));
+  });
+  return endpoint;
+}
+
+async function startEndpoint(
+  id: string,
+  answer: (request: IncomingMessage, response: ServerResponse) => Promise<void>,
+): Promise<SoakEndpoint> {
+  const server: Server = createServer((request, response) => {
+    // A caller that is gone ends the answer; there is nobody to tell.
+    answer(request, response).catch(() => response.destroy());
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const close = () => {
+    server.closeAllConnections();
+    server.close();
+  };
+  return { id, address: `127.0.0.1:${port}`, kill: close, close };
+}
--- /dev/null
+++ b/soak/src/soak_plan.ts
@@ -0,0 +1,78 @@
+/**
+ * Which faults happen when in one run of the soak, from its seed alone.
+ *
+ * @module
+ */
+import { MersenneTwister19937, Random } from "random-js";
+
+/** What goes wrong; all but `key_revoked` and `endpoint_leaves` end by themselves. */
+export type FaultKind =
+  | "entry_killed"
+  | "entry_paused"
+  | "entry_stopped"
+  | "store_silent"
+  | "store_failing"
+  | "store_slow"
+  | "link_delayed"
+  | "link_reset"
+  | "link_one_way"
+  | "link_silent"
+  | "endpoint_killed"
+  | "endpoint_leaves"
+  | "key_revoked"
+  | "config_changed";
+
+/** One fault. */
+export interface PlannedFault {
+  kind: FaultKind;
+  /** Milliseconds after the run's start. */
+  at: number;
+  /** How long it lasts, in milliseconds. */
+  duration: number;
+  /** Number of the entry, endpoint or link that it hits, before a modulus. */
+  target: number;
+}
+
+const KINDS: readonly FaultKind[] = [
+  "entry_killed",
+  "entry_paused",
+  "entry_stopped",
+  "store_silent",
+  "store_failing",
+  "store_slow",
+  "link_delayed",
+  "link_reset",
+  "link_one_way",
+  "link_silent",
+  "endpoint_killed",
+  "endpoint_leaves",
+  "key_revoked",
+  "config_changed",
+];
+/** Faults come in series: about one each half second, so that they overlap. */
+const MEAN_GAP = 500;
+const SHORTEST = 200;
+const LONGEST = 1_800;
+/** Kinds that must not happen twice: there is one key and one spare endpoint. */
+const ONCE: ReadonlySet<FaultKind> = new Set([
+  "key_revoked",
+  "endpoint_leaves",
+]);
+
+/** Plans the faults of a run, in order of time. */
+export function createSoakPlan(seed: number, length: number): PlannedFault[] {
+  const random = new Random(MersenneTwister19937.seed(seed));
+  const faults: PlannedFault[] = [];
+  const seen = new Set<FaultKind>();
+  let at = 0;
+  for (;;) {
+    at += random.integer(1, 2 * MEAN_GAP);
+    const duration = random.integer(SHORTEST, LONGEST);
+    const kind = random.pick([...KINDS]);
+    const target = random.integer(0, 1_000);
+    if (at + duration >= length) return faults;
+    if (ONCE.has(kind) && seen.has(kind)) continue;
+    seen.add(kind);
+    faults.push({ kind, at, duration, target });
+  }
+}
--- /dev/null
+++ b/soak/src/soak_site.ts
@@ -0,0 +1,356 @@
+/**
+ * The processes and stand-ins of one run of the soak, and how faults reach them.
+ *
+ * @module
+ */
+import type { ChildProcess } from "node:child_process";
+import { spawn } from "node:child_process";
+import { createWriteStream, mkdirSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { join } from "node:path";
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { CONFIG_KEY, PATH, TOPIC } from "../../platform/src/wire_names.ts";
+import type { FaultProxy } from "./fault_proxy.ts";
+import { startFaultProxy } from "./fault_proxy.ts";
+import type { KeyedStore } from "./keyed_store.ts";
+import { startKeyedStore } from "./keyed_store.ts";
+import { createSoakConfig } from "./soak_config.ts";
+import type { RunLog, SoakEndpoint } from "./soak_endpoints.ts";
+import { startServingEndpoint, startStageEndpoint } from "./soak_endpoints.ts";
+import type { PlannedFault } from "./soak_plan.ts";
+
+/** A running site. */
+export interface SoakSite {
+  /** Where callers connect: a proxy before each entry. */
+  readonly callerAddresses: readonly string[];
+  readonly runs: RunLog;
+  readonly revokedAt: number | undefined;
+  readonly leftAt: ReadonlyMap<string, number>;
+  /** Harms the site and heals it again. */
+  applyFault(fault: PlannedFault): Promise<void>;
+  /** Ends all that was started here. */
+  stop(): Promise<void>;
+}
+
+interface Entry {
+  name: string;
+  settingsFile: string;
+  ready: string;
+  child: ChildProcess | undefined;
+  callerProxy: FaultProxy;
+  storeProxy: FaultProxy;
+}
+
+const PROGRAM = "target/mangoreach-platform.mjs";
+const START_LIMIT_MS = 15_000;
+const STOP_S = 8;
+const HEARTBEAT_MS = 400;
+const PLAIN_ENDPOINTS = 3;
+const STAGE_ENDPOINTS = 2;
+
+async function findPorts(count: number): Promise<string[]> {
+  const servers = await Promise.all(
+    Array.from({ length: count }, async () => {
+      const server = createServer();
+      await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+      return server;
+    }),
+  );
+  const addresses = servers.map((server) =>
+    `127.0.0.1:${(server.address() as AddressInfo).port}`
+  );
+  servers.forEach((server) => server.close());
+  return addresses;
+}
+
+/** Starts a site of some entries; resolves once all are ready. */
+export async function startSoakSite(
+  { entryCount, folder }: { entryCount: number; folder: string },
+): Promise<SoakSite> {
+  mkdirSync(folder, { recursive: true });
+  const runs: RunLog = new Map();
+  const leftAt = new Map<string, number>();
+  const store = await startKeyedStore();
+  let version = 1;
+  let revokedAt: number | undefined;
+  const publish = () =>
+    store.put(
+      TOPIC.operators,
+      CONFIG_KEY,
+      createSoakConfig(version, { isRevoked: revokedAt !== undefined }),
+    );
+  publish();
+  const endpoints = await startEndpoints(store, runs);
+  const entries: Entry[] = [];
+  for (let index = 0; index < entryCount; index++) {
+    entries.push(await createEntry(`entry-${index}`, { store, folder }));
+  }
+  entries.forEach((entry) => startEntry(entry, folder));
+  await Promise.all(entries.map(waitUntilReady));
+
+  async function applyFault(fault: PlannedFault): Promise<void> {
+    const entry = entries[fault.target % entries.length]!;
+    const link = endpoints[fault.target % endpoints.length]!;
+    const proxies = [entry.callerProxy, entry.storeProxy, link.proxy];
+    const proxy = proxies[fault.target % proxies.length]!;
+    const { duration } = fault;
+    switch (fault.kind) {
+      case "entry_killed":
+        return await replaceEntry(entry, {
+          signal: "SIGKILL",
+          duration,
+          folder,
+        });
+      case "entry_stopped":
+        return await replaceEntry(entry, {
+          signal: "SIGTERM",
+          duration,
+          folder,
+        });
+      case "entry_paused":
+        entry.child?.kill("SIGSTOP");
+        await sleep(duration);
+        return void entry.child?.kill("SIGCONT");
+      case "store_silent":
+        return await runStoreFault(store, "silent", duration);
+      case "store_failing":
+        return await runStoreFault(store, "failing", duration);
+      case "store_slow":
+        return await runStoreFault(store, "slow", duration);
+      case "link_reset":
+        return proxy.dropAll();
+      case "link_delayed":
+        return await runLinkFault(proxy, "delayed", duration);
+      case "link_one_way":
+        return await runLinkFault(proxy, "one_way", duration);
+      case "link_silent":
+        return await runLinkFault(proxy, "silent", duration);
+      case "endpoint_killed":
+        return await link.replace(duration);
+      case "endpoint_leaves":
+        leftAt.set(link.readId(), Date.now());
+        return await link.leave();
+      case "key_revoked":
+        revokedAt = Date.now();
+        version++;
+        return publish();
+      case "config_changed":
+        version++;
+        return publish();
+    }
+  }
+
+  async function stop(): Promise<void> {
+    for (const { child } of entries) child?.kill("SIGKILL");
+    for (const { callerProxy, storeProxy } of entries) {
+      callerProxy.close();
+      storeProxy.close();
+    }
+    endpoints.forEach((endpoint) => endpoint.close());
+    store.close();
+    await sleep(50);
+  }
+
+  return {
+    callerAddresses: entries.map(({ callerProxy }) => callerProxy.address),
+    runs,
+    get revokedAt() {
+      return revokedAt;
+    },
+    leftAt,
+    applyFault,
+    stop,
+  };
+}
+
+async function runStoreFault(
+  store: KeyedStore,
+  mode: "silent" | "failing" | "slow",
+  duration: number,
+): Promise<void> {
+  store.setMode(mode);
+  await sleep(duration);
+  store.setMode("good");
+}
+
+async function runLinkFault(
+  proxy: FaultProxy,
+  mode: "delayed" | "one_way" | "silent",
+  duration: number,
+): Promise<void> {
+  proxy.setMode(mode);
+  await sleep(duration);
+  proxy.setMode("passing");
+  // Bytes are lost in between: what is open would wait for ever.
+  if (mode !== "delayed") proxy.dropAll();
+}
+
+async function createEntry(
+  name: string,
+  { store, folder }: { store: KeyedStore; folder: string },
+): Promise<Entry> {
+  const [callers = "", ready = "", addresses = "", control = "", metrics = ""] =
+    await findPorts(5);
+  const storeProxy = await startFaultProxy(store.address);
+  const callerProxy = await startFaultProxy(callers);
+  const settingsFile = join(folder, `${name}.jsonc`);
+  const settings = {
+    entry: name,
+    place: "z",
+    coreShare: 1,
+    coreSpeed: 1,
+    logLevel: "info",
+    callers,
+    ready,
+    addresses,
+    control,
+    metrics,
+    seeds: [],
+    store: storeProxy.address,
+    revokeMs: 5_000,
+    stopS: STOP_S,
+    repeatShare: 0.2,
+    repeatSlack: 56,
+  };
+  writeFileSync(settingsFile, JSON.stringify(settings));
+  return {
+    name,
+    settingsFile,
+    ready,
+    child: undefined,
+    callerProxy,
+    storeProxy,
+  };
+}
+
+function startEntry(entry: Entry, folder: string): void {
+  const child = spawn(process.execPath, [
+    "--max-old-space-size=150",
+    PROGRAM,
+    "--settings",
+    entry.settingsFile,
+  ], { stdio: ["ignore", "pipe", "pipe"] });
+  const log = createWriteStream(join(folder, `${entry.name}.log`), {
+    flags: "a",
+  });
+  child.stdout?.pipe(log, { end: false });
+  child.stderr?.pipe(log, { end: false });
+  entry.child = child;
+}
+
+async function waitUntilReady({ name, ready }: Entry): Promise<void> {
+  const limit = Date.now() + START_LIMIT_MS;
+  while (Date.now() < limit) {
+    const reply = await fetch(`http://${ready}${PATH.ready}`).catch(() =>
+      undefined
+    );
+    if (reply?.status === 200) return;
+    await sleep(50);
+  }
+  throw new Error(`${name} did not get ready`);
+}
+
+async function replaceEntry(
+  entry: Entry,
+  { signal, duration, folder }: {
+    signal: "SIGKILL" | "SIGTERM";
+    duration: number;
+    folder: string;
+  },
+): Promise<void> {
+  const { child } = entry;
+  if (child === undefined) return;
+  const exited = new Promise<void>((resolve) =>
+    child.once("exit", () => resolve())
+  );
+  if (child.exitCode !== null || child.signalCode !== null) return;
+  child.kill(signal);
+  child.kill("SIGCONT");
+  await Promise.race([exited, sleep(1_000 * STOP_S)]);
+  child.kill("SIGKILL");
+  await sleep(duration);
+  if (entry.child === child) startEntry(entry, folder);
+}
+
+interface EndpointSlot {
+  readonly proxy: FaultProxy;
+  readId(): string;
+  /** Kills it; after a while another starts at the same address. */
+  replace(duration: number): Promise<void>;
+  /** Announces that it leaves; another takes its place after that. */
+  leave(): Promise<void>;
+  close(): void;
+}
+
+function startEndpoints(
+  store: KeyedStore,
+  runs: RunLog,
+): Promise<EndpointSlot[]> {
+  const plain = Array.from(
+    { length: PLAIN_ENDPOINTS },
+    (_, index) => startSlot(store, { pool: "plain", index, runs }),
+  );
+  const stages = Array.from(
+    { length: STAGE_ENDPOINTS },
+    (_, index) => startSlot(store, { pool: "stage", index, runs }),
+  );
+  const engine = startSlot(store, { pool: "engine", index: 0, runs });
+  return Promise.all([...plain, ...stages, engine]);
+}
+
+async function startSlot(
+  store: KeyedStore,
+  { pool, index, runs }: { pool: string; index: number; runs: RunLog },
+): Promise<EndpointSlot> {
+  let incarnation = 0;
+  let state = "ready";
+  const start = (): Promise<SoakEndpoint> => {
+    const id = `i-${pool}-${index}-${incarnation++}`;
+    return pool === "stage"
+      ? startStageEndpoint(id)
+      : startServingEndpoint(id, runs);
+  };
+  let endpoint = await start();
+  const proxy = await startFaultProxy(endpoint.address);
+  const announce = () =>
+    store.put(TOPIC.endpoints, endpoint.id, {
+      service: pool,
+      address: proxy.address,
+      zone: "z",
+      state,
+    });
+  announce();
+  const heartbeat = setInterval(announce, HEARTBEAT_MS);
+
+  async function startNext(): Promise<void> {
+    store.put(TOPIC.endpoints, endpoint.id, undefined);
+    endpoint.kill();
+    endpoint = await start();
+    proxy.setTarget(endpoint.address);
+    state = "ready";
+    announce();
+  }
+
+  return {
+    proxy,
+    readId: () => endpoint.id,
+    async replace(duration) {
+      endpoint.kill();
+      await sleep(duration);
+      await startNext();
+    },
+    async leave() {
+      state = "draining";
+      announce();
+      await sleep(4_000);
+      await startNext();
+    },
+    close() {
+      clearInterval(heartbeat);
+      proxy.close();
+      endpoint.close();
+    },
+  };
+}
