--- a/packages/serving/src/piece_router_test.ts
+++ b/packages/serving/src/piece_router_test.ts
@@ -1,4 +1,3 @@
-import type { PeerRecord } from "@mangoreach/coordination";
 import { createFailure, createMembership } from "@mangoreach/coordination";
 import type {
   PieceRun,
@@ -10,6 +9,7 @@
 import { Result } from "true-myth";
 import { createSilentDecisionLog } from "./decision_log.ts";
 import { createPieceRouter } from "./piece_router.ts";
+import { createTestPeer } from "./test_support.ts";
 
 const RUN: PieceRun = {
   pool: "pool",
@@ -23,23 +23,6 @@
 };
 const EMPTY = { heartbeats: [], introductions: [], leaving: [] };
 
-function createRecord(entry: string): PeerRecord {
-  return {
-    entry,
-    incarnation: entry,
-    startedAt: 0,
-    place: "here",
-    callerAddress: entry,
-    controlAddress: entry,
-    state: "live",
-    heartbeat: 1,
-    configVersion: 1,
-    inFlight: 0,
-    capacity: 1,
-    strainedPriority: 0,
-  };
-}
-
 type PeerMode = "good" | "refuses" | "silent";
 
 describe("routing pieces to feeders", () => {
@@ -47,12 +30,12 @@
     const clock = createFakeClock(0);
     const membership = createMembership({
       clock,
-      self: createRecord("self"),
+      self: createTestPeer("self"),
       random: () => 0,
       suspectAfter: 2_500,
       loseAfter: 20_000,
     });
-    membership.merge(["a", "b", "c", "d"].map(createRecord));
+    membership.merge(["a", "b", "c", "d"].map(createTestPeer));
     const asked: string[] = [];
     const fail = (address: string) =>
       Result.err<never, ReturnType<typeof createFailure>>(
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Readable } from "node:stream";
-import type { EndpointInfo, Route } from "@mangoreach/coordination";
+import type { EndpointInfo, PeerRecord, Route } from "@mangoreach/coordination";
 import { createRetryBudget } from "@mangoreach/coordination";
 import type { FakeClock } from "@mangoreach/shared";
 import { Result } from "true-myth";
@@ -35,6 +35,24 @@
   };
 }
 
+/** The record of a live entry; its addresses are its name. */
+export function createTestPeer(entry: string): PeerRecord {
+  return {
+    entry,
+    incarnation: entry,
+    startedAt: 0,
+    place: "here",
+    callerAddress: entry,
+    controlAddress: entry,
+    state: "live",
+    heartbeat: 1,
+    configVersion: 1,
+    inFlight: 0,
+    capacity: 1,
+    strainedPriority: 0,
+  };
+}
+
 /** A route of one pool. */
 export function createTestRoute(change: Partial<Route> = {}): Route {
   return {
--- a/packages/serving/src/topic_readers_test.ts
+++ b/packages/serving/src/topic_readers_test.ts
@@ -1,31 +1,14 @@
-import type { PeerRecord } from "@mangoreach/coordination";
 import { createMembership } from "@mangoreach/coordination";
 import { createFakeClock } from "@mangoreach/shared";
 import { expect } from "chai";
+import { createTestPeer } from "./test_support.ts";
 import { listTopicReaders } from "./topic_readers.ts";
 
-function createRecord(index: number): PeerRecord {
-  return {
-    entry: `entry-${index}`,
-    incarnation: `${index}`,
-    startedAt: 0,
-    place: "here",
-    callerAddress: "",
-    controlAddress: `address-${index}`,
-    state: "live",
-    heartbeat: 1,
-    configVersion: 1,
-    inFlight: 0,
-    capacity: 1,
-    strainedPriority: 0,
-  };
-}
-
 /** What each entry of a fleet that knows all others asks. */
 function listAll(size: number): string[][] {
   const records = Array.from(
     { length: size },
-    (_, index) => createRecord(index),
+    (_, index) => createTestPeer(`entry-${index}`),
   );
   return records.map((self) => {
     const membership = createMembership({
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -7,7 +7,6 @@
 import { spawn } from "node:child_process";
 import { createWriteStream, mkdirSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { join } from "node:path";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -50,19 +49,31 @@
 const PLAIN_ENDPOINTS = 3;
 const STAGE_ENDPOINTS = 2;
 
+/**
+ * Below the ports that the system gives to outgoing connections: one of those
+ * could take an entry's port while the entry is down.
+ */
+const FIRST_PORT = 18_000;
+const PORT_COUNT = 12_000;
+let nextPort = Math.floor(Math.random() * PORT_COUNT);
+
+async function isFree(port: number): Promise<boolean> {
+  const server = createServer();
+  const isListening = await new Promise<boolean>((done) => {
+    server.once("error", () => done(false));
+    server.listen(port, "127.0.0.1", () => done(true));
+  });
+  if (isListening) await new Promise((done) => server.close(done));
+  return isListening;
+}
+
 async function findPorts(count: number): Promise<string[]> {
-  const servers = await Promise.all(
-    Array.from({ length: count }, async () => {
-      const server = createServer();
-      await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
-      return server;
-    }),
-  );
-  const addresses = servers.map((server) =>
-    `127.0.0.1:${(server.address() as AddressInfo).port}`
-  );
-  servers.forEach((server) => server.close());
-  return addresses;
+  const found: string[] = [];
+  while (found.length < count) {
+    const port = FIRST_PORT + nextPort++ % PORT_COUNT;
+    if (await isFree(port)) found.push(`127.0.0.1:${port}`);
+  }
+  return found;
 }
 
 /** Starts a site of some entries; resolves once all are ready. */
