fix(soak): the proxy keeps the order of bytes and never goes on behind lost ones

No network reorders within a connection. Ruled out: the program (it passes bytes on as they come; the two other link faults were on other proxies). Change: one queue a direction; what is lost once is lost for good. Test failed first on the reordering.

--- a/soak/src/fault_proxy.ts
+++ b/soak/src/fault_proxy.ts
@@ -6,6 +6,7 @@
 import type { Server, Socket } from "node:net";
 import { connect, createServer } from "node:net";
 import type { AddressInfo } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 
 /** What the proxy does with bytes. */
 export type ProxyMode =
@@ -36,24 +37,32 @@
   let current = target;
   const sockets = new Set<Socket>();
 
+  /** Passes one direction on, in order as TCP does. */
   function sendOn(from: Socket, to: Socket, isAnswer: boolean): void {
+    let lastSend: Promise<void> = Promise.resolve();
+    // What is lost is lost for good: a connection never goes on behind a gap.
+    let isLost = false;
+
+    function queue(send: () => void): void {
+      const pause = mode === "delayed" ? DELAY_MS : 0;
+      const due = sleep(pause);
+      lastSend = lastSend.then(() => due).then(send);
+    }
+
     from.on("data", (chunk) => {
-      if (mode === "silent" || (mode === "one_way" && isAnswer)) return;
-      const send = () => {
+      isLost ||= mode === "silent" || (mode === "one_way" && isAnswer);
+      if (isLost) return;
+      queue(() => {
         if (!to.destroyed) to.write(chunk);
-      };
-      if (mode === "delayed") setTimeout(send, DELAY_MS);
-      else send();
+      });
     });
     from.on("end", () => {
-      const end = () => to.end();
-      if (mode === "delayed") setTimeout(end, DELAY_MS);
-      else if (mode === "passing") end();
+      if (!isLost && mode !== "silent") queue(() => to.end());
     });
     from.on("error", () => to.resetAndDestroy());
     from.on("close", () => {
       sockets.delete(from);
-      if (mode === "passing") setTimeout(() => to.destroy(), DELAY_MS);
+      if (!isLost && mode !== "silent") queue(() => to.destroy());
     });
   }
 
