--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -9,12 +9,14 @@
 import { join } from "node:path";
 import process from "node:process";
 import { parseArgs } from "node:util";
+import { KEPT_SEEDS } from "./kept_seeds.ts";
 import { runSoak } from "./soak_run.ts";
 
 const USAGE = `Usage: npm run soak -- [options]
 
   --seeds N     how many runs (1)
   --seed S      the first seed; otherwise a fresh one
+  --kept        the seeds that failed once
   --seconds T   time with faults of one run (8)
   --entries N   entries of a site (3)
   --jobs N      runs at a time (1)
@@ -24,6 +26,7 @@
   options: {
     seeds: { type: "string", default: "1" },
     seed: { type: "string" },
+    kept: { type: "boolean" },
     seconds: { type: "string", default: "8" },
     entries: { type: "string", default: "3" },
     jobs: { type: "string", default: "1" },
@@ -31,14 +34,19 @@
   },
 });
 
-async function run(): Promise<number> {
+function listSeeds(): number[] {
+  if (values.kept) return KEPT_SEEDS.map(({ seed }) => seed);
   const first = values.seed === undefined
     ? Date.now() % 1_000_000_000
     : Number(values.seed);
-  const seeds = Array.from(
+  return Array.from(
     { length: Number(values.seeds) },
     (_, index) => first + index,
   );
+}
+
+async function run(): Promise<number> {
+  const seeds = listSeeds();
   const folder = mkdtempSync(join(tmpdir(), "mangoreach-soak-"));
   let failed = 0;
 
