--- a/packages/serving/src/keyed_follower_test.ts
+++ b/packages/serving/src/keyed_follower_test.ts
@@ -89,4 +89,37 @@
       "one b",
     ]);
   });
+
+  // What another entry tells is as old as it says: counted as new, a key that was
+  // taken away would open requests for that much longer.
+  it("dates what was read by its age", async () => {
+    const clock = createFakeClock(10_000);
+    const controller = new AbortController();
+    const confirmed: number[] = [];
+    const task = followKeyedTopic({
+      clock,
+      random: () => 0.5,
+      signal: controller.signal,
+      source: {
+        readNewest: () =>
+          Promise.resolve(Result.ok({ ...createReading(1), age: 700 })),
+        readFrom: () => Promise.resolve(Result.err("unavailable")),
+      },
+      sink: {
+        replaceAll: () => {},
+        apply: () => {},
+        noteConfirmed: ({ monotonic, wall }) => confirmed.push(monotonic, wall),
+        noteAway: () => {},
+        noteBack: () => {},
+      },
+      readTime: () => ({ monotonic: clock.now(), wall: clock.now() + 5 }),
+      wait: 500,
+      pause: 10,
+    });
+    await clock.advance(100);
+    controller.abort();
+    await clock.advance(1_000);
+    await task;
+    expect(confirmed).to.deep.equal([9_300, 9_305]);
+  });
 });
