--- a/soak/src/fault_proxy.ts
+++ b/soak/src/fault_proxy.ts
@@ -43,7 +43,7 @@
     // What is lost is lost for good: a connection never goes on behind a gap.
     let isLost = false;
 
-    function queue(send: () => void): void {
+    function addSend(send: () => void): void {
       const pause = mode === "delayed" ? DELAY_MS : 0;
       const due = sleep(pause);
       lastSend = lastSend.then(() => due).then(send);
@@ -52,17 +52,17 @@
     from.on("data", (chunk) => {
       isLost ||= mode === "silent" || (mode === "one_way" && isAnswer);
       if (isLost) return;
-      queue(() => {
+      addSend(() => {
         if (!to.destroyed) to.write(chunk);
       });
     });
     from.on("end", () => {
-      if (!isLost && mode !== "silent") queue(() => to.end());
+      if (!isLost && mode !== "silent") addSend(() => to.end());
     });
     from.on("error", () => to.resetAndDestroy());
     from.on("close", () => {
       sockets.delete(from);
-      if (!isLost && mode !== "silent") queue(() => to.destroy());
+      if (!isLost && mode !== "silent") addSend(() => to.destroy());
     });
   }
 
