fix(serving): a reader of the store catches up with an entry that is ahead of it

Cause: an entry that had to read the store itself is ahead of its reader by the records of a moment; the reader knew nothing of that offset, so the entry was sent back to the store for two seconds, and was ahead again the next time. Change: the reader waits for its own next reading, as it does for news. Besides: dropped pieces are logged with the waits of their own priority; the registry reads no more once it is stopped.

--- a/packages/serving/src/member_registry.ts
+++ b/packages/serving/src/member_registry.ts
@@ -66,6 +66,7 @@
     for (let count = 0; !signal.aborted; count++) {
       const pause = FIRST_INTERVALS[count] ?? READ_INTERVAL;
       await clock.sleep(pause * (0.75 + random() / 2), signal);
+      if (signal.aborted) return;
       const read = await store.list();
       if (read.isOk) {
         onListed(read.value);
--- a/packages/serving/src/member_registry_test.ts
+++ b/packages/serving/src/member_registry_test.ts
@@ -43,7 +43,7 @@
     await clock.advance(40_000);
     controller.abort();
     await registry.task;
-    expect(reads.slice(0, 5))
+    expect(reads)
       .to.deep.equal([600, 2_100, 5_100, 20_100, 35_100]);
     expect(listed[0]).to.equal("other");
     expect(registry.listAddresses()).to.deep.equal(["other"]);
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -235,7 +235,7 @@
   function dropLate(now: Millis): void {
     const hopeless = batcher.dropLate(now, readForecast());
     const groups = new Map(hopeless.map((piece) => [piece.group, piece]));
-    for (const [group, { order, dueAt }] of groups) {
+    for (const [group, { order, priority, dueAt }] of groups) {
       failGroup(group, "late");
       log.record("pieces_dropped", {
         request: order.requestId,
@@ -243,7 +243,7 @@
         stage: order.stage,
         left: dueAt - now,
         waiting: batcher.size,
-        ...readWaits(0),
+        ...readWaits(priority),
         reason: "they could not be done in time",
       });
     }
--- a/packages/serving/src/topic_relay.ts
+++ b/packages/serving/src/topic_relay.ts
@@ -9,7 +9,7 @@
  */
 import type { KnowledgeAge } from "@mangoreach/coordination";
 import type { TopicNews, TopicQuestion } from "@mangoreach/peers";
-import type { Clock } from "@mangoreach/shared";
+import type { Clock, Millis } from "@mangoreach/shared";
 import type {
   KeyedReading,
   KeyedRecord,
@@ -38,6 +38,11 @@
   answer(question: TopicQuestion): Promise<TopicNews>;
 }
 
+interface WaitingAsker {
+  from: number;
+  wake: () => void;
+}
+
 interface KeptRecord extends KeyedRecord {
   offset: number;
 }
@@ -54,7 +59,8 @@
   let first = Infinity;
   let next = -Infinity;
   const contents = new Map<string, string>();
-  const waiting = new Set<() => void>();
+  /** Who waits for news, or for this entry to catch up with them. */
+  const waiting = new Set<WaitingAsker>();
 
   function isNews(record: KeyedRecord): boolean {
     const content = readContent(record);
@@ -79,8 +85,12 @@
     kept.push(...news);
     const excess = kept.splice(0, Math.max(0, kept.length - MAX_KEPT));
     first = Math.max(first, (excess.at(-1)?.offset ?? -1) + 1);
+    const before = next;
     next = reading.next;
-    if (news.length > 0) [...waiting].forEach((wake) => wake());
+    for (const { from: asked, wake } of [...waiting]) {
+      const isCaughtUp = asked > before && asked <= next;
+      if (news.length > 0 || isCaughtUp) wake();
+    }
   }
 
   async function readNewest() {
@@ -110,20 +120,29 @@
     return { kind: "records", records, next, age: age.read() };
   }
 
-  async function answer(
-    { from, wait }: TopicQuestion,
-  ): Promise<TopicNews> {
-    const news = listNews(from);
-    if (news.kind === "unknown" || news.records.length > 0) return news;
-    await new Promise<void>((resolve) => {
+  function waitForNews(from: number, wait: Millis): Promise<void> {
+    return new Promise((resolve) => {
       const wake = () => {
-        waiting.delete(wake);
+        waiting.delete(asker);
         stop();
         resolve();
       };
       const stop = clock.startTimer(wait, wake);
-      waiting.add(wake);
+      const asker = { from, wake };
+      waiting.add(asker);
     });
+  }
+
+  async function answer(
+    { from, wait }: TopicQuestion,
+  ): Promise<TopicNews> {
+    const news = listNews(from);
+    // An entry that has read the store itself may be ahead for a moment.
+    const mayWait = news.kind === "unknown"
+      ? from > next
+      : news.records.length === 0;
+    if (!mayWait) return news;
+    await waitForNews(from, wait);
     return listNews(from);
   }
 
--- a/packages/serving/src/topic_relay_test.ts
+++ b/packages/serving/src/topic_relay_test.ts
@@ -92,6 +92,20 @@
     expect(await ask(10)).to.equal(" next 10 age 0");
   });
 
+  // An entry has read the store itself a moment after the reader did. Sent back
+  // to the store for that, it would be ahead again the next time.
+  it("catches up with an entry that is ahead of it", async () => {
+    const { relay, readOn } = await create(createReading(7, "b=1/1", "c=1/1"));
+    const news = relay.answer({ topic: "config", from: 6, wait: 400 });
+    await readOn(5);
+    expect(await news).to.deep.equal({
+      kind: "records",
+      records: [{ key: "c", value: "1/1" }],
+      next: 7,
+      age: 0,
+    });
+  });
+
   it("answers a waiting entry when something changes", async () => {
     const { relay, readOn } = await create(createReading(6, "b=1/1"));
     const news = relay.answer({ topic: "config", from: 5, wait: 400 });
