--- a/packages/coordination/src/stage_pool.ts
+++ b/packages/coordination/src/stage_pool.ts
@@ -55,7 +55,7 @@
   release(end: AttemptEnd): void;
 }
 
-/** How the pool decides; the baselines of the bench pass others. */
+/** How the pool decides; others are passed in to compare with. */
 export interface PoolPolicy {
   choose: ChooseEndpoint;
   /** Whether work waits here for a free slot, in order of priority. */
--- a/packages/entry/src/request_handler.ts
+++ b/packages/entry/src/request_handler.ts
@@ -76,7 +76,7 @@
   credentials: CredentialsCheck;
   readSite: () => SiteConfig | undefined;
   guard: OnceGuard;
-  /** Undefined for the baselines of the bench, which admit everything. */
+  /** Undefined where everything is admitted, to compare with. */
   admission: Admission | undefined;
   attainment: AttainmentTracker;
   pools: PoolSet;
--- a/packages/peers/src/serving_peers.ts
+++ b/packages/peers/src/serving_peers.ts
@@ -30,7 +30,6 @@
   releaseSchema,
   waitsQuestionSchema,
 } from "./piece_protocol.ts";
-
 import type { TopicNews, TopicQuestion } from "./topic_protocol.ts";
 import { topicNewsSchema, topicQuestionSchema } from "./topic_protocol.ts";
 
--- a/packages/serving/src/piece_router.ts
+++ b/packages/serving/src/piece_router.ts
@@ -2,10 +2,11 @@
  * Hands the pieces of a stage to the entry that feeds its pool.
  *
  * The feeder of a pool is the first in the pool's rendezvous order of the live
- * entries on large instances, which all entries compute alike. While pieces are with a feeder, it
- * is watched: one that is dead, paused or cut off answers no exchange, and the
- * pieces go to the next in order, at last to this entry itself. Without the
- * watch a request would wait for a frozen feeder until its deadline.
+ * entries on large instances, which all entries compute alike. While pieces are
+ * with a feeder, it is watched: one that is dead, paused or cut off answers no
+ * exchange, and the pieces go to the next in order, at last to this entry
+ * itself. Without the watch a request would wait for a frozen feeder until its
+ * deadline.
  *
  * @module
  */
--- a/soak/src/keyed_store.ts
+++ b/soak/src/keyed_store.ts
@@ -5,13 +5,12 @@
  */
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
 import {
   decodeRecords,
   encodeRecord,
 } from "../../platform/src/store_client.ts";
 import { PATH } from "../../platform/src/wire_names.ts";
+import { readWholeBody, startSoakServer } from "./soak_server.ts";
 
 /** How the store behaves. */
 export type StoreMode = "good" | "silent" | "failing" | "slow";
@@ -89,10 +88,9 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of request) chunks.push(chunk as Buffer);
-    const body = Buffer.concat([Buffer.alloc(HEAD_BYTES), ...chunks]);
-    const records = decodeRecords(body) ?? [];
+    const appended = await readWholeBody(request);
+    const reading = Buffer.concat([Buffer.alloc(HEAD_BYTES), appended]);
+    const records = decodeRecords(reading) ?? [];
     records.forEach(({ key, value }) => write(name, key, value));
     const end = findTopic(name).records.length;
     response.end(JSON.stringify({ offset: end - records.length, end }));
@@ -120,14 +118,10 @@
     await takeAppend(name, request, response);
   }
 
-  const server = createServer((request, response) => {
-    answer(request, response).catch(() => response.destroy());
-  });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as AddressInfo;
+  const server = await startSoakServer(answer);
 
   return {
-    address: `127.0.0.1:${port}`,
+    address: server.address,
     setMode(next) {
       mode = next;
     },
@@ -137,9 +131,6 @@
         key,
         value === undefined ? undefined : JSON.stringify(value),
       ),
-    close() {
-      server.closeAllConnections();
-      server.close();
-    },
+    close: server.close,
   };
 }
--- a/soak/src/promises_test.ts
+++ b/soak/src/promises_test.ts
@@ -11,9 +11,7 @@
   kind: "plain",
   key: "key-1",
   sentAt: 90_000,
-  endedAt: 90_010,
   status: 200,
-  isWhole: true,
 };
 
 function createRun(change: Partial<SeenRun> = {}): SeenRun {
--- a/soak/src/soak_callers.ts
+++ b/soak/src/soak_callers.ts
@@ -17,10 +17,8 @@
   kind: RequestKind;
   key: string;
   sentAt: number;
-  endedAt: number;
   /** 0 if the connection ended without an answer. */
   status: number;
-  isWhole: boolean;
   /** A broken promise that the answer itself shows. */
   fault?: string;
 }
@@ -87,15 +85,13 @@
         },
       );
       const text = await body.text();
-      const end = { ...seen, endedAt: Date.now(), status: statusCode };
+      const end = { ...seen, status: statusCode };
       const fault = statusCode === 200
         ? findFault(seen, { text, proof: String(headers[HEADER.proof]) })
         : undefined;
-      return fault === undefined
-        ? { ...end, isWhole: true }
-        : { ...end, isWhole: true, fault };
+      return fault === undefined ? end : { ...end, fault };
     } catch {
-      return { ...seen, endedAt: Date.now(), status: 0, isWhole: false };
+      return { ...seen, status: 0 };
     }
   }
 
--- a/soak/src/soak_endpoints.ts
+++ b/soak/src/soak_endpoints.ts
@@ -5,11 +5,11 @@
  * @module
  */
 import { createHash } from "node:crypto";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { HEADER, PATH } from "../../platform/src/wire_names.ts";
+import type { SoakAnswer, SoakServer } from "./soak_server.ts";
+import { readWholeBody, startSoakServer } from "./soak_server.ts";
 
 /** One run of one request at one endpoint. */
 export interface SeenRun {
@@ -23,12 +23,8 @@
 export type RunLog = Map<string, SeenRun[]>;
 
 /** A running endpoint. */
-export interface SoakEndpoint {
+export interface SoakEndpoint extends SoakServer {
   readonly id: string;
-  readonly address: string;
-  /** Ends all connections and takes no new ones. */
-  kill(): void;
-  close(): void;
 }
 
 /** Events of a stream; the last one tells that it is whole. */
@@ -42,12 +38,6 @@
   return createHash("sha256").update(id).digest("hex").repeat(4);
 }
 
-async function readBody(request: IncomingMessage): Promise<string> {
-  let text = "";
-  for await (const chunk of request) text += String(chunk);
-  return text;
-}
-
 function readHeader(request: IncomingMessage, name: string) {
   const value = request.headers[name];
   return Array.isArray(value) ? value[0] : value;
@@ -62,7 +52,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    await readBody(request);
+    await readWholeBody(request);
     const requestId = readHeader(request, HEADER.requestId) ?? "";
     response.setHeader(HEADER.requestId, requestId);
     if (readHeader(request, HEADER.targetInstance) !== id) {
@@ -94,7 +84,7 @@
 /** Starts an endpoint that makes pieces; results live as long as it does. */
 export async function startStageEndpoint(id: string): Promise<SoakEndpoint> {
   const endpoint = await startEndpoint(id, async (request, response) => {
-    const body = JSON.parse(await readBody(request) || "{}");
+    const body = JSON.parse(String(await readWholeBody(request)) || "{}");
     if (request.url === PATH.stageFree) return void response.end("{}");
     if (readHeader(request, HEADER.targetInstance) !== id) {
       return void response.writeHead(421, { [HEADER.notRun]: "1" }).end();
@@ -111,17 +101,8 @@
 
 async function startEndpoint(
   id: string,
-  answer: (request: IncomingMessage, response: ServerResponse) => Promise<void>,
+  answer: SoakAnswer,
 ): Promise<SoakEndpoint> {
-  const server: Server = createServer((request, response) => {
-    // A caller that is gone ends the answer; there is nobody to tell.
-    answer(request, response).catch(() => response.destroy());
-  });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as AddressInfo;
-  const close = () => {
-    server.closeAllConnections();
-    server.close();
-  };
-  return { id, address: `127.0.0.1:${port}`, kill: close, close };
+  const server = await startSoakServer(answer);
+  return { id, ...server };
 }
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -11,9 +11,9 @@
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { CONFIG_KEY, PATH, TOPIC } from "../../platform/src/wire_names.ts";
-import type { FaultProxy } from "./fault_proxy.ts";
+import type { FaultProxy, ProxyMode } from "./fault_proxy.ts";
 import { startFaultProxy } from "./fault_proxy.ts";
-import type { KeyedStore } from "./keyed_store.ts";
+import type { KeyedStore, StoreMode } from "./keyed_store.ts";
 import { startKeyedStore } from "./keyed_store.ts";
 import { createSoakConfig } from "./soak_config.ts";
 import type { RunLog, SoakEndpoint } from "./soak_endpoints.ts";
@@ -36,18 +36,33 @@
 interface Entry {
   name: string;
   settingsFile: string;
+  logFile: string;
   ready: string;
   child: ChildProcess | undefined;
   callerProxy: FaultProxy;
   storeProxy: FaultProxy;
 }
 
+const STOP_SIGNALS = {
+  entry_killed: "SIGKILL",
+  entry_stopped: "SIGTERM",
+} as const;
+const STORE_MODES = {
+  store_silent: "silent",
+  store_failing: "failing",
+  store_slow: "slow",
+} as const;
+const LINK_MODES = {
+  link_delayed: "delayed",
+  link_one_way: "one_way",
+  link_silent: "silent",
+} as const;
 const PROGRAM = "target/mangoreach-platform.mjs";
 const START_LIMIT_MS = 15_000;
 const STOP_S = 8;
 const HEARTBEAT_MS = 400;
-const PLAIN_ENDPOINTS = 3;
-const STAGE_ENDPOINTS = 2;
+/** In the order in which a fault's target counts them. */
+const ENDPOINT_COUNTS = { plain: 3, stage: 2, engine: 1 };
 
 /**
  * Below the ports that the system gives to outgoing connections: one of those
@@ -98,7 +113,7 @@
   for (let index = 0; index < entryCount; index++) {
     entries.push(await createEntry(`entry-${index}`, { store, folder }));
   }
-  entries.forEach((entry) => startEntry(entry, folder));
+  entries.forEach(startEntry);
   await Promise.all(entries.map(waitUntilReady));
 
   async function applyFault(fault: PlannedFault): Promise<void> {
@@ -106,38 +121,25 @@
     const link = endpoints[fault.target % endpoints.length]!;
     const proxies = [entry.callerProxy, entry.storeProxy, link.proxy];
     const proxy = proxies[fault.target % proxies.length]!;
-    const { duration } = fault;
-    switch (fault.kind) {
+    const { kind, duration } = fault;
+    switch (kind) {
       case "entry_killed":
-        return await replaceEntry(entry, {
-          signal: "SIGKILL",
-          duration,
-          folder,
-        });
       case "entry_stopped":
-        return await replaceEntry(entry, {
-          signal: "SIGTERM",
-          duration,
-          folder,
-        });
+        return await replaceEntry(entry, STOP_SIGNALS[kind], duration);
       case "entry_paused":
         entry.child?.kill("SIGSTOP");
         await sleep(duration);
         return void entry.child?.kill("SIGCONT");
       case "store_silent":
-        return await runStoreFault(store, "silent", duration);
       case "store_failing":
-        return await runStoreFault(store, "failing", duration);
       case "store_slow":
-        return await runStoreFault(store, "slow", duration);
+        return await runStoreFault(store, STORE_MODES[kind], duration);
       case "link_reset":
         return proxy.dropAll();
       case "link_delayed":
-        return await runLinkFault(proxy, "delayed", duration);
       case "link_one_way":
-        return await runLinkFault(proxy, "one_way", duration);
       case "link_silent":
-        return await runLinkFault(proxy, "silent", duration);
+        return await runLinkFault(proxy, LINK_MODES[kind], duration);
       case "endpoint_killed":
         return await link.replace(duration);
       case "endpoint_leaves":
@@ -178,7 +180,7 @@
 
 async function runStoreFault(
   store: KeyedStore,
-  mode: "silent" | "failing" | "slow",
+  mode: StoreMode,
   duration: number,
 ): Promise<void> {
   store.setMode(mode);
@@ -188,7 +190,7 @@
 
 async function runLinkFault(
   proxy: FaultProxy,
-  mode: "delayed" | "one_way" | "silent",
+  mode: ProxyMode,
   duration: number,
 ): Promise<void> {
   proxy.setMode(mode);
@@ -229,6 +231,7 @@
   return {
     name,
     settingsFile,
+    logFile: join(folder, `${name}.log`),
     ready,
     child: undefined,
     callerProxy,
@@ -236,16 +239,14 @@
   };
 }
 
-function startEntry(entry: Entry, folder: string): void {
+function startEntry(entry: Entry): void {
   const child = spawn(process.execPath, [
     "--max-old-space-size=150",
     PROGRAM,
     "--settings",
     entry.settingsFile,
   ], { stdio: ["ignore", "pipe", "pipe"] });
-  const log = createWriteStream(join(folder, `${entry.name}.log`), {
-    flags: "a",
-  });
+  const log = createWriteStream(entry.logFile, { flags: "a" });
   child.stdout?.pipe(log, { end: false });
   child.stderr?.pipe(log, { end: false });
   entry.child = child;
@@ -265,11 +266,8 @@
 
 async function replaceEntry(
   entry: Entry,
-  { signal, duration, folder }: {
-    signal: "SIGKILL" | "SIGTERM";
-    duration: number;
-    folder: string;
-  },
+  signal: "SIGKILL" | "SIGTERM",
+  duration: number,
 ): Promise<void> {
   const { child } = entry;
   if (child === undefined) return;
@@ -282,7 +280,7 @@
   await Promise.race([exited, sleep(1_000 * STOP_S)]);
   child.kill("SIGKILL");
   await sleep(duration);
-  if (entry.child === child) startEntry(entry, folder);
+  if (entry.child === child) startEntry(entry);
 }
 
 interface EndpointSlot {
@@ -299,16 +297,14 @@
   store: KeyedStore,
   runs: RunLog,
 ): Promise<EndpointSlot[]> {
-  const plain = Array.from(
-    { length: PLAIN_ENDPOINTS },
-    (_, index) => startSlot(store, { pool: "plain", index, runs }),
+  return Promise.all(
+    Object.entries(ENDPOINT_COUNTS).flatMap(([pool, count]) =>
+      Array.from(
+        { length: count },
+        (_, index) => startSlot(store, { pool, index, runs }),
+      )
+    ),
   );
-  const stages = Array.from(
-    { length: STAGE_ENDPOINTS },
-    (_, index) => startSlot(store, { pool: "stage", index, runs }),
-  );
-  const engine = startSlot(store, { pool: "engine", index: 0, runs });
-  return Promise.all([...plain, ...stages, engine]);
 }
 
 async function startSlot(
@@ -337,7 +333,7 @@
 
   async function startNext(): Promise<void> {
     store.put(TOPIC.endpoints, endpoint.id, undefined);
-    endpoint.kill();
+    endpoint.close();
     endpoint = await start();
     proxy.setTarget(endpoint.address);
     state = "ready";
@@ -348,7 +344,7 @@
     proxy,
     readId: () => endpoint.id,
     async replace(duration) {
-      endpoint.kill();
+      endpoint.close();
       await sleep(duration);
       await startNext();
     },
