perf(serving): delays of engines are added to a request's own time, not multiplied

Cause: the slow case of an engine was a factor on a request's own time. Small requests behind a very large prompt take thirty times their own time, so every draft of a whole file was reckoned as late from its start: it went behind all others at the stages. The same factor made an engine that reads one very large prompt look slow, and its sessions left it. Ruled out: engines short of slots (3 of 48 in use at the mean).

--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -76,6 +76,8 @@
   LeavingSource,
 } from "./endpoint_directory.ts";
 export { createEndpointDirectory } from "./endpoint_directory.ts";
+export type { DelayModel } from "./delay_model.ts";
+export { createDelayModel } from "./delay_model.ts";
 export type { LatencyModel } from "./latency_model.ts";
 export { createLatencyModel } from "./latency_model.ts";
 export type {
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -198,7 +198,7 @@
   options: AttemptOptions,
   endpoint: EndpointInfo,
 ): Promise<AttemptEnd> {
-  const { clock, loads, callEndpoint, findLatencies } = state;
+  const { clock, loads, callEndpoint, findDelays } = state;
   const { request, admitted, deadline, results } = options;
   const startedAt = clock.now();
   const stopRelease = results === undefined
@@ -219,7 +219,7 @@
   const recordLatency = () => {
     const size = sumTokens(request.head.promptParts);
     latency = clock.now() - startedAt;
-    const ratio = findLatencies(admitted.pool).record(size, latency);
+    const ratio = findDelays(admitted.pool).record(size, latency);
     loads.recordRatio(endpoint, ratio);
   };
   const end = answer.isErr
--- a/packages/serving/src/attempt_loop_test.ts
+++ b/packages/serving/src/attempt_loop_test.ts
@@ -1,9 +1,9 @@
 import type { EndpointInfo, Route } from "@mangoreach/coordination";
 import {
   createDeadline,
+  createDelayModel,
   createEndpointDirectory,
   createKnowledgeAge,
-  createLatencyModel,
   createMembership,
   createRetryBudget,
   createRouteTable,
@@ -114,7 +114,7 @@
     callerElapsed: { read: () => 0 },
     findPlace: () => undefined,
     findBudget: () => createRetryBudget({ share: 0, max: budget }),
-    findLatencies: createLatencyModel,
+    findDelays: createDelayModel,
   }, {
     request: { head: createTestHead(), body: Buffer.alloc(0) },
     response,
--- a/packages/serving/src/pool_parts.ts
+++ b/packages/serving/src/pool_parts.ts
@@ -5,15 +5,12 @@
  * @module
  */
 import type {
+  DelayModel,
   EndpointInfo,
-  LatencyModel,
   RetryBudget,
   RouteTable,
 } from "@mangoreach/coordination";
-import {
-  createLatencyModel,
-  createRetryBudget,
-} from "@mangoreach/coordination";
+import { createDelayModel, createRetryBudget } from "@mangoreach/coordination";
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { DecisionLog } from "./decision_log.ts";
 import type { EndpointLoads } from "./endpoint_load.ts";
@@ -43,7 +40,7 @@
 export interface PoolParts {
   findFeeder(pool: string): StageFeeder;
   findBudget(pool: string): RetryBudget;
-  findLatencies(pool: string): LatencyModel;
+  findDelays(pool: string): DelayModel;
   /** Lets all feeders look again, after endpoints have changed. */
   refreshFeeders(): void;
 }
@@ -79,7 +76,7 @@
   const { clock, log, loads } = options;
   const feeders = new Map<string, StageFeeder>();
   const budgets = new Map<string, RetryBudget>();
-  const latencies = new Map<string, LatencyModel>();
+  const delays = new Map<string, DelayModel>();
   const startedAt = clock.now();
   let mostEntries = LEAST_ENTRIES;
 
@@ -124,9 +121,9 @@
     return budget;
   }
 
-  function findLatencies(pool: string): LatencyModel {
-    const known = latencies.get(pool) ?? createLatencyModel();
-    latencies.set(pool, known);
+  function findDelays(pool: string): DelayModel {
+    const known = delays.get(pool) ?? createDelayModel();
+    delays.set(pool, known);
     return known;
   }
 
@@ -134,5 +131,5 @@
     for (const feeder of feeders.values()) feeder.refresh();
   }
 
-  return { findFeeder, findBudget, findLatencies, refreshFeeders };
+  return { findFeeder, findBudget, findDelays, refreshFeeders };
 }
--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -111,10 +111,10 @@
   const { route, table, rank } = admitted;
   const size = sumTokens(request.head.promptParts);
   // What has just enough time left misses at the next small delay: in a burst
-  // all would be served a little late. So the slow case is reckoned with.
+  // all would be served a little late. So the usual delay is reckoned with.
   const reserve = Math.max(
     ENGINE_RESERVE,
-    state.findLatencies(admitted.pool).estimateSlow(size),
+    state.findDelays(admitted.pool).estimateUsual(size),
   );
   const elapsed = callerElapsed.read(route.name, request.head.budget);
   const onTimeAt = receivedAt - elapsed + route.objective - reserve;
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -169,7 +169,7 @@
     readMaker: platform.stages.readMaker,
     findPlace: knowledge.findPlace,
     findBudget: pools.findBudget,
-    findLatencies: pools.findLatencies,
+    findDelays: pools.findDelays,
     callerElapsed: createCallerElapsed(clock),
   };
 
--- a/packages/serving/src/serving_state.ts
+++ b/packages/serving/src/serving_state.ts
@@ -5,9 +5,9 @@
  */
 import type {
   CallerElapsed,
+  DelayModel,
   EndpointDirectory,
   KnowledgeAge,
-  LatencyModel,
   Membership,
   RetryBudget,
   RouteTable,
@@ -41,5 +41,5 @@
   findPlace: (address: string) => string | undefined;
   findBudget: (pool: string) => RetryBudget;
   callerElapsed: CallerElapsed;
-  findLatencies: (pool: string) => LatencyModel;
+  findDelays: (pool: string) => DelayModel;
 }
