perf(coordination): very large prompts have engines of their own; a home with free slots is kept

Cause: a few prompts of ten times the usual size make up a third of all reading. Engines read one for a second; whoever shares the engine waits as long for its first event, and streams there pause for longer than their callers allow. And the load bound compared an engine's fresh report with a mean of half-known loads, so sessions left engines that were three quarters free and their shared prompt parts were read again. Ruled out: engines short of slots; priorities at the engines (no effect in a model of thirteen engines); each entry's own view of prompts in progress (half of the gain); a boundary learnt by each entry (they differ, sessions get two homes: no gain). Full news of all prompts in progress gains no more than groups. Change: two groups of engines by rendezvous, the boundary from the published slots and memory; a load below a quarter of the slots is no load.

--- a/packages/coordination/src/engine_choice_test.ts
+++ b/packages/coordination/src/engine_choice_test.ts
@@ -1,6 +1,7 @@
+import { createFakeClock } from "@mangoreach/shared";
 import { expect } from "chai";
 import type { EngineView } from "./engine_choice.ts";
-import { listEnginesFor } from "./engine_choice.ts";
+import { createEngineChoice } from "./engine_choice.ts";
 import { listByRendezvous } from "./rendezvous.ts";
 
 function createEngine(
@@ -19,6 +20,8 @@
 }
 
 const IDS = ["e1", "e2", "e3", "e4", "e5"];
+/** A slot's share of the memory is 5,000 tokens. */
+const SPEC = { slots: 40, tokenCapacity: 200_000 };
 
 function createParts(session: string) {
   return [
@@ -30,7 +33,8 @@
 
 describe("choice of an engine", () => {
   const listIds = (session: string, engines: EngineView[]) =>
-    listEnginesFor(createParts(session), engines).map(({ info }) => info.id);
+    createEngineChoice(createFakeClock())
+      .list(createParts(session), engines, SPEC).map(({ info }) => info.id);
 
   it("gives a session the same home at every entry", () => {
     const engines = IDS.map((id) => createEngine(id));
@@ -78,4 +82,82 @@
     );
     expect(listIds("s1", engines).at(-1)).to.equal(home);
   });
+
+  // Loads of others are known only from engines that answered lately. Against a
+  // mean of such half-known loads, any engine that had just told its load looked
+  // overloaded, and its sessions' prompts were read again elsewhere.
+  it("keeps a session at a home that has most of its slots free", () => {
+    const [home = ""] = listIds("s1", IDS.map((id) => createEngine(id)));
+    const engines = IDS.map((id) =>
+      createEngine(id, { load: id === home ? 8 : 0 })
+    );
+    expect(listIds("s1", engines)[0]).to.equal(home);
+  });
+
+  describe("very large prompts", () => {
+    const TEN = Array.from({ length: 10 }, (_, index) => `e${index}`);
+    const LARGE = [{ id: "session", tokens: 3_000 }, {
+      id: "own",
+      tokens: 30_000,
+    }];
+
+    function createPool() {
+      const clock = createFakeClock();
+      const choice = createEngineChoice(clock);
+      const listHomes = (
+        sessions: number,
+        ids: readonly string[],
+      ) =>
+        new Set(
+          Array.from({ length: sessions }, (_, index) =>
+            choice.list(
+              createParts(`s${index}`),
+              ids.map((id) => createEngine(id)),
+              SPEC,
+            )[0]?.info.id),
+        );
+      const listLarge = () =>
+        choice.list(LARGE, TEN.map((id) => createEngine(id)), SPEC)
+          .map(({ info }) => info.id);
+      return { clock, choice, listHomes, listLarge };
+    }
+
+    // A file of thirty thousand tokens keeps its engine reading for a second.
+    // Whoever shares that engine waits as long for a first event, and streams
+    // that run there pause for longer than their callers allow.
+    it("share no engine with the small ones", () => {
+      const { listHomes, listLarge } = createPool();
+      const group = listLarge().slice(0, 3);
+      const homes = listHomes(300, TEN);
+      expect(homes.size).to.equal(7);
+      for (const id of group) expect(homes.has(id)).to.equal(false);
+    });
+
+    it("leave all engines to the others while there are none", async () => {
+      const { clock, listHomes, listLarge } = createPool();
+      expect(listHomes(300, TEN).size).to.equal(10);
+      listLarge();
+      expect(listHomes(300, TEN).size).to.equal(7);
+      await clock.advance(61_000);
+      expect(listHomes(300, TEN).size).to.equal(10);
+    });
+
+    // All engines of the large prompts go dark at once: what is left serves
+    // everything.
+    it("go to the others when their own engines are not usable", () => {
+      const { choice, listLarge } = createPool();
+      const group = listLarge().slice(0, 3);
+      const engines = TEN.map((id) =>
+        createEngine(id, { slowness: group.includes(id) ? 9 : 1 })
+      );
+      const [first] = choice.list(LARGE, engines, SPEC);
+      expect(group).not.to.include(first?.info.id);
+    });
+
+    it("have no engine of their own where there are few", () => {
+      const { listHomes, listLarge } = createPool();
+      listLarge();
+      expect(listHomes(50, ["e1"]).size).to.equal(1);
+    });
+  });
 });
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -17,7 +17,6 @@
 import {
   createFailure,
   formatEndpointKey,
-  listEnginesFor,
   spreadRetryAfter,
 } from "@mangoreach/coordination";
 import { readBodyBytes } from "@mangoreach/shared";
@@ -91,7 +90,7 @@
 
 /** The usable endpoints for a request, best first. */
 export function chooseEndpoints(
-  { directory, loads, membership }: ServingState,
+  { directory, loads, membership, findEngineChoice }: ServingState,
   { request, admitted, avoid }: {
     request: PassedRequest;
     admitted: AdmittedRoute;
@@ -101,10 +100,11 @@
   const usable = directory.listUsable(admitted.pool)
     .filter(({ id }) => !avoid.includes(id));
   const inUse = loads.listInUse(usable);
-  const isEngine = admitted.table.findPool(admitted.pool)?.engine !== undefined;
-  const ranked = isEngine
-    ? listEnginesFor(request.head.promptParts, inUse)
-    : listByLoad(inUse, membership.self.place);
+  const engine = admitted.table.findPool(admitted.pool)?.engine;
+  const ranked = engine === undefined
+    ? listByLoad(inUse, membership.self.place)
+    : findEngineChoice(admitted.pool)
+      .list(request.head.promptParts, inUse, engine);
   return ranked.map(({ info }) => info);
 }
 
--- a/packages/serving/src/attempt_loop_test.ts
+++ b/packages/serving/src/attempt_loop_test.ts
@@ -3,6 +3,7 @@
   createDeadline,
   createDelayModel,
   createEndpointDirectory,
+  createEngineChoice,
   createKnowledgeAge,
   createMembership,
   createRetryBudget,
@@ -115,6 +116,7 @@
     findPlace: () => undefined,
     findBudget: () => createRetryBudget({ share: 0, max: budget }),
     findDelays: createDelayModel,
+    findEngineChoice: () => createEngineChoice(clock),
   }, {
     request: { head: createTestHead(), body: Buffer.alloc(0) },
     response,
--- a/packages/serving/src/pool_parts.ts
+++ b/packages/serving/src/pool_parts.ts
@@ -7,10 +7,15 @@
 import type {
   DelayModel,
   EndpointInfo,
+  EngineChoice,
   RetryBudget,
   RouteTable,
 } from "@mangoreach/coordination";
-import { createDelayModel, createRetryBudget } from "@mangoreach/coordination";
+import {
+  createDelayModel,
+  createEngineChoice,
+  createRetryBudget,
+} from "@mangoreach/coordination";
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { DecisionLog } from "./decision_log.ts";
 import type { EndpointLoads } from "./endpoint_load.ts";
@@ -41,6 +46,7 @@
   findFeeder(pool: string): StageFeeder;
   findBudget(pool: string): RetryBudget;
   findDelays(pool: string): DelayModel;
+  findEngineChoice(pool: string): EngineChoice;
   /** Lets all feeders look again, after endpoints have changed. */
   refreshFeeders(): void;
 }
@@ -77,6 +83,7 @@
   const feeders = new Map<string, StageFeeder>();
   const budgets = new Map<string, RetryBudget>();
   const delays = new Map<string, DelayModel>();
+  const engineChoices = new Map<string, EngineChoice>();
   const startedAt = clock.now();
   let mostEntries = LEAST_ENTRIES;
 
@@ -127,9 +134,21 @@
     return known;
   }
 
+  function findEngineChoice(pool: string): EngineChoice {
+    const known = engineChoices.get(pool) ?? createEngineChoice(clock);
+    engineChoices.set(pool, known);
+    return known;
+  }
+
   function refreshFeeders(): void {
     for (const feeder of feeders.values()) feeder.refresh();
   }
 
-  return { findFeeder, findBudget, findDelays, refreshFeeders };
+  return {
+    findFeeder,
+    findBudget,
+    findDelays,
+    findEngineChoice,
+    refreshFeeders,
+  };
 }
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -170,6 +170,7 @@
     findPlace: knowledge.findPlace,
     findBudget: pools.findBudget,
     findDelays: pools.findDelays,
+    findEngineChoice: pools.findEngineChoice,
     callerElapsed: createCallerElapsed(clock),
   };
 
--- a/packages/serving/src/serving_state.ts
+++ b/packages/serving/src/serving_state.ts
@@ -7,6 +7,7 @@
   CallerElapsed,
   DelayModel,
   EndpointDirectory,
+  EngineChoice,
   KnowledgeAge,
   Membership,
   RetryBudget,
@@ -42,4 +43,5 @@
   findBudget: (pool: string) => RetryBudget;
   callerElapsed: CallerElapsed;
   findDelays: (pool: string) => DelayModel;
+  findEngineChoice: (pool: string) => EngineChoice;
 }
