perf(serving): a result counts as moved only where the engine fetches it

Cause: pieces of a middle stage waited for the place of an input of some bytes, since their own results, megabytes with all their readers, counted as moved. But the next stage follows them to wherever they are made. Ruled out: the room of the place's endpoint (a quarter free when they waited). Change: what a piece fetches counts, and its result only in the last stage.

--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -148,7 +148,10 @@
     });
   }
 
-  /** What one piece fetches, and its result as often as that is fetched. */
+  /**
+   * What one piece fetches, and its result if that goes to the engine. A result
+   * for another stage need not move: that stage follows it to its place.
+   */
   function sumMoved(number: number, { after, resultBytes }: RouteStage) {
     const fetched = after.reduce(
       (sum, needed) =>
@@ -156,12 +159,8 @@
           (stages[needed]?.resultBytes ?? 0),
       0,
     );
-    const readers = stages.reduce(
-      (sum, { after: inputs }, user) =>
-        sum + (inputs.includes(number) ? head.pieceCounts[user] ?? 0 : 0),
-      0,
-    );
-    return fetched + Math.max(1, readers) * resultBytes;
+    const isLast = !stages.some(({ after: inputs }) => inputs.includes(number));
+    return fetched + (isLast ? resultBytes : 0);
   }
 
   /** Every piece fetches all inputs, which is more than its own result. */
--- a/packages/serving/src/stage_graph_test.ts
+++ b/packages/serving/src/stage_graph_test.ts
@@ -94,6 +94,19 @@
     expect(released).to.deep.equal(["1.0", "1.1"]);
   });
 
+  // The pieces of a middle stage waited for the place of an input of some bytes,
+  // as their own results, which the next stage fetches, count megabytes. But the
+  // next stage follows them wherever they are made.
+  it("counts a result as moved only where the engine fetches it", async () => {
+    const { stage, finish } = create([1, 2, 1, 1]);
+    await settlePromises();
+    expect(stage(1)?.movedBytes).to.equal(0);
+    await finish(1);
+    expect(stage(2)?.movedBytes).to.equal(2);
+    await finish(2);
+    expect(stage(3)?.movedBytes).to.equal(1 + 1);
+  });
+
   // A queue grows while a request has results in it. They lapse at their maker
   // before the request's deadline; a call with lapsed inputs is wasted.
   it("lets no stage wait longer than its inputs are kept", async () => {
