feat(serving): endpoints that start again under their id; records of other writers

Cause: an endpoint may start again under its id and tells its start. What was learnt of its predecessor (ejection, load, room at a maker, marks) went by the id and was held against the new incarnation. And a record of another writer whose bytes cannot be read made the whole reading a fault that was repeated for ever; one item of another form hid its page. Ruled out: sending again what may run once only: attempts go by the id, so an id that came back gets nothing a second time. Change: the incarnation is the start that the endpoint tells; older news never replaces newer; loads, room and calls go by incarnations. Records are checked one by one; the newest under an id that cannot be read names no endpoint; one line for each key.

--- a/packages/coordination/src/endpoint.ts
+++ b/packages/coordination/src/endpoint.ts
@@ -13,6 +13,8 @@
   id: string;
   /** Changes when the endpoint restarts, also under the same address. */
   incarnation: string;
+  /** When this incarnation started, by the endpoint's own time of day. */
+  startedAt?: Millis;
   pool: string;
   place: string;
   /** `ip:port`. */
@@ -30,6 +32,15 @@
   takenAt: Millis;
 }
 
+/** Whether what is said of an endpoint is about an earlier incarnation. */
+export function isOlderIncarnation(
+  said: EndpointInfo,
+  known: EndpointInfo,
+): boolean {
+  return said.startedAt !== undefined && known.startedAt !== undefined &&
+    said.startedAt < known.startedAt;
+}
+
 /** A key that tells incarnations apart. */
 export function formatEndpointKey(
   { id, incarnation }: Pick<EndpointInfo, "id" | "incarnation">,
--- a/packages/coordination/src/endpoint_roster.ts
+++ b/packages/coordination/src/endpoint_roster.ts
@@ -11,6 +11,7 @@
  */
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { EndpointInfo } from "./endpoint.ts";
+import { isOlderIncarnation } from "./endpoint.ts";
 
 /** Options of {@linkcode createEndpointRoster}. */
 export interface EndpointRosterOptions {
@@ -52,9 +53,13 @@
     doubted.get(endpoint.id)?.();
     doubted.delete(endpoint.id);
     const known = endpoints.get(endpoint.id);
+    // Readings reach an entry on several ways, so an earlier one may come later:
+    // it would bring back the room, the marks and the address of what is gone.
+    if (known !== undefined && isOlderIncarnation(endpoint, known)) return;
     endpoints.set(endpoint.id, endpoint);
     const isNews = known === undefined || known.state !== endpoint.state ||
-      known.address !== endpoint.address || known.pool !== endpoint.pool;
+      known.address !== endpoint.address || known.pool !== endpoint.pool ||
+      known.incarnation !== endpoint.incarnation;
     if (isNews) tellChange();
   }
 
--- a/packages/coordination/src/endpoint_roster_test.ts
+++ b/packages/coordination/src/endpoint_roster_test.ts
@@ -37,6 +37,30 @@
     expect(listIds()).to.deep.equal(["e2"]);
   });
 
+  // An endpoint crashes and starts again under its id. What is learnt of it goes
+  // by incarnations, so the change has to be told although nothing else changed.
+  it("tells an endpoint that started again under its id", () => {
+    const { roster, changes } = create();
+    const before = changes.length;
+    roster.put({ ...createEndpoint("e1"), incarnation: "2", startedAt: 2 });
+    expect(changes.length).to.equal(before + 1);
+  });
+
+  // The restart is read from the store; a reading that a peer made before comes
+  // after it. The entry would send work to the address of the incarnation that
+  // is gone, and would take the new one for leaving.
+  it("does not take older news for that of the newer incarnation", () => {
+    const { roster } = create();
+    const newer = { ...createEndpoint("e1"), incarnation: "2", startedAt: 2 };
+    roster.put(newer);
+    roster.put({
+      ...createEndpoint("e1", "leaving"),
+      startedAt: 1,
+      address: "old",
+    });
+    expect(roster.list()[0]).to.deep.equal(newer);
+  });
+
   // The list was away and its leases ran out; all endpoints live. Users would
   // be refused until the endpoints have written again, up to two seconds.
   it("keeps what lapsed in an outage until it had time to come back", async () => {
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -68,7 +68,7 @@
 } from "./address_choice.ts";
 export { chooseAddresses } from "./address_choice.ts";
 export type { EndpointInfo, EndpointState, LoadReport } from "./endpoint.ts";
-export { formatEndpointKey } from "./endpoint.ts";
+export { formatEndpointKey, isOlderIncarnation } from "./endpoint.ts";
 export type {
   EndpointDirectory,
   EndpointDirectoryOptions,
--- a/packages/serving/src/endpoint_load.ts
+++ b/packages/serving/src/endpoint_load.ts
@@ -10,7 +10,11 @@
   EngineView,
   LoadReport,
 } from "@mangoreach/coordination";
-import { createEndpointHealth, ejectSlowest } from "@mangoreach/coordination";
+import {
+  createEndpointHealth,
+  ejectSlowest,
+  formatEndpointKey,
+} from "@mangoreach/coordination";
 import type { Clock, Millis } from "@mangoreach/shared";
 
 /** How an attempt ended for its endpoint. */
@@ -55,24 +59,26 @@
 export function createEndpointLoads(clock: Clock): EndpointLoads {
   const known = new Map<string, Known>();
 
-  function find({ id, pool }: EndpointInfo): Known {
-    const present = known.get(id);
+  /** One that started again under its id is as unknown as any other. */
+  function find(endpoint: EndpointInfo): Known {
+    const key = formatEndpointKey(endpoint);
+    const present = known.get(key);
     if (present !== undefined) return present;
     if (known.size >= MAX_KNOWN) dropIdle();
     const created: Known = {
-      pool,
+      pool: endpoint.pool,
       inFlight: 0,
       inFlightAtReport: 0,
       report: undefined,
       health: createEndpointHealth(clock),
     };
-    known.set(id, created);
+    known.set(key, created);
     return created;
   }
 
   function dropIdle(): void {
-    for (const [id, { inFlight }] of known) {
-      if (inFlight === 0) known.delete(id);
+    for (const [key, { inFlight }] of known) {
+      if (inFlight === 0) known.delete(key);
     }
   }
 
--- a/packages/serving/src/endpoint_load_test.ts
+++ b/packages/serving/src/endpoint_load_test.ts
@@ -40,6 +40,21 @@
     expect(loads.view([endpoint])[0]?.health.isEjected()).to.equal(true);
   });
 
+  // An endpoint is ejected for being dead, and starts again under its id. It can
+  // serve at once, but what was learnt of its predecessor kept users from it.
+  it("knows nothing of an endpoint that started again", () => {
+    const { loads, endpoint } = create();
+    loads.begin(endpoint);
+    loads.begin(endpoint);
+    loads.end(endpoint, "unreachable");
+    const again = { ...endpoint, incarnation: "2" };
+    const [view] = loads.view([again]);
+    expect(view?.health.isEjected()).to.equal(false);
+    expect(view?.load).to.equal(0);
+    loads.end(endpoint, "unreachable");
+    expect(loads.view([again])[0]?.load).to.equal(0);
+  });
+
   it("never ejects for what we gave up ourselves", () => {
     const { loads, endpoint } = create();
     for (let index = 0; index < 20; index++) {
--- a/packages/serving/src/maker_room.ts
+++ b/packages/serving/src/maker_room.ts
@@ -8,7 +8,8 @@
 
 /** A result at its maker. */
 export interface HeldResult {
-  endpointId: string;
+  /** The key of the endpoint's incarnation: its results end with it. */
+  maker: string;
   bytes: number;
   /** When it was made. */
   madeAt: Millis;
@@ -19,15 +20,15 @@
 /** The room that is taken at each endpoint, in bytes. */
 export interface MakerRoom {
   /** Changes what is reserved for calls in progress. */
-  addTaken(endpointId: string, bytes: number): void;
+  addTaken(maker: string, bytes: number): void;
   /** A reserved piece was made: its bytes stay until they are dropped. */
   hold(result: string, held: HeldResult): void;
   drop(result: string): void;
   /** An entry that died frees nothing; its results lapse at their makers. */
   dropLapsed(now: Millis): void;
-  readTaken(endpointId: string): number;
+  readTaken(maker: string): number;
   /** The age of the oldest result that is kept at an endpoint. */
-  readOldest(endpointId: string, now: Millis): Millis;
+  readOldest(maker: string, now: Millis): Millis;
 }
 
 /** Creates the room of endpoints that keep nothing. */
@@ -35,17 +36,17 @@
   const taken = new Map<string, number>();
   const held = new Map<string, HeldResult>();
 
-  function addTaken(endpointId: string, bytes: number): void {
-    const left = readTaken(endpointId) + bytes;
-    if (left > 0) taken.set(endpointId, left);
-    else taken.delete(endpointId);
+  function addTaken(maker: string, bytes: number): void {
+    const left = readTaken(maker) + bytes;
+    if (left > 0) taken.set(maker, left);
+    else taken.delete(maker);
   }
 
   function drop(result: string): void {
     const known = held.get(result);
     if (known === undefined) return;
     held.delete(result);
-    addTaken(known.endpointId, -known.bytes);
+    addTaken(known.maker, -known.bytes);
   }
 
   function dropLapsed(now: Millis): void {
@@ -54,13 +55,13 @@
     }
   }
 
-  function readTaken(endpointId: string): number {
-    return taken.get(endpointId) ?? 0;
+  function readTaken(maker: string): number {
+    return taken.get(maker) ?? 0;
   }
 
-  function readOldest(endpointId: string, now: Millis): Millis {
+  function readOldest(maker: string, now: Millis): Millis {
     const times = [...held.values()]
-      .filter((result) => result.endpointId === endpointId)
+      .filter((result) => result.maker === maker)
       .map(({ madeAt }) => madeAt);
     return now - Math.min(now, ...times);
   }
--- a/packages/serving/src/site_knowledge.ts
+++ b/packages/serving/src/site_knowledge.ts
@@ -73,6 +73,9 @@
 /** A mark of an endpoint's own is believed this long without confirmation. */
 const MARK_LIFETIME: Millis = 4_000;
 
+/** Lines about records that cannot be read, at most. */
+const MAX_UNREADABLE = 200;
+
 /** Creates the knowledge of an entry that has read nothing yet. */
 export function createSiteKnowledge(
   options: SiteKnowledgeOptions,
@@ -82,6 +85,8 @@
   const { onConfig, onEndpoints } = options;
   let table: RouteTable | undefined;
   let isEndpointsKnown = false;
+  /** Keys whose records could not be read. */
+  const unreadable = new Set<string>();
   const configAge = createKnowledgeAge({ clock, readWallTime });
   const endpointAge = createKnowledgeAge({ clock, readWallTime });
   const relays = {
@@ -172,7 +177,10 @@
         });
         return roster.remove(record.key);
       }
-      readEndpoint(record).forEach(putEndpoint);
+      const [endpoint] = readEndpoint(record);
+      if (endpoint !== undefined) putEndpoint(endpoint);
+      // The newest word under its id names nothing that can be used.
+      else roster.remove(record.key);
     },
     noteConfirmed: endpointAge.noteConfirmed,
     noteAway() {
@@ -187,11 +195,15 @@
 
   function putEndpoint(endpoint: EndpointInfo): void {
     const known = roster.list().find(({ id }) => id === endpoint.id);
-    if (known?.state !== endpoint.state) {
+    if (
+      known?.state !== endpoint.state ||
+      known.incarnation !== endpoint.incarnation
+    ) {
       log.record("endpoint_changed", {
         endpoint: endpoint.id,
         pool: endpoint.pool,
         address: endpoint.address,
+        incarnation: endpoint.incarnation,
         source: "instance_list",
         outcome: endpoint.state,
       });
@@ -203,11 +215,18 @@
     if (record.value === undefined) return [];
     const decoded = platform.decodeEndpoint(record);
     if (decoded.isOk) return [decoded.value];
+    noteUnreadable(record.key, decoded.error);
+    return [];
+  }
+
+  /** Others write there too, again and again: one line for each key. */
+  function noteUnreadable(key: string, reason: string): void {
+    if (unreadable.has(key) || unreadable.size >= MAX_UNREADABLE) return;
+    unreadable.add(key);
     logger.warn("An endpoint's record cannot be read.", {
-      endpoint: record.key,
-      reason: decoded.error,
+      endpoint: key,
+      reason,
     });
-    return [];
   }
 
   async function follow(signal: AbortSignal): Promise<void> {
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -17,7 +17,11 @@
   RetryBudget,
   WaitingPiece,
 } from "@mangoreach/coordination";
-import { createPieceBatcher, createPieceFlow } from "@mangoreach/coordination";
+import {
+  createPieceBatcher,
+  createPieceFlow,
+  formatEndpointKey,
+} from "@mangoreach/coordination";
 import type {
   PieceOrder,
   PieceOutcome,
@@ -200,17 +204,18 @@
   function listFeedings(): Feeding[] {
     const endpoints = options.listEndpoints();
     const inUse = loads.listInUse(endpoints);
-    const ids = new Set(endpoints.map(({ id }) => id));
-    for (const [id, { calls }] of feedings) {
-      if (calls === 0 && !ids.has(id)) feedings.delete(id);
+    const keys = new Set(endpoints.map(formatEndpointKey));
+    for (const [key, { calls }] of feedings) {
+      if (calls === 0 && !keys.has(key)) feedings.delete(key);
     }
     const now = clock.now();
     return inUse.map(({ info, slowness }) => {
-      const known = feedings.get(info.id);
+      const key = formatEndpointKey(info);
+      const known = feedings.get(key);
       const feeding: Feeding = known ??
         { info, calls: 0, freeAt: 0, roomTaken: 0, slowness, blockedUntil: 0 };
-      feedings.set(info.id, feeding);
-      const roomTaken = room.readTaken(info.id);
+      feedings.set(key, feeding);
+      const roomTaken = room.readTaken(key);
       return Object.assign(feeding, { info, slowness, roomTaken });
     }).filter(({ blockedUntil }) => blockedUntil <= now);
   }
@@ -264,13 +269,14 @@
     pieces: readonly FeederPiece[],
   ): Promise<void> {
     const { info } = feeding;
+    const maker = formatEndpointKey(info);
     const { callTime, pieceTime } = readSpec();
     const expected = callTime + pieces.length * pieceTime;
     const bytes = pieces.reduce((sum, piece) => sum + piece.resultBytes, 0);
     const startedAt = clock.now();
     feeding.calls++;
     feeding.freeAt = startedAt + feeding.slowness * expected;
-    room.addTaken(info.id, bytes);
+    room.addTaken(maker, bytes);
     loads.begin(info);
     for (const piece of pieces) {
       piece.attempts++;
@@ -279,7 +285,7 @@
     const stopRelease = inputs.startCall({
       startedAt,
       groups: listGroups(pieces),
-      roomShare: room.readTaken(info.id) / readSpec().roomBytes,
+      roomShare: room.readTaken(maker) / readSpec().roomBytes,
     });
     const reply = await stages.run({
       endpoint: info,
@@ -295,7 +301,7 @@
     if (reply.isErr) {
       const isUnreachable = reply.error.sent === "no";
       loads.end(info, isUnreachable ? "unreachable" : "failing");
-      room.addTaken(info.id, -bytes);
+      room.addTaken(maker, -bytes);
       pieces.forEach((piece) => tryAgain(piece, info, "unavailable"));
     } else {
       takeReply(feeding, {
@@ -310,8 +316,8 @@
       requests: pieces.map(({ order }) => order.requestId),
       pieces: pieces.length,
       place: info.place,
-      roomTaken: room.readTaken(info.id),
-      oldestResult: room.readOldest(info.id, clock.now()),
+      roomTaken: room.readTaken(maker),
+      oldestResult: room.readOldest(maker, clock.now()),
       waiting: batcher.size,
       took,
       expected,
@@ -329,6 +335,7 @@
     },
   ): void {
     const { info } = feeding;
+    const maker = formatEndpointKey(info);
     if (reply.kind === "results") {
       loads.end(info, "done");
       loads.recordRatio(info, ratio);
@@ -341,7 +348,7 @@
     const isFull = reply.kind === "not_run" && reply.reason === "full";
     if (isFull) inputs.noteOtherFeeder();
     for (const piece of pieces) {
-      room.addTaken(info.id, -piece.resultBytes);
+      room.addTaken(maker, -piece.resultBytes);
       if (isFull) waitForRoom(feeding, piece);
       else tryAgain(piece, info, "unavailable");
     }
@@ -352,10 +359,11 @@
     piece: FeederPiece,
     result: StageResult | undefined,
   ): void {
+    const maker = formatEndpointKey(feeding.info);
     if (result?.kind === "done") {
       const madeAt = clock.now();
       room.hold(result.result, {
-        endpointId: feeding.info.id,
+        maker,
         bytes: piece.resultBytes,
         madeAt,
         lapsesAt: madeAt + readSpec().resultLifetime,
@@ -366,7 +374,7 @@
       piece.settle(result);
       return;
     }
-    room.addTaken(feeding.info.id, -piece.resultBytes);
+    room.addTaken(maker, -piece.resultBytes);
     const reason = result?.reason ?? "error";
     if (reason === "input_gone") inputs.noteOtherFeeder();
     if (reason === "late" || reason === "input_gone") {
