perf(coordination): a pool is strained when half a round of calls waits

That counted as strain: calls were filled with pieces of other places, and the rate of half-full calls was taken for all the pool can do. Ruled out: the wait for a place itself (0.1 s at the mean). Change: strain is a queue of more than half of what the next calls can hold.

--- a/packages/coordination/src/piece_batcher_replay_test.ts
+++ b/packages/coordination/src/piece_batcher_replay_test.ts
@@ -144,8 +144,12 @@
         endpoint.roomTaken -= pieces.length * resultBytes;
       });
     }
-    const isBusy = endpoints.every(({ calls }) => calls >= spec.slots);
-    flow.noteBacklog(isBusy && batcher.size > 0);
+    flow.noteQueue({
+      waiting: batcher.size,
+      isBusy: endpoints.every(({ calls }) => calls >= spec.slots),
+      spec,
+      endpointCount: endpoints.length,
+    });
   }
 
   for (let now = 0; now < LENGTH; now++) {
--- a/packages/coordination/src/piece_flow.ts
+++ b/packages/coordination/src/piece_flow.ts
@@ -35,14 +35,23 @@
   estimateGrowth(priority: number): number;
 }
 
+/** What waits in front of a pool. */
+export interface PieceQueue {
+  waiting: number;
+  /** Whether all endpoints have as many calls as they work on at once. */
+  isBusy: boolean;
+  spec: BatchSpec;
+  endpointCount: number;
+}
+
 /** What comes to a pool and what it takes. */
 export interface PieceFlow {
   /** Pieces of one priority came that can meet their objective. */
   recordArrival(priority: number, pieces: number): void;
   /** Pieces went into a call. */
   recordCall(pieces: number): void;
-  /** Notes whether pieces wait because all endpoints are busy. */
-  noteBacklog(isBacklogged: boolean): void;
+  /** Notes how many pieces wait, and whether all endpoints are busy. */
+  noteQueue(queue: PieceQueue): void;
   /** Whether all endpoints have been busy for a while with pieces waiting. */
   isStrained(): boolean;
   forecast(spec: BatchSpec, endpointCount: number): FlowForecast;
@@ -70,6 +79,13 @@
 /** Longer waits are all alike: nobody waits that long. */
 const LONGEST_WAIT: Millis = 60_000;
 
+/**
+ * Of what the next calls can hold. With less waiting, endpoints are busy only
+ * because calls are not full: their rate is no limit, and places left free in a
+ * call cost nobody anything.
+ */
+const BACKLOG_SHARE = 0.5;
+
 interface Arrivals {
   lately: EventRate;
   longer: EventRate;
@@ -152,6 +168,14 @@
     };
   }
 
+  /** Whether more waits than the calls to come have places to spare for. */
+  function isBacklogged(
+    { waiting, isBusy, spec, endpointCount }: PieceQueue,
+  ): boolean {
+    const perRound = endpointCount * spec.slots * spec.maxPieces;
+    return isBusy && waiting > BACKLOG_SHARE * perRound;
+  }
+
   return {
     recordArrival(priority, pieces) {
       const { lately, longer } = findArrivals(priority);
@@ -159,8 +183,8 @@
       longer.record(pieces);
     },
     recordCall: (pieces) => called.record(pieces),
-    noteBacklog(isBacklogged) {
-      if (!isBacklogged) backlogSince = undefined;
+    noteQueue(queue) {
+      if (!isBacklogged(queue)) backlogSince = undefined;
       else backlogSince ??= clock.now();
     },
     isStrained,
--- a/packages/coordination/src/piece_flow_test.ts
+++ b/packages/coordination/src/piece_flow_test.ts
@@ -30,7 +30,12 @@
           flow.recordArrival(priority, pieces)
         );
         flow.recordCall(calls);
-        flow.noteBacklog(waiting > 0);
+        flow.noteQueue({
+          waiting,
+          isBusy: waiting > 0,
+          spec: SPEC,
+          endpointCount: 2,
+        });
         await clock.advance(100);
       }
     };
@@ -68,6 +73,17 @@
     expect(forecast().estimateLate(10)).to.be.within(900, 1_300);
   });
 
+  // Calls go out half full while endpoints are free, so on a calm day all are
+  // busy all the time and a few pieces wait for the next. The rate of such calls
+  // is no limit; taken for one, callers were refused, and calls were filled with
+  // pieces from other places, whose megabytes then crossed between places.
+  it("does not take a pool with half-full calls for an overloaded one", async () => {
+    const { flow, runLoad, forecast } = create();
+    await runLoad({ arrivals: [], calls: 1, waiting: 3 });
+    expect(flow.isStrained()).to.equal(false);
+    expect(forecast().estimateLate(10)).to.equal(500);
+  });
+
   it("does not take a pool without a queue for a slow one", async () => {
     const { runLoad, forecast } = create();
     await runLoad({ arrivals: [], calls: 1, waiting: 0 });
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -231,9 +231,14 @@
       flow.recordCall(call.pieces.length);
       void runCall(call.endpoint, call.pieces);
     }
-    const { slots } = readSpec();
-    const isBusy = listFeedings().every(({ calls }) => calls >= slots);
-    flow.noteBacklog(isBusy && batcher.size > 0);
+    const spec = readSpec();
+    const usable = listFeedings();
+    flow.noteQueue({
+      waiting: batcher.size,
+      isBusy: usable.every(({ calls }) => calls >= spec.slots),
+      spec,
+      endpointCount: usable.length,
+    });
     if (batcher.size > 0) startRecheck();
   }
 
