fix(coordination): an entry that restarts after its clock was set back is known again

Cause: peers tell incarnations of an entry apart by the time of day of their start. Set back by seconds before a restart, the new process seems older than its predecessor and its news is dropped until that is forgotten. Ruled out: the age of keys, which takes the larger of both clocks (tests stand). Change: whoever hears of a later start under its own name takes a later one. The test failed before.

--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -122,13 +122,25 @@
   }
 
   function mergeRecord(record: PeerRecord): boolean {
-    if (record.entry === own.entry) return false;
+    if (record.entry === own.entry) {
+      outrank(record);
+      return false;
+    }
     const known = peers.get(record.entry);
     if (known !== undefined && !isNewer(record, known.record)) return false;
     peers.set(record.entry, { record, seenAt: clock.now() });
     return true;
   }
 
+  /**
+   * The time of day may have been set back before this process started: by its
+   * start it seems older than its predecessor, and peers would drop its news.
+   */
+  function outrank({ incarnation, startedAt }: PeerRecord): void {
+    if (incarnation === own.incarnation || startedAt < own.startedAt) return;
+    own = { ...own, startedAt: startedAt + 1 };
+  }
+
   function list(): PeerView[] {
     const now = clock.now();
     const views: PeerView[] = [];
--- a/packages/coordination/src/membership_test.ts
+++ b/packages/coordination/src/membership_test.ts
@@ -55,6 +55,26 @@
     expect(members.list()[0]?.record.incarnation).to.equal("b-2");
   });
 
+  // The time of day is set back by seconds, and an entry is killed and starts
+  // again before it is set right. By its start it is older than its predecessor:
+  // peers dropped its news, and no caller was sent to it for minutes.
+  it("outranks its predecessor although the time of day was set back", () => {
+    const known = createMembership({
+      clock: createFakeClock(0),
+      self: peer("b"),
+      random: () => 0.5,
+      suspectAfter: 100,
+      loseAfter: 300,
+    });
+    known.merge([peer("self", { incarnation: "before", startedAt: 5_000 })]);
+    const { members } = create();
+    known.merge([members.self]);
+    expect(known.list()[0]?.record.incarnation).to.equal("before");
+    members.merge(known.chooseRecords(6));
+    known.merge([members.self]);
+    expect(known.list()[0]?.record.incarnation).to.equal("self-a");
+  });
+
   it("sends a bounded number of records, its own first", () => {
     const { members } = create();
     members.merge(Array.from({ length: 360 }, (_, i) => peer(`e${i}`)));
