test(coordination): replay of prompts of very different sizes; knowledge of a site beside other writers

The replay serves short answers beside drafts of up to 54,600 tokens on thirteen engines, with and without engines for the very large ones: those late fall to less than half, at the usual load and at twice that.

--- /dev/null
+++ b/packages/coordination/src/engine_choice_replay_test.ts
@@ -0,0 +1,132 @@
+import { createFakeClock } from "@mangoreach/shared";
+import { expect } from "chai";
+import { MersenneTwister19937, Random } from "random-js";
+import type { EngineView } from "./engine_choice.ts";
+import { createEngineChoice } from "./engine_choice.ts";
+
+/** One kind of request; sizes are spread like a logarithmic normal curve. */
+interface Load {
+  name: "draft" | "answer";
+  /** Requests a second. */
+  rate: number;
+  meanTokens: number;
+  spread: number;
+  maxTokens: number;
+  sessions: number;
+}
+
+const LOADS: readonly Load[] = [
+  {
+    name: "draft",
+    rate: 7,
+    meanTokens: 6_600,
+    spread: 1.4,
+    maxTokens: 54_600,
+    sessions: 175,
+  },
+  {
+    name: "answer",
+    rate: 34,
+    meanTokens: 1_100,
+    spread: 1,
+    maxTokens: 6_900,
+    sessions: 380,
+  },
+];
+const ENGINES = 13;
+const SECONDS = 60;
+const TOKENS_A_MS = 64;
+/** Reading gets slower with what was read before. */
+const MS_A_SQUARED_TOKEN = 0.3e-6;
+/** A first event later than this after the stages makes an answer late. */
+const WAIT_ALLOWED = 300;
+
+interface Arrival {
+  at: number;
+  load: Load;
+  session: string;
+  tokens: number;
+}
+
+function drawArrivals(seed: number, burst: number): Arrival[] {
+  const random = new Random(MersenneTwister19937.seed(seed));
+  const drawUnit = () => random.realZeroToOneExclusive();
+  const arrivals = LOADS.flatMap((load) => {
+    const list: Arrival[] = [];
+    const drawGap = () => -Math.log(drawUnit()) * 1_000 / (load.rate * burst);
+    for (let at = drawGap(); at < 1_000 * SECONDS; at += drawGap()) {
+      const normal = Math.sqrt(-2 * Math.log(drawUnit())) *
+        Math.cos(2 * Math.PI * drawUnit());
+      const { meanTokens, spread, maxTokens, sessions } = load;
+      const size = meanTokens * Math.exp(spread * normal - spread ** 2 / 2);
+      const tokens = Math.round(Math.min(maxTokens, 1 + size));
+      const session = `${load.name}-${random.integer(1, sessions)}`;
+      list.push({ at, load, session, tokens });
+    }
+    return list;
+  });
+  return arrivals.sort((a, b) => a.at - b.at);
+}
+
+/** The share of answers whose engine had them read in time. */
+async function replayLoad(
+  { seed, burst, slotShare }: {
+    seed: number;
+    burst: number;
+    /** Tokens of an engine's memory for each slot. */
+    slotShare: number;
+  },
+): Promise<number> {
+  const clock = createFakeClock(0);
+  const choice = createEngineChoice(clock);
+  const freeAt = new Array<number>(ENGINES).fill(0);
+  const spec = { slots: 48, tokenCapacity: 48 * slotShare };
+  const engines: EngineView[] = freeAt.map((_, index) => ({
+    info: {
+      id: `e${index}`,
+      incarnation: "1",
+      pool: "p",
+      place: "a",
+      address: `e${index}`,
+      state: "live",
+    },
+    load: 3,
+    slowness: 1,
+  }));
+  let answers = 0;
+  let onTime = 0;
+  for (const { at, load, session, tokens } of drawArrivals(seed, burst)) {
+    await clock.advance(at - clock.now());
+    const parts = [{ id: session, tokens: 500 }, { id: "own", tokens }];
+    const [home] = choice.list(parts, engines, spec);
+    const index = engines.findIndex(({ info }) => info === home?.info);
+    const reading = tokens / TOKENS_A_MS + MS_A_SQUARED_TOKEN * tokens ** 2;
+    const readAt = Math.max(at, freeAt[index] ?? 0) + reading;
+    freeAt[index] = readAt;
+    if (load.name !== "answer") continue;
+    answers++;
+    if (readAt - at <= WAIT_ALLOWED) onTime++;
+  }
+  return onTime / answers;
+}
+
+// Drafts of whole files come between short answers. One file in ten is so large
+// that its engine reads it for a second or more, and answers whose sessions live
+// on that engine get their first event when their callers have stopped waiting.
+describe("replay of prompts of very different sizes", () => {
+  for (const burst of [1, 2]) {
+    it(`serves short answers in time, at ${burst} times the load`, async () => {
+      const seeds = [1, 2, 3];
+      const share = async (slotShare: number) => {
+        const shares = await Promise.all(
+          seeds.map((seed) => replayLoad({ seed, burst, slotShare })),
+        );
+        return shares.reduce((sum, one) => sum + one, 0) / seeds.length;
+      };
+      // With this much memory for each slot no prompt counts as very large.
+      const together = await share(1_000_000);
+      const apart = await share(10_285);
+      expect(1 - apart).to.be.below((1 - together) / 2);
+    });
+  }
+});
--- /dev/null
+++ b/packages/serving/src/site_knowledge_test.ts
@@ -0,0 +1,85 @@
+import type { EndpointInfo } from "@mangoreach/coordination";
+import type { Logger } from "@mangoreach/shared";
+import { createFakeClock, createSilentLogger } from "@mangoreach/shared";
+import { expect } from "chai";
+import { Result } from "true-myth";
+import { createSilentDecisionLog } from "./decision_log.ts";
+import type { KeyedReading, KeyedRecord } from "./serving_handles.ts";
+import { createServingMetrics } from "./serving_metrics.ts";
+import type { ServingPlatform } from "./serving_options.ts";
+import { createSiteKnowledge } from "./site_knowledge.ts";
+import { createTestEndpoint } from "./test_support.ts";
+
+/** Readings of the endpoints' topic, one after the other. */
+function createSource(readings: readonly (readonly KeyedRecord[])[]) {
+  let next = 0;
+  const read = () => {
+    const records = readings[next++] ?? [];
+    return Promise.resolve(Result.ok<KeyedReading, never>({ records, next }));
+  };
+  return { readNewest: read, readFrom: read };
+}
+
+function decodeEndpoint(
+  { key, value }: KeyedRecord,
+): Result<EndpointInfo, string> {
+  return value === "good"
+    ? Result.ok(createTestEndpoint(key))
+    : Result.err("it is malformed");
+}
+
+describe("knowledge of a site", () => {
+  async function follow(readings: readonly (readonly KeyedRecord[])[]) {
+    const clock = createFakeClock(0);
+    const warnings: unknown[] = [];
+    const logger: Logger = {
+      ...createSilentLogger(),
+      warn: (_message, fields) => warnings.push(fields?.endpoint),
+    };
+    const platform = {
+      configSource: createSource([]),
+      configKey: "config",
+      decodeConfig: () => Result.err("there is none"),
+      endpointSource: createSource(readings),
+      decodeEndpoint,
+    } as unknown as ServingPlatform;
+    const knowledge = createSiteKnowledge({
+      clock,
+      readWallTime: clock.now,
+      random: () => 0.5,
+      log: createSilentDecisionLog(),
+      logger,
+      metrics: createServingMetrics("entry"),
+      platform,
+      shareSource: (_topic, source) => source,
+      onConfig: () => {},
+      onEndpoints: () => {},
+    });
+    const controller = new AbortController();
+    void knowledge.follow(controller.signal);
+    await clock.advance(2_500);
+    controller.abort();
+    const usable = knowledge.directory.listUsable("pool").map(({ id }) => id);
+    return { usable, warnings };
+  }
+
+  // Others write into the topic of the endpoints, again and again. What they
+  // write names no endpoint, and a line for each reading would hide all others.
+  it("tells a record that cannot be read once", async () => {
+    const page = [{ key: "e1", value: "good" }, { key: "other", value: "?" }];
+    const { usable, warnings } = await follow([page, page, page]);
+    expect(usable).to.deep.equal(["e1"]);
+    expect(warnings).to.deep.equal(["other"]);
+  });
+
+  // The newest record under an endpoint's id is another writer's: it names
+  // nothing to use. The endpoint's next heartbeat brings it back.
+  it("uses no endpoint whose newest record cannot be read", async () => {
+    const good = [{ key: "e1", value: "good" }, { key: "e2", value: "good" }];
+    const spoilt = [{ key: "e1", value: "?" }];
+    expect((await follow([good, spoilt])).usable).to.deep.equal(["e2"]);
+    const back = [{ key: "e1", value: "good" }];
+    expect((await follow([good, spoilt, back])).usable)
+      .to.have.members(["e1", "e2"]);
+  });
+});
