feat(soak): endpoints that start again under their id, records of other writers

Planned apart from the first kinds, so that the kept seeds play what they played when they failed. Seed 5001 showed a fault of the soak's own: two faults on one endpoint overlapped, a server stayed open and the run did not end; mended, kept. Clocks that jump are not in the soak: nothing from outside a process moves its time of day here.

--- a/soak/src/kept_seeds.ts
+++ b/soak/src/kept_seeds.ts
@@ -4,9 +4,13 @@
  * @module
  */
 
+import type { SoakKinds } from "./soak_plan.ts";
+
 /** A seed that failed once. */
 export interface KeptSeed {
   seed: number;
+  /** The kinds of faults that there were when it failed. */
+  kinds: SoakKinds;
   cause: string;
 }
 
@@ -14,15 +18,24 @@
 export const KEPT_SEEDS: readonly KeptSeed[] = [
   {
     seed: 1000,
+    kinds: "first",
     cause:
       "an entry's port was taken by an outgoing connection while it was down",
   },
   {
     seed: 1007,
+    kinds: "first",
     cause: "the proxy sent held bytes behind later ones",
   },
   {
     seed: 1026,
+    kinds: "first",
     cause: "the proxy went on behind lost bytes, and sent held ones late",
   },
+  {
+    seed: 5001,
+    kinds: "all",
+    cause:
+      "two faults on one endpoint overlapped: the soak left a server open and did not end",
+  },
 ];
--- a/soak/src/keyed_store.ts
+++ b/soak/src/keyed_store.ts
@@ -21,17 +21,22 @@
   setMode(mode: StoreMode): void;
   /** Writes a record; without a value the key is dropped. */
   put(topic: string, key: string, value: object | undefined): void;
+  /** Writes a record whose key says that it is longer than the record. */
+  putUnreadable(topic: string): void;
   close(): void;
 }
 
 interface Topic {
-  records: { key: string; value: string | undefined }[];
+  /** As they go over the wire. */
+  records: Buffer[];
   newest: Map<string, string>;
   waiting: Set<() => void>;
 }
 
 const SLOW_MS = 300;
 const HEAD_BYTES = 16;
+/** Two bytes of content, of which the first says that the key has nine. */
+const UNREADABLE_RECORD = Buffer.from([0, 0, 0, 2, 9, 1]);
 
 /** Starts an empty store. */
 export async function startKeyedStore(): Promise<KeyedStore> {
@@ -47,9 +52,13 @@
 
   function write(name: string, key: string, value: string | undefined): void {
     const topic = findTopic(name);
-    topic.records.push({ key, value });
+    append(topic, encodeRecord({ key, value }));
     if (value === undefined) topic.newest.delete(key);
     else topic.newest.set(key, value);
+  }
+
+  function append(topic: Topic, record: Buffer): void {
+    topic.records.push(record);
     for (const wake of [...topic.waiting]) wake();
   }
 
@@ -79,7 +88,7 @@
         topic.waiting.add(wake);
       });
     }
-    const records = topic.records.slice(from).map(encodeRecord);
+    const records = topic.records.slice(from);
     response.end(Buffer.concat([Buffer.alloc(HEAD_BYTES), ...records]));
   }
 
@@ -131,6 +140,7 @@
         key,
         value === undefined ? undefined : JSON.stringify(value),
       ),
+    putUnreadable: (topic) => append(findTopic(topic), UNREADABLE_RECORD),
     close: server.close,
   };
 }
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -9,6 +9,7 @@
 import { join } from "node:path";
 import process from "node:process";
 import { parseArgs } from "node:util";
+import type { KeptSeed } from "./kept_seeds.ts";
 import { KEPT_SEEDS } from "./kept_seeds.ts";
 import { runSoak } from "./soak_run.ts";
 
@@ -34,26 +35,31 @@
   },
 });
 
-function listSeeds(): number[] {
-  if (values.kept) return KEPT_SEEDS.map(({ seed }) => seed);
+/** One run to do. */
+type SoakRun = Pick<KeptSeed, "seed" | "kinds">;
+
+function listRuns(): SoakRun[] {
+  if (values.kept) return [...KEPT_SEEDS];
   const first = values.seed === undefined
     ? Date.now() % 1_000_000_000
     : Number(values.seed);
   return Array.from(
     { length: Number(values.seeds) },
-    (_, index) => first + index,
+    (_, index) => ({ seed: first + index, kinds: "all" }),
   );
 }
 
 async function run(): Promise<number> {
-  const seeds = listSeeds();
+  const runs = listRuns();
   const folder = mkdtempSync(join(tmpdir(), "mangoreach-soak-"));
   let failed = 0;
 
   async function runNext(): Promise<void> {
-    for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
+    for (let next = runs.shift(); next !== undefined; next = runs.shift()) {
+      const { seed, kinds } = next;
       const result = await runSoak({
         seed,
+        kinds,
         length: 1_000 * Number(values.seconds),
         entryCount: Number(values.entries),
         folder: join(folder, String(seed)),
--- a/soak/src/soak_plan.ts
+++ b/soak/src/soak_plan.ts
@@ -20,7 +20,11 @@
   | "endpoint_killed"
   | "endpoint_leaves"
   | "key_revoked"
-  | "config_changed";
+  | "config_changed"
+  /** An endpoint crashes and starts again under its id. */
+  | "endpoint_restarted"
+  /** Another writer puts records of its own beside the endpoints'. */
+  | "foreign_records";
 
 /** One fault. */
 export interface PlannedFault {
@@ -33,7 +37,8 @@
   target: number;
 }
 
-const KINDS: readonly FaultKind[] = [
+/** Kinds of which the seeds that are kept were planned. */
+const FIRST_KINDS: readonly FaultKind[] = [
   "entry_killed",
   "entry_paused",
   "entry_stopped",
@@ -49,8 +54,15 @@
   "key_revoked",
   "config_changed",
 ];
+/** Planned apart from the others, so that kept seeds stay what they were. */
+const LATER_KINDS: readonly FaultKind[] = [
+  "endpoint_restarted",
+  "foreign_records",
+];
+const LATER_SEED_OFFSET = 1_000_003;
 /** Faults come in series: about one each half second, so that they overlap. */
 const MEAN_GAP = 500;
+const LATER_MEAN_GAP = 1_500;
 const SHORTEST = 200;
 const LONGEST = 1_800;
 /** Kinds that must not happen twice: there is one key and one spare endpoint. */
@@ -59,16 +71,37 @@
   "endpoint_leaves",
 ]);
 
+/** Which kinds of faults a run has. */
+export type SoakKinds = "first" | "all";
+
 /** Plans the faults of a run, in order of time. */
-export function createSoakPlan(seed: number, length: number): PlannedFault[] {
+export function createSoakPlan(
+  seed: number,
+  length: number,
+  { kinds = "all" }: { kinds?: SoakKinds } = {},
+): PlannedFault[] {
+  const first = planKinds(FIRST_KINDS, { seed, length, meanGap: MEAN_GAP });
+  if (kinds === "first") return first;
+  const later = planKinds(LATER_KINDS, {
+    seed: seed + LATER_SEED_OFFSET,
+    length,
+    meanGap: LATER_MEAN_GAP,
+  });
+  return [...first, ...later].sort((a, b) => a.at - b.at);
+}
+
+function planKinds(
+  kinds: readonly FaultKind[],
+  { seed, length, meanGap }: { seed: number; length: number; meanGap: number },
+): PlannedFault[] {
   const random = new Random(MersenneTwister19937.seed(seed));
   const faults: PlannedFault[] = [];
   const seen = new Set<FaultKind>();
   let at = 0;
   for (;;) {
-    at += random.integer(1, 2 * MEAN_GAP);
+    at += random.integer(1, 2 * meanGap);
     const duration = random.integer(SHORTEST, LONGEST);
-    const kind = random.pick([...KINDS]);
+    const kind = random.pick([...kinds]);
     const target = random.integer(0, 1_000);
     if (at + duration >= length) return faults;
     if (ONCE.has(kind) && seen.has(kind)) continue;
--- a/soak/src/soak_plan_test.ts
+++ b/soak/src/soak_plan_test.ts
@@ -1,7 +1,12 @@
 import { expect } from "chai";
 import fc from "fast-check";
+import type { PlannedFault } from "./soak_plan.ts";
 import { createSoakPlan } from "./soak_plan.ts";
 
+function isPlanned(plan: readonly PlannedFault[], fault: PlannedFault) {
+  return plan.some(({ kind, at }) => kind === fault.kind && at === fault.at);
+}
+
 describe("plan of a soak run", () => {
   it("is the same for the same seed", () => {
     expect(createSoakPlan(7, 8_000)).to.deep.equal(createSoakPlan(7, 8_000));
@@ -25,6 +30,22 @@
     }));
   });
 
+  // A seed that failed once is kept as it was: kinds that came later must not
+  // change what it plays.
+  it("keeps the plan of the first kinds whatever is added", () => {
+    const first = createSoakPlan(1_007, 8_000, { kinds: "first" });
+    expect(first.length).to.equal(14);
+    expect(first[0]).to.deep.equal({
+      kind: "config_changed",
+      at: 387,
+      duration: 1_655,
+      target: 726,
+    });
+    const all = createSoakPlan(1_007, 8_000);
+    expect(all.filter((fault) => isPlanned(first, fault))).to.deep.equal(first);
+    expect(all.length).to.be.greaterThan(first.length);
+  });
+
   it("overlaps faults in most runs", () => {
     const overlapping = Array.from({ length: 100 }, (_, seed) => {
       const plan = createSoakPlan(seed, 8_000);
--- a/soak/src/soak_run.ts
+++ b/soak/src/soak_run.ts
@@ -8,12 +8,14 @@
 import type { RequestKind, SeenAnswer } from "./soak_callers.ts";
 import { CALL_TIME_MS, createSoakCaller } from "./soak_callers.ts";
 import { ACCOUNTS } from "./soak_config.ts";
+import type { SoakKinds } from "./soak_plan.ts";
 import { createSoakPlan } from "./soak_plan.ts";
 import { startSoakSite } from "./soak_site.ts";
 
 /** Options of {@linkcode runSoak}. */
 export interface SoakOptions {
   seed: number;
+  kinds: SoakKinds;
   /** Time with faults, in milliseconds. */
   length: number;
   entryCount: number;
@@ -41,9 +43,9 @@
 
 /** Runs one seed to its end. */
 export async function runSoak(
-  { seed, length, entryCount, folder }: SoakOptions,
+  { seed, kinds, length, entryCount, folder }: SoakOptions,
 ): Promise<SoakResult> {
-  const plan = createSoakPlan(seed, length);
+  const plan = createSoakPlan(seed, length, { kinds });
   const site = await startSoakSite({ entryCount, folder });
   const answers: SeenAnswer[] = [];
   const caller = createSoakCaller({
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -145,6 +145,10 @@
       case "endpoint_leaves":
         leftAt.set(link.readId(), Date.now());
         return await link.leave();
+      case "endpoint_restarted":
+        return await link.restart(duration);
+      case "foreign_records":
+        return writeForeignRecords(store, fault.target);
       case "key_revoked":
         revokedAt = Date.now();
         version++;
@@ -178,6 +182,21 @@
   };
 }
 
+/** What another writer puts beside the endpoints' records. */
+function writeForeignRecords(store: KeyedStore, number: number): void {
+  const whole = { service: "plain", zone: "z", state: "ready" };
+  const contents = [
+    { ...whole },
+    { ...whole, address: number },
+    { ...whole, address: "127.0.0.1:1", state: "warming" },
+    [number],
+  ];
+  contents.forEach((content, index) =>
+    store.put(TOPIC.endpoints, `other-${number}-${index}`, content)
+  );
+  store.putUnreadable(TOPIC.endpoints);
+}
+
 async function runStoreFault(
   store: KeyedStore,
   mode: StoreMode,
@@ -288,6 +307,8 @@
   readId(): string;
   /** Kills it; after a while another starts at the same address. */
   replace(duration: number): Promise<void>;
+  /** Kills it; after a while it starts again under its id. */
+  restart(duration: number): Promise<void>;
   /** Announces that it leaves; another takes its place after that. */
   leave(): Promise<void>;
   close(): void;
@@ -311,10 +332,13 @@
   store: KeyedStore,
   { pool, index, runs }: { pool: string; index: number; runs: RunLog },
 ): Promise<EndpointSlot> {
-  let incarnation = 0;
+  let idNumber = 0;
+  let isClosed = false;
   let state = "ready";
+  let startedAt = Date.now();
   const start = (): Promise<SoakEndpoint> => {
-    const id = `i-${pool}-${index}-${incarnation++}`;
+    startedAt = Date.now();
+    const id = `i-${pool}-${index}-${idNumber}`;
     return pool === "stage"
       ? startStageEndpoint(id)
       : startServingEndpoint(id, runs);
@@ -327,6 +351,7 @@
       address: proxy.address,
       zone: "z",
       state,
+      born: startedAt,
     });
   announce();
   const heartbeat = setInterval(announce, HEARTBEAT_MS);
@@ -334,7 +359,16 @@
   async function startNext(): Promise<void> {
     store.put(TOPIC.endpoints, endpoint.id, undefined);
     endpoint.close();
-    endpoint = await start();
+    idNumber++;
+    await startAgain();
+  }
+
+  /** Faults overlap: another one may have started an endpoint meanwhile. */
+  async function startAgain(): Promise<void> {
+    const next = await start();
+    endpoint.close();
+    endpoint = next;
+    if (isClosed) return endpoint.close();
     proxy.setTarget(endpoint.address);
     state = "ready";
     announce();
@@ -348,6 +382,11 @@
       await sleep(duration);
       await startNext();
     },
+    async restart(duration) {
+      endpoint.close();
+      await sleep(duration);
+      await startAgain();
+    },
     async leave() {
       state = "draining";
       announce();
@@ -355,6 +394,7 @@
       await startNext();
     },
     close() {
+      isClosed = true;
       clearInterval(heartbeat);
       proxy.close();
       endpoint.close();
