--- a/packages/coordination/src/engine_choice.ts
+++ b/packages/coordination/src/engine_choice.ts
@@ -59,10 +59,16 @@
  */
 const FREE_SHARE = 0.25;
 const SLOW_FACTOR = 2.5;
-/** A prompt of so many slots' shares of an engine's memory is very large. */
+/**
+ * A prompt of so many slots' shares of an engine's memory is very large: from the
+ * published figures, so that all entries draw the same line.
+ */
 const LARGE_FACTOR = 2;
-/** Very large prompts get this share of the engines; they are about a third of
- * all reading where prompts differ much. */
+/**
+ * Very large prompts get this share of the engines, as they are about a third of
+ * all reading where prompts differ much. It is fixed: learnt by each entry, it
+ * would differ, and sessions would get two homes.
+ */
 const LARGE_SHARE = 0.3;
 /** Without a very large prompt for so long, all engines serve everything. */
 const LARGE_MEMORY: Millis = 60_000;
