fix(serving): a stage endpoint that says it is another one gets no more calls

Cause: an endpoint of a stage pool is killed while the store is away and another starts at its address. The test failed before.

--- a/packages/serving/src/pool_parts.ts
+++ b/packages/serving/src/pool_parts.ts
@@ -30,6 +30,8 @@
   loads: EndpointLoads;
   stages: StageEndpoints;
   listUsable: (pool: string) => readonly EndpointInfo[];
+  /** Told of an endpoint whose address has become another's. */
+  markLeaving: (endpointKey: string) => void;
   readTable: () => RouteTable | undefined;
   /** Frees results of a pool, at whoever feeds it. */
   releaseInputs: (pool: string, results: readonly string[]) => void;
@@ -97,6 +99,7 @@
       stages: options.stages,
       loads,
       listEndpoints: () => options.listUsable(pool),
+      markLeaving: options.markLeaving,
       readSpec: () => readBatchSpec(options.readTable(), pool),
       releaseInputs: options.releaseInputs,
       budget: createRetryBudget({
--- a/packages/serving/src/pool_parts_test.ts
+++ b/packages/serving/src/pool_parts_test.ts
@@ -14,6 +14,7 @@
       loads: createEndpointLoads(clock),
       stages: createFakeStages(),
       listUsable: () => [],
+      markLeaving: () => {},
       readTable: () => undefined,
       releaseInputs: () => {},
       countEntries: () => known.entries,
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -138,6 +138,7 @@
     loads,
     stages: platform.stages,
     listUsable: directory.listUsable,
+    markLeaving: (endpointKey) => directory.markLeaving(endpointKey),
     readTable,
     releaseInputs: (pool, results) => router.release(pool, results),
     countEntries: () => membership.list().length + 1,
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -49,6 +49,8 @@
   loads: EndpointLoads;
   /** Endpoints that take new work now. */
   listEndpoints: () => readonly EndpointInfo[];
+  /** Told of an endpoint whose address has become another's. */
+  markLeaving: (endpointKey: string) => void;
   readSpec: () => BatchSpec;
   /** Pieces that are made a second time draw on it. */
   budget: RetryBudget;
@@ -353,6 +355,10 @@
     }
     loads.end(info, reply.kind === "invalid" ? "failing" : "neutral");
     const isFull = reply.kind === "not_run" && reply.reason === "full";
+    const isOther = reply.kind === "not_run" &&
+      reply.reason === "other_instance";
+    // Its removal may be read seconds later; until then each call would be lost.
+    if (isOther) options.markLeaving(maker);
     if (isFull) {
       inputs.noteOtherFeeder();
       blockMaker(feeding);
--- a/packages/serving/src/stage_feeder_test.ts
+++ b/packages/serving/src/stage_feeder_test.ts
@@ -194,6 +194,28 @@
     expect(stages.calls[1]?.pieces.length).to.equal(2);
   });
 
+  // An endpoint of a pool is killed while the store is away; another starts at its
+  // address. Its removal is not believed for two seconds, and until then each call
+  // to it came back at once, used up the repeats, and requests were refused.
+  it("calls an endpoint once that says it is another one", async () => {
+    const { feeder, stages, signal, clock } = create("e1", "e2");
+    for (let index = 0; index < 20; index++) {
+      const run = feeder.run(createRun(`r${index}`, 1), signal);
+      const call = stages.calls.at(-1);
+      if (call?.endpoint.id === "e1") {
+        call.end({ kind: "not_run", reason: "other_instance" });
+        await settlePromises();
+      }
+      stages.calls.at(-1)?.finish();
+      const [outcome] = (await run).outcomes;
+      expect(outcome?.kind).to.equal("done");
+      if (outcome?.kind === "done") feeder.release([outcome.result]);
+      await clock.advance(100);
+    }
+    const toFirst = stages.calls.filter(({ endpoint }) => endpoint.id === "e1");
+    expect(toFirst.length).to.equal(1);
+  });
+
   // An hour of small failures uses up what may be repeated, if nothing adds to
   // it. Later failures would refuse users although there is load enough.
   it("earns repeats with the pieces that it runs", async () => {
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -5,7 +5,7 @@
  */
 import { Readable } from "node:stream";
 import type { EndpointInfo, PeerRecord, Route } from "@mangoreach/coordination";
-import { createRetryBudget } from "@mangoreach/coordination";
+import { createRetryBudget, formatEndpointKey } from "@mangoreach/coordination";
 import type { FakeClock } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import { createSilentDecisionLog } from "./decision_log.ts";
@@ -171,6 +171,8 @@
   endpoints: readonly EndpointInfo[],
 ) {
   const stages = createFakeStages();
+  /** Keys of endpoints that said they are another one. */
+  const left = new Set<string>();
   /** Inputs that endpoints have fetched. */
   const fetched: string[] = [];
   const feeder = createStageFeeder({
@@ -179,7 +181,9 @@
     pool: "pool",
     stages,
     loads: createEndpointLoads(clock),
-    listEndpoints: () => endpoints,
+    listEndpoints: () =>
+      endpoints.filter((endpoint) => !left.has(formatEndpointKey(endpoint))),
+    markLeaving: (endpointKey) => left.add(endpointKey),
     readSpec: () => TEST_SPEC,
     budget: createRetryBudget({ share: 0.1, max: 4 }),
     releaseInputs: (_pool, results) => fetched.push(...results),
