--- a/soak/src/kept_seeds.ts
+++ b/soak/src/kept_seeds.ts
@@ -38,4 +38,10 @@
     cause:
       "two faults on one endpoint overlapped: the soak left a server open and did not end",
   },
+  {
+    seed: 5100,
+    kinds: "all",
+    cause:
+      "pieces went to a stage endpoint whose address had become another's until its removal was believed",
+  },
 ];
