--- a/packages/coordination/src/endpoint_roster.ts
+++ b/packages/coordination/src/endpoint_roster.ts
@@ -24,7 +24,8 @@
 
 /** The endpoints by the instance list. */
 export interface EndpointRoster {
-  put(endpoint: EndpointInfo): void;
+  /** Takes what is said of one endpoint; returns whether that was news. */
+  put(endpoint: EndpointInfo): boolean;
   remove(id: string): void;
   /** Takes a full reading of the list. */
   replaceAll(endpoints: readonly EndpointInfo[]): void;
@@ -49,18 +50,21 @@
     onChange([...endpoints.values()]);
   }
 
-  function put(endpoint: EndpointInfo): void {
+  function put(endpoint: EndpointInfo): boolean {
     doubted.get(endpoint.id)?.();
     doubted.delete(endpoint.id);
     const known = endpoints.get(endpoint.id);
     // Readings reach an entry on several ways, so an earlier one may come later:
     // it would bring back the room, the marks and the address of what is gone.
-    if (known !== undefined && isOlderIncarnation(endpoint, known)) return;
+    if (known !== undefined && isOlderIncarnation(endpoint, known)) {
+      return false;
+    }
     endpoints.set(endpoint.id, endpoint);
     const isNews = known === undefined || known.state !== endpoint.state ||
       known.address !== endpoint.address || known.pool !== endpoint.pool ||
       known.incarnation !== endpoint.incarnation;
     if (isNews) tellChange();
+    return isNews;
   }
 
   function remove(id: string): void {
--- a/packages/coordination/src/piece_flow.ts
+++ b/packages/coordination/src/piece_flow.ts
@@ -52,7 +52,7 @@
   recordCall(pieces: number): void;
   /** Notes how many pieces wait, and whether all endpoints are busy. */
   noteQueue(queue: PieceQueue): void;
-  /** Whether all endpoints have been busy for a while with pieces waiting. */
+  /** Whether more has waited for a while than the next calls can nearly take. */
   isStrained(): boolean;
   forecast(spec: BatchSpec, endpointCount: number): FlowForecast;
 }
--- a/packages/serving/src/pool_parts.ts
+++ b/packages/serving/src/pool_parts.ts
@@ -79,13 +79,20 @@
   return table?.findPool(pool)?.batching ?? SINGLE_PIECES;
 }
 
+/** One part for each pool, made when it is first asked for. */
+function createPerPool<T>(create: () => T): (pool: string) => T {
+  const parts = new Map<string, T>();
+  return (pool) => {
+    const part = parts.get(pool) ?? create();
+    parts.set(pool, part);
+    return part;
+  };
+}
+
 /** Creates the parts of no pool yet. */
 export function createPoolParts(options: PoolPartsOptions): PoolParts {
   const { clock, log, loads } = options;
   const feeders = new Map<string, StageFeeder>();
-  const budgets = new Map<string, RetryBudget>();
-  const delays = new Map<string, DelayModel>();
-  const engineChoices = new Map<string, EngineChoice>();
   const startedAt = clock.now();
   let mostEntries = LEAST_ENTRIES;
 
@@ -118,30 +125,16 @@
     return isLearning ? Math.max(UNKNOWN_ENTRIES, mostEntries) : mostEntries;
   }
 
-  function findBudget(pool: string): RetryBudget {
-    const known = budgets.get(pool);
-    if (known !== undefined) return known;
-    const budget = createRetryBudget({
+  const findBudget = createPerPool(() =>
+    createRetryBudget({
       share: options.repeatShare,
       max: options.repeatSlack,
       // One repeat is left to each: what is less than that is never saved up.
       readPart: () => Math.max(1 / options.repeatSlack, 1 / countSharers()),
-    });
-    budgets.set(pool, budget);
-    return budget;
-  }
-
-  function findDelays(pool: string): DelayModel {
-    const known = delays.get(pool) ?? createDelayModel();
-    delays.set(pool, known);
-    return known;
-  }
-
-  function findEngineChoice(pool: string): EngineChoice {
-    const known = engineChoices.get(pool) ?? createEngineChoice(clock);
-    engineChoices.set(pool, known);
-    return known;
-  }
+    })
+  );
+  const findDelays = createPerPool(createDelayModel);
+  const findEngineChoice = createPerPool(() => createEngineChoice(clock));
 
   function refreshFeeders(): void {
     for (const feeder of feeders.values()) feeder.refresh();
--- a/packages/serving/src/site_knowledge.ts
+++ b/packages/serving/src/site_knowledge.ts
@@ -194,21 +194,15 @@
   };
 
   function putEndpoint(endpoint: EndpointInfo): void {
-    const known = roster.list().find(({ id }) => id === endpoint.id);
-    if (
-      known?.state !== endpoint.state ||
-      known.incarnation !== endpoint.incarnation
-    ) {
-      log.record("endpoint_changed", {
-        endpoint: endpoint.id,
-        pool: endpoint.pool,
-        address: endpoint.address,
-        incarnation: endpoint.incarnation,
-        source: "instance_list",
-        outcome: endpoint.state,
-      });
-    }
-    roster.put(endpoint);
+    if (!roster.put(endpoint)) return;
+    log.record("endpoint_changed", {
+      endpoint: endpoint.id,
+      pool: endpoint.pool,
+      address: endpoint.address,
+      incarnation: endpoint.incarnation,
+      source: "instance_list",
+      outcome: endpoint.state,
+    });
   }
 
   function readEndpoint(record: KeyedRecord): EndpointInfo[] {
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -90,6 +90,8 @@
 }
 
 interface Feeding extends BatchEndpoint {
+  /** Tells incarnations apart; its room is counted under it. */
+  readonly key: string;
   calls: number;
   freeAt: Millis;
   /** It was full or made nothing of a call; until then it gets nothing. */
@@ -213,9 +215,8 @@
     const now = clock.now();
     return inUse.map(({ info, slowness }) => {
       const key = formatEndpointKey(info);
-      const known = feedings.get(key);
-      const feeding: Feeding = known ??
-        { info, calls: 0, freeAt: 0, roomTaken: 0, slowness, blockedUntil: 0 };
+      const free = { calls: 0, freeAt: 0, roomTaken: 0, blockedUntil: 0 };
+      const feeding = feedings.get(key) ?? { key, info, slowness, ...free };
       feedings.set(key, feeding);
       const roomTaken = room.readTaken(key);
       return Object.assign(feeding, { info, slowness, roomTaken });
@@ -275,15 +276,14 @@
     feeding: Feeding,
     pieces: readonly FeederPiece[],
   ): Promise<void> {
-    const { info } = feeding;
-    const maker = formatEndpointKey(info);
+    const { info, key } = feeding;
     const { callTime, pieceTime } = readSpec();
     const expected = callTime + pieces.length * pieceTime;
     const bytes = pieces.reduce((sum, piece) => sum + piece.resultBytes, 0);
     const startedAt = clock.now();
     feeding.calls++;
     feeding.freeAt = startedAt + feeding.slowness * expected;
-    room.addTaken(maker, bytes);
+    room.addTaken(key, bytes);
     loads.begin(info);
     for (const piece of pieces) {
       piece.attempts++;
@@ -292,7 +292,7 @@
     const stopRelease = inputs.startCall({
       startedAt,
       groups: listGroups(pieces),
-      roomShare: room.readTaken(maker) / readSpec().roomBytes,
+      roomShare: room.readTaken(key) / readSpec().roomBytes,
     });
     const reply = await stages.run({
       endpoint: info,
@@ -308,7 +308,7 @@
     if (reply.isErr) {
       const isUnreachable = reply.error.sent === "no";
       loads.end(info, isUnreachable ? "unreachable" : "failing");
-      room.addTaken(maker, -bytes);
+      room.addTaken(key, -bytes);
       pieces.forEach((piece) => tryAgain(piece, info, "unavailable"));
     } else {
       takeReply(feeding, {
@@ -323,8 +323,8 @@
       requests: pieces.map(({ order }) => order.requestId),
       pieces: pieces.length,
       place: info.place,
-      roomTaken: room.readTaken(maker),
-      oldestResult: room.readOldest(maker, clock.now()),
+      roomTaken: room.readTaken(key),
+      oldestResult: room.readOldest(key, clock.now()),
       waiting: batcher.size,
       took,
       expected,
@@ -341,11 +341,13 @@
       ratio: number;
     },
   ): void {
-    const { info } = feeding;
-    const maker = formatEndpointKey(info);
+    const { info, key } = feeding;
     if (reply.kind === "results") {
       loads.end(info, "done");
       loads.recordRatio(info, ratio);
+      // Sizes are approximate, so the last pieces of a call that fills its maker
+      // find no room at times. Left alone for it, the maker would be idle for a
+      // third of a call after each.
       const isAnyMade = reply.results.some(({ kind }) => kind === "done");
       if (!isAnyMade) blockMaker(feeding);
       pieces.forEach((piece, index) =>
@@ -354,17 +356,16 @@
       return;
     }
     loads.end(info, reply.kind === "invalid" ? "failing" : "neutral");
-    const isFull = reply.kind === "not_run" && reply.reason === "full";
-    const isOther = reply.kind === "not_run" &&
-      reply.reason === "other_instance";
+    const refusal = reply.kind === "not_run" ? reply.reason : undefined;
     // Its removal may be read seconds later; until then each call would be lost.
-    if (isOther) options.markLeaving(maker);
+    if (refusal === "other_instance") options.markLeaving(key);
+    const isFull = refusal === "full";
     if (isFull) {
       inputs.noteOtherFeeder();
       blockMaker(feeding);
     }
     for (const piece of pieces) {
-      room.addTaken(maker, -piece.resultBytes);
+      room.addTaken(key, -piece.resultBytes);
       if (isFull) waitForRoom(piece);
       else tryAgain(piece, info, "unavailable");
     }
@@ -375,11 +376,11 @@
     piece: FeederPiece,
     result: StageResult | undefined,
   ): void {
-    const maker = formatEndpointKey(feeding.info);
+    const { info, key } = feeding;
     if (result?.kind === "done") {
       const madeAt = clock.now();
       room.hold(result.result, {
-        maker,
+        maker: key,
         bytes: piece.resultBytes,
         madeAt,
         lapsesAt: madeAt + readSpec().resultLifetime,
@@ -390,13 +391,13 @@
       piece.settle(result);
       return;
     }
-    room.addTaken(maker, -piece.resultBytes);
+    room.addTaken(key, -piece.resultBytes);
     const reason = result?.reason ?? "error";
     if (reason === "input_gone") inputs.noteOtherFeeder();
     if (reason === "late" || reason === "input_gone") {
       failGroup(piece.group, reason);
     } else if (reason === "no_room") waitForRoom(piece);
-    else tryAgain(piece, feeding.info, reason);
+    else tryAgain(piece, info, reason);
   }
 
   /**
@@ -411,11 +412,6 @@
     else failGroup(piece.group, "no_room");
   }
 
-  /**
-   * A maker that made a part of a call is not full: sizes are approximate, so the
-   * last pieces of a call that fills it find no room at times. Left alone for it,
-   * it would be idle for a third of a call after each.
-   */
   function blockMaker(feeding: Feeding): void {
     feeding.blockedUntil = clock.now() + BLOCK_TIME;
   }
--- a/packages/serving/src/stage_feeder_test.ts
+++ b/packages/serving/src/stage_feeder_test.ts
@@ -49,6 +49,21 @@
   }
 }
 
+/** Fills the only maker, and lets one more piece wait for room there. */
+async function fillMaker(
+  { feeder, stages, signal }: {
+    feeder: StageFeeder;
+    stages: FakeStages;
+    signal: AbortSignal;
+  },
+): Promise<void> {
+  void feeder.run(createRun("a", 2, { resultBytes: 500 }), signal);
+  stages.calls[0]?.finish();
+  await settlePromises();
+  void feeder.run(createRun("b", 1, { resultBytes: 500 }), signal);
+  expect(stages.calls.length).to.equal(1);
+}
+
 describe("stage feeder", () => {
   function create(...ids: string[]) {
     const clock = createFakeClock(0);
@@ -78,11 +93,7 @@
   // costs a whole call; after results are freed it can take work again.
   it("keeps count of the room at a maker", async () => {
     const { feeder, stages, signal } = create("e1");
-    void feeder.run(createRun("a", 2, { resultBytes: 500 }), signal);
-    stages.calls[0]?.finish();
-    await settlePromises();
-    void feeder.run(createRun("b", 1, { resultBytes: 500 }), signal);
-    expect(stages.calls.length).to.equal(1);
+    await fillMaker({ feeder, stages, signal });
     feeder.release(["e1/a.0.0"]);
     expect(stages.released).to.deep.equal(["e1/a.0.0"]);
     expect(stages.calls.length).to.equal(2);
@@ -92,11 +103,7 @@
   // nothing. Counted as full, it was idle until the old results would have lapsed.
   it("counts no room for results that ended with their maker", async () => {
     const { feeder, stages, signal, endpoints } = create("e1");
-    void feeder.run(createRun("a", 2, { resultBytes: 500 }), signal);
-    stages.calls[0]?.finish();
-    await settlePromises();
-    void feeder.run(createRun("b", 1, { resultBytes: 500 }), signal);
-    expect(stages.calls.length).to.equal(1);
+    await fillMaker({ feeder, stages, signal });
     endpoints[0] = createTestEndpoint("e1", { incarnation: "2" });
     feeder.refresh();
     expect(stages.calls.length).to.equal(2);
@@ -106,10 +113,7 @@
   // them after their lifetime; a feeder that did not would leave it idle.
   it("takes lapsed results off the room", async () => {
     const { feeder, stages, signal, clock } = create("e1");
-    void feeder.run(createRun("a", 2, { resultBytes: 500 }), signal);
-    stages.calls[0]?.finish();
-    await settlePromises();
-    void feeder.run(createRun("b", 1, { resultBytes: 500 }), signal);
+    await fillMaker({ feeder, stages, signal });
     await clock.advance(4_100);
     expect(stages.calls.length).to.equal(2);
   });
--- a/packages/serving/src/topic_readers.ts
+++ b/packages/serving/src/topic_readers.ts
@@ -13,6 +13,7 @@
  * another: some forty calls a second of the two thousand that it takes.
  */
 const ENTRIES_A_READER = 8;
+
 /**
  * Control addresses of the readers, in the order in which this entry asks them;
  * none if it is a reader itself. Where entries disagree for a moment on who
--- a/soak/src/kept_seeds.ts
+++ b/soak/src/kept_seeds.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-
 import type { SoakKinds } from "./soak_plan.ts";
 
 /** A seed that failed once. */
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -358,7 +358,6 @@
 
   async function startNext(): Promise<void> {
     store.put(TOPIC.endpoints, endpoint.id, undefined);
-    endpoint.close();
     idNumber++;
     await startAgain();
   }
