fix(coordination): news of an earlier incarnation takes no doubt away

Cause: the roster dropped the doubt about a removal before it saw that the news was of an earlier incarnation and not to be taken; the endpoint that is gone stayed in use until it was removed once more. Change: the check comes first. The test failed before.

--- a/packages/coordination/src/endpoint_roster.ts
+++ b/packages/coordination/src/endpoint_roster.ts
@@ -51,14 +51,14 @@
   }
 
   function put(endpoint: EndpointInfo): boolean {
-    doubted.get(endpoint.id)?.();
-    doubted.delete(endpoint.id);
     const known = endpoints.get(endpoint.id);
     // Readings reach an entry on several ways, so an earlier one may come later:
     // it would bring back the room, the marks and the address of what is gone.
     if (known !== undefined && isOlderIncarnation(endpoint, known)) {
       return false;
     }
+    doubted.get(endpoint.id)?.();
+    doubted.delete(endpoint.id);
     endpoints.set(endpoint.id, endpoint);
     const isNews = known === undefined || known.state !== endpoint.state ||
       known.address !== endpoint.address || known.pool !== endpoint.pool ||
--- a/packages/coordination/src/endpoint_roster_test.ts
+++ b/packages/coordination/src/endpoint_roster_test.ts
@@ -61,6 +61,20 @@
     expect(roster.list()[0]).to.deep.equal(newer);
   });
 
+  // A removal is doubted after an outage, and a reading of the incarnation before
+  // comes late. It says nothing of the endpoint that is gone, but took the doubt
+  // away, and work went to a dead address until it was removed once more.
+  it("does not take older news for a sign of life", async () => {
+    const { roster, clock, listIds } = create();
+    roster.put({ ...createEndpoint("e1"), incarnation: "2", startedAt: 2 });
+    roster.noteAway();
+    roster.noteBack();
+    roster.remove("e1");
+    roster.put({ ...createEndpoint("e1"), startedAt: 1 });
+    await clock.advance(2_000);
+    expect(listIds()).to.deep.equal(["e2"]);
+  });
+
   // The list was away and its leases ran out; all endpoints live. Users would
   // be refused until the endpoints have written again, up to two seconds.
   it("keeps what lapsed in an outage until it had time to come back", async () => {
