feat(serving): logs tell what a request asks for and whether its endpoint ended

Cause: a run that broke off was one line without path or body, and nothing told an endpoint that ended from a connection that broke, so the hypotheses of the incident could not be told apart. Change: run_broken carries a digest of account, host, path and body, how long it ran, and the endpoint's condition, asked by one connection for all runs that broke together. No decision depends on it yet.

--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -12,6 +12,8 @@
 } from "./failure.ts";
 export type { CancelReason, Deadline, DeadlineOptions } from "./deadline.ts";
 export { createDeadline } from "./deadline.ts";
+export type { RequestContent } from "./request_content.ts";
+export { computeContentDigest } from "./request_content.ts";
 export type { RequestId, RequestKey } from "./request_id.ts";
 export {
   formatBinding,
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -198,7 +198,7 @@
   options: AttemptOptions,
   endpoint: EndpointInfo,
 ): Promise<AttemptEnd> {
-  const { clock, loads, callEndpoint, findDelays } = state;
+  const { clock, loads, callEndpoint, findDelays, runWatch } = state;
   const { request, admitted, deadline, results } = options;
   const startedAt = clock.now();
   const stopRelease = results === undefined
@@ -229,6 +229,10 @@
     })
     : await takeAnswer(options, answer.value, recordLatency);
   loads.end(endpoint, end.load);
+  if (end.load === "broken") {
+    const { account } = admitted;
+    void runWatch.noteBroken({ request, account, endpoint, sentAt: startedAt });
+  }
   const load = answer.isOk && answer.value.kind !== "invalid"
     ? answer.value.load
     : undefined;
@@ -255,7 +259,7 @@
     kind: "lost",
     verdict: sent === "no" ? "not_run" : "may_have_run",
     message,
-    load: isOurs ? "neutral" : sent === "no" ? "unreachable" : "failing",
+    load: isOurs ? "neutral" : sent === "no" ? "unreachable" : "broken",
   };
 }
 
@@ -342,7 +346,7 @@
       });
     }
     response.endStream("cut");
-    const load = deadline.signal.aborted ? "neutral" : "failing";
+    const load = deadline.signal.aborted ? "neutral" : "broken";
     return { kind: "answered", status, end: "cut", load };
   }
   if (!response.isStarted) response.startStream({ status, headers });
--- a/packages/serving/src/decision_log.ts
+++ b/packages/serving/src/decision_log.ts
@@ -14,6 +14,7 @@
   | "request_refused"
   | "request_failed"
   | "attempt_ended"
+  | "run_broken"
   | "stage_ended"
   | "stage_call"
   | "pieces_dropped"
--- /dev/null
+++ b/packages/serving/src/endpoint_check_test.ts
@@ -0,0 +1,43 @@
+import type { Listening } from "@mangoreach/shared";
+import { createFakeClock } from "@mangoreach/shared";
+import { expect } from "chai";
+import { createEndpointCheck } from "./endpoint_check.ts";
+import { createTestEndpoint } from "./test_support.ts";
+
+describe("checking an endpoint after a connection broke", () => {
+  const CASES: [Listening, string][] = [
+    ["refused", "ended"],
+    ["listening", "listening"],
+    ["silent", "unknown"],
+  ];
+
+  for (const [listening, condition] of CASES) {
+    it(`takes ${listening} for ${condition}`, async () => {
+      const check = createEndpointCheck({
+        clock: createFakeClock(0),
+        checkListening: () => Promise.resolve(listening),
+      });
+      expect(await check.checkCondition(createTestEndpoint("e1")))
+        .to.equal(condition);
+    });
+  }
+
+  it("asks once for all connections that broke together", async () => {
+    const clock = createFakeClock(0);
+    const asked: string[] = [];
+    const check = createEndpointCheck({
+      clock,
+      checkListening: (address) => {
+        asked.push(address);
+        return Promise.resolve("refused");
+      },
+    });
+    const endpoint = createTestEndpoint("e1");
+    await Promise.all([1, 2, 3].map(() => check.checkCondition(endpoint)));
+    await check.checkCondition({ ...endpoint, incarnation: "2" });
+    expect(asked).to.deep.equal(["e1", "e1"]);
+    await clock.advance(1_000);
+    await check.checkCondition(endpoint);
+    expect(asked).to.have.length(3);
+  });
+});
--- a/packages/serving/src/endpoint_load.ts
+++ b/packages/serving/src/endpoint_load.ts
@@ -18,7 +18,13 @@
 import type { Clock, Millis } from "@mangoreach/shared";
 
 /** How an attempt ended for its endpoint. */
-export type LoadEnd = "done" | "unreachable" | "failing" | "neutral";
+export type LoadEnd =
+  | "done"
+  | "unreachable"
+  | "failing"
+  /** The connection ended before the answer did, not by this side. */
+  | "broken"
+  | "neutral";
 
 /** What is known of one endpoint. */
 export interface EndpointLoad extends EngineView {
@@ -112,7 +118,10 @@
     end(endpoint, end) {
       const { health } = find(endpoint);
       find(endpoint).inFlight--;
-      if (end === "unreachable" || end === "failing") health.recordFailure(end);
+      if (end === "unreachable") health.recordFailure("unreachable");
+      if (end === "failing" || end === "broken") {
+        health.recordFailure("failing");
+      }
     },
     recordReport(endpoint, report) {
       const target = find(endpoint);
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -23,11 +23,13 @@
 import { startCallerListener } from "./caller_listener.ts";
 import type { ListenerPhase } from "./caller_listener.ts";
 import { createDecisionLog } from "./decision_log.ts";
+import { createEndpointCheck } from "./endpoint_check.ts";
 import { createEndpointLoads } from "./endpoint_load.ts";
 import { createPeerNews } from "./peer_news.ts";
 import { createPieceRouter } from "./piece_router.ts";
 import { createPoolParts } from "./pool_parts.ts";
 import { serveRequest } from "./request_service.ts";
+import { createRunWatch } from "./run_watch.ts";
 import { createServingMetrics } from "./serving_metrics.ts";
 import type { ServingEntryOptions } from "./serving_options.ts";
 import type { ServingState } from "./serving_state.ts";
@@ -198,6 +200,14 @@
     loads,
     router,
     callEndpoint: platform.callEndpoint,
+    runWatch: createRunWatch({
+      clock,
+      log,
+      endpointCheck: createEndpointCheck({
+        clock,
+        checkListening: platform.checkListening,
+      }),
+    }),
     readMaker: platform.stages.readMaker,
     findPlace: knowledge.findPlace,
     findBudget: pools.findBudget,
--- a/packages/serving/src/serving_options.ts
+++ b/packages/serving/src/serving_options.ts
@@ -9,7 +9,13 @@
   Failure,
   ServingConfig,
 } from "@mangoreach/coordination";
-import type { Clock, ListenAddress, Logger, Millis } from "@mangoreach/shared";
+import type {
+  Clock,
+  ListenAddress,
+  Listening,
+  Logger,
+  Millis,
+} from "@mangoreach/shared";
 import type { Result } from "true-myth";
 import type { EncodeFailure } from "./caller_response.ts";
 import type { MemberStore } from "./member_registry.ts";
@@ -52,6 +58,8 @@
   decodeEndpoint: (record: KeyedRecord) => Result<EndpointInfo, string>;
   members: MemberStore;
   callEndpoint: CallEndpoint;
+  /** Whether anything listens at an endpoint's address. */
+  checkListening: (address: string) => Promise<Listening>;
   stages: StageEndpoints;
   decodeHead: (message: IncomingMessage) => Result<RequestHead, Failure>;
   encodeFailure: EncodeFailure;
--- a/packages/serving/src/serving_state.ts
+++ b/packages/serving/src/serving_state.ts
@@ -17,6 +17,7 @@
 import type { DecisionLog } from "./decision_log.ts";
 import type { EndpointLoads } from "./endpoint_load.ts";
 import type { PieceRouter } from "./piece_router.ts";
+import type { RunWatch } from "./run_watch.ts";
 import type { CallEndpoint } from "./serving_handles.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 
@@ -36,6 +37,7 @@
   loads: EndpointLoads;
   router: PieceRouter;
   callEndpoint: CallEndpoint;
+  runWatch: RunWatch;
   /** The address of the endpoint that holds a result. */
   readMaker: (result: string) => string;
   /** The place of the endpoint at an address. */
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -273,6 +273,7 @@
       release: () => {},
     },
     callEndpoint: () => Promise.reject(new Error("no endpoints")),
+    runWatch: { noteBroken: () => Promise.resolve() },
     readMaker: () => "",
     callerElapsed: { read: () => 0 },
     findPlace: () => undefined,
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -7,6 +7,8 @@
 export { createSystemClock } from "./clock.ts";
 export type { FakeClock } from "./fake_clock.ts";
 export { createFakeClock, settlePromises } from "./fake_clock.ts";
+export type { Listening, ListeningOptions } from "./listening.ts";
+export { checkListening } from "./listening.ts";
 export type { Subject } from "./subject.ts";
 export { createSubject } from "./subject.ts";
 export type { SettingsFault, SettingsSource } from "./settings.ts";
