fix(serving): a request that ends each endpoint is turned away once three have ended

Cause: entries count attempts by the id of one coming, each for itself, so a content that comes again under a new id and at another entry was never known again; it ended endpoint after endpoint. Ruled out: our own attempts (each id reached one running engine in the record); endpoints that end by themselves (one account and route, before the first event, each time). Change: the content is told by a digest of account, method, host, path and body. Three entries keep count for each content, by rendezvous hashing; the third end that is not of one moment with another turns it away, 503 with the end of the term as Retry-After, before its stages and before each attempt. The store keeps it for entries that start, peers pass it on while the store is away. What has completed anywhere is cleared; what ended with the cause is not held against others; terms lapse after 10 minutes and double.

--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -12,6 +12,13 @@
 } from "./failure.ts";
 export type { CancelReason, Deadline, DeadlineOptions } from "./deadline.ts";
 export { createDeadline } from "./deadline.ts";
+export type {
+  EndedRun,
+  PoisonQuarantine,
+  QuarantinedContent,
+  SuspectedContent,
+} from "./poison_quarantine.ts";
+export { createPoisonQuarantine } from "./poison_quarantine.ts";
 export type { RequestContent } from "./request_content.ts";
 export { computeContentDigest } from "./request_content.ts";
 export type { RequestId, RequestKey } from "./request_id.ts";
--- /dev/null
+++ b/packages/coordination/src/poison_quarantine_test.ts
@@ -0,0 +1,108 @@
+import { createFakeClock } from "@mangoreach/shared";
+import { expect } from "chai";
+import type { EndedRun } from "./poison_quarantine.ts";
+import { createPoisonQuarantine } from "./poison_quarantine.ts";
+
+const MINUTE = 60_000;
+
+describe("the quarantine of contents", () => {
+  function createRun(endpointKey: string, content = "c"): EndedRun {
+    return { content, endpointKey, sentAgo: 100, endedAgo: 0 };
+  }
+
+  async function endThree(content = "c") {
+    const clock = createFakeClock(0);
+    const quarantine = createPoisonQuarantine(clock);
+    for (const endpointKey of ["e1", "e2", "e3"]) {
+      await clock.advance(1_000);
+      quarantine.noteEnded(createRun(endpointKey, content));
+    }
+    return { clock, quarantine };
+  }
+
+  it("begins with the third end, and not with the same end again", async () => {
+    const clock = createFakeClock(0);
+    const quarantine = createPoisonQuarantine(clock);
+    const found: boolean[] = [];
+    for (const endpointKey of ["e1", "e1", "e2", "e2", "e3"]) {
+      await clock.advance(1_000);
+      found.push(quarantine.noteEnded(createRun(endpointKey)) !== undefined);
+    }
+    expect(found).to.deep.equal([false, false, false, false, true]);
+    expect(quarantine.readTimeLeft("c")).to.equal(10 * MINUTE);
+    expect(quarantine.readTimeLeft("other")).to.equal(0);
+  });
+
+  it("counts endpoints that ended together once", async () => {
+    const clock = createFakeClock(1_000);
+    const quarantine = createPoisonQuarantine(clock);
+    for (const endpointKey of ["e1", "e2", "e3", "e4"]) {
+      quarantine.noteEnded(createRun(endpointKey));
+      await clock.advance(20);
+    }
+    expect(quarantine.readTimeLeft("c")).to.equal(0);
+  });
+
+  it("forgets ends that lie far apart", async () => {
+    const clock = createFakeClock(0);
+    const quarantine = createPoisonQuarantine(clock);
+    for (const endpointKey of ["e1", "e2", "e3", "e4"]) {
+      await clock.advance(6 * MINUTE);
+      quarantine.noteEnded(createRun(endpointKey));
+    }
+    expect(quarantine.readTimeLeft("c")).to.equal(0);
+  });
+
+  it("lets in after its term, and turns away for longer each time", async () => {
+    const { clock, quarantine } = await endThree();
+    const terms: number[] = [];
+    for (const endpointKey of ["e4", "e5"]) {
+      await clock.advance(quarantine.readTimeLeft("c"));
+      expect(quarantine.releaseLapsed()).to.deep.equal(["c"]);
+      expect(quarantine.readTimeLeft("c")).to.equal(0);
+      quarantine.noteEnded(createRun(endpointKey));
+      terms.push(quarantine.readTimeLeft("c"));
+    }
+    expect(terms).to.deep.equal([20 * MINUTE, 40 * MINUTE]);
+  });
+
+  it("clears what has completed, whatever was held against it", async () => {
+    const { clock, quarantine } = await endThree();
+    const [told] = quarantine.chooseQuarantined(8);
+    expect(quarantine.noteCompleted("c")).to.equal(true);
+    expect(quarantine.noteCompleted("c")).to.equal(false);
+    // A peer that has not heard yet must not bring it back.
+    expect(quarantine.adopt(told!)).to.equal(false);
+    await clock.advance(1_000);
+    quarantine.noteEnded(createRun("e9"));
+    expect(quarantine.readTimeLeft("c")).to.equal(0);
+  });
+
+  it("does not hold against others what the cause ended", async () => {
+    const { clock, quarantine } = await endThree();
+    for (const endpointKey of ["e1", "e2", "e3"]) {
+      await clock.advance(1_000);
+      quarantine.noteEnded(createRun(endpointKey, "beside"));
+    }
+    expect(quarantine.readTimeLeft("beside")).to.equal(0);
+  });
+
+  it("is empty again once everything is over", async () => {
+    const { clock, quarantine } = await endThree();
+    quarantine.noteCompleted("c");
+    await clock.advance(2 * MINUTE);
+    quarantine.releaseLapsed();
+    expect(quarantine.isEmpty()).to.equal(true);
+  });
+
+  it("forgets the oldest suspects, never what it turns away", async () => {
+    const { clock, quarantine } = await endThree();
+    for (let number = 0; number < 3_000; number++) {
+      quarantine.noteEnded(createRun(`e-${number}`, `c-${number}`));
+    }
+    await clock.advance(1);
+    expect(quarantine.readTimeLeft("c")).to.be.greaterThan(0);
+    expect(quarantine.noteCompleted("c-0")).to.equal(false);
+    expect(quarantine.noteCompleted("c-2999")).to.equal(true);
+  });
+});
--- a/packages/peers/src/exchange_loop.ts
+++ b/packages/peers/src/exchange_loop.ts
@@ -15,6 +15,7 @@
 import type { Result } from "true-myth";
 import type { PeerExchange } from "./peer_protocol.ts";
 import { decodeHeartbeat, encodeHeartbeat } from "./peer_protocol.ts";
+import type { PoisonNews } from "./run_protocol.ts";
 
 /** What the loop works on. */
 export interface ExchangeLoopOptions {
@@ -35,6 +36,9 @@
     message: PeerExchange,
   ) => Promise<Result<PeerExchange, Failure>>;
   markLeaving: (endpointKey: string, age: Millis) => void;
+  /** What to tell of contents that are turned away; undefined if nothing. */
+  readPoisonNews?: () => PoisonNews | undefined;
+  notePoisonNews?: (news: PoisonNews) => void;
   /** Told of entries, or of new incarnations of them. */
   onIntroduced: (record: PeerRecord) => void;
   /** Told of each newer heartbeat. */
@@ -84,11 +88,13 @@
     introductions: readonly PeerRecord[],
     records: readonly PeerRecord[],
   ): PeerExchange {
-    const message = {
+    const poison = options.readPoisonNews?.();
+    const message: PeerExchange = {
       heartbeats: records.map(encodeHeartbeat),
       introductions: [...introductions],
       leaving: options.directory.chooseMarks(MAX_MARKS),
       known: membership.list().length,
+      ...(poison === undefined ? {} : { poison }),
     };
     options.onBytes("out", JSON.stringify(message).length);
     return message;
@@ -152,6 +158,7 @@
     for (const { endpointKey, age } of message.leaving) {
       options.markLeaving(endpointKey, age);
     }
+    if (message.poison !== undefined) options.notePoisonNews?.(message.poison);
   }
 
   function answer(message: PeerExchange): PeerExchange {
--- a/packages/peers/src/mod.ts
+++ b/packages/peers/src/mod.ts
@@ -25,6 +25,7 @@
   WaitsQuestion,
 } from "./piece_protocol.ts";
 export { MAX_RELEASED } from "./piece_protocol.ts";
+export type { PoisonNews, RunReport, RunReportReply } from "./run_protocol.ts";
 export type { TopicName, TopicNews, TopicQuestion } from "./topic_protocol.ts";
 export type {
   ServingPeerClient,
--- a/packages/peers/src/peer_protocol.ts
+++ b/packages/peers/src/peer_protocol.ts
@@ -5,6 +5,7 @@
  */
 import type { PeerRecord } from "@mangoreach/coordination";
 import * as z from "zod";
+import { poisonNewsSchema } from "./run_protocol.ts";
 
 const stateSchema = z.enum(["live", "unready", "leaving"]);
 
@@ -82,6 +83,8 @@
   leaving: z.array(leavingMarkSchema).max(MAX_RECORDS),
   /** How many other entries the sender knows. */
   known: z.number().int().min(0),
+  /** Left out while nothing is suspected. */
+  poison: poisonNewsSchema.optional(),
 });
 
 /** One exchange of peer state. */
--- a/packages/peers/src/serving_peers.ts
+++ b/packages/peers/src/serving_peers.ts
@@ -30,6 +30,8 @@
   releaseSchema,
   waitsQuestionSchema,
 } from "./piece_protocol.ts";
+import type { RunReport, RunReportReply } from "./run_protocol.ts";
+import { runReportReplySchema, runReportSchema } from "./run_protocol.ts";
 import type { TopicNews, TopicQuestion } from "./topic_protocol.ts";
 import { topicNewsSchema, topicQuestionSchema } from "./topic_protocol.ts";
 
@@ -40,6 +42,8 @@
   runPieces(run: PieceRun, signal: AbortSignal): Promise<PieceRunReply>;
   readWaits(question: WaitsQuestion): PieceWaits;
   releaseResults(release: ResultRelease): void;
+  /** Counts runs of contents that this entry keeps count for. */
+  reportRuns(report: RunReport): RunReportReply;
   /** Answers from what this entry read of the store. */
   readTopic(question: TopicQuestion): Promise<TopicNews>;
 }
@@ -55,6 +59,8 @@
     ping: peerProcedure.query(() => null),
     readWaits: peerProcedure.input(waitsQuestionSchema)
       .query(({ input }) => handlers.readWaits(input)),
+    reportRuns: peerProcedure.input(runReportSchema)
+      .mutation(({ input }) => handlers.reportRuns(input)),
     readTopic: peerProcedure.input(topicQuestionSchema)
       .query(({ input }) => handlers.readTopic(input)),
     releaseResults: peerProcedure.input(releaseSchema)
@@ -98,6 +104,10 @@
     address: string,
     release: ResultRelease,
   ): Promise<Result<null, Failure>>;
+  reportRuns(
+    address: string,
+    report: RunReport,
+  ): Promise<Result<RunReportReply, Failure>>;
   readTopic(
     address: string,
     question: TopicQuestion,
@@ -163,6 +173,11 @@
         { address, schema: z.null(), timeout },
         (client, options) => client.releaseResults.mutate(release, options),
       ),
+    reportRuns: (address, report) =>
+      caller.ask(
+        { address, schema: runReportReplySchema, timeout },
+        (client, options) => client.reportRuns.mutate(report, options),
+      ),
     readTopic: (address, question) =>
       caller.ask(
         {
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -126,14 +126,20 @@
   options: AttemptOptions,
 ): Promise<AttemptOutcome> {
   const { request, admitted, deadline } = options;
-  const { route, pool } = admitted;
+  const { route, pool, account } = admitted;
   const mayRepeat = mayRunAgain(route);
   const avoid: string[] = [];
   let runs = 0;
   let last: LostAttempt | undefined;
   let endpointId: string | undefined;
   for (let attempts = 0;; attempts++) {
-    const isAllowed = attempts < MAX_TRIES && runs < route.maxAttempts &&
+    // Its stages take long enough for endpoints to end under it elsewhere.
+    const refusal = state.runWatch.findRefusal({ request, account });
+    if (refusal !== undefined && runs === 0) {
+      return { failure: refusal, attempts };
+    }
+    const isAllowed = refusal === undefined && attempts < MAX_TRIES &&
+      runs < route.maxAttempts &&
       (runs === 0 || mayRepeat) && !deadline.signal.aborted;
     const [endpoint] = isAllowed
       ? chooseEndpoints(state, { request, admitted, avoid })
@@ -229,8 +235,9 @@
     })
     : await takeAnswer(options, answer.value, recordLatency);
   loads.end(endpoint, end.load);
+  const { account } = admitted;
+  if (end.load === "done") runWatch.noteCompleted({ request, account });
   if (end.load === "broken") {
-    const { account } = admitted;
     void runWatch.noteBroken({ request, account, endpoint, sentAt: startedAt });
   }
   const load = answer.isOk && answer.value.kind !== "invalid"
--- a/packages/serving/src/crashing_request_test.ts
+++ b/packages/serving/src/crashing_request_test.ts
@@ -65,6 +65,63 @@
     });
   });
 
+  it("is turned away by entries that have just started", async () => {
+    const clock = createFakeClock(0);
+    const fleet = createTestFleet({
+      clock,
+      entries: ENTRIES,
+      endpoints: ENDPOINTS,
+      route: { kind: "stream", maxAttempts: 1 },
+    });
+    await sendAgainAndAgain(fleet, { clock });
+    fleet.restartEntries();
+    await sendAgainAndAgain(fleet, { clock });
+    expect(fleet.listReached(CRASHING)).to.have.length(3);
+  });
+
+  /**
+   * Entries that keep count find it themselves; the others are told by peers
+   * within two seconds, some three comings.
+   */
+  it("is turned away everywhere soon while the store is away", async () => {
+    const clock = createFakeClock(0);
+    const fleet = createTestFleet({
+      clock,
+      entries: ENTRIES,
+      endpoints: ENDPOINTS,
+      route: { kind: "stream", maxAttempts: 1 },
+    });
+    fleet.setStoreAway(true);
+    await sendAgainAndAgain(fleet, { clock });
+    const reached = fleet.listReached(CRASHING).length;
+    expect(reached).to.be.within(3, 6);
+    await sendAgainAndAgain(fleet, { clock });
+    expect(fleet.listReached(CRASHING)).to.have.length(reached);
+  });
+
+  it("is turned away soon when many callers send it at once", async () => {
+    const clock = createFakeClock(0);
+    const fleet = createTestFleet({
+      clock,
+      entries: ENTRIES,
+      endpoints: ENDPOINTS,
+      route: { kind: "stream", maxAttempts: 1 },
+    });
+    for (let wave = 0; wave < 6; wave++) {
+      const sent = [0, 1, 2].map((entry) =>
+        fleet.send({ entry: entry + wave % 3, body: CRASHING })
+      );
+      await clock.advance(PAUSE);
+      await Promise.all(sent);
+    }
+    const reached = fleet.listReached(CRASHING).length;
+    const last = fleet.send({ entry: 7, body: CRASHING });
+    await clock.advance(PAUSE);
+    expect((await last).seen).to.deep.equal(["not_run"]);
+    // Three waves at most: what ends at the same moment counts as one end.
+    expect(reached).to.be.within(3, 9);
+  });
+
   it("is not confused with what was at the same endpoints", async () => {
     const clock = createFakeClock(0);
     const fleet = createTestFleet({
--- a/packages/serving/src/decision_log.ts
+++ b/packages/serving/src/decision_log.ts
@@ -15,6 +15,7 @@
   | "request_failed"
   | "attempt_ended"
   | "run_broken"
+  | "quarantine_changed"
   | "stage_ended"
   | "stage_call"
   | "pieces_dropped"
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -25,6 +25,7 @@
 } from "./serving_handles.ts";
 export type { EncodeFailure } from "./caller_response.ts";
 export type { MemberStore } from "./member_registry.ts";
+export type { QuarantineRecord, QuarantineStore } from "./quarantine_store.ts";
 export type {
   ServingEntryOptions,
   ServingPlatform,
--- a/packages/serving/src/peer_news.ts
+++ b/packages/serving/src/peer_news.ts
@@ -18,6 +18,7 @@
 import { createLearningCheck } from "./learning_time.ts";
 import type { MemberRegistry, MemberStore } from "./member_registry.ts";
 import { createMemberRegistry, publishEntry } from "./member_registry.ts";
+import type { QuarantineNews } from "./quarantine_news.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 import type { ServingSettings } from "./serving_options.ts";
 
@@ -37,6 +38,8 @@
   readState: () => PeerState;
   countInFlight: () => number;
   readConfigVersion: () => number;
+  /** What is told along of contents that are turned away. */
+  quarantine: Pick<QuarantineNews, "readNews" | "takeNews">;
 }
 
 /** The peers of one entry. */
@@ -148,6 +151,8 @@
           });
         }
       },
+      readPoisonNews: options.quarantine.readNews,
+      notePoisonNews: options.quarantine.takeNews,
       onIntroduced: notePeer,
       onHeartbeat: notePeer,
       onReply: () => Promise.resolve(),
--- a/packages/serving/src/piece_router.ts
+++ b/packages/serving/src/piece_router.ts
@@ -44,7 +44,10 @@
   random: () => number;
   log: DecisionLog;
   membership: Membership;
-  peers: ServingPeerClient;
+  peers: Pick<
+    ServingPeerClient,
+    "runPieces" | "readWaits" | "ping" | "releaseResults"
+  >;
   /** The feeder in this process. */
   findFeeder: (pool: string, partition: string) => StageFeeder;
   listUsable: (pool: string) => readonly EndpointInfo[];
--- a/packages/serving/src/piece_router_test.ts
+++ b/packages/serving/src/piece_router_test.ts
@@ -66,7 +66,6 @@
       readPlace: () => undefined,
       peers: {
         runPieces,
-        exchange: (address) => Promise.resolve(fail(address)),
         ping: async (address) => {
           if (mode === "late") await clock.sleep(900);
           return mode === "silent" ? fail(address) : Result.ok(null);
@@ -79,9 +78,7 @@
               : fail(address),
           );
         },
-        readTopic: () => Promise.resolve(Result.ok({ kind: "unknown" })),
         releaseResults: () => Promise.resolve(Result.ok(null)),
-        close: () => Promise.resolve(),
       },
       findFeeder: () => ({
         run: () => {
@@ -174,7 +171,6 @@
       ]));
       const fed: { address: string; partition: string }[] = [];
       const released: string[] = [];
-      const never = () => Promise.reject(new Error("not asked"));
       const router = createPieceRouter({
         clock,
         random: () => 0.5,
@@ -188,8 +184,6 @@
           ),
         readPlace: (result) => result.slice(0, 1),
         peers: {
-          exchange: never,
-          readTopic: never,
           ping: () => Promise.resolve(Result.ok(null)),
           runPieces: (address, { partition }) => {
             fed.push({ address, partition });
@@ -211,7 +205,6 @@
             released.push(`${address} ${results.join("+")}`);
             return Promise.resolve(Result.ok(null));
           },
-          close: () => Promise.resolve(),
         },
         findFeeder: () => {
           throw new Error("this entry feeds nothing");
--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -81,6 +81,9 @@
   { admitted, deadline }: AdmittedWork,
 ): Promise<AttemptOutcome> {
   const { request, response } = served;
+  const { account } = admitted;
+  const refusal = state.runWatch.findRefusal({ request, account });
+  if (refusal !== undefined) return { failure: refusal, attempts: 0 };
   state.findBudget(admitted.pool).deposit();
   let results: StageResults | undefined;
   if (admitted.route.stages.length > 0) {
--- a/packages/serving/src/run_watch.ts
+++ b/packages/serving/src/run_watch.ts
@@ -3,11 +3,20 @@
  *
  * @module
  */
-import type { EndpointInfo } from "@mangoreach/coordination";
-import { computeContentDigest } from "@mangoreach/coordination";
+import type {
+  EndpointInfo,
+  Failure,
+  PoisonQuarantine,
+} from "@mangoreach/coordination";
+import {
+  computeContentDigest,
+  createFailure,
+  formatEndpointKey,
+} from "@mangoreach/coordination";
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { DecisionLog } from "./decision_log.ts";
 import type { EndpointCheck } from "./endpoint_check.ts";
+import type { QuarantineNews } from "./quarantine_news.ts";
 import type { PassedRequest } from "./serving_handles.ts";
 
 /** A request as its client account sent it. */
@@ -27,6 +36,9 @@
 export interface RunWatch {
   /** Resolves when it is known what became of the endpoint. */
   noteBroken(run: BrokenRun): Promise<void>;
+  noteCompleted(watched: WatchedRequest): void;
+  /** The refusal of a request that is turned away; undefined if it is let in. */
+  findRefusal(watched: WatchedRequest): Failure | undefined;
 }
 
 /** Options of {@linkcode createRunWatch}. */
@@ -34,11 +46,13 @@
   clock: Clock;
   log: DecisionLog;
   endpointCheck: EndpointCheck;
+  quarantine: Pick<PoisonQuarantine, "isEmpty" | "readTimeLeft">;
+  news: Pick<QuarantineNews, "noteEnded" | "noteCompleted">;
 }
 
 /** Creates the watch of an entry that has run nothing yet. */
 export function createRunWatch(
-  { clock, log, endpointCheck }: RunWatchOptions,
+  { clock, log, endpointCheck, quarantine, news }: RunWatchOptions,
 ): RunWatch {
   const digests = new WeakMap<PassedRequest, string>();
 
@@ -60,18 +74,43 @@
 
   async function noteBroken(run: BrokenRun): Promise<void> {
     const { request, account, endpoint, sentAt } = run;
-    const ranFor = clock.now() - sentAt;
+    const endedAt = clock.now();
     const condition = await endpointCheck.checkCondition(endpoint);
+    const content = findDigest(run);
     log.record("run_broken", {
       request: request.head.id,
-      content: findDigest(run),
+      content,
       account,
       endpoint: endpoint.id,
       incarnation: endpoint.incarnation,
-      ranFor,
+      ranFor: endedAt - sentAt,
       outcome: condition,
     });
+    if (condition !== "ended") return;
+    const now = clock.now();
+    news.noteEnded({
+      content,
+      endpointKey: formatEndpointKey(endpoint),
+      sentAgo: now - sentAt,
+      endedAgo: now - endedAt,
+    });
+  }
+
+  function noteCompleted(watched: WatchedRequest): void {
+    if (quarantine.isEmpty()) return;
+    news.noteCompleted(findDigest(watched));
+  }
+
+  function findRefusal(watched: WatchedRequest): Failure | undefined {
+    if (quarantine.isEmpty()) return undefined;
+    const retryAfterMs = quarantine.readTimeLeft(findDigest(watched));
+    if (retryAfterMs === 0) return undefined;
+    return createFailure("unavailable", {
+      verdict: "not_run",
+      message: "endpoints ended under this request",
+      retryAfterMs,
+    });
   }
 
-  return { noteBroken };
+  return { noteBroken, noteCompleted, findRefusal };
 }
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -10,7 +10,10 @@
   PeerState,
   RequestLimits,
 } from "@mangoreach/coordination";
-import { createCallerElapsed } from "@mangoreach/coordination";
+import {
+  createCallerElapsed,
+  createPoisonQuarantine,
+} from "@mangoreach/coordination";
 import type { PieceRun } from "@mangoreach/peers";
 import { createServingPeerListener } from "@mangoreach/peers";
 import type { Millis } from "@mangoreach/shared";
@@ -28,6 +31,7 @@
 import { createPeerNews } from "./peer_news.ts";
 import { createPieceRouter } from "./piece_router.ts";
 import { createPoolParts } from "./pool_parts.ts";
+import { createQuarantineNews } from "./quarantine_news.ts";
 import { serveRequest } from "./request_service.ts";
 import { createRunWatch } from "./run_watch.ts";
 import { createServingMetrics } from "./serving_metrics.ts";
@@ -124,8 +128,14 @@
     onConfig: ({ limits }) => listener.applyLimits(limits),
     onEndpoints: () => pools.refreshFeeders(),
     members: {
-      replaceAll: (records) => news.registry.replaceAll(records),
-      apply: (record) => news.registry.apply(record),
+      replaceAll(records) {
+        news.registry.replaceAll(records);
+        quarantineNews.takeRecords(records);
+      },
+      apply(record) {
+        news.registry.apply(record);
+        quarantineNews.takeRecords([record]);
+      },
     },
   });
   const { configAge, directory, readTable } = knowledge;
@@ -158,9 +168,28 @@
     readState,
     countInFlight: () => tasks.size,
     readConfigVersion: () => readTable()?.config.version ?? 0,
+    quarantine: {
+      readNews: () => quarantineNews.readNews(),
+      takeNews: (poison) => quarantineNews.takeNews(poison),
+    },
   });
   const { membership, peers } = news;
 
+  const quarantine = createPoisonQuarantine(clock);
+  const quarantineNews = createQuarantineNews({
+    clock,
+    random,
+    log,
+    quarantine,
+    store: platform.quarantine,
+    membership,
+    report: async (address, report) => {
+      const reply = await peers.reportRuns(address, report);
+      return reply.isOk ? reply.value : undefined;
+    },
+    signal,
+  });
+
   const pools = createPoolParts({
     clock,
     log,
@@ -207,6 +236,8 @@
         clock,
         checkListening: platform.checkListening,
       }),
+      quarantine,
+      news: quarantineNews,
     }),
     readMaker: platform.stages.readMaker,
     findPlace: knowledge.findPlace,
@@ -245,6 +276,7 @@
       handlers: {
         exchange: (message) => exchange.answer(message),
         runPieces: (run, stop) => runForPeer(run, stop),
+        reportRuns: quarantineNews.answer,
         readTopic: (question) =>
           knowledge.relays[question.topic].answer(question),
         readWaits: ({ pool, partition, priority }) =>
@@ -268,6 +300,12 @@
     })
   );
 
+  quarantineNews.watchTerms().catch((error) =>
+    logger.error("Watching the terms of quarantines has ended.", {
+      error: String(error),
+    })
+  );
+
   log.record("process_started", {
     incarnation: options.incarnation,
     callers: readServerAddress(listener.server),
--- a/packages/serving/src/serving_options.ts
+++ b/packages/serving/src/serving_options.ts
@@ -19,6 +19,7 @@
 import type { Result } from "true-myth";
 import type { EncodeFailure } from "./caller_response.ts";
 import type { MemberStore } from "./member_registry.ts";
+import type { QuarantineStore } from "./quarantine_store.ts";
 import type {
   CallEndpoint,
   KeyedRecord,
@@ -57,6 +58,7 @@
   endpointSource: KeyedSource;
   decodeEndpoint: (record: KeyedRecord) => Result<EndpointInfo, string>;
   members: MemberStore;
+  quarantine: QuarantineStore;
   callEndpoint: CallEndpoint;
   /** Whether anything listens at an endpoint's address. */
   checkListening: (address: string) => Promise<Listening>;
--- a/packages/serving/src/test_fleet.ts
+++ b/packages/serving/src/test_fleet.ts
@@ -4,15 +4,23 @@
  *
  * @module
  */
-import type { EndpointInfo, Route } from "@mangoreach/coordination";
+import type {
+  EndpointInfo,
+  QuarantinedContent,
+  Route,
+} from "@mangoreach/coordination";
 import {
   createEndpointDirectory,
+  createPoisonQuarantine,
   formatEndpointKey,
 } from "@mangoreach/coordination";
 import type { FakeClock, HttpFault, Millis } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import { createSilentDecisionLog } from "./decision_log.ts";
 import { createEndpointCheck } from "./endpoint_check.ts";
+import type { QuarantineNews } from "./quarantine_news.ts";
+import { createQuarantineNews } from "./quarantine_news.ts";
+import type { QuarantineStore } from "./quarantine_store.ts";
 import { serveRequest } from "./request_service.ts";
 import { createRunWatch } from "./run_watch.ts";
 import type { CallEndpoint, EndpointAnswer } from "./serving_handles.ts";
@@ -21,6 +29,7 @@
   createRecordedResponse,
   createTestEndpoint,
   createTestHead,
+  createTestPeer,
   createTestReply,
   createTestRoute,
   createTestState,
@@ -33,6 +42,7 @@
 export const WORK_TIME: Millis = 50;
 /** An endpoint that has ended is replaced after this. */
 export const RESTART_TIME: Millis = 3_000;
+const EXCHANGE_INTERVAL: Millis = 500;
 
 /** Options of {@linkcode createTestFleet}. */
 export interface TestFleetOptions {
@@ -64,6 +74,10 @@
   listReached(body: string): readonly string[];
   /** Ends some endpoints at once, whatever they work on. */
   endEndpoints(count: number): void;
+  /** Starts all entries again; they know what the store knows. */
+  restartEntries(): void;
+  /** While it is away the store takes nothing. */
+  setStoreAway(isAway: boolean): void;
 }
 
 interface RunningCall {
@@ -137,8 +151,67 @@
     });
   };
 
-  function createEntry(): ServingState {
+  /** The store's records, and the entries that follow them. */
+  const records = new Map<string, QuarantinedContent>();
+  let isStoreAway = false;
+  const news: QuarantineNews[] = [];
+  const peers = Array.from(
+    { length: entries },
+    (_, number) => createTestPeer(String(number)),
+  );
+
+  const store: QuarantineStore = {
+    announce: (quarantined) =>
+      writeStore(
+        quarantined.content,
+        () => records.set(quarantined.content, quarantined),
+      ),
+    withdraw: (content) => writeStore(content, () => records.delete(content)),
+    decode: ({ key }) => ({ content: key, quarantined: records.get(key) }),
+  };
+
+  function writeStore(content: string, write: () => void) {
+    if (isStoreAway) return Promise.resolve(Result.err<null, string>("away"));
+    write();
+    const record = { key: content, value: undefined };
+    news.forEach((entry) => entry.takeRecords([record]));
+    return Promise.resolve(Result.ok<null, string>(null));
+  }
+
+  /** Each entry exchanges what it knows with one other, in turn. */
+  function exchangeNews(round: number): void {
+    news.forEach((entry, number) => {
+      const partner = news[(number + 1 + round % (entries - 1)) % entries]!;
+      const [mine, theirs] = [entry.readNews(), partner.readNews()];
+      if (mine !== undefined) partner.takeNews(mine);
+      if (theirs !== undefined) entry.takeNews(theirs);
+    });
+    clock.startTimer(EXCHANGE_INTERVAL, () => exchangeNews(round + 1));
+  }
+
+  function createEntry(_: unknown, number: number): ServingState {
     const log = createSilentDecisionLog();
+    const quarantine = createPoisonQuarantine(clock);
+    const quarantineNews = createQuarantineNews({
+      clock,
+      random: () => 0.5,
+      log,
+      quarantine,
+      store,
+      membership: {
+        self: peers[number]!,
+        list: () =>
+          peers.filter((_, other) => other !== number)
+            .map((record) => ({ record, age: 0, health: "alive" })),
+      },
+      report: (address, report) =>
+        Promise.resolve(news[Number(address)]!.answer(report)),
+      signal: new AbortController().signal,
+    });
+    news[number] = quarantineNews;
+    quarantineNews.takeRecords(
+      [...records.keys()].map((key) => ({ key, value: undefined })),
+    );
     const state = createTestState(clock, {
       log,
       directory,
@@ -156,12 +229,15 @@
                 : "refused",
             ),
         }),
+        quarantine,
+        news: quarantineNews,
       }),
     });
     return state;
   }
 
-  const states = Array.from({ length: entries }, createEntry);
+  let states = Array.from({ length: entries }, createEntry);
+  exchangeNews(0);
 
   async function send({ entry, body }: Coming): Promise<ComingEnd> {
     const startedAt = clock.now();
@@ -185,5 +261,11 @@
       reached.filter((run) => run.body === body)
         .map(({ endpointKey }) => endpointKey),
     endEndpoints: (count) => live.slice(0, count).forEach(endEndpoint),
+    restartEntries() {
+      states = Array.from({ length: entries }, createEntry);
+    },
+    setStoreAway(isAway) {
+      isStoreAway = isAway;
+    },
   };
 }
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -273,7 +273,11 @@
       release: () => {},
     },
     callEndpoint: () => Promise.reject(new Error("no endpoints")),
-    runWatch: { noteBroken: () => Promise.resolve() },
+    runWatch: {
+      noteBroken: () => Promise.resolve(),
+      noteCompleted: () => {},
+      findRefusal: () => undefined,
+    },
     readMaker: () => "",
     callerElapsed: { read: () => 0 },
     findPlace: () => undefined,
