--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -7,6 +7,7 @@
 import type {
   EndpointInfo,
   PeerRecord,
+  RetryBudget,
   Route,
   RouteTable,
   ServingConfig,
@@ -206,6 +207,7 @@
 export function createTestFeeder(
   clock: FakeClock,
   endpoints: readonly EndpointInfo[],
+  budget: RetryBudget = createRetryBudget({ share: 0.1, max: 4 }),
 ) {
   const stages = createFakeStages();
   /** Keys of endpoints that said they are another one. */
@@ -222,7 +224,7 @@
       endpoints.filter((endpoint) => !left.has(formatEndpointKey(endpoint))),
     markLeaving: (endpointKey) => left.add(endpointKey),
     readSpec: () => TEST_SPEC,
-    budget: createRetryBudget({ share: 0.1, max: 4 }),
+    budget,
     releaseInputs: (_pool, results) => fetched.push(...results),
   });
   return { feeder, stages, fetched };
