fix(serving): pieces are parted when makers end under them, and the ends are told

Cause: the same as with engines; pieces of a call whose maker ended were repeated together, so one of them took all others with it, and whose fault it was was told to nobody. Change: the feeder asks whether the maker has ended before it repeats; after two ends a piece shares its call with pieces of its own request only. The reply tells the ends to who asked, where they count against the request's content like those of engines. An ordinary end costs nothing: the first repeat is shared as before.

--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -43,6 +43,11 @@
   movedBytes: number;
   /** Endpoints that failed it already. */
   avoid: ReadonlySet<string>;
+  /**
+   * Endpoints ended under calls with it, so it shares its next call with pieces
+   * of its own request only: either it completes there, or it is the cause.
+   */
+  readonly isAlone?: boolean;
 }
 
 /** What the batcher knows of an endpoint. */
@@ -215,6 +220,7 @@
     function addFitting(pieces: readonly P[]): void {
       for (const piece of pieces) {
         if (chosen.size >= spec.maxPieces) return;
+        if (!mayShareCall(first, piece)) continue;
         if (chosen.has(piece) || piece.avoid.has(endpoint.info.id)) continue;
         const roomLeft = spec.roomBytes - roomTaken;
         const fits = begun.has(piece.group)
@@ -259,6 +265,11 @@
   };
 }
 
+function mayShareCall(first: WaitingPiece, other: WaitingPiece): boolean {
+  const isAnyAlone = first.isAlone === true || other.isAlone === true;
+  return !isAnyAlone || first.group === other.group;
+}
+
 /** Whether a call that starts now is too late for the objective. */
 function isLate(
   { onTimeAt }: WaitingPiece,
--- a/packages/peers/src/mod.ts
+++ b/packages/peers/src/mod.ts
@@ -25,7 +25,12 @@
   WaitsQuestion,
 } from "./piece_protocol.ts";
 export { MAX_RELEASED } from "./piece_protocol.ts";
-export type { PoisonNews, RunReport, RunReportReply } from "./run_protocol.ts";
+export type {
+  EndpointEnd,
+  PoisonNews,
+  RunReport,
+  RunReportReply,
+} from "./run_protocol.ts";
 export type { TopicName, TopicNews, TopicQuestion } from "./topic_protocol.ts";
 export type {
   ServingPeerClient,
--- a/packages/peers/src/piece_protocol.ts
+++ b/packages/peers/src/piece_protocol.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as z from "zod";
+import { endpointEndSchema } from "./run_protocol.ts";
 
 /** What a piece is made from: the request's own key, or earlier results. */
 const pieceSourceSchema = z.discriminatedUnion("kind", [
@@ -94,6 +95,8 @@
   waits: pieceWaitsSchema,
   /** The inputs are freed already. */
   freedInputs: z.boolean(),
+  /** Endpoints that ended during calls with its pieces; left out if none. */
+  ends: z.array(endpointEndSchema).optional(),
 });
 
 /** The outcomes of a run, in the order of its pieces. */
--- a/packages/peers/src/run_protocol.ts
+++ b/packages/peers/src/run_protocol.ts
@@ -8,10 +8,8 @@
 const MAX_ROWS = 256;
 const MAX_ENDPOINT_KEYS = 16;
 
-/** A request during which its endpoint ended. */
-const endedRunSchema = z.object({
-  /** The digest of what was asked for. */
-  content: z.string(),
+/** An endpoint that ended during a run. */
+export const endpointEndSchema = z.object({
   endpointKey: z.string(),
   /** Milliseconds since it was sent to the endpoint. */
   sentAgo: z.number().min(0),
@@ -19,6 +17,15 @@
   endedAgo: z.number().min(0),
 });
 
+/** An endpoint that ended during a run. */
+export type EndpointEnd = z.infer<typeof endpointEndSchema>;
+
+/** A request during which its endpoint ended. */
+const endedRunSchema = endpointEndSchema.extend({
+  /** The digest of what was asked for. */
+  content: z.string(),
+});
+
 /** A content that is turned away. */
 const quarantinedSchema = z.object({
   content: z.string(),
--- a/packages/serving/src/crashing_piece_test.ts
+++ b/packages/serving/src/crashing_piece_test.ts
@@ -71,4 +71,17 @@
       .to.deep.equal(["failed", "done", "done", "done"]);
     expect(ended).to.have.length(3);
   });
+
+  it("is told to who asked for it, with the makers that ended", async () => {
+    const { clock, feeder, stages } = createPool();
+    const { signal } = new AbortController();
+    const run = feeder.run(createRun(CRASHING), signal);
+    await workOff(stages, clock);
+    const { ends = [] } = await run;
+    expect(ends.map(({ endpointKey }) => endpointKey))
+      .to.deep.equal(["m1#1", "m1#1", "m1#1"]);
+    const quiet = feeder.run(createRun("quiet"), signal);
+    await workOff(stages, clock);
+    expect((await quiet).ends).to.equal(undefined);
+  });
 });
--- a/packages/serving/src/feeder_piece.ts
+++ b/packages/serving/src/feeder_piece.ts
@@ -16,8 +16,24 @@
   lastCallAt: Millis;
   readonly ownsInputs: boolean;
   freedInputs: boolean;
+  /** Endpoints that ended during calls with its pieces. */
+  readonly ends: GroupEnd[];
 }
 
+/** An endpoint that ended during a call with pieces of a group. */
+export interface GroupEnd {
+  endpointKey: string;
+  sentAt: Millis;
+  endedAt: Millis;
+}
+
+/**
+ * One end may have any cause, and calls of one request each would cost the pool
+ * a call's time for every request that was there; a second end under the same
+ * pieces has its cause among them.
+ */
+const ENDS_TO_PART = 2;
+
 /** Why a piece is not made. */
 export type FailReason = Extract<PieceOutcome, { kind: "failed" }>["reason"];
 
@@ -42,6 +58,7 @@
     lastCallAt: 0,
     ownsInputs,
     freedInputs: false,
+    ends: [],
   };
 }
 
@@ -69,6 +86,9 @@
     attempts: 0,
     isCancelled: false,
     result: undefined,
+    get isAlone() {
+      return group.ends.length >= ENDS_TO_PART;
+    },
     settle,
   };
   group.pieces.push(piece);
--- a/packages/serving/src/pool_parts.ts
+++ b/packages/serving/src/pool_parts.ts
@@ -19,6 +19,7 @@
 } from "@mangoreach/coordination";
 import type { Clock } from "@mangoreach/shared";
 import type { DecisionLog } from "./decision_log.ts";
+import type { EndpointCheck } from "./endpoint_check.ts";
 import type { EndpointLoads } from "./endpoint_load.ts";
 import { createLearningCheck } from "./learning_time.ts";
 import type { StageEndpoints } from "./serving_handles.ts";
@@ -30,6 +31,7 @@
   clock: Clock;
   log: DecisionLog;
   loads: EndpointLoads;
+  endpointCheck: EndpointCheck;
   stages: StageEndpoints;
   listUsable: (pool: string) => readonly EndpointInfo[];
   /** Told of an endpoint whose address has become another's. */
@@ -111,6 +113,7 @@
       listEndpoints: () =>
         listPartitionEndpoints(options.listUsable(pool), partition),
       markLeaving: options.markLeaving,
+      endpointCheck: options.endpointCheck,
       readSpec: () => readBatchSpec(options.readTable(), pool),
       releaseInputs: options.releaseInputs,
       budget: createRetryBudget({
--- a/packages/serving/src/pool_parts_test.ts
+++ b/packages/serving/src/pool_parts_test.ts
@@ -12,6 +12,9 @@
       clock,
       log: createSilentDecisionLog(),
       loads: createEndpointLoads(clock),
+      endpointCheck: {
+        checkCondition: () => Promise.resolve("unknown"),
+      },
       stages: createFakeStages(),
       listUsable: () => [],
       markLeaving: () => {},
--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -113,8 +113,8 @@
   { request, receivedAt }: ServedRequest,
   { admitted, deadline }: AdmittedWork,
 ): Promise<Result<StageResults, Failure>> {
-  const { clock, log, router, random, callerElapsed } = state;
-  const { route, table, rank } = admitted;
+  const { clock, log, router, random, callerElapsed, runWatch } = state;
+  const { route, table, rank, account } = admitted;
   const size = sumTokens(request.head.promptParts);
   // What has just enough time left misses at the next small delay: in a burst
   // all would be served a little late. So the usual delay is reckoned with.
@@ -154,6 +154,7 @@
       table.findPool(pool)?.batching?.resultLifetime ?? Infinity,
     readPlace: (result) => state.findPlace(state.readMaker(result)),
     place,
+    noteEnds: (ends) => runWatch.noteStageEnds({ request, account }, ends),
     signal: deadline.signal,
   });
 }
--- a/packages/serving/src/run_watch.ts
+++ b/packages/serving/src/run_watch.ts
@@ -13,6 +13,7 @@
   createFailure,
   formatEndpointKey,
 } from "@mangoreach/coordination";
+import type { EndpointEnd } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { DecisionLog } from "./decision_log.ts";
 import type { EndpointCheck } from "./endpoint_check.ts";
@@ -36,6 +37,8 @@
 export interface RunWatch {
   /** Resolves when it is known what became of the endpoint. */
   noteBroken(run: BrokenRun): Promise<void>;
+  /** Takes ends of stage endpoints, as their feeder found them. */
+  noteStageEnds(watched: WatchedRequest, ends: readonly EndpointEnd[]): void;
   noteCompleted(watched: WatchedRequest): void;
   /** The refusal of a request that is turned away; undefined if it is let in. */
   findRefusal(watched: WatchedRequest): Failure | undefined;
@@ -96,6 +99,14 @@
     });
   }
 
+  function noteStageEnds(
+    watched: WatchedRequest,
+    ends: readonly EndpointEnd[],
+  ): void {
+    const content = findDigest(watched);
+    ends.forEach((end) => news.noteEnded({ content, ...end }));
+  }
+
   function noteCompleted(watched: WatchedRequest): void {
     if (quarantine.isEmpty()) return;
     news.noteCompleted(findDigest(watched));
@@ -112,5 +123,5 @@
     });
   }
 
-  return { noteBroken, noteCompleted, findRefusal };
+  return { noteBroken, noteStageEnds, noteCompleted, findRefusal };
 }
--- /dev/null
+++ b/packages/serving/src/run_watch_test.ts
@@ -0,0 +1,109 @@
+import type { EndedRun } from "@mangoreach/coordination";
+import { createPoisonQuarantine } from "@mangoreach/coordination";
+import type { FakeClock } from "@mangoreach/shared";
+import { createFakeClock } from "@mangoreach/shared";
+import { expect } from "chai";
+import { createSilentDecisionLog } from "./decision_log.ts";
+import type { EndpointCondition } from "./endpoint_check.ts";
+import type { WatchedRequest } from "./run_watch.ts";
+import { createRunWatch } from "./run_watch.ts";
+import { createTestEndpoint, createTestHead } from "./test_support.ts";
+
+function createWatched(
+  { id = "1", account = "one", target = "/r/x", body = "b" } = {},
+): WatchedRequest {
+  const head = createTestHead({ id, target });
+  return { account, request: { head, body: Buffer.from(body) } };
+}
+
+function createWatch(clock: FakeClock, condition: EndpointCondition) {
+  const ended: EndedRun[] = [];
+  const completed: string[] = [];
+  const quarantine = createPoisonQuarantine(clock);
+  const watch = createRunWatch({
+    clock,
+    log: createSilentDecisionLog(),
+    endpointCheck: {
+      checkCondition: async () => {
+        await clock.sleep(5);
+        return condition;
+      },
+    },
+    quarantine,
+    news: {
+      noteEnded: (run) => ended.push(run),
+      noteCompleted: (content) => completed.push(content),
+    },
+  });
+  return { watch, quarantine, ended, completed };
+}
+
+describe("watching runs", () => {
+  async function noteBroken(condition: EndpointCondition) {
+    const clock = createFakeClock(0);
+    const { watch, ended } = createWatch(clock, condition);
+    await clock.advance(300);
+    const noted = watch.noteBroken({
+      ...createWatched(),
+      endpoint: createTestEndpoint("e1"),
+      sentAt: 100,
+    });
+    await clock.advance(5);
+    await noted;
+    return ended;
+  }
+
+  it("counts from the end itself, not from when that was known", async () => {
+    const [run] = await noteBroken("ended");
+    expect(run).to.include({
+      endpointKey: "e1#1",
+      sentAgo: 205,
+      endedAgo: 5,
+    });
+  });
+
+  for (const condition of ["listening", "unknown"] as const) {
+    it(`holds nothing against a request whose endpoint is ${condition}`, async () => {
+      expect(await noteBroken(condition)).to.deep.equal([]);
+    });
+  }
+
+  it("knows a content by path, account and body, not by its id", async () => {
+    const clock = createFakeClock(0);
+    const { watch, ended, quarantine } = createWatch(clock, "ended");
+    const noted = watch.noteBroken({
+      ...createWatched(),
+      endpoint: createTestEndpoint("e1"),
+      sentAt: 0,
+    });
+    await clock.advance(5);
+    await noted;
+    const { content } = ended[0]!;
+    quarantine.adopt({ content, endpointKeys: ["e1#1"], term: 60_000 });
+    const isRefused = (change: Parameters<typeof createWatched>[0]) =>
+      watch.findRefusal(createWatched(change)) !== undefined;
+    expect({
+      same: isRefused({ id: "2" }),
+      otherPath: isRefused({ target: "/r/y" }),
+      otherAccount: isRefused({ account: "two" }),
+      otherBody: isRefused({ body: "c" }),
+    }).to.deep.equal({
+      same: true,
+      otherPath: false,
+      otherAccount: false,
+      otherBody: false,
+    });
+    expect(watch.findRefusal(createWatched())).to.deep.include({
+      kind: "unavailable",
+      verdict: "not_run",
+      retryAfterMs: 60_000,
+    });
+  });
+
+  it("does not look at contents while nothing is suspected", () => {
+    const { watch, completed } = createWatch(createFakeClock(0), "ended");
+    watch.noteCompleted(createWatched());
+    expect(completed).to.deep.equal([]);
+    expect(watch.findRefusal(createWatched())).to.equal(undefined);
+  });
+});
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -190,10 +190,15 @@
     signal,
   });
 
+  const endpointCheck = createEndpointCheck({
+    clock,
+    checkListening: platform.checkListening,
+  });
   const pools = createPoolParts({
     clock,
     log,
     loads,
+    endpointCheck,
     stages: platform.stages,
     listUsable: directory.listUsable,
     markLeaving: (endpointKey) => directory.markLeaving(endpointKey),
@@ -232,10 +237,7 @@
     runWatch: createRunWatch({
       clock,
       log,
-      endpointCheck: createEndpointCheck({
-        clock,
-        checkListening: platform.checkListening,
-      }),
+      endpointCheck,
       quarantine,
       news: quarantineNews,
     }),
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -16,12 +16,14 @@
 } from "@mangoreach/coordination";
 import { createPieceBatcher, createPieceFlow } from "@mangoreach/coordination";
 import type {
+  EndpointEnd,
   PieceOrder,
   PieceOutcome,
   PieceRun,
   PieceRunReply,
 } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
+import type { EndpointCheck } from "./endpoint_check.ts";
 import type { EndpointLoads } from "./endpoint_load.ts";
 import type { FailReason, FeederGroup, FeederPiece } from "./feeder_piece.ts";
 import {
@@ -52,6 +54,7 @@
   /** Told of an endpoint whose address has become another's. */
   markLeaving: (endpointKey: string) => void;
   readSpec: () => BatchSpec;
+  endpointCheck: EndpointCheck;
   /** Pieces that are made a second time draw on it. */
   budget: RetryBudget;
   /** Frees results of another pool, at whoever feeds that. */
@@ -119,10 +122,20 @@
         outcomes: list,
         waits: readWaits(request.priority),
         freedInputs: group.freedInputs,
+        ...(group.ends.length > 0 ? { ends: listEnds(group) } : {}),
       };
     });
   }
 
+  function listEnds({ ends }: FeederGroup): EndpointEnd[] {
+    const now = clock.now();
+    return ends.map(({ endpointKey, sentAt, endedAt }) => ({
+      endpointKey,
+      sentAgo: now - sentAt,
+      endedAgo: now - endedAt,
+    }));
+  }
+
   function readWaits(priority: number): PieceWaits {
     const now = clock.now();
     return batcher.estimateWaits(priority, { now, forecast: readForecast() });
@@ -247,6 +260,10 @@
       const isUnreachable = reply.error.sent === "no";
       loads.end(info, isUnreachable ? "unreachable" : "failing");
       room.addTaken(key, -bytes);
+      // Repeated before this is known, all would share their next call again.
+      if (reply.error.kind === "cut" && !isUnreachable) {
+        await noteBroken(maker, { pieces, startedAt });
+      }
       pieces.forEach((piece) => tryAgain(piece, info, "unavailable"));
     } else {
       takeReply(maker, {
@@ -271,6 +288,20 @@
     dispatch();
   }
 
+  async function noteBroken(
+    { info, key }: CalledMaker,
+    { pieces, startedAt }: {
+      pieces: readonly FeederPiece[];
+      startedAt: Millis;
+    },
+  ): Promise<void> {
+    const endedAt = clock.now();
+    const condition = await options.endpointCheck.checkCondition(info);
+    if (condition !== "ended") return;
+    const end = { endpointKey: key, sentAt: startedAt, endedAt };
+    listGroups(pieces).forEach(({ group }) => group.ends.push(end));
+  }
+
   function takeReply(
     maker: CalledMaker,
     { pieces, reply, ratio }: {
--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -10,7 +10,7 @@
   planStages,
   spreadRetryAfter,
 } from "@mangoreach/coordination";
-import type { PieceOutcome, PieceSource } from "@mangoreach/peers";
+import type { EndpointEnd, PieceOutcome, PieceSource } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { DecisionLog } from "./decision_log.ts";
@@ -39,6 +39,8 @@
   readPlace: (result: string) => string | undefined;
   /** Where the last results will be fetched to. */
   place: string | undefined;
+  /** Told of endpoints that ended during calls with pieces of the request. */
+  noteEnds: (ends: readonly EndpointEnd[]) => void;
   signal: AbortSignal;
 }
 
@@ -125,7 +127,8 @@
       })),
     }, controller.signal);
     if (reply.isErr) return Result.err(reply.error);
-    const { outcomes, freedInputs } = reply.value;
+    const { outcomes, freedInputs, ends } = reply.value;
+    if (ends !== undefined) options.noteEnds(ends);
     // Freed once more, they would cost a message and a call to each maker.
     if (freedInputs) stage.after.forEach((needed) => made.delete(needed));
     const results = outcomes.flatMap((outcome) =>
--- a/packages/serving/src/stage_graph_test.ts
+++ b/packages/serving/src/stage_graph_test.ts
@@ -1,4 +1,4 @@
-import type { PieceRunReply } from "@mangoreach/peers";
+import type { EndpointEnd, PieceRunReply } from "@mangoreach/peers";
 import { createFakeClock, settlePromises } from "@mangoreach/shared";
 import { expect } from "chai";
 import { Result } from "true-myth";
@@ -24,9 +24,10 @@
   ) {
     const runs: (PieceWork & { end: (reply: PieceRunReply) => void })[] = [];
     const released: string[] = [];
+    const noted: EndpointEnd[] = [];
     const stage = (number: number) =>
       runs.find(({ pieces }) => pieces[0]?.stage === number);
-    const finish = async (number: number) => {
+    const finish = async (number: number, ends?: EndpointEnd[]) => {
       const run = stage(number);
       run?.end({
         outcomes: run.pieces.map(({ piece }) => ({
@@ -35,6 +36,7 @@
         })),
         waits,
         freedInputs,
+        ...(ends === undefined ? {} : { ends }),
       });
       await settlePromises();
     };
@@ -59,9 +61,10 @@
       readLifetime: () => 4_000,
       readPlace: () => "there",
       place: "here",
+      noteEnds: (ends) => void noted.push(...ends),
       signal: new AbortController().signal,
     });
-    return { runs, released, stage, finish, outcome };
+    return { runs, released, noted, stage, finish, outcome };
   }
 
   it("gives each stage all results of the stages it needs", async () => {
@@ -88,6 +91,14 @@
       .to.deep.equal(["0.0", "3.0", "3.1"]);
   });
 
+  it("tells of endpoints that ended during its calls", async () => {
+    const { noted, finish } = create([1, 0, 0, 0]);
+    await settlePromises();
+    const end = { endpointKey: "m1#1", sentAgo: 300, endedAgo: 20 };
+    await finish(0, [end]);
+    expect(noted).to.deep.equal([end]);
+  });
+
   // Makers have room for a few results only. Results kept until the end of the
   // request block their pool, and all later requests wait.
   it("frees results as soon as the stages that need them are done", async () => {
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -223,6 +223,8 @@
     listEndpoints: () =>
       endpoints.filter((endpoint) => !left.has(formatEndpointKey(endpoint))),
     markLeaving: (endpointKey) => left.add(endpointKey),
+    // A fake call breaks off only because its maker has ended.
+    endpointCheck: { checkCondition: () => Promise.resolve("ended") },
     readSpec: () => TEST_SPEC,
     budget,
     releaseInputs: (_pool, results) => fetched.push(...results),
@@ -278,6 +280,7 @@
     runWatch: {
       noteBroken: () => Promise.resolve(),
       noteCompleted: () => {},
+      noteStageEnds: () => {},
       findRefusal: () => undefined,
     },
     readMaker: () => "",
