test(soak): a request that ends each engine, over real connections

What four entries have seen adds up by their own protocol, and outlasts the end of all of them by the store. Ports are found in one place.

--- /dev/null
+++ b/soak/src/crashing_request_test.ts
@@ -0,0 +1,74 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "chai";
+import { request } from "undici";
+import { HEADER } from "../../platform/src/wire_names.ts";
+import type { CrashingSite } from "./crashing_site.ts";
+import { CRASHING_BODY, startCrashingSite } from "./crashing_site.ts";
+
+/**
+ * One request ends each engine that begins to work on it, and comes again and
+ * again, under a new id and to another entry each time. No entry sees three ends
+ * by itself: over real connections, what each has seen must add up, and it must
+ * outlast the end of all entries.
+ */
+describe("a request that ends each engine, over real connections", () => {
+  const ENTRIES = 4;
+  const PAUSE_MS = 500;
+  let site: CrashingSite;
+
+  before(async () => {
+    site = await startCrashingSite(ENTRIES);
+  });
+
+  after(() => site.stop());
+
+  async function call(id: string, { entry = 0, body = CRASHING_BODY } = {}) {
+    const reply = await request(`http://${site.callers[entry]}/once/x`, {
+      method: "POST",
+      body,
+      headers: {
+        host: "soak.example",
+        authorization: "Bearer key-1",
+        [HEADER.requestId]: id,
+        [HEADER.deadline]: "2000",
+      },
+    });
+    await reply.body.dump();
+    const retryAfter = Number(reply.headers[HEADER.retryAfter] ?? 0);
+    return { status: reply.statusCode, retryAfter };
+  }
+
+  async function callAgainAndAgain(times: number) {
+    let last = { status: 0, retryAfter: 0 };
+    for (let time = 0; time < times; time++) {
+      last = await call(`r-${Date.now()}-${time}`, { entry: time % ENTRIES });
+      await sleep(PAUSE_MS);
+    }
+    return last;
+  }
+
+  it("ends three, and one more that it may have reached meanwhile", async () => {
+    // Entries have to have heard of each other.
+    await sleep(1_500);
+    const last = await callAgainAndAgain(8);
+    expect(site.ended.length).to.be.within(3, 4);
+    expect(last.status).to.equal(503);
+    expect(last.retryAfter).to.be.within(500, 600);
+  });
+
+  it("is turned away by entries that start afterwards", async () => {
+    const before = site.ended.length;
+    await site.replaceEntries();
+    const last = await callAgainAndAgain(4);
+    expect(site.ended.length).to.equal(before);
+    expect(last.status).to.equal(503);
+  });
+
+  it("does not keep others from being served", async () => {
+    const statuses = await Promise.all(
+      [0, 1, 2, 3].map((entry) => call(`other-${entry}`, { entry, body: "b" })),
+    );
+    expect(statuses.map(({ status }) => status))
+      .to.deep.equal([200, 200, 200, 200]);
+  });
+});
--- /dev/null
+++ b/soak/src/free_ports.ts
@@ -0,0 +1,34 @@
+/**
+ * Ports that processes of the soak listen on.
+ *
+ * @module
+ */
+import { createServer } from "node:net";
+
+/**
+ * Below the ports that the system gives to outgoing connections: one of those
+ * could take an entry's port while the entry is down.
+ */
+const FIRST_PORT = 18_000;
+const PORT_COUNT = 12_000;
+let nextPort = Math.floor(Math.random() * PORT_COUNT);
+
+async function isFree(port: number): Promise<boolean> {
+  const server = createServer();
+  const isListening = await new Promise<boolean>((done) => {
+    server.once("error", () => done(false));
+    server.listen(port, "127.0.0.1", () => done(true));
+  });
+  if (isListening) await new Promise((done) => server.close(done));
+  return isListening;
+}
+
+/** Finds ports of loopback that are free now, as `ip:port`. */
+export async function findPorts(count: number): Promise<string[]> {
+  const found: string[] = [];
+  while (found.length < count) {
+    const port = FIRST_PORT + nextPort++ % PORT_COUNT;
+    if (await isFree(port)) found.push(`127.0.0.1:${port}`);
+  }
+  return found;
+}
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -6,13 +6,13 @@
 import type { ChildProcess } from "node:child_process";
 import { spawn } from "node:child_process";
 import { createWriteStream, mkdirSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { join } from "node:path";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { CONFIG_KEY, PATH, TOPIC } from "../../platform/src/wire_names.ts";
 import type { FaultProxy, ProxyMode } from "./fault_proxy.ts";
 import { startFaultProxy } from "./fault_proxy.ts";
+import { findPorts } from "./free_ports.ts";
 import type { KeyedStore, StoreMode } from "./keyed_store.ts";
 import { startKeyedStore } from "./keyed_store.ts";
 import { createSoakConfig } from "./soak_config.ts";
@@ -64,33 +64,6 @@
 /** In the order in which a fault's target counts them. */
 const ENDPOINT_COUNTS = { plain: 3, stage: 2, engine: 1 };
 
-/**
- * Below the ports that the system gives to outgoing connections: one of those
- * could take an entry's port while the entry is down.
- */
-const FIRST_PORT = 18_000;
-const PORT_COUNT = 12_000;
-let nextPort = Math.floor(Math.random() * PORT_COUNT);
-
-async function isFree(port: number): Promise<boolean> {
-  const server = createServer();
-  const isListening = await new Promise<boolean>((done) => {
-    server.once("error", () => done(false));
-    server.listen(port, "127.0.0.1", () => done(true));
-  });
-  if (isListening) await new Promise((done) => server.close(done));
-  return isListening;
-}
-
-async function findPorts(count: number): Promise<string[]> {
-  const found: string[] = [];
-  while (found.length < count) {
-    const port = FIRST_PORT + nextPort++ % PORT_COUNT;
-    if (await isFree(port)) found.push(`127.0.0.1:${port}`);
-  }
-  return found;
-}
-
 /** Starts a site of some entries; resolves once all are ready. */
 export async function startSoakSite(
   { entryCount, folder }: { entryCount: number; folder: string },
