fix(soak): an endpoint that starts again under its id has not left

Cause: the check went by the id; an endpoint that was leaving crashed and started again under its id, takes work again, and counted as one that had left. Ruled out: news of leaving that came too late (the runs are of the later start). Change: runs and leaving are noted by id and start.

--- a/soak/src/kept_seeds.ts
+++ b/soak/src/kept_seeds.ts
@@ -43,4 +43,15 @@
     cause:
       "pieces went to a stage endpoint whose address had become another's until its removal was believed",
   },
+  {
+    seed: 910009,
+    kinds: "all",
+    cause:
+      "the check's own: an endpoint that was leaving crashed and started again under its id, and counted as one that had left",
+  },
+  {
+    seed: 910012,
+    kinds: "all",
+    cause: "the same, with an engine",
+  },
 ];
--- a/soak/src/promises.ts
+++ b/soak/src/promises.ts
@@ -11,7 +11,7 @@
 export interface PromiseContext {
   /** When the key `revoked` was taken away; undefined if it was not. */
   revokedAt: number | undefined;
-  /** When an endpoint said that it leaves, by its id. */
+  /** When an endpoint said that it leaves, by its key. */
   leftAt: ReadonlyMap<string, number>;
   /** From then on nothing is harmed any more. */
   calmFrom: number;
--- a/soak/src/soak_endpoints.ts
+++ b/soak/src/soak_endpoints.ts
@@ -7,12 +7,14 @@
 import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import { formatEndpointKey } from "@mangoreach/coordination";
 import { HEADER, PATH } from "../../platform/src/wire_names.ts";
 import type { SoakAnswer, SoakServer } from "./soak_server.ts";
 import { readWholeBody, startSoakServer } from "./soak_server.ts";
 
 /** One run of one request at one endpoint. */
 export interface SeenRun {
+  /** Id and start of the endpoint: one that starts again has not left. */
   endpoint: string;
   account: string | undefined;
   path: string;
@@ -46,7 +48,7 @@
 /** Starts an endpoint that answers requests and streams. */
 export async function startServingEndpoint(
   id: string,
-  runs: RunLog,
+  { startedAt, runs }: { startedAt: number; runs: RunLog },
 ): Promise<SoakEndpoint> {
   async function answer(
     request: IncomingMessage,
@@ -60,7 +62,7 @@
     }
     const path = request.url ?? "";
     const run = {
-      endpoint: id,
+      endpoint: formatEndpointKey({ id, incarnation: String(startedAt) }),
       account: readHeader(request, HEADER.account),
       path,
       at: Date.now(),
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -9,6 +9,7 @@
 import { join } from "node:path";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
+import { formatEndpointKey } from "@mangoreach/coordination";
 import { CONFIG_KEY, PATH, TOPIC } from "../../platform/src/wire_names.ts";
 import type { FaultProxy, ProxyMode } from "./fault_proxy.ts";
 import { startFaultProxy } from "./fault_proxy.ts";
@@ -116,7 +117,7 @@
       case "endpoint_killed":
         return await link.replace(duration);
       case "endpoint_leaves":
-        leftAt.set(link.readId(), Date.now());
+        leftAt.set(link.readKey(), Date.now());
         return await link.leave();
       case "endpoint_restarted":
         return await link.restart(duration);
@@ -277,7 +278,8 @@
 
 interface EndpointSlot {
   readonly proxy: FaultProxy;
-  readId(): string;
+  /** Tells its starts apart. */
+  readKey(): string;
   /** Kills it; after a while another starts at the same address. */
   replace(duration: number): Promise<void>;
   /** Kills it; after a while it starts again under its id. */
@@ -314,7 +316,7 @@
     const id = `i-${pool}-${index}-${idNumber}`;
     return pool === "stage"
       ? startStageEndpoint(id)
-      : startServingEndpoint(id, runs);
+      : startServingEndpoint(id, { startedAt, runs });
   };
   let endpoint = await start();
   const proxy = await startFaultProxy(endpoint.address);
@@ -348,7 +350,11 @@
 
   return {
     proxy,
-    readId: () => endpoint.id,
+    readKey: () =>
+      formatEndpointKey({
+        id: endpoint.id,
+        incarnation: String(startedAt),
+      }),
     async replace(duration) {
       endpoint.close();
       await sleep(duration);
