refactor(soak): entries, endpoints and settings have files of their own

soak_site.ts held the processes under test, the endpoints and the faults in 400 lines; settings stood twice.

--- a/packages/serving/src/shared_source.ts
+++ b/packages/serving/src/shared_source.ts
@@ -139,7 +139,7 @@
     );
     const [first, ...others] = usable.slice(0, MAX_ASKED);
     if (first === undefined) return undefined;
-    const reading = await askParent(first, { from, ...limitWaits(wait) });
+    const reading = await askParent(first, { from, ...computeWaits(wait) });
     if (reading !== undefined) return reading;
     // Time was lost already: the others are asked together, for what they know.
     const readings = await Promise.all(
@@ -156,7 +156,7 @@
    * than the limit by so much again before the store itself is asked: over all
    * the wait 2.48 s, and 1.81 s like this (replay of eight entries).
    */
-  function limitWaits(wait: Millis) {
+  function computeWaits(wait: Millis) {
     if (wait === 0) return { wait, confirmWait: 0 };
     const ownAge = clock.now() - confirmedAt;
     const left = Math.max(SHORTEST_QUESTION, pace.maxAge - ownAge);
--- a/soak/src/crashing_site.ts
+++ b/soak/src/crashing_site.ts
@@ -9,7 +9,7 @@
 import type { PlatformEntry } from "../../platform/src/platform_entry.ts";
 import { startPlatformEntry } from "../../platform/src/platform_entry.ts";
 import { CONFIG_KEY, HEADER, TOPIC } from "../../platform/src/wire_names.ts";
-import { findPorts } from "./free_ports.ts";
+import { createEntrySettings, findEntryPorts } from "./entry_settings.ts";
 import { startKeyedStore } from "./keyed_store.ts";
 import { createSoakConfig } from "./soak_config.ts";
 import { readWholeBody, startSoakServer } from "./soak_server.ts";
@@ -31,7 +31,6 @@
 /** Until the record of an engine that ended lapses, and the next one starts. */
 const LAPSE_MS = 50;
 const ENGINES = 10;
-const PORTS_AN_ENTRY = 5;
 
 /** Starts the site; resolves once all entries are ready. */
 export async function startCrashingSite(
@@ -80,36 +79,17 @@
   }
 
   async function startEntry(): Promise<PlatformEntry & { callers: string }> {
-    const [
-      callers = "",
-      ready = "",
-      addresses = "",
-      control = "",
-      metrics = "",
-    ] = await findPorts(PORTS_AN_ENTRY);
+    const ports = await findEntryPorts();
     const entry = await startPlatformEntry({
       clock: createSystemClock(),
       logger: createSilentLogger(),
-      settings: {
-        entry: `entry-${entryNumber++}`,
-        place: "z",
-        coreShare: 1,
-        coreSpeed: 1,
-        logLevel: "silent",
-        callers,
-        ready,
-        addresses,
-        control,
-        metrics,
-        seeds: [],
+      settings: createEntrySettings(`entry-${entryNumber++}`, {
+        ports,
         store: store.address,
-        revokeMs: 5_000,
-        stopS: 8,
-        repeatShare: 0.2,
-        repeatSlack: 56,
-      },
+        logLevel: "silent",
+      }),
     });
-    return { ...entry, callers };
+    return { ...entry, callers: ports.callers };
   }
 
   async function startEntries() {
--- /dev/null
+++ b/soak/src/endpoint_slot.ts
@@ -0,0 +1,123 @@
+/**
+ * Endpoints of a site that end, leave and come back.
+ *
+ * @module
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import { formatEndpointKey } from "@mangoreach/coordination";
+import { TOPIC } from "../../platform/src/wire_names.ts";
+import type { FaultProxy } from "./fault_proxy.ts";
+import { startFaultProxy } from "./fault_proxy.ts";
+import type { KeyedStore } from "./keyed_store.ts";
+import type { RunLog, SoakEndpoint } from "./soak_endpoints.ts";
+import { startServingEndpoint, startStageEndpoint } from "./soak_endpoints.ts";
+
+const HEARTBEAT_MS = 400;
+/** In the order in which a fault's target counts them. */
+const ENDPOINT_COUNTS = { plain: 3, stage: 2, engine: 1 };
+
+/** The place of an endpoint: one after the other listens behind its proxy. */
+export interface EndpointSlot {
+  readonly proxy: FaultProxy;
+  /** Tells its starts apart. */
+  readKey(): string;
+  /** Kills it; after a while another starts at the same address. */
+  replace(duration: number): Promise<void>;
+  /** Kills it; after a while it starts again under its id. */
+  restart(duration: number): Promise<void>;
+  /** Announces that it leaves; another takes its place after that. */
+  leave(): Promise<void>;
+  close(): void;
+}
+
+/** Starts all endpoints of a site; they announce themselves in the store. */
+export function startEndpoints(
+  store: KeyedStore,
+  runs: RunLog,
+): Promise<EndpointSlot[]> {
+  return Promise.all(
+    Object.entries(ENDPOINT_COUNTS).flatMap(([pool, count]) =>
+      Array.from(
+        { length: count },
+        (_, index) => startSlot(store, { pool, index, runs }),
+      )
+    ),
+  );
+}
+
+async function startSlot(
+  store: KeyedStore,
+  { pool, index, runs }: { pool: string; index: number; runs: RunLog },
+): Promise<EndpointSlot> {
+  let idNumber = 0;
+  let isClosed = false;
+  let state = "ready";
+  let startedAt = Date.now();
+  const start = (): Promise<SoakEndpoint> => {
+    startedAt = Date.now();
+    const id = `i-${pool}-${index}-${idNumber}`;
+    return pool === "stage"
+      ? startStageEndpoint(id)
+      : startServingEndpoint(id, { startedAt, runs });
+  };
+  let endpoint = await start();
+  const proxy = await startFaultProxy(endpoint.address);
+  const announce = () =>
+    store.put(TOPIC.endpoints, endpoint.id, {
+      service: pool,
+      address: proxy.address,
+      zone: "z",
+      state,
+      born: startedAt,
+    });
+  announce();
+  const heartbeat = setInterval(announce, HEARTBEAT_MS);
+
+  async function startNext(): Promise<void> {
+    store.put(TOPIC.endpoints, endpoint.id, undefined);
+    idNumber++;
+    await startAgain();
+  }
+
+  /** Faults overlap: another one may have started an endpoint meanwhile. */
+  async function startAgain(): Promise<void> {
+    const next = await start();
+    endpoint.close();
+    endpoint = next;
+    if (isClosed) return endpoint.close();
+    proxy.setTarget(endpoint.address);
+    state = "ready";
+    announce();
+  }
+
+  return {
+    proxy,
+    readKey: () =>
+      formatEndpointKey({
+        id: endpoint.id,
+        incarnation: String(startedAt),
+      }),
+    async replace(duration) {
+      endpoint.close();
+      await sleep(duration);
+      await startNext();
+    },
+    async restart(duration) {
+      endpoint.close();
+      await sleep(duration);
+      await startAgain();
+    },
+    async leave() {
+      state = "draining";
+      announce();
+      await sleep(4_000);
+      await startNext();
+    },
+    close() {
+      isClosed = true;
+      clearInterval(heartbeat);
+      proxy.close();
+      endpoint.close();
+    },
+  };
+}
--- /dev/null
+++ b/soak/src/soak_entry.ts
@@ -0,0 +1,107 @@
+/**
+ * The processes under test: how one is set up, started, ended and replaced.
+ *
+ * @module
+ */
+import type { ChildProcess } from "node:child_process";
+import { spawn } from "node:child_process";
+import { createWriteStream, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { PATH } from "../../platform/src/wire_names.ts";
+import {
+  createEntrySettings,
+  findEntryPorts,
+  STOP_S,
+} from "./entry_settings.ts";
+import type { FaultProxy } from "./fault_proxy.ts";
+import { startFaultProxy } from "./fault_proxy.ts";
+import type { KeyedStore } from "./keyed_store.ts";
+
+/** A process under test, with a proxy towards callers and one to the store. */
+export interface Entry {
+  name: string;
+  settingsFile: string;
+  logFile: string;
+  ready: string;
+  child: ChildProcess | undefined;
+  callerProxy: FaultProxy;
+  storeProxy: FaultProxy;
+}
+
+const PROGRAM = "target/mangoreach-platform.cjs";
+const START_LIMIT_MS = 15_000;
+
+/** Writes the settings of an entry; starts the proxies before and behind it. */
+export async function createEntry(
+  name: string,
+  { store, folder }: { store: KeyedStore; folder: string },
+): Promise<Entry> {
+  const ports = await findEntryPorts();
+  const storeProxy = await startFaultProxy(store.address);
+  const callerProxy = await startFaultProxy(ports.callers);
+  const settingsFile = join(folder, `${name}.jsonc`);
+  const settings = createEntrySettings(name, {
+    ports,
+    store: storeProxy.address,
+    logLevel: "info",
+  });
+  writeFileSync(settingsFile, JSON.stringify(settings));
+  return {
+    name,
+    settingsFile,
+    logFile: join(folder, `${name}.log`),
+    ready: ports.ready,
+    child: undefined,
+    callerProxy,
+    storeProxy,
+  };
+}
+
+/** Starts its process. */
+export function startEntry(entry: Entry): void {
+  const child = spawn(process.execPath, [
+    "--max-old-space-size=150",
+    PROGRAM,
+    "--settings",
+    entry.settingsFile,
+  ], { stdio: ["ignore", "pipe", "pipe"] });
+  const log = createWriteStream(entry.logFile, { flags: "a" });
+  child.stdout?.pipe(log, { end: false });
+  child.stderr?.pipe(log, { end: false });
+  entry.child = child;
+}
+
+/** Resolves once it says that it is ready. */
+export async function waitUntilReady({ name, ready }: Entry): Promise<void> {
+  const limit = Date.now() + START_LIMIT_MS;
+  while (Date.now() < limit) {
+    const reply = await fetch(`http://${ready}${PATH.ready}`).catch(() =>
+      undefined
+    );
+    if (reply?.status === 200) return;
+    await sleep(50);
+  }
+  throw new Error(`${name} did not get ready`);
+}
+
+/** Ends its process, and starts another after a while. */
+export async function replaceEntry(
+  entry: Entry,
+  signal: "SIGKILL" | "SIGTERM",
+  duration: number,
+): Promise<void> {
+  const { child } = entry;
+  if (child === undefined) return;
+  const exited = new Promise<void>((resolve) =>
+    child.once("exit", () => resolve())
+  );
+  if (child.exitCode !== null || child.signalCode !== null) return;
+  child.kill(signal);
+  child.kill("SIGCONT");
+  await Promise.race([exited, sleep(1_000 * STOP_S)]);
+  child.kill("SIGKILL");
+  await sleep(duration);
+  if (entry.child === child) startEntry(entry);
+}
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -3,22 +3,22 @@
  *
  * @module
  */
-import type { ChildProcess } from "node:child_process";
-import { spawn } from "node:child_process";
-import { createWriteStream, mkdirSync, writeFileSync } from "node:fs";
-import { join } from "node:path";
-import process from "node:process";
+import { mkdirSync } from "node:fs";
 import { setTimeout as sleep } from "node:timers/promises";
-import { formatEndpointKey } from "@mangoreach/coordination";
-import { CONFIG_KEY, PATH, TOPIC } from "../../platform/src/wire_names.ts";
+import { CONFIG_KEY, TOPIC } from "../../platform/src/wire_names.ts";
+import { startEndpoints } from "./endpoint_slot.ts";
 import type { FaultProxy, ProxyMode } from "./fault_proxy.ts";
-import { startFaultProxy } from "./fault_proxy.ts";
-import { findPorts } from "./free_ports.ts";
 import type { KeyedStore, StoreMode } from "./keyed_store.ts";
 import { startKeyedStore } from "./keyed_store.ts";
 import { createSoakConfig } from "./soak_config.ts";
-import type { RunLog, SoakEndpoint } from "./soak_endpoints.ts";
-import { startServingEndpoint, startStageEndpoint } from "./soak_endpoints.ts";
+import type { RunLog } from "./soak_endpoints.ts";
+import type { Entry } from "./soak_entry.ts";
+import {
+  createEntry,
+  replaceEntry,
+  startEntry,
+  waitUntilReady,
+} from "./soak_entry.ts";
 import type { PlannedFault } from "./soak_plan.ts";
 
 /** A running site. */
@@ -34,16 +34,6 @@
   stop(): Promise<void>;
 }
 
-interface Entry {
-  name: string;
-  settingsFile: string;
-  logFile: string;
-  ready: string;
-  child: ChildProcess | undefined;
-  callerProxy: FaultProxy;
-  storeProxy: FaultProxy;
-}
-
 const STOP_SIGNALS = {
   entry_killed: "SIGKILL",
   entry_stopped: "SIGTERM",
@@ -58,12 +48,6 @@
   link_one_way: "one_way",
   link_silent: "silent",
 } as const;
-const PROGRAM = "target/mangoreach-platform.cjs";
-const START_LIMIT_MS = 15_000;
-const STOP_S = 8;
-const HEARTBEAT_MS = 400;
-/** In the order in which a fault's target counts them. */
-const ENDPOINT_COUNTS = { plain: 3, stage: 2, engine: 1 };
 
 /** Starts a site of some entries; resolves once all are ready. */
 export async function startSoakSite(
@@ -88,7 +72,13 @@
     entries.push(await createEntry(`entry-${index}`, { store, folder }));
   }
   entries.forEach(startEntry);
-  await Promise.all(entries.map(waitUntilReady));
+  try {
+    await Promise.all(entries.map(waitUntilReady));
+  } catch (error) {
+    // Its processes would go on when nobody knows of them any more.
+    await stop();
+    throw error;
+  }
 
   async function applyFault(fault: PlannedFault): Promise<void> {
     const entry = entries[fault.target % entries.length]!;
@@ -192,190 +182,3 @@
   // Bytes are lost in between: what is open would wait for ever.
   if (mode !== "delayed") proxy.dropAll();
 }
-
-async function createEntry(
-  name: string,
-  { store, folder }: { store: KeyedStore; folder: string },
-): Promise<Entry> {
-  const [callers = "", ready = "", addresses = "", control = "", metrics = ""] =
-    await findPorts(5);
-  const storeProxy = await startFaultProxy(store.address);
-  const callerProxy = await startFaultProxy(callers);
-  const settingsFile = join(folder, `${name}.jsonc`);
-  const settings = {
-    entry: name,
-    place: "z",
-    coreShare: 1,
-    coreSpeed: 1,
-    logLevel: "info",
-    callers,
-    ready,
-    addresses,
-    control,
-    metrics,
-    seeds: [],
-    store: storeProxy.address,
-    revokeMs: 5_000,
-    stopS: STOP_S,
-    repeatShare: 0.2,
-    repeatSlack: 56,
-  };
-  writeFileSync(settingsFile, JSON.stringify(settings));
-  return {
-    name,
-    settingsFile,
-    logFile: join(folder, `${name}.log`),
-    ready,
-    child: undefined,
-    callerProxy,
-    storeProxy,
-  };
-}
-
-function startEntry(entry: Entry): void {
-  const child = spawn(process.execPath, [
-    "--max-old-space-size=150",
-    PROGRAM,
-    "--settings",
-    entry.settingsFile,
-  ], { stdio: ["ignore", "pipe", "pipe"] });
-  const log = createWriteStream(entry.logFile, { flags: "a" });
-  child.stdout?.pipe(log, { end: false });
-  child.stderr?.pipe(log, { end: false });
-  entry.child = child;
-}
-
-async function waitUntilReady({ name, ready }: Entry): Promise<void> {
-  const limit = Date.now() + START_LIMIT_MS;
-  while (Date.now() < limit) {
-    const reply = await fetch(`http://${ready}${PATH.ready}`).catch(() =>
-      undefined
-    );
-    if (reply?.status === 200) return;
-    await sleep(50);
-  }
-  throw new Error(`${name} did not get ready`);
-}
-
-async function replaceEntry(
-  entry: Entry,
-  signal: "SIGKILL" | "SIGTERM",
-  duration: number,
-): Promise<void> {
-  const { child } = entry;
-  if (child === undefined) return;
-  const exited = new Promise<void>((resolve) =>
-    child.once("exit", () => resolve())
-  );
-  if (child.exitCode !== null || child.signalCode !== null) return;
-  child.kill(signal);
-  child.kill("SIGCONT");
-  await Promise.race([exited, sleep(1_000 * STOP_S)]);
-  child.kill("SIGKILL");
-  await sleep(duration);
-  if (entry.child === child) startEntry(entry);
-}
-
-interface EndpointSlot {
-  readonly proxy: FaultProxy;
-  /** Tells its starts apart. */
-  readKey(): string;
-  /** Kills it; after a while another starts at the same address. */
-  replace(duration: number): Promise<void>;
-  /** Kills it; after a while it starts again under its id. */
-  restart(duration: number): Promise<void>;
-  /** Announces that it leaves; another takes its place after that. */
-  leave(): Promise<void>;
-  close(): void;
-}
-
-function startEndpoints(
-  store: KeyedStore,
-  runs: RunLog,
-): Promise<EndpointSlot[]> {
-  return Promise.all(
-    Object.entries(ENDPOINT_COUNTS).flatMap(([pool, count]) =>
-      Array.from(
-        { length: count },
-        (_, index) => startSlot(store, { pool, index, runs }),
-      )
-    ),
-  );
-}
-
-async function startSlot(
-  store: KeyedStore,
-  { pool, index, runs }: { pool: string; index: number; runs: RunLog },
-): Promise<EndpointSlot> {
-  let idNumber = 0;
-  let isClosed = false;
-  let state = "ready";
-  let startedAt = Date.now();
-  const start = (): Promise<SoakEndpoint> => {
-    startedAt = Date.now();
-    const id = `i-${pool}-${index}-${idNumber}`;
-    return pool === "stage"
-      ? startStageEndpoint(id)
-      : startServingEndpoint(id, { startedAt, runs });
-  };
-  let endpoint = await start();
-  const proxy = await startFaultProxy(endpoint.address);
-  const announce = () =>
-    store.put(TOPIC.endpoints, endpoint.id, {
-      service: pool,
-      address: proxy.address,
-      zone: "z",
-      state,
-      born: startedAt,
-    });
-  announce();
-  const heartbeat = setInterval(announce, HEARTBEAT_MS);
-
-  async function startNext(): Promise<void> {
-    store.put(TOPIC.endpoints, endpoint.id, undefined);
-    idNumber++;
-    await startAgain();
-  }
-
-  /** Faults overlap: another one may have started an endpoint meanwhile. */
-  async function startAgain(): Promise<void> {
-    const next = await start();
-    endpoint.close();
-    endpoint = next;
-    if (isClosed) return endpoint.close();
-    proxy.setTarget(endpoint.address);
-    state = "ready";
-    announce();
-  }
-
-  return {
-    proxy,
-    readKey: () =>
-      formatEndpointKey({
-        id: endpoint.id,
-        incarnation: String(startedAt),
-      }),
-    async replace(duration) {
-      endpoint.close();
-      await sleep(duration);
-      await startNext();
-    },
-    async restart(duration) {
-      endpoint.close();
-      await sleep(duration);
-      await startAgain();
-    },
-    async leave() {
-      state = "draining";
-      announce();
-      await sleep(4_000);
-      await startNext();
-    },
-    close() {
-      isClosed = true;
-      clearInterval(heartbeat);
-      proxy.close();
-      endpoint.close();
-    },
-  };
-}
