--- a/packages/serving/src/crashing_request_test.ts
+++ b/packages/serving/src/crashing_request_test.ts
@@ -10,9 +10,9 @@
  * one after the other for ten seconds. One request ended each engine that began
  * to work on it; its caller sent it again and again, under a new id and to
  * another entry each time. Entries counted attempts within one id, so nobody
- * knew it again. Ten lines, each of another entry than the one before, said
- * "the stream broke off before its first event" for one route and one account,
- * 0.5 to 2.1 s apart: the third engine ended at 11.03 s, the twelfth at 24.06 s.
+ * knew it again. Ten lines of seven entries said "the stream broke off before
+ * its first event" for one route and one account, 0.5 to 2.1 s apart: the third
+ * engine ended at 11.03 s, the twelfth at 24.06 s.
  */
 describe("a request that ends each endpoint", () => {
   const ENTRIES = 8;
