--- a/packages/serving/src/crashing_request_test.ts
+++ b/packages/serving/src/crashing_request_test.ts
@@ -20,6 +20,24 @@
   const COMINGS = 12;
   const PAUSE = 700;
 
+  function createFleet(
+    { kind = "stream", maxAttempts = 1, endpoints = ENDPOINTS }: {
+      kind?: RouteKind;
+      maxAttempts?: number;
+      endpoints?: number;
+    } = {},
+  ) {
+    const clock = createFakeClock(0);
+    const route = { kind, maxAttempts };
+    const fleet = createTestFleet({
+      clock,
+      entries: ENTRIES,
+      endpoints,
+      route,
+    });
+    return { clock, fleet };
+  }
+
   async function sendAgainAndAgain(
     fleet: TestFleet,
     { clock }: { clock: FakeClock },
@@ -44,13 +62,7 @@
     const reached: Record<string, number> = {};
     const last: Record<string, ComingEnd | undefined> = {};
     for (const { kind, maxAttempts } of KINDS) {
-      const clock = createFakeClock(0);
-      const fleet = createTestFleet({
-        clock,
-        entries: ENTRIES,
-        endpoints: ENDPOINTS,
-        route: { kind, maxAttempts },
-      });
+      const { clock, fleet } = createFleet({ kind, maxAttempts });
       const ends = await sendAgainAndAgain(fleet, { clock });
       reached[kind] = fleet.listReached(CRASHING).length;
       last[kind] = ends.at(-1);
@@ -66,13 +78,7 @@
   });
 
   it("is turned away by entries that have just started", async () => {
-    const clock = createFakeClock(0);
-    const fleet = createTestFleet({
-      clock,
-      entries: ENTRIES,
-      endpoints: ENDPOINTS,
-      route: { kind: "stream", maxAttempts: 1 },
-    });
+    const { clock, fleet } = createFleet();
     await sendAgainAndAgain(fleet, { clock });
     fleet.restartEntries();
     await sendAgainAndAgain(fleet, { clock });
@@ -84,13 +90,7 @@
    * within two seconds, some three comings.
    */
   it("is turned away everywhere soon while the store is away", async () => {
-    const clock = createFakeClock(0);
-    const fleet = createTestFleet({
-      clock,
-      entries: ENTRIES,
-      endpoints: ENDPOINTS,
-      route: { kind: "stream", maxAttempts: 1 },
-    });
+    const { clock, fleet } = createFleet();
     fleet.setStoreAway(true);
     await sendAgainAndAgain(fleet, { clock });
     const reached = fleet.listReached(CRASHING).length;
@@ -100,13 +100,7 @@
   });
 
   it("is turned away soon when many callers send it at once", async () => {
-    const clock = createFakeClock(0);
-    const fleet = createTestFleet({
-      clock,
-      entries: ENTRIES,
-      endpoints: ENDPOINTS,
-      route: { kind: "stream", maxAttempts: 1 },
-    });
+    const { clock, fleet } = createFleet();
     for (let wave = 0; wave < 6; wave++) {
       const sent = [0, 1, 2].map((entry) =>
         fleet.send({ entry: entry + wave % 3, body: CRASHING })
@@ -123,13 +117,7 @@
   });
 
   it("is not confused with what was at the same endpoints", async () => {
-    const clock = createFakeClock(0);
-    const fleet = createTestFleet({
-      clock,
-      entries: ENTRIES,
-      endpoints: 1,
-      route: { kind: "stream", maxAttempts: 1 },
-    });
+    const { clock, fleet } = createFleet({ endpoints: 1 });
     async function sendTogether(entry: number, bodies: readonly string[]) {
       const sent = bodies.map((body) => fleet.send({ entry, body }));
       await clock.advance(RESTART_TIME + PAUSE);
@@ -148,13 +136,7 @@
   });
 
   it("is not what many callers ask for while endpoints fail", async () => {
-    const clock = createFakeClock(0);
-    const fleet = createTestFleet({
-      clock,
-      entries: ENTRIES,
-      endpoints: 4,
-      route: { kind: "stream", maxAttempts: 1 },
-    });
+    const { clock, fleet } = createFleet({ endpoints: 4 });
     for (let failure = 0; failure < 4; failure++) {
       const sent = Array.from(
         { length: 6 },
--- a/packages/serving/src/quarantine_news.ts
+++ b/packages/serving/src/quarantine_news.ts
@@ -58,8 +58,8 @@
 /** One that keeps count may be frozen, another be cut off or not yet known. */
 const COUNTERS = 3;
 /**
- * Runs at one endpoint end together; so gathered, an entry tells each peer once.
- * A caller is back after half a second at the soonest.
+ * Runs at one endpoint end together; gathered for so long, an entry tells each
+ * peer once. Whoever repeats at once reaches one endpoint more meanwhile.
  */
 const GATHERING: Millis = 20;
 /** Rows of a message to a peer. */
