feat(serving): logs and metrics tell why an entry's configuration is old

Lines knowledge_aged and knowledge_renewed, a gauge of the configuration's age, a counter of readings by topic, source and outcome. A reading that never ends wrote no line; one that fails wrote dependency_lost, without what was asked. No decision is changed.

--- a/packages/coordination/src/version_watch.ts
+++ b/packages/coordination/src/version_watch.ts
@@ -15,6 +15,8 @@
 export interface VersionWatch {
   /** Notes the newest version that a live peer has. */
   note(version: number): void;
+  /** The newest version that a live peer has; 0 if there is none. */
+  readNewest(): number;
   /**
    * Whether the store, asked `age` ago, did not know what a peer had told before:
    * what a peer has in force it has read there.
@@ -33,6 +35,7 @@
       newest = version;
       toldAt = clock.now();
     },
+    readNewest: () => newest,
     isBehind: (version, age) => version < newest && clock.now() - age > toldAt,
   };
 }
--- a/packages/serving/src/decision_log.ts
+++ b/packages/serving/src/decision_log.ts
@@ -28,6 +28,8 @@
   | "dependency_lost"
   | "dependency_regained"
   | "store_restored"
+  | "knowledge_aged"
+  | "knowledge_renewed"
   | "process_started"
   | "process_stopping"
   | "process_stopped"
--- /dev/null
+++ b/packages/serving/src/reading_watch.ts
@@ -0,0 +1,82 @@
+/**
+ * Watches the readings of one topic, so that a log line can tell why an entry's
+ * knowledge of it is old: a reading that does not end, readings that fail, or
+ * nobody to ask.
+ *
+ * @module
+ */
+import type { Clock, Millis } from "@mangoreach/shared";
+import type { DecisionFields } from "./decision_log.ts";
+
+/** Where a topic is read. */
+export type ReadingSource = "store" | "peer";
+
+/** How a reading ended. */
+export type ReadingOutcome =
+  | "read"
+  /** The records asked for are gone. */
+  | "expired"
+  /** The store did not answer, or turned this entry away. */
+  | "unavailable"
+  /** The peer's own knowledge is too old. */
+  | "old"
+  /** The peer has not read the topic, or not as far. */
+  | "unknown"
+  /** The peer did not answer. */
+  | "silent";
+
+/** Notes how a reading ended. */
+export type EndReading = (outcome: ReadingOutcome) => void;
+
+/** The readings of one topic. */
+export interface ReadingWatch {
+  /** Notes a reading that begins, at the peer with this address if at one. */
+  begin(source: ReadingSource, address?: string): EndReading;
+  /** The reading that takes longest by now, and the one that ended last. */
+  describe(): DecisionFields;
+}
+
+/** Options of {@linkcode createReadingWatch}. */
+export interface ReadingWatchOptions {
+  clock: Clock;
+  onEnd: (source: ReadingSource, outcome: ReadingOutcome) => void;
+}
+
+interface Reading {
+  /** Source and address. */
+  at: string;
+  startedAt: Millis;
+}
+
+/** Creates the watch of a topic that was never read. */
+export function createReadingWatch(
+  { clock, onEnd }: ReadingWatchOptions,
+): ReadingWatch {
+  /** In the order in which they began. */
+  const inProgress = new Set<Reading>();
+  let last: DecisionFields = {};
+
+  function begin(source: ReadingSource, address?: string): EndReading {
+    const at = address === undefined ? source : `${source} ${address}`;
+    const reading: Reading = { at, startedAt: clock.now() };
+    inProgress.add(reading);
+    return (outcome) => {
+      inProgress.delete(reading);
+      last = {
+        lastReading: at,
+        lastOutcome: outcome,
+        lastTook: clock.now() - reading.startedAt,
+      };
+      onEnd(source, outcome);
+    };
+  }
+
+  function describe(): DecisionFields {
+    const [oldest] = inProgress;
+    if (oldest === undefined) return last;
+    const { at, startedAt } = oldest;
+    return { ...last, reading: at, readingFor: clock.now() - startedAt };
+  }
+
+  return { begin, describe };
+}
--- /dev/null
+++ b/packages/serving/src/reading_watch_test.ts
@@ -0,0 +1,29 @@
+import { createFakeClock } from "@mangoreach/shared";
+import { expect } from "chai";
+import { createReadingWatch } from "./reading_watch.ts";
+
+describe("watch of a topic's readings", () => {
+  it("tells the longest reading in progress and the last that ended", async () => {
+    const clock = createFakeClock(0);
+    const ended: string[] = [];
+    const watch = createReadingWatch({
+      clock,
+      onEnd: (source, outcome) => ended.push(`${source} ${outcome}`),
+    });
+    expect(watch.describe()).to.deep.equal({});
+    watch.begin("store");
+    await clock.advance(40);
+    const end = watch.begin("peer", "10.1.0.4:8628");
+    await clock.advance(10);
+    end("old");
+    await clock.advance(950);
+    expect(watch.describe()).to.deep.equal({
+      reading: "store",
+      readingFor: 1_000,
+      lastReading: "peer 10.1.0.4:8628",
+      lastOutcome: "old",
+      lastTook: 10,
+    });
+    expect(ended).to.deep.equal(["peer old"]);
+  });
+});
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -27,6 +27,7 @@
 } from "@mangoreach/shared";
 import { startCallerListener } from "./caller_listener.ts";
 import type { ListenerPhase } from "./caller_listener.ts";
+import { watchConfigAge } from "./config_age_watch.ts";
 import { createDecisionLog } from "./decision_log.ts";
 import { createEndpointCheck } from "./endpoint_check.ts";
 import { createEndpointLoads } from "./endpoint_load.ts";
@@ -117,13 +118,14 @@
     logger,
     metrics,
     platform,
-    shareSource: (topic, source) =>
+    shareSource: (topic, source, readings) =>
       createSharedSource({
         clock,
         random,
         topic,
         source,
         pace: TOPIC_PACES[topic],
+        readings,
         chooseParents: () => chooseTopicParents(membership),
         ask: (address, question) => topicAsker.ask(address, question),
       }),
@@ -344,6 +346,23 @@
     })
   );
 
+  watchConfigAge({
+    clock,
+    signal,
+    log,
+    metrics,
+    readAge: configAge.read,
+    describe: () => ({
+      configVersion: readVersion(),
+      peersVersion: versionWatch.readNewest(),
+      ...knowledge.describeConfigReading(),
+    }),
+  }).catch((error) =>
+    logger.error("Watching the age of the configuration has ended.", {
+      error: String(error),
+    })
+  );
+
   quarantineNews.watchTerms().catch((error) =>
     logger.error("Watching the terms of quarantines has ended.", {
       error: String(error),
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Millis } from "@mangoreach/shared";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 /** Where an entry counts. */
@@ -14,9 +15,12 @@
   countUnanswered(): void;
   countPeerBytes(direction: "in" | "out", bytes: number): void;
   setConfigVersion(version: number): void;
+  setConfigAge(age: Millis): void;
+  countReading(topic: string, source: string, outcome: string): void;
   setKnown(what: "endpoints" | "peers", count: number): void;
 }
 
+const MILLIS_PER_SECOND = 1_000;
 /** Seconds; from a plain service's answer to the longest stream. */
 const LATENCY_BUCKETS = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
 
@@ -60,6 +64,17 @@
     help: "Version of the configuration in force here",
     registers,
   });
+  const configAge = new Gauge({
+    name: "mangoreach_config_age_seconds",
+    help: "How long ago the store confirmed the configuration in force here",
+    registers,
+  });
+  const readings = new Counter({
+    name: "mangoreach_topic_readings_total",
+    help: "Readings of the store's topics by source and outcome",
+    labelNames: ["topic", "source", "outcome"],
+    registers,
+  });
   const known = new Gauge({
     name: "mangoreach_known",
     help: "Endpoints and peers known here",
@@ -75,6 +90,9 @@
     countUnanswered: () => unanswered.inc(),
     countPeerBytes: (direction, bytes) => peerBytes.inc({ direction }, bytes),
     setConfigVersion: (version) => configVersion.set(version),
+    setConfigAge: (age) => configAge.set(age / MILLIS_PER_SECOND),
+    countReading: (topic, source, outcome) =>
+      readings.inc({ topic, source, outcome }),
     setKnown: (what, count) => known.set({ what }, count),
   };
 }
--- a/packages/serving/src/shared_source.ts
+++ b/packages/serving/src/shared_source.ts
@@ -18,6 +18,7 @@
   KeyedSource,
   TopicPosition,
 } from "./serving_handles.ts";
+import type { ReadingOutcome, ReadingWatch } from "./reading_watch.ts";
 import type { TopicPace } from "./topic_pace.ts";
 import type { TopicParents } from "./topic_readers.ts";
 
@@ -36,6 +37,8 @@
     question: TopicQuestion,
   ) => Promise<TopicNews | undefined>;
   pace: Pick<TopicPace, "relayWait" | "confirmWait" | "maxAge">;
+  /** Told of each reading, at the store and at other entries. */
+  readings: Pick<ReadingWatch, "begin">;
 }
 
 /** However slow the store is, a reader does not call it without any wait. */
@@ -69,7 +72,7 @@
 
 /** Creates the source of one topic. */
 export function createSharedSource(
-  { clock, random, topic, source, chooseParents, ask, pace }:
+  { clock, random, topic, source, chooseParents, ask, pace, readings }:
     SharedSourceOptions,
 ): KeyedSource {
   const penalties = new Map<string, Penalty>();
@@ -106,16 +109,22 @@
     question: Omit<TopicQuestion, "topic">,
   ): Promise<KeyedReading | undefined> {
     const askedAt = clock.now();
+    const end = readings.begin("peer", parent);
     const news = await ask(parent, { topic, ...question });
-    if (news === undefined || news.kind === "unknown") {
-      notePenalty(parent, news === undefined ? SILENT_PENALTY : OLD_PENALTY);
-      return undefined;
+    if (news === undefined) {
+      notePenalty(parent, SILENT_PENALTY);
+      return void end("silent");
+    }
+    if (news.kind === "unknown") {
+      notePenalty(parent, OLD_PENALTY);
+      return void end("unknown");
     }
     const { records, next, age, kind } = news;
     if (!isOfUse(askedAt - age)) {
       notePenalty(parent, OLD_PENALTY);
-      return undefined;
+      return void end("old");
     }
+    end("read");
     penalties.delete(parent);
     confirmedAt = askedAt - age;
     return {
@@ -178,6 +187,13 @@
     return true;
   }
 
+  async function callStore(from: TopicPosition, wait: Millis) {
+    const end = readings.begin("store");
+    const reading = await source.readFrom(from, wait);
+    end(describeOutcome(reading));
+    return reading;
+  }
+
   /**
    * A slow store takes its time besides the wait. The wait is shorter by that, or
    * everybody's knowledge would be older by it.
@@ -187,7 +203,7 @@
       Math.max(SHORTEST_WAIT_SHARE * wait, wait - storeDelay),
     );
     const askedAt = clock.now();
-    const reading = await source.readFrom(from, shortened);
+    const reading = await callStore(from, shortened);
     const isWaitOver = reading.isOk && reading.value.records.length === 0;
     const took = clock.now() - askedAt;
     // One that does not wait is not fast: longer waits would not slow it down.
@@ -222,15 +238,23 @@
       return Result.ok(reading);
     }
     if (!takeStoreTurn(storePause)) return Result.err("unavailable");
-    return await source.readFrom(from, 0);
+    return await callStore(from, 0);
   }
 
   async function readNewest() {
     const askedAt = clock.now();
+    const end = readings.begin("store");
     const reading = await source.readNewest();
+    end(describeOutcome(reading));
     if (reading.isOk) confirmedAt = askedAt;
     return reading;
   }
 
   return { readNewest, readFrom };
 }
+
+function describeOutcome(
+  reading: Result<KeyedReading, KeyedFault>,
+): ReadingOutcome {
+  return reading.isOk ? "read" : reading.error;
+}
--- a/packages/serving/src/shared_source_test.ts
+++ b/packages/serving/src/shared_source_test.ts
@@ -5,6 +5,7 @@
 import type { TopicNews, TopicQuestion } from "@mangoreach/peers";
 import type { KeyedReading } from "./serving_handles.ts";
 import { createSharedSource } from "./shared_source.ts";
+import { createReadingWatch } from "./reading_watch.ts";
 import { createPosition } from "./test_support.ts";
 
 const NEWS: TopicNews = {
@@ -59,6 +60,7 @@
         return Promise.resolve(answers[address]);
       },
       pace: { relayWait: 400, confirmWait: 0, maxAge: 1_000 },
+      readings: createReadingWatch({ clock, onEnd: () => {} }),
     });
     return {
       clock,
--- a/packages/serving/src/site_knowledge.ts
+++ b/packages/serving/src/site_knowledge.ts
@@ -24,10 +24,12 @@
 } from "@mangoreach/coordination";
 import type { TopicName } from "@mangoreach/peers";
 import type { Clock, Logger, Millis } from "@mangoreach/shared";
-import type { DecisionLog } from "./decision_log.ts";
+import type { DecisionFields, DecisionLog } from "./decision_log.ts";
 import type { KeyedSink } from "./keyed_follower.ts";
 import { followKeyedTopic } from "./keyed_follower.ts";
 import type { MemberRegistry } from "./member_registry.ts";
+import type { ReadingWatch } from "./reading_watch.ts";
+import { createReadingWatch } from "./reading_watch.ts";
 import type { KeyedRecord, KeyedSource } from "./serving_handles.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 import type { ServingPlatform } from "./serving_options.ts";
@@ -46,7 +48,11 @@
   metrics: ServingMetrics;
   platform: ServingPlatform;
   /** Lets entries share what they read of a topic. */
-  shareSource: (topic: TopicName, source: KeyedSource) => KeyedSource;
+  shareSource: (
+    topic: TopicName,
+    source: KeyedSource,
+    readings: ReadingWatch,
+  ) => KeyedSource;
   /** Told of each configuration that comes into force. */
   onConfig: (config: ServingConfig) => void;
   /** Told when endpoints come, leave or go. */
@@ -71,6 +77,8 @@
   findPlace(address: string): string | undefined;
   /** Passes topics on to other entries. */
   readonly relays: Readonly<Record<TopicName, TopicRelay>>;
+  /** How the configuration is read just now. */
+  describeConfigReading(): DecisionFields;
   /** Whether endpoints were read at least once. */
   hasEndpoints(): boolean;
   /** Whether the records of entries were read at least once. */
@@ -107,6 +115,11 @@
   const unreadable = new Set<string>();
   const configAge = createKnowledgeAge({ clock, readWallTime });
   const endpointAge = createKnowledgeAge({ clock, readWallTime });
+  const readings: Record<TopicName, ReadingWatch> = {
+    config: createWatch("config"),
+    endpoints: createWatch("endpoints"),
+    members: createWatch("members"),
+  };
   const relays: Record<TopicName, TopicRelay> = {
     config: createRelay("config", platform.configSource, readValue),
     endpoints: createRelay(
@@ -117,6 +130,13 @@
     members: createRelay("members", platform.members.source, readValue),
   };
 
+  function createWatch(topic: TopicName): ReadingWatch {
+    return createReadingWatch({
+      clock,
+      onEnd: (source, outcome) => metrics.countReading(topic, source, outcome),
+    });
+  }
+
   function createRelay(
     topic: TopicName,
     source: KeyedSource,
@@ -124,7 +144,7 @@
   ): TopicRelay {
     return createTopicRelay({
       clock,
-      source: options.shareSource(topic, source),
+      source: options.shareSource(topic, source, readings[topic]),
       age: createKnowledgeAge({ clock, readWallTime }),
       readContent,
     });
@@ -360,6 +380,7 @@
     noteUnreachable: cold.noteUnreachable,
     findPlace: (address) => places.get(address),
     relays,
+    describeConfigReading: () => readings.config.describe(),
     hasEndpoints: () => isEndpointsKnown,
     hasMembers: () => isMembersKnown,
     follow,
--- a/packages/serving/src/topic_tree_replay_test.ts
+++ b/packages/serving/src/topic_tree_replay_test.ts
@@ -13,6 +13,7 @@
 import { MersenneTwister19937, Random } from "random-js";
 import { Result } from "true-myth";
 import { followKeyedTopic } from "./keyed_follower.ts";
+import { createReadingWatch } from "./reading_watch.ts";
 import type { KeyedReading, KeyedSource } from "./serving_handles.ts";
 import { createSharedSource } from "./shared_source.ts";
 import { createTestPeer } from "./test_support.ts";
@@ -148,6 +149,7 @@
         chooseParents: () => chooseTopicParents(membership),
         ask: askPeer,
         pace,
+        readings: createReadingWatch({ clock, onEnd: () => {} }),
       }),
       age: createKnowledgeAge({ clock, readWallTime: clock.now }),
       readContent: ({ value }) => value ?? "",
