--- a/packages/serving/src/topic_tree_replay_test.ts
+++ b/packages/serving/src/topic_tree_replay_test.ts
@@ -40,6 +40,8 @@
   restore(lost: number): void;
   /** The store does not answer these entries. */
   cutOff: Set<number>;
+  /** The store answers these entries at once that it does not serve them. */
+  refused: Set<number>;
   /** These entries answer nobody. */
   silent: Set<number>;
   /** Entries whose version is the newest. */
@@ -69,6 +71,7 @@
   const calls: Millis[] = [];
   const calledAt = new Map<number, Millis>();
   const cutOff = new Set<number>();
+  const refused = new Set<number>();
   const silent = new Set<number>();
   let version = 1;
   let era = 0;
@@ -80,9 +83,9 @@
     async function call(): Promise<boolean> {
       calls.push(clock.now());
       calledAt.set(index, clock.now());
-      const isAnswered = !cutOff.has(index);
-      await clock.sleep(isAnswered ? storeDelay : CALL_TIMEOUT);
-      return isAnswered;
+      const isSilent = cutOff.has(index);
+      await clock.sleep(isSilent ? CALL_TIMEOUT : storeDelay);
+      return !isSilent && !refused.has(index);
     }
 
     function waitForChange(wait: Millis): Promise<void> {
@@ -206,6 +209,7 @@
       [...calledAt].filter(([, at]) => at > clock.now() - 2_000)
         .map(([index]) => index),
     cutOff,
+    refused,
     silent,
     publish() {
       version++;
@@ -377,6 +381,51 @@
     expect(oldest).to.be.at.most(BOUND - MARGIN);
   });
 
+  /** How old a topic gets where the store turns so many of eight away. */
+  async function readOldest(
+    topic: TopicName,
+    { fault, count, seed }: {
+      fault: "cutOff" | "refused";
+      count: number;
+      seed: number;
+    },
+  ): Promise<Millis> {
+    const fleet = startFleet(8, { topic, seed });
+    await fleet.clock.advance(4_000 + 60 * seed);
+    const readers = fleet.listReaders();
+    const all = Array.from({ length: 8 }, (_, index) => index);
+    const others = all.filter((index) => !readers.includes(index));
+    const turnedAway = [...readers, ...others].slice(0, count);
+    turnedAway.forEach((index) => fleet[fault].add(index));
+    let oldest = 0;
+    for (let step = 0; step < 160; step++) {
+      await fleet.clock.advance(50);
+      oldest = Math.max(oldest, ...fleet.listAges());
+    }
+    fleet.stop();
+    return oldest;
+  }
+
+  // Serves a key after it was taken away: the store turns entries away, the only
+  // reader among them, and they do not ask those that it answers.
+  for (const topic of ["config", "endpoints"] as const) {
+    it(`tells ${topic} to entries that the store turns away`, async () => {
+      const BOUND = 2_000;
+      const MARGIN = 150;
+      const late: string[] = [];
+      for (const fault of ["cutOff", "refused"] as const) {
+        for (const count of [3, 7]) {
+          for (let seed = 1; seed <= 12; seed++) {
+            const oldest = await readOldest(topic, { fault, count, seed });
+            if (oldest <= BOUND - MARGIN) continue;
+            late.push(`${count} ${fault}, seed ${seed}: ${oldest}`);
+          }
+        }
+      }
+      expect(late).to.deep.equal([]);
+    });
+  }
+
   // A third of the fleet cannot reach the store, its readers among them: the
   // others tell it what the store says, and no call is made in vain for long.
   it("serves those that are cut off from the store", async () => {
