fix(serving): what another entry tells is as young as the question

Seen in the replay of entries that the store turns away: an entry that had waited 0.7 s at a useless parent counted what the next one told it as 0.7 s older than it is, took it for too old and asked on. Cause: the age of a reading counts from its start; a peer's answer tells the age from its own question. The class: an interval measured from another moment than the one it is applied to. Change: the age is shifted by the time between the two. The test failed before (300 instead of -400).

--- a/packages/serving/src/shared_source.ts
+++ b/packages/serving/src/shared_source.ts
@@ -152,12 +152,15 @@
     const reading = await askParent(first, { from, ...computeWaits(wait) });
     if (reading !== undefined) return reading;
     // Time was lost already: the others are asked together, for what they know.
+    const askedLater = clock.now() - now;
     const readings = await Promise.all(
       others.map((parent) =>
         askParent(parent, { from, wait: 0, confirmWait: 0 })
       ),
     );
-    return readings.find((known) => known !== undefined);
+    const known = readings.find((reading) => reading !== undefined);
+    if (known === undefined) return undefined;
+    return { ...known, age: (known.age ?? 0) - askedLater };
   }
 
   /**
--- a/packages/serving/src/shared_source_test.ts
+++ b/packages/serving/src/shared_source_test.ts
@@ -130,6 +130,37 @@
     });
   }
 
+  // The first is asked with a wait. What the second tells after it is as young as
+  // the second question; told from the start of the reading, it seems too old.
+  it("tells the age from the start of the reading", async () => {
+    const clock = createFakeClock(0);
+    const source = createSharedSource({
+      clock,
+      random: () => 0.5,
+      topic: "config",
+      source: {
+        readNewest: () => Promise.resolve(Result.err("unavailable")),
+        readFrom: () => Promise.resolve(Result.err("unavailable")),
+      },
+      chooseParents: () => ({
+        isReader: false,
+        addresses: ["silent", "young"],
+        storePause: 0,
+      }),
+      async ask(address) {
+        if (address === "young") return NEWS;
+        await clock.sleep(700);
+        return undefined;
+      },
+      pace: { relayWait: 400, confirmWait: 0, maxAge: 1_000 },
+      readings: createReadingWatch({ clock, onEnd: () => {} }),
+    });
+    const reply = source.readFrom(createPosition(5), 500);
+    await clock.advance(700);
+    const reading = await reply;
+    expect(reading.isOk && reading.value.age).to.equal(300 - 700);
+  });
+
   // The store is away, so nobody has anything young to tell. With a question to
   // each relay and a call to the store every half second, a fleet of hundreds
   // would make a thousand calls a second, and the store would stay away.
