feat(serving): a wait without news confirms what is known until its end

Ages counted from the start of a long poll: each entry took what it knew for 0.6 s older than it is, and a reader that fails was noticed that much later. A record that comes during the wait ends it, so an answer without records after the whole wait says that there was none until then. One that comes early says nothing of the wait.

--- a/packages/serving/src/keyed_follower.ts
+++ b/packages/serving/src/keyed_follower.ts
@@ -111,8 +111,9 @@
     if (reading !== undefined) {
       takeReading(reading, askedAt);
       // Another entry has gathered changes already, and tells them as they come.
-      const isRelayed = reading.age !== undefined;
-      const rest = isRelayed ? Math.min(pause, RELAYED_PAUSE) : pause;
+      const rest = reading.isRelayed === true
+        ? Math.min(pause, RELAYED_PAUSE)
+        : pause;
       // A spread pause keeps entries that started together from asking together.
       await clock.sleep(rest * (0.75 + random() / 2), signal);
       continue;
--- a/packages/serving/src/serving_handles.ts
+++ b/packages/serving/src/serving_handles.ts
@@ -149,9 +149,11 @@
   next: TopicPosition;
   /** It holds the newest record of every key, not the changes asked for. */
   isNewest?: boolean;
+  /** It comes from another entry, which gathers changes. */
+  isRelayed?: boolean;
   /**
-   * How old it was when it was asked for; 0 if it comes from the store itself,
-   * negative if the store confirmed it later.
+   * How old it was when it was asked for; negative if the store confirmed it
+   * later, 0 if it is missing.
    */
   age?: Millis;
 }
--- a/packages/serving/src/shared_source.ts
+++ b/packages/serving/src/shared_source.ts
@@ -135,6 +135,7 @@
       })),
       next,
       isNewest: kind === "newest",
+      isRelayed: true,
       age,
     };
   }
@@ -207,11 +208,13 @@
     );
     const askedAt = clock.now();
     const reading = await callStore(from, shortened);
-    const isWaitOver = reading.isOk && reading.value.records.length === 0;
+    if (reading.isErr || reading.value.records.length > 0) return reading;
     const took = clock.now() - askedAt;
     // One that does not wait is not fast: longer waits would not slow it down.
-    if (isWaitOver) storeDelay = Math.max(0, took - shortened);
-    return reading;
+    storeDelay = Math.max(0, took - shortened);
+    // A record that came during the wait would have ended it.
+    const age = took < shortened ? 0 : -shortened;
+    return Result.ok<KeyedReading, KeyedFault>({ ...reading.value, age });
   }
 
   /** As a reader: who is cut off from the store alone hears from the others. */
--- a/packages/serving/src/shared_source_test.ts
+++ b/packages/serving/src/shared_source_test.ts
@@ -79,6 +79,7 @@
       records: [{ key: "a", value: "1", offset: 5 }],
       next: createPosition(6),
       isNewest: false,
+      isRelayed: true,
       age: 300,
     });
   });
@@ -161,6 +162,22 @@
     expect(reading.isOk && reading.value.age).to.equal(300 - 700);
   });
 
+  it("is as young as the end of a wait without news", async () => {
+    const { clock, read } = create({}, {
+      isReader: true,
+      storeDelays: [600, 3],
+    });
+    const ages: (Millis | undefined)[] = [];
+    for (let reading = 0; reading < 2; reading++) {
+      const reply = read(600);
+      await clock.advance(600);
+      const { value } = (await reply) as { value: KeyedReading };
+      ages.push(value.age);
+    }
+    // The second was answered at once: nothing is known of the wait.
+    expect(ages).to.deep.equal([-600, 0]);
+  });
+
   // The store is away, so nobody has anything young to tell. With a question to
   // each relay and a call to the store every half second, a fleet of hundreds
   // would make a thousand calls a second, and the store would stay away.
