fix(serving): entries that the store turns away hear from those that it answers

Callers saw: a request with a key that had been taken away 2.6 s before was served; then three of nine entries refused all keys for the rest of an outage that concerned only them. Cause: whom an entry asks for the store's topics was fixed by rank alone. A small site has one reader; turned away by the store it knew nobody to ask, and the others that were turned away asked only it and the store, while six entries beside them knew each configuration. The class: one path to what must be known, with a fall-back that fails together with it. Elsewhere the same: the topics of endpoints and of entries (one code), and the three readers of a large site. Change: an entry with nothing young asks any others, and one that has lost the store reads on at the one that it found; a reader that has lost the store tells its askers so at once, hears from others meanwhile, and tries the store beside that; peers are asked while a call of the store goes on, not after its limit. A parent is of use below 1.1 s (configuration) and 1.2 s (endpoints), as ages are exact now.

--- /dev/null
+++ b/packages/serving/src/fallback_peers_test.ts
@@ -0,0 +1,43 @@
+import { createFakeClock } from "@mangoreach/shared";
+import { expect } from "chai";
+import { createFallbackPeers } from "./fallback_peers.ts";
+
+const OTHERS = Array.from({ length: 20 }, (_, index) => `10.1.0.${index}`);
+
+describe("peers in place of parents", () => {
+  it("asks eight at once, each once", () => {
+    const clock = createFakeClock(0);
+    const peers = createFallbackPeers({ clock, random: () => 0.99 });
+    const chosen = peers.chooseSearched(() => OTHERS);
+    expect(new Set(chosen).size).to.equal(8);
+    expect(peers.chooseSearched(() => ["only"])).to.deep.equal(["only"]);
+  });
+
+  // In an outage for all, each entry would ask eight others all the time.
+  it("searches less and less often while nobody is of use", async () => {
+    const clock = createFakeClock(0);
+    const peers = createFallbackPeers({ clock, random: () => 0.5 });
+    const searchedAt: number[] = [];
+    while (clock.now() < 6_000) {
+      if (peers.chooseSearched(() => OTHERS).length > 0) {
+        searchedAt.push(clock.now());
+        peers.noteNotFound();
+      }
+      await clock.advance(50);
+    }
+    expect(searchedAt).to.deep.equal([
+      ...[0, 50, 150, 300, 500, 800, 1_200, 1_800, 2_700, 4_000, 5_600],
+    ]);
+  });
+
+  it("keeps to the one that was found for five seconds", async () => {
+    const clock = createFakeClock(0);
+    const peers = createFallbackPeers({ clock, random: () => 0.5 });
+    expect(peers.readKept()).to.equal(undefined);
+    peers.noteFound("10.1.0.7");
+    await clock.advance(4_999);
+    expect(peers.readKept()).to.equal("10.1.0.7");
+    await clock.advance(1);
+    expect(peers.readKept()).to.equal(undefined);
+  });
+});
--- a/packages/serving/src/shared_source.ts
+++ b/packages/serving/src/shared_source.ts
@@ -3,25 +3,33 @@
  * already, and from the store itself where that does not do.
  *
  * What it saves is calls to the store, which grow with the fleet otherwise. What
- * it must not cost is fresh knowledge: an entry that is asked tells how old its
- * own is, and is passed over when that is too old, when it is silent, or when it
- * does not know what was asked for.
+ * it must not cost is fresh knowledge. An entry that the store turns away, also
+ * one that reads for others, hears from those that the store answers.
  *
  * @module
  */
-import type { TopicName, TopicNews, TopicQuestion } from "@mangoreach/peers";
+import type { TopicName } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
 import { Result } from "true-myth";
+import type { PeerReaderOptions, PeerReading } from "./peer_reader.ts";
+import { createPeerReader } from "./peer_reader.ts";
+import type { ReadingOutcome, ReadingWatch } from "./reading_watch.ts";
 import type {
   KeyedFault,
   KeyedReading,
   KeyedSource,
   TopicPosition,
 } from "./serving_handles.ts";
-import type { ReadingOutcome, ReadingWatch } from "./reading_watch.ts";
+import { createStoreAccess } from "./store_access.ts";
 import type { TopicPace } from "./topic_pace.ts";
 import type { TopicParents } from "./topic_readers.ts";
 
+/** A topic that entries read at each other. */
+export interface SharedSource extends KeyedSource {
+  /** Whether others may read here: not at a reader that has lost the store. */
+  mayPassOn(): boolean;
+}
+
 /** Options of {@linkcode createSharedSource}. */
 export interface SharedSourceOptions {
   clock: Clock;
@@ -32,10 +40,7 @@
   /** Whom this entry asks before the store. */
   chooseParents: () => TopicParents;
   /** Undefined if the entry does not answer. */
-  ask: (
-    address: string,
-    question: TopicQuestion,
-  ) => Promise<TopicNews | undefined>;
+  ask: PeerReaderOptions["ask"];
   pace: Pick<TopicPace, "relayWait" | "confirmWait" | "maxAge">;
   /** Told of each reading, at the store and at other entries. */
   readings: Pick<ReadingWatch, "begin">;
@@ -43,158 +48,59 @@
 
 /** However slow the store is, a reader does not call it without any wait. */
 const SHORTEST_WAIT_SHARE = 0.25;
-/** Asked for one reading: the first, and others when it is of no use. */
-const MAX_ASKED = 3;
 /**
- * An entry that was of no use is not asked for this long at first, and twice as
- * long each time until it is of use again: in an outage of the store nobody has
- * anything to tell, and the questions would take the processor from requests.
+ * A store that takes so much longer than its wait has turned a reader away, or
+ * is too slow to be read for others.
  */
-const SILENT_PENALTY = { first: 1_000, longest: 8_000 };
-/** One that answers, with old news or none yet, is about to get younger itself. */
-const OLD_PENALTY = { first: 300, longest: 2_000 };
-
-/**
- * An answer without news is worth a message only so often, also while the store
- * is slow and nobody knows anything young: seven a second for each asker.
- */
-const SHORTEST_QUESTION: Millis = 100;
-
-/** Half of the time between two confirmations: the store has spoken since. */
-const CLEARLY_YOUNGER: Millis = 300;
-/** Three times the age of a configuration's news is near the limit for keys. */
-const OLDEST_FACTOR = 3;
-
-interface Penalty {
-  duration: Millis;
-  until: Millis;
-}
+const READER_PATIENCE: Millis = 200;
+/** Asked without a wait and silent for this long: peers may know. */
+const STRAY_PATIENCE: Millis = 100;
+/** A turn at the store that is due within this is waited for. */
+const NEAR_TURN: Millis = 350;
+/** Pause between two calls of a store that does not answer. */
+const LOST_PAUSE: Millis = 500;
 
 /** Creates the source of one topic. */
 export function createSharedSource(
   { clock, random, topic, source, chooseParents, ask, pace, readings }:
     SharedSourceOptions,
-): KeyedSource {
-  const penalties = new Map<string, Penalty>();
-  /** When the store confirmed what this entry has read last. */
-  let confirmedAt = Infinity;
+): SharedSource {
+  const peers = createPeerReader({ clock, random, topic, ask, pace, readings });
+  const access = createStoreAccess(clock, random);
   /** What the store took last besides the wait. */
   let storeDelay: Millis = 0;
   /** When this entry may read the store itself, while nobody is of use. */
   let storeTurn: Millis | undefined;
-
-  function notePenalty(
-    parent: string,
-    { first, longest }: { first: Millis; longest: Millis },
-  ): void {
-    const last = penalties.get(parent)?.duration ?? 0;
-    const duration = Math.min(longest, Math.max(first, 2 * last));
-    penalties.set(parent, { duration, until: clock.now() + duration });
-  }
-
-  /**
-   * Of a slow store nobody knows anything young: what is clearly younger than
-   * the last reading helps then. One that is cut off tells the same each time.
-   */
-  function isOfUse(newlyConfirmedAt: Millis): boolean {
-    const age = clock.now() - newlyConfirmedAt;
-    return age <= pace.maxAge ||
-      (age <= OLDEST_FACTOR * pace.maxAge &&
-        newlyConfirmedAt - confirmedAt >= CLEARLY_YOUNGER);
-  }
-
-  /** Undefined if the entry's answer is of no use. */
-  async function askParent(
-    parent: string,
-    question: Omit<TopicQuestion, "topic">,
-  ): Promise<KeyedReading | undefined> {
-    const askedAt = clock.now();
-    const end = readings.begin("peer", parent);
-    const news = await ask(parent, { topic, ...question });
-    if (news === undefined) {
-      notePenalty(parent, SILENT_PENALTY);
-      return void end("silent");
-    }
-    if (news.kind === "unknown") {
-      notePenalty(parent, OLD_PENALTY);
-      return void end("unknown");
-    }
-    const { records, next, age, kind } = news;
-    if (!isOfUse(askedAt - age)) {
-      notePenalty(parent, OLD_PENALTY);
-      return void end("old");
-    }
-    end("read");
-    penalties.delete(parent);
-    confirmedAt = askedAt - age;
-    return {
-      records: records.map(({ key, value, offset }) => ({
-        key,
-        value,
-        offset,
-      })),
-      next,
-      isNewest: kind === "newest",
-      isRelayed: true,
-      age,
-    };
-  }
-
-  async function readAtParents(
-    parents: readonly string[],
-    { from, wait }: { from: TopicPosition; wait: Millis },
-  ): Promise<KeyedReading | undefined> {
-    const now = clock.now();
-    const usable = parents.filter((parent) =>
-      (penalties.get(parent)?.until ?? -Infinity) <= now
-    );
-    const [first, ...others] = usable.slice(0, MAX_ASKED);
-    if (first === undefined) return undefined;
-    const reading = await askParent(first, { from, ...computeWaits(wait) });
-    if (reading !== undefined) return reading;
-    // Time was lost already: the others are asked together, for what they know.
-    const askedLater = clock.now() - now;
-    const readings = await Promise.all(
-      others.map((parent) =>
-        askParent(parent, { from, wait: 0, confirmWait: 0 })
-      ),
-    );
-    const known = readings.find((reading) => reading !== undefined);
-    if (known === undefined) return undefined;
-    return { ...known, age: (known.age ?? 0) - askedLater };
-  }
-
-  /**
-   * A reader that the store has turned away answers without news when the waits
-   * are over, and then its word is too old. What is known here must not be older
-   * than the limit by so much again before the store itself is asked: over all
-   * the wait 2.48 s, and 1.81 s like this (replay of eight entries).
-   */
-  function computeWaits(wait: Millis) {
-    if (wait === 0) return { wait, confirmWait: 0 };
-    const ownAge = clock.now() - confirmedAt;
-    const left = Math.max(SHORTEST_QUESTION, pace.maxAge - ownAge);
-    const limited = Math.min(wait, left);
-    return {
-      wait: limited,
-      confirmWait: Math.min(pace.confirmWait, left - limited),
-    };
-  }
+  /** Whether it reads for others, by its last look at who lives. */
+  let isReaderNow = false;
 
   /** Whether enough time has passed since this entry last read the store. */
   function takeStoreTurn(storePause: Millis): boolean {
     const now = clock.now();
+    const pause = access.isLost()
+      ? Math.max(LOST_PAUSE, storePause)
+      : storePause;
     // The first turn is spread too: a whole place may have lost its relays.
-    storeTurn ??= now + random() * storePause;
+    storeTurn ??= now + random() * pause / 2;
     if (now < storeTurn) return false;
-    storeTurn = now + storePause * (0.5 + random());
+    storeTurn = now + pause * (0.5 + random());
     return true;
   }
 
+  /** The pauses after failures grow; a turn that is near is not missed for it. */
+  async function waitForTurn(): Promise<void> {
+    const left = (storeTurn ?? Infinity) - clock.now();
+    if (left <= NEAR_TURN) await clock.sleep(left);
+  }
+
   async function callStore(from: TopicPosition, wait: Millis) {
     const end = readings.begin("store");
+    const askedAt = clock.now();
     const reading = await source.readFrom(from, wait);
     end(describeOutcome(reading));
+    if (reading.isOk) peers.noteConfirmed(askedAt);
+    if (isAnswered(reading)) access.noteAnswered();
+    else access.noteLost();
     return reading;
   }
 
@@ -202,7 +108,7 @@
    * A slow store takes its time besides the wait. The wait is shorter by that, or
    * everybody's knowledge would be older by it.
    */
-  async function readStore(from: TopicPosition, wait: Millis) {
+  async function waitAtStore(from: TopicPosition, wait: Millis) {
     const shortened = Math.round(
       Math.max(SHORTEST_WAIT_SHARE * wait, wait - storeDelay),
     );
@@ -214,37 +120,120 @@
     storeDelay = Math.max(0, took - shortened);
     // A record that came during the wait would have ended it.
     const age = took < shortened ? 0 : -shortened;
+    peers.noteConfirmed(askedAt - age);
     return Result.ok<KeyedReading, KeyedFault>({ ...reading.value, age });
   }
 
-  /** As a reader: who is cut off from the store alone hears from the others. */
-  async function readStoreFirst(
-    from: TopicPosition,
-    { storeWait, addresses }: {
-      storeWait: Millis;
-      addresses: readonly string[];
+  /** Undefined if there is no result in time. */
+  async function waitAtMost<T>(
+    result: Promise<T>,
+    limit: Millis,
+  ): Promise<T | undefined> {
+    const controller = new AbortController();
+    const late = clock.sleep(limit, controller.signal).then(() => undefined);
+    const first = await Promise.race([result, late]);
+    controller.abort();
+    return first;
+  }
+
+  /** `startedAt`: when the reading began, which may have asked others first. */
+  function takeRelayed(
+    { reading, confirmedAt }: PeerReading,
+    startedAt: Millis,
+  ): Result<KeyedReading, KeyedFault> {
+    peers.noteConfirmed(confirmedAt);
+    return Result.ok({ ...reading, age: startedAt - confirmedAt });
+  }
+
+  /**
+   * An entry that the store has turned away without a word hears from its peers
+   * before its call is given up.
+   */
+  async function waitBesidePeers(
+    stored: Promise<Result<KeyedReading, KeyedFault>>,
+    { from, patience, parents, startedAt }: {
+      from: TopicPosition;
+      patience: Millis;
+      parents: TopicParents;
+      startedAt: Millis;
     },
-  ) {
-    const reading = await readStore(from, storeWait);
-    if (reading.isOk || reading.error === "expired") return reading;
-    const relayed = await readAtParents(addresses, { from, wait: 0 });
-    return relayed === undefined ? reading : Result.ok(relayed);
+  ): Promise<Result<KeyedReading, KeyedFault>> {
+    for (let limit = patience;; limit = STRAY_PATIENCE) {
+      const outcome = await waitAtMost(stored, limit);
+      if (outcome !== undefined && isAnswered(outcome)) return outcome;
+      const relayed =
+        await peers.readAtParents(parents.addresses, { from, wait: 0 }) ??
+          await peers.search(from, parents.listOthers);
+      if (relayed !== undefined) return takeRelayed(relayed, startedAt);
+      if (outcome !== undefined) return outcome;
+    }
+  }
+
+  async function readAsReader(
+    from: TopicPosition,
+    { storeWait, parents }: { storeWait: Millis; parents: TopicParents },
+  ): Promise<Result<KeyedReading, KeyedFault>> {
+    const startedAt = clock.now();
+    const patience = storeWait + READER_PATIENCE;
+    const stored = waitAtStore(from, storeWait);
+    const cancel = clock.startTimer(patience, access.noteLost);
+    void stored.then(cancel, cancel);
+    return await waitBesidePeers(stored, {
+      from,
+      patience,
+      parents,
+      startedAt,
+    });
+  }
+
+  /** The store's answer is as young as the call, not as the reading. */
+  async function callStoreLater(
+    from: TopicPosition,
+    startedAt: Millis,
+  ): Promise<Result<KeyedReading, KeyedFault>> {
+    const calledAt = clock.now();
+    const reading = await callStore(from, 0);
+    return reading.map((value) => ({ ...value, age: startedAt - calledAt }));
+  }
+
+  /** Only an entry that has lost the store reads on at what a search found. */
+  function listAsked({ addresses }: TopicParents): readonly string[] {
+    const found = access.isLost() ? peers.readFound() : undefined;
+    return found === undefined ? addresses : [found, ...addresses];
   }
 
   async function readFrom(
     from: TopicPosition,
     storeWait: Millis,
   ): Promise<Result<KeyedReading, KeyedFault>> {
-    const { isReader, addresses, storePause } = chooseParents();
-    if (isReader) return await readStoreFirst(from, { storeWait, addresses });
-    const wait = pace.relayWait;
-    const reading = await readAtParents(addresses, { from, wait });
-    if (reading !== undefined) {
+    const parents = chooseParents();
+    isReaderNow = parents.isReader;
+    if (parents.isReader && !access.isLost()) {
+      return await readAsReader(from, { storeWait, parents });
+    }
+    // Beside the reading, which it would hold up for a second.
+    if (parents.isReader && access.takeProbe()) void callStore(from, 0);
+    const startedAt = clock.now();
+    const question = { from, wait: pace.relayWait };
+    const relayed = await peers.readAtParents(listAsked(parents), question);
+    if (relayed !== undefined) {
       storeTurn = undefined;
-      return Result.ok(reading);
+      return takeRelayed(relayed, startedAt);
     }
-    if (!takeStoreTurn(storePause)) return Result.err("unavailable");
-    return await callStore(from, 0);
+    if (takeStoreTurn(parents.storePause)) {
+      const stored = callStoreLater(from, startedAt);
+      const patience = STRAY_PATIENCE;
+      return await waitBesidePeers(stored, {
+        from,
+        patience,
+        parents,
+        startedAt,
+      });
+    }
+    const found = await peers.search(from, parents.listOthers);
+    if (found !== undefined) return takeRelayed(found, startedAt);
+    await waitForTurn();
+    return Result.err("unavailable");
   }
 
   async function readNewest() {
@@ -252,11 +241,21 @@
     const end = readings.begin("store");
     const reading = await source.readNewest();
     end(describeOutcome(reading));
-    if (reading.isOk) confirmedAt = askedAt;
+    if (reading.isOk) peers.noteConfirmed(askedAt);
     return reading;
   }
 
-  return { readNewest, readFrom };
+  return {
+    readNewest,
+    readFrom,
+    // Who took its word for the store's would not read the store for others.
+    mayPassOn: () => !(isReaderNow && access.isLost()),
+  };
+}
+
+/** Whether the store has spoken, if only to say that the records are gone. */
+function isAnswered(reading: Result<KeyedReading, KeyedFault>): boolean {
+  return reading.isOk || reading.error === "expired";
 }
 
 function describeOutcome(
--- a/packages/serving/src/shared_source_test.ts
+++ b/packages/serving/src/shared_source_test.ts
@@ -53,6 +53,7 @@
         isReader,
         addresses: Object.keys(answers),
         storePause,
+        listOthers: () => [],
       }),
       ask: (address, question) => {
         asked.push(address);
@@ -147,6 +148,7 @@
         isReader: false,
         addresses: ["silent", "young"],
         storePause: 0,
+        listOthers: () => [],
       }),
       async ask(address) {
         if (address === "young") return NEWS;
@@ -186,8 +188,9 @@
       storePause: 5_000,
     });
     for (let time = 0; time < 20_000; time += 500) {
-      await read();
+      const reply = read();
       await clock.advance(500);
+      await reply;
     }
     const count = (name: string) => asked.filter((one) => one === name).length;
     expect(count("store")).to.equal(4);
--- a/packages/serving/src/site_knowledge.ts
+++ b/packages/serving/src/site_knowledge.ts
@@ -34,7 +34,7 @@
 import type { ServingMetrics } from "./serving_metrics.ts";
 import type { ServingPlatform } from "./serving_options.ts";
 import { TOPIC_PACES } from "./topic_pace.ts";
-import type { TopicRelay } from "./topic_relay.ts";
+import type { ReadableSource, TopicRelay } from "./topic_relay.ts";
 import { createTopicRelay } from "./topic_relay.ts";
 
 /** Options of {@linkcode createSiteKnowledge}. */
@@ -52,7 +52,7 @@
     topic: TopicName,
     source: KeyedSource,
     readings: ReadingWatch,
-  ) => KeyedSource;
+  ) => ReadableSource;
   /** Told of each configuration that comes into force. */
   onConfig: (config: ServingConfig) => void;
   /** Told when endpoints come, leave or go. */
--- /dev/null
+++ b/packages/serving/src/store_access_test.ts
@@ -0,0 +1,23 @@
+import { createFakeClock } from "@mangoreach/shared";
+import { expect } from "chai";
+import { createStoreAccess } from "./store_access.ts";
+
+describe("access to the store", () => {
+  it("tries a lost store once a second until it answers", async () => {
+    const clock = createFakeClock(0);
+    const access = createStoreAccess(clock, () => 0.5);
+    expect([access.isLost(), access.takeProbe()]).to.deep.equal([false, false]);
+    access.noteLost();
+    const probedAt: number[] = [];
+    while (clock.now() < 3_500) {
+      if (access.takeProbe()) probedAt.push(clock.now());
+      // Other calls that fail do not put it off.
+      access.noteLost();
+      await clock.advance(100);
+    }
+    expect(probedAt).to.deep.equal([1_000, 2_000, 3_000]);
+    access.noteAnswered();
+    await clock.advance(1_000);
+    expect([access.isLost(), access.takeProbe()]).to.deep.equal([false, false]);
+  });
+});
--- a/packages/serving/src/topic_pace.ts
+++ b/packages/serving/src/topic_pace.ts
@@ -33,7 +33,7 @@
     pause: 50,
     relayWait: 300,
     confirmWait: 400,
-    maxAge: 1_300,
+    maxAge: 1_100,
   },
   /**
    * Endpoints write their heartbeats all the time; a pause gathers them. One that
@@ -43,9 +43,9 @@
   endpoints: {
     wait: 0,
     pause: 450,
-    relayWait: 600,
-    confirmWait: 0,
-    maxAge: 1_500,
+    relayWait: 300,
+    confirmWait: 400,
+    maxAge: 1_200,
   },
   /** Entries come and go seldom; who lives is told by heartbeats. */
   members: {
--- a/packages/serving/src/topic_readers.ts
+++ b/packages/serving/src/topic_readers.ts
@@ -24,6 +24,8 @@
   addresses: readonly string[];
   /** Pause between two own readings of the store while no entry is of use. */
   storePause: Millis;
+  /** Control addresses of all other entries that stay. */
+  listOthers: () => readonly string[];
 }
 
 /**
@@ -79,6 +81,7 @@
     isReader,
     addresses: listAsked().map(({ controlAddress }) => controlAddress),
     storePause: isRelay ? 0 : 1_000 * members.length / STRAY_READINGS,
+    listOthers: () => others.map(({ controlAddress }) => controlAddress),
   };
 
   function listAsked(): PeerRecord[] {
--- a/packages/serving/src/topic_relay.ts
+++ b/packages/serving/src/topic_relay.ts
@@ -10,6 +10,7 @@
 import type { KnowledgeAge, KnowledgeTime } from "@mangoreach/coordination";
 import type { TopicNews, TopicQuestion } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
+import type { SharedSource } from "./shared_source.ts";
 import type {
   KeyedReading,
   KeyedRecord,
@@ -17,11 +18,16 @@
   TopicPosition,
 } from "./serving_handles.ts";
 
+/** A source; without `mayPassOn` all that is read there is passed on. */
+export type ReadableSource =
+  & KeyedSource
+  & Partial<Pick<SharedSource, "mayPassOn">>;
+
 /** Options of {@linkcode createTopicRelay}. */
 export interface TopicRelayOptions {
   clock: Clock;
   /** Where this entry reads: the store, or another entry. */
-  source: KeyedSource;
+  source: ReadableSource;
   /** How long ago the store confirmed what is kept here. */
   age: KnowledgeAge;
   /**
@@ -140,6 +146,15 @@
     }
   }
 
+  function mayPassOn(): boolean {
+    return source.mayPassOn?.() ?? true;
+  }
+
+  /** They lose no time at an entry that has nothing to pass on. */
+  function wakeAskers(): void {
+    for (const { wake } of [...waiting]) wake();
+  }
+
   function noteConfirmed(
     askedAt: KnowledgeTime,
     { age: old = 0 }: KeyedReading,
@@ -163,6 +178,7 @@
   async function readFrom(from: TopicPosition, wait: Millis) {
     const askedAt = age.readTime();
     const reading = await source.readFrom(from, wait);
+    if (!mayPassOn()) wakeAskers();
     if (reading.isErr) return reading;
     const before = next;
     let isNewsThere = true;
@@ -176,6 +192,7 @@
   }
 
   function listNews(from: TopicPosition, arrivedAt: Millis): TopicNews {
+    if (!mayPassOn()) return { kind: "unknown" };
     if (next === undefined || isAhead(from, next)) return { kind: "unknown" };
     const known = { next, age: age.read() - (clock.now() - arrivedAt) };
     if (from.era === next.era && from.offset >= first) {
@@ -211,6 +228,7 @@
   ): Promise<TopicNews> {
     const { from, wait } = question;
     const arrivedAt = clock.now();
+    if (!mayPassOn()) return { kind: "unknown" };
     const news = listNews(from, arrivedAt);
     // An entry that has read elsewhere may be ahead for a moment.
     const isSomethingNew = news.kind === "newest" ||
--- a/packages/serving/src/topic_relay_test.ts
+++ b/packages/serving/src/topic_relay_test.ts
@@ -74,6 +74,39 @@
     expect(await ask(5)).to.equal("a=undefined a=1/3 next 8 age 0");
   });
 
+  // Taken for the store's word, that of a reader which has lost the store keeps
+  // its askers from reading the store.
+  it("tells nothing at a reader that has lost the store", async () => {
+    const clock = createFakeClock(0);
+    let isLost = false;
+    const relay = createTopicRelay({
+      clock,
+      source: {
+        readNewest: () => Promise.resolve(Result.ok(createReading(5, "a=1/1"))),
+        readFrom: () => Promise.resolve(Result.ok(createReading(5))),
+        mayPassOn: () => !isLost,
+      },
+      age: createKnowledgeAge({ clock, readWallTime: clock.now }),
+      readContent: ({ value }) => value ?? "",
+    });
+    await relay.source.readNewest();
+    const question = {
+      topic: "config",
+      from: createPosition(5),
+      wait: 600,
+      confirmWait: 0,
+    } as const;
+    const early = relay.answer(question);
+    isLost = true;
+    await relay.source.readFrom(createPosition(5), 0);
+    expect((await early).kind).to.equal("unknown");
+    expect((await relay.answer(question)).kind).to.equal("unknown");
+    isLost = false;
+    const answer = relay.answer(question);
+    await clock.advance(600);
+    expect((await answer).kind).to.equal("records");
+  });
+
   it("tells how long ago the store confirmed what it knows", async () => {
     const { readOn, ask, clock } = await create("unavailable");
     await clock.advance(700);
--- a/packages/serving/src/topic_tree_replay_test.ts
+++ b/packages/serving/src/topic_tree_replay_test.ts
@@ -426,6 +426,26 @@
     });
   }
 
+  // Larger sites have three readers, all of them turned away at once, and longer
+  // bounds.
+  for (const topic of ["config", "endpoints"] as const) {
+    it(`of 66 tells ${topic} to readers that are turned away`, async () => {
+      const fleet = startFleet(66, { topic });
+      await fleet.clock.advance(4_000);
+      fleet.listReaders().forEach((reader) => fleet.cutOff.add(reader));
+      for (let index = 0; index < 66; index += 3) fleet.cutOff.add(index);
+      let oldest = 0;
+      for (let step = 0; step < 160; step++) {
+        await fleet.clock.advance(50);
+        oldest = Math.max(oldest, ...fleet.listAges());
+      }
+      fleet.stop();
+      const BOUND = 3_000;
+      const MARGIN = 150;
+      expect(oldest).to.be.at.most(BOUND - MARGIN);
+    });
+  }
+
   // A third of the fleet cannot reach the store, its readers among them: the
   // others tell it what the store says, and no call is made in vain for long.
   it("serves those that are cut off from the store", async () => {
