--- a/packages/serving/src/topic_tree_replay_test.ts
+++ b/packages/serving/src/topic_tree_replay_test.ts
@@ -36,6 +36,8 @@
   listReaders(): number[];
   /** Publishes a configuration. */
   publish(): void;
+  /** Publishes one that ends no wait which began a moment before. */
+  publishUnseen(): void;
   /** The store comes back from a copy that lacks the last records. */
   restore(lost: number): void;
   /** The store does not answer these entries. */
@@ -121,6 +123,11 @@
     };
   }
 
+  function append(): void {
+    version++;
+    written.push(version);
+  }
+
   const records: PeerRecord[] = Array.from({ length: size }, (_, index) => ({
     ...createTestPeer(`entry-${index}`),
     controlAddress: String(index),
@@ -212,10 +219,10 @@
     refused,
     silent,
     publish() {
-      version++;
-      written.push(version);
+      append();
       [...polls].forEach((wake) => wake());
     },
+    publishUnseen: append,
     restore(lost) {
       era++;
       written = written.slice(0, written.length - lost);
@@ -279,6 +286,20 @@
     expect(fleet.countUpToDate()).to.equal(195);
   });
 
+  // Serves by a replaced configuration: a wait that begins while the store takes a
+  // record is not ended by it, and the readers hear of it when the wait is over.
+  for (const size of [8, 195]) {
+    it(`of ${size} knows a change that ended no wait`, async () => {
+      const fleet = startFleet(size);
+      await fleet.clock.advance(4_000);
+      fleet.publishUnseen();
+      await fleet.clock.advance(850);
+      const told = fleet.countUpToDate();
+      fleet.stop();
+      expect(told).to.equal(size);
+    });
+  }
+
   // The store comes back from a copy without the last three records, and the
   // offset that all have read to is given out again later. Read on from there,
   // the fleet would keep a key that was taken away after the copy came back.
