--- a/packages/coordination/src/version_watch_test.ts
+++ b/packages/coordination/src/version_watch_test.ts
@@ -29,4 +29,23 @@
     watch.note(7);
     expect(watch.isBehind(7, 0)).to.equal(false);
   });
+
+  // Serves keys that were taken away: the way to the store's news has failed, and
+  // the age of what is known is still allowed.
+  it("is one that a peer has told of a second ago", async () => {
+    const clock = createFakeClock(0);
+    const watch = createVersionWatch(clock);
+    watch.note(8);
+    await clock.advance(600);
+    watch.note(9);
+    await clock.advance(400);
+    expect(watch.isBehind(7, 2_000)).to.equal(false);
+    await clock.advance(1);
+    expect(watch.isBehind(7, 2_001)).to.equal(true);
+    // In a storm of changes it is always some behind, but never by long.
+    expect(watch.isBehind(8, 2_001)).to.equal(false);
+    await clock.advance(600);
+    expect(watch.isBehind(8, 2_601)).to.equal(true);
+    expect(watch.isBehind(9, 2_601)).to.equal(false);
+  });
 });
