fix(coordination): an entry without news of endpoints sends none more than a cold one bears besides

An entry that neither the store nor another entry reaches for 3 s does not hear that the only engine turned cold, and sends it all it gets. Cause: the allowance asks whether an endpoint is cold by what is known, however old that is. Change: once news of endpoints is older than 2 s, an entry sends each endpoint at most half of what a cold one bears, which leaves room for the senders that have heard. It binds where one entry sends much to one endpoint; at 83 entries and 63 engines an entry sends two requests a second in all.

--- a/packages/coordination/src/cold_allowance.ts
+++ b/packages/coordination/src/cold_allowance.ts
@@ -8,6 +8,9 @@
  * agree on anything: for each endpoint a few entries, the first in its rendezvous
  * order, share what it bears, and the others send it nothing while it is cold.
  *
+ * An entry that hears nothing of endpoints does not know which have turned cold.
+ * It sends to each as if it alone had not heard: no more than the senders leave.
+ *
  * @module
  */
 import type { Clock, Millis } from "@mangoreach/shared";
@@ -28,6 +31,8 @@
   listEntries: () => readonly string[] | undefined;
   /** Whether an endpoint is cold, or may be. */
   isCold: (endpoint: EndpointInfo) => boolean;
+  /** How old the news of endpoints is. */
+  readNewsAge: () => Millis;
   /** Requests a second that a cold endpoint of a pool bears; 0: any number. */
   readRate: (pool: string) => number;
 }
@@ -51,6 +56,14 @@
 const USED_SHARE = 0.8;
 /** One request, and no more saved up: the first of all senders may coincide. */
 const FULL_BUCKET = 1;
+/**
+ * Entries whose news of endpoints is older send to each at most this share of
+ * what a cold one bears, which comes on top of what the senders do.
+ */
+const OLD_NEWS: Millis = 2_000;
+const UNHEARD_SHARE = 0.5;
+/** Requests to one endpoint come in pairs, as parts of one caller's work. */
+const UNHEARD_BUCKET = 2;
 /** What is known of endpoints that are warm again is dropped above this many. */
 const MAX_KNOWN = 256;
 const MILLIS_PER_SECOND = 1_000;
@@ -58,6 +71,13 @@
 /** Ranking hundreds of entries for each request would cost more than it tells. */
 const RANK_LIFETIME: Millis = 500;
 
+interface Limit {
+  perSecond: number;
+  bucketSize: number;
+  /** Whether only some of all entries send there. */
+  isShared: boolean;
+}
+
 interface Bucket {
   requests: number;
   filledAt: Millis;
@@ -67,7 +87,8 @@
 
 /** Creates the allowance of an entry that has sent nothing. */
 export function createColdAllowance(
-  { clock, entry, listEntries, isCold, readRate }: ColdAllowanceOptions,
+  { clock, entry, listEntries, isCold, readNewsAge, readRate }:
+    ColdAllowanceOptions,
 ): ColdAllowance {
   const buckets = new Map<string, Bucket>();
 
@@ -86,27 +107,35 @@
     return Math.min(MOST_SENDERS, Math.max(FEWEST_SENDERS, whole));
   }
 
-  function isLimited(endpoint: EndpointInfo): boolean {
-    return readRate(endpoint.pool) > 0 && isCold(endpoint);
+  /** Undefined where nothing limits what is sent. */
+  function chooseLimit(endpoint: EndpointInfo): Limit | undefined {
+    const rate = readRate(endpoint.pool);
+    if (rate === 0) return undefined;
+    if (isCold(endpoint)) {
+      const perSecond = USED_SHARE * rate / countSenders(endpoint);
+      return { perSecond, bucketSize: FULL_BUCKET, isShared: true };
+    }
+    if (readNewsAge() <= OLD_NEWS) return undefined;
+    const perSecond = UNHEARD_SHARE * rate;
+    return { perSecond, bucketSize: UNHEARD_BUCKET, isShared: false };
   }
 
-  function refreshBucket(endpoint: EndpointInfo): Bucket {
+  function refreshBucket(endpoint: EndpointInfo, limit: Limit): Bucket {
     const key = formatEndpointKey(endpoint);
     const now = clock.now();
-    const bucket = buckets.get(key) ?? createBucket(now);
-    const rate = USED_SHARE * readRate(endpoint.pool) /
-      countSenders(endpoint);
-    const gained = rate * (now - bucket.filledAt) / MILLIS_PER_SECOND;
-    bucket.requests = Math.min(FULL_BUCKET, bucket.requests + gained);
+    const bucket = buckets.get(key) ?? createBucket(now, limit);
+    const gained = limit.perSecond * (now - bucket.filledAt) /
+      MILLIS_PER_SECOND;
+    bucket.requests = Math.min(limit.bucketSize, bucket.requests + gained);
     bucket.filledAt = now;
     if (!buckets.has(key) && buckets.size >= MAX_KNOWN) dropOldest();
     buckets.set(key, bucket);
     return bucket;
   }
 
-  function createBucket(now: Millis): Bucket {
+  function createBucket(now: Millis, { bucketSize }: Limit): Bucket {
     return {
-      requests: FULL_BUCKET,
+      requests: bucketSize,
       filledAt: now,
       isSender: false,
       rankedAt: -Infinity,
@@ -127,13 +156,17 @@
 
   return {
     mayBegin(endpoint) {
-      if (!isLimited(endpoint)) return true;
-      const bucket = refreshBucket(endpoint);
-      refreshRank(endpoint, bucket);
-      return bucket.isSender && bucket.requests >= FULL_BUCKET;
+      const limit = chooseLimit(endpoint);
+      if (limit === undefined) return true;
+      const bucket = refreshBucket(endpoint, limit);
+      if (limit.isShared) refreshRank(endpoint, bucket);
+      const isSender = bucket.isSender || !limit.isShared;
+      return isSender && bucket.requests >= FULL_BUCKET;
     },
     begin(endpoint) {
-      if (isLimited(endpoint)) refreshBucket(endpoint).requests -= FULL_BUCKET;
+      const limit = chooseLimit(endpoint);
+      if (limit === undefined) return;
+      refreshBucket(endpoint, limit).requests -= FULL_BUCKET;
     },
   };
 }
--- a/packages/coordination/src/cold_allowance_replay_test.ts
+++ b/packages/coordination/src/cold_allowance_replay_test.ts
@@ -22,6 +22,8 @@
   listKnown: (entry: number, names: readonly string[]) => readonly string[];
   /** Each request goes to the first endpoint that takes it. */
   isHot?: boolean;
+  /** This entry hears nothing of endpoints. */
+  unheard?: number;
 }
 
 /**
@@ -48,12 +50,13 @@
   );
   const allowances = names.map((name, entry) => {
     const cold = createColdEndpoints(clock);
-    infos.forEach(cold.note);
+    if (entry !== load.unheard) infos.forEach(cold.note);
     return createColdAllowance({
       clock,
       entry: name,
       listEntries: () => load.listKnown(entry, names),
       isCold: cold.isCold,
+      readNewsAge: () => entry === load.unheard ? 3_000 : 0,
       readRate: () => RATE,
     });
   });
@@ -140,6 +143,19 @@
     });
   }
 
+  // The only engine turns cold while one of three entries is cut off from the
+  // store and from the others, and sends it all that its callers ask.
+  it("is sent no more than it bears by an entry that has not heard", async () => {
+    const { most } = await replayColdSite({
+      entries: 3,
+      endpoints: 1,
+      perSecond: 60,
+      listKnown: knowAll,
+      unheard: 1,
+    });
+    expect(most).to.be.at.most(LIMIT);
+  });
+
   it("serves what they bear together", async () => {
     const { share } = await replayColdSite({
       entries: 83,
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -274,6 +274,7 @@
       entry: settings.entry,
       listEntries: listSenders,
       isCold: knowledge.isCold,
+      readNewsAge: knowledge.readEndpointAge,
       readRate: (pool) => readTable()?.findPool(pool)?.coldRate ?? 0,
     }),
     noteUnreachable: knowledge.noteUnreachable,
--- a/packages/serving/src/site_knowledge.ts
+++ b/packages/serving/src/site_knowledge.ts
@@ -71,6 +71,8 @@
   readonly directory: EndpointDirectory;
   /** Whether an endpoint is cold, or may be. */
   isCold(endpoint: EndpointInfo): boolean;
+  /** How long ago the store confirmed what is known of endpoints. */
+  readEndpointAge(): Millis;
   /** Notes that nothing listened at an endpoint's address. */
   noteUnreachable(endpoint: EndpointInfo): void;
   /** The place of the endpoint at an address. */
@@ -377,6 +379,7 @@
     directory,
     isCold: (endpoint) =>
       cold.isCold(endpoint) || evacuation.isReturning(endpoint.place),
+    readEndpointAge: endpointAge.read,
     noteUnreachable: cold.noteUnreachable,
     findPlace: (address) => places.get(address),
     relays,
