fix(serving): an entry behind its peers takes the configuration from one of them

Cause: the only way to a configuration was the store's topic; that a peer has a newer one in force was heard and not used.

--- a/packages/peers/src/serving_peers.ts
+++ b/packages/peers/src/serving_peers.ts
@@ -44,6 +44,8 @@
   releaseResults(release: ResultRelease): void;
   /** Counts runs of contents that this entry keeps count for. */
   reportRuns(report: RunReport): RunReportReply;
+  /** The configuration in force here as it was published; null without one. */
+  readConfig(): string | null;
   /** Answers from what this entry read of the store, in the same order. */
   readTopics(questions: readonly TopicQuestion[]): Promise<TopicNews[]>;
 }
@@ -63,6 +65,7 @@
       .mutation(({ input }) => handlers.reportRuns(input)),
     readTopics: peerProcedure.input(topicQuestionsSchema)
       .query(({ input }) => handlers.readTopics(input)),
+    readConfig: peerProcedure.query(() => handlers.readConfig()),
     releaseResults: peerProcedure.input(releaseSchema)
       .mutation(({ input }) => {
         handlers.releaseResults(input);
@@ -108,6 +111,8 @@
     address: string,
     report: RunReport,
   ): Promise<Result<RunReportReply, Failure>>;
+  /** The configuration in force there as it was published; null without one. */
+  readConfig(address: string): Promise<Result<string | null, Failure>>;
   /** Asks about several topics at once; answered as soon as one has news. */
   readTopics(
     address: string,
@@ -117,6 +122,7 @@
 }
 
 /** A peer that is only short of processor answers within a second. */
+const CONFIG_TIMEOUT: Millis = 1_000;
 const PING_TIMEOUT: Millis = 1_000;
 
 /** A feeder answers a little after the results are of no use any more. */
@@ -179,6 +185,11 @@
         { address, schema: runReportReplySchema, timeout },
         (client, options) => client.reportRuns.mutate(report, options),
       ),
+    readConfig: (address) =>
+      caller.ask(
+        { address, schema: z.string().nullable(), timeout: CONFIG_TIMEOUT },
+        (client, options) => client.readConfig.query(undefined, options),
+      ),
     readTopics: (address, questions) =>
       caller.ask(
         {
--- /dev/null
+++ b/packages/serving/src/config_freshness.ts
@@ -0,0 +1,103 @@
+/**
+ * Whether the configuration of an entry is the one that is in force elsewhere,
+ * and what it does where it is not.
+ *
+ * @module
+ */
+import type { Membership } from "@mangoreach/coordination";
+import { createVersionWatch } from "@mangoreach/coordination";
+import type { ServingPeerClient } from "@mangoreach/peers";
+import type { Clock } from "@mangoreach/shared";
+import { watchConfigAge } from "./config_age_watch.ts";
+import type { DecisionLog } from "./decision_log.ts";
+import { followPeerConfigs } from "./peer_config.ts";
+import type { ServingMetrics } from "./serving_metrics.ts";
+import type { SiteKnowledge } from "./site_knowledge.ts";
+
+/** Options of {@linkcode createConfigFreshness}. */
+export interface ConfigFreshnessOptions {
+  clock: Clock;
+  random: () => number;
+  log: DecisionLog;
+  metrics: Pick<ServingMetrics, "setConfigAge">;
+  knowledge: Pick<
+    SiteKnowledge,
+    "readTable" | "configAge" | "takePublished" | "describeConfigReading"
+  >;
+}
+
+/** What is followed beside the store. */
+export interface FollowedPeers {
+  membership: Pick<Membership, "list">;
+  peers: Pick<ServingPeerClient, "readConfig">;
+}
+
+/** The configuration of an entry against that of its peers. */
+export interface ConfigFreshness {
+  /** The version in force here; 0 before the first. */
+  readVersion(): number;
+  /** Notes the newest version that a live peer has. */
+  notePeerVersion(version: number): void;
+  /** Whether a peer has a version that this entry should have by now. */
+  isBehindPeers(): boolean;
+  /** Writes what is old, and takes what peers have, until the signal aborts. */
+  follow(signal: AbortSignal, followed: FollowedPeers): Promise<void>;
+}
+
+/** Creates the check of an entry that knows no configuration yet. */
+export function createConfigFreshness(
+  { clock, random, log, metrics, knowledge }: ConfigFreshnessOptions,
+): ConfigFreshness {
+  const versions = createVersionWatch(clock);
+
+  function readVersion(): number {
+    return knowledge.readTable()?.config.version ?? 0;
+  }
+
+  function isBehindPeers(): boolean {
+    return versions.isBehind(readVersion(), knowledge.configAge.read());
+  }
+
+  async function follow(
+    signal: AbortSignal,
+    { membership, peers }: FollowedPeers,
+  ): Promise<void> {
+    const watched = watchConfigAge({
+      clock,
+      signal,
+      log,
+      metrics,
+      readAge: knowledge.configAge.read,
+      describe: () => ({
+        configVersion: readVersion(),
+        peersVersion: versions.readNewest(),
+        ...knowledge.describeConfigReading(),
+      }),
+    });
+    const followed = followPeerConfigs({
+      clock,
+      random,
+      signal,
+      isBehind: isBehindPeers,
+      listAhead: () =>
+        membership.list()
+          .filter(({ health, record }) =>
+            health !== "lost" && record.configVersion > readVersion()
+          )
+          .map(({ record }) => record.controlAddress),
+      ask: async (address) => {
+        const reply = await peers.readConfig(address);
+        return reply.isOk ? reply.value ?? undefined : undefined;
+      },
+      take: knowledge.takePublished,
+    });
+    await Promise.all([watched, followed]);
+  }
+
+  return {
+    readVersion,
+    notePeerVersion: versions.note,
+    isBehindPeers,
+    follow,
+  };
+}
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -14,7 +14,6 @@
   createCallerElapsed,
   createColdAllowance,
   createPoisonQuarantine,
-  createVersionWatch,
 } from "@mangoreach/coordination";
 import type { PieceRun } from "@mangoreach/peers";
 import { createServingPeerListener } from "@mangoreach/peers";
@@ -27,7 +26,7 @@
 } from "@mangoreach/shared";
 import { startCallerListener } from "./caller_listener.ts";
 import type { ListenerPhase } from "./caller_listener.ts";
-import { watchConfigAge } from "./config_age_watch.ts";
+import { createConfigFreshness } from "./config_freshness.ts";
 import { createDecisionLog } from "./decision_log.ts";
 import { createEndpointCheck } from "./endpoint_check.ts";
 import { createEndpointLoads } from "./endpoint_load.ts";
@@ -148,15 +147,14 @@
     },
   });
   const { configAge, directory, readTable } = knowledge;
-  const versionWatch = createVersionWatch(clock);
-
-  function readVersion(): number {
-    return readTable()?.config.version ?? 0;
-  }
-
-  function isBehindPeers(): boolean {
-    return versionWatch.isBehind(readVersion(), configAge.read());
-  }
+  const freshness = createConfigFreshness({
+    clock,
+    random,
+    log,
+    metrics,
+    knowledge,
+  });
+  const { isBehindPeers, readVersion } = freshness;
 
   function isServing(): boolean {
     return phase === "open" && readTable() !== undefined &&
@@ -187,7 +185,7 @@
     readState,
     countInFlight: () => tasks.size,
     readConfigVersion: readVersion,
-    notePeerVersion: versionWatch.note,
+    notePeerVersion: freshness.notePeerVersion,
     quarantine: {
       readNews: () => quarantineNews.readNews(),
       takeNews: (poison) => quarantineNews.takeNews(poison),
@@ -325,6 +323,7 @@
         exchange: (message) => exchange.answer(message),
         runPieces: (run, stop) => runForPeer(run, stop),
         reportRuns: quarantineNews.answer,
+        readConfig: () => knowledge.readPublished() ?? null,
         readTopics: (questions) => answerTopics(knowledge.relays, questions),
         readWaits: ({ pool, partition, priority }) =>
           findFeeder(pool, partition).readWaits(priority),
@@ -347,19 +346,8 @@
     })
   );
 
-  watchConfigAge({
-    clock,
-    signal,
-    log,
-    metrics,
-    readAge: configAge.read,
-    describe: () => ({
-      configVersion: readVersion(),
-      peersVersion: versionWatch.readNewest(),
-      ...knowledge.describeConfigReading(),
-    }),
-  }).catch((error) =>
-    logger.error("Watching the age of the configuration has ended.", {
+  freshness.follow(signal, { membership, peers }).catch((error) =>
+    logger.error("Watching the configuration has ended.", {
       error: String(error),
     })
   );
--- a/packages/serving/src/site_knowledge.ts
+++ b/packages/serving/src/site_knowledge.ts
@@ -67,6 +67,10 @@
 export interface SiteKnowledge {
   /** The configuration in force; undefined before the first. */
   readTable(): RouteTable | undefined;
+  /** The same as it was published. */
+  readPublished(): string | undefined;
+  /** Takes what a peer has in force, if it is newer. */
+  takePublished(value: string): void;
   readonly configAge: KnowledgeAge;
   readonly directory: EndpointDirectory;
   /** Whether an endpoint is cold, or may be. */
@@ -109,6 +113,7 @@
     options;
   const { onConfig, onEndpoints } = options;
   let table: RouteTable | undefined;
+  let published: string | undefined;
   let isEndpointsKnown = false;
   let isMembersKnown = false;
   /** The place by the endpoint's address. */
@@ -189,8 +194,7 @@
     },
   });
 
-  function takeConfig(value: string | undefined): void {
-    if (value === undefined) return;
+  function takeConfig(value: string, source: "store" | "peer"): void {
     const decoded = platform.decodeConfig(value);
     if (decoded.isErr) {
       return log.record("config_rejected", { reason: decoded.error });
@@ -200,11 +204,13 @@
     // Versions only rise: a late answer of the store must not revert.
     if (config.version <= version) return;
     table = createRouteTable(config);
+    published = value;
     metrics.setConfigVersion(config.version);
     onConfig(config);
     log.record("config_in_force", {
       version: config.version,
       before: version,
+      source,
       routes: config.routes.length,
       accounts: config.accounts?.length,
     });
@@ -240,7 +246,8 @@
   }
 
   function takeConfigRecord({ key, value }: KeyedRecord): void {
-    if (key === platform.configKey) takeConfig(value);
+    if (key !== platform.configKey || value === undefined) return;
+    takeConfig(value, "store");
   }
 
   function takeEvacuation({ key, value }: KeyedRecord): void {
@@ -375,6 +382,8 @@
 
   return {
     readTable: () => table,
+    readPublished: () => published,
+    takePublished: (value) => takeConfig(value, "peer"),
     configAge,
     directory,
     isCold: (endpoint) =>
