feat(peers): an entry that cannot be reached is suspected by all within seconds

Cause: an entry was suspected when its last heartbeat was old everywhere, and heartbeats that came late by way of others made it young again. Ruled out: shorter times until suspicion (heartbeats of nine in ten entries are up to 7 s old at 195, so living ones would be suspected). Change: an entry whose exchange is not answered asks whether anything listens there; one that is only short of processor still takes connections. If nothing does, it is suspected with the heartbeat that it would have by now, and the suspicion goes along with exchanges for 5 s; a later heartbeat clears it. Only addresses for callers depend on suspicion.

--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -55,6 +55,13 @@
   health: PeerHealth;
 }
 
+/** A peer that could not be reached. */
+export interface PeerSuspicion {
+  incarnation: string;
+  /** The last that was heard of it. */
+  heartbeat: number;
+}
+
 /** Options of {@linkcode createMembership}. */
 export interface MembershipOptions {
   clock: Clock;
@@ -76,6 +83,13 @@
   merge(records: readonly PeerRecord[]): PeerRecord[];
   /** Takes in records that may be old: suspected until there is later news. */
   mergeDoubtful(records: readonly PeerRecord[]): PeerRecord[];
+  /**
+   * Notes that a peer could not be reached; it is suspected until it is heard of
+   * with a later heartbeat. Returns whether that was news.
+   */
+  suspect(suspicion: PeerSuspicion): boolean;
+  /** Some suspicions of late, to be passed on, at most `limit`. */
+  chooseSuspicions(limit: number): PeerSuspicion[];
   list(): PeerView[];
   /**
    * Records to send: one's own first, then others drawn at random, at most
@@ -96,6 +110,7 @@
 interface KnownPeer {
   record: PeerRecord;
   seenAt: Millis;
+  suspected?: { heartbeat: number; at: Millis };
 }
 
 const OTHER_PLACE_SHARE = 0.3;
@@ -103,6 +118,8 @@
 const LOST_PARTNER_SHARE = 0.1;
 /** Large instances whose heartbeats go along with every message. */
 const MAX_STRONG_RECORDS = 8;
+/** A suspicion is passed on for so long. */
+const SUSPICION_LIFETIME: Millis = 5_000;
 /** A peer not heard of for this many times `loseAfter` is forgotten. */
 const FORGET_FACTOR = 30;
 
@@ -137,10 +154,39 @@
     }
     const known = peers.get(record.entry);
     if (known !== undefined && !isNewer(record, known.record)) return false;
-    peers.set(record.entry, { record, seenAt: clock.now() });
+    const isSame = known?.record.incarnation === record.incarnation;
+    peers.set(record.entry, {
+      record,
+      seenAt: clock.now(),
+      ...(isSame && known.suspected ? { suspected: known.suspected } : {}),
+    });
+    return true;
+  }
+
+  function suspect({ incarnation, heartbeat }: PeerSuspicion): boolean {
+    const peer = [...peers.values()]
+      .find(({ record }) => record.incarnation === incarnation);
+    if (peer === undefined || peer.record.heartbeat > heartbeat) return false;
+    if ((peer.suspected?.heartbeat ?? -1) >= heartbeat) return false;
+    peer.suspected = { heartbeat, at: clock.now() };
     return true;
   }
 
+  function isSuspected({ record, suspected }: KnownPeer): boolean {
+    return suspected !== undefined && record.heartbeat <= suspected.heartbeat;
+  }
+
+  function chooseSuspicions(limit: number): PeerSuspicion[] {
+    const now = clock.now();
+    const recent = [...peers.values()].flatMap((peer) => {
+      const { record: { incarnation }, suspected } = peer;
+      if (suspected === undefined || !isSuspected(peer)) return [];
+      if (now - suspected.at > SUSPICION_LIFETIME) return [];
+      return [{ incarnation, heartbeat: suspected.heartbeat }];
+    });
+    return drawSome(recent, { count: limit, random });
+  }
+
   /**
    * The time of day may have been set back before this process started: by its
    * start it seems older than its predecessor, and peers would drop its news.
@@ -153,18 +199,21 @@
   function list(): PeerView[] {
     const now = clock.now();
     const views: PeerView[] = [];
-    for (const [entry, { record, seenAt }] of peers) {
+    for (const [entry, peer] of peers) {
+      const { record, seenAt } = peer;
       const age = now - seenAt;
       if (age > FORGET_FACTOR * loseAfter) peers.delete(entry);
-      else views.push({ record, age, health: judgeHealth(age) });
+      else views.push({ record, age, health: judgeHealth(peer) });
     }
     return views;
   }
 
-  function judgeHealth(age: Millis): PeerHealth {
+  function judgeHealth(peer: KnownPeer): PeerHealth {
+    const age = clock.now() - peer.seenAt;
     const patience = scalePatience(peers.size);
     if (age >= patience * loseAfter) return "lost";
-    return age >= patience * suspectAfter ? "suspected" : "alive";
+    const isSilent = age >= patience * suspectAfter;
+    return isSilent || isSuspected(peer) ? "suspected" : "alive";
   }
 
   /**
@@ -207,6 +256,8 @@
     beat,
     merge,
     mergeDoubtful,
+    suspect,
+    chooseSuspicions,
     list,
     chooseRecords,
     choosePartner,
--- a/packages/coordination/src/membership_test.ts
+++ b/packages/coordination/src/membership_test.ts
@@ -49,6 +49,24 @@
     expect(health()).to.equal("alive");
   });
 
+  // Some of all entries cannot reach a peer that others hear of well.
+  it("suspects a peer that was not reached until its next heartbeat", () => {
+    const { members } = create();
+    members.merge([peer("b", { heartbeat: 5 })]);
+    const health = () => members.list()[0]?.health;
+    const suspicion = { incarnation: "b-a", heartbeat: 6 };
+    expect(members.suspect({ ...suspicion, heartbeat: 4 })).to.equal(false);
+    expect(health()).to.equal("alive");
+    expect(members.suspect(suspicion)).to.equal(true);
+    expect(members.suspect(suspicion)).to.equal(false);
+    members.merge([peer("b", { heartbeat: 6 })]);
+    expect(health()).to.equal("suspected");
+    expect(members.chooseSuspicions(8)).to.deep.equal([suspicion]);
+    members.merge([peer("b", { heartbeat: 7 })]);
+    expect(health()).to.equal("alive");
+    expect(members.chooseSuspicions(8)).to.deep.equal([]);
+  });
+
   it("takes a later incarnation and ignores news of an earlier one", () => {
     const { members } = create();
     members.merge([peer("b", { incarnation: "b-2", startedAt: 50 })]);
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -67,6 +67,7 @@
   PeerHealth,
   PeerRecord,
   PeerState,
+  PeerSuspicion,
   PeerView,
 } from "./membership.ts";
 export { createMembership } from "./membership.ts";
--- a/packages/peers/src/exchange_loop.ts
+++ b/packages/peers/src/exchange_loop.ts
@@ -11,7 +11,7 @@
   PeerRecord,
 } from "@mangoreach/coordination";
 import { drawSome } from "@mangoreach/coordination";
-import type { Clock, Millis } from "@mangoreach/shared";
+import type { Clock, Listening, Millis } from "@mangoreach/shared";
 import type { Result } from "true-myth";
 import type { PeerExchange } from "./peer_protocol.ts";
 import { decodeHeartbeat, encodeHeartbeat } from "./peer_protocol.ts";
@@ -46,6 +46,8 @@
   /** Told of each reply, after its news was taken in. */
   onReply: (reply: PeerExchange, address: string) => Promise<void>;
   onUnanswered: (address: string) => void;
+  /** Whether a process listens there; asked about partners that do not answer. */
+  checkListening?: (address: string) => Promise<Listening>;
   onBytes: (direction: "in" | "out", bytes: number) => void;
 }
 
@@ -69,6 +71,9 @@
 /** So many to who knows fewer entries, one more for each that it lacks. */
 const MAX_CATCHING_UP = 16;
 const MAX_MARKS = 8;
+const MAX_SUSPICIONS = 8;
+/** The shortest time between two heartbeats, as a share of the interval. */
+const SHORTEST_PAUSE = 0.75;
 const PEERS_TOLD_AT_ONCE = 3;
 /** While an entry knows nobody, it tries this often. */
 const LONELY_INTERVAL: Millis = 200;
@@ -89,11 +94,16 @@
     records: readonly PeerRecord[],
   ): PeerExchange {
     const poison = options.readPoisonNews?.();
+    const suspicions = membership.chooseSuspicions(MAX_SUSPICIONS);
+    const unreached = suspicions.map(({ incarnation, heartbeat }) =>
+      [incarnation, heartbeat] satisfies [string, number]
+    );
     const message: PeerExchange = {
       heartbeats: records.map(encodeHeartbeat),
       introductions: [...introductions],
       leaving: options.directory.chooseMarks(MAX_MARKS),
       known: membership.list().length,
+      ...(unreached.length === 0 ? {} : { unreached }),
       ...(poison === undefined ? {} : { poison }),
     };
     options.onBytes("out", JSON.stringify(message).length);
@@ -155,6 +165,9 @@
       });
     takeIntroductions(message.introductions, known);
     membership.merge(updates).forEach(options.onHeartbeat);
+    for (const [incarnation, heartbeat] of message.unreached ?? []) {
+      membership.suspect({ incarnation, heartbeat });
+    }
     for (const { endpointKey, age } of message.leaving) {
       options.markLeaving(endpointKey, age);
     }
@@ -173,11 +186,30 @@
     const records = membership.chooseRecords(MAX_RECORDS);
     const message = createMessage(records.slice(0, 1), records);
     const reply = await options.exchange(address, message);
-    if (reply.isErr) return options.onUnanswered(address);
+    if (reply.isErr) {
+      void checkPartner(address);
+      return options.onUnanswered(address);
+    }
     takeMessage(reply.value);
     await options.onReply(reply.value, address);
   }
 
+  /**
+   * One that is only short of processor still takes connections. A partner that
+   * does not has ended or is cut off, and callers are not sent there.
+   */
+  async function checkPartner(address: string): Promise<void> {
+    const partner = membership.list()
+      .find(({ record }) => record.controlAddress === address);
+    if (partner === undefined) return;
+    const listening = await options.checkListening?.(address) ?? "listening";
+    if (listening === "listening") return;
+    const { incarnation, heartbeat } = partner.record;
+    // Others may have heard of it later than this entry has.
+    const missed = Math.ceil(partner.age / (SHORTEST_PAUSE * options.interval));
+    membership.suspect({ incarnation, heartbeat: heartbeat + missed });
+  }
+
   function chooseAddress(): string | undefined {
     const partner = membership.choosePartner()?.controlAddress;
     const known = new Set(
@@ -198,7 +230,8 @@
       if (address !== undefined) await exchangeWith(address);
       const isAlone = membership.list().length === 0;
       const interval = isAlone ? LONELY_INTERVAL : options.interval;
-      await clock.sleep(interval * (0.75 + random() / 2), signal);
+      const share = SHORTEST_PAUSE + random() * (1 - SHORTEST_PAUSE) * 2;
+      await clock.sleep(interval * share, signal);
     }
   }
 
--- a/packages/peers/src/exchange_loop_test.ts
+++ b/packages/peers/src/exchange_loop_test.ts
@@ -71,7 +71,8 @@
       exchange: async (address, message) => {
         await clock.sleep(2);
         const partner = peers.get(address);
-        if (partner === undefined) {
+        const isDead = !peers.has(self.controlAddress);
+        if (partner === undefined || isDead) {
           return Result.err({
             kind: "unavailable",
             verdict: "not_run",
@@ -85,6 +86,8 @@
       onHeartbeat: () => {},
       onReply: () => Promise.resolve(),
       onUnanswered: () => {},
+      checkListening: (address) =>
+        Promise.resolve(peers.has(address) ? "listening" : "refused"),
       onBytes: (direction, bytes) => {
         if (direction === "out") sent.bytes += bytes;
       },
@@ -123,6 +126,30 @@
     });
   }
 
+  // Callers are told of an entry that has died, connect there and wait for a
+  // second: each of many entries hears of its silence only after a while.
+  for (
+    const { size, limit } of [{ size: 9, limit: 3_500 }, {
+      size: 195,
+      limit: 6_500,
+    }]
+  ) {
+    it(`does not name one of ${size} that has died`, async () => {
+      const { clock, peers, stop } = startFleet(size);
+      await clock.advance(10 * SECOND);
+      const dead = [1, 2, 3].map(String);
+      dead.forEach((address) => peers.delete(address));
+      await clock.advance(limit);
+      stop();
+      const naming = [...peers.values()].filter(({ membership }) =>
+        membership.list().some(({ record, health }) =>
+          health === "alive" && dead.includes(record.controlAddress)
+        )
+      );
+      expect(naming.length).to.equal(0);
+    });
+  }
+
   it("costs an entry the same in a fleet of any size", async () => {
     for (const size of [66, 195]) {
       const { clock, peers, stop } = startFleet(size);
--- a/packages/peers/src/peer_protocol.ts
+++ b/packages/peers/src/peer_protocol.ts
@@ -83,6 +83,9 @@
   leaving: z.array(leavingMarkSchema).max(MAX_RECORDS),
   /** How many other entries the sender knows. */
   known: z.number().int().min(0),
+  /** Incarnations that could not be reached, and their last heartbeats. */
+  unreached: z.array(z.tuple([z.string(), z.number().int()]))
+    .max(MAX_RECORDS).optional(),
   /** Left out while nothing is suspected. */
   poison: poisonNewsSchema.optional(),
 });
--- a/packages/serving/src/peer_news.ts
+++ b/packages/serving/src/peer_news.ts
@@ -14,7 +14,12 @@
 import { createMembership, drawEntries } from "@mangoreach/coordination";
 import type { ExchangeLoop, ServingPeerClient } from "@mangoreach/peers";
 import { createServingPeerClient, startExchangeLoop } from "@mangoreach/peers";
-import type { Clock, ListenAddress, Millis } from "@mangoreach/shared";
+import type {
+  Clock,
+  ListenAddress,
+  Listening,
+  Millis,
+} from "@mangoreach/shared";
 import type { DecisionLog } from "./decision_log.ts";
 import { createLearningCheck } from "./learning_time.ts";
 import type { MemberRegistry, MemberStore } from "./member_registry.ts";
@@ -33,6 +38,7 @@
   settings: ServingSettings;
   /** Changes with every start of the process. */
   incarnation: string;
+  checkListening: (address: string) => Promise<Listening>;
   members: MemberStore;
   directory: EndpointDirectory;
   /** Whether callers may be sent to this entry. */
@@ -176,6 +182,7 @@
       onHeartbeat: notePeer,
       onReply: () => Promise.resolve(),
       onUnanswered: () => metrics.countUnanswered(),
+      checkListening: options.checkListening,
       onBytes: (direction, bytes) => metrics.countPeerBytes(direction, bytes),
     });
     return exchange;
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -180,6 +180,7 @@
     metrics,
     settings,
     incarnation: options.incarnation,
+    checkListening: platform.checkListening,
     members: platform.members,
     directory,
     readState,
