perf(serving): one look at the configuration in place of two; no warning for followers of one signal

Two loops woke each entry eight times a second; one does two and a half times. Followers, sleeps and watches that wait for the entry's stop are more than ten, of which Node.js warned on standard error.

--- a/packages/serving/src/config_age_watch.ts
+++ b/packages/serving/src/config_age_log.ts
@@ -11,10 +11,9 @@
 import type { DecisionFields, DecisionLog } from "./decision_log.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 
-/** Options of {@linkcode watchConfigAge}. */
-export interface ConfigAgeWatchOptions {
+/** Options of {@linkcode createConfigAgeLog}. */
+export interface ConfigAgeLogOptions {
   clock: Clock;
-  signal: AbortSignal;
   log: DecisionLog;
   metrics: Pick<ServingMetrics, "setConfigAge">;
   readAge: () => Millis;
@@ -22,23 +21,25 @@
   describe: () => DecisionFields;
 }
 
+/** What is written of the configuration's age. */
+export interface ConfigAgeLog {
+  /** Looks at the age; to be called again and again. */
+  check(): void;
+}
+
 /** The shortest time in which a configuration has to be in force. */
 const OLD_AGE: Millis = 2_000;
-const INTERVAL: Millis = 250;
 
-/** Watches until the signal aborts. */
-export async function watchConfigAge(
-  { clock, signal, log, metrics, readAge, describe }: ConfigAgeWatchOptions,
-): Promise<void> {
-  // Before the first reading there is no age.
+/** Creates the log of an entry that has read nothing yet. */
+export function createConfigAgeLog(
+  { clock, log, metrics, readAge, describe }: ConfigAgeLogOptions,
+): ConfigAgeLog {
   let oldSince: Millis | undefined;
-  while (!signal.aborted) {
-    const age = readAge();
-    if (Number.isFinite(age)) noteAge(age);
-    await clock.sleep(INTERVAL, signal);
-  }
 
-  function noteAge(configAge: Millis): void {
+  function check(): void {
+    const configAge = readAge();
+    // Before the first reading there is no age.
+    if (!Number.isFinite(configAge)) return;
     metrics.setConfigAge(configAge);
     const isOld = configAge > OLD_AGE;
     if (isOld === (oldSince !== undefined)) return;
@@ -51,4 +52,6 @@
     oldSince = undefined;
     log.record("knowledge_renewed", { configAge, oldFor, ...describe() });
   }
+
+  return { check };
 }
--- a/packages/serving/src/config_freshness.ts
+++ b/packages/serving/src/config_freshness.ts
@@ -7,10 +7,10 @@
 import type { Membership } from "@mangoreach/coordination";
 import { createVersionWatch } from "@mangoreach/coordination";
 import type { ServingPeerClient } from "@mangoreach/peers";
-import type { Clock } from "@mangoreach/shared";
-import { watchConfigAge } from "./config_age_watch.ts";
+import type { Clock, Millis } from "@mangoreach/shared";
+import { createConfigAgeLog } from "./config_age_log.ts";
 import type { DecisionLog } from "./decision_log.ts";
-import { followPeerConfigs } from "./peer_config.ts";
+import { refreshFromPeer } from "./peer_config.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 import type { SiteKnowledge } from "./site_knowledge.ts";
 
@@ -44,6 +44,9 @@
   follow(signal: AbortSignal, followed: FollowedPeers): Promise<void>;
 }
 
+/** Each look wakes the process; keys are bound by seconds. */
+const INTERVAL: Millis = 400;
+
 /** Creates the check of an entry that knows no configuration yet. */
 export function createConfigFreshness(
   { clock, random, log, metrics, knowledge }: ConfigFreshnessOptions,
@@ -62,9 +65,8 @@
     signal: AbortSignal,
     { membership, peers }: FollowedPeers,
   ): Promise<void> {
-    const watched = watchConfigAge({
+    const ageLog = createConfigAgeLog({
       clock,
-      signal,
       log,
       metrics,
       readAge: knowledge.configAge.read,
@@ -74,24 +76,29 @@
         ...knowledge.describeConfigReading(),
       }),
     });
-    const followed = followPeerConfigs({
-      clock,
-      random,
-      signal,
-      isBehind: isBehindPeers,
-      listAhead: () =>
-        membership.list()
-          .filter(({ health, record }) =>
-            health !== "lost" && record.configVersion > readVersion()
-          )
-          .map(({ record }) => record.controlAddress),
-      ask: async (address) => {
-        const reply = await peers.readConfig(address);
-        return reply.isOk ? reply.value ?? undefined : undefined;
-      },
-      take: knowledge.takePublished,
-    });
-    await Promise.all([watched, followed]);
+    while (!signal.aborted) {
+      ageLog.check();
+      if (isBehindPeers()) {
+        await refreshFromPeer({
+          random,
+          listAhead: () => listAhead(membership),
+          ask: async (address) => {
+            const reply = await peers.readConfig(address);
+            return reply.isOk ? reply.value ?? undefined : undefined;
+          },
+          take: knowledge.takePublished,
+        });
+      }
+      await clock.sleep(INTERVAL, signal);
+    }
+  }
+
+  function listAhead(membership: FollowedPeers["membership"]): string[] {
+    return membership.list()
+      .filter(({ health, record }) =>
+        health !== "lost" && record.configVersion > readVersion()
+      )
+      .map(({ record }) => record.controlAddress);
   }
 
   return {
--- a/packages/serving/src/peer_config.ts
+++ b/packages/serving/src/peer_config.ts
@@ -8,15 +8,10 @@
  *
  * @module
  */
-import type { Clock, Millis } from "@mangoreach/shared";
 
-/** Options of {@linkcode followPeerConfigs}. */
+/** Options of {@linkcode refreshFromPeer}. */
 export interface PeerConfigOptions {
-  clock: Clock;
   random: () => number;
-  signal: AbortSignal;
-  /** Whether a peer has a configuration that this entry should have by now. */
-  isBehind: () => boolean;
   /** Control addresses of peers that have a newer one. */
   listAhead: () => readonly string[];
   /** A peer's configuration as it was published; undefined without an answer. */
@@ -25,22 +20,12 @@
   take: (value: string) => void;
 }
 
-const INTERVAL: Millis = 250;
-
-/** Follows until the signal aborts. */
-export async function followPeerConfigs(
-  { clock, random, signal, isBehind, listAhead, ask, take }: PeerConfigOptions,
+/** Asks one of them, drawn at random: a silent one is not asked each time. */
+export async function refreshFromPeer(
+  { random, listAhead, ask, take }: PeerConfigOptions,
 ): Promise<void> {
-  while (!signal.aborted) {
-    if (isBehind()) await askOne();
-    await clock.sleep(INTERVAL, signal);
-  }
-
-  /** Drawn at random: one that is silent is not asked each time. */
-  async function askOne(): Promise<void> {
-    const ahead = listAhead();
-    const address = ahead[Math.floor(random() * ahead.length)];
-    const value = address === undefined ? undefined : await ask(address);
-    if (value !== undefined) take(value);
-  }
+  const ahead = listAhead();
+  const address = ahead[Math.floor(random() * ahead.length)];
+  const value = address === undefined ? undefined : await ask(address);
+  if (value !== undefined) take(value);
 }
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { setMaxListeners } from "node:events";
 import type { RequestListener } from "node:http";
 import type {
   PeerRecord,
@@ -96,6 +97,8 @@
   const logger = options.logger.forPart("entry");
   const controller = new AbortController();
   const { signal } = controller;
+  // Each follower waits for it all the time, which is no leak.
+  setMaxListeners(0, signal);
   const shutdown = new AbortController();
   const metrics = createServingMetrics(settings.entry);
   const log = createDecisionLog({
