fix(serving): a reader does not take a slow store for lost

Cause: a reader's patience was 0.2 s beyond its wait, whatever the store takes; it passed nothing on for the rest of each call, and its askers went to the store. Change: patience counts from what the store took before. The test failed before (nothing passed on in each of three calls; now in the first only).

--- a/packages/serving/src/shared_source.ts
+++ b/packages/serving/src/shared_source.ts
@@ -114,10 +114,12 @@
     );
     const askedAt = clock.now();
     const reading = await callStore(from, shortened);
-    if (reading.isErr || reading.value.records.length > 0) return reading;
+    if (reading.isErr) return reading;
     const took = clock.now() - askedAt;
+    const isWaitOver = reading.value.records.length === 0;
     // One that does not wait is not fast: longer waits would not slow it down.
-    storeDelay = Math.max(0, took - shortened);
+    if (isWaitOver || wait === 0) storeDelay = Math.max(0, took - shortened);
+    if (!isWaitOver) return reading;
     // A record that came during the wait would have ended it.
     const age = took < shortened ? 0 : -shortened;
     peers.noteConfirmed(askedAt - age);
@@ -174,7 +176,8 @@
     { storeWait, parents }: { storeWait: Millis; parents: TopicParents },
   ): Promise<Result<KeyedReading, KeyedFault>> {
     const startedAt = clock.now();
-    const patience = storeWait + READER_PATIENCE;
+    // One that is slow as it was before has not turned this entry away.
+    const patience = storeWait + storeDelay + READER_PATIENCE;
     const stored = waitAtStore(from, storeWait);
     const cancel = clock.startTimer(patience, access.noteLost);
     void stored.then(cancel, cancel);
--- a/packages/serving/src/shared_source_test.ts
+++ b/packages/serving/src/shared_source_test.ts
@@ -64,6 +64,7 @@
       readings: createReadingWatch({ clock, onEnd: () => {} }),
     });
     return {
+      source,
       clock,
       asked,
       questions,
@@ -164,6 +165,24 @@
     expect(reading.isOk && reading.value.age).to.equal(300 - 700);
   });
 
+  // The store takes 350 ms for each answer. Taken for lost each time, a reader
+  // has nothing to pass on, and its askers press the store that is slow.
+  it("goes on reading for others before a slow store", async () => {
+    const { clock, read, source } = create({}, {
+      isReader: true,
+      storeDelays: [350, 350, 350],
+    });
+    const passesOn: boolean[] = [];
+    for (let reading = 0; reading < 3; reading++) {
+      const reply = read(0);
+      await clock.advance(349);
+      passesOn.push(source.mayPassOn());
+      await clock.advance(1);
+      await reply;
+    }
+    expect(passesOn).to.deep.equal([false, true, true]);
+  });
+
   it("is as young as the end of a wait without news", async () => {
     const { clock, read } = create({}, {
       isReader: true,
