--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -87,7 +87,7 @@
    * Notes that a peer could not be reached; it is suspected until it is heard of
    * with a later heartbeat. Returns whether that was news.
    */
-  suspect(suspicion: PeerSuspicion): boolean;
+  markSuspected(suspicion: PeerSuspicion): boolean;
   /** Some suspicions of late, to be passed on, at most `limit`. */
   chooseSuspicions(limit: number): PeerSuspicion[];
   list(): PeerView[];
@@ -163,7 +163,7 @@
     return true;
   }
 
-  function suspect({ incarnation, heartbeat }: PeerSuspicion): boolean {
+  function markSuspected({ incarnation, heartbeat }: PeerSuspicion): boolean {
     const peer = [...peers.values()]
       .find(({ record }) => record.incarnation === incarnation);
     if (peer === undefined || peer.record.heartbeat > heartbeat) return false;
@@ -256,7 +256,7 @@
     beat,
     merge,
     mergeDoubtful,
-    suspect,
+    markSuspected,
     chooseSuspicions,
     list,
     chooseRecords,
--- a/packages/coordination/src/membership_test.ts
+++ b/packages/coordination/src/membership_test.ts
@@ -55,10 +55,12 @@
     members.merge([peer("b", { heartbeat: 5 })]);
     const health = () => members.list()[0]?.health;
     const suspicion = { incarnation: "b-a", heartbeat: 6 };
-    expect(members.suspect({ ...suspicion, heartbeat: 4 })).to.equal(false);
+    expect(members.markSuspected({ ...suspicion, heartbeat: 4 })).to.equal(
+      false,
+    );
     expect(health()).to.equal("alive");
-    expect(members.suspect(suspicion)).to.equal(true);
-    expect(members.suspect(suspicion)).to.equal(false);
+    expect(members.markSuspected(suspicion)).to.equal(true);
+    expect(members.markSuspected(suspicion)).to.equal(false);
     members.merge([peer("b", { heartbeat: 6 })]);
     expect(health()).to.equal("suspected");
     expect(members.chooseSuspicions(8)).to.deep.equal([suspicion]);
--- a/packages/peers/src/exchange_loop.ts
+++ b/packages/peers/src/exchange_loop.ts
@@ -166,7 +166,7 @@
     takeIntroductions(message.introductions, known);
     membership.merge(updates).forEach(options.onHeartbeat);
     for (const [incarnation, heartbeat] of message.unreached ?? []) {
-      membership.suspect({ incarnation, heartbeat });
+      membership.markSuspected({ incarnation, heartbeat });
     }
     for (const { endpointKey, age } of message.leaving) {
       options.markLeaving(endpointKey, age);
@@ -207,7 +207,7 @@
     const { incarnation, heartbeat } = partner.record;
     // Others may have heard of it later than this entry has.
     const missed = Math.ceil(partner.age / (SHORTEST_PAUSE * options.interval));
-    membership.suspect({ incarnation, heartbeat: heartbeat + missed });
+    membership.markSuspected({ incarnation, heartbeat: heartbeat + missed });
   }
 
   function chooseAddress(): string | undefined {
--- a/packages/serving/src/peer_reader.ts
+++ b/packages/serving/src/peer_reader.ts
@@ -46,7 +46,7 @@
     question: { from: TopicPosition; wait: Millis },
   ): Promise<PeerReading | undefined>;
   /** Asks some of all others, for what they know already. */
-  search(
+  findYounger(
     from: TopicPosition,
     listOthers: () => readonly string[],
   ): Promise<PeerReading | undefined>;
@@ -176,7 +176,7 @@
     );
   }
 
-  async function search(
+  async function findYounger(
     from: TopicPosition,
     listOthers: () => readonly string[],
   ): Promise<PeerReading | undefined> {
@@ -215,7 +215,7 @@
 
   return {
     readAtParents,
-    search,
+    findYounger,
     readFound: fallback.readKept,
     noteConfirmed: (at) => confirmedAt = at,
   };
--- a/packages/serving/src/shared_source.ts
+++ b/packages/serving/src/shared_source.ts
@@ -165,7 +165,7 @@
       if (outcome !== undefined && isAnswered(outcome)) return outcome;
       const relayed =
         await peers.readAtParents(parents.addresses, { from, wait: 0 }) ??
-          await peers.search(from, parents.listOthers);
+          await peers.findYounger(from, parents.listOthers);
       if (relayed !== undefined) return takeRelayed(relayed, startedAt);
       if (outcome !== undefined) return outcome;
     }
@@ -233,7 +233,7 @@
         startedAt,
       });
     }
-    const found = await peers.search(from, parents.listOthers);
+    const found = await peers.findYounger(from, parents.listOthers);
     if (found !== undefined) return takeRelayed(found, startedAt);
     await waitForTurn();
     return Result.err("unavailable");
--- a/packages/serving/src/topic_relay.ts
+++ b/packages/serving/src/topic_relay.ts
@@ -151,7 +151,7 @@
   }
 
   /** They lose no time at an entry that has nothing to pass on. */
-  function wakeAskers(): void {
+  function settleAskers(): void {
     for (const { wake } of [...waiting]) wake();
   }
 
@@ -178,7 +178,7 @@
   async function readFrom(from: TopicPosition, wait: Millis) {
     const askedAt = age.readTime();
     const reading = await source.readFrom(from, wait);
-    if (!mayPassOn()) wakeAskers();
+    if (!mayPassOn()) settleAskers();
     if (reading.isErr) return reading;
     const before = next;
     let isNewsThere = true;
