--- a/packages/coordination/src/cold_allowance.ts
+++ b/packages/coordination/src/cold_allowance.ts
@@ -9,7 +9,7 @@
  * order, share what it bears, and the others send it nothing while it is cold.
  *
  * An entry that hears nothing of endpoints does not know which have turned cold.
- * It sends to each as if it alone had not heard: no more than the senders leave.
+ * It sends to each no more than a cold one bears besides what the senders send.
  *
  * @module
  */
@@ -62,7 +62,7 @@
  */
 const OLD_NEWS: Millis = 2_000;
 const UNHEARD_SHARE = 0.5;
-/** Requests to one endpoint come in pairs, as parts of one caller's work. */
+/** Two requests that come together may both go there. */
 const UNHEARD_BUCKET = 2;
 /** What is known of endpoints that are warm again is dropped above this many. */
 const MAX_KNOWN = 256;
--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -200,16 +200,18 @@
     const now = clock.now();
     const views: PeerView[] = [];
     for (const [entry, peer] of peers) {
-      const { record, seenAt } = peer;
-      const age = now - seenAt;
+      const age = now - peer.seenAt;
       if (age > FORGET_FACTOR * loseAfter) peers.delete(entry);
-      else views.push({ record, age, health: judgeHealth(peer) });
+      else {views.push({
+          record: peer.record,
+          age,
+          health: judgeHealth(peer, age),
+        });}
     }
     return views;
   }
 
-  function judgeHealth(peer: KnownPeer): PeerHealth {
-    const age = clock.now() - peer.seenAt;
+  function judgeHealth(peer: KnownPeer, age: Millis): PeerHealth {
     const patience = scalePatience(peers.size);
     if (age >= patience * loseAfter) return "lost";
     const isSilent = age >= patience * suspectAfter;
--- a/packages/serving/src/fallback_peers.ts
+++ b/packages/serving/src/fallback_peers.ts
@@ -8,6 +8,7 @@
  *
  * @module
  */
+import { drawSome } from "@mangoreach/coordination";
 import type { Clock, Millis } from "@mangoreach/shared";
 
 /** Options of {@linkcode createFallbackPeers}. */
@@ -44,12 +45,7 @@
 
   function chooseSearched(candidates: () => readonly string[]): string[] {
     if (clock.now() < searchAt) return [];
-    const left = [...candidates()];
-    const chosen: string[] = [];
-    while (chosen.length < SEARCHED && left.length > 0) {
-      chosen.push(...left.splice(Math.floor(random() * left.length), 1));
-    }
-    return chosen;
+    return drawSome(candidates(), { count: SEARCHED, random });
   }
 
   return {
--- a/packages/serving/src/shared_source.ts
+++ b/packages/serving/src/shared_source.ts
@@ -13,7 +13,7 @@
 import { Result } from "true-myth";
 import type { PeerReaderOptions, PeerReading } from "./peer_reader.ts";
 import { createPeerReader } from "./peer_reader.ts";
-import type { ReadingOutcome, ReadingWatch } from "./reading_watch.ts";
+import type { ReadingWatch } from "./reading_watch.ts";
 import type {
   KeyedFault,
   KeyedReading,
@@ -93,12 +93,19 @@
     if (left <= NEAR_TURN) await clock.sleep(left);
   }
 
-  async function callStore(from: TopicPosition, wait: Millis) {
+  async function watchReading(
+    read: () => Promise<Result<KeyedReading, KeyedFault>>,
+  ) {
     const end = readings.begin("store");
     const askedAt = clock.now();
-    const reading = await source.readFrom(from, wait);
-    end(describeOutcome(reading));
+    const reading = await read();
+    end(reading.isOk ? "read" : reading.error);
     if (reading.isOk) peers.noteConfirmed(askedAt);
+    return reading;
+  }
+
+  async function callStore(from: TopicPosition, wait: Millis) {
+    const reading = await watchReading(() => source.readFrom(from, wait));
     if (isAnswered(reading)) access.noteAnswered();
     else access.noteLost();
     return reading;
@@ -224,11 +231,9 @@
       return takeRelayed(relayed, startedAt);
     }
     if (takeStoreTurn(parents.storePause)) {
-      const stored = callStoreLater(from, startedAt);
-      const patience = STRAY_PATIENCE;
-      return await waitBesidePeers(stored, {
+      return await waitBesidePeers(callStoreLater(from, startedAt), {
         from,
-        patience,
+        patience: STRAY_PATIENCE,
         parents,
         startedAt,
       });
@@ -239,17 +244,8 @@
     return Result.err("unavailable");
   }
 
-  async function readNewest() {
-    const askedAt = clock.now();
-    const end = readings.begin("store");
-    const reading = await source.readNewest();
-    end(describeOutcome(reading));
-    if (reading.isOk) peers.noteConfirmed(askedAt);
-    return reading;
-  }
-
   return {
-    readNewest,
+    readNewest: () => watchReading(() => source.readNewest()),
     readFrom,
     // Who took its word for the store's would not read the store for others.
     mayPassOn: () => !(isReaderNow && access.isLost()),
@@ -260,9 +256,3 @@
 function isAnswered(reading: Result<KeyedReading, KeyedFault>): boolean {
   return reading.isOk || reading.error === "expired";
 }
-
-function describeOutcome(
-  reading: Result<KeyedReading, KeyedFault>,
-): ReadingOutcome {
-  return reading.isOk ? "read" : reading.error;
-}
--- a/packages/serving/src/shared_source_test.ts
+++ b/packages/serving/src/shared_source_test.ts
@@ -20,14 +20,21 @@
 describe("reading a topic at another entry", () => {
   function create(
     answers: Answers,
-    { storePause = 0, isReader = false, isStoreAway = false, storeDelays = [] }:
-      {
-        storePause?: Millis;
-        isReader?: boolean;
-        isStoreAway?: boolean;
-        /** What each reading of the store takes; the others take no time. */
-        storeDelays?: readonly Millis[];
-      } = {},
+    {
+      storePause = 0,
+      isReader = false,
+      isStoreAway = false,
+      storeDelays = [],
+      silence = 0,
+    }: {
+      storePause?: Millis;
+      isReader?: boolean;
+      isStoreAway?: boolean;
+      /** What each reading of the store takes; the others take no time. */
+      storeDelays?: readonly Millis[];
+      /** After this a silent entry is given up. */
+      silence?: Millis;
+    } = {},
   ) {
     const clock = createFakeClock(0);
     /** Waits that the store was asked for. */
@@ -55,10 +62,12 @@
         storePause,
         listOthers: () => [],
       }),
-      ask: (address, question) => {
+      async ask(address, question) {
         asked.push(address);
         questions.push(question);
-        return Promise.resolve(answers[address]);
+        const answer = answers[address];
+        if (answer === undefined && silence > 0) await clock.sleep(silence);
+        return answer;
       },
       pace: { relayWait: 400, confirmWait: 0, maxAge: 1_000 },
       readings: createReadingWatch({ clock, onEnd: () => {} }),
@@ -136,30 +145,10 @@
   // The first is asked with a wait. What the second tells after it is as young as
   // the second question; told from the start of the reading, it seems too old.
   it("tells the age from the start of the reading", async () => {
-    const clock = createFakeClock(0);
-    const source = createSharedSource({
-      clock,
-      random: () => 0.5,
-      topic: "config",
-      source: {
-        readNewest: () => Promise.resolve(Result.err("unavailable")),
-        readFrom: () => Promise.resolve(Result.err("unavailable")),
-      },
-      chooseParents: () => ({
-        isReader: false,
-        addresses: ["silent", "young"],
-        storePause: 0,
-        listOthers: () => [],
-      }),
-      async ask(address) {
-        if (address === "young") return NEWS;
-        await clock.sleep(700);
-        return undefined;
-      },
-      pace: { relayWait: 400, confirmWait: 0, maxAge: 1_000 },
-      readings: createReadingWatch({ clock, onEnd: () => {} }),
+    const { clock, read } = create({ silent: undefined, young: NEWS }, {
+      silence: 700,
     });
-    const reply = source.readFrom(createPosition(5), 500);
+    const reply = read();
     await clock.advance(700);
     const reading = await reply;
     expect(reading.isOk && reading.value.age).to.equal(300 - 700);
--- a/packages/serving/src/topic_pace.ts
+++ b/packages/serving/src/topic_pace.ts
@@ -38,7 +38,7 @@
   /**
    * Endpoints write their heartbeats all the time; a pause gathers them. One that
    * leaves must get nothing 2 s later, also where the entry that would tell has
-   * just died: it is given up 0.9 s after it was asked.
+   * just died: it is given up 1 s after it was asked.
    */
   endpoints: {
     wait: 0,
--- a/packages/serving/src/topic_relay.ts
+++ b/packages/serving/src/topic_relay.ts
@@ -228,12 +228,11 @@
   ): Promise<TopicNews> {
     const { from, wait } = question;
     const arrivedAt = clock.now();
-    if (!mayPassOn()) return { kind: "unknown" };
     const news = listNews(from, arrivedAt);
     // An entry that has read elsewhere may be ahead for a moment.
     const isSomethingNew = news.kind === "newest" ||
       (news.kind === "records" && news.records.length > 0);
-    if (isSomethingNew || wait === 0) return news;
+    if (isSomethingNew || wait === 0 || !mayPassOn()) return news;
     await waitForNews(question, signal);
     return listNews(from, arrivedAt);
   }
--- a/packages/serving/src/topic_tree_replay_test.ts
+++ b/packages/serving/src/topic_tree_replay_test.ts
@@ -240,6 +240,19 @@
   };
 }
 
+/** The oldest that a reading of the fleet's ages was while it ran on. */
+async function measureOldest(
+  { clock }: Fleet,
+  { duration, readAge }: { duration: Millis; readAge: () => Millis },
+): Promise<Millis> {
+  let oldest = 0;
+  for (let time = 0; time < duration; time += 50) {
+    await clock.advance(50);
+    oldest = Math.max(oldest, readAge());
+  }
+  return oldest;
+}
+
 function countBetween(calls: readonly Millis[], from: Millis, to: Millis) {
   return calls.filter((time) => time >= from && time < to).length;
 }
@@ -393,10 +406,9 @@
       await fleet.clock.advance(4_000 + 60 * seed);
       fleet.listReaders().forEach((reader) => fleet.cutOff.add(reader));
       for (const index of [3, 6]) fleet.cutOff.add(index);
-      for (let step = 0; step < 60; step++) {
-        await fleet.clock.advance(50);
-        oldest = Math.max(oldest, fleet.readOldestAge());
-      }
+      const { readOldestAge } = fleet;
+      const measured = { duration: 3_000, readAge: readOldestAge };
+      oldest = Math.max(oldest, await measureOldest(fleet, measured));
       fleet.stop();
     }
     expect(oldest).to.be.at.most(BOUND - MARGIN);
@@ -418,11 +430,10 @@
     const others = all.filter((index) => !readers.includes(index));
     const turnedAway = [...readers, ...others].slice(0, count);
     turnedAway.forEach((index) => fleet[fault].add(index));
-    let oldest = 0;
-    for (let step = 0; step < 160; step++) {
-      await fleet.clock.advance(50);
-      oldest = Math.max(oldest, ...fleet.listAges());
-    }
+    const oldest = await measureOldest(fleet, {
+      duration: 8_000,
+      readAge: () => Math.max(...fleet.listAges()),
+    });
     fleet.stop();
     return oldest;
   }
@@ -455,11 +466,10 @@
       await fleet.clock.advance(4_000);
       fleet.listReaders().forEach((reader) => fleet.cutOff.add(reader));
       for (let index = 0; index < 66; index += 3) fleet.cutOff.add(index);
-      let oldest = 0;
-      for (let step = 0; step < 160; step++) {
-        await fleet.clock.advance(50);
-        oldest = Math.max(oldest, ...fleet.listAges());
-      }
+      const oldest = await measureOldest(fleet, {
+        duration: 8_000,
+        readAge: () => Math.max(...fleet.listAges()),
+      });
       fleet.stop();
       const BOUND = 3_000;
       const MARGIN = 150;
