feat(serving): a line and a count for each limit that an endpoint names

Neither logs nor metrics could tell which entry had read a limit, on which way, or that none had. An answer now carries an endpoint's signals, on requests, stage calls and releases alike; they are noted (endpoint_changed limited / not_limited with the way, mangoreach_endpoint_signals_total) and change no decision yet. An answer of another instance is attributed to whoever is listed at the address.

--- a/packages/coordination/src/endpoint.ts
+++ b/packages/coordination/src/endpoint.ts
@@ -34,6 +34,15 @@
   takenAt: Millis;
 }
 
+/** What an endpoint's answer says of the work that it takes from now on. */
+export interface EndpointSignals {
+  /**
+   * Requests a second that it takes from all entries together; missing where it
+   * names no limit.
+   */
+  rateLimit?: number;
+}
+
 /** Whether what is said of an endpoint is about an earlier incarnation. */
 export function isOlderIncarnation(
   said: EndpointInfo,
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -77,7 +77,12 @@
   AddressChoiceOptions,
 } from "./address_choice.ts";
 export { chooseAddresses, drawEntries } from "./address_choice.ts";
-export type { EndpointInfo, EndpointState, LoadReport } from "./endpoint.ts";
+export type {
+  EndpointInfo,
+  EndpointSignals,
+  EndpointState,
+  LoadReport,
+} from "./endpoint.ts";
 export { formatEndpointKey, isOlderIncarnation } from "./endpoint.ts";
 export type {
   EndpointDirectory,
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -223,6 +223,15 @@
     signal: deadline.signal,
   });
   stopRelease();
+  if (answer.isOk) {
+    const isOther = answer.value.kind === "not_run" &&
+      answer.value.reason === "other_instance";
+    state.noteSignals({
+      way: "request",
+      address: endpoint.address,
+      ...(isOther ? {} : { endpoint }),
+    }, answer.value.signals);
+  }
   let latency: Millis | undefined;
   const recordLatency = () => {
     const size = sumTokens(request.head.promptParts);
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -18,6 +18,7 @@
   NotRunReason,
   PassedRequest,
   RequestHead,
+  Signalled,
   StageCall,
   StageEndpoints,
   StageReply,
--- a/packages/serving/src/pool_parts.ts
+++ b/packages/serving/src/pool_parts.ts
@@ -21,6 +21,7 @@
 import type { DecisionLog } from "./decision_log.ts";
 import type { EndpointCheck } from "./endpoint_check.ts";
 import type { EndpointLoads } from "./endpoint_load.ts";
+import type { NoteSignals } from "./endpoint_signals.ts";
 import { createLearningCheck } from "./learning_time.ts";
 import type { StageEndpoints } from "./serving_handles.ts";
 import type { StageFeeder } from "./stage_feeder.ts";
@@ -36,6 +37,7 @@
   listUsable: (pool: string) => readonly EndpointInfo[];
   /** Told of an endpoint whose address has become another's. */
   markLeaving: (endpointKey: string) => void;
+  noteSignals: NoteSignals;
   readTable: () => RouteTable | undefined;
   /** Frees results of a pool, at whoever feeds it. */
   releaseInputs: (pool: string, results: readonly string[]) => void;
@@ -113,6 +115,7 @@
       listEndpoints: () =>
         listPartitionEndpoints(options.listUsable(pool), partition),
       markLeaving: options.markLeaving,
+      noteSignals: options.noteSignals,
       endpointCheck: options.endpointCheck,
       readSpec: () => readBatchSpec(options.readTable(), pool),
       releaseInputs: options.releaseInputs,
--- a/packages/serving/src/pool_parts_test.ts
+++ b/packages/serving/src/pool_parts_test.ts
@@ -18,6 +18,7 @@
       stages: createFakeStages(),
       listUsable: () => [],
       markLeaving: () => {},
+      noteSignals: () => {},
       readTable: () => undefined,
       releaseInputs: () => {},
       countEntries: () => known.entries,
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -31,6 +31,7 @@
 import { createDecisionLog } from "./decision_log.ts";
 import { createEndpointCheck } from "./endpoint_check.ts";
 import { createEndpointLoads } from "./endpoint_load.ts";
+import { createSignalNotes } from "./endpoint_signals.ts";
 import { createPeerNews } from "./peer_news.ts";
 import { createPieceRouter } from "./piece_router.ts";
 import { createPoolParts } from "./pool_parts.ts";
@@ -223,6 +224,12 @@
     clock,
     checkListening: platform.checkListening,
   });
+  const noteSignals = createSignalNotes({
+    log,
+    metrics,
+    listAt: (address) =>
+      directory.listAll().filter((endpoint) => endpoint.address === address),
+  });
   const pools = createPoolParts({
     clock,
     log,
@@ -231,6 +238,7 @@
     stages: platform.stages,
     listUsable: directory.listUsable,
     markLeaving: (endpointKey) => directory.markLeaving(endpointKey),
+    noteSignals,
     readTable,
     releaseInputs: (pool, results) => router.release(pool, results),
     countEntries: () => membership.list().length + 1,
@@ -279,6 +287,7 @@
       readNewsAge: knowledge.readEndpointAge,
       readRate: (pool) => readTable()?.findPool(pool)?.coldRate ?? 0,
     }),
+    noteSignals,
     noteUnreachable: knowledge.noteUnreachable,
     router,
     callEndpoint: platform.callEndpoint,
--- a/packages/serving/src/serving_handles.ts
+++ b/packages/serving/src/serving_handles.ts
@@ -7,6 +7,7 @@
 import type { Readable } from "node:stream";
 import type {
   EndpointInfo,
+  EndpointSignals,
   LoadReport,
   PromptPart,
 } from "@mangoreach/coordination";
@@ -64,13 +65,22 @@
 /** What an endpoint answered. */
 export type EndpointAnswer =
   /** Its word that the request did not run there. */
-  | { kind: "not_run"; reason: NotRunReason; load: LoadReport | undefined }
+  | (
+    & { kind: "not_run"; reason: NotRunReason; load: LoadReport | undefined }
+    & Signalled
+  )
   /** Not an answer to this request; it may have run. */
-  | { kind: "invalid"; reason: string }
+  | ({ kind: "invalid"; reason: string } & Signalled)
   | EndpointReply;
 
+/** An answer that may carry an endpoint's signals. */
+export interface Signalled {
+  /** Missing where the answer says nothing of them, one way or the other. */
+  signals?: EndpointSignals;
+}
+
 /** An answer to be passed through. */
-export interface EndpointReply {
+export interface EndpointReply extends Signalled {
   kind: "reply";
   status: number;
   /** Headers that go on to the caller unchanged. */
@@ -106,16 +116,22 @@
 
 /** What became of a stage call. */
 export type StageReply =
-  | { kind: "results"; results: readonly StageResult[] }
-  /** Its word that nothing ran. */
-  | { kind: "not_run"; reason: NotRunReason }
-  | { kind: "invalid"; reason: string };
+  & (
+    | { kind: "results"; results: readonly StageResult[] }
+    /** Its word that nothing ran. */
+    | { kind: "not_run"; reason: NotRunReason }
+    | { kind: "invalid"; reason: string }
+  )
+  & Signalled;
 
 /** Speaks to stage endpoints. */
 export interface StageEndpoints {
   run(call: StageCall): Promise<Result<StageReply, HttpFault>>;
-  /** Frees results at their maker; nobody needs the answer. */
-  release(address: string, results: readonly string[]): Promise<void>;
+  /** Frees results at their maker; of its answer only the signals matter. */
+  release(
+    address: string,
+    results: readonly string[],
+  ): Promise<EndpointSignals | undefined>;
   /** The address of the endpoint that holds a result. */
   readMaker(result: string): string;
 }
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -18,6 +18,7 @@
   setConfigAge(age: Millis): void;
   countReading(topic: string, source: string, outcome: string): void;
   setKnown(what: "endpoints" | "peers", count: number): void;
+  countSignal(pool: string, signal: string): void;
 }
 
 const MILLIS_PER_SECOND = 1_000;
@@ -82,6 +83,13 @@
     registers,
   });
 
+  const signals = new Counter({
+    name: "mangoreach_endpoint_signals_total",
+    help: "Answers in which endpoints ask for less or no work",
+    labelNames: ["pool", "signal"],
+    registers,
+  });
+
   return {
     registry,
     countRequest: (route, outcome) => requests.inc({ route, outcome }),
@@ -94,5 +102,6 @@
     countReading: (topic, source, outcome) =>
       readings.inc({ topic, source, outcome }),
     setKnown: (what, count) => known.set({ what }, count),
+    countSignal: (pool, signal) => signals.inc({ pool, signal }),
   };
 }
--- a/packages/serving/src/serving_state.ts
+++ b/packages/serving/src/serving_state.ts
@@ -20,6 +20,7 @@
 import type { EndpointLoads } from "./endpoint_load.ts";
 import type { PieceRouter } from "./piece_router.ts";
 import type { RunWatch } from "./run_watch.ts";
+import type { NoteSignals } from "./endpoint_signals.ts";
 import type { CallEndpoint } from "./serving_handles.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 
@@ -40,6 +41,8 @@
   directory: EndpointDirectory;
   loads: EndpointLoads;
   coldAllowance: ColdAllowance;
+  /** Takes what an endpoint's answer says of the work that it takes. */
+  noteSignals: NoteSignals;
   /** Notes that nothing listened at an endpoint's address. */
   noteUnreachable: (endpoint: EndpointInfo) => void;
   router: PieceRouter;
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -25,6 +25,7 @@
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { EndpointCheck } from "./endpoint_check.ts";
 import type { EndpointLoads } from "./endpoint_load.ts";
+import type { NoteSignals } from "./endpoint_signals.ts";
 import type { FailReason, FeederGroup, FeederPiece } from "./feeder_piece.ts";
 import {
   createFeederGroup,
@@ -53,6 +54,8 @@
   listEndpoints: () => readonly EndpointInfo[];
   /** Told of an endpoint whose address has become another's. */
   markLeaving: (endpointKey: string) => void;
+  /** Takes what an endpoint's answer says of the work that it takes. */
+  noteSignals: NoteSignals;
   readSpec: () => BatchSpec;
   endpointCheck: EndpointCheck;
   /** Pieces that are made a second time draw on it. */
@@ -266,6 +269,13 @@
       }
       pieces.forEach((piece) => tryAgain(piece, info, "unavailable"));
     } else {
+      const isOther = reply.value.kind === "not_run" &&
+        reply.value.reason === "other_instance";
+      options.noteSignals({
+        way: "stage_call",
+        address: info.address,
+        ...(isOther ? {} : { endpoint: info }),
+      }, reply.value.signals);
       takeReply(maker, {
         pieces,
         reply: reply.value,
@@ -414,10 +424,18 @@
       list.push(result);
       room.drop(result);
     }
-    for (const [maker, list] of byMaker) void stages.release(maker, list);
+    for (const [address, list] of byMaker) void releaseAt(address, list);
     dispatch();
   }
 
+  async function releaseAt(
+    address: string,
+    results: readonly string[],
+  ): Promise<void> {
+    const signals = await stages.release(address, results);
+    options.noteSignals({ way: "stage_release", address }, signals);
+  }
+
   return {
     run,
     readWaits,
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -193,7 +193,7 @@
       }),
     release: (_address, results) => {
       released.push(...results);
-      return Promise.resolve();
+      return Promise.resolve(undefined);
     },
     readMaker: (result) => result.split("/")[0] ?? "",
   };
@@ -229,6 +229,7 @@
     listEndpoints: () =>
       endpoints.filter((endpoint) => !left.has(formatEndpointKey(endpoint))),
     markLeaving: (endpointKey) => left.add(endpointKey),
+    noteSignals: () => {},
     // A fake call breaks off only because its maker has ended.
     endpointCheck: { checkCondition: () => Promise.resolve("ended") },
     readSpec: () => TEST_SPEC,
@@ -279,6 +280,7 @@
     directory: createEndpointDirectory({ clock, markLifetime: 1_000 }),
     loads: createEndpointLoads(clock),
     coldAllowance: { mayBegin: () => true, begin: () => {} },
+    noteSignals: () => {},
     noteUnreachable: () => {},
     router: {
       run: () => Promise.reject(new Error("no stages")),
