--- /dev/null
+++ b/packages/serving/src/limited_endpoint_test.ts
@@ -0,0 +1,114 @@
+import type { Millis } from "@mangoreach/shared";
+import { expect } from "chai";
+import type { LimitedArrival, LimitedLoad } from "./limited_fleet.ts";
+import { replayLimited } from "./limited_fleet.ts";
+
+const SECOND: Millis = 1_000;
+/** The span of which an endpoint counts its requests. */
+const SPAN = 4 * SECOND;
+/** From naming a limit until it must be kept. */
+const SETTLE = 3 * SECOND;
+/** An entry that was told this long ago keeps the limit. */
+const TOLD_BEFORE = 500;
+
+/** Requests within the span that an endpoint bears. */
+function computeAllowed(limit: number): number {
+  return 1.5 * limit * SPAN / SECOND + 5;
+}
+
+/** The most that one endpoint got within the span from entries it had told. */
+function countMost(
+  arrivals: readonly LimitedArrival[],
+  { from, until }: { from: Millis; until: Millis },
+): number {
+  const counted = arrivals.filter(({ at, toldAt }) =>
+    at >= from && at < until && toldAt + TOLD_BEFORE <= at
+  );
+  return Math.max(
+    0,
+    ...counted.map((first) =>
+      counted.filter(({ endpoint, at }) =>
+        endpoint === first.endpoint && at >= first.at && at < first.at + SPAN
+      ).length
+    ),
+  );
+}
+
+describe("an endpoint that names a limit", () => {
+  const NAMED_AT = 5 * SECOND;
+  const LIFTED_AT = 25 * SECOND;
+  const duration = 40 * SECOND;
+
+  interface Case {
+    name: string;
+    limit: number;
+    limited: number;
+    load: Pick<LimitedLoad, "entries" | "endpoints" | "perSecond">;
+  }
+
+  const CASES: readonly Case[] = [
+    {
+      name: "one of 8 engines at 8 entries",
+      limit: 1,
+      limited: 1,
+      load: { entries: 8, endpoints: 8, perSecond: 20 },
+    },
+    {
+      name: "all 4 endpoints of a pool at 8 entries",
+      limit: 1,
+      limited: 4,
+      load: { entries: 8, endpoints: 4, perSecond: 12 },
+    },
+    {
+      name: "a limit of one request in four seconds",
+      limit: 0.25,
+      limited: 4,
+      load: { entries: 8, endpoints: 4, perSecond: 12 },
+    },
+    {
+      name: "a limit of 10 a second in a burst",
+      limit: 10,
+      limited: 4,
+      load: { entries: 8, endpoints: 4, perSecond: 100 },
+    },
+    {
+      name: "6 endpoints at 195 entries",
+      limit: 1,
+      limited: 6,
+      load: { entries: 195, endpoints: 6, perSecond: 66 },
+    },
+    {
+      name: "a third of 60 engines at 195 entries",
+      limit: 2,
+      limited: 20,
+      load: { entries: 195, endpoints: 60, perSecond: 190 },
+    },
+  ];
+
+  async function judgeCase({ limit, limited, load }: Case): Promise<string> {
+    const { arrivals } = await replayLimited({
+      ...load,
+      duration,
+      readLimit: (endpoint, now) =>
+        endpoint < limited && now >= NAMED_AT && now < LIFTED_AT
+          ? limit
+          : undefined,
+    });
+    const most = countMost(arrivals, {
+      from: NAMED_AT + SETTLE,
+      until: LIFTED_AT,
+    });
+    const allowed = computeAllowed(limit);
+    return most <= allowed ? "kept" : `${most} requests, allowed ${allowed}`;
+  }
+
+  // Each entry sends what it would send without the limit, or keeps to it by
+  // itself: the sum of all is many times what the endpoint takes.
+  it("gets no more from all entries together", async () => {
+    const found: Record<string, string> = {};
+    for (const one of CASES) found[one.name] = await judgeCase(one);
+    expect(found).to.deep.equal(
+      Object.fromEntries(CASES.map(({ name }) => [name, "kept"])),
+    );
+  }).timeout(60_000);
+});
