--- a/packages/coordination/src/cold_allowance.ts
+++ b/packages/coordination/src/cold_allowance.ts
@@ -16,7 +16,9 @@
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { EndpointInfo } from "./endpoint.ts";
 import { formatEndpointKey } from "./endpoint.ts";
-import { listByRendezvous } from "./rendezvous.ts";
+import { createSenderRank, listSendersFor } from "./sender_rank.ts";
+import type { BucketRate } from "./token_buckets.ts";
+import { createTokenBuckets } from "./token_buckets.ts";
 
 /** Options of {@linkcode createColdAllowance}. */
 export interface ColdAllowanceOptions {
@@ -64,43 +66,26 @@
 const UNHEARD_SHARE = 0.5;
 /** Two requests that come together may both go there. */
 const UNHEARD_BUCKET = 2;
-/** What is known of endpoints that are warm again is dropped above this many. */
-const MAX_KNOWN = 256;
-const MILLIS_PER_SECOND = 1_000;
-
-/** Ranking hundreds of entries for each request would cost more than it tells. */
-const RANK_LIFETIME: Millis = 500;
-
 interface Limit {
-  perSecond: number;
-  bucketSize: number;
+  rate: BucketRate;
   /** Whether only some of all entries send there. */
   isShared: boolean;
 }
 
-interface Bucket {
-  requests: number;
-  filledAt: Millis;
-  isSender: boolean;
-  rankedAt: Millis;
-}
-
 /** Creates the allowance of an entry that has sent nothing. */
 export function createColdAllowance(
   { clock, entry, listEntries, isCold, readNewsAge, readRate }:
     ColdAllowanceOptions,
 ): ColdAllowance {
-  const buckets = new Map<string, Bucket>();
-
-  function isSender(endpoint: EndpointInfo): boolean {
-    const entries = listEntries();
-    if (entries === undefined) return false;
-    const ranked = listByRendezvous(entries, {
-      key: formatEndpointKey(endpoint),
-      readName: (name) => name,
-    });
-    return ranked.slice(0, countSenders(endpoint)).includes(entry);
-  }
+  const buckets = createTokenBuckets({ clock, start: "full" });
+  const findRank = createSenderRank({
+    clock,
+    entry,
+    listSenders: (endpoint) => {
+      const entries = listEntries();
+      return entries && listSendersFor(entries, endpoint);
+    },
+  });
 
   function countSenders({ pool }: EndpointInfo): number {
     const whole = Math.floor(readRate(pool));
@@ -113,60 +98,26 @@
     if (rate === 0) return undefined;
     if (isCold(endpoint)) {
       const perSecond = USED_SHARE * rate / countSenders(endpoint);
-      return { perSecond, bucketSize: FULL_BUCKET, isShared: true };
+      return { rate: { perSecond, size: FULL_BUCKET }, isShared: true };
     }
     if (readNewsAge() <= OLD_NEWS) return undefined;
     const perSecond = UNHEARD_SHARE * rate;
-    return { perSecond, bucketSize: UNHEARD_BUCKET, isShared: false };
-  }
-
-  function refreshBucket(endpoint: EndpointInfo, limit: Limit): Bucket {
-    const key = formatEndpointKey(endpoint);
-    const now = clock.now();
-    const bucket = buckets.get(key) ?? createBucket(now, limit);
-    const gained = limit.perSecond * (now - bucket.filledAt) /
-      MILLIS_PER_SECOND;
-    bucket.requests = Math.min(limit.bucketSize, bucket.requests + gained);
-    bucket.filledAt = now;
-    if (!buckets.has(key) && buckets.size >= MAX_KNOWN) dropOldest();
-    buckets.set(key, bucket);
-    return bucket;
-  }
-
-  function createBucket(now: Millis, { bucketSize }: Limit): Bucket {
-    return {
-      requests: bucketSize,
-      filledAt: now,
-      isSender: false,
-      rankedAt: -Infinity,
-    };
-  }
-
-  function refreshRank(endpoint: EndpointInfo, bucket: Bucket): void {
-    const now = clock.now();
-    if (now - bucket.rankedAt < RANK_LIFETIME) return;
-    bucket.isSender = isSender(endpoint);
-    bucket.rankedAt = now;
-  }
-
-  function dropOldest(): void {
-    const [oldest] = buckets.keys();
-    if (oldest !== undefined) buckets.delete(oldest);
+    return { rate: { perSecond, size: UNHEARD_BUCKET }, isShared: false };
   }
 
   return {
     mayBegin(endpoint) {
       const limit = chooseLimit(endpoint);
       if (limit === undefined) return true;
-      const bucket = refreshBucket(endpoint, limit);
-      if (limit.isShared) refreshRank(endpoint, bucket);
-      const isSender = bucket.isSender || !limit.isShared;
-      return isSender && bucket.requests >= FULL_BUCKET;
+      const isSender = !limit.isShared ||
+        findRank(endpoint) < countSenders(endpoint);
+      const tokens = buckets.read(formatEndpointKey(endpoint), limit.rate);
+      return isSender && tokens >= FULL_BUCKET;
     },
     begin(endpoint) {
       const limit = chooseLimit(endpoint);
       if (limit === undefined) return;
-      refreshBucket(endpoint, limit).requests -= FULL_BUCKET;
+      buckets.take(formatEndpointKey(endpoint), limit.rate);
     },
   };
 }
