fix(coordination): a limit that an endpoint names holds for all entries together

Callers saw: an engine in need that had named 1 request a second got 12 to 14 within 4 s; its answers took up to 4 s. Cause: no code read the word. The class is a bound that each entry would have to keep although only the sum of all counts; a cold endpoint's was the only one known. Ruled out: an entry that keeps the limit for itself (no rate changed); one way that is left out (the requests seen are first attempts). Both are in the tests. Change: for each endpoint a few entries share four fifths of the limit, in an order on which all agree; feeders share a maker's. The word and its end travel with the exchange of peers. A release is a request too, so at such an endpoint results lapse. What no endpoint takes from here before its stages are done is refused before them.

--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -102,6 +102,26 @@
 export { createColdEndpoints } from "./cold_endpoints.ts";
 export type { ColdAllowance, ColdAllowanceOptions } from "./cold_allowance.ts";
 export { createColdAllowance } from "./cold_allowance.ts";
+export type {
+  EndpointLimits,
+  EndpointLimitsOptions,
+  LimitNews,
+} from "./endpoint_limits.ts";
+export { createEndpointLimits } from "./endpoint_limits.ts";
+export type {
+  ComputeLimitShare,
+  LimitAllowance,
+  LimitAllowanceOptions,
+} from "./limit_allowance.ts";
+export {
+  computeFeederShare,
+  computeRequestShare,
+  createLimitAllowance,
+} from "./limit_allowance.ts";
+export type { FindSenderRank, SenderRankOptions } from "./sender_rank.ts";
+export { createSenderRank, listSendersFor } from "./sender_rank.ts";
+export type { SendAllowance, SendAllowanceOptions } from "./send_allowance.ts";
+export { createSendAllowance } from "./send_allowance.ts";
 export type { DelayModel } from "./delay_model.ts";
 export { createDelayModel } from "./delay_model.ts";
 export type { LatencyModel } from "./latency_model.ts";
--- /dev/null
+++ b/packages/coordination/src/send_allowance.ts
@@ -0,0 +1,55 @@
+/**
+ * Whether this entry may send an endpoint a request now, by all that bounds it.
+ *
+ * @module
+ */
+import type { Millis } from "@mangoreach/shared";
+import type { ColdAllowance } from "./cold_allowance.ts";
+import type { EndpointInfo } from "./endpoint.ts";
+import { formatEndpointKey } from "./endpoint.ts";
+import type { EndpointLimits } from "./endpoint_limits.ts";
+import type { LimitAllowance } from "./limit_allowance.ts";
+
+/** What this entry may send. */
+export interface SendAllowance {
+  /** Whether it may send a request there now. */
+  mayBegin(endpoint: EndpointInfo): boolean;
+  /** Counts a request that is sent there. */
+  begin(endpoint: EndpointInfo): void;
+  /**
+   * Time until the endpoint takes a request from here, by its own word: 0 for
+   * now, `Infinity` for none while it says so.
+   */
+  readWait(endpoint: EndpointInfo): Millis;
+  /** Whether an endpoint has asked to be sent less than is to be sent. */
+  isHeldBack(endpoint: EndpointInfo): boolean;
+  /** Whether it is time to hear whether the endpoint's limit stands. */
+  isAskDue(endpoint: EndpointInfo): boolean;
+}
+
+/** Options of {@linkcode createSendAllowance}. */
+export interface SendAllowanceOptions {
+  cold: ColdAllowance;
+  limits: Pick<EndpointLimits, "find" | "isOld" | "isEmpty">;
+  limited: LimitAllowance;
+}
+
+/** Joins what bounds the requests of one entry. */
+export function createSendAllowance(
+  { cold, limits, limited }: SendAllowanceOptions,
+): SendAllowance {
+  return {
+    mayBegin: (endpoint) =>
+      limited.readWait(endpoint) === 0 && cold.mayBegin(endpoint),
+    begin(endpoint) {
+      cold.begin(endpoint);
+      limited.begin(endpoint);
+    },
+    readWait: limited.readWait,
+    isHeldBack: (endpoint) =>
+      !limits.isEmpty() &&
+      limits.find(formatEndpointKey(endpoint)) !== undefined,
+    isAskDue: (endpoint) =>
+      !limits.isEmpty() && limits.isOld(formatEndpointKey(endpoint)),
+  };
+}
--- a/packages/peers/src/exchange_loop.ts
+++ b/packages/peers/src/exchange_loop.ts
@@ -7,6 +7,7 @@
 import type {
   EndpointDirectory,
   Failure,
+  LimitNews,
   Membership,
   PeerRecord,
 } from "@mangoreach/coordination";
@@ -36,6 +37,9 @@
     message: PeerExchange,
   ) => Promise<Result<PeerExchange, Failure>>;
   markLeaving: (endpointKey: string, age: Millis) => void;
+  /** What to tell of limits that endpoints name, at most `count`. */
+  chooseLimitNews?: (count: number) => readonly LimitNews[];
+  noteLimitNews?: (news: LimitNews) => void;
   /** What to tell of contents that are turned away; undefined if nothing. */
   readPoisonNews?: () => PoisonNews | undefined;
   notePoisonNews?: (news: PoisonNews) => void;
@@ -71,6 +75,7 @@
 /** So many to who knows fewer entries, one more for each that it lacks. */
 const MAX_CATCHING_UP = 16;
 const MAX_MARKS = 8;
+const MAX_LIMITS = 16;
 const MAX_SUSPICIONS = 8;
 /** The shortest time between two heartbeats, as a share of the interval. */
 const SHORTEST_PAUSE = 0.75;
@@ -98,11 +103,13 @@
     const unreached = suspicions.map(({ incarnation, heartbeat }) =>
       [incarnation, heartbeat] satisfies [string, number]
     );
+    const limits = options.chooseLimitNews?.(MAX_LIMITS) ?? [];
     const message: PeerExchange = {
       heartbeats: records.map(encodeHeartbeat),
       introductions: [...introductions],
       leaving: options.directory.chooseMarks(MAX_MARKS),
       known: membership.list().length,
+      ...(limits.length === 0 ? {} : { limits: [...limits] }),
       ...(unreached.length === 0 ? {} : { unreached }),
       ...(poison === undefined ? {} : { poison }),
     };
@@ -171,6 +178,7 @@
     for (const { endpointKey, age } of message.leaving) {
       options.markLeaving(endpointKey, age);
     }
+    for (const news of message.limits ?? []) options.noteLimitNews?.(news);
     if (message.poison !== undefined) options.notePoisonNews?.(message.poison);
   }
 
--- a/packages/peers/src/peer_protocol.ts
+++ b/packages/peers/src/peer_protocol.ts
@@ -74,6 +74,12 @@
   age: z.number().min(0),
 });
 
+const limitNewsSchema = z.object({
+  endpointKey: z.string(),
+  rateLimit: z.number().min(0).nullable(),
+  age: z.number().min(0),
+});
+
 const MAX_RECORDS = 64;
 
 /** One exchange of peer state; both sides send the same form. */
@@ -81,6 +87,8 @@
   heartbeats: z.array(heartbeatSchema).max(MAX_RECORDS),
   introductions: z.array(introductionSchema).max(MAX_RECORDS),
   leaving: z.array(leavingMarkSchema).max(MAX_RECORDS),
+  /** What endpoints said of their limits; left out while none has named one. */
+  limits: z.array(limitNewsSchema).max(MAX_RECORDS).optional(),
   /** How many other entries the sender knows. */
   known: z.number().int().min(0),
   /** Incarnations that could not be reached, and their last heartbeats. */
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -90,7 +90,7 @@
 
 /** The endpoint for a request now, if there is one. */
 export function chooseEndpoint(
-  { directory, loads, membership, findEngineChoice, coldAllowance }:
+  { directory, loads, membership, findEngineChoice, sendAllowance }:
     ServingState,
   { request, admitted, avoid }: {
     request: PassedRequest;
@@ -106,7 +106,23 @@
     ? listByLoad(inUse, membership.self.place)
     : findEngineChoice(admitted.pool)
       .list(request.head.promptParts, inUse, engine);
-  return ranked.find(({ info }) => coldAllowance.mayBegin(info))?.info;
+  const isDue = ({ info }: EndpointLoad) =>
+    sendAllowance.isAskDue(info) && sendAllowance.mayBegin(info);
+  const chosen = ranked.find(isDue) ??
+    ranked.find(({ info }) => sendAllowance.mayBegin(info));
+  return chosen?.info;
+}
+
+/** Time until some endpoint of a pool takes a request by its own word. */
+export function readShortestWait(
+  { directory, sendAllowance }: Pick<
+    ServingState,
+    "directory" | "sendAllowance"
+  >,
+  pool: string,
+): Millis {
+  const waits = directory.listUsable(pool).map(sendAllowance.readWait);
+  return Math.min(Infinity, ...waits);
 }
 
 /** A place away costs as much as this many requests in progress. */
@@ -171,8 +187,8 @@
 }
 
 function finishLost(
-  { random }: ServingState,
-  { response, deadline }: AttemptOptions,
+  state: ServingState,
+  { response, deadline, admitted }: AttemptOptions,
   { last, attempts, endpointId, runs }: {
     last: LostAttempt | undefined;
     attempts: number;
@@ -194,12 +210,18 @@
     verdict,
     message,
     ...(verdict === "not_run"
-      ? { retryAfterMs: spreadRetryAfter(0, random) }
+      ? { retryAfterMs: computeRetryAfter(state, admitted.pool) }
       : {}),
   });
   return { failure, attempts, ...place };
 }
 
+/** Another entry may send there sooner than this one. */
+export function computeRetryAfter(state: ServingState, pool: string): Millis {
+  const wait = readShortestWait(state, pool);
+  return spreadRetryAfter(Number.isFinite(wait) ? wait : 0, state.random);
+}
+
 async function runAttempt(
   state: ServingState,
   options: AttemptOptions,
@@ -212,7 +234,7 @@
     ? () => {}
     : startEarlyRelease({ ...state, endpoint, results, route: admitted.route });
   loads.begin(endpoint);
-  state.coldAllowance.begin(endpoint);
+  state.sendAllowance.begin(endpoint);
   const answer = await callEndpoint({
     endpoint,
     request,
--- a/packages/serving/src/endpoint_signals.ts
+++ b/packages/serving/src/endpoint_signals.ts
@@ -1,10 +1,14 @@
 /**
- * What endpoints say, in answers on any way to them, of the work that they take:
- * one line for each change, and a count.
+ * Takes what endpoints say, in answers on any way to them, of the work that they
+ * take; one line for each change, and a count.
  *
  * @module
  */
-import type { EndpointInfo, EndpointSignals } from "@mangoreach/coordination";
+import type {
+  EndpointInfo,
+  EndpointLimits,
+  EndpointSignals,
+} from "@mangoreach/coordination";
 import { formatEndpointKey } from "@mangoreach/coordination";
 import type { DecisionLog } from "./decision_log.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
@@ -30,19 +34,15 @@
 export interface SignalNotesOptions {
   log: DecisionLog;
   metrics: Pick<ServingMetrics, "countSignal">;
+  limits: Pick<EndpointLimits, "note" | "find">;
   /** All endpoints that may be listening at an address. */
   listAt: (address: string) => readonly EndpointInfo[];
 }
 
-/** What was said last of endpoints that are gone is dropped above this many. */
-const MAX_KNOWN = 1_024;
-
 /** Creates the notes of an entry that no endpoint has told anything. */
 export function createSignalNotes(
-  { log, metrics, listAt }: SignalNotesOptions,
+  { log, metrics, limits, listAt }: SignalNotesOptions,
 ): NoteSignals {
-  const limits = new Map<string, number>();
-
   function noteLimit(
     endpoint: EndpointInfo,
     { rateLimit }: EndpointSignals,
@@ -50,12 +50,9 @@
   ): void {
     const key = formatEndpointKey(endpoint);
     if (rateLimit !== undefined) metrics.countSignal(endpoint.pool, "limit");
-    if (limits.get(key) === rateLimit) return;
-    if (rateLimit === undefined) limits.delete(key);
-    else {
-      if (limits.size >= MAX_KNOWN) limits.clear();
-      limits.set(key, rateLimit);
-    }
+    const before = limits.find(key);
+    limits.note(key, rateLimit);
+    if (before === rateLimit) return;
     log.record("endpoint_changed", {
       endpoint: endpoint.id,
       pool: endpoint.pool,
--- a/packages/serving/src/limited_endpoint_test.ts
+++ b/packages/serving/src/limited_endpoint_test.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@mangoreach/shared";
 import { expect } from "chai";
 import type { LimitedArrival, LimitedLoad } from "./limited_fleet.ts";
-import { replayLimited } from "./limited_fleet.ts";
+import { runLimitedFleet } from "./limited_fleet.ts";
 
 const SECOND: Millis = 1_000;
 /** The span of which an endpoint counts its requests. */
@@ -43,7 +43,7 @@
     name: string;
     limit: number;
     limited: number;
-    load: Pick<LimitedLoad, "entries" | "endpoints" | "perSecond">;
+    load: Omit<LimitedLoad, "duration" | "readLimit">;
   }
 
   const CASES: readonly Case[] = [
@@ -83,10 +83,24 @@
       limited: 20,
       load: { entries: 195, endpoints: 60, perSecond: 190 },
     },
+    {
+      name: "6 endpoints at 195 entries that each lack a fifth of the others",
+      limit: 1,
+      limited: 6,
+      load: {
+        entries: 195,
+        endpoints: 6,
+        perSecond: 66,
+        listKnown: (entry, records) =>
+          records.filter((_, other) =>
+            other === entry || (7 * other + 13 * entry) % 5 !== 0
+          ),
+      },
+    },
   ];
 
   async function judgeCase({ limit, limited, load }: Case): Promise<string> {
-    const { arrivals } = await replayLimited({
+    const { arrivals } = await runLimitedFleet({
       ...load,
       duration,
       readLimit: (endpoint, now) =>
@@ -111,4 +125,31 @@
       Object.fromEntries(CASES.map(({ name }) => [name, "kept"])),
     );
   }).timeout(60_000);
+
+  // An entry that sends nothing hears nothing; the limit would stand for ever.
+  it("gets its share again soon after it names none", async () => {
+    const { arrivals } = await runLimitedFleet({
+      entries: 195,
+      endpoints: 6,
+      perSecond: 66,
+      duration,
+      readLimit: (_, now) => now >= NAMED_AT && now < LIFTED_AT ? 1 : undefined,
+    });
+    const late = arrivals.filter(({ at }) => at >= LIFTED_AT + 5 * SECOND);
+    const perSecond = late.length * SECOND /
+      (duration - LIFTED_AT - 5 * SECOND);
+    expect(perSecond).to.be.at.least(0.95 * 66);
+  });
+
+  it("lets requests that it cannot take be refused at once", async () => {
+    const { slowestRefusal, sent, served } = await runLimitedFleet({
+      entries: 8,
+      endpoints: 4,
+      perSecond: 12,
+      duration,
+      readLimit: (_, now) => now >= NAMED_AT ? 1 : undefined,
+    });
+    expect(slowestRefusal).to.equal(0);
+    expect(served / sent).to.be.within(0.3, 0.6);
+  });
 });
--- a/packages/serving/src/limited_fleet.ts
+++ b/packages/serving/src/limited_fleet.ts
@@ -4,12 +4,23 @@
  *
  * @module
  */
-import type { EndpointInfo, EndpointSignals } from "@mangoreach/coordination";
-import { createEndpointDirectory } from "@mangoreach/coordination";
+import type {
+  EndpointInfo,
+  EndpointSignals,
+  PeerRecord,
+} from "@mangoreach/coordination";
+import {
+  createEndpointDirectory,
+  createMembership,
+} from "@mangoreach/coordination";
 import type { FakeClock, Millis } from "@mangoreach/shared";
 import { createFakeClock } from "@mangoreach/shared";
 import { MersenneTwister19937, Random } from "random-js";
 import { Result } from "true-myth";
+import { createSilentDecisionLog } from "./decision_log.ts";
+import { createSignalNotes } from "./endpoint_signals.ts";
+import type { EntryAllowance } from "./entry_allowance.ts";
+import { createEntryAllowance } from "./entry_allowance.ts";
 import { serveRequest } from "./request_service.ts";
 import type { CallEndpoint } from "./serving_handles.ts";
 import type { ServingState } from "./serving_state.ts";
@@ -17,6 +28,7 @@
   createRecordedResponse,
   createTestEndpoint,
   createTestHead,
+  createTestPeer,
   createTestReply,
   createTestRoute,
   createTestState,
@@ -30,6 +42,11 @@
   /** Requests a second at all entries together. */
   perSecond: number;
   duration: Millis;
+  /** The entries that one knows of; all if left out. */
+  listKnown?: (
+    entry: number,
+    records: readonly PeerRecord[],
+  ) => readonly PeerRecord[];
   /** The limit that an endpoint names at a time, if any. */
   readLimit: (endpoint: number, now: Millis) => number | undefined;
 }
@@ -58,9 +75,14 @@
 /** How many requests come again, at any entry, after a refusal. */
 const COMES_AGAIN_SHARE = 0.5;
 const COMES_AGAIN_AFTER: Millis = 300;
+const EXCHANGE_INTERVAL: Millis = 500;
+/** What one message carries of limits. */
+const MAX_NEWS = 16;
 
-/** Replays a load. */
-export async function replayLimited(load: LimitedLoad): Promise<LimitedReplay> {
+/** Runs a load to its end. */
+export async function runLimitedFleet(
+  load: LimitedLoad,
+): Promise<LimitedReplay> {
   const clock = createFakeClock(0);
   const engine = new Random(MersenneTwister19937.seed(load.entries));
   const random = () => engine.real(0, 1);
@@ -113,9 +135,14 @@
 
 function createEntries(
   load: LimitedLoad,
-  { clock, infos, arrivals }: FleetParts,
+  { clock, random, infos, arrivals }: FleetParts,
 ): ServingState[] {
   const table = createTestTable([createTestRoute({ isPublic: true })]);
+  const records = Array.from(
+    { length: load.entries },
+    (_, number) => createTestPeer(`entry-${number}`),
+  );
+  const allowances: EntryAllowance[] = [];
 
   function createEntry(_: unknown, entry: number): ServingState {
     const directory = createEndpointDirectory({ clock, markLifetime: 1_000 });
@@ -139,12 +166,52 @@
       }
       return Result.ok({ ...createTestReply(["x"]), signals });
     };
-    return createTestState(clock, {
+    const membership = createMembership({
+      clock,
+      self: records[entry]!,
+      random,
+      suspectAfter: Infinity,
+      loseAfter: Infinity,
+    });
+    membership.merge(load.listKnown?.(entry, records) ?? records);
+    const entryAllowance = createEntryAllowance({
+      clock,
+      random,
+      membership,
+      hasMembers: () => true,
+      directory,
+      readTable: () => table,
+      cold: { mayBegin: () => true, begin: () => {} },
+    });
+    allowances[entry] = entryAllowance;
+    const state = createTestState(clock, {
+      membership,
       directory,
       readTable: () => table,
       callEndpoint,
+      sendAllowance: entryAllowance.allowance,
+    });
+    state.noteSignals = createSignalNotes({
+      log: createSilentDecisionLog(),
+      metrics: state.metrics,
+      limits: entryAllowance.limits,
+      listAt: () => [],
     });
+    return state;
+  }
+
+  /** Each entry exchanges news with one other, drawn at random. */
+  function exchangeNews(): void {
+    for (const { limits } of allowances) {
+      const index = Math.floor(random() * allowances.length);
+      const partner = allowances[index]!.limits;
+      limits.chooseNews(MAX_NEWS).forEach(partner.takeNews);
+      partner.chooseNews(MAX_NEWS).forEach(limits.takeNews);
+    }
+    clock.startTimer(EXCHANGE_INTERVAL, exchangeNews);
   }
 
-  return Array.from({ length: load.entries }, createEntry);
+  const states = Array.from({ length: load.entries }, createEntry);
+  exchangeNews();
+  return states;
 }
--- a/packages/serving/src/maker_calls.ts
+++ b/packages/serving/src/maker_calls.ts
@@ -4,7 +4,11 @@
  *
  * @module
  */
-import type { BatchEndpoint, EndpointInfo } from "@mangoreach/coordination";
+import type {
+  BatchEndpoint,
+  EndpointInfo,
+  SendAllowance,
+} from "@mangoreach/coordination";
 import { formatEndpointKey } from "@mangoreach/coordination";
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { EndpointLoads } from "./endpoint_load.ts";
@@ -27,13 +31,14 @@
   room: MakerRoom;
   /** Endpoints that take new work now. */
   listEndpoints: () => readonly EndpointInfo[];
+  allowance: Pick<SendAllowance, "mayBegin" | "begin" | "readWait">;
 }
 
 /** The calls in progress at the endpoints of one pool. */
 export interface MakerCalls {
   /** Those that are in use and not blocked. */
   list(): CalledMaker[];
-  /** How many are in use, blocked or not. */
+  /** How many are in use and take calls, if not just now. */
   count(): number;
   begin(maker: CalledMaker, expected: Millis): void;
   end(maker: CalledMaker): void;
@@ -43,10 +48,12 @@
 
 /** An endpoint that is full has room again after about half a call. */
 const BLOCK_TIME: Millis = 150;
+/** An endpoint that may be called this soon counts as one that takes calls. */
+const SOON: Millis = 1_000;
 
 /** Creates the calls of a feeder that has made none. */
 export function createMakerCalls(
-  { clock, loads, room, listEndpoints }: MakerCallsOptions,
+  { clock, loads, room, listEndpoints, allowance }: MakerCallsOptions,
 ): MakerCalls {
   const makers = new Map<string, CalledMaker>();
 
@@ -64,16 +71,25 @@
       makers.set(key, maker);
       const roomTaken = room.readTaken(key);
       return Object.assign(maker, { info, slowness, roomTaken });
-    }).filter(({ blockedUntil }) => blockedUntil <= now);
+    }).filter(({ blockedUntil, info }) =>
+      blockedUntil <= now && allowance.mayBegin(info)
+    );
+  }
+
+  /** Those that take a call soon: what they do bounds what others wait. */
+  function count(): number {
+    return loads.listInUse(listEndpoints())
+      .filter(({ info }) => allowance.readWait(info) <= SOON).length;
   }
 
   return {
     list,
-    count: () => loads.listInUse(listEndpoints()).length,
+    count,
     begin(maker, expected) {
       maker.calls++;
       maker.freeAt = clock.now() + maker.slowness * expected;
       loads.begin(maker.info);
+      allowance.begin(maker.info);
     },
     end(maker) {
       maker.calls--;
--- a/packages/serving/src/peer_news.ts
+++ b/packages/serving/src/peer_news.ts
@@ -6,6 +6,7 @@
  */
 import type {
   EndpointDirectory,
+  EndpointLimits,
   Membership,
   PeerRecord,
   PeerState,
@@ -47,6 +48,7 @@
   readConfigVersion: () => number;
   /** Told again and again which version is the newest among live peers. */
   notePeerVersion: (version: number) => void;
+  limits: Pick<EndpointLimits, "chooseNews" | "takeNews">;
   /** What is told along of contents that are turned away. */
   quarantine: Pick<QuarantineNews, "readNews" | "takeNews">;
 }
@@ -176,6 +178,8 @@
           });
         }
       },
+      chooseLimitNews: options.limits.chooseNews,
+      noteLimitNews: options.limits.takeNews,
       readPoisonNews: options.quarantine.readNews,
       notePoisonNews: options.quarantine.takeNews,
       onIntroduced: notePeer,
--- a/packages/serving/src/pool_parts.ts
+++ b/packages/serving/src/pool_parts.ts
@@ -10,6 +10,7 @@
   EngineChoice,
   RetryBudget,
   RouteTable,
+  SendAllowance,
 } from "@mangoreach/coordination";
 import {
   createDelayModel,
@@ -38,6 +39,9 @@
   /** Told of an endpoint whose address has become another's. */
   markLeaving: (endpointKey: string) => void;
   noteSignals: NoteSignals;
+  allowance: SendAllowance;
+  /** All endpoints that may be listening at an address. */
+  listAt: (address: string) => readonly EndpointInfo[];
   readTable: () => RouteTable | undefined;
   /** Frees results of a pool, at whoever feeds it. */
   releaseInputs: (pool: string, results: readonly string[]) => void;
@@ -116,6 +120,8 @@
         listPartitionEndpoints(options.listUsable(pool), partition),
       markLeaving: options.markLeaving,
       noteSignals: options.noteSignals,
+      allowance: options.allowance,
+      listAt: options.listAt,
       endpointCheck: options.endpointCheck,
       readSpec: () => readBatchSpec(options.readTable(), pool),
       releaseInputs: options.releaseInputs,
--- a/packages/serving/src/pool_parts_test.ts
+++ b/packages/serving/src/pool_parts_test.ts
@@ -3,7 +3,7 @@
 import { createSilentDecisionLog } from "./decision_log.ts";
 import { createEndpointLoads } from "./endpoint_load.ts";
 import { createPoolParts } from "./pool_parts.ts";
-import { createFakeStages } from "./test_support.ts";
+import { createFakeStages, createOpenAllowance } from "./test_support.ts";
 
 describe("parts of pools", () => {
   function create(known: { entries: number }) {
@@ -19,6 +19,8 @@
       listUsable: () => [],
       markLeaving: () => {},
       noteSignals: () => {},
+      allowance: createOpenAllowance(),
+      listAt: () => [],
       readTable: () => undefined,
       releaseInputs: () => {},
       countEntries: () => known.entries,
--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -5,15 +5,17 @@
  * @module
  */
 import type { Deadline, Failure, PoolSpec } from "@mangoreach/coordination";
-import {
-  createDeadline,
-  createFailure,
-  spreadRetryAfter,
-} from "@mangoreach/coordination";
+import { createDeadline, createFailure } from "@mangoreach/coordination";
 import type { Millis } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { AttemptOutcome } from "./attempt_loop.ts";
-import { chooseEndpoint, runAttempts, sumTokens } from "./attempt_loop.ts";
+import {
+  chooseEndpoint,
+  computeRetryAfter,
+  readShortestWait,
+  runAttempts,
+  sumTokens,
+} from "./attempt_loop.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import type { AdmittedRoute } from "./request_admission.ts";
 import { admitRequest } from "./request_admission.ts";
@@ -134,11 +136,12 @@
   );
   // With nobody to run it, its stages would be made for nothing and its caller
   // would wait for a refusal.
-  if (state.directory.listUsable(admitted.pool).length === 0) {
+  const shortest = Math.max(0, ...durations);
+  if (readShortestWait(state, admitted.pool) > shortest) {
     return Result.err(createFailure("unavailable", {
       verdict: "not_run",
       message: "no endpoint takes work",
-      retryAfterMs: spreadRetryAfter(0, random),
+      retryAfterMs: computeRetryAfter(state, admitted.pool),
     }));
   }
   const place = chooseEndpoint(state, { request, admitted, avoid: [] })?.place;
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -32,6 +32,7 @@
 import { createEndpointCheck } from "./endpoint_check.ts";
 import { createEndpointLoads } from "./endpoint_load.ts";
 import { createSignalNotes } from "./endpoint_signals.ts";
+import { createEntryAllowance } from "./entry_allowance.ts";
 import { createPeerNews } from "./peer_news.ts";
 import { createPieceRouter } from "./piece_router.ts";
 import { createPoolParts } from "./pool_parts.ts";
@@ -191,6 +192,10 @@
     countInFlight: () => tasks.size,
     readConfigVersion: readVersion,
     notePeerVersion: freshness.notePeerVersion,
+    limits: {
+      chooseNews: (count) => limits.chooseNews(count),
+      takeNews: (limitNews) => limits.takeNews(limitNews),
+    },
     quarantine: {
       readNews: () => quarantineNews.readNews(),
       takeNews: (poison) => quarantineNews.takeNews(poison),
@@ -224,12 +229,35 @@
     clock,
     checkListening: platform.checkListening,
   });
-  const noteSignals = createSignalNotes({
-    log,
-    metrics,
-    listAt: (address) =>
-      directory.listAll().filter((endpoint) => endpoint.address === address),
+  /** Those that left send nothing more; those that are silent may. */
+  function listSenders(): string[] | undefined {
+    if (!knowledge.hasMembers()) return undefined;
+    const others = membership.list()
+      .filter(({ record }) => record.state !== "leaving")
+      .map(({ record }) => record.entry);
+    return [settings.entry, ...others];
+  }
+
+  const { allowance, limits } = createEntryAllowance({
+    clock,
+    random,
+    membership,
+    hasMembers: knowledge.hasMembers,
+    directory,
+    readTable,
+    cold: createColdAllowance({
+      clock,
+      entry: settings.entry,
+      listEntries: listSenders,
+      isCold: knowledge.isCold,
+      readNewsAge: knowledge.readEndpointAge,
+      readRate: (pool) => readTable()?.findPool(pool)?.coldRate ?? 0,
+    }),
   });
+  const listAt = (address: string) =>
+    directory.listAll().filter((endpoint) => endpoint.address === address);
+  const noteSignals = createSignalNotes({ log, metrics, limits, listAt });
+
   const pools = createPoolParts({
     clock,
     log,
@@ -239,6 +267,8 @@
     listUsable: directory.listUsable,
     markLeaving: (endpointKey) => directory.markLeaving(endpointKey),
     noteSignals,
+    allowance,
+    listAt,
     readTable,
     releaseInputs: (pool, results) => router.release(pool, results),
     countEntries: () => membership.list().length + 1,
@@ -258,15 +288,6 @@
       knowledge.findPlace(platform.stages.readMaker(result)),
   });
 
-  /** Those that left send nothing more; those that are silent may. */
-  function listSenders(): string[] | undefined {
-    if (!knowledge.hasMembers()) return undefined;
-    const others = membership.list()
-      .filter(({ record }) => record.state !== "leaving")
-      .map(({ record }) => record.entry);
-    return [settings.entry, ...others];
-  }
-
   const state: ServingState = {
     clock,
     random,
@@ -279,14 +300,7 @@
     membership,
     directory,
     loads,
-    coldAllowance: createColdAllowance({
-      clock,
-      entry: settings.entry,
-      listEntries: listSenders,
-      isCold: knowledge.isCold,
-      readNewsAge: knowledge.readEndpointAge,
-      readRate: (pool) => readTable()?.findPool(pool)?.coldRate ?? 0,
-    }),
+    sendAllowance: allowance,
     noteSignals,
     noteUnreachable: knowledge.noteUnreachable,
     router,
--- a/packages/serving/src/serving_state.ts
+++ b/packages/serving/src/serving_state.ts
@@ -5,7 +5,6 @@
  */
 import type {
   CallerElapsed,
-  ColdAllowance,
   DelayModel,
   EndpointDirectory,
   EndpointInfo,
@@ -14,6 +13,7 @@
   Membership,
   RetryBudget,
   RouteTable,
+  SendAllowance,
 } from "@mangoreach/coordination";
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { DecisionLog } from "./decision_log.ts";
@@ -40,7 +40,7 @@
   membership: Membership;
   directory: EndpointDirectory;
   loads: EndpointLoads;
-  coldAllowance: ColdAllowance;
+  sendAllowance: SendAllowance;
   /** Takes what an endpoint's answer says of the work that it takes. */
   noteSignals: NoteSignals;
   /** Notes that nothing listened at an endpoint's address. */
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -13,6 +13,7 @@
   PieceBatcher,
   PieceWaits,
   RetryBudget,
+  SendAllowance,
 } from "@mangoreach/coordination";
 import { createPieceBatcher, createPieceFlow } from "@mangoreach/coordination";
 import type {
@@ -56,6 +57,9 @@
   markLeaving: (endpointKey: string) => void;
   /** Takes what an endpoint's answer says of the work that it takes. */
   noteSignals: NoteSignals;
+  allowance: SendAllowance;
+  /** All endpoints that may be listening at an address. */
+  listAt: (address: string) => readonly EndpointInfo[];
   readSpec: () => BatchSpec;
   endpointCheck: EndpointCheck;
   /** Pieces that are made a second time draw on it. */
@@ -99,6 +103,7 @@
     loads,
     room,
     listEndpoints: options.listEndpoints,
+    allowance: options.allowance,
   });
   let isRecheckDue = false;
 
@@ -422,9 +427,15 @@
       const list = byMaker.get(maker) ?? [];
       byMaker.set(maker, list);
       list.push(result);
-      room.drop(result);
     }
-    for (const [address, list] of byMaker) void releaseAt(address, list);
+    for (const [address, list] of byMaker) {
+      // A release is a request as well; without one, results lapse.
+      const isHeldBack = options.listAt(address)
+        .some(options.allowance.isHeldBack);
+      if (isHeldBack) continue;
+      list.forEach(room.drop);
+      void releaseAt(address, list);
+    }
     dispatch();
   }
 
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -10,6 +10,7 @@
   RetryBudget,
   Route,
   RouteTable,
+  SendAllowance,
   ServingConfig,
 } from "@mangoreach/coordination";
 import {
@@ -37,6 +38,7 @@
 } from "./serving_handles.ts";
 import { createServingMetrics } from "./serving_metrics.ts";
 import type { ServingState } from "./serving_state.ts";
+import type { StageFeederOptions } from "./stage_feeder.ts";
 import { createStageFeeder } from "./stage_feeder.ts";
 
 /** An endpoint with its id as address. */
@@ -214,6 +216,7 @@
   clock: FakeClock,
   endpoints: readonly EndpointInfo[],
   budget: RetryBudget = createRetryBudget({ share: 0.1, max: 4 }),
+  options: Partial<Pick<StageFeederOptions, "noteSignals" | "allowance">> = {},
 ) {
   const stages = createFakeStages();
   /** Keys of endpoints that said they are another one. */
@@ -229,7 +232,10 @@
     listEndpoints: () =>
       endpoints.filter((endpoint) => !left.has(formatEndpointKey(endpoint))),
     markLeaving: (endpointKey) => left.add(endpointKey),
-    noteSignals: () => {},
+    noteSignals: options.noteSignals ?? (() => {}),
+    allowance: options.allowance ?? createOpenAllowance(),
+    listAt: (address) =>
+      endpoints.filter((endpoint) => endpoint.address === address),
     // A fake call breaks off only because its maker has ended.
     endpointCheck: { checkCondition: () => Promise.resolve("ended") },
     readSpec: () => TEST_SPEC,
@@ -256,6 +262,17 @@
   return { response, seen };
 }
 
+/** An allowance that bounds nothing. */
+export function createOpenAllowance(): SendAllowance {
+  return {
+    mayBegin: () => true,
+    begin: () => {},
+    readWait: () => 0,
+    isHeldBack: () => false,
+    isAskDue: () => false,
+  };
+}
+
 /** What an entry knows that has no endpoints, no peers and no stages. */
 export function createTestState(
   clock: FakeClock,
@@ -279,7 +296,7 @@
     }),
     directory: createEndpointDirectory({ clock, markLifetime: 1_000 }),
     loads: createEndpointLoads(clock),
-    coldAllowance: { mayBegin: () => true, begin: () => {} },
+    sendAllowance: createOpenAllowance(),
     noteSignals: () => {},
     noteUnreachable: () => {},
     router: {
