fix(entry): the product's own door keeps limits that endpoints name

The same cause elsewhere: the product's own protocol had no word for a limit, and nine entries would have sent an endpoint in need all they had. An endpoint says x-endpoint-limit; its pools' queues, load readings and the exchange of peers keep to it by the decisions of the platform's path, which move to coordination for that. Work that no endpoint takes in its time is refused at once.

--- /dev/null
+++ b/packages/coordination/src/entry_allowance.ts
@@ -0,0 +1,100 @@
+/**
+ * What one entry may send to endpoints, by what it knows of the other entries.
+ *
+ * @module
+ */
+import type { Clock } from "@mangoreach/shared";
+import type { ColdAllowance } from "./cold_allowance.ts";
+import type { EndpointDirectory } from "./endpoint_directory.ts";
+import type { EndpointInfo } from "./endpoint.ts";
+import type { EndpointLimits } from "./endpoint_limits.ts";
+import { createEndpointLimits } from "./endpoint_limits.ts";
+import {
+  computeFeederShare,
+  computeRequestShare,
+  createLimitAllowance,
+} from "./limit_allowance.ts";
+import type { Membership, PeerRecord } from "./membership.ts";
+import {
+  choosePartition,
+  listFeederOrder,
+  listPartitions,
+} from "./pool_partition.ts";
+import type { SendAllowance } from "./send_allowance.ts";
+import { createSendAllowance } from "./send_allowance.ts";
+import { createSenderRank, listSendersFor } from "./sender_rank.ts";
+
+/** Options of {@linkcode createEntryAllowance}. */
+export interface EntryAllowanceOptions {
+  clock: Clock;
+  /** Returns a number from 0 up to 1. */
+  random: () => number;
+  /** The name of this entry. */
+  entry: string;
+  /**
+   * All entries that send, with this one; undefined while it has not heard of
+   * the others. See {@linkcode listSendingMembers}.
+   */
+  listMembers: () => readonly PeerRecord[] | undefined;
+  directory: Pick<EndpointDirectory, "listUsable">;
+  /** Whether a pool gets its work from feeders. */
+  isFed: (pool: string) => boolean;
+  /** What may be sent to cold endpoints; left out where none is ever cold. */
+  cold?: ColdAllowance;
+}
+
+/** The allowance of an entry, and the limits that it follows. */
+export interface EntryAllowance {
+  allowance: SendAllowance;
+  limits: EndpointLimits;
+}
+
+/** Bounds nothing. */
+const NEVER_COLD: ColdAllowance = { mayBegin: () => true, begin: () => {} };
+
+/**
+ * The entries that send to endpoints. A cut excuses who is lost behind it, and
+ * its share goes to the next.
+ */
+export function listSendingMembers(
+  { self, list }: Pick<Membership, "self" | "list">,
+): PeerRecord[] {
+  const others = list()
+    .filter(({ health, record }) =>
+      health !== "lost" && record.state !== "leaving"
+    )
+    .map(({ record }) => record);
+  return [self, ...others];
+}
+
+/** Creates the allowance of an entry that no endpoint has told anything. */
+export function createEntryAllowance(
+  options: EntryAllowanceOptions,
+): EntryAllowance {
+  const { clock, random, entry, directory, isFed } = options;
+  const limits = createEndpointLimits({ clock, random });
+
+  /** Pieces reach an endpoint from its feeder, requests from any entry. */
+  function listSenders(endpoint: EndpointInfo): string[] | undefined {
+    const members = options.listMembers();
+    if (members === undefined) return undefined;
+    const { pool, place } = endpoint;
+    if (!isFed(pool)) {
+      return listSendersFor(members.map((member) => member.entry), endpoint);
+    }
+    const partitions = listPartitions(directory.listUsable(pool));
+    const partition = choosePartition(partitions, place);
+    return listFeederOrder(members, { pool, partition })
+      .map((member) => member.entry);
+  }
+
+  const limited = createLimitAllowance({
+    clock,
+    limits,
+    findRank: createSenderRank({ clock, entry, listSenders }),
+    chooseShares: ({ pool }) =>
+      isFed(pool) ? computeFeederShare : computeRequestShare,
+  });
+  const { cold = NEVER_COLD } = options;
+  return { allowance: createSendAllowance({ cold, limits, limited }), limits };
+}
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -118,6 +118,12 @@
   computeRequestShare,
   createLimitAllowance,
 } from "./limit_allowance.ts";
+export type {
+  EntryAllowance,
+  EntryAllowanceOptions,
+} from "./entry_allowance.ts";
+export { createEntryAllowance, listSendingMembers } from "./entry_allowance.ts";
+export { createLearningCheck } from "./learning_time.ts";
 export type { FindSenderRank, SenderRankOptions } from "./sender_rank.ts";
 export { createSenderRank, listSendersFor } from "./sender_rank.ts";
 export type { SendAllowance, SendAllowanceOptions } from "./send_allowance.ts";
--- a/packages/coordination/src/stage_pool.ts
+++ b/packages/coordination/src/stage_pool.ts
@@ -18,6 +18,7 @@
 import type { Failure } from "./failure.ts";
 import { createFailure } from "./failure.ts";
 import { createLatencyModel } from "./latency_model.ts";
+import type { SendAllowance } from "./send_allowance.ts";
 import type { ChooseEndpoint, EndpointView } from "./routing.ts";
 import { estimateOthers } from "./routing.ts";
 import type { WorkClass } from "./work_queue.ts";
@@ -71,6 +72,8 @@
   estimateAttainment: (className: string) => number;
   /** Told when an endpoint is taken out of use. */
   onEjected: (endpoint: EndpointInfo, cause: string) => void;
+  /** What may be sent to endpoints that ask for less; all if left out. */
+  allowance?: Pick<SendAllowance, "mayBegin" | "begin" | "readWait">;
 }
 
 /** What can be read off a pool, for metrics. */
@@ -153,7 +156,7 @@
 
 /** Creates a pool without endpoints. */
 export function createStagePool(
-  { clock, policy, estimateAttainment, onEjected }: StagePoolOptions,
+  { clock, policy, estimateAttainment, onEjected, allowance }: StagePoolOptions,
 ): StagePool {
   const slots = new Map<string, Slot>();
   const inProgress = new Map<string, number>();
@@ -219,6 +222,7 @@
   ): Slot[] {
     return listInUse().filter((slot) =>
       !avoid.includes(slot.info) &&
+      (allowance?.mayBegin(slot.info) ?? true) &&
       (!policy.hasLimits ||
         slot.inFlight < readLimit(slot, workClass.priority))
     );
@@ -257,6 +261,7 @@
     noteGrant(work.workClass);
     slot.inFlight++;
     inFlight++;
+    allowance?.begin(slot.info);
     inProgress.set(work.account, (inProgress.get(work.account) ?? 0) + 1);
 
     function recordLatency(latency: Millis): void {
@@ -366,18 +371,44 @@
     if (slot !== undefined) {
       return Promise.resolve(Result.ok(grant(slot, work)));
     }
+    const shortest = readShortestWait();
+    if (shortest > computeLatest(work)) {
+      return Promise.resolve(Result.err(failHeldBack(shortest)));
+    }
     if (queue.size >= MAX_QUEUED) {
       return Promise.resolve(Result.err(failOverloaded("the queue is full")));
     }
     return waitForSlot(work);
   }
 
+  /** Time until some endpoint takes a call by its own word. */
+  function readShortestWait(): Millis {
+    if (allowance === undefined) return 0;
+    const waits = [...slots.values()].map(({ info }) =>
+      allowance.readWait(info)
+    );
+    return Math.min(Infinity, ...waits);
+  }
+
+  /** How long work may wait and still be done. */
+  function computeLatest({ deadline, reserve, size }: PoolWork): Millis {
+    return deadline.remaining() - reserve - latencies.estimateUnloaded(size);
+  }
+
+  /** Another entry may call the endpoints sooner than this one. */
+  function failHeldBack(wait: Millis): Failure {
+    return createFailure("overloaded", {
+      verdict: "not_run",
+      message: "no endpoint takes work",
+      retryAfterMs: Number.isFinite(wait) ? wait : RETRY_AFTER_NO_ENDPOINT,
+    });
+  }
+
   function waitForSlot(work: PoolWork): Promise<Result<Permit, Failure>> {
-    const { deadline, reserve, size } = work;
+    const { deadline } = work;
     return new Promise((resolve) => {
-      const needed = reserve + latencies.estimateUnloaded(size);
       const stopTimer = clock.startTimer(
-        deadline.remaining() - needed,
+        computeLatest(work),
         () => giveUp(failOverloaded("no endpoint came free in time")),
       );
       const onAbort = () => giveUp(failCancelled());
--- /dev/null
+++ b/packages/coordination/src/stage_pool_limit_test.ts
@@ -0,0 +1,142 @@
+import type { Millis } from "@mangoreach/shared";
+import { createFakeClock } from "@mangoreach/shared";
+import { expect } from "chai";
+import { MersenneTwister19937, Random } from "random-js";
+import { createDeadline } from "./deadline.ts";
+import type { EndpointInfo } from "./endpoint.ts";
+import { formatEndpointKey } from "./endpoint.ts";
+import { createEntryAllowance } from "./entry_allowance.ts";
+import type { PeerRecord } from "./membership.ts";
+import { createLeastInFlightChoice } from "./routing.ts";
+import type { StagePool } from "./stage_pool.ts";
+import { createStagePool } from "./stage_pool.ts";
+
+const SECOND: Millis = 1_000;
+const STEP: Millis = 20;
+const WORK_TIME: Millis = 60;
+const LIMIT = 1;
+const SPAN = 4 * SECOND;
+const ALLOWED = 1.5 * LIMIT * SPAN / SECOND + 5;
+
+function createEndpoint(id: string): EndpointInfo {
+  return {
+    id,
+    incarnation: "1",
+    pool: "pool",
+    place: "odda",
+    address: id,
+    state: "live",
+  };
+}
+
+interface Load {
+  entries: number;
+  perSecond: number;
+  /** Endpoints that name a limit, and those that do not. */
+  limited: number;
+  free: number;
+}
+
+interface Arrival {
+  id: string;
+  at: Millis;
+}
+
+/** Each call of a limited endpoint names its limit in the answer. */
+async function replayPools({ entries, perSecond, limited, free }: Load) {
+  const clock = createFakeClock(0);
+  const engine = new Random(MersenneTwister19937.seed(entries));
+  const random = () => engine.real(0, 1);
+  const names = Array.from({ length: entries }, (_, index) => `entry-${index}`);
+  const endpoints = [
+    ...Array.from(
+      { length: limited },
+      (_, i) => createEndpoint(`limited-${i}`),
+    ),
+    ...Array.from({ length: free }, (_, i) => createEndpoint(`free-${i}`)),
+  ];
+  const arrivals: Arrival[] = [];
+  let slowestRefusal: Millis = 0;
+
+  const all = names.map((entry) => {
+    const { allowance, limits } = createEntryAllowance({
+      clock,
+      random,
+      entry,
+      listMembers: () => names.map((name) => ({ entry: name }) as PeerRecord),
+      directory: { listUsable: () => endpoints },
+      isFed: () => false,
+    });
+    const pool = createStagePool({
+      clock,
+      policy: {
+        choose: createLeastInFlightChoice(random),
+        hasLimits: true,
+        hasEjection: true,
+      },
+      estimateAttainment: () => 1,
+      onEjected: () => {},
+      allowance,
+    });
+    pool.refresh(endpoints);
+    return { pool, limits };
+  });
+
+  async function call(pool: StagePool, note: (info: EndpointInfo) => void) {
+    const startedAt = clock.now();
+    const permit = await pool.acquire({
+      workClass: { name: "rulings", priority: 1, target: 0.99 },
+      account: "handlers",
+      size: 1,
+      deadline: createDeadline({ clock, budget: SECOND }),
+      reserve: 0,
+    });
+    if (permit.isErr) {
+      slowestRefusal = Math.max(slowestRefusal, clock.now() - startedAt);
+      return;
+    }
+    const { endpoint } = permit.value;
+    arrivals.push({ id: endpoint.id, at: clock.now() });
+    await clock.sleep(WORK_TIME);
+    note(endpoint);
+    permit.value.release("done");
+  }
+
+  for (let sent = 0; clock.now() < 20 * SECOND;) {
+    for (; sent < perSecond * clock.now() / SECOND; sent++) {
+      const { pool, limits } = all[engine.integer(0, entries - 1)]!;
+      void call(pool, (info) => {
+        const isLimited = info.id.startsWith("limited");
+        limits.note(formatEndpointKey(info), isLimited ? LIMIT : undefined);
+      });
+    }
+    await clock.advance(STEP);
+  }
+  return { arrivals, slowestRefusal };
+}
+
+describe("a pool with endpoints that name a limit", () => {
+  const CASES: (Load & { name: string })[] = [
+    { name: "one of three", entries: 9, perSecond: 40, limited: 1, free: 2 },
+    { name: "all three", entries: 9, perSecond: 40, limited: 3, free: 0 },
+  ];
+  for (const { name, ...load } of CASES) {
+    // Nine entries, each of which keeps its queue of work moving, send it all.
+    it(`sends them no more than they take: ${name}`, async () => {
+      const { arrivals, slowestRefusal } = await replayPools(load);
+      const settled = arrivals.filter(({ id, at }) =>
+        id.startsWith("limited") && at >= 3 * SECOND
+      );
+      const most = Math.max(
+        ...settled.map(({ id, at: from }) =>
+          settled.filter(({ id: other, at }) =>
+            other === id && at >= from && at < from + SPAN
+          ).length
+        ),
+      );
+      expect(most).to.be.at.most(ALLOWED);
+      // Work waits for its turn at most, and then there is no use in waiting.
+      expect(slowestRefusal).to.be.at.most(SECOND);
+    });
+  }
+});
--- a/packages/endpoints/src/endpoint_protocol.ts
+++ b/packages/endpoints/src/endpoint_protocol.ts
@@ -22,6 +22,8 @@
   causalTime: "x-causal-time",
   /** Sent by an endpoint that is leaving: `x-endpoint-state: leaving`. */
   state: "x-endpoint-state",
+  /** Requests a second that an endpoint takes from all entries together. */
+  rateLimit: "x-endpoint-limit",
 } as const;
 
 /** The value of the state header of an endpoint that takes no new work. */
@@ -75,6 +77,14 @@
   return headers[ENDPOINT_HEADERS.state] === LEAVING_STATE;
 }
 
+/** The limit that an answer names, in requests a second. */
+export function readRateLimit(headers: HttpHeaders): number | undefined {
+  const text = headers[ENDPOINT_HEADERS.rateLimit];
+  if (typeof text !== "string" || text.trim() === "") return undefined;
+  const rate = Number(text);
+  return Number.isFinite(rate) && rate >= 0 ? rate : undefined;
+}
+
 /** Turns an answer other than success into a failure with its verdict. */
 export function createReplyFailure(peer: string, reply: HttpReply): Failure {
   const isRefusal = reply.status === UNAVAILABLE || reply.status === TOO_MANY;
--- a/packages/endpoints/src/mod.ts
+++ b/packages/endpoints/src/mod.ts
@@ -12,4 +12,5 @@
   hasLeavingMark,
   isEchoOf,
   LEAVING_STATE,
+  readRateLimit,
 } from "./endpoint_protocol.ts";
--- a/packages/engines/src/engine_client.ts
+++ b/packages/engines/src/engine_client.ts
@@ -15,13 +15,13 @@
   createReplyFailure,
   ENDPOINT_HEADERS,
   formatEcho,
-  hasLeavingMark,
   isEchoOf,
 } from "@mangoreach/endpoints";
 import type {
   Clock,
   HttpCall,
   HttpClient,
+  HttpHeaders,
   HttpReply,
   Millis,
 } from "@mangoreach/shared";
@@ -60,10 +60,13 @@
   signal: AbortSignal;
 }
 
+type OnAnswer = (endpoint: EndpointInfo, headers: HttpHeaders) => void;
+
 /** Options of {@linkcode createEngineClient}. */
 export interface EngineClientOptions {
   clock: Clock;
-  onLeaving: (endpoint: EndpointInfo) => void;
+  /** Told the headers of each answer, in which endpoints speak of themselves. */
+  onAnswer: OnAnswer;
   onDropped: (call: CallIdentity) => void;
   /** For load reports, cache events and cancels. */
   timeoutMs: Millis;
@@ -105,7 +108,7 @@
 
 /** Creates the handle. */
 export function createEngineClient(
-  { clock, onLeaving, onDropped, timeoutMs }: EngineClientOptions,
+  { clock, onAnswer, onDropped, timeoutMs }: EngineClientOptions,
 ): EngineClient {
   const http = createHttpClient();
 
@@ -115,7 +118,7 @@
     const { endpoint } = call;
     const opened = await openStream(http, {
       endpoint,
-      onLeaving,
+      onAnswer,
       call: {
         method: "POST",
         address: endpoint.address,
@@ -144,7 +147,7 @@
   ): AsyncGenerator<GenerationEvent> {
     const opened = await openStream(http, {
       endpoint,
-      onLeaving: () => {},
+      onAnswer,
       call: {
         method: "GET",
         address: endpoint.address,
@@ -185,7 +188,7 @@
       path: "/load",
     });
     if (reply.isErr) return Result.err(reply.error);
-    if (hasLeavingMark(reply.value.headers)) onLeaving(endpoint);
+    onAnswer(endpoint, reply.value.headers);
     const load = loadSchema.safeParse(readReplyJson(reply.value));
     if (!load.success) return Result.err(failMalformed(endpoint));
     const { age_ms: age, ...counts } = load.data;
@@ -202,6 +205,7 @@
       path: `/cache_events?after=${after}`,
     });
     if (reply.isErr) return Result.err(reply.error);
+    onAnswer(endpoint, reply.value.headers);
     const body = cacheEventsSchema.safeParse(readReplyJson(reply.value));
     if (!body.success) return Result.err(failMalformed(endpoint));
     return Result.ok(body.data.events);
@@ -219,10 +223,10 @@
 
 async function openStream(
   http: HttpClient,
-  { call, endpoint, onLeaving }: {
+  { call, endpoint, onAnswer }: {
     call: HttpCall;
     endpoint: EndpointInfo;
-    onLeaving: (endpoint: EndpointInfo) => void;
+    onAnswer: OnAnswer;
   },
 ) {
   const opened = await http.callStream(call);
@@ -232,7 +236,7 @@
     ) as Result<never, Failure>;
   }
   const { status, headers, body } = opened.value;
-  if (hasLeavingMark(headers)) onLeaving(endpoint);
+  onAnswer(endpoint, headers);
   if (status === OK) {
     return Result.ok<typeof opened.value, Failure>(opened.value);
   }
--- a/packages/engines/src/engine_contract_test.ts
+++ b/packages/engines/src/engine_contract_test.ts
@@ -34,7 +34,7 @@
     engines = createEngineClient({
       clock,
       timeoutMs: 300,
-      onLeaving: () => {},
+      onAnswer: () => {},
       onDropped: () => dropped++,
     });
   });
--- a/packages/entry/src/endpoint_watch.ts
+++ b/packages/entry/src/endpoint_watch.ts
@@ -28,6 +28,8 @@
   affinity: PrefixAffinity;
   /** Whether a pool is one of model engines. */
   isEnginePool: (pool: string) => boolean;
+  /** Whether an engine has asked to be sent less, and is left alone. */
+  isHeldBack: (endpoint: EndpointInfo) => boolean;
   /** Told the control addresses of entries in the list. */
   onEntries: (entries: readonly EndpointInfo[]) => void;
 }
@@ -110,6 +112,7 @@
     while (!ended.aborted) {
       await clock.sleep(computeInterval() * (0.75 + random() / 2), ended);
       if (ended.aborted) return;
+      if (options.isHeldBack(engine)) continue;
       const report = await options.engines.readLoad(engine);
       if (report.isOk) {
         pools.recordReport(engine, report.value);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,23 +4,27 @@
  * @module
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { Membership } from "@mangoreach/coordination";
+import type { EndpointInfo, Membership } from "@mangoreach/coordination";
 import {
   createAdmission,
   createAttainmentTracker,
   createDemandTracker,
   createEndpointDirectory,
+  createEntryAllowance,
   createFailure,
+  createLearningCheck,
   createMembership,
   createOutcomeTable,
   createPrefixAffinity,
   createRetryBudget,
   formatEndpointKey,
+  listSendingMembers,
 } from "@mangoreach/coordination";
+import { hasLeavingMark, readRateLimit } from "@mangoreach/endpoints";
 import type { EntryStatus } from "@mangoreach/operators";
 import type { StoredAnswer } from "@mangoreach/peers";
 import { createPeerListener } from "@mangoreach/peers";
-import type { Clock, Logger, Millis } from "@mangoreach/shared";
+import type { Clock, HttpHeaders, Logger, Millis } from "@mangoreach/shared";
 import {
   createCausalClock,
   createTaskSet,
@@ -96,17 +100,31 @@
     clock,
     markLifetime: settings.timing.leavingMarkMs,
   });
+  const isLearning = createLearningCheck(clock);
+  const { allowance, limits } = createEntryAllowance({
+    clock,
+    random,
+    entry: settings.entry,
+    listMembers: () =>
+      isLearning() ? undefined : listSendingMembers(membership),
+    directory,
+    isFed: () => false,
+  });
   const attainment = createAttainmentTracker(clock);
   const pools = createPoolSet(context, {
     directory,
     attainment,
     holdsModel: (endpoint, model) => watch.holdsModel(endpoint, model),
+    allowance,
   });
   const demand = createDemandTracker(clock);
   const affinity = createPrefixAffinity({ clock, capacity: AFFINITY_CAPACITY });
   const endpointOptions = {
-    onLeaving: (endpoint: Parameters<typeof formatEndpointKey>[0]) =>
-      watch.markLeaving(formatEndpointKey(endpoint)),
+    onAnswer: (endpoint: EndpointInfo, headers: HttpHeaders) => {
+      const key = formatEndpointKey(endpoint);
+      if (hasLeavingMark(headers)) watch.markLeaving(key);
+      limits.note(key, readRateLimit(headers));
+    },
     onDropped: ({ requestId, stage }: { requestId: string; stage: string }) => {
       metrics.countDropped();
       timeline.record("stage_result_dropped", { request: requestId, stage });
@@ -225,6 +243,7 @@
     pools,
     affinity,
     isEnginePool: (pool) => config.site?.findPool(pool)?.kind === "engine",
+    isHeldBack: allowance.isHeldBack,
     onEntries: (entries) => exchange.addSeeds(entries),
   });
   const exchange = startPeerExchange(context, {
@@ -233,6 +252,7 @@
     peers,
     config,
     markLeaving: watch.markLeaving,
+    limits,
     countInFlight: () => requestTasks.size,
     readStrained: () => admission?.strainedPriority ?? 0,
     onStrain: (priority) => admission?.relieve(priority),
--- a/packages/entry/src/peer_exchange.ts
+++ b/packages/entry/src/peer_exchange.ts
@@ -7,6 +7,7 @@
 import type {
   EndpointDirectory,
   EndpointInfo,
+  EndpointLimits,
   Membership,
   PeerRecord,
 } from "@mangoreach/coordination";
@@ -27,6 +28,7 @@
   peers: PeerClient;
   config: Pick<ConfigFollower, "active" | "adopt">;
   markLeaving: (endpointKey: string, age: number) => void;
+  limits: Pick<EndpointLimits, "chooseNews" | "takeNews">;
   /** Requests in progress here. */
   countInFlight: () => number;
   /** The highest priority that missed deadlines here lately, 0 for none. */
@@ -104,6 +106,8 @@
     listSeeds: () => seeds,
     exchange: (address, message) => peers.exchange(address, message),
     markLeaving: options.markLeaving,
+    chooseLimitNews: options.limits.chooseNews,
+    noteLimitNews: options.limits.takeNews,
     onIntroduced: ({ entry }) =>
       timeline.record("peer_seen", { detail: entry }),
     onHeartbeat: ({ strainedPriority }) => options.onStrain(strainedPriority),
--- a/packages/entry/src/pool_set.ts
+++ b/packages/entry/src/pool_set.ts
@@ -10,6 +10,7 @@
   EndpointInfo,
   LoadReport,
   PoolPolicy,
+  SendAllowance,
   StagePool,
 } from "@mangoreach/coordination";
 import {
@@ -51,6 +52,7 @@
   attainment: AttainmentTracker;
   /** Whether an engine holds a model, or nothing is known of it yet. */
   holdsModel: (endpoint: EndpointInfo, model: string) => boolean;
+  allowance: SendAllowance;
 }
 
 interface NamedPool {
@@ -62,7 +64,7 @@
 /** Creates an empty set. */
 export function createPoolSet(
   context: EntryContext,
-  { directory, attainment, holdsModel }: PoolSetOptions,
+  { directory, attainment, holdsModel, allowance }: PoolSetOptions,
 ): PoolSet {
   const { clock, timeline } = context;
   const logger = context.logger.forPart("endpoints");
@@ -79,6 +81,7 @@
       clock,
       policy: createPolicy(context),
       estimateAttainment: attainment.estimate,
+      allowance,
       onEjected: ({ id }, cause) => {
         timeline.record("endpoint_ejected", { endpoint: id, detail: cause });
         logger.warn("Endpoint taken out of use.", { endpoint: id, cause });
--- a/packages/services/src/service_client.ts
+++ b/packages/services/src/service_client.ts
@@ -10,11 +10,8 @@
 import type { EndpointInfo, Failure } from "@mangoreach/coordination";
 import { createCallFailure, createFailure } from "@mangoreach/coordination";
 import type { CallIdentity } from "@mangoreach/endpoints";
-import {
-  createReplyFailure,
-  ENDPOINT_HEADERS,
-  hasLeavingMark,
-} from "@mangoreach/endpoints";
+import { createReplyFailure, ENDPOINT_HEADERS } from "@mangoreach/endpoints";
+import type { HttpHeaders } from "@mangoreach/shared";
 import { createHttpClient } from "@mangoreach/shared";
 import { Result } from "true-myth";
 
@@ -38,8 +35,8 @@
 
 /** Options of {@linkcode createServiceClient}. */
 export interface ServiceClientOptions {
-  /** Told when an answer shows that the endpoint is leaving. */
-  onLeaving: (endpoint: EndpointInfo) => void;
+  /** Told the headers of each answer, in which endpoints speak of themselves. */
+  onAnswer: (endpoint: EndpointInfo, headers: HttpHeaders) => void;
   /** Told when a result was dropped because its echo differs from the call. */
   onDropped: (call: CallIdentity) => void;
 }
@@ -55,7 +52,7 @@
 
 /** Creates the handle. */
 export function createServiceClient(
-  { onLeaving, onDropped }: ServiceClientOptions,
+  { onAnswer, onDropped }: ServiceClientOptions,
 ): ServiceClient {
   const http = createHttpClient();
 
@@ -81,7 +78,7 @@
       return Result.err(createCallFailure(endpoint.id, reply.error));
     }
     const { headers, status, text } = reply.value;
-    if (hasLeavingMark(headers)) onLeaving(endpoint);
+    onAnswer(endpoint, headers);
     if (status >= FIRST_SERVER_ERROR || status === 429) {
       return Result.err(createReplyFailure(endpoint.id, reply.value));
     }
--- a/packages/services/src/service_contract_test.ts
+++ b/packages/services/src/service_contract_test.ts
@@ -23,7 +23,7 @@
       times: { slots: 2, baseMs: 1, perThousandMs: 0 },
     });
     services = createServiceClient({
-      onLeaving: () => {},
+      onAnswer: () => {},
       onDropped: () => dropped++,
     });
   });
--- a/packages/serving/src/limited_fleet.ts
+++ b/packages/serving/src/limited_fleet.ts
@@ -7,11 +7,14 @@
 import type {
   EndpointInfo,
   EndpointSignals,
+  EntryAllowance,
   PeerRecord,
 } from "@mangoreach/coordination";
 import {
   createEndpointDirectory,
+  createEntryAllowance,
   createMembership,
+  listSendingMembers,
 } from "@mangoreach/coordination";
 import type { FakeClock, Millis } from "@mangoreach/shared";
 import { createFakeClock } from "@mangoreach/shared";
@@ -19,8 +22,6 @@
 import { Result } from "true-myth";
 import { createSilentDecisionLog } from "./decision_log.ts";
 import { createSignalNotes } from "./endpoint_signals.ts";
-import type { EntryAllowance } from "./entry_allowance.ts";
-import { createEntryAllowance } from "./entry_allowance.ts";
 import { serveRequest } from "./request_service.ts";
 import type { CallEndpoint } from "./serving_handles.ts";
 import type { ServingState } from "./serving_state.ts";
@@ -177,11 +178,10 @@
     const entryAllowance = createEntryAllowance({
       clock,
       random,
-      membership,
-      hasMembers: () => true,
+      entry: membership.self.entry,
+      listMembers: () => listSendingMembers(membership),
       directory,
-      readTable: () => table,
-      cold: { mayBegin: () => true, begin: () => {} },
+      isFed: () => false,
     });
     allowances[entry] = entryAllowance;
     const state = createTestState(clock, {
--- a/packages/serving/src/limited_maker_test.ts
+++ b/packages/serving/src/limited_maker_test.ts
@@ -1,11 +1,10 @@
 import type { PieceRun } from "@mangoreach/peers";
 import type { Millis } from "@mangoreach/shared";
 import { createFakeClock, settlePromises } from "@mangoreach/shared";
-import { createMembership, createRouteTable } from "@mangoreach/coordination";
+import { createEntryAllowance } from "@mangoreach/coordination";
 import { expect } from "chai";
 import { createSilentDecisionLog } from "./decision_log.ts";
 import { createSignalNotes } from "./endpoint_signals.ts";
-import { createEntryAllowance } from "./entry_allowance.ts";
 import { createServingMetrics } from "./serving_metrics.ts";
 import {
   createTestEndpoint,
@@ -42,38 +41,13 @@
 async function replayLimitedMaker(duration: Millis) {
   const clock = createFakeClock(0);
   const makers = [createTestEndpoint("limited"), createTestEndpoint("other")];
-  const table = createRouteTable({
-    version: 1,
-    routes: [],
-    pools: [{
-      name: "pool",
-      maxConnections: 10,
-      coldRate: 0,
-      batching: TEST_SPEC,
-      engine: undefined,
-    }],
-    limits: {
-      maxHeaderBytes: 1,
-      maxBodyBytes: 1,
-      headerTimeout: 1,
-      idleTimeout: 1,
-    },
-    accounts: undefined,
-  });
   const { allowance, limits } = createEntryAllowance({
     clock,
     random: () => 0.5,
-    membership: createMembership({
-      clock,
-      random: () => 0.5,
-      suspectAfter: SECOND,
-      loseAfter: SECOND,
-      self: createTestPeer("entry"),
-    }),
-    hasMembers: () => true,
+    entry: "entry",
+    listMembers: () => [createTestPeer("entry")],
     directory: { listUsable: () => makers },
-    readTable: () => table,
-    cold: { mayBegin: () => true, begin: () => {} },
+    isFed: () => true,
   });
   const { feeder, stages } = createTestFeeder(clock, makers, undefined, {
     allowance,
--- a/packages/serving/src/peer_news.ts
+++ b/packages/serving/src/peer_news.ts
@@ -12,7 +12,11 @@
   PeerState,
   PeerView,
 } from "@mangoreach/coordination";
-import { createMembership, drawEntries } from "@mangoreach/coordination";
+import {
+  createLearningCheck,
+  createMembership,
+  drawEntries,
+} from "@mangoreach/coordination";
 import type { ExchangeLoop, ServingPeerClient } from "@mangoreach/peers";
 import { createServingPeerClient, startExchangeLoop } from "@mangoreach/peers";
 import type {
@@ -22,7 +26,6 @@
   Millis,
 } from "@mangoreach/shared";
 import type { DecisionLog } from "./decision_log.ts";
-import { createLearningCheck } from "./learning_time.ts";
 import type { MemberRegistry, MemberStore } from "./member_registry.ts";
 import { createMemberRegistry, publishEntry } from "./member_registry.ts";
 import type { QuarantineNews } from "./quarantine_news.ts";
--- a/packages/serving/src/pool_parts.ts
+++ b/packages/serving/src/pool_parts.ts
@@ -15,6 +15,7 @@
 import {
   createDelayModel,
   createEngineChoice,
+  createLearningCheck,
   createRetryBudget,
   listPartitionEndpoints,
 } from "@mangoreach/coordination";
@@ -23,7 +24,6 @@
 import type { EndpointCheck } from "./endpoint_check.ts";
 import type { EndpointLoads } from "./endpoint_load.ts";
 import type { NoteSignals } from "./endpoint_signals.ts";
-import { createLearningCheck } from "./learning_time.ts";
 import type { StageEndpoints } from "./serving_handles.ts";
 import type { StageFeeder } from "./stage_feeder.ts";
 import { createStageFeeder } from "./stage_feeder.ts";
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -14,7 +14,9 @@
 import {
   createCallerElapsed,
   createColdAllowance,
+  createEntryAllowance,
   createPoisonQuarantine,
+  listSendingMembers,
 } from "@mangoreach/coordination";
 import type { PieceRun } from "@mangoreach/peers";
 import { createServingPeerListener } from "@mangoreach/peers";
@@ -32,7 +34,6 @@
 import { createEndpointCheck } from "./endpoint_check.ts";
 import { createEndpointLoads } from "./endpoint_load.ts";
 import { createSignalNotes } from "./endpoint_signals.ts";
-import { createEntryAllowance } from "./entry_allowance.ts";
 import { createPeerNews } from "./peer_news.ts";
 import { createPieceRouter } from "./piece_router.ts";
 import { createPoolParts } from "./pool_parts.ts";
@@ -241,10 +242,11 @@
   const { allowance, limits } = createEntryAllowance({
     clock,
     random,
-    membership,
-    hasMembers: knowledge.hasMembers,
+    entry: settings.entry,
+    listMembers: () =>
+      knowledge.hasMembers() ? listSendingMembers(membership) : undefined,
     directory,
-    readTable,
+    isFed: (pool) => readTable()?.findPool(pool)?.batching !== undefined,
     cold: createColdAllowance({
       clock,
       entry: settings.entry,
--- a/packages/stages/src/stage_client.ts
+++ b/packages/stages/src/stage_client.ts
@@ -15,9 +15,9 @@
   echoSchema,
   ENDPOINT_HEADERS,
   formatEcho,
-  hasLeavingMark,
   isEchoOf,
 } from "@mangoreach/endpoints";
+import type { HttpHeaders } from "@mangoreach/shared";
 import { createHttpClient, readReplyJson } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import * as z from "zod";
@@ -46,8 +46,8 @@
 
 /** Options of {@linkcode createStageClient}. */
 export interface StageClientOptions {
-  /** Told when an answer shows that the endpoint is leaving. */
-  onLeaving: (endpoint: EndpointInfo) => void;
+  /** Told the headers of each answer, in which endpoints speak of themselves. */
+  onAnswer: (endpoint: EndpointInfo, headers: HttpHeaders) => void;
   /** Told when a result was dropped because its echo differs from the call. */
   onDropped: (call: CallIdentity) => void;
 }
@@ -63,7 +63,7 @@
 
 /** Creates the handle. */
 export function createStageClient(
-  { onLeaving, onDropped }: StageClientOptions,
+  { onAnswer, onDropped }: StageClientOptions,
 ): StageClient {
   const http = createHttpClient();
 
@@ -86,7 +86,7 @@
       return Result.err(createCallFailure(endpoint.id, reply.error));
     }
     const { headers, status } = reply.value;
-    if (hasLeavingMark(headers)) onLeaving(endpoint);
+    onAnswer(endpoint, headers);
     if (status !== OK) {
       return Result.err(createReplyFailure(endpoint.id, reply.value));
     }
--- a/packages/stages/src/stage_contract_test.ts
+++ b/packages/stages/src/stage_contract_test.ts
@@ -1,4 +1,5 @@
 import process from "node:process";
+import { hasLeavingMark } from "@mangoreach/endpoints";
 import type { EndpointInfo } from "@mangoreach/coordination";
 import { createSystemClock } from "@mangoreach/shared";
 import type { EndpointStandin } from "@mangoreach/standins";
@@ -30,7 +31,9 @@
       times: { slots: 2, baseMs: 1, perThousandMs: 0 },
     });
     stages = createStageClient({
-      onLeaving: ({ id }) => leaving.push(id),
+      onAnswer: ({ id }, headers) => {
+        if (hasLeavingMark(headers)) leaving.push(id);
+      },
       onDropped: () => dropped++,
     });
   });
