feat(serving): a line and a count for each word that an endpoint leaves or wants a pause

The logs held only what the store said of leaving, and nothing of a pause; now an answer's word is told with the way it came on. It changes no decision yet.

--- a/packages/coordination/src/endpoint.ts
+++ b/packages/coordination/src/endpoint.ts
@@ -41,6 +41,10 @@
    * names no limit.
    */
   rateLimit?: number;
+  /** It takes nothing new for as long as it lives. */
+  isLeaving?: true;
+  /** It takes nothing from this entry for so long. */
+  pause?: Millis;
 }
 
 /** Whether what is said of an endpoint is about an earlier incarnation. */
--- a/packages/serving/src/endpoint_signals.ts
+++ b/packages/serving/src/endpoint_signals.ts
@@ -10,7 +10,8 @@
   EndpointSignals,
 } from "@mangoreach/coordination";
 import { formatEndpointKey } from "@mangoreach/coordination";
-import type { DecisionLog } from "./decision_log.ts";
+import type { Millis } from "@mangoreach/shared";
+import type { DecisionFields, DecisionLog } from "./decision_log.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 
 /** The way on which an answer came. */
@@ -39,34 +40,69 @@
   listAt: (address: string) => readonly EndpointInfo[];
 }
 
+interface HeardFrom {
+  endpoint: EndpointInfo;
+  way: SignalWay;
+}
+
+/** What is known of endpoints that are gone is dropped above this many. */
+const MAX_LEFT = 4_096;
+
 /** Creates the notes of an entry that no endpoint has told anything. */
 export function createSignalNotes(
   { log, metrics, limits, listAt }: SignalNotesOptions,
 ): NoteSignals {
-  function noteLimit(
-    endpoint: EndpointInfo,
-    { rateLimit }: EndpointSignals,
-    way: SignalWay,
-  ): void {
+  /** Keys of endpoints of which a line says that they leave. */
+  const left = new Set<string>();
+
+  function noteLimit({ endpoint, way }: HeardFrom, rateLimit?: number): void {
     const key = formatEndpointKey(endpoint);
     if (rateLimit !== undefined) metrics.countSignal(endpoint.pool, "limit");
     const before = limits.find(key);
     limits.note(key, rateLimit);
     if (before === rateLimit) return;
+    const outcome = rateLimit === undefined ? "not_limited" : "limited";
+    recordChange({ endpoint, way }, { limit: rateLimit, outcome });
+  }
+
+  function noteLeaving({ endpoint, way }: HeardFrom): void {
+    metrics.countSignal(endpoint.pool, "leaving");
+    const key = formatEndpointKey(endpoint);
+    if (left.has(key)) return;
+    if (left.size >= MAX_LEFT) left.clear();
+    left.add(key);
+    recordChange({ endpoint, way }, { outcome: "leaving" });
+  }
+
+  function notePause({ endpoint, way }: HeardFrom, pause: Millis): void {
+    metrics.countSignal(endpoint.pool, "pause");
+    recordChange({ endpoint, way }, { pause, outcome: "paused" });
+  }
+
+  function recordChange(
+    { endpoint, way }: HeardFrom,
+    change: DecisionFields,
+  ): void {
     log.record("endpoint_changed", {
       endpoint: endpoint.id,
       pool: endpoint.pool,
       incarnation: endpoint.incarnation,
-      limit: rateLimit,
       way,
       source: "endpoint",
-      outcome: rateLimit === undefined ? "not_limited" : "limited",
+      ...change,
     });
   }
 
+  function noteOne(from: HeardFrom, signals: EndpointSignals): void {
+    const { rateLimit, isLeaving, pause } = signals;
+    noteLimit(from, rateLimit);
+    if (isLeaving) noteLeaving(from);
+    if (pause !== undefined) notePause(from, pause);
+  }
+
   return ({ way, address, endpoint }, signals) => {
     if (signals === undefined) return;
     const endpoints = endpoint === undefined ? listAt(address) : [endpoint];
-    endpoints.forEach((one) => noteLimit(one, signals, way));
+    endpoints.forEach((one) => noteOne({ endpoint: one, way }, signals));
   };
 }
