--- a/packages/serving/src/limited_endpoint_test.ts
+++ b/packages/serving/src/limited_endpoint_test.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@mangoreach/shared";
 import { expect } from "chai";
-import type { LimitedArrival, LimitedLoad } from "./limited_fleet.ts";
-import { runLimitedFleet } from "./limited_fleet.ts";
+import type { FleetArrival, FleetLoad } from "./signalling_fleet.ts";
+import { runSignallingFleet } from "./signalling_fleet.ts";
 
 const SECOND: Millis = 1_000;
 /** The span of which an endpoint counts its requests. */
@@ -18,11 +18,11 @@
 
 /** The most that one endpoint got within the span from entries it had told. */
 function countMost(
-  arrivals: readonly LimitedArrival[],
+  arrivals: readonly FleetArrival[],
   { from, until }: { from: Millis; until: Millis },
 ): number {
-  const counted = arrivals.filter(({ at, toldAt }) =>
-    at >= from && at < until && toldAt + TOLD_BEFORE <= at
+  const counted = arrivals.filter(({ at, told }) =>
+    at >= from && at < until && (told[0]?.at ?? Infinity) + TOLD_BEFORE <= at
   );
   return Math.max(
     0,
@@ -43,7 +43,7 @@
     name: string;
     limit: number;
     limited: number;
-    load: Omit<LimitedLoad, "duration" | "readLimit">;
+    load: Omit<FleetLoad, "duration" | "readSignals">;
   }
 
   const CASES: readonly Case[] = [
@@ -100,13 +100,13 @@
   ];
 
   async function judgeCase({ limit, limited, load }: Case): Promise<string> {
-    const { arrivals } = await runLimitedFleet({
+    const { arrivals } = await runSignallingFleet({
       ...load,
       duration,
-      readLimit: (endpoint, now) =>
+      readSignals: (endpoint, now) =>
         endpoint < limited && now >= NAMED_AT && now < LIFTED_AT
-          ? limit
-          : undefined,
+          ? { rateLimit: limit }
+          : {},
     });
     const most = countMost(arrivals, {
       from: NAMED_AT + SETTLE,
@@ -128,12 +128,13 @@
 
   // An entry that sends nothing hears nothing; the limit would stand for ever.
   it("gets its share again soon after it names none", async () => {
-    const { arrivals } = await runLimitedFleet({
+    const { arrivals } = await runSignallingFleet({
       entries: 195,
       endpoints: 6,
       perSecond: 66,
       duration,
-      readLimit: (_, now) => now >= NAMED_AT && now < LIFTED_AT ? 1 : undefined,
+      readSignals: (_, now) =>
+        now >= NAMED_AT && now < LIFTED_AT ? { rateLimit: 1 } : {},
     });
     const late = arrivals.filter(({ at }) => at >= LIFTED_AT + 5 * SECOND);
     const perSecond = late.length * SECOND /
@@ -142,12 +143,12 @@
   });
 
   it("lets requests that it cannot take be refused at once", async () => {
-    const { slowestRefusal, sent, served } = await runLimitedFleet({
+    const { slowestRefusal, sent, served } = await runSignallingFleet({
       entries: 8,
       endpoints: 4,
       perSecond: 12,
       duration,
-      readLimit: (_, now) => now >= NAMED_AT ? 1 : undefined,
+      readSignals: (_, now) => now >= NAMED_AT ? { rateLimit: 1 } : {},
     });
     expect(slowestRefusal).to.equal(0);
     expect(served / sent).to.be.within(0.3, 0.6);
--- a/packages/serving/src/limited_fleet.ts
+++ b/packages/serving/src/signalling_fleet.ts
@@ -1,6 +1,6 @@
 /**
- * Several entries before endpoints that name limits, on a fake clock and without
- * sockets. What reaches an endpoint is judged from its side.
+ * Several entries before endpoints that ask for less or no work, on a fake clock
+ * and without sockets. What reaches an endpoint is judged from its side.
  *
  * @module
  */
@@ -16,14 +16,14 @@
   createMembership,
   listSendingMembers,
 } from "@mangoreach/coordination";
-import type { FakeClock, Millis } from "@mangoreach/shared";
+import type { FakeClock, HttpFault, Millis } from "@mangoreach/shared";
 import { createFakeClock } from "@mangoreach/shared";
 import { MersenneTwister19937, Random } from "random-js";
 import { Result } from "true-myth";
 import { createSilentDecisionLog } from "./decision_log.ts";
 import { createSignalNotes } from "./endpoint_signals.ts";
 import { serveRequest } from "./request_service.ts";
-import type { CallEndpoint } from "./serving_handles.ts";
+import type { CallEndpoint, EndpointAnswer } from "./serving_handles.ts";
 import type { ServingState } from "./serving_state.ts";
 import {
   createRecordedResponse,
@@ -37,7 +37,7 @@
 } from "./test_support.ts";
 
 /** The load and the endpoints of a replay. */
-export interface LimitedLoad {
+export interface FleetLoad {
   entries: number;
   endpoints: number;
   /** Requests a second at all entries together. */
@@ -48,22 +48,29 @@
     entry: number,
     records: readonly PeerRecord[],
   ) => readonly PeerRecord[];
-  /** The limit that an endpoint names at a time, if any. */
-  readLimit: (endpoint: number, now: Millis) => number | undefined;
+  /** What an endpoint says in an answer at a time. */
+  readSignals: (endpoint: number, now: Millis) => EndpointSignals;
 }
 
 /** A request as it reached an endpoint. */
-export interface LimitedArrival {
+export interface FleetArrival {
   endpoint: number;
   entry: number;
   at: Millis;
-  /** When this entry was first told of the endpoint's limit. */
-  toldAt: Millis;
+  /** When its caller sent it. */
+  sentAt: Millis;
+  /** What the endpoint had told this entry by then, in order. */
+  told: readonly ToldSignals[];
+}
+
+/** Signals as an endpoint told them to an entry. */
+export interface ToldSignals extends EndpointSignals {
+  at: Millis;
 }
 
 /** What a replay showed. */
-export interface LimitedReplay {
-  arrivals: readonly LimitedArrival[];
+export interface FleetReplay {
+  arrivals: readonly FleetArrival[];
   sent: number;
   served: number;
   /** The longest time until a request was refused. */
@@ -81,9 +88,9 @@
 const MAX_NEWS = 16;
 
 /** Runs a load to its end. */
-export async function runLimitedFleet(
-  load: LimitedLoad,
-): Promise<LimitedReplay> {
+export async function runSignallingFleet(
+  load: FleetLoad,
+): Promise<FleetReplay> {
   const clock = createFakeClock(0);
   const engine = new Random(MersenneTwister19937.seed(load.entries));
   const random = () => engine.real(0, 1);
@@ -91,7 +98,7 @@
     { length: load.endpoints },
     (_, number) => createTestEndpoint(`e${number}`),
   );
-  const arrivals: LimitedArrival[] = [];
+  const arrivals: FleetArrival[] = [];
   const replay = { sent: 0, served: 0, slowestRefusal: 0 };
   const states = createEntries(load, { clock, random, infos, arrivals });
 
@@ -102,7 +109,7 @@
     const { response, seen } = createRecordedResponse();
     const head = createTestHead({ id: `request-${replay.sent}` });
     await serveRequest(state, {
-      request: { head, body: Buffer.from("") },
+      request: { head, body: Buffer.from(String(receivedAt)) },
       response,
       receivedAt,
     });
@@ -131,11 +138,11 @@
   clock: FakeClock;
   random: () => number;
   infos: readonly EndpointInfo[];
-  arrivals: LimitedArrival[];
+  arrivals: FleetArrival[];
 }
 
 function createEntries(
-  load: LimitedLoad,
+  load: FleetLoad,
   { clock, random, infos, arrivals }: FleetParts,
 ): ServingState[] {
   const table = createTestTable([createTestRoute({ isPublic: true })]);
@@ -148,24 +155,32 @@
   function createEntry(_: unknown, entry: number): ServingState {
     const directory = createEndpointDirectory({ clock, markLifetime: 1_000 });
     directory.replaceAll(infos);
-    const toldAt = new Map<number, Millis>();
-    const callEndpoint: CallEndpoint = async ({ endpoint }) => {
+    const toldBy = new Map<number, ToldSignals[]>();
+    const callEndpoint: CallEndpoint = async ({ endpoint, request }) => {
       const number = infos.findIndex(({ id }) => id === endpoint.id);
       arrivals.push({
         endpoint: number,
         entry,
         at: clock.now(),
-        toldAt: toldAt.get(number) ?? Infinity,
+        sentAt: Number(request.body),
+        told: [...toldBy.get(number) ?? []],
       });
-      await clock.sleep(WORK_TIME);
-      const rateLimit = load.readLimit(number, clock.now());
-      const signals: EndpointSignals = rateLimit === undefined
-        ? {}
-        : { rateLimit };
-      if (rateLimit !== undefined && !toldAt.has(number)) {
-        toldAt.set(number, clock.now());
+      const isTurnedAway =
+        load.readSignals(number, clock.now()).pause !== undefined;
+      await clock.sleep(isTurnedAway ? 1 : WORK_TIME);
+      const signals = load.readSignals(number, clock.now());
+      if (Object.keys(signals).length > 0) {
+        const told = toldBy.get(number) ?? [];
+        toldBy.set(number, [...told, { ...signals, at: clock.now() }]);
       }
-      return Result.ok({ ...createTestReply(["x"]), signals });
+      return isTurnedAway
+        ? Result.ok<EndpointAnswer, HttpFault>({
+          kind: "not_run",
+          reason: "full",
+          load: undefined,
+          signals,
+        })
+        : Result.ok({ ...createTestReply(["x"]), signals });
     };
     const membership = createMembership({
       clock,
