fix(coordination): an endpoint's own word that it leaves holds for its lifetime

Callers saw: requests reached an engine 11.3 s and a plain endpoint 2.2 s after it had told the entry that it leaves; one that may run once was cut off and answered 502. Cause: the word in an answer was not read; and a mark lapsed after 4 s unless the store confirmed it, so with the store away for 13 s the word would have been forgotten. The class is knowledge that lapses by a time of our own although whoever gave it cannot take it back. Ruled out: that it is read on one way only - on none. Change: the word is read on requests, calls of stages and releases; it is kept for the endpoint's incarnation and told on as said. Guesses heal as before. The same cause in the product's own protocol: its endpoints' word lapsed too.

--- a/packages/coordination/src/endpoint_directory_test.ts
+++ b/packages/coordination/src/endpoint_directory_test.ts
@@ -36,6 +36,30 @@
     expect(listIds()).to.deep.equal(["e2"]);
   });
 
+  // The instance list is away for longer than any mark lasts.
+  it("believes an endpoint's own word for as long as it lives", async () => {
+    const { directory, listIds, clock } = create();
+    directory.markLeaving(formatEndpointKey(endpoint("e1")), { isSaid: true });
+    await clock.advance(60_000);
+    directory.replaceAll([endpoint("e1"), endpoint("e2")]);
+    expect(listIds()).to.deep.equal(["e2"]);
+    directory.replaceAll([endpoint("e1", { incarnation: "2" })]);
+    expect(listIds()).to.deep.equal(["e1"]);
+  });
+
+  it("takes an endpoint's own word over a guess, also from peers", async () => {
+    const { directory, listIds, clock } = create();
+    const key = formatEndpointKey(endpoint("e1"));
+    directory.markLeaving(key);
+    directory.markLeaving(key, { age: 5_000, isSaid: true });
+    expect(directory.chooseMarks(10)).to.deep.equal([
+      { endpointKey: key, age: 5_000, isSaid: true },
+    ]);
+    await clock.advance(60_000);
+    expect(listIds()).to.deep.equal(["e2"]);
+    expect(directory.chooseMarks(10)).to.deep.equal([]);
+  });
+
   it("heals a false alarm that the instance list does not confirm", async () => {
     const { directory, listIds, clock } = create();
     directory.markLeaving(formatEndpointKey(endpoint("e1")));
@@ -67,9 +91,9 @@
     directory.markLeaving(key);
     await clock.advance(900);
     const [mark] = directory.chooseMarks(10);
-    directory.markLeaving(key, mark?.age);
+    directory.markLeaving(key, mark);
     await clock.advance(200);
     expect(listIds()).to.deep.equal(["e1", "e2"]);
-    expect(directory.markLeaving(key, 1_100)).to.equal(false);
+    expect(directory.markLeaving(key, { age: 1_100 })).to.equal(false);
   });
 });
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -87,6 +87,7 @@
 export type {
   EndpointDirectory,
   EndpointDirectoryOptions,
+  LeavingGround,
   LeavingMark,
   LeavingSource,
 } from "./endpoint_directory.ts";
--- a/packages/entry/src/endpoint_watch.ts
+++ b/packages/entry/src/endpoint_watch.ts
@@ -7,6 +7,7 @@
 import type {
   EndpointDirectory,
   EndpointInfo,
+  LeavingGround,
   PrefixAffinity,
 } from "@mangoreach/coordination";
 import { formatEndpointKey } from "@mangoreach/coordination";
@@ -37,7 +38,7 @@
 /** A running watch. */
 export interface EndpointWatch {
   /** Marks an endpoint that said itself, or to a peer, that it is leaving. */
-  markLeaving(endpointKey: string, age?: Millis): void;
+  markLeaving(endpointKey: string, ground: LeavingGround): void;
   /** Whether an engine holds a model, or nothing is known of it yet. */
   holdsModel(endpoint: EndpointInfo, model: string): boolean;
   readonly tasks: Promise<void>[];
@@ -75,8 +76,8 @@
     pools.refresh();
   }
 
-  function markLeaving(endpointKey: string, age?: Millis): void {
-    if (!directory.markLeaving(endpointKey, age)) return;
+  function markLeaving(endpointKey: string, ground: LeavingGround): void {
+    if (!directory.markLeaving(endpointKey, ground)) return;
     timeline.record("endpoint_leaving", { endpoint: endpointKey });
     pools.refresh();
   }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -122,7 +122,7 @@
   const endpointOptions = {
     onAnswer: (endpoint: EndpointInfo, headers: HttpHeaders) => {
       const key = formatEndpointKey(endpoint);
-      if (hasLeavingMark(headers)) watch.markLeaving(key);
+      if (hasLeavingMark(headers)) watch.markLeaving(key, { isSaid: true });
       limits.note(key, readRateLimit(headers));
     },
     onDropped: ({ requestId, stage }: { requestId: string; stage: string }) => {
@@ -251,7 +251,8 @@
     directory,
     peers,
     config,
-    markLeaving: watch.markLeaving,
+    markLeaving: ({ endpointKey, ...ground }) =>
+      watch.markLeaving(endpointKey, ground),
     limits,
     countInFlight: () => requestTasks.size,
     readStrained: () => admission?.strainedPriority ?? 0,
--- a/packages/entry/src/peer_exchange.ts
+++ b/packages/entry/src/peer_exchange.ts
@@ -8,6 +8,7 @@
   EndpointDirectory,
   EndpointInfo,
   EndpointLimits,
+  LeavingMark,
   Membership,
   PeerRecord,
 } from "@mangoreach/coordination";
@@ -27,7 +28,7 @@
   directory: EndpointDirectory;
   peers: PeerClient;
   config: Pick<ConfigFollower, "active" | "adopt">;
-  markLeaving: (endpointKey: string, age: number) => void;
+  markLeaving: (mark: LeavingMark) => void;
   limits: Pick<EndpointLimits, "chooseNews" | "takeNews">;
   /** Requests in progress here. */
   countInFlight: () => number;
--- a/packages/peers/src/exchange_loop.ts
+++ b/packages/peers/src/exchange_loop.ts
@@ -7,6 +7,7 @@
 import type {
   EndpointDirectory,
   Failure,
+  LeavingMark,
   LimitNews,
   Membership,
   PeerRecord,
@@ -36,7 +37,7 @@
     address: string,
     message: PeerExchange,
   ) => Promise<Result<PeerExchange, Failure>>;
-  markLeaving: (endpointKey: string, age: Millis) => void;
+  markLeaving: (mark: LeavingMark) => void;
   /** What to tell of limits that endpoints name, at most `count`. */
   chooseLimitNews?: (count: number) => readonly LimitNews[];
   noteLimitNews?: (news: LimitNews) => void;
@@ -175,9 +176,7 @@
     for (const [incarnation, heartbeat] of message.unreached ?? []) {
       membership.markSuspected({ incarnation, heartbeat });
     }
-    for (const { endpointKey, age } of message.leaving) {
-      options.markLeaving(endpointKey, age);
-    }
+    message.leaving.forEach(options.markLeaving);
     for (const news of message.limits ?? []) options.noteLimitNews?.(news);
     if (message.poison !== undefined) options.notePoisonNews?.(message.poison);
   }
--- a/packages/peers/src/peer_protocol.ts
+++ b/packages/peers/src/peer_protocol.ts
@@ -72,6 +72,8 @@
 const leavingMarkSchema = z.object({
   endpointKey: z.string(),
   age: z.number().min(0),
+  /** The endpoint itself has said so; else it is a guess. */
+  isSaid: z.boolean().default(false),
 });
 
 const limitNewsSchema = z.object({
--- a/packages/serving/src/endpoint_signals.ts
+++ b/packages/serving/src/endpoint_signals.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type {
+  EndpointDirectory,
   EndpointInfo,
   EndpointLimits,
   EndpointSignals,
@@ -36,6 +37,7 @@
   log: DecisionLog;
   metrics: Pick<ServingMetrics, "countSignal">;
   limits: Pick<EndpointLimits, "note" | "find">;
+  directory: Pick<EndpointDirectory, "markLeaving">;
   /** All endpoints that may be listening at an address. */
   listAt: (address: string) => readonly EndpointInfo[];
 }
@@ -45,16 +47,10 @@
   way: SignalWay;
 }
 
-/** What is known of endpoints that are gone is dropped above this many. */
-const MAX_LEFT = 4_096;
-
 /** Creates the notes of an entry that no endpoint has told anything. */
 export function createSignalNotes(
-  { log, metrics, limits, listAt }: SignalNotesOptions,
+  { log, metrics, limits, directory, listAt }: SignalNotesOptions,
 ): NoteSignals {
-  /** Keys of endpoints of which a line says that they leave. */
-  const left = new Set<string>();
-
   function noteLimit({ endpoint, way }: HeardFrom, rateLimit?: number): void {
     const key = formatEndpointKey(endpoint);
     if (rateLimit !== undefined) metrics.countSignal(endpoint.pool, "limit");
@@ -68,10 +64,9 @@
   function noteLeaving({ endpoint, way }: HeardFrom): void {
     metrics.countSignal(endpoint.pool, "leaving");
     const key = formatEndpointKey(endpoint);
-    if (left.has(key)) return;
-    if (left.size >= MAX_LEFT) left.clear();
-    left.add(key);
-    recordChange({ endpoint, way }, { outcome: "leaving" });
+    if (directory.markLeaving(key, { isSaid: true })) {
+      recordChange({ endpoint, way }, { outcome: "leaving" });
+    }
   }
 
   function notePause({ endpoint, way }: HeardFrom, pause: Millis): void {
--- a/packages/serving/src/limited_maker_test.ts
+++ b/packages/serving/src/limited_maker_test.ts
@@ -55,6 +55,7 @@
       log: createSilentDecisionLog(),
       metrics: createServingMetrics("entry"),
       limits,
+      directory: { markLeaving: () => false },
       listAt: () => [],
     }),
   });
--- a/packages/serving/src/peer_news.ts
+++ b/packages/serving/src/peer_news.ts
@@ -171,8 +171,8 @@
       },
       listSeeds: () => [...settings.seeds, ...registry.listAddresses()],
       exchange: (address, message) => peers.exchange(address, message),
-      markLeaving: (endpointKey, age) => {
-        if (options.directory.markLeaving(endpointKey, age)) {
+      markLeaving: ({ endpointKey, age, isSaid }) => {
+        if (options.directory.markLeaving(endpointKey, { age, isSaid })) {
           log.record("endpoint_changed", {
             endpoint: endpointKey,
             age,
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -258,7 +258,13 @@
   });
   const listAt = (address: string) =>
     directory.listAll().filter((endpoint) => endpoint.address === address);
-  const noteSignals = createSignalNotes({ log, metrics, limits, listAt });
+  const noteSignals = createSignalNotes({
+    log,
+    metrics,
+    limits,
+    directory,
+    listAt,
+  });
 
   const pools = createPoolParts({
     clock,
--- a/packages/serving/src/signalling_fleet.ts
+++ b/packages/serving/src/signalling_fleet.ts
@@ -210,6 +210,7 @@
       log: createSilentDecisionLog(),
       metrics: state.metrics,
       limits: entryAllowance.limits,
+      directory,
       listAt: () => [],
     });
     return state;
--- a/packages/serving/src/site_knowledge.ts
+++ b/packages/serving/src/site_knowledge.ts
@@ -95,7 +95,7 @@
 
 /** Entries lapsed in an outage come back within two seconds. */
 const RETURN_GRACE: Millis = 1_800;
-/** A mark of an endpoint's own is believed this long without confirmation. */
+/** A guess that an endpoint has left is believed this long without confirmation. */
 const MARK_LIFETIME: Millis = 4_000;
 
 /** Lines about records that cannot be read, at most. */
