--- a/packages/entry/src/entry_settings.ts
+++ b/packages/entry/src/entry_settings.ts
@@ -54,7 +54,7 @@
   loadReportMs: millis(50, 60_000).default(500)
     .describe("Time between two readings of an engine's load, at least"),
   leavingMarkMs: millis(100, 600_000).default(10_000)
-    .describe("How long an endpoint's own word that it leaves holds"),
+    .describe("How long a peer's guess that an endpoint leaves holds"),
   bindingMs: millis(1_000, HOUR).default(300_000)
     .describe("How long an id may be bound to this entry"),
   claimWindowMs: millis(1_000, HOUR).default(300_000)
