fix(shared): connections that fell silent together cost one call, not one each

Cause: a call without an answer ended its own connection only. Change: kept connections stand once, for HTTP and peers alike; a call that timed out leaves all idle ones to its address behind, those in use go on.

--- a/packages/peers/src/peer_caller.ts
+++ b/packages/peers/src/peer_caller.ts
@@ -6,14 +6,14 @@
  */
 import type { Failure } from "@mangoreach/coordination";
 import { createFailure } from "@mangoreach/coordination";
-import type { Clock, Millis } from "@mangoreach/shared";
+import type { Clock, KeptConnections, Millis } from "@mangoreach/shared";
+import { createKeptConnections } from "@mangoreach/shared";
 import type { TRPCClient } from "@trpc/client";
 import { createTRPCClient, TRPCClientError } from "@trpc/client";
 import type { AnyTRPCRouter } from "@trpc/server";
 import type { TRPCResponse } from "@trpc/server/rpc";
 import { observable } from "@trpc/server/observable";
 import { Result } from "true-myth";
-import { Agent } from "undici";
 import type * as z from "zod";
 import { PEER_PATH } from "./peer_path.ts";
 
@@ -63,9 +63,9 @@
 export function createPeerCaller<R extends AnyTRPCRouter>(
   { clock, siteKey, connectTimeout }: PeerCallerOptions,
 ): PeerCaller<R> {
-  const agent = new Agent({
-    keepAliveTimeout: KEEP_ALIVE,
-    keepAliveMaxTimeout: KEEP_ALIVE,
+  const kept = createKeptConnections({
+    keepAlive: KEEP_ALIVE,
+    longestKeepAlive: KEEP_ALIVE,
     connectTimeout,
   });
   // In place of trpc's HTTP link, whose fetch and headers of the standard cost
@@ -75,7 +75,7 @@
     links: [
       () => ({ op }) =>
         observable((observer) => {
-          sendCall({ ...op, siteKey, agent }).then((data) => {
+          sendCall({ ...op, siteKey, kept }).then((data) => {
             observer.next({ result: { type: "data", data } });
             observer.complete();
           }, (error) => observer.error(TRPCClientError.from(error)));
@@ -92,7 +92,10 @@
   ): Promise<Result<T, Failure>> {
     const controller = new AbortController();
     const abort = () => controller.abort();
-    const stopTimer = clock.startTimer(timeout, abort);
+    const stopTimer = clock.startTimer(timeout, () => {
+      abort();
+      kept.noteUnanswered(address);
+    });
     signal?.addEventListener("abort", abort, { once: true });
     if (signal?.aborted) abort();
     try {
@@ -110,14 +113,14 @@
     }
   }
 
-  return { ask, close: () => agent.destroy() };
+  return { ask, close: kept.close };
 }
 
 interface OutgoingCall {
   /** Holds the address, as it was given with the call. */
   context: Record<string, unknown>;
   siteKey: string;
-  agent: Agent;
+  kept: KeptConnections;
   type: string;
   path: string;
   input: unknown;
@@ -126,15 +129,14 @@
 
 /** Sends one call as trpc's HTTP link would, and returns its data. */
 async function sendCall(
-  { context, siteKey, agent, type, path, input, signal }: OutgoingCall,
+  { context, siteKey, kept, type, path, input, signal }: OutgoingCall,
 ): Promise<unknown> {
   const isQuery = type === "query";
   const text = input === undefined ? undefined : JSON.stringify(input);
   const query = isQuery && text !== undefined
     ? `?input=${encodeURIComponent(text)}`
     : "";
-  const { body } = await agent.request({
-    origin: `http://${String(context.address)}`,
+  const { body } = await kept.find(String(context.address)).request({
     path: `${PEER_PATH}${path}${query}`,
     method: isQuery ? "GET" : "POST",
     headers: {
--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -11,9 +11,11 @@
 import { Readable as NodeReadable } from "node:stream";
 import { Result } from "true-myth";
 import type { Dispatcher } from "undici";
-import { Agent, buildConnector, Client } from "undici";
+import { buildConnector, Client } from "undici";
 import type { Millis } from "./clock.ts";
 import { parseJson } from "./http_server.ts";
+import { createKeptConnections } from "./kept_connections.ts";
+import { TIMED_OUT } from "./timeout.ts";
 
 /** Why a call got no usable answer. */
 export type HttpFaultKind =
@@ -104,14 +106,9 @@
     connections = "kept",
   }: Partial<HttpClientOptions> = {},
 ): HttpClient {
-  const agent = new Agent({
-    pipelining: 1,
-    keepAliveTimeout: KEEP_ALIVE,
+  const kept = createKeptConnections({
+    keepAlive: KEEP_ALIVE,
     connectTimeout: connectTimeoutMs,
-    // Deadlines are kept by abort signals, which also cover what undici's own
-    // timeouts leave out.
-    headersTimeout: 0,
-    bodyTimeout: 0,
   });
 
   async function callStream(
@@ -124,7 +121,8 @@
       ? createSingleLink(call.address, connectTimeoutMs)
       : undefined;
     try {
-      const dispatcher: Dispatcher = link?.dispatcher ?? agent;
+      const dispatcher: Dispatcher = link?.dispatcher ??
+        kept.find(call.address);
       const { statusCode, headers, body } = await dispatcher.request(
         createRequestOptions(call),
       );
@@ -135,6 +133,7 @@
       });
     } catch (error) {
       void link?.dispatcher.destroy();
+      if (call.signal?.reason === TIMED_OUT) kept.noteUnanswered(call.address);
       return Result.err(classifyError(error, call.signal));
     }
   }
@@ -152,7 +151,7 @@
     return text.map((whole) => ({ status, headers, text: whole }));
   }
 
-  return { call, callStream, close: () => agent.destroy() };
+  return { call, callStream, close: kept.close };
 }
 
 /** A connection for one call, which knows how it ended. */
--- /dev/null
+++ b/packages/shared/src/kept_connections_test.ts
@@ -0,0 +1,50 @@
+import type { Socket } from "node:net";
+import { expect } from "chai";
+import { createKeptConnections } from "./kept_connections.ts";
+import { readServerAddress, startServer } from "./http_server.ts";
+
+const LIMITS = {
+  maxHeaderBytes: 4_096,
+  requestTimeoutMs: 5_000,
+  maxConnections: 10,
+};
+
+describe("kept connections", () => {
+  it("are left behind after a call without an answer, but for those in use", async () => {
+    const sockets: Socket[] = [];
+    let finishSlow = () => {};
+    const server = await startServer((request, response) => {
+      if (!sockets.includes(request.socket)) sockets.push(request.socket);
+      if (request.url === "/slow") finishSlow = () => void response.end("slow");
+      else response.end("fast");
+    }, { address: { host: "127.0.0.1", port: 0 }, limits: LIMITS });
+    const address = readServerAddress(server);
+    const kept = createKeptConnections({
+      keepAlive: 4_000,
+      connectTimeout: 1_000,
+    });
+    const get = async (path: string) => {
+      const { body } = await kept.find(address).request({
+        path,
+        method: "GET",
+      });
+      return await body.text();
+    };
+    const settle = () => new Promise((resolve) => setTimeout(resolve, 30));
+
+    const slow = get("/slow");
+    expect(await get("/fast")).to.equal("fast");
+    await settle();
+    expect(await get("/fast")).to.equal("fast");
+    expect(sockets.length).to.equal(2);
+    await settle();
+    kept.noteUnanswered(address);
+    expect(await get("/fast")).to.equal("fast");
+    expect(sockets.length).to.equal(3);
+    finishSlow();
+    expect(await slow).to.equal("slow");
+    await kept.close();
+    server.closeAllConnections();
+    server.close();
+  });
+});
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -70,4 +70,9 @@
   readReplyJson,
 } from "./http_client.ts";
 export type { Timeout } from "./timeout.ts";
-export { startTimeout } from "./timeout.ts";
+export type {
+  KeptConnections,
+  KeptConnectionsOptions,
+} from "./kept_connections.ts";
+export { createKeptConnections } from "./kept_connections.ts";
+export { startTimeout, TIMED_OUT } from "./timeout.ts";
--- a/packages/shared/src/timeout.ts
+++ b/packages/shared/src/timeout.ts
@@ -13,9 +13,12 @@
   stop(): void;
 }
 
+/** The reason of a signal that a time limit has aborted. */
+export const TIMED_OUT = "timed_out";
+
 /** Starts a time limit; it must be stopped. */
 export function startTimeout(clock: Clock, duration: Millis): Timeout {
   const controller = new AbortController();
-  const stop = clock.startTimer(duration, () => controller.abort());
+  const stop = clock.startTimer(duration, () => controller.abort(TIMED_OUT));
   return { signal: controller.signal, stop };
 }
--- a/scripts/undici_parts.ts
+++ b/scripts/undici_parts.ts
@@ -13,13 +13,13 @@
 const NAMESPACE = "undici-parts";
 /** What undici's index does for the classes that the program imports. */
 const CONTENTS = `
-import Agent from "undici/lib/dispatcher/agent.js";
 import Client from "undici/lib/dispatcher/client.js";
+import Pool from "undici/lib/dispatcher/pool.js";
 import Dispatcher from "undici/lib/dispatcher/dispatcher.js";
 import buildConnector from "undici/lib/core/connect.js";
 import api from "undici/lib/api/index.js";
 Object.assign(Dispatcher.prototype, api);
-export { Agent, buildConnector, Client };
+export { buildConnector, Client, Pool };
 `;
 
 /** The plugin; a name that it does not export fails the build. */
