--- a/packages/shared/src/kept_connections.ts
+++ b/packages/shared/src/kept_connections.ts
@@ -58,11 +58,11 @@
   /** Addresses change with every start of an endpoint, so they pile up. */
   function dropUnused(address: string, pool: Pool): void {
     const { connected, size } = pool.stats;
-    if (connected === 0 && size === 0) leave(address, pool);
+    if (connected === 0 && size === 0) dropPool(address, pool);
   }
 
   /** Calls in progress go on; idle connections are closed. */
-  function leave(address: string, pool: Pool): void {
+  function dropPool(address: string, pool: Pool): void {
     if (pools.get(address) === pool) pools.delete(address);
     // It rejects only where the pool was closed before.
     pool.close().catch(() => {});
@@ -72,7 +72,7 @@
     find,
     noteUnanswered(address) {
       const pool = pools.get(address);
-      if (pool !== undefined) leave(address, pool);
+      if (pool !== undefined) dropPool(address, pool);
     },
     async close() {
       const all = [...pools.values()];
--- a/soak/src/endpoint_slot.ts
+++ b/soak/src/endpoint_slot.ts
@@ -6,6 +6,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { formatEndpointKey } from "@mangoreach/coordination";
 import { TOPIC } from "../../platform/src/wire_names.ts";
+import type { EndpointWords, SeenArrival } from "./endpoint_words.ts";
 import type { FaultProxy } from "./fault_proxy.ts";
 import { startFaultProxy } from "./fault_proxy.ts";
 import type { KeyedStore } from "./keyed_store.ts";
@@ -24,6 +25,7 @@
 /** The place of an endpoint: one after the other listens behind its proxy. */
 export interface EndpointSlot {
   readonly proxy: FaultProxy;
+  readonly pool: string;
   readonly place: string;
   /** Tells its starts apart. */
   readKey(): string;
@@ -33,21 +35,31 @@
   restart(duration: number): Promise<void>;
   /** Announces that it leaves; another takes its place after that. */
   leave(): Promise<void>;
+  /** Says so in its answers for a while; the store hears nothing of it. */
+  say(words: EndpointWords, duration: number): Promise<void>;
+  /** Says in its answers that it leaves, and goes after a while. */
+  sayLeaving(duration: number): Promise<void>;
   /** Announces that it is cold; returns when it is warm again. */
   turnCold(duration: number): Promise<void>;
   close(): void;
 }
 
+/** Where endpoints write down what they see. */
+export interface EndpointLogs {
+  runs: RunLog;
+  arrivals: SeenArrival[];
+}
+
 /** Starts all endpoints of a site; they announce themselves in the store. */
 export function startEndpoints(
   store: KeyedStore,
-  runs: RunLog,
+  logs: EndpointLogs,
 ): Promise<EndpointSlot[]> {
   return Promise.all(
     Object.entries(ENDPOINT_COUNTS).flatMap(([pool, count]) =>
       Array.from(
         { length: count },
-        (_, index) => startSlot(store, { pool, index, runs }),
+        (_, index) => startSlot(store, { pool, index, logs }),
       )
     ),
   );
@@ -55,7 +67,7 @@
 
 async function startSlot(
   store: KeyedStore,
-  { pool, index, runs }: { pool: string; index: number; runs: RunLog },
+  { pool, index, logs }: { pool: string; index: number; logs: EndpointLogs },
 ): Promise<EndpointSlot> {
   const place = index === FAR_INDEX ? FAR_PLACE : "z";
   let idNumber = 0;
@@ -63,12 +75,17 @@
   let state = "ready";
   let startedAt = Date.now();
   let coldUntil = 0;
+  let words: EndpointWords = {};
   const start = (): Promise<SoakEndpoint> => {
     startedAt = Date.now();
     const id = `i-${pool}-${index}-${idNumber}`;
     return pool === "stage"
       ? startStageEndpoint(id)
-      : startServingEndpoint(id, { startedAt, runs });
+      : startServingEndpoint(id, {
+        ...logs,
+        startedAt,
+        readWords: () => words,
+      });
   };
   let endpoint = await start();
   const proxy = await startFaultProxy(endpoint.address);
@@ -103,6 +120,7 @@
 
   return {
     proxy,
+    pool,
     place,
     readKey: () =>
       formatEndpointKey({
@@ -119,6 +137,18 @@
       await sleep(duration);
       await startAgain();
     },
+    async say(said, duration) {
+      words = { ...words, ...said };
+      await sleep(duration);
+      words = {};
+    },
+    async sayLeaving(duration) {
+      words = { ...words, isLeaving: true };
+      await sleep(duration);
+      words = {};
+      endpoint.close();
+      await startNext();
+    },
     async turnCold(duration) {
       coldUntil = Date.now() + duration;
       announce();
--- a/soak/src/kept_seeds.ts
+++ b/soak/src/kept_seeds.ts
@@ -56,14 +56,14 @@
   },
   {
     seed: 960_005,
-    kinds: "all",
+    kinds: "third",
     cause:
       "an entry that neither the store nor another entry reached for three " +
       "seconds did not hear that the only engine was cold",
   },
   {
     seed: 960_033,
-    kinds: "all",
+    kinds: "third",
     cause:
       "the store's operator wrote an old configuration again over a newer one",
   },
--- a/soak/src/promises_test.ts
+++ b/soak/src/promises_test.ts
@@ -11,6 +11,7 @@
   kind: "plain",
   key: "key-1",
   sentAt: 90_000,
+  entry: "entry-1",
   status: 200,
 };
 
--- a/soak/src/soak_callers.ts
+++ b/soak/src/soak_callers.ts
@@ -17,6 +17,8 @@
   kind: RequestKind;
   key: string;
   sentAt: number;
+  /** The caller address of the entry that was asked. */
+  entry: string;
   /** 0 if the connection ended without an answer. */
   status: number;
   /** A broken promise that the answer itself shows. */
@@ -55,7 +57,7 @@
   ): Promise<SeenAnswer> {
     const address = addresses[turn++ % addresses.length] ?? "";
     const sentAt = Date.now();
-    const seen = { id, kind, key, sentAt };
+    const seen = { id, kind, key, sentAt, entry: address };
     const answer = await readAnswer(address, seen);
     onAnswer(answer);
     return answer;
@@ -63,7 +65,7 @@
 
   async function readAnswer(
     address: string,
-    seen: Pick<SeenAnswer, "id" | "kind" | "key" | "sentAt">,
+    seen: Omit<SeenAnswer, "status" | "fault">,
   ): Promise<SeenAnswer> {
     const { id, kind, key } = seen;
     try {
--- a/soak/src/soak_endpoints.ts
+++ b/soak/src/soak_endpoints.ts
@@ -9,6 +9,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { formatEndpointKey } from "@mangoreach/coordination";
 import { HEADER, PATH } from "../../platform/src/wire_names.ts";
+import type { EndpointWords, SeenArrival } from "./endpoint_words.ts";
 import type { SoakAnswer, SoakServer } from "./soak_server.ts";
 import { readWholeBody, startSoakServer } from "./soak_server.ts";
 
@@ -45,11 +46,34 @@
   return Array.isArray(value) ? value[0] : value;
 }
 
+/** Options of {@linkcode startServingEndpoint}. */
+export interface ServingEndpointOptions {
+  startedAt: number;
+  runs: RunLog;
+  /** Takes all that reaches the endpoint itself, run or not. */
+  arrivals: SeenArrival[];
+  /** What it says now of the work that it takes. */
+  readWords: () => EndpointWords;
+}
+
+function writeWords(
+  response: ServerResponse,
+  { limit, isLeaving, pause }: EndpointWords,
+): void {
+  if (limit !== undefined) response.setHeader(HEADER.rateLimit, String(limit));
+  if (isLeaving) response.setHeader(HEADER.leaving, "1");
+  if (pause !== undefined) {
+    response.setHeader(HEADER.retryAfter, String(pause / 1_000));
+  }
+}
+
 /** Starts an endpoint that answers requests and streams. */
 export async function startServingEndpoint(
   id: string,
-  { startedAt, runs }: { startedAt: number; runs: RunLog },
+  { startedAt, runs, arrivals, readWords }: ServingEndpointOptions,
 ): Promise<SoakEndpoint> {
+  const endpoint = formatEndpointKey({ id, incarnation: String(startedAt) });
+
   async function answer(
     request: IncomingMessage,
     response: ServerResponse,
@@ -60,9 +84,17 @@
     if (readHeader(request, HEADER.targetInstance) !== id) {
       return void response.writeHead(421, { [HEADER.notRun]: "1" }).end();
     }
+    const words = readWords();
+    const arrival: SeenArrival = { endpoint, requestId, at: Date.now(), words };
+    arrivals.push(arrival);
+    writeWords(response, words);
+    if (words.pause !== undefined) {
+      arrival.answeredAt = Date.now();
+      return void response.writeHead(503, { [HEADER.notRun]: "1" }).end();
+    }
     const path = request.url ?? "";
     const run = {
-      endpoint: formatEndpointKey({ id, incarnation: String(startedAt) }),
+      endpoint,
       account: readHeader(request, HEADER.account),
       path,
       at: Date.now(),
@@ -70,6 +102,7 @@
     runs.set(requestId, [...(runs.get(requestId) ?? []), run]);
     response.setHeader(HEADER.proof, computeBody(requestId).slice(0, 16));
     await sleep(WORK_MS);
+    arrival.answeredAt = Date.now();
     if (!path.startsWith("/draft/")) {
       return void response.end(computeBody(requestId));
     }
--- a/soak/src/soak_plan.ts
+++ b/soak/src/soak_plan.ts
@@ -30,7 +30,13 @@
   /** A place is to get nothing new for some seconds. */
   | "place_evacuated"
   /** An endpoint says that it is cold, and bears little. */
-  | "endpoint_cold";
+  | "endpoint_cold"
+  /** An endpoint names a limit in its answers. */
+  | "endpoint_limited"
+  /** An endpoint turns all away and says for how long it wants nothing. */
+  | "endpoint_paused"
+  /** An endpoint says that it leaves in its answers only, and ends later. */
+  | "endpoint_says_leaving";
 
 /** One fault. */
 export interface PlannedFault {
@@ -71,12 +77,20 @@
   "place_evacuated",
   "endpoint_cold",
 ];
+/** Planned apart once more. */
+const WORD_KINDS: readonly FaultKind[] = [
+  "endpoint_limited",
+  "endpoint_paused",
+  "endpoint_says_leaving",
+];
 const LATER_SEED_OFFSET = 1_000_003;
 const NEWEST_SEED_OFFSET = 2_000_003;
+const WORD_SEED_OFFSET = 3_000_003;
 /** Faults come in series: about one each half second, so that they overlap. */
 const MEAN_GAP = 500;
 const LATER_MEAN_GAP = 1_500;
 const NEWEST_MEAN_GAP = 2_000;
+const WORD_MEAN_GAP = 1_500;
 const SHORTEST = 200;
 const LONGEST = 1_800;
 /** Kinds that must not happen twice: there is one key and one spare endpoint. */
@@ -84,10 +98,11 @@
   "key_revoked",
   "endpoint_leaves",
   "place_evacuated",
+  "endpoint_says_leaving",
 ]);
 
 /** Which kinds of faults a run has. */
-export type SoakKinds = "first" | "second" | "all";
+export type SoakKinds = "first" | "second" | "third" | "all";
 
 /** Plans the faults of a run, in order of time. */
 export function createSoakPlan(
@@ -107,7 +122,13 @@
     length,
     meanGap: NEWEST_MEAN_GAP,
   });
-  return [...first, ...later, ...newest].sort((a, b) => a.at - b.at);
+  const words = kinds !== "all" ? [] : planKinds(WORD_KINDS, {
+    seed: seed + WORD_SEED_OFFSET,
+    length,
+    meanGap: WORD_MEAN_GAP,
+  });
+  return [...first, ...later, ...newest, ...words]
+    .sort((a, b) => a.at - b.at);
 }
 
 function planKinds(
--- a/soak/src/soak_run.ts
+++ b/soak/src/soak_run.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
+import { listIgnoredWords } from "./endpoint_words.ts";
 import { listBroken } from "./promises.ts";
 import type { RequestKind, SeenAnswer } from "./soak_callers.ts";
 import { CALL_TIME_MS, createSoakCaller } from "./soak_callers.ts";
@@ -77,6 +78,11 @@
     calmFrom,
     accounts: ACCOUNTS,
   });
+  const requests = new Map(
+    answers.map(({ id, entry, sentAt }) => [id, { entry, sentAt }]),
+  );
+  const { arrivals, harmed } = site;
+  broken.push(...listIgnoredWords(arrivals, { requests, harmed }));
   await caller.close();
   await site.stop();
   const served = answers.filter(({ status }) => status === 200).length;
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -12,6 +12,7 @@
 } from "../../platform/src/wire_names.ts";
 import type { EndpointSlot } from "./endpoint_slot.ts";
 import { FAR_PLACE, startEndpoints } from "./endpoint_slot.ts";
+import type { HarmedSpan, SeenArrival } from "./endpoint_words.ts";
 import type { FaultProxy, ProxyMode } from "./fault_proxy.ts";
 import type { KeyedStore, StoreMode } from "./keyed_store.ts";
 import { startKeyedStore } from "./keyed_store.ts";
@@ -32,6 +33,9 @@
   /** Where callers connect: a proxy before each entry. */
   readonly callerAddresses: readonly string[];
   readonly runs: RunLog;
+  /** All that reached plain endpoints and engines. */
+  readonly arrivals: readonly SeenArrival[];
+  readonly harmed: readonly HarmedSpan[];
   readonly revokedAt: number | undefined;
   readonly leftAt: ReadonlyMap<string, number>;
   readonly coldSpans: readonly KeyedSpan[];
@@ -48,6 +52,15 @@
 const EVACUATION_MS = 5_500;
 /** So much longer than the word of a cold endpoint takes. */
 const COLD_MS = 2_500;
+/** Below what its callers want of an endpoint, in requests a second. */
+const LIMIT = 4;
+/** A limit must be kept after 3 s; it is counted for some seconds more. */
+const LIMITED_MS = 5_000;
+const PAUSE_MS = 1_500;
+/** Longer than what may still reach an endpoint that leaves. */
+const LEAVING_MS = 3_500;
+/** An entry that is stopped takes up to so long until the next has started. */
+const STOP_TIME_MS = 9_000;
 
 const STOP_SIGNALS = {
   entry_killed: "SIGKILL",
@@ -70,6 +83,8 @@
 ): Promise<SoakSite> {
   mkdirSync(folder, { recursive: true });
   const runs: RunLog = new Map();
+  const arrivals: SeenArrival[] = [];
+  const harmed: HarmedSpan[] = [];
   const leftAt = new Map<string, number>();
   const coldSpans: KeyedSpan[] = [];
   const evacuations: KeyedSpan[] = [];
@@ -83,7 +98,7 @@
       createSoakConfig(version, { isRevoked: revokedAt !== undefined }),
     );
   publish();
-  const endpoints = await startEndpoints(store, runs);
+  const endpoints = await startEndpoints(store, { runs, arrivals });
   const entries: Entry[] = [];
   for (let index = 0; index < entryCount; index++) {
     entries.push(await createEntry(`entry-${index}`, { store, folder }));
@@ -102,7 +117,10 @@
     const link = endpoints[fault.target % endpoints.length]!;
     const proxies = [entry.callerProxy, entry.storeProxy, link.proxy];
     const proxy = proxies[fault.target % proxies.length]!;
+    const speakers = endpoints.filter(({ pool }) => pool !== "stage");
+    const speaker = speakers[fault.target % speakers.length]!;
     const { kind, duration } = fault;
+    noteHarm(fault, { entry, proxy });
     switch (kind) {
       case "entry_killed":
       case "entry_stopped":
@@ -123,6 +141,12 @@
         return await runLinkFault(proxy, LINK_MODES[kind], duration);
       case "endpoint_killed":
         return await link.replace(duration);
+      case "endpoint_limited":
+        return await speaker.say({ limit: LIMIT }, LIMITED_MS + duration);
+      case "endpoint_paused":
+        return await speaker.say({ pause: PAUSE_MS }, duration);
+      case "endpoint_says_leaving":
+        return await speaker.sayLeaving(LEAVING_MS + duration);
       case "endpoint_leaves":
         leftAt.set(link.readKey(), Date.now());
         return await link.leave();
@@ -147,6 +171,24 @@
     }
   }
 
+  /** A link to an endpoint holds up what all entries send there. */
+  function noteHarm(
+    { kind, duration }: PlannedFault,
+    { entry, proxy }: { entry: Entry; proxy: FaultProxy },
+  ): void {
+    const from = Date.now();
+    const isOfEntry = kind.startsWith("entry_");
+    if (!isOfEntry && !kind.startsWith("link_")) return;
+    const isOwnLink = proxy === entry.callerProxy || proxy === entry.storeProxy;
+    const hit = isOfEntry || isOwnLink ? [entry] : entries;
+    harmed.push(...hit.map(({ callerProxy }) => ({
+      entry: callerProxy.address,
+      kind: isOfEntry ? "stopped" as const : "cut" as const,
+      from,
+      until: from + duration + (isOfEntry ? STOP_TIME_MS : 0),
+    })));
+  }
+
   async function runEvacuation(duration: number): Promise<void> {
     const mark = formatEvacuationKey(FAR_PLACE);
     const from = Date.now();
@@ -186,6 +228,8 @@
   return {
     callerAddresses: entries.map(({ callerProxy }) => callerProxy.address),
     runs,
+    arrivals,
+    harmed,
     get revokedAt() {
       return revokedAt;
     },
