fix(entry): the product's own door keeps pauses that endpoints ask for

The same cause elsewhere: a refusal of the product's own protocol may say when to come back (retry_after_ms), and nobody read it; a pool's queue chose the endpoint that refuses at once again and again. Test: stage_pool_limit_test; without the note 20 of 20 calls in 2 s go to the paused endpoint, with it at most 4; with all paused a call is refused at once with the shortest time that is left.

--- a/packages/coordination/src/stage_pool.ts
+++ b/packages/coordination/src/stage_pool.ts
@@ -53,7 +53,8 @@
   readonly endpoint: EndpointInfo;
   /** Notes the time until the (first part of the) answer. */
   recordLatency(latency: Millis): void;
-  release(end: AttemptEnd): void;
+  /** Ends the attempt; `pause`: for how long its endpoint wants nothing. */
+  release(end: AttemptEnd, pause?: Millis): void;
 }
 
 /** How the pool decides; others are passed in to compare with. */
@@ -74,6 +75,8 @@
   onEjected: (endpoint: EndpointInfo, cause: string) => void;
   /** What may be sent to endpoints that ask for less; all if left out. */
   allowance?: Pick<SendAllowance, "mayBegin" | "begin" | "readWait">;
+  /** Told when an endpoint wants nothing for a while. */
+  onPause?: (endpoint: EndpointInfo, pause: Millis) => void;
 }
 
 /** What can be read off a pool, for metrics. */
@@ -156,7 +159,8 @@
 
 /** Creates a pool without endpoints. */
 export function createStagePool(
-  { clock, policy, estimateAttainment, onEjected, allowance }: StagePoolOptions,
+  { clock, policy, estimateAttainment, onEjected, allowance, onPause }:
+    StagePoolOptions,
 ): StagePool {
   const slots = new Map<string, Slot>();
   const inProgress = new Map<string, number>();
@@ -274,9 +278,10 @@
       slot.health.recordSuccess(ratio);
     }
 
-    function release(end: AttemptEnd): void {
+    function release(end: AttemptEnd, pause?: Millis): void {
       if (isReleased) return;
       isReleased = true;
+      if (pause !== undefined) onPause?.(slot.info, pause);
       slot.inFlight--;
       inFlight--;
       dropInProgress(work.account);
--- a/packages/coordination/src/stage_pool_limit_test.ts
+++ b/packages/coordination/src/stage_pool_limit_test.ts
@@ -1,4 +1,4 @@
-import type { Millis } from "@mangoreach/shared";
+import type { FakeClock, Millis } from "@mangoreach/shared";
 import { createFakeClock } from "@mangoreach/shared";
 import { expect } from "chai";
 import { MersenneTwister19937, Random } from "random-js";
@@ -8,7 +8,7 @@
 import { createEntryAllowance } from "./entry_allowance.ts";
 import type { PeerRecord } from "./membership.ts";
 import { createLeastInFlightChoice } from "./routing.ts";
-import type { StagePool } from "./stage_pool.ts";
+import type { PoolWork, StagePool } from "./stage_pool.ts";
 import { createStagePool } from "./stage_pool.ts";
 
 const SECOND: Millis = 1_000;
@@ -29,6 +29,16 @@
   };
 }
 
+function createWork(clock: FakeClock): PoolWork {
+  return {
+    workClass: { name: "rulings", priority: 1, target: 0.99 },
+    account: "handlers",
+    size: 1,
+    deadline: createDeadline({ clock, budget: SECOND }),
+    reserve: 0,
+  };
+}
+
 interface Load {
   entries: number;
   perSecond: number;
@@ -84,13 +94,7 @@
 
   async function call(pool: StagePool, note: (info: EndpointInfo) => void) {
     const startedAt = clock.now();
-    const permit = await pool.acquire({
-      workClass: { name: "rulings", priority: 1, target: 0.99 },
-      account: "handlers",
-      size: 1,
-      deadline: createDeadline({ clock, budget: SECOND }),
-      reserve: 0,
-    });
+    const permit = await pool.acquire(createWork(clock));
     if (permit.isErr) {
       slowestRefusal = Math.max(slowestRefusal, clock.now() - startedAt);
       return;
@@ -140,3 +144,84 @@
     });
   }
 });
+
+/** The pool of the only entry. */
+function createPausingPool(clock: FakeClock, endpoints: EndpointInfo[]) {
+  const { allowance, pauses } = createEntryAllowance({
+    clock,
+    random: () => 0,
+    entry: "entry",
+    listMembers: () => [{ entry: "entry" } as PeerRecord],
+    directory: { listUsable: () => endpoints },
+    isFed: () => false,
+  });
+  const pool = createStagePool({
+    clock,
+    policy: {
+      choose: createLeastInFlightChoice(() => 0),
+      hasLimits: true,
+      hasEjection: true,
+    },
+    estimateAttainment: () => 1,
+    onEjected: () => {},
+    allowance,
+    onPause: (endpoint, pause) =>
+      pauses.note(formatEndpointKey(endpoint), pause),
+  });
+  pool.refresh(endpoints);
+  return { pool, pauses };
+}
+
+describe("a pool with an endpoint that asks for a pause", () => {
+  // It refuses at once, so it has the fewest calls in progress: it was chosen
+  // again and again, and each call cost a second attempt.
+  it("gets nothing until the pause is over", async () => {
+    const clock = createFakeClock(0);
+    const endpoints = [createEndpoint("paused"), createEndpoint("other")];
+    const { pool } = createPausingPool(clock, endpoints);
+    const seen: string[] = [];
+    for (let at = 0; at < 2_000; at += 100) {
+      const permit = await pool.acquire(createWork(clock));
+      if (permit.isErr) continue;
+      const { endpoint } = permit.value;
+      seen.push(endpoint.id);
+      const isPaused = endpoint.id === "paused";
+      permit.value.release(
+        isPaused ? "overloaded" : "done",
+        isPaused ? 500 : undefined,
+      );
+      await clock.advance(100);
+    }
+    expect(seen.filter((id) => id === "paused").length).to.be.at.most(4);
+  });
+
+  it("refuses at once with the shortest time that is left", async () => {
+    const clock = createFakeClock(0);
+    const endpoints = [createEndpoint("first"), createEndpoint("second")];
+    const { allowance, pauses } = createEntryAllowance({
+      clock,
+      random: () => 0,
+      entry: "entry",
+      listMembers: () => [{ entry: "entry" } as PeerRecord],
+      directory: { listUsable: () => endpoints },
+      isFed: () => false,
+    });
+    const pool = createStagePool({
+      clock,
+      policy: {
+        choose: createLeastInFlightChoice(() => 0),
+        hasLimits: true,
+        hasEjection: true,
+      },
+      estimateAttainment: () => 1,
+      onEjected: () => {},
+      allowance,
+    });
+    pool.refresh(endpoints);
+    pauses.note(formatEndpointKey(endpoints[0]!), 5_000);
+    pauses.note(formatEndpointKey(endpoints[1]!), 3_000);
+    const permit = await pool.acquire(createWork(clock));
+    expect(permit.isErr && permit.error.verdict).to.equal("not_run");
+    expect(permit.isErr && permit.error.retryAfterMs).to.equal(3_000);
+  });
+});
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -101,7 +101,7 @@
     markLifetime: settings.timing.leavingMarkMs,
   });
   const isLearning = createLearningCheck(clock);
-  const { allowance, limits } = createEntryAllowance({
+  const { allowance, limits, pauses } = createEntryAllowance({
     clock,
     random,
     entry: settings.entry,
@@ -116,6 +116,8 @@
     attainment,
     holdsModel: (endpoint, model) => watch.holdsModel(endpoint, model),
     allowance,
+    onPause: (endpoint, pause) =>
+      pauses.note(formatEndpointKey(endpoint), pause),
   });
   const demand = createDemandTracker(clock);
   const affinity = createPrefixAffinity({ clock, capacity: AFFINITY_CAPACITY });
--- a/packages/entry/src/pool_set.ts
+++ b/packages/entry/src/pool_set.ts
@@ -53,6 +53,8 @@
   /** Whether an engine holds a model, or nothing is known of it yet. */
   holdsModel: (endpoint: EndpointInfo, model: string) => boolean;
   allowance: SendAllowance;
+  /** Told when an endpoint wants nothing for a while. */
+  onPause: (endpoint: EndpointInfo, pause: Millis) => void;
 }
 
 interface NamedPool {
@@ -64,7 +66,7 @@
 /** Creates an empty set. */
 export function createPoolSet(
   context: EntryContext,
-  { directory, attainment, holdsModel, allowance }: PoolSetOptions,
+  { directory, attainment, holdsModel, allowance, onPause }: PoolSetOptions,
 ): PoolSet {
   const { clock, timeline } = context;
   const logger = context.logger.forPart("endpoints");
@@ -82,6 +84,7 @@
       policy: createPolicy(context),
       estimateAttainment: attainment.estimate,
       allowance,
+      onPause,
       onEjected: ({ id }, cause) => {
         timeline.record("endpoint_ejected", { endpoint: id, detail: cause });
         logger.warn("Endpoint taken out of use.", { endpoint: id, cause });
--- a/packages/entry/src/stage_attempts.ts
+++ b/packages/entry/src/stage_attempts.ts
@@ -234,7 +234,10 @@
   // An attempt that the request's own end cut short says nothing about its
   // endpoint: under overload every endpoint would look slow and be ejected.
   const isOurs = run.deadline.signal.aborted;
-  permit.release(isOurs ? "abandoned" : classifyEnd(failure));
+  permit.release(
+    isOurs ? "abandoned" : classifyEnd(failure),
+    failure.retryAfterMs,
+  );
 }
 
 function classifyEnd({ kind, verdict }: Failure): AttemptEnd {
