fix(coordination): an answer to an older request takes back no younger limit

Change: an answer is as old as its request at most; the end of a limit counts from when the request was sent, the limit itself from when it was heard. Test: endpoint_limits_test, 'an own word, and an answer to a request sent before it'; before, no limit stood there.

--- a/bench/src/overhead.ts
+++ b/bench/src/overhead.ts
@@ -208,7 +208,7 @@
 /** Calls the same stand-ins in the same order, without an entry. */
 function createDirectPath(site: Site, clock: Clock) {
   const ignore = { onAnswer() {}, onDropped() {} };
-  const stages = createStageClient(ignore);
+  const stages = createStageClient({ clock, ...ignore });
   const engines = createEngineClient({ clock, ...ignore, timeoutMs: 1_000 });
   const find = (pool: string): EndpointInfo => {
     const endpoint = site.endpoints.find((one) => one.pool === pool);
--- a/packages/coordination/src/endpoint_limits.ts
+++ b/packages/coordination/src/endpoint_limits.ts
@@ -22,8 +22,16 @@
 
 /** What is known of limits. */
 export interface EndpointLimits {
-  /** Takes an endpoint's own word; undefined if it names no limit. */
-  note(endpointKey: string, rateLimit: number | undefined): void;
+  /**
+   * Takes an endpoint's own word; undefined if it names no limit. An answer is
+   * younger than its request, which was sent at `sentAt`, and no more is known:
+   * answers overtake each other, and an older one takes back no younger limit.
+   */
+  note(
+    endpointKey: string,
+    rateLimit: number | undefined,
+    sentAt: Millis,
+  ): void;
   /** Takes what another entry has heard. */
   takeNews(news: LimitNews): void;
   /** Some of what was said of late, at most `count`. */
@@ -83,14 +91,18 @@
     return undefined;
   }
 
-  function note(endpointKey: string, rateLimit: number | undefined): void {
-    const isNews = rateLimit !== undefined || words.has(endpointKey);
-    if (!isNews) return;
-    put(endpointKey, {
-      rateLimit: rateLimit ?? null,
-      saidAt: clock.now(),
-      isOwn: true,
-    });
+  function note(
+    endpointKey: string,
+    rateLimit: number | undefined,
+    sentAt: Millis,
+  ): void {
+    if (rateLimit !== undefined) {
+      put(endpointKey, { rateLimit, saidAt: clock.now(), isOwn: true });
+      return;
+    }
+    const known = words.get(endpointKey);
+    if (known === undefined || known.saidAt > sentAt) return;
+    put(endpointKey, { rateLimit: null, saidAt: sentAt, isOwn: true });
   }
 
   function takeNews({ endpointKey, rateLimit, age }: LimitNews): void {
--- a/packages/coordination/src/endpoint_limits_test.ts
+++ b/packages/coordination/src/endpoint_limits_test.ts
@@ -22,30 +22,40 @@
     { name: "nothing", heard: () => {}, expected: undefined },
     {
       name: "an endpoint's own word",
-      heard: (limits) => limits.note(KEY, 2),
+      heard: (limits) => limits.note(KEY, 2, 0),
       expected: 2,
     },
     {
       name: "an own word that changes",
       heard(limits) {
-        limits.note(KEY, 2);
-        limits.note(KEY, 0.5);
+        limits.note(KEY, 2, 0);
+        limits.note(KEY, 0.5, 0);
       },
       expected: 0.5,
     },
     {
       name: "an own word that is taken back",
       heard(limits) {
-        limits.note(KEY, 2);
-        limits.note(KEY, undefined);
+        limits.note(KEY, 2, 0);
+        limits.note(KEY, undefined, 0);
       },
       expected: undefined,
     },
+    {
+      // Two answers on two connections: the one that was made first comes last.
+      name: "an own word, and an answer to a request sent before it",
+      async heard(limits, clock) {
+        await clock.advance(1_000);
+        limits.note(KEY, 2, 900);
+        limits.note(KEY, undefined, 950);
+      },
+      expected: 2,
+    },
     {
       // Nothing is sent, so nothing is heard: that ends no limit.
       name: "an own word of a minute ago",
       async heard(limits, clock) {
-        limits.note(KEY, 2);
+        limits.note(KEY, 2, 0);
         await clock.advance(60_000);
       },
       expected: 2,
@@ -66,7 +76,7 @@
     {
       name: "an own word that another entry heard taken back",
       async heard(limits, clock) {
-        limits.note(KEY, 2);
+        limits.note(KEY, 2, 0);
         await clock.advance(1_000);
         limits.takeNews(tell(null, 100));
       },
@@ -76,7 +86,7 @@
       name: "an own word, and older news that it was taken back",
       async heard(limits, clock) {
         await clock.advance(1_000);
-        limits.note(KEY, 2);
+        limits.note(KEY, 2, 0);
         limits.takeNews(tell(null, 500));
       },
       expected: 2,
@@ -84,7 +94,7 @@
     {
       name: "an own word that another entry heard again",
       async heard(limits, clock) {
-        limits.note(KEY, 2);
+        limits.note(KEY, 2, 0);
         await clock.advance(1_000);
         limits.takeNews(tell(3, 100));
         await clock.advance(60_000);
@@ -104,11 +114,11 @@
   it("is passed on with its age, and its end as well", async () => {
     const clock = createFakeClock(0);
     const limits = createEndpointLimits({ clock, random: () => 0 });
-    limits.note(KEY, 2);
+    limits.note(KEY, 2, 0);
     await clock.advance(300);
     expect(limits.chooseNews(4)).to.deep.equal([tell(2, 300)]);
-    limits.note(KEY, undefined);
-    expect(limits.chooseNews(4)).to.deep.equal([tell(null, 0)]);
+    limits.note(KEY, undefined, 200);
+    expect(limits.chooseNews(4)).to.deep.equal([tell(null, 100)]);
     await clock.advance(60_000);
     expect(limits.chooseNews(4)).to.deep.equal([]);
   });
--- a/packages/coordination/src/stage_pool_limit_test.ts
+++ b/packages/coordination/src/stage_pool_limit_test.ts
@@ -111,7 +111,8 @@
       const { pool, limits } = all[engine.integer(0, entries - 1)]!;
       void call(pool, (info) => {
         const isLimited = info.id.startsWith("limited");
-        limits.note(formatEndpointKey(info), isLimited ? LIMIT : undefined);
+        const limit = isLimited ? LIMIT : undefined;
+        limits.note(formatEndpointKey(info), limit, clock.now() - WORK_TIME);
       });
     }
     await clock.advance(STEP);
--- a/packages/endpoints/src/endpoint_protocol.ts
+++ b/packages/endpoints/src/endpoint_protocol.ts
@@ -8,9 +8,9 @@
  *
  * @module
  */
-import type { Failure } from "@mangoreach/coordination";
+import type { EndpointInfo, Failure } from "@mangoreach/coordination";
 import { createFailure } from "@mangoreach/coordination";
-import type { HttpHeaders, HttpReply } from "@mangoreach/shared";
+import type { HttpHeaders, HttpReply, Millis } from "@mangoreach/shared";
 import { readReplyJson } from "@mangoreach/shared";
 import * as z from "zod";
 
@@ -72,6 +72,17 @@
   };
 }
 
+/** An answer in which an endpoint may speak of itself. */
+export interface AnsweredCall {
+  endpoint: EndpointInfo;
+  headers: HttpHeaders;
+  /** When the call was sent: its answer is no older. */
+  sentAt: Millis;
+}
+
+/** Told of each answer of an endpoint. */
+export type OnAnswer = (answered: AnsweredCall) => void;
+
 /** Whether the answer came from an endpoint that says it is leaving. */
 export function hasLeavingMark(headers: HttpHeaders): boolean {
   return headers[ENDPOINT_HEADERS.state] === LEAVING_STATE;
--- a/packages/endpoints/src/mod.ts
+++ b/packages/endpoints/src/mod.ts
@@ -3,7 +3,12 @@
  *
  * @module
  */
-export type { CallEcho, CallIdentity } from "./endpoint_protocol.ts";
+export type {
+  AnsweredCall,
+  CallEcho,
+  CallIdentity,
+  OnAnswer,
+} from "./endpoint_protocol.ts";
 export {
   createReplyFailure,
   echoSchema,
--- a/packages/engines/src/engine_client.ts
+++ b/packages/engines/src/engine_client.ts
@@ -10,7 +10,7 @@
   LoadReport,
 } from "@mangoreach/coordination";
 import { createCallFailure, createFailure } from "@mangoreach/coordination";
-import type { CallIdentity } from "@mangoreach/endpoints";
+import type { CallIdentity, OnAnswer } from "@mangoreach/endpoints";
 import {
   createReplyFailure,
   ENDPOINT_HEADERS,
@@ -21,7 +21,6 @@
   Clock,
   HttpCall,
   HttpClient,
-  HttpHeaders,
   HttpReply,
   Millis,
 } from "@mangoreach/shared";
@@ -60,12 +59,9 @@
   signal: AbortSignal;
 }
 
-type OnAnswer = (endpoint: EndpointInfo, headers: HttpHeaders) => void;
-
 /** Options of {@linkcode createEngineClient}. */
 export interface EngineClientOptions {
   clock: Clock;
-  /** Told the headers of each answer, in which endpoints speak of themselves. */
   onAnswer: OnAnswer;
   onDropped: (call: CallIdentity) => void;
   /** For load reports, cache events and cancels. */
@@ -117,6 +113,7 @@
   ): AsyncGenerator<GenerationEvent> {
     const { endpoint } = call;
     const opened = await openStream(http, {
+      clock,
       endpoint,
       onAnswer,
       call: {
@@ -146,6 +143,7 @@
     { endpoint, streamId, next, signal }: ResumeCall,
   ): AsyncGenerator<GenerationEvent> {
     const opened = await openStream(http, {
+      clock,
       endpoint,
       onAnswer,
       call: {
@@ -182,13 +180,14 @@
   async function readLoad(
     endpoint: EndpointInfo,
   ): Promise<Result<LoadReport, Failure>> {
+    const sentAt = clock.now();
     const reply = await callSmall({
       method: "GET",
       address: endpoint.address,
       path: "/load",
     });
     if (reply.isErr) return Result.err(reply.error);
-    onAnswer(endpoint, reply.value.headers);
+    onAnswer({ endpoint, headers: reply.value.headers, sentAt });
     const load = loadSchema.safeParse(readReplyJson(reply.value));
     if (!load.success) return Result.err(failMalformed(endpoint));
     const { age_ms: age, ...counts } = load.data;
@@ -199,13 +198,14 @@
     endpoint: EndpointInfo,
     after: number,
   ): Promise<Result<CacheEvent[], Failure>> {
+    const sentAt = clock.now();
     const reply = await callSmall({
       method: "GET",
       address: endpoint.address,
       path: `/cache_events?after=${after}`,
     });
     if (reply.isErr) return Result.err(reply.error);
-    onAnswer(endpoint, reply.value.headers);
+    onAnswer({ endpoint, headers: reply.value.headers, sentAt });
     const body = cacheEventsSchema.safeParse(readReplyJson(reply.value));
     if (!body.success) return Result.err(failMalformed(endpoint));
     return Result.ok(body.data.events);
@@ -223,12 +223,14 @@
 
 async function openStream(
   http: HttpClient,
-  { call, endpoint, onAnswer }: {
+  { clock, call, endpoint, onAnswer }: {
+    clock: Clock;
     call: HttpCall;
     endpoint: EndpointInfo;
     onAnswer: OnAnswer;
   },
 ) {
+  const sentAt = clock.now();
   const opened = await http.callStream(call);
   if (opened.isErr) {
     return Result.err<never, Failure>(
@@ -236,7 +238,7 @@
     ) as Result<never, Failure>;
   }
   const { status, headers, body } = opened.value;
-  onAnswer(endpoint, headers);
+  onAnswer({ endpoint, headers, sentAt });
   if (status === OK) {
     return Result.ok<typeof opened.value, Failure>(opened.value);
   }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { EndpointInfo, Membership } from "@mangoreach/coordination";
+import type { Membership } from "@mangoreach/coordination";
 import {
   createAdmission,
   createAttainmentTracker,
@@ -20,11 +20,12 @@
   formatEndpointKey,
   listSendingMembers,
 } from "@mangoreach/coordination";
+import type { AnsweredCall } from "@mangoreach/endpoints";
 import { hasLeavingMark, readRateLimit } from "@mangoreach/endpoints";
 import type { EntryStatus } from "@mangoreach/operators";
 import type { StoredAnswer } from "@mangoreach/peers";
 import { createPeerListener } from "@mangoreach/peers";
-import type { Clock, HttpHeaders, Logger, Millis } from "@mangoreach/shared";
+import type { Clock, Logger, Millis } from "@mangoreach/shared";
 import {
   createCausalClock,
   createTaskSet,
@@ -122,10 +123,10 @@
   const demand = createDemandTracker(clock);
   const affinity = createPrefixAffinity({ clock, capacity: AFFINITY_CAPACITY });
   const endpointOptions = {
-    onAnswer: (endpoint: EndpointInfo, headers: HttpHeaders) => {
+    onAnswer: ({ endpoint, headers, sentAt }: AnsweredCall) => {
       const key = formatEndpointKey(endpoint);
       if (hasLeavingMark(headers)) watch.markLeaving(key, { isSaid: true });
-      limits.note(key, readRateLimit(headers));
+      limits.note(key, readRateLimit(headers), sentAt);
     },
     onDropped: ({ requestId, stage }: { requestId: string; stage: string }) => {
       metrics.countDropped();
--- a/packages/entry/src/site_clients.ts
+++ b/packages/entry/src/site_clients.ts
@@ -44,7 +44,7 @@
 /** Creates the handles; each connects on its first call. */
 export function createSiteClients(
   { settings, clock }: EntryContext,
-  endpointOptions: StageClientOptions,
+  endpointOptions: Omit<StageClientOptions, "clock">,
 ): SiteClients {
   const log = createLogClient({
     clock,
@@ -72,8 +72,8 @@
     ...endpointOptions,
     timeoutMs: ENGINE_TIMEOUT,
   });
-  const stages = createStageClient(endpointOptions);
-  const services = createServiceClient(endpointOptions);
+  const stages = createStageClient({ clock, ...endpointOptions });
+  const services = createServiceClient({ clock, ...endpointOptions });
   const clients = {
     log,
     instanceList,
--- a/packages/services/src/service_client.ts
+++ b/packages/services/src/service_client.ts
@@ -9,9 +9,9 @@
 import type { Buffer } from "node:buffer";
 import type { EndpointInfo, Failure } from "@mangoreach/coordination";
 import { createCallFailure, createFailure } from "@mangoreach/coordination";
-import type { CallIdentity } from "@mangoreach/endpoints";
+import type { CallIdentity, OnAnswer } from "@mangoreach/endpoints";
 import { createReplyFailure, ENDPOINT_HEADERS } from "@mangoreach/endpoints";
-import type { HttpHeaders } from "@mangoreach/shared";
+import type { Clock } from "@mangoreach/shared";
 import { createHttpClient } from "@mangoreach/shared";
 import { Result } from "true-myth";
 
@@ -35,8 +35,8 @@
 
 /** Options of {@linkcode createServiceClient}. */
 export interface ServiceClientOptions {
-  /** Told the headers of each answer, in which endpoints speak of themselves. */
-  onAnswer: (endpoint: EndpointInfo, headers: HttpHeaders) => void;
+  clock: Clock;
+  onAnswer: OnAnswer;
   /** Told when a result was dropped because its echo differs from the call. */
   onDropped: (call: CallIdentity) => void;
 }
@@ -52,7 +52,7 @@
 
 /** Creates the handle. */
 export function createServiceClient(
-  { onAnswer, onDropped }: ServiceClientOptions,
+  { clock, onAnswer, onDropped }: ServiceClientOptions,
 ): ServiceClient {
   const http = createHttpClient();
 
@@ -60,6 +60,7 @@
     serviceCall: ServiceCall,
   ): Promise<Result<ServiceReply, Failure>> {
     const { endpoint, requestId, contentType, body } = serviceCall;
+    const sentAt = clock.now();
     const reply = await http.call({
       method: "POST",
       address: endpoint.address,
@@ -78,7 +79,7 @@
       return Result.err(createCallFailure(endpoint.id, reply.error));
     }
     const { headers, status, text } = reply.value;
-    onAnswer(endpoint, headers);
+    onAnswer({ endpoint, headers, sentAt });
     if (status >= FIRST_SERVER_ERROR || status === 429) {
       return Result.err(createReplyFailure(endpoint.id, reply.value));
     }
--- a/packages/services/src/service_contract_test.ts
+++ b/packages/services/src/service_contract_test.ts
@@ -23,6 +23,7 @@
       times: { slots: 2, baseMs: 1, perThousandMs: 0 },
     });
     services = createServiceClient({
+      clock,
       onAnswer: () => {},
       onDropped: () => dropped++,
     });
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -251,6 +251,7 @@
     state.noteSignals({
       way: "request",
       address: endpoint.address,
+      sentAt: startedAt,
       ...(isOther ? {} : { endpoint }),
     }, answer.value.signals);
   }
--- a/packages/serving/src/endpoint_signals.ts
+++ b/packages/serving/src/endpoint_signals.ts
@@ -23,6 +23,8 @@
 export interface SignalSource {
   way: SignalWay;
   address: string;
+  /** When the request was sent: its answer is no older. */
+  sentAt: Millis;
   /** Missing where only the address is known. */
   endpoint?: EndpointInfo;
 }
@@ -47,34 +49,39 @@
 interface HeardFrom {
   endpoint: EndpointInfo;
   way: SignalWay;
+  sentAt: Millis;
 }
 
 /** Creates the notes of an entry that no endpoint has told anything. */
 export function createSignalNotes(
   { log, metrics, limits, directory, pauses, listAt }: SignalNotesOptions,
 ): NoteSignals {
-  function noteLimit({ endpoint, way }: HeardFrom, rateLimit?: number): void {
+  function noteLimit(from: HeardFrom, rateLimit?: number): void {
+    const { endpoint, sentAt } = from;
     const key = formatEndpointKey(endpoint);
     if (rateLimit !== undefined) metrics.countSignal(endpoint.pool, "limit");
     const before = limits.find(key);
-    limits.note(key, rateLimit);
-    if (before === rateLimit) return;
-    const outcome = rateLimit === undefined ? "not_limited" : "limited";
-    recordChange({ endpoint, way }, { limit: rateLimit, outcome });
+    limits.note(key, rateLimit, sentAt);
+    const limit = limits.find(key);
+    if (before === limit) return;
+    const outcome = limit === undefined ? "not_limited" : "limited";
+    recordChange(from, { limit, outcome });
   }
 
-  function noteLeaving({ endpoint, way }: HeardFrom): void {
+  function noteLeaving(from: HeardFrom): void {
+    const { endpoint } = from;
     metrics.countSignal(endpoint.pool, "leaving");
     const key = formatEndpointKey(endpoint);
     if (directory.markLeaving(key, { isSaid: true })) {
-      recordChange({ endpoint, way }, { outcome: "leaving" });
+      recordChange(from, { outcome: "leaving" });
     }
   }
 
-  function notePause({ endpoint, way }: HeardFrom, pause: Millis): void {
+  function notePause(from: HeardFrom, pause: Millis): void {
+    const { endpoint } = from;
     metrics.countSignal(endpoint.pool, "pause");
     pauses.note(formatEndpointKey(endpoint), pause);
-    recordChange({ endpoint, way }, { pause, outcome: "paused" });
+    recordChange(from, { pause, outcome: "paused" });
   }
 
   function recordChange(
@@ -98,9 +105,11 @@
     if (pause !== undefined) notePause(from, pause);
   }
 
-  return ({ way, address, endpoint }, signals) => {
+  return ({ way, address, sentAt, endpoint }, signals) => {
     if (signals === undefined) return;
     const endpoints = endpoint === undefined ? listAt(address) : [endpoint];
-    endpoints.forEach((one) => noteOne({ endpoint: one, way }, signals));
+    endpoints.forEach((one) =>
+      noteOne({ endpoint: one, way, sentAt }, signals)
+    );
   };
 }
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -279,6 +279,7 @@
       options.noteSignals({
         way: "stage_call",
         address: info.address,
+        sentAt: startedAt,
         ...(isOther ? {} : { endpoint: info }),
       }, reply.value.signals);
       takeReply(maker, {
@@ -443,8 +444,9 @@
     address: string,
     results: readonly string[],
   ): Promise<void> {
+    const sentAt = clock.now();
     const signals = await stages.release(address, results);
-    options.noteSignals({ way: "stage_release", address }, signals);
+    options.noteSignals({ way: "stage_release", address, sentAt }, signals);
   }
 
   return {
--- a/packages/stages/src/stage_client.ts
+++ b/packages/stages/src/stage_client.ts
@@ -9,7 +9,7 @@
  */
 import type { EndpointInfo, Failure } from "@mangoreach/coordination";
 import { createCallFailure, createFailure } from "@mangoreach/coordination";
-import type { CallIdentity } from "@mangoreach/endpoints";
+import type { CallIdentity, OnAnswer } from "@mangoreach/endpoints";
 import {
   createReplyFailure,
   echoSchema,
@@ -17,7 +17,7 @@
   formatEcho,
   isEchoOf,
 } from "@mangoreach/endpoints";
-import type { HttpHeaders } from "@mangoreach/shared";
+import type { Clock } from "@mangoreach/shared";
 import { createHttpClient, readReplyJson } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import * as z from "zod";
@@ -46,8 +46,8 @@
 
 /** Options of {@linkcode createStageClient}. */
 export interface StageClientOptions {
-  /** Told the headers of each answer, in which endpoints speak of themselves. */
-  onAnswer: (endpoint: EndpointInfo, headers: HttpHeaders) => void;
+  clock: Clock;
+  onAnswer: OnAnswer;
   /** Told when a result was dropped because its echo differs from the call. */
   onDropped: (call: CallIdentity) => void;
 }
@@ -63,7 +63,7 @@
 
 /** Creates the handle. */
 export function createStageClient(
-  { onAnswer, onDropped }: StageClientOptions,
+  { clock, onAnswer, onDropped }: StageClientOptions,
 ): StageClient {
   const http = createHttpClient();
 
@@ -71,6 +71,7 @@
     stageCall: StageCall,
   ): Promise<Result<StageReply, Failure>> {
     const { endpoint, input, causalTime, signal } = stageCall;
+    const sentAt = clock.now();
     const reply = await http.call({
       method: "POST",
       address: endpoint.address,
@@ -86,7 +87,7 @@
       return Result.err(createCallFailure(endpoint.id, reply.error));
     }
     const { headers, status } = reply.value;
-    onAnswer(endpoint, headers);
+    onAnswer({ endpoint, headers, sentAt });
     if (status !== OK) {
       return Result.err(createReplyFailure(endpoint.id, reply.value));
     }
--- a/packages/stages/src/stage_contract_test.ts
+++ b/packages/stages/src/stage_contract_test.ts
@@ -31,8 +31,9 @@
       times: { slots: 2, baseMs: 1, perThousandMs: 0 },
     });
     stages = createStageClient({
-      onAnswer: ({ id }, headers) => {
-        if (hasLeavingMark(headers)) leaving.push(id);
+      clock,
+      onAnswer: ({ endpoint, headers }) => {
+        if (hasLeavingMark(headers)) leaving.push(endpoint.id);
       },
       onDropped: () => dropped++,
     });
