fix(serving): a request whose caller left before it was read is not sent on

Cause: a request that waits to be read has its caller's close behind it, and Node reads a connection once a turn of its event loop; the request was served before the close was read. Change: once a request is whole, the event loop reads again before anything is decided.

--- a/packages/serving/src/caller_listener.ts
+++ b/packages/serving/src/caller_listener.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { setImmediate } from "node:timers/promises";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Failure, RequestLimits } from "@mangoreach/coordination";
 import { createFailure } from "@mangoreach/coordination";
@@ -49,6 +50,8 @@
 const MAX_CONNECTIONS = 3_000;
 /** A caller that comes back this soon finds another entry. */
 const RETRY_AFTER_STOPPING: Millis = 50;
+/** The first ends the turn that read the request, the next has read again. */
+const READ_TURNS = 2;
 /** A whole request may take this many times as long as its head. */
 const BODY_TIME_FACTOR = 4;
 
@@ -70,6 +73,7 @@
     const head = options.decodeHead(message);
     const { maxBodyBytes } = readLimits();
     const body = await readBody(message, maxBodyBytes);
+    if (await isLeftBehind(message)) return;
     const id = head.isOk ? head.value.id : undefined;
     if (body.kind === "cut") return;
     if (body.kind === "too_large") {
@@ -114,6 +118,16 @@
   return { server, applyLimits };
 }
 
+/**
+ * Whether the caller has left already. A request that waited to be read, on an
+ * instance short of processor, may have its caller's close behind it, so the
+ * event loop reads once more first.
+ */
+async function isLeftBehind({ socket }: IncomingMessage): Promise<boolean> {
+  for (let turn = 0; turn < READ_TURNS; turn++) await setImmediate();
+  return socket.readableEnded || socket.destroyed;
+}
+
 function failTooLarge(limit: number): Failure {
   return createFailure("too_large", {
     verdict: "not_run",
