--- a/packages/coordination/src/stage_pool_limit_test.ts
+++ b/packages/coordination/src/stage_pool_limit_test.ts
@@ -52,6 +52,53 @@
   at: Millis;
 }
 
+/** One entry's pool of these endpoints, with what it follows of their words. */
+function createEntryPool(
+  clock: FakeClock,
+  { entry, entries, endpoints, random }: {
+    entry: string;
+    entries: readonly string[];
+    endpoints: readonly EndpointInfo[];
+    random: () => number;
+  },
+) {
+  const { allowance, limits, pauses } = createEntryAllowance({
+    clock,
+    random,
+    entry,
+    listMembers: () => entries.map((name) => ({ entry: name }) as PeerRecord),
+    directory: { listUsable: () => [...endpoints] },
+    isFed: () => false,
+  });
+  const pool = createStagePool({
+    clock,
+    policy: {
+      choose: createLeastInFlightChoice(random),
+      hasLimits: true,
+      hasEjection: true,
+    },
+    estimateAttainment: () => 1,
+    onEjected: () => {},
+    allowance,
+    onPause: (endpoint, pause) =>
+      pauses.note(formatEndpointKey(endpoint), pause),
+  });
+  pool.refresh(endpoints);
+  return { pool, limits, pauses };
+}
+
+/** The pool of the only entry. */
+function createOnlyPool(clock: FakeClock, endpoints: readonly EndpointInfo[]) {
+  const entries = ["entry"];
+  const random = () => 0;
+  return createEntryPool(clock, {
+    entry: "entry",
+    entries,
+    endpoints,
+    random,
+  });
+}
+
 /** Each call of a limited endpoint names its limit in the answer. */
 async function replayPools({ entries, perSecond, limited, free }: Load) {
   const clock = createFakeClock(0);
@@ -68,29 +115,9 @@
   const arrivals: Arrival[] = [];
   let slowestRefusal: Millis = 0;
 
-  const all = names.map((entry) => {
-    const { allowance, limits } = createEntryAllowance({
-      clock,
-      random,
-      entry,
-      listMembers: () => names.map((name) => ({ entry: name }) as PeerRecord),
-      directory: { listUsable: () => endpoints },
-      isFed: () => false,
-    });
-    const pool = createStagePool({
-      clock,
-      policy: {
-        choose: createLeastInFlightChoice(random),
-        hasLimits: true,
-        hasEjection: true,
-      },
-      estimateAttainment: () => 1,
-      onEjected: () => {},
-      allowance,
-    });
-    pool.refresh(endpoints);
-    return { pool, limits };
-  });
+  const all = names.map((entry) =>
+    createEntryPool(clock, { entry, entries: names, endpoints, random })
+  );
 
   async function call(pool: StagePool, note: (info: EndpointInfo) => void) {
     const startedAt = clock.now();
@@ -146,40 +173,13 @@
   }
 });
 
-/** The pool of the only entry. */
-function createPausingPool(clock: FakeClock, endpoints: EndpointInfo[]) {
-  const { allowance, pauses } = createEntryAllowance({
-    clock,
-    random: () => 0,
-    entry: "entry",
-    listMembers: () => [{ entry: "entry" } as PeerRecord],
-    directory: { listUsable: () => endpoints },
-    isFed: () => false,
-  });
-  const pool = createStagePool({
-    clock,
-    policy: {
-      choose: createLeastInFlightChoice(() => 0),
-      hasLimits: true,
-      hasEjection: true,
-    },
-    estimateAttainment: () => 1,
-    onEjected: () => {},
-    allowance,
-    onPause: (endpoint, pause) =>
-      pauses.note(formatEndpointKey(endpoint), pause),
-  });
-  pool.refresh(endpoints);
-  return { pool, pauses };
-}
-
 describe("a pool with an endpoint that asks for a pause", () => {
   // It refuses at once, so it has the fewest calls in progress: it was chosen
   // again and again, and each call cost a second attempt.
   it("gets nothing until the pause is over", async () => {
     const clock = createFakeClock(0);
     const endpoints = [createEndpoint("paused"), createEndpoint("other")];
-    const { pool } = createPausingPool(clock, endpoints);
+    const { pool } = createOnlyPool(clock, endpoints);
     const seen: string[] = [];
     for (let at = 0; at < 2_000; at += 100) {
       const permit = await pool.acquire(createWork(clock));
@@ -199,26 +199,7 @@
   it("refuses at once with the shortest time that is left", async () => {
     const clock = createFakeClock(0);
     const endpoints = [createEndpoint("first"), createEndpoint("second")];
-    const { allowance, pauses } = createEntryAllowance({
-      clock,
-      random: () => 0,
-      entry: "entry",
-      listMembers: () => [{ entry: "entry" } as PeerRecord],
-      directory: { listUsable: () => endpoints },
-      isFed: () => false,
-    });
-    const pool = createStagePool({
-      clock,
-      policy: {
-        choose: createLeastInFlightChoice(() => 0),
-        hasLimits: true,
-        hasEjection: true,
-      },
-      estimateAttainment: () => 1,
-      onEjected: () => {},
-      allowance,
-    });
-    pool.refresh(endpoints);
+    const { pool, pauses } = createOnlyPool(clock, endpoints);
     pauses.note(formatEndpointKey(endpoints[0]!), 5_000);
     pauses.note(formatEndpointKey(endpoints[1]!), 3_000);
     const permit = await pool.acquire(createWork(clock));
