--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -136,8 +136,8 @@
   );
   // With nobody to run it, its stages would be made for nothing and its caller
   // would wait for a refusal.
-  const shortest = Math.max(0, ...durations);
-  if (readShortestWait(state, admitted.pool) > shortest) {
+  const stageTime = Math.max(0, ...durations);
+  if (readShortestWait(state, admitted.pool) > stageTime) {
     return Result.err(createFailure("unavailable", {
       verdict: "not_run",
       message: "no endpoint takes work",
--- a/soak/src/endpoint_words.ts
+++ b/soak/src/endpoint_signals.ts
@@ -6,7 +6,7 @@
  */
 
 /** What an endpoint says in its answers for a while. */
-export interface EndpointWords {
+export interface SoakSignals {
   /** Requests a second that it takes from all entries together. */
   limit?: number;
   isLeaving?: true;
@@ -21,7 +21,7 @@
   requestId: string;
   at: number;
   /** What the answer to it said. */
-  words: EndpointWords;
+  signals: SoakSignals;
   /** When the head of that answer was sent; undefined before. */
   answeredAt?: number;
 }
@@ -36,7 +36,7 @@
 }
 
 /** What else has to be known. */
-export interface WordContext {
+export interface SignalContext {
   /** The entry that took a request, and when its caller sent it. */
   requests: ReadonlyMap<string, { entry: string; sentAt: number }>;
   harmed: readonly HarmedSpan[];
@@ -57,9 +57,9 @@
 }
 
 /** Where entries did not keep to what endpoints had told them. */
-export function listIgnoredWords(
+export function listIgnoredSignals(
   arrivals: readonly SeenArrival[],
-  context: WordContext,
+  context: SignalContext,
 ): string[] {
   const judged = arrivals.flatMap((arrival) => {
     const request = context.requests.get(arrival.requestId);
@@ -78,7 +78,7 @@
 
 function isHarmed(
   entry: string,
-  { harmed }: WordContext,
+  { harmed }: SignalContext,
   { from, until, kinds }: {
     from: number;
     until: number;
@@ -98,7 +98,7 @@
   const stretches: JudgedArrival[][] = [];
   let isOpen = false;
   for (const arrival of list) {
-    const isLimited = arrival.words.limit !== undefined;
+    const isLimited = arrival.signals.limit !== undefined;
     if (isLimited && !isOpen) stretches.push([]);
     if (isLimited) stretches.at(-1)?.push(arrival);
     isOpen = isLimited;
@@ -108,11 +108,11 @@
 
 function listAboveLimit(
   list: readonly JudgedArrival[],
-  context: WordContext,
+  context: SignalContext,
 ): string[] {
   return listLimitedStretches(list).flatMap((stretch) => {
     const [first] = stretch;
-    const limit = first?.words.limit;
+    const limit = first?.signals.limit;
     if (first === undefined || limit === undefined) return [];
     const most = countMostTold(stretch, {
       from: first.at + SETTLE_MS,
@@ -127,7 +127,7 @@
 /** The most within a span from entries that had been told long enough. */
 function countMostTold(
   stretch: readonly JudgedArrival[],
-  { from, context }: { from: number; context: WordContext },
+  { from, context }: { from: number; context: SignalContext },
 ): number {
   const counted = stretch.filter(({ entry, at }) => {
     const told = stretch.find((other) =>
@@ -155,11 +155,11 @@
 
 function listAfterLeaving(
   list: readonly JudgedArrival[],
-  context: WordContext,
+  context: SignalContext,
 ): string[] {
   return list.flatMap(({ requestId, endpoint, entry, sentAt, at }) => {
     const told = list.find((other) =>
-      other.entry === entry && other.words.isLeaving === true &&
+      other.entry === entry && other.signals.isLeaving === true &&
       (other.answeredAt ?? Infinity) + DRAIN_MS < sentAt
     );
     const isExcused = told === undefined || isHarmed(entry, context, {
@@ -175,11 +175,11 @@
 
 function listInPause(
   list: readonly JudgedArrival[],
-  context: WordContext,
+  context: SignalContext,
 ): string[] {
-  return list.flatMap(({ endpoint, entry, answeredAt, words }) => {
-    if (words.pause === undefined || answeredAt === undefined) return [];
-    const until = answeredAt + words.pause;
+  return list.flatMap(({ endpoint, entry, answeredAt, signals }) => {
+    if (signals.pause === undefined || answeredAt === undefined) return [];
+    const until = answeredAt + signals.pause;
     const within = list.filter((other) =>
       other.entry === entry && other.at >= answeredAt + TOLD_MS &&
       other.at < until
--- a/soak/src/endpoint_words_site_test.ts
+++ b/soak/src/endpoint_signals_site_test.ts
@@ -3,7 +3,7 @@
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
-import { listIgnoredWords } from "./endpoint_words.ts";
+import { listIgnoredSignals } from "./endpoint_signals.ts";
 import type { SeenAnswer } from "./soak_callers.ts";
 import { createSoakCaller } from "./soak_callers.ts";
 import type { FaultKind } from "./soak_plan.ts";
@@ -19,7 +19,7 @@
 
 /** Real entries before an endpoint that says something, and nothing else. */
 async function runSite(kind: FaultKind) {
-  const folder = mkdtempSync(join(tmpdir(), "mangoreach-words-"));
+  const folder = mkdtempSync(join(tmpdir(), "mangoreach-signals-"));
   const site = await startSoakSite({ entryCount: ENTRIES, folder });
   const answers: SeenAnswer[] = [];
   const caller = createSoakCaller({
@@ -43,7 +43,7 @@
     answers.map(({ id, entry, sentAt }) => [id, { entry, sentAt }]),
   );
   const { arrivals, harmed } = site;
-  const ignored = listIgnoredWords(arrivals, { requests, harmed });
+  const ignored = listIgnoredSignals(arrivals, { requests, harmed });
   await caller.close();
   await site.stop();
   const served = answers.filter(({ status }) => status === 200).length;
--- a/soak/src/endpoint_words_test.ts
+++ b/soak/src/endpoint_signals_test.ts
@@ -1,15 +1,15 @@
 import { expect } from "chai";
 import type {
-  EndpointWords,
   HarmedSpan,
   SeenArrival,
-} from "./endpoint_words.ts";
-import { listIgnoredWords } from "./endpoint_words.ts";
+  SoakSignals,
+} from "./endpoint_signals.ts";
+import { listIgnoredSignals } from "./endpoint_signals.ts";
 
 /** Arrivals of one entry at one endpoint, so many milliseconds apart. */
 function createArrivals(
   count: number,
-  { gap, words }: { gap: number; words: (at: number) => EndpointWords },
+  { gap, signals }: { gap: number; signals: (at: number) => SoakSignals },
 ): SeenArrival[] {
   return Array.from({ length: count }, (_, index) => {
     const at = index * gap;
@@ -17,7 +17,7 @@
       endpoint: "e1",
       requestId: String(index),
       at,
-      words: words(at),
+      signals: signals(at),
       answeredAt: at + 10,
     };
   });
@@ -33,7 +33,7 @@
       { entry: "entry-1", sentAt: at },
     ]),
   );
-  return listIgnoredWords(arrivals, { requests, harmed }).length;
+  return listIgnoredSignals(arrivals, { requests, harmed }).length;
 }
 
 const HARM: HarmedSpan = {
@@ -43,12 +43,12 @@
   until: 60_000,
 };
 
-describe("words of the soak's endpoints", () => {
-  const limited = { gap: 50, words: () => ({ limit: 4 }) };
-  const leaving = { gap: 500, words: () => ({ isLeaving: true as const }) };
+describe("signals of the soak's endpoints", () => {
+  const limited = { gap: 50, signals: () => ({ limit: 4 }) };
+  const leaving = { gap: 500, signals: () => ({ isLeaving: true as const }) };
   const paused = {
     gap: 200,
-    words: (at: number) => at === 0 ? { pause: 1_500 } : {},
+    signals: (at: number) => at === 0 ? { pause: 1_500 } : {},
   };
   const CASES = [
     { name: "20 a second, 4 named", arrivals: createArrivals(200, limited) },
--- a/soak/src/endpoint_slot.ts
+++ b/soak/src/endpoint_slot.ts
@@ -6,7 +6,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { formatEndpointKey } from "@mangoreach/coordination";
 import { TOPIC } from "../../platform/src/wire_names.ts";
-import type { EndpointWords, SeenArrival } from "./endpoint_words.ts";
+import type { SeenArrival, SoakSignals } from "./endpoint_signals.ts";
 import type { FaultProxy } from "./fault_proxy.ts";
 import { startFaultProxy } from "./fault_proxy.ts";
 import type { KeyedStore } from "./keyed_store.ts";
@@ -36,7 +36,7 @@
   /** Announces that it leaves; another takes its place after that. */
   leave(): Promise<void>;
   /** Says so in its answers for a while; the store hears nothing of it. */
-  say(words: EndpointWords, duration: number): Promise<void>;
+  say(signals: SoakSignals, duration: number): Promise<void>;
   /** Says in its answers that it leaves, and goes after a while. */
   sayLeaving(duration: number): Promise<void>;
   /** Announces that it is cold; returns when it is warm again. */
@@ -75,7 +75,7 @@
   let state = "ready";
   let startedAt = Date.now();
   let coldUntil = 0;
-  let words: EndpointWords = {};
+  let signals: SoakSignals = {};
   const start = (): Promise<SoakEndpoint> => {
     startedAt = Date.now();
     const id = `i-${pool}-${index}-${idNumber}`;
@@ -84,7 +84,7 @@
       : startServingEndpoint(id, {
         ...logs,
         startedAt,
-        readWords: () => words,
+        readSignals: () => signals,
       });
   };
   let endpoint = await start();
@@ -138,14 +138,14 @@
       await startAgain();
     },
     async say(said, duration) {
-      words = { ...words, ...said };
+      signals = { ...signals, ...said };
       await sleep(duration);
-      words = {};
+      signals = {};
     },
     async sayLeaving(duration) {
-      words = { ...words, isLeaving: true };
+      signals = { ...signals, isLeaving: true };
       await sleep(duration);
-      words = {};
+      signals = {};
       endpoint.close();
       await startNext();
     },
--- a/soak/src/soak_endpoints.ts
+++ b/soak/src/soak_endpoints.ts
@@ -9,7 +9,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { formatEndpointKey } from "@mangoreach/coordination";
 import { HEADER, PATH } from "../../platform/src/wire_names.ts";
-import type { EndpointWords, SeenArrival } from "./endpoint_words.ts";
+import type { SeenArrival, SoakSignals } from "./endpoint_signals.ts";
 import type { SoakAnswer, SoakServer } from "./soak_server.ts";
 import { readWholeBody, startSoakServer } from "./soak_server.ts";
 
@@ -53,12 +53,12 @@
   /** Takes all that reaches the endpoint itself, run or not. */
   arrivals: SeenArrival[];
   /** What it says now of the work that it takes. */
-  readWords: () => EndpointWords;
+  readSignals: () => SoakSignals;
 }
 
-function writeWords(
+function writeSignals(
   response: ServerResponse,
-  { limit, isLeaving, pause }: EndpointWords,
+  { limit, isLeaving, pause }: SoakSignals,
 ): void {
   if (limit !== undefined) response.setHeader(HEADER.rateLimit, String(limit));
   if (isLeaving) response.setHeader(HEADER.leaving, "1");
@@ -70,7 +70,7 @@
 /** Starts an endpoint that answers requests and streams. */
 export async function startServingEndpoint(
   id: string,
-  { startedAt, runs, arrivals, readWords }: ServingEndpointOptions,
+  { startedAt, runs, arrivals, readSignals }: ServingEndpointOptions,
 ): Promise<SoakEndpoint> {
   const endpoint = formatEndpointKey({ id, incarnation: String(startedAt) });
 
@@ -84,11 +84,16 @@
     if (readHeader(request, HEADER.targetInstance) !== id) {
       return void response.writeHead(421, { [HEADER.notRun]: "1" }).end();
     }
-    const words = readWords();
-    const arrival: SeenArrival = { endpoint, requestId, at: Date.now(), words };
+    const signals = readSignals();
+    const arrival: SeenArrival = {
+      endpoint,
+      requestId,
+      at: Date.now(),
+      signals,
+    };
     arrivals.push(arrival);
-    writeWords(response, words);
-    if (words.pause !== undefined) {
+    writeSignals(response, signals);
+    if (signals.pause !== undefined) {
       arrival.answeredAt = Date.now();
       return void response.writeHead(503, { [HEADER.notRun]: "1" }).end();
     }
--- a/soak/src/soak_plan.ts
+++ b/soak/src/soak_plan.ts
@@ -78,19 +78,19 @@
   "endpoint_cold",
 ];
 /** Planned apart once more. */
-const WORD_KINDS: readonly FaultKind[] = [
+const SIGNAL_KINDS: readonly FaultKind[] = [
   "endpoint_limited",
   "endpoint_paused",
   "endpoint_says_leaving",
 ];
 const LATER_SEED_OFFSET = 1_000_003;
 const NEWEST_SEED_OFFSET = 2_000_003;
-const WORD_SEED_OFFSET = 3_000_003;
+const SIGNAL_SEED_OFFSET = 3_000_003;
 /** Faults come in series: about one each half second, so that they overlap. */
 const MEAN_GAP = 500;
 const LATER_MEAN_GAP = 1_500;
 const NEWEST_MEAN_GAP = 2_000;
-const WORD_MEAN_GAP = 1_500;
+const SIGNAL_MEAN_GAP = 1_500;
 const SHORTEST = 200;
 const LONGEST = 1_800;
 /** Kinds that must not happen twice: there is one key and one spare endpoint. */
@@ -122,12 +122,12 @@
     length,
     meanGap: NEWEST_MEAN_GAP,
   });
-  const words = kinds !== "all" ? [] : planKinds(WORD_KINDS, {
-    seed: seed + WORD_SEED_OFFSET,
+  const signals = kinds !== "all" ? [] : planKinds(SIGNAL_KINDS, {
+    seed: seed + SIGNAL_SEED_OFFSET,
     length,
-    meanGap: WORD_MEAN_GAP,
+    meanGap: SIGNAL_MEAN_GAP,
   });
-  return [...first, ...later, ...newest, ...words]
+  return [...first, ...later, ...newest, ...signals]
     .sort((a, b) => a.at - b.at);
 }
 
--- a/soak/src/soak_run.ts
+++ b/soak/src/soak_run.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import { listIgnoredWords } from "./endpoint_words.ts";
+import { listIgnoredSignals } from "./endpoint_signals.ts";
 import { listBroken } from "./promises.ts";
 import type { RequestKind, SeenAnswer } from "./soak_callers.ts";
 import { CALL_TIME_MS, createSoakCaller } from "./soak_callers.ts";
@@ -82,7 +82,7 @@
     answers.map(({ id, entry, sentAt }) => [id, { entry, sentAt }]),
   );
   const { arrivals, harmed } = site;
-  broken.push(...listIgnoredWords(arrivals, { requests, harmed }));
+  broken.push(...listIgnoredSignals(arrivals, { requests, harmed }));
   await caller.close();
   await site.stop();
   const served = answers.filter(({ status }) => status === 200).length;
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -12,7 +12,7 @@
 } from "../../platform/src/wire_names.ts";
 import type { EndpointSlot } from "./endpoint_slot.ts";
 import { FAR_PLACE, startEndpoints } from "./endpoint_slot.ts";
-import type { HarmedSpan, SeenArrival } from "./endpoint_words.ts";
+import type { HarmedSpan, SeenArrival } from "./endpoint_signals.ts";
 import type { FaultProxy, ProxyMode } from "./fault_proxy.ts";
 import type { KeyedStore, StoreMode } from "./keyed_store.ts";
 import { startKeyedStore } from "./keyed_store.ts";
