--- a/packages/coordination/src/endpoint_directory.ts
+++ b/packages/coordination/src/endpoint_directory.ts
@@ -11,6 +11,7 @@
  * @module
  */
 import type { Clock, Millis } from "@mangoreach/shared";
+import { putBounded } from "@mangoreach/shared";
 import type { EndpointInfo } from "./endpoint.ts";
 import { formatEndpointKey } from "./endpoint.ts";
 
@@ -95,16 +96,10 @@
     if (known !== undefined && !isSaid && known.markedAt >= markedAt) {
       return false;
     }
-    putMark(endpointKey, { markedAt, isSaid });
+    putBounded(marks, [endpointKey, { markedAt, isSaid }], MAX_MARKS);
     return known === undefined;
   }
 
-  function putMark(endpointKey: string, mark: Mark): void {
-    marks.set(endpointKey, mark);
-    const [oldest] = marks.keys();
-    if (marks.size > MAX_MARKS && oldest !== undefined) marks.delete(oldest);
-  }
-
   function chooseMarks(limit: number): LeavingMark[] {
     const now = clock.now();
     return [...marks]
--- a/packages/coordination/src/endpoint_limits.ts
+++ b/packages/coordination/src/endpoint_limits.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import type { Clock, Millis } from "@mangoreach/shared";
+import { putBounded } from "@mangoreach/shared";
 import { drawSome } from "./draw.ts";
 
 /** What an endpoint said last of its limit, as told to other entries. */
@@ -76,9 +77,7 @@
   function put(endpointKey: string, word: Word): void {
     // Kept in the order in which they were heard, so the first is the oldest.
     words.delete(endpointKey);
-    words.set(endpointKey, word);
-    const [oldest] = words.keys();
-    if (words.size > MAX_KNOWN && oldest !== undefined) words.delete(oldest);
+    putBounded(words, [endpointKey, word], MAX_KNOWN);
   }
 
   function readStanding(endpointKey: string): Word | undefined {
--- a/packages/coordination/src/endpoint_pauses.ts
+++ b/packages/coordination/src/endpoint_pauses.ts
@@ -9,6 +9,7 @@
  * @module
  */
 import type { Clock, Millis } from "@mangoreach/shared";
+import { putBounded } from "@mangoreach/shared";
 
 /** What is left of pauses. */
 export interface EndpointPauses {
@@ -38,9 +39,7 @@
   function note(endpointKey: string, pause: Millis): void {
     const longest = Math.max(pause, readLeft(endpointKey));
     until.delete(endpointKey);
-    until.set(endpointKey, clock.now() + longest);
-    const [oldest] = until.keys();
-    if (until.size > MAX_KNOWN && oldest !== undefined) until.delete(oldest);
+    putBounded(until, [endpointKey, clock.now() + longest], MAX_KNOWN);
   }
 
   return { note, readLeft, isEmpty: () => until.size === 0 };
--- a/packages/coordination/src/sender_rank.ts
+++ b/packages/coordination/src/sender_rank.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Clock, Millis } from "@mangoreach/shared";
+import { putBounded } from "@mangoreach/shared";
 import type { EndpointInfo } from "./endpoint.ts";
 import { formatEndpointKey } from "./endpoint.ts";
 import { listByRendezvous } from "./rendezvous.ts";
@@ -52,12 +53,8 @@
     if (present !== undefined && now - present.rankedAt < RANK_LIFETIME) {
       return present.rank;
     }
-    const [oldest] = known.keys();
-    if (present === undefined && known.size >= MAX_KNOWN) {
-      known.delete(oldest!);
-    }
     const rank = computeRank(endpoint);
-    known.set(key, { rank, rankedAt: now });
+    putBounded(known, [key, { rank, rankedAt: now }], MAX_KNOWN);
     return rank;
   };
 }
--- a/packages/coordination/src/token_buckets.ts
+++ b/packages/coordination/src/token_buckets.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Clock, Millis } from "@mangoreach/shared";
+import { putBounded } from "@mangoreach/shared";
 
 /** How a bucket fills. */
 export interface BucketRate {
@@ -54,11 +55,7 @@
   }
 
   function addBucket(key: string, bucket: Bucket): Bucket {
-    const [oldest] = buckets.keys();
-    if (buckets.size >= MAX_BUCKETS && oldest !== undefined) {
-      buckets.delete(oldest);
-    }
-    buckets.set(key, bucket);
+    putBounded(buckets, [key, bucket], MAX_BUCKETS);
     return bucket;
   }
 
