refactor(serving): endpoints at an address come from the index that places use

The change copied and searched all endpoints of the site for each released result and each answer to a release; what is known of the site had an index by address already, of places. It holds endpoints now and serves both.

--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -256,8 +256,7 @@
       readRate: (pool) => readTable()?.findPool(pool)?.coldRate ?? 0,
     }),
   });
-  const listAt = (address: string) =>
-    directory.listAll().filter((endpoint) => endpoint.address === address);
+  const { listAt } = knowledge;
   const noteSignals = createSignalNotes({
     log,
     metrics,
--- a/packages/serving/src/site_knowledge.ts
+++ b/packages/serving/src/site_knowledge.ts
@@ -81,6 +81,8 @@
   noteUnreachable(endpoint: EndpointInfo): void;
   /** The place of the endpoint at an address. */
   findPlace(address: string): string | undefined;
+  /** All endpoints that may be listening at an address. */
+  listAt(address: string): readonly EndpointInfo[];
   /** Passes topics on to other entries. */
   readonly relays: Readonly<Record<TopicName, TopicRelay>>;
   /** How the configuration is read just now. */
@@ -116,8 +118,8 @@
   let published: string | undefined;
   let isEndpointsKnown = false;
   let isMembersKnown = false;
-  /** The place by the endpoint's address. */
-  let places: ReadonlyMap<string, string> = new Map();
+  /** Endpoints by their address, which may become another's. */
+  let byAddress: ReadonlyMap<string, readonly EndpointInfo[]> = new Map();
   /** Keys whose records could not be read. */
   const unreadable = new Set<string>();
   const configAge = createKnowledgeAge({ clock, readWallTime });
@@ -187,7 +189,7 @@
     clock,
     returnGrace: RETURN_GRACE,
     onChange(endpoints) {
-      places = new Map(endpoints.map(({ address, place }) => [address, place]));
+      byAddress = groupByAddress(endpoints);
       directory.replaceAll(endpoints);
       metrics.setKnown("endpoints", endpoints.length);
       onEndpoints();
@@ -380,6 +382,10 @@
     ));
   }
 
+  function listAt(address: string): readonly EndpointInfo[] {
+    return byAddress.get(address) ?? [];
+  }
+
   return {
     readTable: () => table,
     readPublished: () => published,
@@ -390,7 +396,8 @@
       cold.isCold(endpoint) || evacuation.isReturning(endpoint.place),
     readEndpointAge: endpointAge.read,
     noteUnreachable: cold.noteUnreachable,
-    findPlace: (address) => places.get(address),
+    findPlace: (address) => listAt(address).at(-1)?.place,
+    listAt,
     relays,
     describeConfigReading: () => readings.config.describe(),
     hasEndpoints: () => isEndpointsKnown,
@@ -398,3 +405,15 @@
     follow,
   };
 }
+
+function groupByAddress(
+  endpoints: readonly EndpointInfo[],
+): Map<string, EndpointInfo[]> {
+  const groups = new Map<string, EndpointInfo[]>();
+  for (const endpoint of endpoints) {
+    const present = groups.get(endpoint.address);
+    if (present === undefined) groups.set(endpoint.address, [endpoint]);
+    else present.push(endpoint);
+  }
+  return groups;
+}
