--- a/packages/coordination/src/send_allowance.ts
+++ b/packages/coordination/src/send_allowance.ts
@@ -22,6 +22,8 @@
    * now, `Infinity` for none while it says so.
    */
   readWait(endpoint: EndpointInfo): Millis;
+  /** The shortest of these endpoints' waits; `Infinity` without any. */
+  readShortestWait(endpoints: readonly EndpointInfo[]): Millis;
   /** Whether an endpoint has asked to be sent less, or nothing for a while. */
   isHeldBack(endpoint: EndpointInfo): boolean;
   /** Whether it is time to hear whether the endpoint's limit stands. */
@@ -55,6 +57,8 @@
       limited.begin(endpoint);
     },
     readWait,
+    readShortestWait: (endpoints) =>
+      Math.min(Infinity, ...endpoints.map(readWait)),
     isHeldBack: (endpoint) =>
       readPause(endpoint) > 0 || !limits.isEmpty() &&
         limits.find(formatEndpointKey(endpoint)) !== undefined,
--- a/packages/coordination/src/stage_pool.ts
+++ b/packages/coordination/src/stage_pool.ts
@@ -74,7 +74,7 @@
   /** Told when an endpoint is taken out of use. */
   onEjected: (endpoint: EndpointInfo, cause: string) => void;
   /** What may be sent to endpoints that ask for less; all if left out. */
-  allowance?: Pick<SendAllowance, "mayBegin" | "begin" | "readWait">;
+  allowance?: Pick<SendAllowance, "mayBegin" | "begin" | "readShortestWait">;
   /** Told when an endpoint wants nothing for a while. */
   onPause?: (endpoint: EndpointInfo, pause: Millis) => void;
 }
@@ -388,11 +388,8 @@
 
   /** Time until some endpoint takes a call by its own word. */
   function readShortestWait(): Millis {
-    if (allowance === undefined) return 0;
-    const waits = [...slots.values()].map(({ info }) =>
-      allowance.readWait(info)
-    );
-    return Math.min(Infinity, ...waits);
+    const endpoints = [...slots.values()].map(({ info }) => info);
+    return allowance?.readShortestWait(endpoints) ?? 0;
   }
 
   /** How long work may wait and still be done. */
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -121,8 +121,7 @@
   >,
   pool: string,
 ): Millis {
-  const waits = directory.listUsable(pool).map(sendAllowance.readWait);
-  return Math.min(Infinity, ...waits);
+  return sendAllowance.readShortestWait(directory.listUsable(pool));
 }
 
 /** A place away costs as much as this many requests in progress. */
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -268,6 +268,7 @@
     mayBegin: () => true,
     begin: () => {},
     readWait: () => 0,
+    readShortestWait: (endpoints) => endpoints.length === 0 ? Infinity : 0,
     isHeldBack: () => false,
     isAskDue: () => false,
   };
