--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -245,14 +245,8 @@
   });
   stopRelease();
   if (answer.isOk) {
-    const isOther = answer.value.kind === "not_run" &&
-      answer.value.reason === "other_instance";
-    state.noteSignals({
-      way: "request",
-      address: endpoint.address,
-      sentAt: startedAt,
-      ...(isOther ? {} : { endpoint }),
-    }, answer.value.signals);
+    const source = { way: "request", to: endpoint, sentAt: startedAt } as const;
+    state.noteSignals(source, answer.value);
   }
   let latency: Millis | undefined;
   const recordLatency = () => {
--- a/packages/serving/src/endpoint_signals.ts
+++ b/packages/serving/src/endpoint_signals.ts
@@ -14,25 +14,31 @@
 import { formatEndpointKey } from "@mangoreach/coordination";
 import type { Millis } from "@mangoreach/shared";
 import type { DecisionFields, DecisionLog } from "./decision_log.ts";
+import type { Signalled } from "./serving_handles.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 
 /** The way on which an answer came. */
 export type SignalWay = "request" | "stage_call" | "stage_release";
 
-/** Whose answer it was. */
+/** What was answered. */
 export interface SignalSource {
   way: SignalWay;
-  address: string;
-  /** When the request was sent: its answer is no older. */
+  /** Whom it was sent to; an address where no more is known. */
+  to: EndpointInfo | string;
+  /** When it was sent: its answer is no older. */
   sentAt: Millis;
-  /** Missing where only the address is known. */
-  endpoint?: EndpointInfo;
+}
+
+/** An answer as far as it tells whose it is. */
+export interface SignalledAnswer extends Signalled {
+  kind?: string;
+  reason?: string;
 }
 
 /** Takes the signals of an answer. */
 export type NoteSignals = (
   source: SignalSource,
-  signals: EndpointSignals | undefined,
+  answer: SignalledAnswer,
 ) => void;
 
 /** Options of {@linkcode createSignalNotes}. */
@@ -105,11 +111,21 @@
     if (pause !== undefined) notePause(from, pause);
   }
 
-  return ({ way, address, sentAt, endpoint }, signals) => {
+  /** An instance that was not meant has taken over the address. */
+  function listSpeakers(
+    to: EndpointInfo | string,
+    { kind, reason }: SignalledAnswer,
+  ): readonly EndpointInfo[] {
+    if (typeof to === "string") return listAt(to);
+    const isOther = kind === "not_run" && reason === "other_instance";
+    return isOther ? listAt(to.address) : [to];
+  }
+
+  return ({ way, to, sentAt }, answer) => {
+    const { signals } = answer;
     if (signals === undefined) return;
-    const endpoints = endpoint === undefined ? listAt(address) : [endpoint];
-    endpoints.forEach((one) =>
-      noteOne({ endpoint: one, way, sentAt }, signals)
+    listSpeakers(to, answer).forEach((endpoint) =>
+      noteOne({ endpoint, way, sentAt }, signals)
     );
   };
 }
--- a/packages/serving/src/serving_handles.ts
+++ b/packages/serving/src/serving_handles.ts
@@ -131,7 +131,7 @@
   release(
     address: string,
     results: readonly string[],
-  ): Promise<EndpointSignals | undefined>;
+  ): Promise<Signalled>;
   /** The address of the endpoint that holds a result. */
   readMaker(result: string): string;
 }
--- a/packages/serving/src/stage_feeder.ts
+++ b/packages/serving/src/stage_feeder.ts
@@ -274,14 +274,12 @@
       }
       pieces.forEach((piece) => tryAgain(piece, info, "unavailable"));
     } else {
-      const isOther = reply.value.kind === "not_run" &&
-        reply.value.reason === "other_instance";
-      options.noteSignals({
+      const source = {
         way: "stage_call",
-        address: info.address,
+        to: info,
         sentAt: startedAt,
-        ...(isOther ? {} : { endpoint: info }),
-      }, reply.value.signals);
+      } as const;
+      options.noteSignals(source, reply.value);
       takeReply(maker, {
         pieces,
         reply: reply.value,
@@ -445,8 +443,8 @@
     results: readonly string[],
   ): Promise<void> {
     const sentAt = clock.now();
-    const signals = await stages.release(address, results);
-    options.noteSignals({ way: "stage_release", address, sentAt }, signals);
+    const answer = await stages.release(address, results);
+    options.noteSignals({ way: "stage_release", to: address, sentAt }, answer);
   }
 
   return {
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -195,7 +195,7 @@
       }),
     release: (_address, results) => {
       released.push(...results);
-      return Promise.resolve(undefined);
+      return Promise.resolve({});
     },
     readMaker: (result) => result.split("/")[0] ?? "",
   };
