--- a/packages/serving/src/site_knowledge.ts
+++ b/packages/serving/src/site_knowledge.ts
@@ -189,7 +189,7 @@
     clock,
     returnGrace: RETURN_GRACE,
     onChange(endpoints) {
-      byAddress = groupByAddress(endpoints);
+      byAddress = createAddressIndex(endpoints);
       directory.replaceAll(endpoints);
       metrics.setKnown("endpoints", endpoints.length);
       onEndpoints();
@@ -406,7 +406,7 @@
   };
 }
 
-function groupByAddress(
+function createAddressIndex(
   endpoints: readonly EndpointInfo[],
 ): Map<string, EndpointInfo[]> {
   const groups = new Map<string, EndpointInfo[]>();
