--- a/packages/endpoints/src/endpoint_protocol.ts
+++ b/packages/endpoints/src/endpoint_protocol.ts
@@ -11,7 +11,7 @@
 import type { EndpointInfo, Failure } from "@mangoreach/coordination";
 import { createFailure } from "@mangoreach/coordination";
 import type { HttpHeaders, HttpReply, Millis } from "@mangoreach/shared";
-import { readReplyJson } from "@mangoreach/shared";
+import { parseAmount, readReplyJson } from "@mangoreach/shared";
 import * as z from "zod";
 
 /** Names of the headers, lower case. */
@@ -91,9 +91,7 @@
 /** The limit that an answer names, in requests a second. */
 export function readRateLimit(headers: HttpHeaders): number | undefined {
   const text = headers[ENDPOINT_HEADERS.rateLimit];
-  if (typeof text !== "string" || text.trim() === "") return undefined;
-  const rate = Number(text);
-  return Number.isFinite(rate) && rate >= 0 ? rate : undefined;
+  return typeof text === "string" ? parseAmount(text) : undefined;
 }
 
 /** Turns an answer other than success into a failure with its verdict. */
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export { parseAmount } from "./amount.ts";
 export { putBounded } from "./bounded_map.ts";
 export type { CancelTimer, Clock, Millis } from "./clock.ts";
 export { createSystemClock } from "./clock.ts";
