--- a/packages/serving/src/leaving_endpoint_test.ts
+++ b/packages/serving/src/leaving_endpoint_test.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@mangoreach/shared";
 import { expect } from "chai";
 import type { FleetArrival, FleetLoad } from "./signalling_fleet.ts";
-import { runSignallingFleet } from "./signalling_fleet.ts";
+import { createSignals, runSignallingFleet } from "./signalling_fleet.ts";
 
 const SECOND: Millis = 1_000;
 /** What a caller sends later than this after the word goes elsewhere. */
@@ -31,8 +31,9 @@
       const { arrivals } = await runSignallingFleet({
         ...load,
         duration,
-        readSignals: (endpoint, now) =>
-          endpoint === 0 && now >= LEAVES_AT ? { isLeaving: true } : {},
+        readSignals: createSignals({ count: 1, from: LEAVES_AT }, {
+          isLeaving: true,
+        }),
       });
       late[name] = countLate(arrivals);
     }
--- a/packages/serving/src/limited_endpoint_test.ts
+++ b/packages/serving/src/limited_endpoint_test.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@mangoreach/shared";
 import { expect } from "chai";
 import type { FleetArrival, FleetLoad } from "./signalling_fleet.ts";
-import { runSignallingFleet } from "./signalling_fleet.ts";
+import { createSignals, runSignallingFleet } from "./signalling_fleet.ts";
 
 const SECOND: Millis = 1_000;
 /** The span of which an endpoint counts its requests. */
@@ -37,6 +37,7 @@
 describe("an endpoint that names a limit", () => {
   const NAMED_AT = 5 * SECOND;
   const LIFTED_AT = 25 * SECOND;
+  const NAMED = { from: NAMED_AT, until: LIFTED_AT };
   const duration = 40 * SECOND;
 
   interface Case {
@@ -103,10 +104,9 @@
     const { arrivals } = await runSignallingFleet({
       ...load,
       duration,
-      readSignals: (endpoint, now) =>
-        endpoint < limited && now >= NAMED_AT && now < LIFTED_AT
-          ? { rateLimit: limit }
-          : {},
+      readSignals: createSignals({ ...NAMED, count: limited }, {
+        rateLimit: limit,
+      }),
     });
     const most = countMost(arrivals, {
       from: NAMED_AT + SETTLE,
@@ -133,8 +133,7 @@
       endpoints: 6,
       perSecond: 66,
       duration,
-      readSignals: (_, now) =>
-        now >= NAMED_AT && now < LIFTED_AT ? { rateLimit: 1 } : {},
+      readSignals: createSignals({ ...NAMED, count: 6 }, { rateLimit: 1 }),
     });
     const late = arrivals.filter(({ at }) => at >= LIFTED_AT + 5 * SECOND);
     const perSecond = late.length * SECOND /
@@ -148,7 +147,9 @@
       endpoints: 4,
       perSecond: 12,
       duration,
-      readSignals: (_, now) => now >= NAMED_AT ? { rateLimit: 1 } : {},
+      readSignals: createSignals({ count: 4, from: NAMED_AT }, {
+        rateLimit: 1,
+      }),
     });
     expect(Math.max(...refusals.map(({ took }) => took))).to.equal(0);
     expect(served / sent).to.be.within(0.3, 0.6);
--- a/packages/serving/src/paused_endpoint_test.ts
+++ b/packages/serving/src/paused_endpoint_test.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@mangoreach/shared";
 import { expect } from "chai";
 import type { FleetArrival, FleetLoad } from "./signalling_fleet.ts";
-import { runSignallingFleet } from "./signalling_fleet.ts";
+import { createSignals, runSignallingFleet } from "./signalling_fleet.ts";
 
 const SECOND: Millis = 1_000;
 const PAUSE = 3 * SECOND;
@@ -11,6 +11,7 @@
 const ALLOWED = 2;
 const SHEDS_FROM = 5 * SECOND;
 const SHEDS_UNTIL = 20 * SECOND;
+const SHEDS = { from: SHEDS_FROM, until: SHEDS_UNTIL };
 const duration = 25 * SECOND;
 
 /** The most that one entry sent an endpoint within a pause it had asked for. */
@@ -65,10 +66,9 @@
       const { arrivals } = await runSignallingFleet({
         ...load,
         duration,
-        readSignals: (endpoint, now) =>
-          endpoint < paused && now >= SHEDS_FROM && now < SHEDS_UNTIL
-            ? { pause: PAUSE }
-            : {},
+        readSignals: createSignals({ ...SHEDS, count: paused }, {
+          pause: PAUSE,
+        }),
       });
       const most = countMost(arrivals);
       found[name] = most <= ALLOWED ? "kept" : `${most} requests in a pause`;
@@ -84,10 +84,7 @@
       endpoints: 4,
       perSecond: 30,
       duration,
-      readSignals: (endpoint, now) =>
-        endpoint === 0 && now >= SHEDS_FROM && now < SHEDS_UNTIL
-          ? { pause: PAUSE }
-          : {},
+      readSignals: createSignals({ ...SHEDS, count: 1 }, { pause: PAUSE }),
     });
     const after = arrivals.filter(({ at }) => at >= SHEDS_UNTIL + PAUSE);
     const share = after.filter(({ endpoint }) => endpoint === 0).length /
@@ -102,8 +99,7 @@
       endpoints: 4,
       perSecond: 30,
       duration,
-      readSignals: (_, now) =>
-        now >= SHEDS_FROM && now < SHEDS_UNTIL ? { pause: PAUSE } : {},
+      readSignals: createSignals({ ...SHEDS, count: 4 }, { pause: PAUSE }),
     });
     const within = refusals.filter(({ at }) =>
       at >= SHEDS_FROM + SECOND && at < SHEDS_UNTIL
--- a/packages/serving/src/signalling_fleet.ts
+++ b/packages/serving/src/signalling_fleet.ts
@@ -84,6 +84,14 @@
   retryAfter: Millis;
 }
 
+/** Endpoints that speak, the first `count` of them, for a while. */
+export interface SignalPlan {
+  count: number;
+  from: Millis;
+  /** They speak to the end if it is left out. */
+  until?: Millis;
+}
+
 const STEP: Millis = 10;
 const MILLIS_PER_SECOND = 1_000;
 const WORK_TIME: Millis = 60;
@@ -94,6 +102,15 @@
 /** What one message carries of limits. */
 const MAX_NEWS = 16;
 
+/** Lets the first endpoints say the same in each answer for a while. */
+export function createSignals(
+  { count, from, until = Infinity }: SignalPlan,
+  signals: EndpointSignals,
+): FleetLoad["readSignals"] {
+  return (endpoint, now) =>
+    endpoint < count && now >= from && now < until ? signals : {};
+}
+
 /** Runs a load to its end. */
 export async function runSignallingFleet(
   load: FleetLoad,
