--- a/packages/serving/src/caller_listener.ts
+++ b/packages/serving/src/caller_listener.ts
@@ -73,9 +73,8 @@
     const head = options.decodeHead(message);
     const { maxBodyBytes } = readLimits();
     const body = await readBody(message, maxBodyBytes);
-    if (await isLeftBehind(message)) return;
+    if (body.kind === "cut" || await isLeftBehind(message)) return;
     const id = head.isOk ? head.value.id : undefined;
-    if (body.kind === "cut") return;
     if (body.kind === "too_large") {
       return refuse(response, failTooLarge(maxBodyBytes), id);
     }
