build(platform): leave out library parts that the program never uses

Cause: a start takes some 0.2 s of processor time, half of it for loading the bundle, in which prom-client's push gateway and cluster support, pino's worker transport and undici's HTTP/2 client load TLS, HTTP/2 and cluster of Node.js.

--- a/scripts/build_platform.ts
+++ b/scripts/build_platform.ts
@@ -10,6 +10,7 @@
 import { build } from "esbuild";
 import { BUNDLE_OPTIONS } from "./bundle_options.ts";
 import { undiciParts } from "./undici_parts.ts";
+import { unusedParts } from "./unused_parts.ts";
 
 const NAME = "target/mangoreach-platform";
 const BUNDLE = `${NAME}.bundle.cjs`;
@@ -35,7 +36,7 @@
   outfile: BUNDLE,
   minifySyntax: true,
   sourcemap: false,
-  plugins: [undiciParts],
+  plugins: [undiciParts, unusedParts],
 });
 copyFileSync("scripts/launcher.cjs", `${NAME}.cjs`);
 const compiled = spawnSync(
