--- a/packages/coordination/src/endpoint.ts
+++ b/packages/coordination/src/endpoint.ts
@@ -30,6 +30,11 @@
   queued: number;
   /** How many requests the endpoint works on concurrently. */
   slots: number;
+  /**
+   * How long work takes on the endpoint's machine at that moment, relative to
+   * the usual time; missing if the endpoint does not report it.
+   */
+  workFactor?: number;
   /** When the endpoint took the reading, by the reader's clock. */
   takenAt: Millis;
 }
--- a/packages/serving/src/decision_log.ts
+++ b/packages/serving/src/decision_log.ts
@@ -22,6 +22,7 @@
   | "config_in_force"
   | "config_rejected"
   | "endpoint_changed"
+  | "load_report_unread"
   | "place_changed"
   | "peer_changed"
   | "dependency_lost"
--- a/packages/serving/src/endpoint_signals.ts
+++ b/packages/serving/src/endpoint_signals.ts
@@ -1,6 +1,7 @@
 /**
  * Handles back-pressure signals in endpoints' answers to requests and stage
- * calls: a rate limit, leaving, or a pause. Each change is logged and counted.
+ * calls: a rate limit, leaving, or a pause. Each change is logged and counted,
+ * and so are load reports of which a part could not be read.
  *
  * @module
  */
@@ -44,7 +45,7 @@
 /** Options of {@linkcode createSignalHandler}. */
 export interface SignalHandlerOptions {
   log: DecisionLog;
-  metrics: Pick<ServingMetrics, "countSignal">;
+  metrics: Pick<ServingMetrics, "countSignal" | "countUnreadLoad">;
   limits: Pick<EndpointLimits, "record" | "find">;
   directory: Pick<EndpointDirectory, "markLeaving">;
   pauses: Pick<EndpointPauses, "record">;
@@ -52,6 +53,11 @@
   listAt: (address: string) => readonly EndpointInfo[];
 }
 
+/**
+ * Maximum number of endpoints whose unread load report is remembered as logged.
+ */
+const MAX_LOGGED_ENDPOINTS = 4_096;
+
 interface SignalOrigin {
   endpoint: EndpointInfo;
   way: CallKind;
@@ -62,6 +68,30 @@
 export function createSignalHandler(
   { log, metrics, limits, directory, pauses, listAt }: SignalHandlerOptions,
 ): SignalHandler {
+  /** Keys of endpoints whose unread load report was logged, oldest first. */
+  const logged = new Set<string>();
+
+  function recordUnreadLoad(
+    { endpoint, way }: SignalOrigin,
+    unread: string,
+  ): void {
+    metrics.countUnreadLoad(endpoint.pool);
+    const key = formatEndpointKey(endpoint);
+    if (logged.has(key)) return;
+    const [oldest] = logged;
+    if (oldest !== undefined && logged.size >= MAX_LOGGED_ENDPOINTS) {
+      logged.delete(oldest);
+    }
+    logged.add(key);
+    log.record("load_report_unread", {
+      endpoint: endpoint.id,
+      pool: endpoint.pool,
+      incarnation: endpoint.incarnation,
+      way,
+      unread,
+    });
+  }
+
   function applyLimit(from: SignalOrigin, rateLimit?: number): void {
     const { endpoint, sentAt } = from;
     const key = formatEndpointKey(endpoint);
@@ -125,10 +155,12 @@
   }
 
   return ({ way, to, sentAt }, answer) => {
-    const { signals } = answer;
-    if (signals === undefined) return;
-    listReportingEndpoints(to, answer).forEach((endpoint) =>
-      applySignals({ endpoint, way, sentAt }, signals)
-    );
+    const { signals, unreadLoad } = answer;
+    if (signals === undefined && unreadLoad === undefined) return;
+    for (const endpoint of listReportingEndpoints(to, answer)) {
+      const from = { endpoint, way, sentAt };
+      if (signals !== undefined) applySignals(from, signals);
+      if (unreadLoad !== undefined) recordUnreadLoad(from, unreadLoad);
+    }
   };
 }
--- a/packages/serving/src/platform_interfaces.ts
+++ b/packages/serving/src/platform_interfaces.ts
@@ -77,6 +77,8 @@
 export interface Signalled {
   /** Missing if the answer neither sets nor clears signals. */
   signals?: EndpointSignals;
+  /** The part of its load report that could not be read; bounded in length. */
+  unreadLoad?: string;
 }
 
 /** A response to forward to the caller. */
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -19,6 +19,7 @@
   countReading(topic: string, source: string, outcome: string): void;
   setKnown(what: "endpoints" | "peers", count: number): void;
   countSignal(pool: string, signal: string): void;
+  countUnreadLoad(pool: string): void;
 }
 
 const MILLIS_PER_SECOND = 1_000;
@@ -90,6 +91,13 @@
     registers,
   });
 
+  const unreadLoads = new Counter({
+    name: "mangoreach_load_reports_unread_total",
+    help: "Load reports of endpoints of which a part could not be read",
+    labelNames: ["pool"],
+    registers,
+  });
+
   return {
     registry,
     countRequest: (route, outcome) => requests.inc({ route, outcome }),
@@ -103,5 +111,6 @@
       readings.inc({ topic, source, outcome }),
     setKnown: (what, count) => known.set({ what }, count),
     countSignal: (pool, signal) => signals.inc({ pool, signal }),
+    countUnreadLoad: (pool) => unreadLoads.inc({ pool }),
   };
 }
