--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -20,6 +20,7 @@
   setKnown(what: "endpoints" | "peers", count: number): void;
   countSignal(pool: string, signal: string): void;
   countUnreadLoad(pool: string): void;
+  countUndecodable(topic: string): void;
 }
 
 const MILLIS_PER_SECOND = 1_000;
@@ -98,6 +99,13 @@
     registers,
   });
 
+  const undecodable = new Counter({
+    name: "mangoreach_records_undecodable_total",
+    help: "Records of the store's topics that could not be decoded",
+    labelNames: ["topic"],
+    registers,
+  });
+
   return {
     registry,
     countRequest: (route, outcome) => requests.inc({ route, outcome }),
@@ -112,5 +120,6 @@
     setKnown: (what, count) => known.set({ what }, count),
     countSignal: (pool, signal) => signals.inc({ pool, signal }),
     countUnreadLoad: (pool) => unreadLoads.inc({ pool }),
+    countUndecodable: (topic) => undecodable.inc({ topic }),
   };
 }
--- a/packages/serving/src/site_state.ts
+++ b/packages/serving/src/site_state.ts
@@ -114,6 +114,7 @@
 
 /** Maximum number of log lines about records that cannot be decoded. */
 const MAX_UNDECODABLE = 200;
+const MAX_REASON_LENGTH = 1_000;
 
 function readValue({ value }: TopicRecord): string {
   return value ?? "";
@@ -211,7 +212,8 @@
   function applyConfig(value: string, source: "store" | "peer"): void {
     const decoded = platform.decodeConfig(value);
     if (decoded.isErr) {
-      return log.record("config_rejected", { reason: decoded.error });
+      const reason = decoded.error.slice(0, MAX_REASON_LENGTH);
+      return log.record("config_rejected", { reason });
     }
     const config = decoded.value;
     const version = table?.config.version ?? 0;
@@ -366,11 +368,12 @@
 
   /** Logs one line per key: other writers may write to the topic repeatedly. */
   function recordUndecodable(key: string, reason: string): void {
+    metrics.countUndecodable("endpoints");
     if (undecodable.has(key) || undecodable.size >= MAX_UNDECODABLE) return;
     undecodable.add(key);
     logger.warn("An endpoint's record cannot be read.", {
       endpoint: key,
-      reason,
+      reason: reason.slice(0, MAX_REASON_LENGTH),
     });
   }
 
--- a/packages/serving/src/site_state_test.ts
+++ b/packages/serving/src/site_state_test.ts
@@ -36,6 +36,7 @@
   ) {
     const clock = createFakeClock(0);
     const warnings: unknown[] = [];
+    const metrics = createServingMetrics("entry");
     const logger: Logger = {
       ...createSilentLogger(),
       warn: (_message, fields) => warnings.push(fields?.endpoint),
@@ -55,7 +56,7 @@
       random: () => 0.5,
       log: createSilentDecisionLog(),
       logger,
-      metrics: createServingMetrics("entry"),
+      metrics,
       platform,
       createRelayedSource: (_topic, source) => source,
       onConfig: () => {},
@@ -68,16 +69,19 @@
     await clock.advance(2_500);
     controller.abort();
     const usable = siteState.directory.listUsable("pool").map(({ id }) => id);
-    return { usable, warnings };
+    const { values } = await metrics.registry
+      .getSingleMetric("mangoreach_records_undecodable_total")!.get();
+    return { usable, warnings, undecodable: values[0]?.value };
   }
 
   // Other writers may write repeatedly to the topic of the endpoints. Their
   // records describe no endpoint, and a line for each read would flood the log.
-  it("logs a record that cannot be decoded only once", async () => {
+  it("logs a record that cannot be decoded only once and counts it", async () => {
     const page = [{ key: "e1", value: "good" }, { key: "other", value: "?" }];
-    const { usable, warnings } = await follow([page, page, page]);
+    const { usable, warnings, undecodable } = await follow([page, page, page]);
     expect(usable).to.deep.equal(["e1"]);
     expect(warnings).to.deep.equal(["other"]);
+    expect(undecodable).to.equal(3);
   });
 
   // The newest record with an endpoint's id was written by another writer and
