--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -87,14 +87,14 @@
 /** An empty line between requests, which servers ignore. */
 const PROBE = "\r\n";
 const KEEP_ALIVE: Millis = 4_000;
-/** Codes of errors that occur before anything is written. */
-const NOT_SENT_CODES = new Set([
+/** Codes of errors while connecting; nothing is written before that succeeds. */
+const NOT_CONNECTED_CODES = new Set([
   "ECONNREFUSED",
   "EHOSTUNREACH",
   "ENETUNREACH",
   "EADDRNOTAVAIL",
-  "UND_ERR_CONNECT_TIMEOUT",
 ]);
+const CONNECT_TIMEOUT_CODE = "UND_ERR_CONNECT_TIMEOUT";
 const DEFAULT_MAX_REPLY_BYTES = 4_194_304;
 const DEFAULT_CONNECT_TIMEOUT: Millis = 1_000;
 
@@ -308,13 +308,19 @@
   }
   const code = readErrorCode(error);
   const message = error instanceof Error ? error.message : String(error);
-  if (NOT_SENT_CODES.has(code)) {
+  if (code === CONNECT_TIMEOUT_CODE || isConnectError(error, code)) {
     return { kind: "unreachable", sent: "no", message };
   }
   // The call may have been sent before the connection was reset.
   return { kind: "cut", sent: "maybe", message };
 }
 
+/** The same codes occur on established connections, from a read or a write. */
+function isConnectError(error: unknown, code: string): boolean {
+  return NOT_CONNECTED_CODES.has(code) && error instanceof Error &&
+    "syscall" in error && error.syscall === "connect";
+}
+
 function readErrorCode(error: unknown): string {
   if (!(error instanceof Error) || !("code" in error)) return "";
   return String(error.code);
--- a/packages/shared/src/http_client_test.ts
+++ b/packages/shared/src/http_client_test.ts
@@ -1,4 +1,5 @@
 import type { Buffer } from "node:buffer";
+import { channel } from "node:diagnostics_channel";
 import type { AddressInfo, Server, Socket } from "node:net";
 import { createServer } from "node:net";
 import { expect } from "chai";
@@ -100,3 +101,39 @@
     });
   }
 });
+
+// The kernel reports an unreachable host for an established connection too, when
+// its packets stay unacknowledged. The call was sent by then and may have run.
+describe("an error of an established connection", () => {
+  for (const code of ["EHOSTUNREACH", "ENETUNREACH", "ECONNREFUSED"]) {
+    it(`does not prove that nothing was sent: ${code}`, async () => {
+      const http = createHttpClient({ connections: "single" });
+      const sockets: Socket[] = [];
+      const recordSocket = (message: unknown) =>
+        void sockets.push((message as { socket: Socket }).socket);
+      channel("net.client.socket").subscribe(recordSocket);
+      const server = createServer((connection) => {
+        connection.on("error", () => {});
+        connection.once("data", () => {
+          const error = new Error(`read ${code}`);
+          sockets[0]?.destroy(Object.assign(error, { code, syscall: "read" }));
+        });
+      });
+      await new Promise<void>((resolve) =>
+        server.listen(0, "127.0.0.1", () => resolve())
+      );
+      const { port } = server.address() as AddressInfo;
+      const reply = await http.callStream({
+        method: "POST",
+        address: `127.0.0.1:${port}`,
+        path: "/",
+        body: "question",
+      });
+      channel("net.client.socket").unsubscribe(recordSocket);
+      server.close();
+      await http.close();
+      expect(reply.isErr && [reply.error.kind, reply.error.sent])
+        .to.deep.equal(["cut", "maybe"]);
+    });
+  }
+});
