fix(entry): 502 instead of 503 or 429 unless the verdict is not_run

The status was chosen by the kind of failure only, so an unavailable service that may have run a request was answered 503. Callers' library reads the verdict, but plain HTTP clients repeat such requests. The handling of connection errors moved to the shared HTTP server, so that this listener has it too.

--- a/packages/entry/src/caller_answer.ts
+++ b/packages/entry/src/caller_answer.ts
@@ -15,17 +15,27 @@
 import { formatServerSentEvent } from "@mangoreach/shared";
 
 const JSON_TYPE = "application/json";
+/** HTTP clients repeat requests after these without a look at the verdict. */
+const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+const STATUS_BAD_GATEWAY = 502;
 
 /** Creates the answer for a failure, as it is sent and stored. */
 export function createFailureAnswer(failure: Failure): StoredAnswer {
   return {
-    status: FAILURE_STATUS[failure.kind],
+    status: chooseStatus(failure),
     contentType: JSON_TYPE,
     verdict: failure.verdict,
     body: JSON.stringify(formatFailure(failure)),
   };
 }
 
+/** The status of its kind, unless that would say that nothing ran. */
+function chooseStatus({ kind, verdict }: Failure): number {
+  const status = FAILURE_STATUS[kind];
+  const isProven = verdict === "not_run" || !NOT_RUN_STATUSES.has(status);
+  return isProven ? status : STATUS_BAD_GATEWAY;
+}
+
 /** Creates the answer for a JSON value. */
 export function createJsonAnswer(value: unknown): StoredAnswer {
   return {
--- a/packages/serving/src/caller_listener.ts
+++ b/packages/serving/src/caller_listener.ts
@@ -14,7 +14,6 @@
 import type { Result } from "true-myth";
 import type { CallerResponse, EncodeFailure } from "./caller_response.ts";
 import { createCallerResponse } from "./caller_response.ts";
-import { handleClientErrors } from "./client_errors.ts";
 import type { RequestHead } from "./platform_interfaces.ts";
 import type { RequestContext } from "./request_service.ts";
 
@@ -109,8 +108,6 @@
     },
   );
 
-  handleClientErrors(server);
-
   function applyLimits({ headerTimeout, idleTimeout }: RequestLimits): void {
     server.headersTimeout = headerTimeout;
     server.requestTimeout = BODY_TIME_FACTOR * headerTimeout;
--- a/packages/serving/src/client_errors.ts
+++ b/packages/shared/src/client_errors.ts
@@ -1,6 +1,6 @@
 /**
- * Answers errors on the connections of callers, such as time-outs and bytes
- * that are not HTTP.
+ * Answers errors on the connections of an HTTP server, such as time-outs and
+ * bytes that are not HTTP.
  *
  * Node's own handler writes its answer even if an earlier request on the same
  * connection is running. The caller would take a 408 for the answer to that
--- a/packages/shared/src/http_server.ts
+++ b/packages/shared/src/http_server.ts
@@ -14,6 +14,7 @@
 } from "node:http";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
+import { handleClientErrors } from "./client_errors.ts";
 
 /** An address to listen on: IP address and port; port 0 selects a free port. */
 export interface ListenAddress {
@@ -57,6 +58,7 @@
       ? {}
       : { keepAliveTimeout: limits.idleTimeoutMs }),
   }, listener);
+  handleClientErrors(server);
   server.maxConnections = limits.maxConnections;
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
