fix(serving): an incarnation that is gone no longer counts in its pool

After restarts under the same id, the states of earlier incarnations stayed in the statistics of their pool: after five restarts of three endpoints, two of three were ejected as slow where one third is the limit. With known start times the state of a replaced incarnation is now dropped once its calls have ended, and its late answers change nothing.

Also: a result named like one of an earlier incarnation no longer leaves that one's bytes in use, and the marks of cold incarnations are bounded.

--- a/packages/coordination/src/cold_endpoints.ts
+++ b/packages/coordination/src/cold_endpoints.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Clock, Millis } from "@mangoreach/shared";
+import { putBounded } from "@mangoreach/shared";
 import type { EndpointInfo } from "./endpoint.ts";
 import { formatEndpointKey } from "./endpoint.ts";
 
@@ -28,6 +29,12 @@
  */
 const REPORT_DELAY: Millis = 2_500;
 
+/**
+ * Maximum number of cold endpoints; above it the oldest is evicted. Nobody asks
+ * again for incarnations that are gone.
+ */
+const MAX_COLD = 4_096;
+
 /** Creates a tracker that knows of no cold endpoint. */
 export function createColdEndpoints(clock: Clock): ColdEndpoints {
   /** By endpoint key, the time at which the endpoint stops being cold. */
@@ -46,7 +53,8 @@
   function recordColdFor(endpoint: EndpointInfo, left: Millis): void {
     const key = formatEndpointKey(endpoint);
     const until = clock.now() + left;
-    if (until > (coldUntil.get(key) ?? 0)) coldUntil.set(key, until);
+    if (until <= (coldUntil.get(key) ?? 0)) return;
+    putBounded(coldUntil, [key, until], MAX_COLD);
   }
 
   function record(endpoint: EndpointInfo): boolean {
--- a/packages/serving/src/endpoint_load.ts
+++ b/packages/serving/src/endpoint_load.ts
@@ -14,6 +14,7 @@
   createEndpointHealth,
   ejectSlowest,
   formatEndpointKey,
+  isOlderIncarnation,
 } from "@mangoreach/coordination";
 import type { Clock, Millis } from "@mangoreach/shared";
 
@@ -55,7 +56,10 @@
 const MAX_TRACKED = 4_096;
 
 interface EndpointState {
+  info: EndpointInfo;
   pool: string;
+  /** A later incarnation is known; its calls in progress still end here. */
+  isReplaced: boolean;
   inFlight: number;
   inFlightAtReport: number;
   report: LoadReport | undefined;
@@ -65,6 +69,8 @@
 /** Creates the loads; all endpoints are healthy and idle at first. */
 export function createEndpointLoads(clock: Clock): EndpointLoads {
   const states = new Map<string, EndpointState>();
+  /** By endpoint id, the state of the latest incarnation. */
+  const latest = new Map<string, EndpointState>();
 
   /** Returns the state of an endpoint; a restarted one has a new state. */
   function findState(endpoint: EndpointInfo): EndpointState {
@@ -73,19 +79,38 @@
     if (existing !== undefined) return existing;
     if (states.size >= MAX_TRACKED) dropIdle();
     const created: EndpointState = {
+      info: endpoint,
       pool: endpoint.pool,
+      isReplaced: false,
       inFlight: 0,
       inFlightAtReport: 0,
       report: undefined,
       health: createEndpointHealth(clock),
     };
+    const known = latest.get(endpoint.id);
+    // A late answer of an incarnation that is gone changes nothing.
+    if (known !== undefined && isOlderIncarnation(endpoint, known.info)) {
+      return { ...created, isReplaced: true };
+    }
+    if (known !== undefined && isOlderIncarnation(known.info, endpoint)) {
+      known.isReplaced = true;
+      dropReplaced(known);
+    }
+    latest.set(endpoint.id, created);
     states.set(key, created);
     return created;
   }
 
+  function dropReplaced({ info, inFlight, isReplaced }: EndpointState): void {
+    if (isReplaced && inFlight <= 0) states.delete(formatEndpointKey(info));
+  }
+
   function dropIdle(): void {
-    for (const [key, { inFlight }] of states) {
-      if (inFlight === 0) states.delete(key);
+    for (const [key, state] of states) {
+      if (state.inFlight > 0) continue;
+      states.delete(key);
+      const { id } = state.info;
+      if (latest.get(id) === state) latest.delete(id);
     }
   }
 
@@ -119,8 +144,10 @@
       findState(endpoint).inFlight++;
     },
     end(endpoint, end) {
-      const { health } = findState(endpoint);
-      findState(endpoint).inFlight--;
+      const state = findState(endpoint);
+      const { health } = state;
+      state.inFlight--;
+      dropReplaced(state);
       if (end === "unreachable") health.recordFailure("unreachable");
       if (end === "failing" || end === "broken") {
         health.recordFailure("failing");
@@ -134,7 +161,9 @@
     recordRatio(endpoint, ratio) {
       findState(endpoint).health.recordSuccess(ratio);
       const ofPool = [...states.values()]
-        .filter(({ pool }) => pool === endpoint.pool);
+        .filter(({ pool, isReplaced }) =>
+          pool === endpoint.pool && !isReplaced
+        );
       ejectSlowest(ofPool.map(({ health }) => health));
     },
   };
--- a/packages/serving/src/result_storage.ts
+++ b/packages/serving/src/result_storage.ts
@@ -71,7 +71,12 @@
 
   return {
     addUsed,
-    add: (result, details) => void stored.set(result, details),
+    add(result, details) {
+      // An endpoint that restarted may name a result like one before; the bytes
+      // of that one would never be subtracted.
+      if (stored.get(result)?.producer !== details.producer) remove(result);
+      stored.set(result, details);
+    },
     remove,
     removeExpired,
     readUsed,
