feat(serving): rank plain endpoints by their reported work factor

The factor of a report younger than 250 ms multiplies the cost of an endpoint of a plain service, shrinking to 1 with age and bounded to 0.2 to 5. Streams and model engines ignore it.

--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -84,6 +84,12 @@
   LoadReport,
 } from "./endpoint.ts";
 export { formatEndpointKey, isOlderIncarnation } from "./endpoint.ts";
+export type { BetterOfTwoOptions } from "./work_factor.ts";
+export {
+  hasWorkFactor,
+  listBetterOfTwoFirst,
+  readWorkFactor,
+} from "./work_factor.ts";
 export type {
   EndpointDirectory,
   EndpointDirectoryOptions,
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -17,6 +17,9 @@
 import {
   createFailure,
   formatEndpointKey,
+  hasWorkFactor,
+  listBetterOfTwoFirst,
+  readWorkFactor,
   spreadRetryAfter,
 } from "@mangoreach/coordination";
 import { readBodyBytes } from "@mangoreach/shared";
@@ -96,8 +99,15 @@
  * Endpoints that are due for a probe of their limit come first.
  */
 export function chooseEndpoint(
-  { directory, loads, membership, findEngineChoice, sendAllowance }:
-    ServingState,
+  {
+    clock,
+    directory,
+    loads,
+    membership,
+    findEngineChoice,
+    sendAllowance,
+    random,
+  }: ServingState,
   { request, admitted, avoid }: {
     request: ForwardedRequest;
     admitted: AdmittedRoute;
@@ -109,7 +119,13 @@
   const inUse = loads.listHealthy(usable);
   const engine = admitted.table.findPool(admitted.pool)?.engine;
   const ranked = engine === undefined
-    ? sortByCost(inUse, membership.self.place)
+    ? rankByCost(inUse, {
+      ownPlace: membership.self.place,
+      // An engine works on a stream for seconds; the figure has changed by then.
+      usesFactors: admitted.route.kind !== "stream",
+      now: clock.now(),
+      random,
+    })
     : findEngineChoice(admitted.pool)
       .rank(request.head.promptParts, inUse, engine);
   const isProbeDue = ({ info }: EndpointLoad) =>
@@ -136,13 +152,28 @@
 /** Cost of an endpoint in another place, in requests in progress. */
 const OTHER_PLACE_COST = 0.5;
 
-function sortByCost(
+function rankByCost(
   endpoints: readonly EndpointLoad[],
-  ownPlace: string,
+  { ownPlace, usesFactors, now, random }: {
+    ownPlace: string;
+    /** Whether the work factors that endpoints report count. */
+    usesFactors: boolean;
+    now: Millis;
+    random: () => number;
+  },
 ): EndpointLoad[] {
-  const estimateCost = ({ info, load, slowdown }: EndpointLoad) =>
-    (1 + load) * slowdown + (info.place === ownPlace ? 0 : OTHER_PLACE_COST);
-  return [...endpoints].sort((a, b) => estimateCost(a) - estimateCost(b));
+  const hasFactors = usesFactors &&
+    endpoints.some(({ report }) => hasWorkFactor(report, now));
+  const estimateCost = ({ info, load, slowdown, report }: EndpointLoad) => {
+    const factor = hasFactors ? readWorkFactor(report, now) : 1;
+    return (1 + load) * slowdown * factor +
+      (info.place === ownPlace ? 0 : OTHER_PLACE_COST);
+  };
+  const ranked = [...endpoints]
+    .sort((a, b) => estimateCost(a) - estimateCost(b));
+  return hasFactors
+    ? listBetterOfTwoFirst(ranked, { estimateCost, random })
+    : ranked;
 }
 
 /** Makes attempts until one is answered or no further one is allowed. */
