--- a/packages/serving/src/attempt_loop_test.ts
+++ b/packages/serving/src/attempt_loop_test.ts
@@ -24,12 +24,18 @@
 
 async function run(
   steps: (() => Step)[],
-  { route = {}, budget = 10 }: { route?: Partial<Route>; budget?: number } = {},
+  { route = {}, budget = 10, ids = ["e1", "e2", "e3"], isRestarting = false }: {
+    route?: Partial<Route>;
+    budget?: number;
+    ids?: readonly string[];
+    /** Whether each endpoint restarts under its id during the attempt. */
+    isRestarting?: boolean;
+  } = {},
 ) {
   const clock = createFakeClock(0);
   const called: EndpointInfo[] = [];
   const directory = createEndpointDirectory({ clock, markTtl: 1_000 });
-  directory.replaceAll(["e1", "e2", "e3"].map((id) => createTestEndpoint(id)));
+  directory.replaceAll(ids.map((id) => createTestEndpoint(id)));
   const testRoute = createTestRoute(route);
   const table = createTestTable([testRoute]);
   const { response, seen } = createRecordedResponse();
@@ -39,6 +45,13 @@
     callEndpoint: ({ endpoint }) => {
       const step = steps[called.length]?.() ?? "no";
       called.push(endpoint);
+      if (isRestarting) {
+        directory.replaceAll(
+          ids.map((id) =>
+            createTestEndpoint(id, { incarnation: String(called.length + 1) })
+          ),
+        );
+      }
       return Promise.resolve<Result<EndpointAnswer, HttpFault>>(
         typeof step === "string"
           ? Result.err({ kind: "cut", sent: step, message: step })
@@ -134,6 +147,25 @@
     expect(outcome.failure?.retryAfterMs).to.be.greaterThan(0);
   });
 
+  // An endpoint that ended during a request and is back under its id may have
+  // run it before; and the request may be what ended it.
+  for (
+    const { kind, sent } of [
+      { kind: "non_idempotent", sent: ["e1"] },
+      { kind: "idempotent", sent: ["e1", "e2"] },
+    ] as const
+  ) {
+    it(`does not return to a restarted endpoint: ${kind}`, async () => {
+      const { called, outcome } = await run([MAYBE, MAYBE, COMPLETE], {
+        route: { kind, maxAttempts: 3 },
+        ids: sent,
+        isRestarting: true,
+      });
+      expect(called).to.deep.equal(sent);
+      expect(outcome.failure?.verdict).to.equal("may_have_run");
+    });
+  }
+
   it("runs a request on as many endpoints as its route allows", async () => {
     const { called } = await run([MAYBE, MAYBE, COMPLETE], {
       route: { maxAttempts: 1 },
--- a/packages/serving/src/stage_dispatcher_test.ts
+++ b/packages/serving/src/stage_dispatcher_test.ts
@@ -1,3 +1,4 @@
+import type { EndpointInfo } from "@mangoreach/coordination";
 import type { PieceRun } from "@mangoreach/peers";
 import { createFakeClock, settlePromises } from "@mangoreach/shared";
 import { expect } from "chai";
@@ -118,6 +119,28 @@
     expect(stages.calls.length).to.equal(2);
   });
 
+  // An endpoint restarts during a call, which times out seconds later. Its next
+  // incarnation is free, but gets no piece that failed at the one before: the
+  // piece may have ended it.
+  it("calls a restarted endpoint, except with pieces that failed there", async () => {
+    const { dispatcher, stages, signal, endpoints } = create("e1");
+    const list = endpoints as EndpointInfo[];
+    void dispatcher.run(createRun("a", 1), signal);
+    list[0] = createTestEndpoint("e1", { incarnation: "2" });
+    list.push(createTestEndpoint("e2"));
+    void dispatcher.run(createRun("b", 1), signal);
+    void dispatcher.run(createRun("c", 1), signal);
+    const called = () => stages.calls.map(({ endpoint }) => endpoint.id);
+    expect(called()).to.have.members(["e1", "e1", "e2"]);
+    stages.calls[0]?.disconnect("no");
+    stages.calls[1]?.finish();
+    stages.calls[2]?.finish();
+    await settlePromises();
+    expect(called().length).to.equal(4);
+    expect(stages.calls[3]?.endpoint.id).to.equal("e2");
+    expect(stages.calls[3]?.pieces[0]?.requestId).to.equal("a");
+  });
+
   // An entry crashes and never releases its results. The endpoint discards them
   // when they expire; a dispatcher that still counted them would leave it idle.
   it("removes expired results from the storage in use", async () => {
