--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -19,6 +19,8 @@
   countReading(topic: string, source: string, outcome: string): void;
   setKnown(what: "endpoints" | "peers", count: number): void;
   countSignal(pool: string, signal: string): void;
+  countUnreadLoad(pool: string): void;
+  countUndecodable(topic: string): void;
 }
 
 const MILLIS_PER_SECOND = 1_000;
@@ -90,6 +92,20 @@
     registers,
   });
 
+  const unreadLoads = new Counter({
+    name: "mangoreach_load_reports_unread_total",
+    help: "Load reports of endpoints of which a part could not be read",
+    labelNames: ["pool"],
+    registers,
+  });
+
+  const undecodable = new Counter({
+    name: "mangoreach_records_undecodable_total",
+    help: "Records of the store's topics that could not be decoded",
+    labelNames: ["topic"],
+    registers,
+  });
+
   return {
     registry,
     countRequest: (route, outcome) => requests.inc({ route, outcome }),
@@ -103,5 +119,7 @@
       readings.inc({ topic, source, outcome }),
     setKnown: (what, count) => known.set({ what }, count),
     countSignal: (pool, signal) => signals.inc({ pool, signal }),
+    countUnreadLoad: (pool) => unreadLoads.inc({ pool }),
+    countUndecodable: (topic) => undecodable.inc({ topic }),
   };
 }
