feat(peers): calls between entries as frames on upgraded connections

Cause: each call between entries went through undici, node:http, the tRPC client and zod, which is the larger part of an idle entry's CPU time. Change: a client opens one connection per peer with an HTTP upgrade and sends frames of JSON on it; peers of older builds are still called, and answered, over HTTP. Messages are validated by checks that are derived from their schemas. The transport counts the bytes of exchanges, which were encoded a second time. Tests of peers, serving, entry and platform pass.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -24,7 +24,7 @@
 import { hasLeavingMark, readRateLimit } from "@mangoreach/endpoints";
 import type { EntryStatus } from "@mangoreach/operators";
 import type { StoredAnswer } from "@mangoreach/peers";
-import { createPeerListener } from "@mangoreach/peers";
+import { acceptPeers, createPeerListener } from "@mangoreach/peers";
 import type { Clock, Logger, Millis } from "@mangoreach/shared";
 import {
   createCausalClock,
@@ -262,16 +262,18 @@
     readStrainedPriority: () => admission?.strainedPriority ?? 0,
     onStrainedPriority: (priority) => admission?.shedBelow(priority),
   });
+  const peerServer = {
+    handlers: {
+      exchange: exchange.answer,
+      readConfig: () => config.active ?? null,
+      handleOutcomeQuery: guard.answer,
+    },
+    isPeer: credentials.isPeer,
+  };
+  const peerConnections = acceptPeers(controlServer, peerServer);
   handleControlRequest = createControlListener(context, {
     credentials,
-    handlePeerRequest: createPeerListener({
-      handlers: {
-        exchange: exchange.answer,
-        readConfig: () => config.active ?? null,
-        handleOutcomeQuery: guard.answer,
-      },
-      isPeer: credentials.isPeer,
-    }),
+    handlePeerRequest: createPeerListener(peerServer),
     readStatus,
     isReady,
     drain: options.onDrain,
@@ -350,6 +352,7 @@
   function kill(): void {
     shutdown.abort();
     callerServer.closeAllConnections();
+    peerConnections.close();
     controlServer.closeAllConnections();
     callerServer.close();
     controlServer.close();
--- a/packages/peers/src/exchange_loop.ts
+++ b/packages/peers/src/exchange_loop.ts
@@ -53,7 +53,11 @@
   onUnanswered: (address: string) => void;
   /** Whether a process listens there; used for peers that do not answer. */
   checkListening?: (address: string) => Promise<Listening>;
-  onBytes: (direction: "in" | "out", bytes: number) => void;
+  /**
+   * Counts the bytes of messages, which are encoded once more for it. Left out
+   * if the transport counts them.
+   */
+  onBytes?: (direction: "in" | "out", bytes: number) => void;
 }
 
 /** A running exchange loop. */
@@ -121,7 +125,7 @@
       ...(unreached.length === 0 ? {} : { unreached }),
       ...(poison === undefined ? {} : { poison }),
     };
-    options.onBytes("out", JSON.stringify(message).length);
+    options.onBytes?.("out", JSON.stringify(message).length);
     return message;
   }
 
@@ -173,7 +177,7 @@
   }
 
   function applyMessage(message: PeerExchange): void {
-    options.onBytes("in", JSON.stringify(message).length);
+    options.onBytes?.("in", JSON.stringify(message).length);
     const known = new Map(
       membership.list().map(({ record }) => [record.incarnation, record]),
     );
--- a/packages/peers/src/mod.ts
+++ b/packages/peers/src/mod.ts
@@ -12,7 +12,7 @@
 } from "./peer_protocol.ts";
 export { decodeHeartbeat, introductionSchema } from "./peer_protocol.ts";
 export type { PeerHandlers, PeerListenerOptions } from "./peer_server.ts";
-export { createPeerListener } from "./peer_server.ts";
+export { acceptPeers, createPeerListener } from "./peer_server.ts";
 export { PEER_PATH } from "./peer_path.ts";
 export type { PeerClient, PeerClientOptions } from "./peer_client.ts";
 export { createPeerClient } from "./peer_client.ts";
@@ -32,11 +32,16 @@
   RunReportReply,
 } from "./run_protocol.ts";
 export type { TopicName, TopicReply, TopicRequest } from "./topic_protocol.ts";
+export type { ChannelFault } from "./frame_channel.ts";
+export type { PeerConnections } from "./peer_connection_server.ts";
 export type {
+  ObserveExchangeBytes,
   ServingPeerClient,
   ServingPeerHandlers,
+  ServingPeerServerOptions,
 } from "./serving_peers.ts";
 export {
+  acceptServingPeers,
   createServingPeerClient,
   createServingPeerListener,
 } from "./serving_peers.ts";
--- a/packages/peers/src/peer_caller.ts
+++ b/packages/peers/src/peer_caller.ts
@@ -1,6 +1,7 @@
 /**
- * Calls procedures of peers by tRPC over persistent connections, each with a
- * timeout, a validated reply and a typed failure.
+ * Calls procedures of peers over persistent connections, each with a timeout, a
+ * validated reply and a typed failure. A peer of a build without such
+ * connections is called by tRPC over HTTP.
  *
  * @module
  */
@@ -8,47 +9,51 @@
 import { createFailure } from "@mangoreach/coordination";
 import type { Clock, Millis, PersistentConnections } from "@mangoreach/shared";
 import { createPersistentConnections } from "@mangoreach/shared";
-import type { TRPCClient } from "@trpc/client";
-import { createTRPCClient, TRPCClientError } from "@trpc/client";
-import type { AnyTRPCRouter } from "@trpc/server";
+import type { AnyTRPCRouter, inferRouterInputs } from "@trpc/server";
 import type { TRPCResponse } from "@trpc/server/rpc";
-import { observable } from "@trpc/server/observable";
 import { Result } from "true-myth";
-import type * as z from "zod";
+import type { OutgoingCall, PeerConnection } from "./peer_connection.ts";
+import { openPeerConnection } from "./peer_connection.ts";
 import { PEER_PATH } from "./peer_path.ts";
+import type { ObserveBytes } from "./peer_procedure.ts";
+import type { ReadMessage } from "./message_check.ts";
 
 /** Options of {@linkcode createPeerCaller}. */
 export interface PeerCallerOptions {
   clock: Clock;
   siteKey: string;
   connectTimeout: Millis;
+  onBytes?: ObserveBytes;
 }
 
+/** The names of the procedures of a router. */
+type ProcedureName<R extends AnyTRPCRouter> =
+  & keyof R["_def"]["record"]
+  & keyof inferRouterInputs<R>
+  & string;
+
 /** One request to a peer. */
-export interface PeerRequest<T> {
+export interface PeerRequest<
+  R extends AnyTRPCRouter,
+  P extends ProcedureName<R>,
+  T,
+> {
   /** A control address, `ip:port`. */
   address: string;
-  /** Validates the reply. */
-  schema: z.ZodType<T>;
+  path: P;
+  type: R["_def"]["record"][P]["_def"]["type"] & OutgoingCall["type"];
+  input: inferRouterInputs<R>[P];
+  /** Validates the reply; throws if it is malformed. */
+  read: ReadMessage<T>;
   timeout: Millis;
   /** Cancels the request. */
   signal?: AbortSignal;
 }
 
-/** Options of each call of the tRPC client. */
-export interface PeerCallOptions {
-  signal: AbortSignal;
-  context: { address: string };
-}
-
 /** Calls the procedures of one router at any peer. */
 export interface PeerCaller<R extends AnyTRPCRouter> {
-  request<T>(
-    target: PeerRequest<T>,
-    send: (
-      client: TRPCClient<R>,
-      options: PeerCallOptions,
-    ) => Promise<unknown>,
+  request<P extends ProcedureName<R>, T>(
+    request: PeerRequest<R, P, T>,
   ): Promise<Result<T, Failure>>;
   close(): Promise<void>;
 }
@@ -62,92 +67,174 @@
 
 /** Creates the caller for one process. */
 export function createPeerCaller<R extends AnyTRPCRouter>(
-  { clock, siteKey, connectTimeout }: PeerCallerOptions,
+  { clock, siteKey, connectTimeout, onBytes }: PeerCallerOptions,
 ): PeerCaller<R> {
+  const connections = new Map<string, PeerConnection>();
+  /** Until when each peer that refused a connection is called over HTTP. */
+  const httpUntil = new Map<string, Millis>();
   const kept = createPersistentConnections({
     keepAlive: KEEP_ALIVE,
     maxKeepAlive: KEEP_ALIVE,
     connectTimeout,
   });
-  // Replaces tRPC's HTTP link, whose use of the standard fetch and Headers
-  // costs more than the rest of a call. The address is in the context of each
-  // call, so one client serves all peers.
-  const client = createTRPCClient<R>({
-    links: [
-      () => ({ op }) =>
-        observable((observer) => {
-          sendCall({ ...op, siteKey, kept }).then((data) => {
-            observer.next({ result: { type: "data", data } });
-            observer.complete();
-          }, (error) => observer.error(TRPCClientError.from(error)));
-        }),
-    ],
-  });
 
-  async function request<T>(
-    { address, schema, timeout, signal }: PeerRequest<T>,
-    send: (
-      client: TRPCClient<R>,
-      options: PeerCallOptions,
-    ) => Promise<unknown>,
-  ): Promise<Result<T, Failure>> {
-    const controller = new AbortController();
-    const abort = () => controller.abort();
-    const stopTimer = clock.startTimer(timeout, () => {
-      abort();
-      kept.discard(address);
+  /** Returns the connection to a peer; undefined if it supports only HTTP. */
+  function findConnection(address: string): PeerConnection | undefined {
+    const present = connections.get(address);
+    if (present !== undefined) return present;
+    const until = httpUntil.get(address);
+    if (until !== undefined) {
+      if (clock.now() < until) return undefined;
+      httpUntil.delete(address);
+    }
+    const connection = openPeerConnection({
+      clock,
+      address,
+      siteKey,
+      connectTimeout,
+      idleTimeout: KEEP_ALIVE,
+      onRefused: () => keepHttp(address),
+      onClosed() {
+        if (connections.get(address) === connection) {
+          connections.delete(address);
+        }
+      },
     });
-    signal?.addEventListener("abort", abort, { once: true });
-    if (signal?.aborted) abort();
-    try {
-      const options = { signal: controller.signal, context: { address } };
-      const reply = await send(client, options);
-      const parsed = schema.safeParse(reply);
-      if (parsed.success) return Result.ok(parsed.data);
-      return Result.err(fail(address, "the reply is malformed"));
-    } catch (error) {
-      const message = error instanceof Error ? error.message : String(error);
-      return Result.err(fail(address, message));
-    } finally {
-      stopTimer();
-      signal?.removeEventListener("abort", abort);
+    connections.set(address, connection);
+    return connection;
+  }
+
+  function keepHttp(address: string): void {
+    const now = clock.now();
+    // Bounds the map: each restart of a peer can bring a new address.
+    for (const [other, until] of httpUntil) {
+      if (until <= now) httpUntil.delete(other);
     }
+    httpUntil.set(address, now + KEEP_ALIVE);
   }
 
-  return { request, close: kept.close };
-}
+  /** Calls in progress continue; new ones use a new connection. */
+  function discard(address: string): void {
+    const connection = connections.get(address);
+    connections.delete(address);
+    connection?.retire();
+    // Another build may have been started at this address.
+    if (httpUntil.delete(address)) kept.discard(address);
+  }
 
-interface OutgoingCall {
-  /** Contains the address that was given with the call. */
-  context: Record<string, unknown>;
-  siteKey: string;
-  kept: PersistentConnections;
-  type: string;
-  path: string;
-  input: unknown;
-  signal: AbortSignal | null | undefined;
+  /** Starts a call; the function returned abandons it. */
+  function startCall(address: string, call: OutgoingCall): () => void {
+    const connection = findConnection(address);
+    return connection === undefined
+      ? startHttpCall(address, call)
+      : connection.call(call);
+  }
+
+  function startHttpCall(address: string, call: OutgoingCall): () => void {
+    const controller = new AbortController();
+    const { signal } = controller;
+    sendHttpCall({ address, siteKey, kept, call, signal })
+      .then(call.onReply, (error) => {
+        call.onFailed(error instanceof Error ? error.message : String(error));
+      });
+    return () => controller.abort();
+  }
+
+  function request<P extends ProcedureName<R>, T>(
+    { address, path, type, input, read, timeout, signal }: PeerRequest<R, P, T>,
+  ): Promise<Result<T, Failure>> {
+    if (signal?.aborted) {
+      return Promise.resolve(Result.err(fail(address, "the call was aborted")));
+    }
+    return new Promise((resolve) => {
+      let isSettled = false;
+      let abandon: (() => void) | undefined;
+
+      function settle(result: Result<T, Failure>): void {
+        if (isSettled) return;
+        isSettled = true;
+        stopTimer();
+        signal?.removeEventListener("abort", abort);
+        resolve(result);
+      }
+
+      function settleFailed(message: string): void {
+        settle(Result.err(fail(address, message)));
+      }
+
+      function abort(): void {
+        settleFailed("the call was aborted");
+        abandon?.();
+      }
+
+      const stopTimer = clock.startTimer(timeout, () => {
+        settleFailed("no reply in time");
+        abandon?.();
+        discard(address);
+      });
+      signal?.addEventListener("abort", abort, { once: true });
+      const call: OutgoingCall = {
+        type,
+        path,
+        input,
+        onReply(data) {
+          try {
+            settle(Result.ok(read(data)));
+          } catch {
+            settleFailed("the reply is malformed");
+          }
+        },
+        onFailed: settleFailed,
+        onRefused() {
+          if (!isSettled) abandon = startHttpCall(address, call);
+        },
+        onBytes: (direction, bytes) => onBytes?.(path, direction, bytes),
+      };
+      abandon = startCall(address, call);
+    });
+  }
+
+  async function close(): Promise<void> {
+    const open = [...connections.values()];
+    connections.clear();
+    open.forEach((connection) => connection.close());
+    await kept.close();
+  }
+
+  return { request, close };
 }
 
 /** Sends one call in the form of tRPC's HTTP link and returns its data. */
-async function sendCall(
-  { context, siteKey, kept, type, path, input, signal }: OutgoingCall,
+async function sendHttpCall(
+  { address, siteKey, kept, call, signal }: {
+    address: string;
+    siteKey: string;
+    kept: PersistentConnections;
+    call: OutgoingCall;
+    signal: AbortSignal;
+  },
 ): Promise<unknown> {
-  const isQuery = type === "query";
-  const text = input === undefined ? undefined : JSON.stringify(input);
+  const isQuery = call.type === "query";
+  const text = call.input === undefined
+    ? undefined
+    : JSON.stringify(call.input);
   const query = isQuery && text !== undefined
     ? `?input=${encodeURIComponent(text)}`
     : "";
-  const { body } = await kept.getPool(String(context.address)).request({
-    path: `${PEER_PATH}${path}${query}`,
+  call.onBytes("out", text?.length ?? 0);
+  const { body } = await kept.getPool(address).request({
+    path: `${PEER_PATH}${call.path}${query}`,
     method: isQuery ? "GET" : "POST",
     headers: {
       authorization: `Bearer ${siteKey}`,
       ...(isQuery ? {} : { "content-type": "application/json" }),
     },
     body: isQuery ? null : text ?? null,
-    signal: signal ?? null,
+    signal,
   });
-  const reply = JSON.parse(await body.text()) as TRPCResponse;
+  const replyText = await body.text();
+  call.onBytes("in", replyText.length);
+  const reply = JSON.parse(replyText) as TRPCResponse;
   if ("error" in reply) throw new Error(reply.error.message);
   return reply.result.data;
 }
--- a/packages/peers/src/peer_client.ts
+++ b/packages/peers/src/peer_client.ts
@@ -8,6 +8,7 @@
 import { configInForceSchema } from "@mangoreach/operators";
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { Result } from "true-myth";
+import { createMessageReader } from "./message_check.ts";
 import { createPeerCaller } from "./peer_caller.ts";
 import type {
   OutcomeQuery,
@@ -40,43 +41,50 @@
   close(): Promise<void>;
 }
 
+const readExchange = createMessageReader(exchangeSchema);
+const readConfigInForce = createMessageReader(configInForceSchema.nullable());
+const readOutcome = createMessageReader(outcomeReplySchema);
+
 /** Creates the client. */
 export function createPeerClient(
   { clock, siteKey, timeoutMs }: PeerClientOptions,
 ): PeerClient {
-  const caller = createPeerCaller<PeerRouter>({
+  const { request, close } = createPeerCaller<PeerRouter>({
     clock,
     siteKey,
     connectTimeout: timeoutMs,
   });
-  const { request } = caller;
 
   return {
     exchange: (address, message) =>
-      request(
-        { address, schema: exchangeSchema, timeout: timeoutMs },
-        (client, options) => client.exchange.mutate(message, options),
-      ),
+      request({
+        address,
+        path: "exchange",
+        type: "mutation",
+        input: message,
+        read: readExchange,
+        timeout: timeoutMs,
+      }),
     readConfig: async (address) => {
-      const reply = await request(
-        {
-          address,
-          schema: configInForceSchema.nullable(),
-          timeout: timeoutMs,
-        },
-        (client, options) => client.config.query(undefined, options),
-      );
+      const reply = await request({
+        address,
+        path: "config",
+        type: "query",
+        input: undefined,
+        read: readConfigInForce,
+        timeout: timeoutMs,
+      });
       return reply.map((config) => config ?? undefined);
     },
     queryOutcome: (address, query) =>
-      request(
-        {
-          address,
-          schema: outcomeReplySchema,
-          timeout: timeoutMs + query.waitMs,
-        },
-        (client, options) => client.outcome.mutate(query, options),
-      ),
-    close: () => caller.close(),
+      request({
+        address,
+        path: "outcome",
+        type: "mutation",
+        input: query,
+        read: readOutcome,
+        timeout: timeoutMs + query.waitMs,
+      }),
+    close,
   };
 }
--- /dev/null
+++ b/packages/peers/src/peer_connection_server.ts
@@ -0,0 +1,161 @@
+/**
+ * The server's side of connections from peers: opens them by an HTTP upgrade and
+ * runs the procedures that they call.
+ *
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import type { IncomingMessage, Server } from "node:http";
+import type { Duplex } from "node:stream";
+import type { Millis } from "@mangoreach/shared";
+import type { AnyTRPCRouter } from "@trpc/server";
+import { callTRPCProcedure, getTRPCErrorFromUnknown } from "@trpc/server";
+import type { ChannelFault, FrameChannel } from "./frame_channel.ts";
+import { openFrameChannel } from "./frame_channel.ts";
+import type { CallFrame, ReplyFrame } from "./peer_frames.ts";
+import { decodeClientFrame, UPGRADE_PROTOCOL } from "./peer_frames.ts";
+import type { ObserveBytes } from "./peer_procedure.ts";
+
+/** Options of {@linkcode acceptPeerConnections}. */
+export interface PeerConnectionServerOptions {
+  router: AnyTRPCRouter;
+  isPeer: (request: IncomingMessage) => boolean;
+  /** Called when this side closes a connection for a fault of the peer. */
+  onFault?: (fault: ChannelFault) => void;
+  onBytes?: ObserveBytes;
+}
+
+/** The connections from peers. */
+export interface PeerConnections {
+  /** Closes all connections and aborts their calls. */
+  close(): void;
+}
+
+/**
+ * Longer than the idle time-out of clients, which could otherwise send a call
+ * on a connection that is just being closed.
+ */
+const IDLE_TIMEOUT: Millis = 65_000;
+/** Calls in progress on one connection; clients send no more. */
+const MAX_CALLS = 4_096;
+
+/**
+ * Accepts connections on the upgrade requests of a server. They count towards
+ * its maximum number of connections.
+ */
+export function acceptPeerConnections(
+  server: Server,
+  { router, isPeer, onFault, onBytes }: PeerConnectionServerOptions,
+): PeerConnections {
+  const channels = new Set<FrameChannel>();
+
+  function handleUpgrade(
+    request: IncomingMessage,
+    socket: Duplex,
+    head: Buffer,
+  ): void {
+    if (request.headers.upgrade?.toLowerCase() !== UPGRADE_PROTOCOL) {
+      return refuseUpgrade(socket, "426 Upgrade Required");
+    }
+    // Calls over HTTP are answered with the reason.
+    if (!isPeer(request)) return refuseUpgrade(socket, "401 Unauthorized");
+    socket.write(
+      "HTTP/1.1 101 Switching Protocols\r\nconnection: Upgrade\r\n" +
+        `upgrade: ${UPGRADE_PROTOCOL}\r\n\r\n`,
+    );
+    serveConnection(socket, head);
+  }
+
+  function serveConnection(socket: Duplex, head: Buffer): void {
+    const calls = new Map<number, AbortController>();
+    const channel = openFrameChannel(socket, {
+      head,
+      idleTimeout: IDLE_TIMEOUT,
+      isBusy: () => calls.size > 0,
+      onMessage: handleMessage,
+      onClosed(fault) {
+        channels.delete(channel);
+        if (fault !== undefined) onFault?.(fault);
+        // Stops the work for a peer that disconnected.
+        calls.forEach((controller) => controller.abort());
+        calls.clear();
+      },
+    });
+    channels.add(channel);
+
+    function handleMessage(
+      message: unknown,
+      bytes: number,
+    ): string | undefined {
+      const frame = decodeClientFrame(message);
+      if (frame === undefined) return "neither a call nor a cancellation";
+      if ("cancel" in frame) {
+        calls.get(frame.id)?.abort();
+        calls.delete(frame.id);
+        return undefined;
+      }
+      if (calls.has(frame.id)) return "the id of a call in progress";
+      onBytes?.(frame.path, "in", bytes);
+      void answerCall(frame);
+      return undefined;
+    }
+
+    async function answerCall(frame: CallFrame): Promise<void> {
+      const { id, path } = frame;
+      if (calls.size >= MAX_CALLS) {
+        return sendReply(path, { id, error: "too many calls" });
+      }
+      const controller = new AbortController();
+      calls.set(id, controller);
+      let reply: ReplyFrame;
+      try {
+        reply = { id, data: await callProcedure(router, frame, controller) };
+      } catch (error) {
+        reply = { id, error: getTRPCErrorFromUnknown(error).message };
+      }
+      // An abandoned call needs no reply, and its id may be in use again.
+      if (calls.get(id) !== controller) return;
+      calls.delete(id);
+      sendReply(path, reply);
+    }
+
+    function sendReply(path: string, reply: ReplyFrame): void {
+      const sent = channel.send(reply);
+      if (typeof sent === "number") return onBytes?.(path, "out", sent);
+      if (sent === "closed") return;
+      channel.send({ id: reply.id, error: "the reply is too large" });
+    }
+  }
+
+  server.on("upgrade", handleUpgrade);
+  return {
+    close: () => channels.forEach((channel) => channel.close()),
+  };
+}
+
+/** The connection is authorized as a whole, when it is opened. */
+const PEER_CONTEXT = { isPeer: true };
+
+function callProcedure(
+  router: AnyTRPCRouter,
+  { type, path, input }: CallFrame,
+  { signal }: AbortController,
+): Promise<unknown> {
+  return callTRPCProcedure({
+    router,
+    path,
+    type,
+    ctx: PEER_CONTEXT,
+    getRawInput: () => Promise.resolve(input),
+    signal,
+    batchIndex: 0,
+  });
+}
+
+function refuseUpgrade(socket: Duplex, status: string): void {
+  socket.on("error", () => socket.destroy());
+  socket.end(
+    `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
+    () => socket.destroy(),
+  );
+}
--- a/packages/peers/src/peer_procedure.ts
+++ b/packages/peers/src/peer_procedure.ts
@@ -40,6 +40,13 @@
 const MAX_BODY_BYTES = 4_194_304;
 const INPUT_PARAMETER = "input=";
 
+/** Observes the size of each message of a procedure. */
+export type ObserveBytes = (
+  path: string,
+  direction: "in" | "out",
+  bytes: number,
+) => void;
+
 interface PeerCall {
   path: string;
   type: "query" | "mutation";
@@ -59,19 +66,21 @@
 export function createRouterListener(
   router: AnyTRPCRouter,
   isPeer: (request: IncomingMessage) => boolean,
+  onBytes?: ObserveBytes,
 ): RequestListener {
   return (request, response) => {
     const context = { isPeer: isPeer(request) };
-    void handleCall(router, { request, response, context });
+    void handleCall(router, { request, response, context, onBytes });
   };
 }
 
 async function handleCall(
   router: AnyTRPCRouter,
-  { request, response, context }: {
+  { request, response, context, onBytes }: {
     request: IncomingMessage;
     response: ServerResponse;
     context: PeerContext;
+    onBytes: ObserveBytes | undefined;
   },
 ): Promise<void> {
   const controller = new AbortController();
@@ -87,11 +96,17 @@
       path,
       type,
       ctx: context,
-      getRawInput: async () => input = parseInput(await readInput()),
+      getRawInput: async () => {
+        const text = await readInput();
+        onBytes?.(path, "in", text.length);
+        return input = parseInput(text);
+      },
       signal: controller.signal,
       batchIndex: 0,
     });
     sendJson(response, { status: 200, body: { result: { data } } });
+    const length = Number(response.getHeader("content-length") ?? 0);
+    onBytes?.(path, "out", length);
   } catch (cause) {
     const error = getTRPCErrorFromUnknown(cause);
     const config = router._def._config;
--- a/packages/peers/src/peer_server.ts
+++ b/packages/peers/src/peer_server.ts
@@ -3,13 +3,15 @@
  *
  * @module
  */
-import type { IncomingMessage, RequestListener } from "node:http";
+import type { IncomingMessage, RequestListener, Server } from "node:http";
 import type { ActiveConfig } from "@mangoreach/operators";
 import type {
   OutcomeQuery,
   OutcomeReply,
   PeerExchange,
 } from "./peer_protocol.ts";
+import type { PeerConnections } from "./peer_connection_server.ts";
+import { acceptPeerConnections } from "./peer_connection_server.ts";
 import {
   createRouter,
   createRouterListener,
@@ -50,3 +52,15 @@
 ): RequestListener {
   return createRouterListener(createPeerRouter(handlers), isPeer);
 }
+
+/**
+ * Accepts connections from peers at a server; peers of older builds call its
+ * listener instead.
+ */
+export function acceptPeers(
+  server: Server,
+  { handlers, isPeer }: PeerListenerOptions,
+): PeerConnections {
+  const router = createPeerRouter(handlers);
+  return acceptPeerConnections(server, { router, isPeer });
+}
--- a/packages/peers/src/serving_peers.ts
+++ b/packages/peers/src/serving_peers.ts
@@ -4,12 +4,17 @@
  *
  * @module
  */
-import type { IncomingMessage, RequestListener } from "node:http";
+import type { IncomingMessage, RequestListener, Server } from "node:http";
 import type { Failure, PieceWaits } from "@mangoreach/coordination";
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { Result } from "true-myth";
 import * as z from "zod";
+import type { ChannelFault } from "./frame_channel.ts";
+import { createMessageReader } from "./message_check.ts";
 import { createPeerCaller } from "./peer_caller.ts";
+import type { PeerConnections } from "./peer_connection_server.ts";
+import { acceptPeerConnections } from "./peer_connection_server.ts";
+import type { ObserveBytes } from "./peer_procedure.ts";
 import {
   createRouter,
   createRouterListener,
@@ -55,23 +60,36 @@
   readTopics(requests: readonly TopicRequest[]): Promise<TopicReply[]>;
 }
 
+const readExchange = createMessageReader(exchangeSchema);
+const readPieceRun = createMessageReader(pieceRunSchema);
+const readPieceRunReply = createMessageReader(pieceRunReplySchema);
+const readPieceWaits = createMessageReader(pieceWaitsSchema);
+const readWaitsQuery = createMessageReader(waitsQuerySchema);
+const readRelease = createMessageReader(releaseSchema);
+const readRunReport = createMessageReader(runReportSchema);
+const readRunReportReply = createMessageReader(runReportReplySchema);
+const readTopicRequests = createMessageReader(topicRequestsSchema);
+const readTopicReplies = createMessageReader(topicRepliesSchema);
+const readNull = createMessageReader(z.null());
+const readConfigText = createMessageReader(z.string().nullable());
+
 function createServingRouter(handlers: ServingPeerHandlers) {
   return createRouter({
-    exchange: peerProcedure.input(exchangeSchema)
+    exchange: peerProcedure.input(readExchange)
       .mutation(({ input }) => handlers.exchange(input)),
-    runPieces: peerProcedure.input(pieceRunSchema)
+    runPieces: peerProcedure.input(readPieceRun)
       .mutation(({ input, signal }) =>
         handlers.runPieces(input, signal ?? new AbortController().signal)
       ),
     ping: peerProcedure.query(() => null),
-    readWaits: peerProcedure.input(waitsQuerySchema)
+    readWaits: peerProcedure.input(readWaitsQuery)
       .query(({ input }) => handlers.readWaits(input)),
-    reportRuns: peerProcedure.input(runReportSchema)
+    reportRuns: peerProcedure.input(readRunReport)
       .mutation(({ input }) => handlers.reportRuns(input)),
-    readTopics: peerProcedure.input(topicRequestsSchema)
+    readTopics: peerProcedure.input(readTopicRequests)
       .query(({ input }) => handlers.readTopics(input)),
     readConfig: peerProcedure.query(() => handlers.readConfig()),
-    releaseResults: peerProcedure.input(releaseSchema)
+    releaseResults: peerProcedure.input(readRelease)
       .mutation(({ input }) => {
         handlers.releaseResults(input);
         return null;
@@ -81,14 +99,56 @@
 
 type ServingRouter = ReturnType<typeof createServingRouter>;
 
+/** Options of the server's side of the protocol. */
+export interface ServingPeerServerOptions {
+  handlers: ServingPeerHandlers;
+  isPeer: (request: IncomingMessage) => boolean;
+  /** Reports the sizes of the messages of exchanges. */
+  onExchangeBytes?: ObserveExchangeBytes;
+}
+
+/** Observes the size of each message of an exchange. */
+export type ObserveExchangeBytes = (
+  direction: "in" | "out",
+  bytes: number,
+) => void;
+
 /** Creates the listener for requests whose path begins with the prefix. */
 export function createServingPeerListener(
-  { handlers, isPeer }: {
-    handlers: ServingPeerHandlers;
-    isPeer: (request: IncomingMessage) => boolean;
-  },
+  { handlers, isPeer, onExchangeBytes }: ServingPeerServerOptions,
 ): RequestListener {
-  return createRouterListener(createServingRouter(handlers), isPeer);
+  return createRouterListener(
+    createServingRouter(handlers),
+    isPeer,
+    createExchangeObserver(onExchangeBytes),
+  );
+}
+
+/**
+ * Accepts connections from peers at a server; peers of older builds call its
+ * listener instead.
+ */
+export function acceptServingPeers(
+  server: Server,
+  { handlers, isPeer, onExchangeBytes, onFault }: ServingPeerServerOptions & {
+    /** Called when a connection is closed for a fault of the peer. */
+    onFault?: (fault: ChannelFault) => void;
+  },
+): PeerConnections {
+  return acceptPeerConnections(server, {
+    router: createServingRouter(handlers),
+    isPeer,
+    onBytes: createExchangeObserver(onExchangeBytes),
+    ...(onFault === undefined ? {} : { onFault }),
+  });
+}
+
+function createExchangeObserver(
+  onExchangeBytes: ObserveExchangeBytes = () => {},
+): ObserveBytes {
+  return (path, direction, bytes) => {
+    if (path === "exchange") onExchangeBytes(direction, bytes);
+  };
 }
 
 /** Sends requests to peers; `address` is a control address, `ip:port`. */
@@ -147,70 +207,97 @@
 
 /** Creates the client. */
 export function createServingPeerClient(
-  { clock, siteKey, timeout }: {
+  { clock, siteKey, timeout, onExchangeBytes }: {
     clock: Clock;
     siteKey: string;
     /** Timeout of short exchanges, which a healthy peer does not exceed. */
     timeout: Millis;
+    /** Reports the sizes of the messages of exchanges. */
+    onExchangeBytes?: ObserveExchangeBytes;
   },
 ): ServingPeerClient {
-  const caller = createPeerCaller<ServingRouter>({
+  const { request, close } = createPeerCaller<ServingRouter>({
     clock,
     siteKey,
     connectTimeout: timeout,
+    onBytes: createExchangeObserver(onExchangeBytes),
   });
 
   return {
     exchange: (address, message) =>
-      caller.request(
-        { address, schema: exchangeSchema, timeout },
-        (client, options) => client.exchange.mutate(message, options),
-      ),
+      request({
+        address,
+        path: "exchange",
+        type: "mutation",
+        input: message,
+        read: readExchange,
+        timeout,
+      }),
     ping: (address) =>
-      caller.request(
-        { address, schema: z.null(), timeout: PING_TIMEOUT },
-        (client, options) => client.ping.query(undefined, options),
-      ),
+      request({
+        address,
+        path: "ping",
+        type: "query",
+        input: undefined,
+        read: readNull,
+        timeout: PING_TIMEOUT,
+      }),
     runPieces: (address, run, signal) =>
-      caller.request(
-        {
-          address,
-          schema: pieceRunReplySchema,
-          timeout: run.remaining + RUN_TIMEOUT_MARGIN,
-          signal,
-        },
-        (client, options) => client.runPieces.mutate(run, options),
-      ),
+      request({
+        address,
+        path: "runPieces",
+        type: "mutation",
+        input: run,
+        read: readPieceRunReply,
+        timeout: run.remaining + RUN_TIMEOUT_MARGIN,
+        signal,
+      }),
     readWaits: (address, query) =>
-      caller.request(
-        { address, schema: pieceWaitsSchema, timeout: WAITS_TIMEOUT },
-        (client, options) => client.readWaits.query(query, options),
-      ),
+      request({
+        address,
+        path: "readWaits",
+        type: "query",
+        input: query,
+        read: readPieceWaits,
+        timeout: WAITS_TIMEOUT,
+      }),
     releaseResults: (address, release) =>
-      caller.request(
-        { address, schema: z.null(), timeout },
-        (client, options) => client.releaseResults.mutate(release, options),
-      ),
+      request({
+        address,
+        path: "releaseResults",
+        type: "mutation",
+        input: release,
+        read: readNull,
+        timeout,
+      }),
     reportRuns: (address, report) =>
-      caller.request(
-        { address, schema: runReportReplySchema, timeout },
-        (client, options) => client.reportRuns.mutate(report, options),
-      ),
+      request({
+        address,
+        path: "reportRuns",
+        type: "mutation",
+        input: report,
+        read: readRunReportReply,
+        timeout,
+      }),
     readConfig: (address) =>
-      caller.request(
-        { address, schema: z.string().nullable(), timeout: CONFIG_TIMEOUT },
-        (client, options) => client.readConfig.query(undefined, options),
-      ),
+      request({
+        address,
+        path: "readConfig",
+        type: "query",
+        input: undefined,
+        read: readConfigText,
+        timeout: CONFIG_TIMEOUT,
+      }),
     readTopics: (address, requests) =>
-      caller.request(
-        {
-          address,
-          schema: topicRepliesSchema,
-          timeout: computeMinWait(requests) + TOPIC_TIMEOUT_MARGIN,
-        },
-        (client, options) => client.readTopics.query([...requests], options),
-      ),
-    close: () => caller.close(),
+      request({
+        address,
+        path: "readTopics",
+        type: "query",
+        input: [...requests],
+        read: readTopicReplies,
+        timeout: computeMinWait(requests) + TOPIC_TIMEOUT_MARGIN,
+      }),
+    close,
   };
 }
 
--- a/packages/serving/src/peer_gossip.ts
+++ b/packages/serving/src/peer_gossip.ts
@@ -130,6 +130,7 @@
     clock,
     siteKey: "",
     timeout: PEER_TIMEOUT,
+    onExchangeBytes: metrics.countPeerBytes,
   });
 
   const registry = createMemberRegistry({
@@ -199,7 +200,6 @@
       onReply: () => Promise.resolve(),
       onUnanswered: () => metrics.countUnanswered(),
       checkListening: options.checkListening,
-      onBytes: (direction, bytes) => metrics.countPeerBytes(direction, bytes),
     });
     return exchange;
   }
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -18,8 +18,11 @@
   createPoisonQuarantine,
   listSendingMembers,
 } from "@mangoreach/coordination";
-import type { PieceRun } from "@mangoreach/peers";
-import { createServingPeerListener } from "@mangoreach/peers";
+import type { PieceRun, ServingPeerServerOptions } from "@mangoreach/peers";
+import {
+  acceptServingPeers,
+  createServingPeerListener,
+} from "@mangoreach/peers";
 import type { Millis } from "@mangoreach/shared";
 import {
   createTaskSet,
@@ -365,23 +368,29 @@
   });
 
   const exchange = gossip.start(signal);
+  const peerServer: ServingPeerServerOptions = {
+    isPeer: () => true,
+    handlers: {
+      exchange: (message) => exchange.answer(message),
+      runPieces: (run, stop) => runForPeer(run, stop),
+      reportRuns: quarantineGossip.answer,
+      readConfig: () => siteState.readPublished() ?? null,
+      readTopics: (queries) => handleTopicRequests(siteState.relays, queries),
+      readWaits: ({ pool, partition, priority }) =>
+        findDispatcher(pool, partition).readWaits(priority),
+      releaseResults: ({ pool, partition, results }) =>
+        findDispatcher(pool, partition).release(results),
+    },
+    onExchangeBytes: metrics.countPeerBytes,
+  };
   const control = await startServer(
-    createServingPeerListener({
-      isPeer: () => true,
-      handlers: {
-        exchange: (message) => exchange.answer(message),
-        runPieces: (run, stop) => runForPeer(run, stop),
-        reportRuns: quarantineGossip.answer,
-        readConfig: () => siteState.readPublished() ?? null,
-        readTopics: (queries) => handleTopicRequests(siteState.relays, queries),
-        readWaits: ({ pool, partition, priority }) =>
-          findDispatcher(pool, partition).readWaits(priority),
-        releaseResults: ({ pool, partition, results }) =>
-          findDispatcher(pool, partition).release(results),
-      },
-    }),
+    createServingPeerListener(peerServer),
     { address: settings.control, limits: PEER_LIMITS },
   );
+  const peerConnections = acceptServingPeers(control, {
+    ...peerServer,
+    onFault: metrics.countPeerFault,
+  });
 
   function runForPeer(run: PieceRun, stop: AbortSignal) {
     const reply = findDispatcher(run.pool, run.partition).run(run, stop);
@@ -438,6 +447,7 @@
 
   function kill(): void {
     controller.abort();
+    peerConnections.close();
     for (const server of [listener.server, control]) {
       server.closeAllConnections();
       server.close();
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -14,6 +14,8 @@
   countDroppedLine(kind: string): void;
   countUnanswered(): void;
   countPeerBytes(direction: "in" | "out", bytes: number): void;
+  /** A connection that was closed because the peer broke the protocol. */
+  countPeerFault(fault: string): void;
   setConfigVersion(version: number): void;
   setConfigAge(age: Millis): void;
   countReading(topic: string, source: string, outcome: string): void;
@@ -60,6 +62,13 @@
     labelNames: ["direction"],
     registers,
   });
+  const peerFaults = new Counter({
+    name: "mangoreach_peer_connection_faults_total",
+    help:
+      "Connections from peers closed for malformed frames or unread replies",
+    labelNames: ["fault"],
+    registers,
+  });
   const configVersion = new Gauge({
     name: "mangoreach_config_version",
     help: "Version of the configuration in force here",
@@ -97,6 +106,7 @@
     countDroppedLine: (kind) => droppedLines.inc({ kind }),
     countUnanswered: () => unanswered.inc(),
     countPeerBytes: (direction, bytes) => peerBytes.inc({ direction }, bytes),
+    countPeerFault: (fault) => peerFaults.inc({ fault }),
     setConfigVersion: (version) => configVersion.set(version),
     setConfigAge: (age) => configAge.set(age / MILLIS_PER_SECOND),
     countReading: (topic, source, outcome) =>
