feat(serving): waits of several priorities in one reply

Cause: each priority of a partition took a query of its own, as often as its waits expired. Change: a query names the other priorities that the entry has read within their time to live (optional field), and the reply has their waits too (optional field).

--- a/packages/peers/src/frame_channel.ts
+++ b/packages/peers/src/frame_channel.ts
@@ -59,7 +59,7 @@
     socket.destroy();
   }
 
-  function receive(chunk: Buffer): void {
+  function readChunk(chunk: Buffer): void {
     if (decoder.add(chunk) !== undefined) closeFor("malformed");
   }
 
@@ -84,7 +84,7 @@
     });
   }
   if (head.length > 0) socket.unshift(head);
-  socket.on("data", receive);
+  socket.on("data", readChunk);
   // Sockets of an HTTP server stay half open otherwise.
   socket.on("end", () => socket.destroy());
   socket.on("error", () => socket.destroy());
--- a/packages/peers/src/message_check_test.ts
+++ b/packages/peers/src/message_check_test.ts
@@ -6,8 +6,8 @@
 import {
   pieceRunReplySchema,
   pieceRunSchema,
-  pieceWaitsSchema,
   waitsQuerySchema,
+  waitsReplySchema,
 } from "./piece_protocol.ts";
 import { runReportSchema } from "./run_protocol.ts";
 import { topicRepliesSchema, topicRequestsSchema } from "./topic_protocol.ts";
@@ -47,8 +47,18 @@
     "waits":{"onTime":0,"late":1,"growth":0.5},"freedInputs":false,
     "ends":[{"endpointKey":"k","sentAgo":1,"endedAgo":0}]}`,
   ],
-  ["waits", pieceWaitsSchema, `{"onTime":0,"late":1,"growth":0.5}`],
-  ["query", waitsQuerySchema, `{"pool":"p","partition":"","priority":0}`],
+  [
+    "waits",
+    waitsReplySchema,
+    `{"onTime":0,"late":1,"growth":0.5,
+    "others":[{"onTime":0,"late":1,"growth":0,"priority":1}]}`,
+  ],
+  [
+    "query",
+    waitsQuerySchema,
+    `{"pool":"p","partition":"","others":[1],
+    "priority":0}`,
+  ],
   [
     "report",
     runReportSchema,
--- a/packages/peers/src/mod.ts
+++ b/packages/peers/src/mod.ts
@@ -23,8 +23,9 @@
   PieceRunReply,
   PieceSource,
   WaitsQuery,
+  WaitsReply,
 } from "./piece_protocol.ts";
-export { MAX_RELEASED } from "./piece_protocol.ts";
+export { MAX_OTHER_PRIORITIES, MAX_RELEASED } from "./piece_protocol.ts";
 export type {
   EndpointCrash,
   PoisonUpdate,
--- a/packages/peers/src/peer_caller.ts
+++ b/packages/peers/src/peer_caller.ts
@@ -154,7 +154,7 @@
         if (isSettled) return;
         isSettled = true;
         stopTimer();
-        signal?.removeEventListener("abort", abort);
+        signal?.removeEventListener("abort", cancel);
         resolve(result);
       }
 
@@ -162,7 +162,7 @@
         settle(Result.err(fail(address, message)));
       }
 
-      function abort(): void {
+      function cancel(): void {
         settleFailed("the call was aborted");
         abandon?.();
       }
@@ -172,7 +172,7 @@
         abandon?.();
         discard(address);
       });
-      signal?.addEventListener("abort", abort, { once: true });
+      signal?.addEventListener("abort", cancel, { once: true });
       const call: OutgoingCall = {
         type,
         path,
--- a/packages/peers/src/piece_protocol.ts
+++ b/packages/peers/src/piece_protocol.ts
@@ -76,10 +76,15 @@
 /** The outcome of one piece. */
 export type PieceOutcome = z.infer<typeof pieceOutcomeSchema>;
 
+/** Maximum number of other priorities in a query for waits. */
+export const MAX_OTHER_PRIORITIES = 16;
+
 /** Queries the expected waits of new pieces. */
 export const waitsQuerySchema = z.object({
   pool: z.string(),
   partition: z.string(),
+  /** Other priorities whose waits the entry is likely to need soon. */
+  others: z.array(z.number().int().min(0)).max(MAX_OTHER_PRIORITIES).optional(),
   /** 0 is the highest. */
   priority: z.number().int().min(0),
 });
@@ -95,6 +100,17 @@
   growth: z.number(),
 });
 
+/** Expected waits of new pieces of the priority that was queried. */
+export const waitsReplySchema = pieceWaitsSchema.extend({
+  /** Waits of the other priorities that were queried. */
+  others: z.array(pieceWaitsSchema.extend({
+    priority: z.number().int().min(0),
+  })).max(MAX_OTHER_PRIORITIES).optional(),
+});
+
+/** Expected waits of new pieces of the priority that was queried. */
+export type WaitsReply = z.infer<typeof waitsReplySchema>;
+
 /** The outcomes of a run, in the order of its pieces. */
 export const pieceRunReplySchema = z.object({
   outcomes: z.array(pieceOutcomeSchema),
--- a/packages/peers/src/serving_peers.ts
+++ b/packages/peers/src/serving_peers.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { IncomingMessage, RequestListener, Server } from "node:http";
-import type { Failure, PieceWaits } from "@mangoreach/coordination";
+import type { Failure } from "@mangoreach/coordination";
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { Result } from "true-myth";
 import * as z from "zod";
@@ -27,13 +27,14 @@
   PieceRunReply,
   ResultRelease,
   WaitsQuery,
+  WaitsReply,
 } from "./piece_protocol.ts";
 import {
   pieceRunReplySchema,
   pieceRunSchema,
-  pieceWaitsSchema,
   releaseSchema,
   waitsQuerySchema,
+  waitsReplySchema,
 } from "./piece_protocol.ts";
 import type { RunReport, RunReportReply } from "./run_protocol.ts";
 import { runReportReplySchema, runReportSchema } from "./run_protocol.ts";
@@ -45,7 +46,7 @@
   exchange(message: PeerExchange): PeerExchange;
   /** Runs pieces here; the signal aborts when the peer cancels them. */
   runPieces(run: PieceRun, signal: AbortSignal): Promise<PieceRunReply>;
-  readWaits(query: WaitsQuery): PieceWaits;
+  readWaits(query: WaitsQuery): WaitsReply;
   releaseResults(release: ResultRelease): void;
   /** Counts runs of the contents that this entry is an aggregator for. */
   reportRuns(report: RunReport): RunReportReply;
@@ -63,7 +64,7 @@
 const readExchange = createMessageReader(exchangeSchema);
 const readPieceRun = createMessageReader(pieceRunSchema);
 const readPieceRunReply = createMessageReader(pieceRunReplySchema);
-const readPieceWaits = createMessageReader(pieceWaitsSchema);
+const readWaitsReply = createMessageReader(waitsReplySchema);
 const readWaitsQuery = createMessageReader(waitsQuerySchema);
 const readRelease = createMessageReader(releaseSchema);
 const readRunReport = createMessageReader(runReportSchema);
@@ -167,7 +168,7 @@
   readWaits(
     address: string,
     query: WaitsQuery,
-  ): Promise<Result<PieceWaits, Failure>>;
+  ): Promise<Result<WaitsReply, Failure>>;
   releaseResults(
     address: string,
     release: ResultRelease,
@@ -258,7 +259,7 @@
         path: "readWaits",
         type: "query",
         input: query,
-        read: readPieceWaits,
+        read: readWaitsReply,
         timeout: WAITS_TIMEOUT,
       }),
     releaseResults: (address, release) =>
--- a/packages/serving/src/piece_router.ts
+++ b/packages/serving/src/piece_router.ts
@@ -29,6 +29,7 @@
   PieceRunReply,
   ServingPeerClient,
   WaitsQuery,
+  WaitsReply,
 } from "@mangoreach/peers";
 import { MAX_RELEASED } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
@@ -150,7 +151,7 @@
 
   async function fetchWaits(
     query: WaitsQuery,
-  ): Promise<PieceWaits | undefined> {
+  ): Promise<WaitsReply | undefined> {
     const { pool, partition, priority } = query;
     const address = listDispatchers(query)[0];
     if (address === undefined) {
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -40,6 +40,7 @@
 import { createPeerGossip } from "./peer_gossip.ts";
 import { createPieceRouter } from "./piece_router.ts";
 import { createPoolComponents } from "./pool_components.ts";
+import { answerWaitsQuery } from "./pool_wait_cache.ts";
 import { createQuarantineGossip } from "./quarantine_gossip.ts";
 import { serveRequest } from "./request_service.ts";
 import { createCrashDetector } from "./crash_detector.ts";
@@ -376,8 +377,12 @@
       reportRuns: quarantineGossip.answer,
       readConfig: () => siteState.readPublished() ?? null,
       readTopics: (queries) => handleTopicRequests(siteState.relays, queries),
-      readWaits: ({ pool, partition, priority }) =>
-        findDispatcher(pool, partition).readWaits(priority),
+      readWaits: (query) =>
+        answerWaitsQuery(
+          query,
+          (priority) =>
+            findDispatcher(query.pool, query.partition).readWaits(priority),
+        ),
       releaseResults: ({ pool, partition, results }) =>
         findDispatcher(pool, partition).release(results),
     },
