fix(peers): a late time-out keeps the newer connection, topics have their own

Cause: a call that timed out on an old connection discarded the current one of its address; a large reply with topics delayed the replies behind it on a slow link. Change: only the connection of the call is discarded; topics are read on a connection of their own.

--- a/packages/peers/src/peer_caller.ts
+++ b/packages/peers/src/peer_caller.ts
@@ -46,6 +46,11 @@
   /** Validates the reply; throws if it is malformed. */
   read: ReadMessage<T>;
   timeout: Millis;
+  /**
+   * The reply can be large. It comes on a connection of its own, as it would
+   * delay the other replies by the time that it takes on a slow link.
+   */
+  isBulk?: boolean;
   /** Cancels the request. */
   signal?: AbortSignal;
 }
@@ -69,6 +74,8 @@
 export function createPeerCaller<R extends AnyTRPCRouter>(
   { clock, siteKey, connectTimeout, onBytes }: PeerCallerOptions,
 ): PeerCaller<R> {
+  /** For bulk replies and for all others, by address. */
+  const bulkConnections = new Map<string, PeerConnection>();
   const connections = new Map<string, PeerConnection>();
   /** Until when each peer that refused a connection is called over HTTP. */
   const httpUntil = new Map<string, Millis>();
@@ -79,8 +86,11 @@
   });
 
   /** Returns the connection to a peer; undefined if it supports only HTTP. */
-  function findConnection(address: string): PeerConnection | undefined {
-    const present = connections.get(address);
+  function findConnection(
+    address: string,
+    open: Map<string, PeerConnection>,
+  ): PeerConnection | undefined {
+    const present = open.get(address);
     if (present !== undefined) return present;
     const until = httpUntil.get(address);
     if (until !== undefined) {
@@ -95,12 +105,10 @@
       idleTimeout: KEEP_ALIVE,
       onRefused: () => keepHttp(address),
       onClosed() {
-        if (connections.get(address) === connection) {
-          connections.delete(address);
-        }
+        if (open.get(address) === connection) open.delete(address);
       },
     });
-    connections.set(address, connection);
+    open.set(address, connection);
     return connection;
   }
 
@@ -113,23 +121,25 @@
     httpUntil.set(address, now + KEEP_ALIVE);
   }
 
-  /** Calls in progress continue; new ones use a new connection. */
-  function discard(address: string): void {
-    const connection = connections.get(address);
-    connections.delete(address);
-    connection?.retire();
-    // Another build may have been started at this address.
-    if (httpUntil.delete(address)) kept.discard(address);
+  /**
+   * Discards the connection of a call that timed out: its other calls continue,
+   * new ones use a new connection. Undefined stands for HTTP.
+   */
+  function discard(
+    address: string,
+    open: Map<string, PeerConnection>,
+    connection: PeerConnection | undefined,
+  ): void {
+    if (connection === undefined) {
+      // Another build may have been started at this address.
+      httpUntil.delete(address);
+      return kept.discard(address);
+    }
+    if (open.get(address) === connection) open.delete(address);
+    connection.retire();
   }
 
   /** Starts a call; the function returned abandons it. */
-  function startCall(address: string, call: OutgoingCall): () => void {
-    const connection = findConnection(address);
-    return connection === undefined
-      ? startHttpCall(address, call)
-      : connection.call(call);
-  }
-
   function startHttpCall(address: string, call: OutgoingCall): () => void {
     const controller = new AbortController();
     const { signal } = controller;
@@ -141,8 +151,13 @@
   }
 
   function request<P extends ProcedureName<R>, T>(
-    { address, path, type, input, read, timeout, signal }: PeerRequest<R, P, T>,
+    { address, path, type, input, read, timeout, isBulk, signal }: PeerRequest<
+      R,
+      P,
+      T
+    >,
   ): Promise<Result<T, Failure>> {
+    const open = isBulk === true ? bulkConnections : connections;
     if (signal?.aborted) {
       return Promise.resolve(Result.err(fail(address, "the call was aborted")));
     }
@@ -170,7 +185,7 @@
       const stopTimer = clock.startTimer(timeout, () => {
         settleFailed("no reply in time");
         abandon?.();
-        discard(address);
+        discard(address, open, connection);
       });
       signal?.addEventListener("abort", cancel, { once: true });
       const call: OutgoingCall = {
@@ -186,18 +201,22 @@
         },
         onFailed: settleFailed,
         onRefused() {
+          connection = undefined;
           if (!isSettled) abandon = startHttpCall(address, call);
         },
         onBytes: (direction, bytes) => onBytes?.(path, direction, bytes),
       };
-      abandon = startCall(address, call);
+      let connection = findConnection(address, open);
+      abandon = connection === undefined
+        ? startHttpCall(address, call)
+        : connection.call(call);
     });
   }
 
   async function close(): Promise<void> {
-    const open = [...connections.values()];
-    connections.clear();
-    open.forEach((connection) => connection.close());
+    for (const open of [connections, bulkConnections]) {
+      [...open.values()].forEach((connection) => connection.close());
+    }
     await kept.close();
   }
 
--- a/packages/peers/src/peer_connection_test.ts
+++ b/packages/peers/src/peer_connection_test.ts
@@ -34,14 +34,14 @@
 const ACCEPTED = "HTTP/1.1 101 X\r\nconnection: Upgrade\r\n" +
   "upgrade: mangoreach-peer\r\n\r\n";
 
-function createRun(requestId: string): PieceRun {
+function createRun(requestId: string, remaining = 3_000): PieceRun {
   return {
     pool: "p",
     partition: "",
     requestId,
     priority: 0,
     onTime: 1_000,
-    remaining: 3_000,
+    remaining,
     resultBytes: 0,
     movedBytes: 0,
     ownsInputs: false,
@@ -178,6 +178,18 @@
     expect(counts).to.deep.equal({ requests: 0, connections: 1 });
   });
 
+  // Guards against short replies that wait behind a snapshot on a slow link.
+  it("reads topics on a connection of their own", async () => {
+    const { address, counts } = await startPeer();
+    const from = { era: 0, offset: 0 };
+    const query = { topic: "config" as const, from, wait: 0, confirmWait: 0 };
+    for (let call = 0; call < 2; call++) {
+      expect((await client.readTopics(address, [query])).isOk).to.equal(true);
+      await expectAnswer(address);
+    }
+    expect(counts).to.deep.equal({ requests: 0, connections: 2 });
+  });
+
   // Guards against work that continues for a call that nobody waits for.
   it("aborts one call at the peer when the client abandons it", async () => {
     const { address } = await startPeer();
@@ -247,11 +259,20 @@
       });
       await expectAnswer(proxy.address);
       const slow = startRun(proxy.address, "slow");
-      await waitUntil(() => runs.size === 1);
+      const { signal } = new AbortController();
+      const stuck = client.runPieces(
+        proxy.address,
+        createRun("stuck", 0),
+        signal,
+      );
+      await waitUntil(() => runs.size === 2);
       isSilent = true;
       const reply = await client.readWaits(proxy.address, QUERY);
       expect(reply.isErr && reply.error.verdict).to.equal("may_have_run");
       await expectAnswer(proxy.address);
+      // A later time-out on the old connection leaves the new one in use.
+      expect((await stuck).isErr).to.equal(true);
+      await expectAnswer(proxy.address);
       expect(proxy.sockets.length).to.equal(2);
       // The call in progress continues on the old connection.
       isSilent = false;
@@ -368,7 +389,8 @@
       onBytes: () => {},
     });
     await waitUntil(() => runs.size === 1);
-    await system.sleep(150);
+    // Longer than the time-outs of idle connections and of HTTP requests.
+    await system.sleep(2_200);
     expect(isClosed).to.equal(false);
     runs.get("slow")!.finish();
     await waitUntil(() => isClosed);
--- a/packages/peers/src/serving_peers.ts
+++ b/packages/peers/src/serving_peers.ts
@@ -297,6 +297,7 @@
         input: [...requests],
         read: readTopicReplies,
         timeout: computeMinWait(requests) + TOPIC_TIMEOUT_MARGIN,
+        isBulk: true,
       }),
     close,
   };
