feat(coordination): learn endpoint speeds and choose stage calls by them

Cause: endpoints of a stage pool differ in speed by up to 2.4 times and their speeds change, but calls went to the endpoint with the most free storage, call sizes were the same for all, and waits were computed as if all were alike. Pieces with little time left were sent to slow endpoints. Change: the dispatcher of a partition learns the ratio of measured to expected call time of each endpoint (createEndpointSpeeds). Where the ratios differ by more than 10%, a piece that would miss its objective at a slow endpoint waits for a faster one that meets it, pieces with time leave the fast endpoint to those without, calls at slow endpoints are cut short unless there is a backlog, and capacity is the sum of the speeds. Decisions within 10% are as before.

--- a/packages/coordination/src/locality_wait.ts
+++ b/packages/coordination/src/locality_wait.ts
@@ -17,7 +17,7 @@
 /**
  * Transfers of at least this many bytes justify waiting for a local endpoint.
  */
-const LARGE_TRANSFER = 200_000;
+export const LARGE_TRANSFER = 200_000;
 
 interface PlaceQueue {
   freeAt: Millis;
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -249,6 +249,8 @@
   UNPARTITIONED,
 } from "./pool_partition.ts";
 export { createPieceRates } from "./piece_rates.ts";
+export type { EndpointSpeeds } from "./endpoint_speed/endpoint_speeds.ts";
+export { createEndpointSpeeds } from "./endpoint_speed/endpoint_speeds.ts";
 export type {
   EngineSelector,
   EngineView,
--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -18,6 +18,12 @@
  */
 import type { Millis } from "@mangoreach/shared";
 import type { EndpointInfo } from "./endpoint.ts";
+import type { SpeedPlan } from "./endpoint_speed/speed_plan.ts";
+import {
+  createSpeedPlan,
+  isUneven,
+  scaleToFastest,
+} from "./endpoint_speed/speed_plan.ts";
 import { listLocalityWaiting } from "./locality_wait.ts";
 import type { PieceWaits, WaitForecast } from "./piece_rates.ts";
 import type { BatchSpec } from "./serving_config.ts";
@@ -61,6 +67,11 @@
   readonly roomTaken: number;
   /** Observed latency relative to the expected latency; 1 is normal. */
   readonly slowdown: number;
+  /**
+   * Estimated ratio of measured to expected time of its calls. If those of a
+   * pool differ, calls are chosen by them instead of by `slowdown`.
+   */
+  readonly timeRatio?: number;
   /** Expected end of its calls in progress. */
   readonly freeAt: Millis;
 }
@@ -147,24 +158,30 @@
     const spec = readSpec();
     const free = endpoints.filter(({ calls }) => calls < spec.slots);
     if (free.length === 0) return undefined;
-    sortWaiting(now, spec);
+    const isPoolUneven = isUneven(endpoints);
+    sortWaiting(now, isPoolUneven ? scaleToFastest(spec, endpoints) : spec);
     const localityWaiting = listLocalityWaiting(waiting, {
       endpoints,
       now,
       spec,
     });
+    const speedPlan = isPoolUneven
+      ? createSpeedPlan(waiting, { endpoints, now, spec, isBacklogged })
+      : undefined;
     for (const first of waiting) {
       const isLocalFree = free.some(({ info }) => info.place === first.place);
       if (!isLocalFree && localityWaiting.has(first)) continue;
-      const endpoint = chooseEndpoint(first, { free, spec });
+      const endpoint = chooseEndpoint(first, { free, spec, speedPlan });
       if (endpoint === undefined) continue;
       const mayWait = (piece: P) =>
-        piece.place !== endpoint.info.place && localityWaiting.has(piece);
+        (piece.place !== endpoint.info.place && localityWaiting.has(piece)) ||
+        speedPlan?.isWaiting(piece, endpoint) === true;
       const pieces = choosePieces(first, {
         endpoint,
         mayWait,
         isBacklogged,
         spec,
+        speedPlan,
       });
       const chosen = new Set(pieces);
       waiting = waiting.filter((piece) => !chosen.has(piece));
@@ -196,23 +213,30 @@
 
   /**
    * Prefers the piece's own place, to which results go, then the most free
-   * storage.
+   * storage. Among endpoints that differ in speed, the piece's objective comes
+   * first, and only large transfers keep it in its own place.
    */
   function chooseEndpoint<E extends BatchEndpoint>(
     piece: P,
-    { free, spec }: { free: readonly E[]; spec: BatchSpec },
+    { free, spec, speedPlan }: {
+      free: readonly E[];
+      spec: BatchSpec;
+      speedPlan: SpeedPlan<P, E> | undefined;
+    },
   ): E | undefined {
-    const fitting = listFast(
-      free.filter(({ info, roomTaken }) =>
-        !piece.excluded.has(info.id) &&
-        hasStorage(piece, {
-          roomTaken,
-          storageLeft: spec.storageBytes - roomTaken,
-        })
-      ),
+    const fitting = free.filter(({ info, roomTaken }) =>
+      !piece.excluded.has(info.id) &&
+      hasStorage(piece, {
+        roomTaken,
+        storageLeft: spec.storageBytes - roomTaken,
+      })
     );
-    const local = fitting.filter(({ info }) => info.place === piece.place);
-    return findMostFree(local.length > 0 ? local : fitting);
+    const suitable = speedPlan?.listSuitable(
+      piece,
+      fitting.filter((endpoint) => !speedPlan.isWaiting(piece, endpoint)),
+    ) ?? listFast(fitting);
+    const local = suitable.filter(({ info }) => info.place === piece.place);
+    return findMostFree(local.length > 0 ? local : suitable);
   }
 
   /**
@@ -221,11 +245,12 @@
    */
   function choosePieces(
     first: P,
-    { endpoint, mayWait, isBacklogged, spec }: {
+    { endpoint, mayWait, isBacklogged, spec, speedPlan }: {
       endpoint: BatchEndpoint;
       mayWait: (piece: P) => boolean;
       isBacklogged: boolean;
       spec: BatchSpec;
+      speedPlan: Pick<SpeedPlan<P, BatchEndpoint>, "mayAdd"> | undefined;
     },
   ): P[] {
     const chosen = new Set([first]);
@@ -242,6 +267,7 @@
           ? piece.resultBytes <= storageLeft
           : hasStorage(piece, { roomTaken, storageLeft });
         if (!fits) continue;
+        if (speedPlan?.mayAdd(piece, { endpoint, chosen }) === false) continue;
         startedGroups.add(piece.group);
         roomTaken += piece.resultBytes;
         chosen.add(piece);
--- a/packages/coordination/src/piece_rates.ts
+++ b/packages/coordination/src/piece_rates.ts
@@ -58,7 +58,11 @@
   recordQueue(queue: PieceQueueState): void;
   /** Whether there has been a backlog for some time. */
   isBacklogged(): boolean;
-  forecast(spec: BatchSpec, endpointCount: number): WaitForecast;
+  /**
+   * Forecasts the waits. `speedSum` is the sum of the endpoints' speeds relative
+   * to the specification: their number, where all run as specified.
+   */
+  forecast(spec: BatchSpec, speedSum: number): WaitForecast;
 }
 
 /**
@@ -126,8 +130,8 @@
   /**
    * Returns the capacity in pieces a second: nominal, or as measured if lower.
    */
-  function readCapacity(spec: BatchSpec, endpointCount: number): number {
-    const perRound = endpointCount * spec.slots * spec.maxPieces;
+  function readCapacity(spec: BatchSpec, speedSum: number): number {
+    const perRound = speedSum * spec.slots * spec.maxPieces;
     const nominal = 1_000 * perRound / computeFullCall(spec);
     if (!isBacklogged()) return nominal;
     const lowest = MIN_RATE_SHARE * nominal;
@@ -163,8 +167,8 @@
     return 1 - Math.exp(-age / LONG_WINDOW);
   }
 
-  function forecast(spec: BatchSpec, endpointCount: number): WaitForecast {
-    const capacity = readCapacity(spec, endpointCount);
+  function forecast(spec: BatchSpec, speedSum: number): WaitForecast {
+    const capacity = readCapacity(spec, speedSum);
     const readSpare = (before: number) =>
       Math.max(
         capacity - readArrivals(before, "recent"),
--- a/packages/serving/src/stage_dispatcher.ts
+++ b/packages/serving/src/stage_dispatcher.ts
@@ -161,7 +161,7 @@
   }
 
   function readForecast() {
-    return rates.forecast(readSpec(), endpointCalls.count());
+    return rates.forecast(readSpec(), endpointCalls.sumSpeeds());
   }
 
   function addPiece(
@@ -255,7 +255,7 @@
     endpoint: CallableEndpoint,
     pieces: readonly DispatchedPiece[],
   ): Promise<void> {
-    const { info, key } = endpoint;
+    const { info, key, timeRatio } = endpoint;
     const { callTime, pieceTime } = readSpec();
     const expected = callTime + pieces.length * pieceTime;
     const bytes = pieces.reduce((sum, piece) => sum + piece.resultBytes, 0);
@@ -285,6 +285,10 @@
     if (reply.isErr) {
       const isUnreachable = reply.error.sent === "no";
       loads.end(info, isUnreachable ? "unreachable" : "failing");
+      // A call is aborted only by its timeout, a multiple of its expected time.
+      if (reply.error.kind === "aborted") {
+        endpointCalls.recordTime(endpoint, took / expected);
+      }
       storage.addUsed(key, -bytes);
       // The crash is recorded before the pieces are queued again: otherwise
       // they would share their next call with the piece that caused it.
@@ -316,6 +320,9 @@
       waiting: batcher.size,
       took,
       expected,
+      ...(timeRatio === 1
+        ? {}
+        : { timeRatio: Math.round(timeRatio * 100) / 100 }),
       outcome: reply.isErr ? reply.error.message : reply.value.kind,
     });
     dispatch();
@@ -347,6 +354,10 @@
     if (reply.kind === "results") {
       loads.end(info, "done");
       loads.recordRatio(info, ratio);
+      // A call whose pieces fail can end early, which says nothing about speed.
+      if (reply.results.every(({ kind }) => kind === "done")) {
+        endpointCalls.recordTime(endpoint, ratio);
+      }
       // Result sizes are approximate, so the last pieces of a call that fills
       // the endpoint's storage can fail. The endpoint is not blocked for that:
       // it would be idle for a third of a call after every such call.
--- a/packages/serving/src/stage_endpoint_calls.ts
+++ b/packages/serving/src/stage_endpoint_calls.ts
@@ -1,6 +1,7 @@
 /**
  * Tracks the calls of a dispatcher to the endpoints of a stage pool: which
- * endpoints accept a call now, and what is in progress at each.
+ * endpoints accept a call now, what is in progress at each, and how fast they
+ * are.
  *
  * @module
  */
@@ -9,7 +10,10 @@
   EndpointInfo,
   SendAllowance,
 } from "@mangoreach/coordination";
-import { formatEndpointKey } from "@mangoreach/coordination";
+import {
+  createEndpointSpeeds,
+  formatEndpointKey,
+} from "@mangoreach/coordination";
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { EndpointLoads } from "./endpoint_load.ts";
 import type { ResultStorage } from "./result_storage.ts";
@@ -20,6 +24,7 @@
   readonly key: string;
   calls: number;
   freeAt: Millis;
+  timeRatio: number;
   /** The endpoint was full or completed no piece; no calls before this time. */
   blockedUntil: Millis;
 }
@@ -38,10 +43,15 @@
 export interface StageEndpointCalls {
   /** Lists the healthy endpoints that accept a call now. */
   list(): CallableEndpoint[];
-  /** Counts the healthy endpoints that accept a call now or soon. */
-  count(): number;
+  /**
+   * Sums the speeds of the healthy endpoints that accept a call now or soon.
+   * Where speeds are about equal, this is the number of endpoints.
+   */
+  sumSpeeds(): number;
   begin(endpoint: CallableEndpoint, expected: Millis): void;
   end(endpoint: CallableEndpoint): void;
+  /** Records a call by the ratio of its measured to its expected time. */
+  recordTime(endpoint: CallableEndpoint, ratio: number): void;
   /**
    * Pauses calls to an endpoint that is full or completed no piece of a call.
    */
@@ -59,6 +69,18 @@
     StageEndpointCallsOptions,
 ): StageEndpointCalls {
   const states = new Map<string, CallableEndpoint>();
+  const speeds = createEndpointSpeeds(clock);
+
+  /** Lists the healthy endpoints with the time ratios of their calls. */
+  function listMeasured(endpoints: readonly EndpointInfo[]) {
+    const healthy = loads.listHealthy(endpoints);
+    const ratios = speeds.estimateRatios(healthy.map(({ info }) => info));
+    return healthy.map(({ info, slowdown }, index) => ({
+      info,
+      slowdown,
+      timeRatio: ratios[index] ?? 1,
+    }));
+  }
 
   function list(): CallableEndpoint[] {
     const endpoints = listEndpoints();
@@ -67,37 +89,43 @@
       if (calls === 0 && !keys.has(key)) states.delete(key);
     }
     const now = clock.now();
-    return loads.listHealthy(endpoints).map(({ info, slowdown }) => {
+    return listMeasured(endpoints).map((measured) => {
+      const { info } = measured;
       const key = formatEndpointKey(info);
       const free = { calls: 0, freeAt: 0, roomTaken: 0, blockedUntil: 0 };
       const endpoint = states.get(key) ??
-        { key, info, slowdown, ...free };
+        { key, ...measured, ...free };
       states.set(key, endpoint);
       const roomTaken = storage.readUsed(key);
-      return Object.assign(endpoint, { info, slowdown, roomTaken });
+      return Object.assign(endpoint, { ...measured, roomTaken });
     }).filter(({ blockedUntil, info }) =>
       blockedUntil <= now && allowance.maySend(info)
     );
   }
 
   // Endpoints that accept a call soon count: their rate bounds queueing delays.
-  function count(): number {
-    return loads.listHealthy(listEndpoints())
-      .filter(({ info }) => allowance.readWait(info) <= MAX_LIMIT_WAIT).length;
+  function sumSpeeds(): number {
+    return listMeasured(listEndpoints())
+      .filter(({ info }) => allowance.readWait(info) <= MAX_LIMIT_WAIT)
+      .reduce((sum, { timeRatio }) => sum + 1 / timeRatio, 0);
   }
 
   return {
     list,
-    count,
+    sumSpeeds,
     begin(endpoint, expected) {
+      const { slowdown, timeRatio } = endpoint;
       endpoint.calls++;
-      endpoint.freeAt = clock.now() + endpoint.slowdown * expected;
+      // The ratio is exactly 1 where speeds are about equal.
+      const ratio = timeRatio === 1 ? slowdown : timeRatio;
+      endpoint.freeAt = clock.now() + ratio * expected;
       loads.begin(endpoint.info);
       allowance.recordSend(endpoint.info);
     },
     end(endpoint) {
       endpoint.calls--;
     },
+    recordTime: ({ info }, ratio) => speeds.record(info, ratio),
     block(endpoint) {
       endpoint.blockedUntil = clock.now() + BLOCK_TIME;
     },
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -23,7 +23,7 @@
   createRouteTable,
   formatEndpointKey,
 } from "@mangoreach/coordination";
-import type { FakeClock } from "@mangoreach/shared";
+import type { FakeClock, HttpFaultKind } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { CallerResponse } from "./caller_response.ts";
 import { createSilentDecisionLog } from "./decision_log.ts";
@@ -164,8 +164,8 @@
   /** Completes all pieces; results are named `endpoint/request.stage.piece`. */
   finish(): void;
   end(reply: StageReply): void;
-  /** Ends the call without a reply. */
-  disconnect(sent: "no" | "maybe"): void;
+  /** Ends the call without a reply, by default with its connection. */
+  disconnect(sent: "no" | "maybe", kind?: HttpFaultKind): void;
 }
 
 /** Creates stage endpoints without calls. */
@@ -189,8 +189,8 @@
                 result: `${call.endpoint.id}/${requestId}.${stage}.${piece}`,
               })),
             }),
-          disconnect: (sent) =>
-            resolve(Result.err({ kind: "cut", sent, message: "cut" })),
+          disconnect: (sent, kind = "cut") =>
+            resolve(Result.err({ kind, sent, message: kind })),
         });
       }),
     release: (_address, results) => {
