--- a/packages/coordination/src/endpoint_speed/speed_plan.ts
+++ b/packages/coordination/src/endpoint_speed/speed_plan.ts
@@ -22,7 +22,10 @@
 
 /** The choices for the next call of a pool whose endpoints differ in speed. */
 export interface SpeedPlan<P, E> {
-  /** Whether a piece waits for a faster endpoint rather than run at this one. */
+  /**
+   * Whether a piece waits for a faster endpoint rather than run at this one,
+   * where it would miss its objective, or even its deadline.
+   */
   isWaiting(piece: P, endpoint: BatchEndpoint): boolean;
   /**
    * Lists the endpoints that serve a piece best: the fastest, or slower ones if
@@ -69,7 +72,7 @@
 }
 
 /** Returns the specification with the call times of the fastest endpoint. */
-export function scaleToFastest(
+export function computeFastestSpec(
   spec: BatchSpec,
   endpoints: readonly BatchEndpoint[],
 ): BatchSpec {
@@ -87,10 +90,14 @@
 
 /** Positions of an endpoint in its next calls. */
 interface EndpointQueue<E> {
-  endpoint: E;
+  readonly endpoint: E;
+  /** Time of a call of the expected size, and of a full one. */
+  readonly callTime: Millis;
+  readonly fullTime: Millis;
+  /** Start of the next call with positions left. */
   startsAt: Millis;
   isFree: boolean;
-  taken: number;
+  left: number;
 }
 
 /** Creates the plan for `waiting`, which is in order. */
@@ -103,9 +110,8 @@
 ): SpeedPlan<P, E> {
   const fastest = Math.min(...endpoints.map(readRatio));
   const perCall = Math.min(spec.maxPieces, waiting.length);
-  const queues = endpoints.map((endpoint) =>
-    createQueue(endpoint, { now, spec })
-  );
+  const perRound = spec.slots * spec.maxPieces;
+  const queues = endpoints.map(createQueue);
   const groupBytes = sumGroupBytes(waiting);
   const assigned = listAssigned();
 
@@ -114,6 +120,19 @@
       (spec.callTime + pieces * spec.pieceTime);
   }
 
+  function createQueue(endpoint: E): EndpointQueue<E> {
+    const isFree = endpoint.calls < spec.slots;
+    return {
+      endpoint,
+      callTime: estimateTime(endpoint, perCall),
+      fullTime: estimateTime(endpoint, spec.maxPieces),
+      // An overdue call is expected to take as long again as it is overdue.
+      startsAt: isFree ? now : now + Math.abs(endpoint.freeAt - now),
+      isFree,
+      left: perRound,
+    };
+  }
+
   function isMet(
     { objectiveAt }: WaitingPiece,
     endpoint: BatchEndpoint,
@@ -129,13 +148,16 @@
   /** Lists the pieces for which an endpoint meets the objective. */
   function listAssigned(): Set<P> {
     const chosen = new Set<P>();
-    let left = MAX_ROUNDS * endpoints.length * spec.slots * spec.maxPieces;
-    for (const piece of waiting) {
-      if (left-- <= 0) break;
+    for (
+      const piece of waiting.slice(0, MAX_ROUNDS * perRound * queues.length)
+    ) {
       const queue = chooseQueue(piece);
       if (queue === undefined) continue;
-      queue.taken++;
       chosen.add(piece);
+      if (--queue.left > 0) continue;
+      queue.startsAt += queue.fullTime;
+      queue.isFree = false;
+      queue.left = perRound;
     }
     return chosen;
   }
@@ -147,23 +169,15 @@
   function chooseQueue(piece: P): EndpointQueue<E> | undefined {
     let slowestFree: EndpointQueue<E> | undefined;
     let first: EndpointQueue<E> | undefined;
-    let firstEnd = piece.objectiveAt;
     for (const queue of queues) {
-      const { endpoint, taken, isFree } = queue;
-      if (!hasRoom(piece, endpoint)) continue;
-      const rounds = Math.floor(taken / (spec.slots * spec.maxPieces));
-      const time = estimateTime(endpoint, spec.maxPieces);
-      const own = estimateTime(endpoint, perCall);
-      const end = queue.startsAt + rounds * time + own;
-      if (end > piece.objectiveAt) continue;
-      if (end <= firstEnd) {
+      const end = queue.startsAt + queue.callTime;
+      if (end > piece.objectiveAt || !hasRoom(piece, queue.endpoint)) continue;
+      if (first === undefined || end < first.startsAt + first.callTime) {
         first = queue;
-        firstEnd = end;
       }
-      if (!isFree || rounds > 0) continue;
-      const isSlower = slowestFree === undefined ||
-        readRatio(endpoint) > readRatio(slowestFree.endpoint);
-      if (isSlower) slowestFree = queue;
+      const isSlowest = slowestFree === undefined ||
+        queue.callTime > slowestFree.callTime;
+      if (queue.isFree && isSlowest) slowestFree = queue;
     }
     return slowestFree ?? first;
   }
@@ -178,8 +192,15 @@
     return !excluded.has(info.id) && roomTaken + needed <= spec.storageBytes;
   }
 
+  function isSlow(endpoint: BatchEndpoint): boolean {
+    return readRatio(endpoint) > EQUAL_FACTOR * fastest;
+  }
+
   function isWaiting(piece: P, endpoint: BatchEndpoint): boolean {
-    return assigned.has(piece) && !isMetNow(piece, endpoint);
+    if (assigned.has(piece)) return !isMetNow(piece, endpoint);
+    // Its result would be of no use.
+    return isSlow(endpoint) &&
+      now + estimateTime(endpoint, 1) > piece.deadlineAt;
   }
 
   function listSuitable(piece: P, candidates: readonly E[]): readonly E[] {
@@ -189,28 +210,21 @@
       ? []
       : anywhere.filter(({ info }) => info.place === piece.place);
     const meeting = local.length > 0 ? local : anywhere;
-    const slowest = Math.max(...meeting.map(readRatio));
-    const isFastNeeded = waiting.some((other) =>
-      other.objectiveAt < piece.objectiveAt &&
-      meeting.some((endpoint) =>
-        isMetNow(other, endpoint) && readRatio(endpoint) < slowest
-      ) &&
-      meeting.some((endpoint) => !isMetNow(other, endpoint))
+    const times = meeting.map((endpoint) => estimateTime(endpoint, perCall));
+    const fastestEnd = now + Math.min(...times);
+    const slowestEnd = now + Math.max(...times);
+    const isFastNeeded = waiting.some(({ objectiveAt }) =>
+      objectiveAt >= fastestEnd && objectiveAt < slowestEnd
     );
-    return isFastNeeded
-      ? meeting.filter((endpoint) =>
-        EQUAL_FACTOR * readRatio(endpoint) >= slowest
-      )
-      : listFastest(meeting);
+    return isFastNeeded ? listSlowest(meeting) : listFastest(meeting);
   }
 
   function mayAdd(
     piece: P,
     { endpoint, chosen }: { endpoint: BatchEndpoint; chosen: ReadonlySet<P> },
   ): boolean {
-    const isSlow = readRatio(endpoint) > EQUAL_FACTOR * fastest;
-    if (!isSlow || isBacklogged) return true;
-    const positions = (endpoints.length - 1) * spec.slots * spec.maxPieces;
+    if (!isSlow(endpoint) || isBacklogged) return true;
+    const positions = (endpoints.length - 1) * perRound;
     const left = waiting.length - chosen.size;
     if (left > MAX_LEFT_SHARE * positions) return true;
     const size = chosen.size + 1;
@@ -233,19 +247,16 @@
   return sums;
 }
 
-function createQueue<E extends BatchEndpoint>(
-  endpoint: E,
-  { now, spec }: { now: Millis; spec: BatchSpec },
-): EndpointQueue<E> {
-  const isFree = endpoint.calls < spec.slots;
-  // A call that is overdue is expected to take as long again as it is overdue.
-  const startsAt = isFree ? now : now + Math.abs(endpoint.freeAt - now);
-  return { endpoint, startsAt, isFree, taken: 0 };
-}
-
 function listFastest<E extends BatchEndpoint>(endpoints: readonly E[]): E[] {
   const fastest = Math.min(...endpoints.map(readRatio));
   return endpoints.filter((endpoint) =>
     readRatio(endpoint) <= EQUAL_FACTOR * fastest
   );
 }
+
+function listSlowest<E extends BatchEndpoint>(endpoints: readonly E[]): E[] {
+  const slowest = Math.max(...endpoints.map(readRatio));
+  return endpoints.filter((endpoint) =>
+    EQUAL_FACTOR * readRatio(endpoint) >= slowest
+  );
+}
--- a/packages/coordination/src/endpoint_speed/speed_plan_test.ts
+++ b/packages/coordination/src/endpoint_speed/speed_plan_test.ts
@@ -154,6 +154,19 @@
       .to.deep.equal({ fast: "b" });
   });
 
+  // By the specification, the next call of the endpoint in the piece's place
+  // would meet the objective, but the endpoint is slow.
+  it("does not wait for a slow endpoint in the piece's place", () => {
+    const busy = { ...SLOW_FREE, calls: 1, freeAt: 100 };
+    const piece = createPiece("a", {
+      place: "slow",
+      movedBytes: 600_000,
+      objectiveAt: 600,
+    });
+    expect(planCalls([piece], [busy, FAST_FREE]))
+      .to.deep.equal({ fast: "a" });
+  });
+
   // A call of one piece at the slow endpoint meets the objective, a call of two
   // does not. The fast endpoint is too late for the first but not the second.
   it("cuts a call at a slow endpoint short, except under a backlog", () => {
@@ -177,6 +190,14 @@
       .to.deep.equal({ slow: "late" });
   });
 
+  // Its result would be discarded, and other pieces would get the position.
+  it("sends no piece to an endpoint where it misses its deadline", () => {
+    const late = createPiece("late", { objectiveAt: 100, deadlineAt: 500 });
+    expect(planCalls([late], [SLOW_FREE, FAST_BUSY])).to.deep.equal({});
+    expect(planCalls([late], [SLOW_FREE, FAST_FREE]))
+      .to.deep.equal({ fast: "late" });
+  });
+
   it("decides as without speeds while ratios are within 10% of each other", () => {
     const piece = fc.record({
       priority: fc.nat(2),
--- a/packages/coordination/src/locality_wait.ts
+++ b/packages/coordination/src/locality_wait.ts
@@ -24,6 +24,8 @@
   endpoints: number;
   /** Pieces that wait for this place ahead of the next one. */
   ahead: number;
+  /** Ratio of measured to expected call time of its fastest endpoint. */
+  timeRatio: number;
 }
 
 /**
@@ -31,18 +33,21 @@
  */
 export function listLocalityWaiting<P extends WaitingPiece>(
   waiting: readonly P[],
-  { endpoints, now, spec }: {
+  { endpoints, now, spec, isPoolUneven }: {
     endpoints: readonly BatchEndpoint[];
     now: Millis;
     spec: BatchSpec;
+    /** Whether the endpoints differ in speed; otherwise ratios are ignored. */
+    isPoolUneven: boolean;
   },
 ): Set<P> {
   const places = createPlaceQueues(endpoints);
-  const fullCall = computeFullCall(spec);
   const chosen = new Set<P>();
   for (const piece of waiting) {
     const queue = places.get(piece.place ?? "");
     if (queue === undefined || piece.movedBytes < LARGE_TRANSFER) continue;
+    const fullCall = (isPoolUneven ? queue.timeRatio : 1) *
+      computeFullCall(spec);
     const perRound = queue.endpoints * spec.slots * spec.maxPieces;
     const rounds = Math.floor(queue.ahead / perRound);
     const startsAt = Math.max(now, queue.freeAt) + rounds * fullCall;
@@ -57,12 +62,13 @@
   endpoints: readonly BatchEndpoint[],
 ): Map<string, PlaceQueue> {
   const places = new Map<string, PlaceQueue>();
-  for (const { info, freeAt } of endpoints) {
+  for (const { info, freeAt, timeRatio = 1 } of endpoints) {
     const known = places.get(info.place);
     places.set(info.place, {
       freeAt: Math.min(known?.freeAt ?? Infinity, freeAt),
       endpoints: (known?.endpoints ?? 0) + 1,
       ahead: 0,
+      timeRatio: Math.min(known?.timeRatio ?? Infinity, timeRatio),
     });
   }
   return places;
--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -20,9 +20,9 @@
 import type { EndpointInfo } from "./endpoint.ts";
 import type { SpeedPlan } from "./endpoint_speed/speed_plan.ts";
 import {
+  computeFastestSpec,
   createSpeedPlan,
   isUneven,
-  scaleToFastest,
 } from "./endpoint_speed/speed_plan.ts";
 import { listLocalityWaiting } from "./locality_wait.ts";
 import type { PieceWaits, WaitForecast } from "./piece_rates.ts";
@@ -159,11 +159,12 @@
     const free = endpoints.filter(({ calls }) => calls < spec.slots);
     if (free.length === 0) return undefined;
     const isPoolUneven = isUneven(endpoints);
-    sortWaiting(now, isPoolUneven ? scaleToFastest(spec, endpoints) : spec);
+    sortWaiting(now, isPoolUneven ? computeFastestSpec(spec, endpoints) : spec);
     const localityWaiting = listLocalityWaiting(waiting, {
       endpoints,
       now,
       spec,
+      isPoolUneven,
     });
     const speedPlan = isPoolUneven
       ? createSpeedPlan(waiting, { endpoints, now, spec, isBacklogged })
