perf(coordination): estimate endpoint speeds with one decay per endpoint

Cause: a dispatcher estimates speeds several times for each event, and each estimate computed the decay of every endpoint twice.

--- a/packages/coordination/src/endpoint_speed/endpoint_speeds.ts
+++ b/packages/coordination/src/endpoint_speed/endpoint_speeds.ts
@@ -60,10 +60,15 @@
 /** Above this many endpoints, the one with the oldest call is evicted. */
 const MAX_TRACKED = 256;
 
-/** The logarithms of the ratios of an endpoint's calls, by weight. */
-interface SpeedState {
-  mean: number;
-  weight: number;
+/** The mean logarithm of the ratios of an endpoint's calls. */
+interface WeightedMean {
+  readonly mean: number;
+  /** In calls. */
+  readonly weight: number;
+}
+
+/** What is known of an endpoint as of its last call. */
+interface SpeedState extends WeightedMean {
   updatedAt: Millis;
   /** The previous call, if it was an outlier. */
   outlier: number | undefined;
@@ -82,38 +87,18 @@
   // restarted endpoint begins without history.
   const states = new Map<string, SpeedState>();
 
-  function readWeight({ weight, updatedAt }: SpeedState): number {
-    return weight * Math.pow(2, (updatedAt - clock.now()) / HALF_LIFE);
-  }
-
-  /**
-   * Returns the median of what is known, which tends to the expected time when
-   * there are no recent calls.
-   */
-  function computeMedian(known: Iterable<SpeedState>): number {
-    const means: number[] = [];
-    for (const state of known) {
-      const weight = readWeight(state);
-      if (weight < MIN_WEIGHT) continue;
-      means.push(state.mean * weight / (weight + MEDIAN_WEIGHT));
-    }
-    means.sort((a, b) => a - b);
-    const middle = (means.length - 1) / 2;
-    const low = means[Math.floor(middle)] ?? 0;
-    const high = means[Math.ceil(middle)] ?? 0;
-    return (low + high) / 2;
-  }
-
-  function estimateMean(state: SpeedState, median: number): number {
-    const weight = readWeight(state);
-    return (weight * state.mean + MEDIAN_WEIGHT * median) /
-      (weight + MEDIAN_WEIGHT);
+  /** Reads a state as of now. */
+  function readMean({ mean, weight, updatedAt }: SpeedState): WeightedMean {
+    const age = clock.now() - updatedAt;
+    return { mean, weight: weight * Math.pow(2, -age / HALF_LIFE) };
   }
 
   function updateState(state: SpeedState, value: number): SpeedState {
     const updatedAt = clock.now();
     const limit = Math.log(OUTLIER_FACTOR);
-    const expected = estimateMean(state, computeMedian(states.values()));
+    const before = readMean(state);
+    const median = computeMedian([...states.values()].map(readMean));
+    const expected = estimateMean(before, median);
     const limited = Math.min(
       expected + limit,
       Math.max(expected - limit, value),
@@ -126,10 +111,10 @@
       const mean = (outlier + value) / 2;
       return { mean, weight: 2, updatedAt, outlier: undefined };
     }
-    const before = readWeight(state);
+    const weight = before.weight + 1;
     return {
-      mean: (before * state.mean + limited) / (before + 1),
-      weight: Math.min(MAX_WEIGHT, before + 1),
+      mean: (before.weight * before.mean + limited) / weight,
+      weight: Math.min(MAX_WEIGHT, weight),
       updatedAt,
       outlier: isOutlier ? value : undefined,
     };
@@ -149,13 +134,11 @@
   }
 
   function estimateRatios(endpoints: readonly EndpointInfo[]): number[] {
-    const listed = endpoints.map((endpoint) =>
-      states.get(formatEndpointKey(endpoint))
-    );
-    const median = computeMedian(listed.filter((state) => state !== undefined));
-    const estimates = listed.map((state) =>
-      estimateMean(state ?? UNKNOWN, median)
+    const known = endpoints.map((endpoint) =>
+      readMean(states.get(formatEndpointKey(endpoint)) ?? UNKNOWN)
     );
+    const median = computeMedian(known);
+    const estimates = known.map((state) => estimateMean(state, median));
     const spread = Math.exp(Math.max(...estimates) - Math.min(...estimates));
     const share = (spread - EQUAL_FACTOR) / (UNEVEN_FACTOR - EQUAL_FACTOR);
     const used = Math.min(1, Math.max(0, share));
@@ -164,3 +147,21 @@
 
   return { record, estimateRatios };
 }
+
+/**
+ * Returns the median of what is known, which tends to the expected time when
+ * there are no recent calls.
+ */
+function computeMedian(known: readonly WeightedMean[]): number {
+  const means = known.filter(({ weight }) => weight >= MIN_WEIGHT)
+    .map((state) => estimateMean(state, 0))
+    .sort((a, b) => a - b);
+  const middle = (means.length - 1) / 2;
+  const low = means[Math.floor(middle)] ?? 0;
+  const high = means[Math.ceil(middle)] ?? 0;
+  return (low + high) / 2;
+}
+
+function estimateMean({ mean, weight }: WeightedMean, median: number): number {
+  return (weight * mean + MEDIAN_WEIGHT * median) / (weight + MEDIAN_WEIGHT);
+}
