feat: fair shares of stage capacity between client accounts

Cause: within a priority, stage queues were served first come, first served. An account that sent several times its usual rate took most of the capacity, and the others missed their objectives.

If several accounts have pieces waiting, those with the least use go first after lateness, priority and started requests; accounts above their max-min share are dropped first, and waits are estimated for the account that asks. Lateness then counts with the size of the next call, not with a call of one piece. Without accounts, or with one, decisions are as before (property test).

--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -236,6 +236,8 @@
   WaitingPiece,
 } from "./piece_batcher.ts";
 export { createPieceBatcher } from "./piece_batcher.ts";
+export type { AccountShares, AccountUse } from "./fairness/account_shares.ts";
+export { createAccountShares } from "./fairness/account_shares.ts";
 export type { ElapsedEstimator } from "./elapsed_estimator.ts";
 export { createElapsedEstimator } from "./elapsed_estimator.ts";
 export type { PieceRates, PieceWaits, WaitForecast } from "./piece_rates.ts";
--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -7,8 +7,9 @@
  * form while all endpoints are busy.
  *
  * Pieces that can still meet their latency objective go first, then by
- * priority, then by the earliest objective: in a burst, first come first served
- * makes every request late. An endpoint stores results until they are freed, so
+ * priority, then by the recent use of their client account if several have
+ * pieces here, then by the earliest objective: in a burst, first come first
+ * served makes every request late. An endpoint stores results until they are freed, so
  * its result storage limits throughput as often as time does. Requests with
  * started pieces go before others, and a request begins only at an endpoint
  * with storage for all its results: incomplete requests would fill the storage
@@ -18,6 +19,14 @@
  */
 import type { Millis } from "@mangoreach/shared";
 import type { EndpointInfo } from "./endpoint.ts";
+import type { AccountShares } from "./fairness/account_shares.ts";
+import type { PieceRanking } from "./fairness/piece_ranking.ts";
+import {
+  computeAccountQueue,
+  computePieceCost,
+  isLate,
+  rankPieces,
+} from "./fairness/piece_ranking.ts";
 import { listLocalityWaiting } from "./locality_wait.ts";
 import type { PieceWaits, WaitForecast } from "./piece_rates.ts";
 import type { BatchSpec } from "./serving_config.ts";
@@ -31,6 +40,8 @@
 /** A piece of work that waits for a call. */
 export interface WaitingPiece {
   readonly group: PieceGroup;
+  /** The client account; pieces without one count as one account. */
+  readonly account?: string | undefined;
   /** 0 is the highest. */
   priority: number;
   /** After this time its request misses its latency objective. */
@@ -79,6 +90,8 @@
   /**
    * Removes and returns the pieces that would miss their deadline behind those
    * ahead of them, so that their callers learn it now and not at the deadline.
+   * Pieces of client accounts above their share are not counted as ahead of
+   * those of accounts within their share, unless their priority is higher.
    */
   dropInfeasible(now: Millis, forecast: WaitForecast): P[];
   /** Removes and returns the pieces of the next call, if one can start now. */
@@ -86,19 +99,30 @@
     endpoints: readonly E[],
     options: { now: Millis; isBacklogged: boolean },
   ): PlannedCall<P, E> | undefined;
-  /** Estimates the times until a new piece of this priority is in a call. */
+  /**
+   * Estimates the times until a new piece of this priority is in a call; of the
+   * client account, if one is given.
+   */
   estimateWaits(
     priority: number,
-    { now, forecast }: { now: Millis; forecast: WaitForecast },
+    options: {
+      now: Millis;
+      forecast: WaitForecast;
+      account?: string | undefined;
+    },
   ): PieceWaits;
 }
 
 /** An endpoint this many times slower than the fastest free one is not used. */
 const MAX_SLOWDOWN_FACTOR = 2.5;
 
-/** Creates an empty batcher; reads the specification again for each call. */
+/**
+ * Creates an empty batcher; reads the specification again for each call.
+ * Without `shares`, client accounts are not distinguished.
+ */
 export function createPieceBatcher<P extends WaitingPiece>(
   readSpec: () => BatchSpec,
+  shares?: AccountShares,
 ): PieceBatcher<P> {
   let waiting: P[] = [];
 
@@ -107,15 +131,14 @@
   }
 
   /** Sorts again, because lateness and started groups change over time. */
-  function sortWaiting(now: Millis, spec: BatchSpec): void {
-    const ranked = waiting.map((piece) => ({
-      piece,
-      late: isLate(piece, { now, spec }),
-    }));
-    ranked.sort((a, b) =>
-      Number(a.late) - Number(b.late) || comparePieces(a.piece, b.piece)
-    );
-    waiting = ranked.map(({ piece }) => piece);
+  function sortWaiting(now: Millis, spec: BatchSpec): PieceRanking<P> {
+    const ranking = rankPieces(waiting, {
+      now,
+      spec,
+      shares,
+    });
+    waiting = ranking.ranked.map(({ piece }) => piece);
+    return ranking;
   }
 
   function remove(piece: P): void {
@@ -126,15 +149,23 @@
   function dropInfeasible(now: Millis, forecast: WaitForecast): P[] {
     const spec = readSpec();
     const { callTime, pieceTime } = spec;
-    sortWaiting(now, spec);
     const infeasible: P[] = [];
     const kept: P[] = [];
-    for (const piece of waiting) {
-      const wait = isLate(piece, { now, spec })
-        ? forecast.estimateLate(kept.length)
-        : forecast.estimateOnTime(kept.length, piece.priority);
+    /** Priorities of the kept pieces of accounts above their share. */
+    const beyondShare: number[] = [];
+    for (const entry of sortWaiting(now, spec).ranked) {
+      const { piece, isBeyondShare } = entry;
+      const { priority } = piece;
+      const ignored = isBeyondShare
+        ? 0
+        : beyondShare.filter((other) => other >= priority).length;
+      const ahead = kept.length - ignored;
+      const wait = entry.isLate
+        ? forecast.estimateLate(ahead)
+        : forecast.estimateOnTime(ahead, priority);
       const isInfeasible = now + wait + callTime + pieceTime > piece.deadlineAt;
       (isInfeasible ? infeasible : kept).push(piece);
+      if (!isInfeasible && isBeyondShare) beyondShare.push(priority);
     }
     waiting = kept;
     return infeasible;
@@ -168,7 +199,11 @@
       });
       const chosen = new Set(pieces);
       waiting = waiting.filter((piece) => !chosen.has(piece));
-      for (const { group } of pieces) group.started++;
+      const cost = computePieceCost(spec, pieces.length);
+      for (const { group, account } of pieces) {
+        group.started++;
+        shares?.record(account, cost);
+      }
       return { endpoint, pieces };
     }
     return undefined;
@@ -255,16 +290,36 @@
 
   function estimateWaits(
     priority: number,
-    { now, forecast }: { now: Millis; forecast: WaitForecast },
+    { now, forecast, account }: {
+      now: Millis;
+      forecast: WaitForecast;
+      account?: string | undefined;
+    },
   ): PieceWaits {
     const spec = readSpec();
+    const growth = forecast.estimateGrowth(priority);
+    if (account !== undefined && shares !== undefined) {
+      const queue = computeAccountQueue(waiting, {
+        now,
+        spec,
+        shares,
+        account,
+        priority,
+      });
+      return {
+        onTime: forecast.estimateOnTime(queue.ahead, priority),
+        late: forecast.estimateLate(queue.aheadLate),
+        growth: growth > 0 ? growth * queue.growthShare : growth,
+      };
+    }
     const ahead = waiting.filter((piece) =>
-      piece.priority <= priority && !isLate(piece, { now, spec })
+      piece.priority <= priority &&
+      !isLate(piece, { now, spec, expectedPieces: 1 })
     );
     return {
       onTime: forecast.estimateOnTime(ahead.length, priority),
       late: forecast.estimateLate(waiting.length),
-      growth: forecast.estimateGrowth(priority),
+      growth,
     };
   }
 
@@ -285,19 +340,6 @@
   return !isAnyIsolated || first.group === other.group;
 }
 
-/** Whether a call that starts now would miss the latency objective. */
-function isLate(
-  { objectiveAt }: WaitingPiece,
-  { now, spec }: { now: Millis; spec: BatchSpec },
-): boolean {
-  return now + spec.callTime + spec.pieceTime > objectiveAt;
-}
-
-function comparePieces(a: WaitingPiece, b: WaitingPiece): number {
-  const byStart = Number(b.group.started > 0) - Number(a.group.started > 0);
-  return a.priority - b.priority || byStart || a.objectiveAt - b.objectiveAt;
-}
-
 /** Excludes endpoints far slower than the fastest; never excludes all. */
 function listFast<E extends BatchEndpoint>(endpoints: readonly E[]): E[] {
   const fastest = Math.min(...endpoints.map(({ slowdown }) => slowdown));
--- a/packages/coordination/src/piece_batcher_test.ts
+++ b/packages/coordination/src/piece_batcher_test.ts
@@ -4,6 +4,7 @@
 import type { BatchEndpoint, WaitingPiece } from "./piece_batcher.ts";
 import { createPieceBatcher } from "./piece_batcher.ts";
 import { createPieceRates } from "./piece_rates.ts";
+import { createAccountShares } from "./fairness/account_shares.ts";
 import type { BatchSpec } from "./serving_config.ts";
 
 const SPEC: BatchSpec = {
@@ -254,19 +255,160 @@
       .to.deep.equal(["near", "far"]);
   });
 
+  function createShared(pieces: readonly NamedPiece[]) {
+    const shares = createAccountShares(createFakeClock(0));
+    const batcher = createPieceBatcher<NamedPiece>(() => SPEC, shares);
+    pieces.forEach((piece) => batcher.add(piece));
+    const plan = () =>
+      batcher.planCall([createEndpoint("e1")], AT_START)?.pieces
+        .map(({ name }) => name).join(" ");
+    return { shares, batcher, plan };
+  }
+
+  // One account fills the queue; another sends a request a moment later, whose
+  // objective is later than all of the queue. It missed it for the burst.
+  it("serves the account with the least recent use first", () => {
+    const pieces = ["a1", "a2", "a3", "a4", "b"].map((name, index) =>
+      createPiece(name, { account: name[0], objectiveAt: 2_000 + index })
+    );
+    const { shares, plan } = createShared(pieces);
+    shares.record("a", 1_000);
+    shares.record("b", 400);
+    expect(plan()).to.equal("b a1 a2 a3");
+    expect(shares.readUse("a")).to.equal(1_000 + 3 * 75);
+    expect(plan()).to.equal("a4");
+  });
+
+  // Equal accounts that were served one after the other would be late in turn.
+  it("alternates call by call between accounts with equal use", () => {
+    const names = ["a1", "a2", "a3", "a4", "a5", "a6", "b1", "b2", "b3"];
+    const { plan } = createShared(names.map((name, index) =>
+      createPiece(name, {
+        account: name[0],
+        objectiveAt: 2_000 + index,
+      })
+    ));
+    expect(plan()).to.equal("a1 a2 a3 a4");
+    expect(plan()).to.equal("b1 b2 b3 a5");
+  });
+
+  it("ranks objective, priority and started requests before accounts", () => {
+    const { shares, plan } = createShared([
+      createPiece("late b", { account: "b", objectiveAt: 100 }),
+      createPiece("low b", { account: "b", priority: 2 }),
+      createPiece("begun a", { account: "a", group: { started: 1 } }),
+      createPiece("new b", { account: "b" }),
+    ]);
+    shares.record("a", 9_000);
+    expect(plan()).to.equal("begun a new b low b late b");
+  });
+
+  // Deployments without accounts, and pools with the work of one, are served as
+  // before: same calls, drops and waits.
+  it("decides the same without accounts and with a single one", () => {
+    const piece = fc.record({
+      priority: fc.nat(2),
+      objectiveAt: fc.nat(2_000),
+      deadlineAt: fc.nat(3_000),
+      resultBytes: fc.nat(400),
+    });
+    const account = fc.constantFrom(undefined, "a");
+    const lists = fc.array(piece, { maxLength: 30 });
+    fc.assert(fc.property(lists, account, fc.nat(5_000), (list, name, use) => {
+      const readDecisions = (isShared: boolean) => {
+        const shares = createAccountShares(createFakeClock(0));
+        shares.record("a", use);
+        shares.record("b", 1_000);
+        const batcher = createPieceBatcher<NamedPiece>(
+          () => SPEC,
+          isShared ? shares : undefined,
+        );
+        list.forEach((change, index) =>
+          batcher.add(createPiece(String(index), { ...change, account: name }))
+        );
+        const waits = [0, 1, 2].map((priority) =>
+          batcher.estimateWaits(priority, { now: 0, forecast, account: name })
+        );
+        const sent: string[] = [];
+        const dropped = batcher.dropInfeasible(0, forecast);
+        while (batcher.size > 0) {
+          const call = batcher.planCall([createEndpoint("e1")], AT_START);
+          call?.pieces.forEach((each) => sent.push(each.name));
+          sent.push("|");
+        }
+        return { waits, sent, dropped: dropped.map((each) => each.name) };
+      };
+      expect(readDecisions(true)).to.deep.equal(readDecisions(false));
+    }));
+  });
+
+  // The queue of one account is longer than all can wait. The requests of the
+  // other, which came last, were dropped because of it.
+  it("drops work of accounts above their share first", () => {
+    const names = ["a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8", "b1"];
+    const { shares, batcher } = createShared(
+      names.map((name) =>
+        createPiece(name, { account: name[0], deadlineAt: 700 })
+      ),
+    );
+    shares.record("a", 2_000);
+    shares.record("b", 100);
+    expect(batcher.dropInfeasible(0, forecast).map(({ name }) => name))
+      .to.deep.equal(["a7", "a8"]);
+  });
+
+  // Late work of a small account waits behind all work that is in time. It was
+  // dropped because of the queue of a large one.
+  it("keeps late work of an account within its share", () => {
+    const large = ["a1", "a2", "a3", "a4", "a5", "a6", "a7"].map((name) =>
+      createPiece(name, { account: "a" })
+    );
+    const { shares, batcher } = createShared([
+      ...large,
+      createPiece("b", { account: "b", objectiveAt: 100, deadlineAt: 500 }),
+    ]);
+    shares.record("b", 4_000);
+    expect(batcher.dropInfeasible(0, forecast).map(({ name }) => name))
+      .to.deep.equal(["b"]);
+    batcher.add(
+      createPiece("b", { account: "b", objectiveAt: 100, deadlineAt: 500 }),
+    );
+    shares.record("a", 9_000);
+    expect(batcher.dropInfeasible(0, forecast)).to.deep.equal([]);
+  });
+
+  // An entry refused requests of all accounts for the queue of one of them.
+  it("estimates waits for the account that asks", () => {
+    const { shares, batcher } = createShared(
+      Array.from(
+        { length: 12 },
+        (_, index) => createPiece(`a${index}`, { account: "a" }),
+      ),
+    );
+    shares.record("a", 2_000);
+    shares.record("b", 300);
+    const read = (account?: string) =>
+      batcher.estimateWaits(1, { now: 0, forecast, account });
+    expect(read().onTime).to.equal(900);
+    expect(read("a")).to.deep.equal(read());
+    // One piece of the other account is within its share.
+    expect(read("b")).to.include({ onTime: 0, late: 250 });
+    expect(read("unknown")).to.include({ onTime: 0, late: 250 });
+  });
+
   it("never exceeds the storage of an endpoint, and sends each piece once", () => {
     const pieces = fc.array(
       fc.record({
         priority: fc.nat(2),
         deadlineAt: fc.nat(5_000),
         resultBytes: fc.nat(700),
+        account: fc.constantFrom(undefined, "a", "b"),
       }),
       { maxLength: 30 },
     );
     fc.assert(fc.property(pieces, (list) => {
-      const batcher = createPieceBatcher<NamedPiece>(() => SPEC);
-      list.forEach((change, index) =>
-        batcher.add(createPiece(String(index), change))
+      const { batcher } = createShared(
+        list.map((change, index) => createPiece(String(index), change)),
       );
       const sent: string[] = [];
       for (;;) {
--- a/packages/coordination/src/piece_rates.ts
+++ b/packages/coordination/src/piece_rates.ts
@@ -23,6 +23,11 @@
   late: Millis;
   /** Change of `onTime` with each millisecond from now. */
   growth: number;
+  /**
+   * The waits regardless of the client account, if the others are those of one
+   * account; they are never shorter.
+   */
+  overall?: Omit<PieceWaits, "overall"> | undefined;
 }
 
 /** A forecast of the waits in the current queue. */
--- a/packages/peers/src/mod.ts
+++ b/packages/peers/src/mod.ts
@@ -24,7 +24,7 @@
   PieceSource,
   WaitsQuery,
 } from "./piece_protocol.ts";
-export { MAX_RELEASED } from "./piece_protocol.ts";
+export { MAX_ACCOUNT_LENGTH, MAX_RELEASED } from "./piece_protocol.ts";
 export type {
   EndpointCrash,
   PoisonUpdate,
--- a/packages/peers/src/piece_protocol.ts
+++ b/packages/peers/src/piece_protocol.ts
@@ -33,12 +33,19 @@
 
 const MAX_PIECES = 1_024;
 
+/** Maximum length of the name of a client account in a message. */
+export const MAX_ACCOUNT_LENGTH = 128;
+
+const accountSchema = z.string().max(MAX_ACCOUNT_LENGTH).optional();
+
 /** The pieces of one stage of one request. */
 export const pieceRunSchema = z.object({
   pool: z.string(),
   /** The partition of the pool that computes them; empty if it has none. */
   partition: z.string(),
   requestId: z.string(),
+  /** The client account, for fair shares; entries of older builds send none. */
+  account: accountSchema,
   /** 0 is the highest. */
   priority: z.number().int().min(0),
   /** Milliseconds until the request misses its latency objective. */
@@ -82,19 +89,26 @@
   partition: z.string(),
   /** 0 is the highest. */
   priority: z.number().int().min(0),
+  /** If given, the waits are those of this client account. */
+  account: accountSchema,
 });
 
 /** Queries the expected waits of new pieces. */
 export type WaitsQuery = z.infer<typeof waitsQuerySchema>;
 
-/** Expected waits of new pieces of one priority, in milliseconds. */
-export const pieceWaitsSchema = z.object({
+const overallWaitsSchema = z.object({
   onTime: z.number(),
   late: z.number(),
   /** Increase of `onTime` per millisecond from now. */
   growth: z.number(),
 });
 
+/** Expected waits of new pieces of one priority, in milliseconds. */
+export const pieceWaitsSchema = overallWaitsSchema.extend({
+  /** Waits regardless of the account; left out if the query names none. */
+  overall: overallWaitsSchema.optional(),
+});
+
 /** The outcomes of a run, in the order of its pieces. */
 export const pieceRunReplySchema = z.object({
   outcomes: z.array(pieceOutcomeSchema),
--- a/packages/serving/src/dispatched_piece.ts
+++ b/packages/serving/src/dispatched_piece.ts
@@ -76,6 +76,7 @@
   let resolve: (outcome: PieceOutcome) => void = () => {};
   const outcome = new Promise<PieceOutcome>((done) => resolve = done);
   const piece: DispatchedPiece = {
+    account: request.account,
     priority: request.priority,
     group,
     objectiveAt: now + request.onTime,
--- a/packages/serving/src/piece_router.ts
+++ b/packages/serving/src/piece_router.ts
@@ -30,7 +30,7 @@
   ServingPeerClient,
   WaitsQuery,
 } from "@mangoreach/peers";
-import { MAX_RELEASED } from "@mangoreach/peers";
+import { MAX_ACCOUNT_LENGTH, MAX_RELEASED } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { DecisionLog } from "./decision_log.ts";
@@ -63,6 +63,8 @@
   priority: number;
   /** Place that stores the inputs, or from which the result will be fetched. */
   place: string | undefined;
+  /** The client account, if it is known. */
+  account?: string | undefined;
 }
 
 /** Runs pieces at the dispatcher of their partition. */
@@ -141,9 +143,12 @@
   ): Promise<Result<PieceRunReply, Failure>> {
     const partition = chooseRunPartition(work);
     const reply = await tryDispatchers({ ...work, partition }, signal);
-    const { pool, priority } = work;
+    const { pool, priority, account } = work;
     if (reply.isOk) {
-      poolWaits.record({ pool, partition, priority }, reply.value.waits);
+      poolWaits.record(
+        { pool, partition, priority, account },
+        reply.value.waits,
+      );
     }
     return reply;
   }
@@ -151,10 +156,10 @@
   async function fetchWaits(
     query: WaitsQuery,
   ): Promise<PieceWaits | undefined> {
-    const { pool, partition, priority } = query;
+    const { pool, partition, priority, account } = query;
     const address = listDispatchers(query)[0];
     if (address === undefined) {
-      return findDispatcher(pool, partition).readWaits(priority);
+      return findDispatcher(pool, partition).readWaits(priority, account);
     }
     const reply = await peers.readWaits(address, query);
     if (reply.isErr) return undefined;
@@ -172,22 +177,25 @@
   }
 
   /** Uses cached waits only: a query would take longer than it saves. */
-  function chooseRunPartition({ pool, place, priority }: PieceWork): string {
+  function chooseRunPartition(
+    { pool, place, priority, account }: PieceWork,
+  ): string {
     const { home, others } = listPoolPartitions({ pool, place });
     return chooseOverflowPartition(home, {
       others,
       readWait: (partition) =>
-        poolWaits.peek({ pool, partition, priority })?.onTime,
+        poolWaits.peek({ pool, partition, priority, account })?.onTime,
       random: options.random,
     });
   }
 
   async function readWaits(
-    { pool, priority, place }: PieceWaitsQuery,
+    { pool, priority, place, account }: PieceWaitsQuery,
   ): Promise<PieceWaits> {
+    const name = account?.slice(0, MAX_ACCOUNT_LENGTH);
     const { home, others } = listPoolPartitions({ pool, place });
     const read = (partition: string) =>
-      poolWaits.read({ pool, partition, priority });
+      poolWaits.read({ pool, partition, priority, account: name });
     const homeWaits = await read(home);
     if (homeWaits.onTime <= OVERFLOW_WAIT) return homeWaits;
     const all = await Promise.all(others.map(read));
--- a/packages/serving/src/pool_components.ts
+++ b/packages/serving/src/pool_components.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type {
+  AccountShares,
   DelayModel,
   EndpointInfo,
   EngineSelector,
@@ -13,6 +14,7 @@
   SendAllowance,
 } from "@mangoreach/coordination";
 import {
+  createAccountShares,
   createDelayModel,
   createDiscoveryCheck,
   createEngineSelector,
@@ -25,6 +27,7 @@
 import type { EndpointLoads } from "./endpoint_load.ts";
 import type { SignalHandler } from "./endpoint_signals.ts";
 import type { StageEndpoints } from "./platform_interfaces.ts";
+import type { PartitionUse } from "./serving_metrics.ts";
 import type { StageDispatcher } from "./stage_dispatcher.ts";
 import { createStageDispatcher } from "./stage_dispatcher.ts";
 
@@ -60,6 +63,8 @@
   findBudget(pool: string): RetryBudget;
   findDelays(pool: string): DelayModel;
   findEngineChoice(pool: string): EngineSelector;
+  /** Lists the client accounts with the most use at each dispatcher here. */
+  listAccountUse(): PartitionUse[];
   /** Makes all dispatchers dispatch again, after endpoints have changed. */
   refreshDispatchers(): void;
 }
@@ -86,6 +91,15 @@
   resultLifetime: 4_000,
 };
 
+/** Client accounts that the metrics report for each dispatcher. */
+const REPORTED_ACCOUNTS = 10;
+
+interface PartitionShares {
+  pool: string;
+  partition: string;
+  shares: AccountShares;
+}
+
 function readBatchSpec(table: RouteTable | undefined, pool: string) {
   return table?.findPool(pool)?.batching ?? UNBATCHED_SPEC;
 }
@@ -106,6 +120,7 @@
 ): PoolComponents {
   const { clock, log, loads } = options;
   const dispatchers = new Map<string, StageDispatcher>();
+  const partitionShares: PartitionShares[] = [];
   const isDiscovering = createDiscoveryCheck(clock);
   let maxEntries = MIN_ENTRIES;
 
@@ -113,6 +128,8 @@
     const key = `${pool}/${partition}`;
     const known = dispatchers.get(key);
     if (known !== undefined) return known;
+    const shares = createAccountShares(clock);
+    partitionShares.push({ pool, partition, shares });
     const dispatcher = createStageDispatcher({
       clock,
       log,
@@ -128,6 +145,7 @@
       endpointCheck: options.endpointCheck,
       readSpec: () => readBatchSpec(options.readTable(), pool),
       releaseInputs: options.releaseInputs,
+      shares,
       budget: createRetryBudget({
         share: PIECE_RETRY_SHARE,
         max: PIECE_RETRY_SLACK,
@@ -161,6 +179,13 @@
   const findDelays = createPerPool(createDelayModel);
   const findEngineChoice = createPerPool(() => createEngineSelector(clock));
 
+  function listAccountUse(): PartitionUse[] {
+    return partitionShares.flatMap(({ pool, partition, shares }) =>
+      shares.listMostUsed(REPORTED_ACCOUNTS)
+        .map((use) => ({ ...use, pool, partition }))
+    );
+  }
+
   function refreshDispatchers(): void {
     for (const dispatcher of dispatchers.values()) dispatcher.refresh();
   }
@@ -170,6 +195,7 @@
     findBudget,
     findDelays,
     findEngineChoice,
+    listAccountUse,
     refreshDispatchers,
   };
 }
--- a/packages/serving/src/pool_wait_cache_test.ts
+++ b/packages/serving/src/pool_wait_cache_test.ts
@@ -56,6 +56,46 @@
     expect(await read()).to.equal(0);
   });
 
+  // With one query for each account, an idle pool would get many times as many.
+  it("answers for all accounts from one reply of an idle pool", async () => {
+    const { waits, queries } = create([0]);
+    for (const account of ["a", "b", "c"]) {
+      await waits.read({ ...QUERY, account });
+    }
+    expect(queries.length).to.equal(1);
+  });
+
+  // The queue is that of one account: another must not be refused because of
+  // it, and its short waits must not count as those of the first.
+  it("separates the accounts of a loaded pool", async () => {
+    const { waits, queries } = create([900]);
+    const overall = { onTime: 900, late: 900, growth: 0 };
+    waits.record({ ...QUERY, account: "small" }, {
+      onTime: 0,
+      late: 0,
+      growth: 0,
+      overall,
+    });
+    const read = async (account?: string) =>
+      (await waits.read({ ...QUERY, account })).late;
+    expect(await read("small")).to.equal(0);
+    expect(await read()).to.equal(900);
+    expect(queries.length).to.equal(0);
+    expect(await read("large")).to.equal(900);
+    expect(queries.length).to.equal(1);
+  });
+
+  it("bounds the number of cached waits", async () => {
+    const { waits, queries } = create([900]);
+    for (let index = 0; index < 1_300; index++) {
+      await waits.read({ ...QUERY, account: `a${index}` });
+    }
+    expect(queries.length).to.equal(1_300);
+    expect(waits.peek({ ...QUERY, account: "a1299" })?.late).to.equal(900);
+    waits.record(QUERY, { onTime: 5, late: 5, growth: 0 });
+    expect(waits.peek({ ...QUERY, account: "a0" })?.late).to.equal(5);
+  });
+
   it("returns waits that a run of pieces reported", async () => {
     const { read, waits, queries } = create([0]);
     waits.record(QUERY, { onTime: 5, late: 700, growth: 0 });
--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -157,7 +157,8 @@
   const infeasible = await findInfeasible({
     stages: route.stages,
     durations,
-    readWaits: (pool) => router.readWaits({ pool, priority: rank, place }),
+    readWaits: (pool) =>
+      router.readWaits({ pool, priority: rank, place, account }),
     onTime: objectiveAt - clock.now(),
     remaining: deadlineAt - clock.now(),
     random,
@@ -171,6 +172,7 @@
     route,
     head: request.head,
     priority: rank,
+    account,
     objectiveAt,
     deadlineAt,
     durations,
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -298,6 +298,7 @@
     repeatSlack: settings.repeatSlack,
   });
   const { findDispatcher } = pools;
+  metrics.setAccountUse(pools.listAccountUse);
   const router = createPieceRouter({
     clock,
     random,
@@ -374,8 +375,8 @@
         reportRuns: quarantineGossip.answer,
         readConfig: () => siteState.readPublished() ?? null,
         readTopics: (queries) => handleTopicRequests(siteState.relays, queries),
-        readWaits: ({ pool, partition, priority }) =>
-          findDispatcher(pool, partition).readWaits(priority),
+        readWaits: ({ pool, partition, priority, account }) =>
+          findDispatcher(pool, partition).readWaits(priority, account),
         releaseResults: ({ pool, partition, results }) =>
           findDispatcher(pool, partition).release(results),
       },
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -3,9 +3,16 @@
  *
  * @module
  */
+import type { AccountUse } from "@mangoreach/coordination";
 import type { Millis } from "@mangoreach/shared";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
+/** Use of one pool partition by one client account. */
+export interface PartitionUse extends AccountUse {
+  readonly pool: string;
+  readonly partition: string;
+}
+
 /** Metrics of one entry. */
 export interface ServingMetrics {
   readonly registry: Registry;
@@ -19,6 +26,8 @@
   countReading(topic: string, source: string, outcome: string): void;
   setKnown(what: "endpoints" | "peers", count: number): void;
   countSignal(pool: string, signal: string): void;
+  /** Sets the source of the use by client account, read when collected. */
+  setAccountUse(listUse: () => readonly PartitionUse[]): void;
 }
 
 const MILLIS_PER_SECOND = 1_000;
@@ -90,6 +99,39 @@
     registers,
   });
 
+  let listUse: () => readonly PartitionUse[] = () => [];
+  const addAccountGauge = (
+    { name, help, read }: {
+      name: string;
+      help: string;
+      read: (use: PartitionUse) => number;
+    },
+  ) =>
+    new Gauge({
+      name,
+      help,
+      labelNames: ["pool", "partition", "account"],
+      registers,
+      // Accounts that are no longer among the most used are removed.
+      collect() {
+        this.reset();
+        for (const use of listUse()) {
+          const { pool, partition, account } = use;
+          this.set({ pool, partition, account }, read(use));
+        }
+      },
+    });
+  addAccountGauge({
+    name: "mangoreach_account_endpoint_seconds",
+    help: "Recent endpoint time, decayed, of the accounts with the most use",
+    read: ({ use }) => use / MILLIS_PER_SECOND,
+  });
+  addAccountGauge({
+    name: "mangoreach_account_pieces_dropped",
+    help: "Pieces dropped since tracked, of the accounts with the most use",
+    read: ({ drops }) => drops,
+  });
+
   return {
     registry,
     countRequest: (route, outcome) => requests.inc({ route, outcome }),
@@ -103,5 +145,6 @@
       readings.inc({ topic, source, outcome }),
     setKnown: (what, count) => known.set({ what }, count),
     countSignal: (pool, signal) => signals.inc({ pool, signal }),
+    setAccountUse: (list) => listUse = list,
   };
 }
--- a/packages/serving/src/stage_dispatcher.ts
+++ b/packages/serving/src/stage_dispatcher.ts
@@ -10,6 +10,7 @@
  * @module
  */
 import type {
+  AccountShares,
   BatchSpec,
   EndpointInfo,
   PieceBatcher,
@@ -17,7 +18,11 @@
   RetryBudget,
   SendAllowance,
 } from "@mangoreach/coordination";
-import { createPieceBatcher, createPieceRates } from "@mangoreach/coordination";
+import {
+  createAccountShares,
+  createPieceBatcher,
+  createPieceRates,
+} from "@mangoreach/coordination";
 import type {
   EndpointCrash,
   PieceOrder,
@@ -72,14 +77,19 @@
   budget: RetryBudget;
   /** Releases results of another pool through the dispatcher of that pool. */
   releaseInputs: (pool: string, results: readonly string[]) => void;
+  /** Use of the partition by client account; a new record if left out. */
+  shares?: AccountShares;
 }
 
 /** Dispatches the pieces of one pool partition. */
 export interface StageDispatcher {
   /** Runs the pieces of one stage of one request. */
   run(run: PieceRun, signal: AbortSignal): Promise<PieceRunReply>;
-  /** Estimates the queueing delay of a new piece of this priority. */
-  readWaits(priority: number): PieceWaits;
+  /**
+   * Estimates the queueing delay of a new piece of this priority, and of the
+   * client account if one is given.
+   */
+  readWaits(priority: number, account?: string): PieceWaits;
   /** Releases results that are no longer needed. */
   release(results: readonly string[]): void;
   /** Dispatches queued pieces again, after the endpoints have changed. */
@@ -101,7 +111,11 @@
   options: StageDispatcherOptions,
 ): StageDispatcher {
   const { clock, log, pool, stages, loads, readSpec, budget } = options;
-  const batcher: PieceBatcher<DispatchedPiece> = createPieceBatcher(readSpec);
+  const shares = options.shares ?? createAccountShares(clock);
+  const batcher: PieceBatcher<DispatchedPiece> = createPieceBatcher(
+    readSpec,
+    shares,
+  );
   const rates = createPieceRates(clock);
   const storage = createResultStorage();
   const inputReleaser = createInputReleaser({
@@ -139,7 +153,7 @@
       signal.removeEventListener("abort", cancel);
       return {
         outcomes: list,
-        waits: readWaits(request.priority),
+        waits: readWaits(request.priority, request.account),
         freedInputs: group.freedInputs,
         ...(group.ends.length > 0 ? { ends: listCrashes(group) } : {}),
       };
@@ -155,9 +169,16 @@
     }));
   }
 
-  function readWaits(priority: number): PieceWaits {
+  function readWaits(priority: number, account?: string): PieceWaits {
+    const overall = estimateWaits(priority);
+    if (account === undefined) return overall;
+    return { ...estimateWaits(priority, account), overall };
+  }
+
+  function estimateWaits(priority: number, account?: string) {
     const now = clock.now();
-    return batcher.estimateWaits(priority, { now, forecast: readForecast() });
+    const forecast = readForecast();
+    return batcher.estimateWaits(priority, { now, forecast, account });
   }
 
   function readForecast() {
@@ -224,15 +245,23 @@
   function dropInfeasible(now: Millis): void {
     const infeasible = batcher.dropInfeasible(now, readForecast());
     const groups = new Map(infeasible.map((piece) => [piece.group, piece]));
-    for (const [group, { order, priority, deadlineAt }] of groups) {
+    infeasible.forEach(({ account }) => shares.recordDrop(account));
+    for (const [group, { order, priority, deadlineAt, account }] of groups) {
       failGroup(group, "late");
+      const { onTime, late, growth } = estimateWaits(priority);
       log.record("pieces_dropped", {
         request: order.requestId,
         pool,
         stage: order.stage,
         left: deadlineAt - now,
         waiting: batcher.size,
-        ...readWaits(priority),
+        onTime,
+        late,
+        growth,
+        account,
+        ...(account === undefined
+          ? {}
+          : { share: shares.readPercent(account) }),
         reason: "cannot meet the deadline",
       });
     }
--- a/packages/serving/src/stage_dispatcher_test.ts
+++ b/packages/serving/src/stage_dispatcher_test.ts
@@ -2,6 +2,7 @@
 import { createFakeClock, settlePromises } from "@mangoreach/shared";
 import { expect } from "chai";
 import type { FakeClock } from "@mangoreach/shared";
+import type { DecisionFields } from "./decision_log.ts";
 import type { StageDispatcher } from "./stage_dispatcher.ts";
 import type { FakeStages } from "./test_support.ts";
 import { createTestDispatcher, createTestEndpoint } from "./test_support.ts";
@@ -366,6 +367,40 @@
     expect(stages.calls.length).to.equal(1);
   });
 
+  // One account fills the queue. Another, and an entry of an older build that
+  // sends no account, must not wait behind all of it.
+  it("shares calls between accounts and logs what it drops", async () => {
+    const clock = createFakeClock(0);
+    const lines: DecisionFields[] = [];
+    const { dispatcher, stages } = createTestDispatcher(
+      clock,
+      [createTestEndpoint("e1")],
+      undefined,
+      { log: { record: (_kind, fields) => void lines.push(fields) } },
+    );
+    const { signal } = new AbortController();
+    const run = (id: string, count: number, change: Partial<PieceRun>) =>
+      dispatcher.run(createRun(id, count, change), signal);
+    void run("l1", 4, { account: "large" });
+    for (const id of ["l2", "l3"]) void run(id, 4, { account: "large" });
+    void run("small", 1, { account: "small" });
+    void run("old", 1, {});
+    const readWait = (account?: string) =>
+      dispatcher.readWaits(1, account).onTime;
+    expect(readWait("other")).to.be.lessThan(readWait("large"));
+    expect(dispatcher.readWaits(1, "other").overall?.onTime)
+      .to.equal(readWait());
+    void run("l4", 1, { account: "large", remaining: 900 });
+    expect(lines.find(({ request }) => request === "l4"))
+      .to.include({ account: "large", share: 100 });
+    stages.calls[0]?.finish();
+    await settlePromises();
+    expect(
+      stages.calls[1]?.pieces.slice(0, 2).map(({ requestId }) => requestId),
+    )
+      .to.deep.equal(["small", "old"]);
+  });
+
   it("fails pieces immediately that cannot meet their deadline", async () => {
     const { dispatcher, signal } = create("e1");
     const run = await dispatcher.run(
--- a/packages/serving/src/stage_graph.ts
+++ b/packages/serving/src/stage_graph.ts
@@ -16,6 +16,7 @@
   PieceOutcome,
   PieceSource,
 } from "@mangoreach/peers";
+import { MAX_ACCOUNT_LENGTH } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { DecisionLog } from "./decision_log.ts";
@@ -32,6 +33,8 @@
   head: RequestHead;
   /** Priority of the pieces; 0 is the highest. */
   priority: number;
+  /** The client account, if the route has one. */
+  account?: string | undefined;
   /** Time by which the results are needed to meet the latency objective. */
   objectiveAt: Millis;
   /** Deadline for the results. */
@@ -122,6 +125,9 @@
       pool: stage.pool,
       requestId: head.id,
       priority: options.priority,
+      ...(options.account === undefined
+        ? {}
+        : { account: options.account.slice(0, MAX_ACCOUNT_LENGTH) }),
       onTime: options.objectiveAt - downstreamTime - startedAt,
       remaining: deadline - startedAt,
       ...choosePlace(inputs),
--- a/packages/serving/src/stage_graph_test.ts
+++ b/packages/serving/src/stage_graph_test.ts
@@ -20,7 +20,7 @@
 
   function create(
     pieceCounts: number[],
-    { deadlineAt = 5_000, freedInputs = false } = {},
+    { deadlineAt = 5_000, freedInputs = false, account = "" } = {},
   ) {
     const runs: (PieceWork & { end: (reply: PieceRunReply) => void })[] = [];
     const released: string[] = [];
@@ -55,6 +55,7 @@
       route: createTestRoute({ stages: STAGES }),
       head: createTestHead({ pieceCounts }),
       priority: 1,
+      account: account === "" ? undefined : account,
       objectiveAt: 2_000,
       deadlineAt,
       durations: pieceCounts.map((count) => count === 0 ? 0 : 300),
@@ -74,6 +75,15 @@
     };
   }
 
+  // A peer rejects a message with a longer name, and the request would fail.
+  it("passes the account, cut to the length that peers accept", async () => {
+    const { runs } = create([1, 0, 0, 0], { account: "a".repeat(200) });
+    const { runs: unnamed } = create([1, 0, 0, 0]);
+    await settlePromises();
+    expect(runs[0]?.account).to.equal("a".repeat(128));
+    expect(unnamed[0]).to.not.have.property("account");
+  });
+
   it("passes to each stage all results of its dependencies", async () => {
     const { stage, finish, outcome } = create([1, 2, 1, 2]);
     await settlePromises();
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -217,7 +217,7 @@
   endpoints: readonly EndpointInfo[],
   budget: RetryBudget = createRetryBudget({ share: 0.1, max: 4 }),
   options: Partial<
-    Pick<StageDispatcherOptions, "handleSignals" | "allowance">
+    Pick<StageDispatcherOptions, "handleSignals" | "allowance" | "log">
   > = {},
 ) {
   const stages = createFakeStages();
@@ -227,7 +227,7 @@
   const fetched: string[] = [];
   const dispatcher = createStageDispatcher({
     clock,
-    log: createSilentDecisionLog(),
+    log: options.log ?? createSilentDecisionLog(),
     pool: "pool",
     stages,
     loads: createEndpointLoads(clock),
