--- a/packages/coordination/src/fairness/piece_ranking.ts
+++ b/packages/coordination/src/fairness/piece_ranking.ts
@@ -30,7 +30,10 @@
 /** The waiting pieces in order. */
 export interface PieceRanking<P> {
   readonly ranked: RankedPiece<P>[];
-  /** Max-min share of an account; infinite if one account is alone. */
+  /**
+   * Max-min share of an account; infinite if one account is alone, or if all
+   * pieces can meet their objectives.
+   */
   readonly share: Millis;
 }
 
@@ -99,6 +102,10 @@
     endsAt: now + callTime,
     estimateWait,
   });
+  // Nothing is dropped then, so no share is needed either.
+  if (!isContended && !ranked.some(({ isLate }) => isLate)) {
+    return { ranked, share: Infinity };
+  }
   const cost = computePieceCost(spec, spec.maxPieces);
   const share = shares.computeShare(sumWaiting(waiting, cost));
   const used = new Map<string | undefined, Millis>();
--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -7,13 +7,14 @@
  * form while all endpoints are busy.
  *
  * Pieces that can still meet their latency objective go first, then by
- * priority, then by the recent use of their client account if several have
- * pieces here, then by the earliest objective: in a burst, first come first
- * served makes every request late. An endpoint stores results until they are freed, so
- * its result storage limits throughput as often as time does. Requests with
- * started pieces go before others, and a request begins only at an endpoint
- * with storage for all its results: incomplete requests would fill the storage
- * with results that cannot be used yet.
+ * priority, then by the earliest objective: in a burst, first come first served
+ * makes every request late. If several client accounts have pieces here and not
+ * all can meet their objectives, those with the least recent use go first
+ * within a priority. An endpoint stores results until they are freed, so its
+ * result storage limits throughput as often as time does. Requests with started
+ * pieces go before others, and a request begins only at an endpoint with
+ * storage for all its results: incomplete requests would fill the storage with
+ * results that cannot be used yet.
  *
  * @module
  */
