--- a/packages/peers/src/mod.ts
+++ b/packages/peers/src/mod.ts
@@ -25,7 +25,11 @@
   WaitsQuery,
   WaitsReply,
 } from "./piece_protocol.ts";
-export { MAX_OTHER_PRIORITIES, MAX_RELEASED } from "./piece_protocol.ts";
+export {
+  MAX_ACCOUNT_LENGTH,
+  MAX_OTHER_PRIORITIES,
+  MAX_RELEASED,
+} from "./piece_protocol.ts";
 export type {
   EndpointCrash,
   PoisonUpdate,
--- a/packages/serving/src/pool_wait_cache.ts
+++ b/packages/serving/src/pool_wait_cache.ts
@@ -4,7 +4,12 @@
  * Delays are also reported with each run of pieces, but only when it ends. At
  * the start of a burst that is a second too late, and an entry that refuses all
  * requests has no runs that would report the end of the burst. Values therefore
- * expire after a short time and are fetched again.
+ * expire after a short time and are fetched again, together with those of the
+ * other priorities of the partition that are in use.
+ *
+ * A dispatcher with a queue reports different waits for each client account.
+ * Those of an idle pool are short for all accounts, so that one reply serves
+ * all of them.
  *
  * @module
  */
@@ -21,10 +26,7 @@
   fetchWaits: (query: WaitsQuery) => Promise<WaitsReply | undefined>;
 }
 
-/**
- * Queueing delays by pool, partition and priority. Queries that differ in any
- * further field share nothing, as an answer may depend on it.
- */
+/** Queueing delays by pool, partition, client account and priority. */
 export interface PoolWaitCache {
   record(query: WaitsQuery, waits: PieceWaits): void;
   /** Returns fresh waits, from the cache or the dispatcher. */
@@ -44,7 +46,8 @@
 /** Older waits of a dispatcher that does not reply are ignored. */
 const MAX_STALE_AGE: Millis = 800;
 /**
- * Maximum number of pools and partitions, those of a large site several times.
+ * Maximum number of partitions and client accounts, those of a large site
+ * several times.
  */
 const MAX_SCOPES = 1_024;
 const NO_WAITS: PieceWaits = { onTime: 0, late: 0, growth: 0 };
@@ -60,7 +63,10 @@
   pending: Promise<PieceWaits> | undefined;
 }
 
-/** The waits of all priorities of one partition. */
+/**
+ * The waits of all priorities of one partition, for one client account or
+ * regardless of the account.
+ */
 type Scope = Map<number, CachedWaits>;
 
 /** Creates an empty cache. */
@@ -78,8 +84,9 @@
     return scope;
   }
 
-  function findCached(scope: Scope, priority: number): CachedWaits {
-    const known = scope.get(priority);
+  function findCached(query: WaitsQuery): CachedWaits {
+    const scope = findScope(query);
+    const known = scope.get(query.priority);
     if (known !== undefined) return known;
     const cached: CachedWaits = {
       waits: undefined,
@@ -87,24 +94,47 @@
       readAt: -Infinity,
       pending: undefined,
     };
-    putBounded(scope, [priority, cached], MAX_OTHER_PRIORITIES);
+    putBounded(scope, [query.priority, cached], MAX_OTHER_PRIORITIES);
     return cached;
   }
 
+  function peekCached(query: WaitsQuery): CachedWaits | undefined {
+    return scopes.get(formatScope(query))?.get(query.priority);
+  }
+
+  function record(query: WaitsQuery, waits: PieceWaits): void {
+    update(findCached(query), waits);
+    if (query.account === undefined) return;
+    // A dispatcher of an older build ignores the account.
+    const { overall = waits } = waits;
+    update(findCached(dropAccount(query)), overall);
+  }
+
   function update(cached: CachedWaits, waits: PieceWaits): void {
     cached.waits = waits;
     cached.at = clock.now();
   }
 
-  function record(query: WaitsQuery, waits: PieceWaits): void {
-    update(findCached(findScope(query), query.priority), waits);
+  /** Returns the waits of the account, or of all if those are short. */
+  function findUsable(query: WaitsQuery): PieceWaits | undefined {
+    const own = findFresh(peekCached(query));
+    if (own !== undefined || query.account === undefined) return own;
+    const general = findFresh(peekCached(dropAccount(query)));
+    return isLoaded(general) ? undefined : general;
+  }
+
+  /** Returns waits that are not too stale; of all accounts if necessary. */
+  function findStale(query: WaitsQuery): PieceWaits | undefined {
+    return findFresh(peekCached(query), MAX_STALE_AGE) ??
+      findFresh(peekCached(dropAccount(query)), MAX_STALE_AGE);
   }
 
   function findFresh(
-    { waits, at }: CachedWaits,
-    ttl = computeTtl(waits),
+    cached: CachedWaits | undefined,
+    ttl = computeTtl(cached?.waits),
   ): PieceWaits | undefined {
-    return clock.now() - at <= ttl ? waits : undefined;
+    if (cached === undefined) return undefined;
+    return clock.now() - cached.at <= ttl ? cached.waits : undefined;
   }
 
   /**
@@ -112,54 +142,43 @@
    * be read again while the reply is fresh. An estimate for one that is not
    * needed would cost the dispatcher a third of a query.
    */
-  function listOthers(scope: Scope, { priority }: WaitsQuery): number[] {
+  function listOthers(query: WaitsQuery): number[] {
     const now = clock.now();
-    return [...scope]
+    return [...findScope(query)]
       .filter(([other, { waits, readAt }]) =>
-        other !== priority && now - readAt <= computeTtl(waits)
+        other !== query.priority && now - readAt <= computeTtl(waits)
       )
       .map(([other]) => other);
   }
 
   async function refresh(
     query: WaitsQuery,
-    scope: Scope,
     cached: CachedWaits,
   ): Promise<PieceWaits> {
-    const others = listOthers(scope, query);
+    const others = listOthers(query);
     const reply = await fetchWaits(
       others.length === 0 ? query : { ...query, others },
     );
     cached.pending = undefined;
-    if (reply === undefined) {
-      return findFresh(cached, MAX_STALE_AGE) ?? NO_WAITS;
-    }
+    if (reply === undefined) return findStale(query) ?? NO_WAITS;
     const { others: otherWaits = [], ...waits } = reply;
-    update(cached, waits);
+    record(query, waits);
     for (const { priority, ...other } of otherWaits) {
-      update(findCached(scope, priority), other);
+      record({ ...query, priority }, other);
     }
     return waits;
   }
 
   function read(query: WaitsQuery): Promise<PieceWaits> {
-    const scope = findScope(query);
-    const cached = findCached(scope, query.priority);
+    const cached = findCached(query);
     cached.readAt = clock.now();
-    const fresh = findFresh(cached);
+    const fresh = findUsable(query);
     if (fresh !== undefined) return Promise.resolve(fresh);
-    cached.pending ??= refresh(query, scope, cached);
+    cached.pending ??= refresh(query, cached);
     return cached.pending;
   }
 
-  return {
-    record,
-    read,
-    peek(query) {
-      const cached = scopes.get(formatScope(query))?.get(query.priority);
-      return cached && findFresh(cached, MAX_STALE_AGE);
-    },
-  };
+  return { record, read, peek: findStale };
 }
 
 /** Answers a query; `readWaits` estimates the waits of one priority. */
@@ -176,8 +195,16 @@
 }
 
 function computeTtl(waits: PieceWaits | undefined): Millis {
-  const isLoaded = waits !== undefined && waits.late >= MIN_LOADED_WAIT;
-  return isLoaded ? LOADED_TTL : IDLE_TTL;
+  return isLoaded(waits) ? LOADED_TTL : IDLE_TTL;
+}
+
+function isLoaded(waits: PieceWaits | undefined): boolean {
+  if (waits === undefined) return false;
+  return (waits.overall?.late ?? waits.late) >= MIN_LOADED_WAIT;
+}
+
+function dropAccount({ account: _, ...query }: WaitsQuery): WaitsQuery {
+  return query;
 }
 
 function formatScope(query: WaitsQuery): string {
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -302,6 +302,7 @@
     repeatSlack: settings.repeatSlack,
   });
   const { findDispatcher } = pools;
+  metrics.setAccountUse(pools.listAccountUse);
   const router = createPieceRouter({
     clock,
     random,
@@ -381,7 +382,8 @@
         answerWaitsQuery(
           query,
           (priority) =>
-            findDispatcher(query.pool, query.partition).readWaits(priority),
+            findDispatcher(query.pool, query.partition)
+              .readWaits(priority, query.account),
         ),
       releaseResults: ({ pool, partition, results }) =>
         findDispatcher(pool, partition).release(results),
