test(serving): waits of one account are never used for another

Cause: the test of the merged cache expected nothing for an account without waits of its own; the cache gives it those of all accounts, as the dispatcher's reply names both. Change: the dispatcher in the test replies with both, and the test tells them apart, which it could not before. A failed query no longer blocks the next one.

--- a/packages/serving/src/pool_wait_cache.ts
+++ b/packages/serving/src/pool_wait_cache.ts
@@ -158,8 +158,7 @@
     const others = listOthers(query);
     const reply = await fetchWaits(
       others.length === 0 ? query : { ...query, others },
-    );
-    cached.pending = undefined;
+    ).finally(() => cached.pending = undefined);
     if (reply === undefined) return findStale(query) ?? NO_WAITS;
     const { others: otherWaits = [], ...waits } = reply;
     record(query, waits);
--- a/packages/serving/src/pool_waits_reply_test.ts
+++ b/packages/serving/src/pool_waits_reply_test.ts
@@ -3,6 +3,8 @@
 import { expect } from "chai";
 import { answerWaitsQuery, createPoolWaitCache } from "./pool_wait_cache.ts";
 
+/** The wait of each client account, unlike those regardless of the account. */
+const OWN_WAIT = 77;
 const QUERY = { pool: "pool", partition: "", priority: 1 };
 
 /** Waits that show for which priority they were computed, and when. */
@@ -18,7 +20,13 @@
       clock,
       fetchWaits: (query) => {
         queries.push(query);
-        const read = (priority: number) => createWaits(priority, clock.now());
+        const read = (priority: number) => {
+          const overall = createWaits(priority, clock.now());
+          const { account } = query;
+          return account === undefined
+            ? overall
+            : { ...overall, onTime: OWN_WAIT, overall };
+        };
         return Promise.resolve(
           isOld ? read(query.priority) : answerWaitsQuery(query, read),
         );
@@ -77,6 +85,9 @@
     expect(queries.length).to.equal(4);
     expect(queries.map(({ others }) => others))
       .to.deep.equal([undefined, undefined, undefined, [1]]);
-    expect(cache.peek(query({ account: "c" }))).to.equal(undefined);
+    expect(cache.peek(query({ account: "a" }))?.onTime).to.equal(OWN_WAIT);
+    // Nothing is known of its own wait, so it gets that of all accounts.
+    expect(cache.peek(query({ account: "c" })))
+      .to.deep.equal(createWaits(1, 0));
   });
 });
