--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -242,6 +242,8 @@
   WaitingPiece,
 } from "./piece_batcher.ts";
 export { createPieceBatcher } from "./piece_batcher.ts";
+export type { AccountShares, AccountUse } from "./fairness/account_shares.ts";
+export { createAccountShares } from "./fairness/account_shares.ts";
 export type { ElapsedEstimator } from "./elapsed_estimator.ts";
 export { createElapsedEstimator } from "./elapsed_estimator.ts";
 export type { PieceRates, PieceWaits, WaitForecast } from "./piece_rates.ts";
@@ -255,6 +257,8 @@
   UNPARTITIONED,
 } from "./pool_partition.ts";
 export { createPieceRates } from "./piece_rates.ts";
+export type { EndpointSpeeds } from "./endpoint_speed/endpoint_speeds.ts";
+export { createEndpointSpeeds } from "./endpoint_speed/endpoint_speeds.ts";
 export type {
   EngineSelector,
   EngineView,
--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -8,16 +8,33 @@
  *
  * Pieces that can still meet their latency objective go first, then by
  * priority, then by the earliest objective: in a burst, first come first served
- * makes every request late. An endpoint stores results until they are freed, so
- * its result storage limits throughput as often as time does. Requests with
- * started pieces go before others, and a request begins only at an endpoint
- * with storage for all its results: incomplete requests would fill the storage
- * with results that cannot be used yet.
+ * makes every request late. If several client accounts have pieces here and not
+ * all can meet their objectives, those with the least recent use go first
+ * within a priority. An endpoint stores results until they are freed, so its
+ * result storage limits throughput as often as time does. Requests with started
+ * pieces go before others, and a request begins only at an endpoint with
+ * storage for all its results: incomplete requests would fill the storage with
+ * results that cannot be used yet.
  *
  * @module
  */
 import type { Millis } from "@mangoreach/shared";
 import type { EndpointInfo } from "./endpoint.ts";
+import type { SpeedPlan } from "./endpoint_speed/speed_plan.ts";
+import {
+  computeFastestSpec,
+  createSpeedPlan,
+  isUneven,
+} from "./endpoint_speed/speed_plan.ts";
+import type { AccountShares } from "./fairness/account_shares.ts";
+import type { PieceRanking } from "./fairness/piece_ranking.ts";
+import {
+  computeAccountQueue,
+  computePieceCost,
+  estimateUnknownWait,
+  isLate,
+  rankPieces,
+} from "./fairness/piece_ranking.ts";
 import { listLocalityWaiting } from "./locality_wait.ts";
 import type { PieceWaits, WaitForecast } from "./piece_rates.ts";
 import type { BatchSpec } from "./serving_config.ts";
@@ -31,6 +48,8 @@
 /** A piece of work that waits for a call. */
 export interface WaitingPiece {
   readonly group: PieceGroup;
+  /** The client account; pieces without one count as one account. */
+  readonly account?: string | undefined;
   /** 0 is the highest. */
   priority: number;
   /** After this time its request misses its latency objective. */
@@ -61,6 +80,11 @@
   readonly roomTaken: number;
   /** Observed latency relative to the expected latency; 1 is normal. */
   readonly slowdown: number;
+  /**
+   * Estimated ratio of measured to expected time of its calls. If those of a
+   * pool differ, calls are chosen by them instead of by `slowdown`.
+   */
+  readonly timeRatio?: number;
   /** Expected end of its calls in progress. */
   readonly freeAt: Millis;
 }
@@ -79,6 +103,8 @@
   /**
    * Removes and returns the pieces that would miss their deadline behind those
    * ahead of them, so that their callers learn it now and not at the deadline.
+   * Pieces of client accounts above their share are not counted as ahead of
+   * those of accounts within their share, unless their priority is higher.
    */
   dropInfeasible(now: Millis, forecast: WaitForecast): P[];
   /** Removes and returns the pieces of the next call, if one can start now. */
@@ -86,36 +112,49 @@
     endpoints: readonly E[],
     options: { now: Millis; isBacklogged: boolean },
   ): PlannedCall<P, E> | undefined;
-  /** Estimates the times until a new piece of this priority is in a call. */
+  /**
+   * Estimates the times until a new piece of this priority is in a call; of the
+   * client account, if one is given.
+   */
   estimateWaits(
     priority: number,
-    { now, forecast }: { now: Millis; forecast: WaitForecast },
+    options: {
+      now: Millis;
+      forecast: WaitForecast;
+      account?: string | undefined;
+    },
   ): PieceWaits;
 }
 
 /** An endpoint this many times slower than the fastest free one is not used. */
 const MAX_SLOWDOWN_FACTOR = 2.5;
 
-/** Creates an empty batcher; reads the specification again for each call. */
+/**
+ * Creates an empty batcher; reads the specification again for each call.
+ * Without `shares`, client accounts are not distinguished.
+ */
 export function createPieceBatcher<P extends WaitingPiece>(
   readSpec: () => BatchSpec,
+  shares?: AccountShares,
 ): PieceBatcher<P> {
   let waiting: P[] = [];
+  /** The last forecast of the waits of on-time pieces. */
+  let estimateWait = estimateUnknownWait;
 
   function add(piece: P): void {
     waiting.push(piece);
   }
 
   /** Sorts again, because lateness and started groups change over time. */
-  function sortWaiting(now: Millis, spec: BatchSpec): void {
-    const ranked = waiting.map((piece) => ({
-      piece,
-      late: isLate(piece, { now, spec }),
-    }));
-    ranked.sort((a, b) =>
-      Number(a.late) - Number(b.late) || comparePieces(a.piece, b.piece)
-    );
-    waiting = ranked.map(({ piece }) => piece);
+  function sortWaiting(now: Millis, spec: BatchSpec): PieceRanking<P> {
+    const ranking = rankPieces(waiting, {
+      now,
+      spec,
+      shares,
+      estimateWait,
+    });
+    waiting = ranking.ranked.map(({ piece }) => piece);
+    return ranking;
   }
 
   function remove(piece: P): void {
@@ -126,15 +165,27 @@
   function dropInfeasible(now: Millis, forecast: WaitForecast): P[] {
     const spec = readSpec();
     const { callTime, pieceTime } = spec;
-    sortWaiting(now, spec);
+    estimateWait = forecast.estimateOnTime;
     const infeasible: P[] = [];
     const kept: P[] = [];
-    for (const piece of waiting) {
-      const wait = isLate(piece, { now, spec })
-        ? forecast.estimateLate(kept.length)
-        : forecast.estimateOnTime(kept.length, piece.priority);
+    /** Kept pieces of accounts above their share by priority. */
+    const beyondShare = new Map<number, number>();
+    for (const entry of sortWaiting(now, spec).ranked) {
+      const { piece, isBeyondShare } = entry;
+      const { priority } = piece;
+      const ignored = isBeyondShare ? 0 : [...beyondShare].reduce(
+        (sum, [other, count]) => other >= priority ? sum + count : sum,
+        0,
+      );
+      const ahead = kept.length - ignored;
+      const wait = entry.isLate
+        ? forecast.estimateLate(ahead)
+        : forecast.estimateOnTime(ahead, priority);
       const isInfeasible = now + wait + callTime + pieceTime > piece.deadlineAt;
       (isInfeasible ? infeasible : kept).push(piece);
+      if (!isInfeasible && isBeyondShare) {
+        beyondShare.set(priority, (beyondShare.get(priority) ?? 0) + 1);
+      }
     }
     waiting = kept;
     return infeasible;
@@ -147,28 +198,39 @@
     const spec = readSpec();
     const free = endpoints.filter(({ calls }) => calls < spec.slots);
     if (free.length === 0) return undefined;
-    sortWaiting(now, spec);
+    const isPoolUneven = isUneven(endpoints);
+    sortWaiting(now, isPoolUneven ? computeFastestSpec(spec, endpoints) : spec);
     const localityWaiting = listLocalityWaiting(waiting, {
       endpoints,
       now,
       spec,
+      isPoolUneven,
     });
+    const speedPlan = isPoolUneven
+      ? createSpeedPlan(waiting, { endpoints, now, spec, isBacklogged })
+      : undefined;
     for (const first of waiting) {
       const isLocalFree = free.some(({ info }) => info.place === first.place);
       if (!isLocalFree && localityWaiting.has(first)) continue;
-      const endpoint = chooseEndpoint(first, { free, spec });
+      const endpoint = chooseEndpoint(first, { free, spec, speedPlan });
       if (endpoint === undefined) continue;
       const mayWait = (piece: P) =>
-        piece.place !== endpoint.info.place && localityWaiting.has(piece);
+        (piece.place !== endpoint.info.place && localityWaiting.has(piece)) ||
+        speedPlan?.isWaiting(piece, endpoint) === true;
       const pieces = choosePieces(first, {
         endpoint,
         mayWait,
         isBacklogged,
         spec,
+        speedPlan,
       });
       const chosen = new Set(pieces);
       waiting = waiting.filter((piece) => !chosen.has(piece));
-      for (const { group } of pieces) group.started++;
+      const cost = computePieceCost(spec, pieces.length);
+      for (const { group, account } of pieces) {
+        group.started++;
+        shares?.record(account, cost);
+      }
       return { endpoint, pieces };
     }
     return undefined;
@@ -196,23 +258,30 @@
 
   /**
    * Prefers the piece's own place, to which results go, then the most free
-   * storage.
+   * storage. Among endpoints that differ in speed, the piece's objective comes
+   * first, and only large transfers keep it in its own place.
    */
   function chooseEndpoint<E extends BatchEndpoint>(
     piece: P,
-    { free, spec }: { free: readonly E[]; spec: BatchSpec },
+    { free, spec, speedPlan }: {
+      free: readonly E[];
+      spec: BatchSpec;
+      speedPlan: SpeedPlan<P, E> | undefined;
+    },
   ): E | undefined {
-    const fitting = listFast(
-      free.filter(({ info, roomTaken }) =>
-        !piece.excluded.has(info.id) &&
-        hasStorage(piece, {
-          roomTaken,
-          storageLeft: spec.storageBytes - roomTaken,
-        })
-      ),
+    const fitting = free.filter(({ info, roomTaken }) =>
+      !piece.excluded.has(info.id) &&
+      hasStorage(piece, {
+        roomTaken,
+        storageLeft: spec.storageBytes - roomTaken,
+      })
     );
-    const local = fitting.filter(({ info }) => info.place === piece.place);
-    return findMostFree(local.length > 0 ? local : fitting);
+    const suitable = speedPlan?.listSuitable(
+      piece,
+      fitting.filter((endpoint) => !speedPlan.isWaiting(piece, endpoint)),
+    ) ?? listFast(fitting);
+    const local = suitable.filter(({ info }) => info.place === piece.place);
+    return findMostFree(local.length > 0 ? local : suitable);
   }
 
   /**
@@ -221,11 +290,12 @@
    */
   function choosePieces(
     first: P,
-    { endpoint, mayWait, isBacklogged, spec }: {
+    { endpoint, mayWait, isBacklogged, spec, speedPlan }: {
       endpoint: BatchEndpoint;
       mayWait: (piece: P) => boolean;
       isBacklogged: boolean;
       spec: BatchSpec;
+      speedPlan: Pick<SpeedPlan<P, BatchEndpoint>, "mayAdd"> | undefined;
     },
   ): P[] {
     const chosen = new Set([first]);
@@ -242,6 +312,7 @@
           ? piece.resultBytes <= storageLeft
           : hasStorage(piece, { roomTaken, storageLeft });
         if (!fits) continue;
+        if (speedPlan?.mayAdd(piece, { endpoint, chosen }) === false) continue;
         startedGroups.add(piece.group);
         roomTaken += piece.resultBytes;
         chosen.add(piece);
@@ -255,16 +326,36 @@
 
   function estimateWaits(
     priority: number,
-    { now, forecast }: { now: Millis; forecast: WaitForecast },
+    { now, forecast, account }: {
+      now: Millis;
+      forecast: WaitForecast;
+      account?: string | undefined;
+    },
   ): PieceWaits {
     const spec = readSpec();
+    const growth = forecast.estimateGrowth(priority);
+    if (account !== undefined && shares !== undefined) {
+      const queue = computeAccountQueue(waiting, {
+        now,
+        spec,
+        shares,
+        account,
+        priority,
+      });
+      return {
+        onTime: forecast.estimateOnTime(queue.ahead, priority),
+        late: forecast.estimateLate(queue.aheadLate),
+        growth: growth > 0 ? growth * queue.growthShare : growth,
+      };
+    }
     const ahead = waiting.filter((piece) =>
-      piece.priority <= priority && !isLate(piece, { now, spec })
+      piece.priority <= priority &&
+      !isLate(piece, { now, spec, expectedPieces: 1 })
     );
     return {
       onTime: forecast.estimateOnTime(ahead.length, priority),
       late: forecast.estimateLate(waiting.length),
-      growth: forecast.estimateGrowth(priority),
+      growth,
     };
   }
 
@@ -285,19 +376,6 @@
   return !isAnyIsolated || first.group === other.group;
 }
 
-/** Whether a call that starts now would miss the latency objective. */
-function isLate(
-  { objectiveAt }: WaitingPiece,
-  { now, spec }: { now: Millis; spec: BatchSpec },
-): boolean {
-  return now + spec.callTime + spec.pieceTime > objectiveAt;
-}
-
-function comparePieces(a: WaitingPiece, b: WaitingPiece): number {
-  const byStart = Number(b.group.started > 0) - Number(a.group.started > 0);
-  return a.priority - b.priority || byStart || a.objectiveAt - b.objectiveAt;
-}
-
 /** Excludes endpoints far slower than the fastest; never excludes all. */
 function listFast<E extends BatchEndpoint>(endpoints: readonly E[]): E[] {
   const fastest = Math.min(...endpoints.map(({ slowdown }) => slowdown));
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -3,9 +3,16 @@
  *
  * @module
  */
+import type { AccountUse } from "@mangoreach/coordination";
 import type { Millis } from "@mangoreach/shared";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
+/** Use of one pool partition by one client account. */
+export interface PartitionUse extends AccountUse {
+  readonly pool: string;
+  readonly partition: string;
+}
+
 /** Metrics of one entry. */
 export interface ServingMetrics {
   readonly registry: Registry;
@@ -14,6 +21,8 @@
   countDroppedLine(kind: string): void;
   countUnanswered(): void;
   countPeerBytes(direction: "in" | "out", bytes: number): void;
+  /** A connection that was closed because the peer broke the protocol. */
+  countPeerFault(fault: string): void;
   setConfigVersion(version: number): void;
   setConfigAge(age: Millis): void;
   countReading(topic: string, source: string, outcome: string): void;
@@ -21,6 +30,8 @@
   countSignal(pool: string, signal: string): void;
   countUnreadLoad(pool: string): void;
   countUndecodable(topic: string): void;
+  /** Sets the source of the use by client account, read when collected. */
+  setAccountUse(listUse: () => readonly PartitionUse[]): void;
 }
 
 const MILLIS_PER_SECOND = 1_000;
@@ -62,6 +73,13 @@
     labelNames: ["direction"],
     registers,
   });
+  const peerFaults = new Counter({
+    name: "mangoreach_peer_connection_faults_total",
+    help:
+      "Connections from peers closed for malformed frames or unread replies",
+    labelNames: ["fault"],
+    registers,
+  });
   const configVersion = new Gauge({
     name: "mangoreach_config_version",
     help: "Version of the configuration in force here",
@@ -106,6 +124,39 @@
     registers,
   });
 
+  let listUse: () => readonly PartitionUse[] = () => [];
+  const addAccountGauge = (
+    { name, help, read }: {
+      name: string;
+      help: string;
+      read: (use: PartitionUse) => number;
+    },
+  ) =>
+    new Gauge({
+      name,
+      help,
+      labelNames: ["pool", "partition", "account"],
+      registers,
+      // Accounts that are no longer among the most used are removed.
+      collect() {
+        this.reset();
+        for (const use of listUse()) {
+          const { pool, partition, account } = use;
+          this.set({ pool, partition, account }, read(use));
+        }
+      },
+    });
+  addAccountGauge({
+    name: "mangoreach_account_endpoint_seconds",
+    help: "Recent endpoint time, decayed, of the accounts with the most use",
+    read: ({ use }) => use / MILLIS_PER_SECOND,
+  });
+  addAccountGauge({
+    name: "mangoreach_account_pieces_dropped",
+    help: "Pieces dropped since tracked, of the accounts with the most use",
+    read: ({ drops }) => drops,
+  });
+
   return {
     registry,
     countRequest: (route, outcome) => requests.inc({ route, outcome }),
@@ -113,6 +164,7 @@
     countDroppedLine: (kind) => droppedLines.inc({ kind }),
     countUnanswered: () => unanswered.inc(),
     countPeerBytes: (direction, bytes) => peerBytes.inc({ direction }, bytes),
+    countPeerFault: (fault) => peerFaults.inc({ fault }),
     setConfigVersion: (version) => configVersion.set(version),
     setConfigAge: (age) => configAge.set(age / MILLIS_PER_SECOND),
     countReading: (topic, source, outcome) =>
@@ -121,5 +173,6 @@
     countSignal: (pool, signal) => signals.inc({ pool, signal }),
     countUnreadLoad: (pool) => unreadLoads.inc({ pool }),
     countUndecodable: (topic) => undecodable.inc({ topic }),
+    setAccountUse: (list) => listUse = list,
   };
 }
