fix(peers): count the bytes of replies over HTTP

Cause: the length of a reply to a peer of an older build was read from a header that Node.js does not keep, and counted as 0; seen in a fleet of both builds. Change: the listener encodes the reply itself and counts its bytes.

--- a/packages/peers/src/peer_connection_test.ts
+++ b/packages/peers/src/peer_connection_test.ts
@@ -14,6 +14,7 @@
 import { encodeFrame } from "./frame_codec.ts";
 import { openPeerConnection } from "./peer_connection.ts";
 import type { PeerConnections } from "./peer_connection_server.ts";
+import type { PeerExchange } from "./peer_protocol.ts";
 import type { PieceRun, PieceRunReply } from "./piece_protocol.ts";
 import type {
   ServingPeerClient,
@@ -85,7 +86,7 @@
       config?: string;
     } = {},
   ) {
-    const counts = { requests: 0, connections: 0 };
+    const counts = { requests: 0, connections: 0, in: 0, out: 0 };
     const handlers: ServingPeerHandlers = {
       exchange: (message) => message,
       runPieces: ({ requestId }, signal) =>
@@ -98,7 +99,13 @@
       readConfig: () => config,
       readTopics: () => Promise.resolve([]),
     };
-    const options = { handlers, isPeer: () => true };
+    const options = {
+      handlers,
+      isPeer: () => true,
+      onExchangeBytes: (direction: "in" | "out", bytes: number) => {
+        counts[direction] += bytes;
+      },
+    };
     const listener = createServingPeerListener(options);
     const server: Server = await startServer((request, response) => {
       counts.requests++;
@@ -175,7 +182,7 @@
     await expectAnswer(address);
     runs.get("first")!.finish();
     expect((await first).isOk).to.equal(true);
-    expect(counts).to.deep.equal({ requests: 0, connections: 1 });
+    expect(counts).to.include({ requests: 0, connections: 1 });
   });
 
   // Guards against short replies that wait behind a snapshot on a slow link.
@@ -187,7 +194,7 @@
       expect((await client.readTopics(address, [query])).isOk).to.equal(true);
       await expectAnswer(address);
     }
-    expect(counts).to.deep.equal({ requests: 0, connections: 2 });
+    expect(counts).to.include({ requests: 0, connections: 2 });
   });
 
   // Guards against work that continues for a call that nobody waits for.
@@ -302,6 +309,32 @@
     expect(counts.requests).to.equal(5);
   });
 
+  for (const isOld of [false, true]) {
+    it(`counts bytes of exchanges ${isOld ? "over HTTP" : "in frames"}`, async () => {
+      const { address, counts } = await startPeer({ isOld });
+      const sent = { in: 0, out: 0 };
+      const counting = createServingPeerClient({
+        clock,
+        siteKey: "",
+        timeout: TIMEOUT,
+        onExchangeBytes: (direction, bytes) => sent[direction] += bytes,
+      });
+      const message: PeerExchange = {
+        heartbeats: Array.from({ length: 20 }, () => ["a", 1, "live", 1, 1, 1]),
+        introductions: [],
+        leaving: [],
+        known: 0,
+      };
+      await counting.exchange(address, message);
+      await counting.close();
+      // The message and what the transport adds to it.
+      const size = JSON.stringify(message).length;
+      expect(sent.out).to.be.within(size, size + 60);
+      expect(sent.in).to.be.within(size, size + 60);
+      expect(counts).to.include({ in: sent.out, out: sent.in });
+    });
+  }
+
   it("answers an older client over HTTP", async () => {
     const { address } = await startPeer();
     const pool = new Pool(`http://${address}`);
--- a/packages/peers/src/peer_procedure.ts
+++ b/packages/peers/src/peer_procedure.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { Buffer } from "node:buffer";
 import type {
   IncomingMessage,
   RequestListener,
@@ -104,9 +105,14 @@
       signal: controller.signal,
       batchIndex: 0,
     });
-    sendJson(response, { status: 200, body: { result: { data } } });
-    const length = Number(response.getHeader("content-length") ?? 0);
-    onBytes?.(path, "out", length);
+    if (response.destroyed) return;
+    const bytes = Buffer.from(JSON.stringify({ result: { data } }));
+    response.writeHead(200, {
+      "content-type": "application/json",
+      "content-length": bytes.length,
+    });
+    response.end(bytes);
+    onBytes?.(path, "out", bytes.length);
   } catch (cause) {
     const error = getTRPCErrorFromUnknown(cause);
     const config = router._def._config;
