fix(peers): malformed control addresses, other upgrades, idle connections

Cause: for a malformed control address Node.js threw within a call to a peer, which rejected, and its timer then threw an uncaught exception; the check for a listening process rejected too, unhandled in the exchange loop. The control server refused requests that offer an upgrade to another protocol. A connection whose upgrade was never answered stayed open after its calls were abandoned. IPv6 addresses in brackets could not be reached. Change: addresses are parsed in one place, strictly; a malformed one fails the call with a typed failure, and the check reports that the state is unknown. A request with another upgrade is passed to the server again without the offer. The idle time-out applies from the opening of a connection. Tests for these, for the idle time-out of the server and for its limit of connections.

--- a/packages/peers/src/frame_channel.ts
+++ b/packages/peers/src/frame_channel.ts
@@ -42,6 +42,21 @@
  */
 const MAX_BUFFERED_BYTES = 16 * 1_048_576;
 
+/** Closes a socket when it has been idle for the time-out and is not busy. */
+export function closeIdleSocket(
+  socket: Socket,
+  { idleTimeout, isBusy }: Pick<FrameChannelOptions, "idleTimeout" | "isBusy">,
+): void {
+  // Of the HTTP server, which would close the socket also during calls.
+  socket.removeAllListeners("timeout");
+  socket.setTimeout(idleTimeout);
+  socket.on("timeout", () => {
+    // The timer of a socket starts again only when the socket is used.
+    if (isBusy()) socket.setTimeout(idleTimeout);
+    else socket.destroy();
+  });
+}
+
 /** Opens a channel on a socket that has been upgraded. */
 export function openFrameChannel(
   socket: Duplex,
@@ -74,14 +89,7 @@
 
   if (socket instanceof Socket) {
     socket.setNoDelay(true);
-    // Of the HTTP server, which would close the socket also during calls.
-    socket.removeAllListeners("timeout");
-    socket.setTimeout(idleTimeout);
-    socket.on("timeout", () => {
-      // The timer of a socket starts again only when the socket is used.
-      if (isBusy()) socket.setTimeout(idleTimeout);
-      else socket.destroy();
-    });
+    closeIdleSocket(socket, { idleTimeout, isBusy });
   }
   if (head.length > 0) socket.unshift(head);
   socket.on("data", readChunk);
--- a/packages/peers/src/peer_caller.ts
+++ b/packages/peers/src/peer_caller.ts
@@ -164,6 +164,7 @@
     return new Promise((resolve) => {
       let isSettled = false;
       let abandon: (() => void) | undefined;
+      let connection: PeerConnection | undefined;
 
       function settle(result: Result<T, Failure>): void {
         if (isSettled) return;
@@ -206,10 +207,15 @@
         },
         onBytes: (direction, bytes) => onBytes?.(path, direction, bytes),
       };
-      let connection = findConnection(address, open);
-      abandon = connection === undefined
-        ? startHttpCall(address, call)
-        : connection.call(call);
+      // Addresses come from records of other entries and can be malformed.
+      try {
+        connection = findConnection(address, open);
+        abandon = connection === undefined
+          ? startHttpCall(address, call)
+          : connection.call(call);
+      } catch (error) {
+        settleFailed(error instanceof Error ? error.message : String(error));
+      }
     });
   }
 
--- a/packages/peers/src/peer_connection.ts
+++ b/packages/peers/src/peer_connection.ts
@@ -6,8 +6,9 @@
  */
 import { request as sendHttpRequest } from "node:http";
 import type { Clock, Millis } from "@mangoreach/shared";
+import { parseAddress } from "@mangoreach/shared";
 import type { FrameChannel } from "./frame_channel.ts";
-import { openFrameChannel } from "./frame_channel.ts";
+import { closeIdleSocket, openFrameChannel } from "./frame_channel.ts";
 import type { CallFrame } from "./peer_frames.ts";
 import { decodeReplyFrame, UPGRADE_PROTOCOL } from "./peer_frames.ts";
 import { PEER_PATH } from "./peer_path.ts";
@@ -53,11 +54,15 @@
  */
 const MAX_CALLS = 4_096;
 
-/** Opens a connection; calls are queued until the peer has accepted it. */
+/**
+ * Opens a connection; calls are queued until the peer has accepted it.
+ *
+ * @throws {Error} if the address is malformed.
+ */
 export function openPeerConnection(
   options: PeerConnectionOptions,
 ): PeerConnection {
-  const { clock, address, siteKey, onRefused, onClosed } = options;
+  const { clock, address, siteKey, idleTimeout, onRefused, onClosed } = options;
   const calls = new Map<number, OutgoingCall>();
   let channel: FrameChannel | undefined;
   let nextId = 0;
@@ -69,11 +74,15 @@
     () => end("the connection could not be opened in time"),
   );
 
+  function isBusy(): boolean {
+    return calls.size > 0;
+  }
+
   function sendUpgrade() {
-    const colon = address.lastIndexOf(":");
+    const target = parseAddress(address);
+    if (target === undefined) throw new Error("the address is malformed");
     const upgrade = sendHttpRequest({
-      host: address.slice(0, colon),
-      port: address.slice(colon + 1),
+      ...target,
       path: PEER_PATH,
       agent: false,
       headers: {
@@ -84,7 +93,11 @@
     });
     // A peer that is short of processor time accepts the connection in time,
     // but may answer the upgrade late; the time-outs of the calls apply then.
-    upgrade.once("socket", (socket) => socket.once("connect", stopTimer));
+    upgrade.once("socket", (socket) => {
+      socket.once("connect", stopTimer);
+      // No call is left to time out if all of them were abandoned.
+      closeIdleSocket(socket, { idleTimeout, isBusy });
+    });
     upgrade.once("response", () => {
       const refused = [...calls.values()];
       calls.clear();
@@ -96,8 +109,8 @@
       if (isEnded) return void socket.destroy();
       channel = openFrameChannel(socket, {
         head,
-        idleTimeout: options.idleTimeout,
-        isBusy: () => calls.size > 0,
+        idleTimeout,
+        isBusy,
         onMessage: handleMessage,
         onClosed: (fault) =>
           end(
--- a/packages/peers/src/peer_connection_server.ts
+++ b/packages/peers/src/peer_connection_server.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import type { IncomingMessage, Server } from "node:http";
 import type { Duplex } from "node:stream";
 import type { Millis } from "@mangoreach/shared";
@@ -55,7 +55,7 @@
     head: Buffer,
   ): void {
     if (request.headers.upgrade?.toLowerCase() !== UPGRADE_PROTOCOL) {
-      return refuseUpgrade(socket, "426 Upgrade Required");
+      return serveWithoutUpgrade(server, { request, socket, head });
     }
     // Calls over HTTP are answered with the reason.
     if (!isPeer(request)) return refuseUpgrade(socket, "401 Unauthorized");
@@ -152,6 +152,33 @@
   });
 }
 
+/**
+ * Serves a request that offers another protocol as if it didn't. A server that
+ * listens for upgrades gets no request event for it, so that the connection
+ * is passed to the server again, without the offer.
+ */
+function serveWithoutUpgrade(
+  server: Server,
+  { request, socket, head }: {
+    request: IncomingMessage;
+    socket: Duplex;
+    head: Buffer;
+  },
+): void {
+  const { method, url, httpVersion, rawHeaders } = request;
+  const lines = [`${method} ${url} HTTP/${httpVersion}`];
+  for (let at = 0; at < rawHeaders.length; at += 2) {
+    const [name, value] = rawHeaders.slice(at, at + 2);
+    if (name!.toLowerCase() !== "upgrade") lines.push(`${name}: ${value}`);
+  }
+  // Node.js decodes the head of a request as Latin-1.
+  const start = Buffer.from(`${lines.join("\r\n")}\r\n\r\n`, "latin1");
+  // The server adds its own listener again.
+  socket.removeAllListeners("timeout");
+  socket.unshift(Buffer.concat([start, head]));
+  server.emit("connection", socket);
+}
+
 function refuseUpgrade(socket: Duplex, status: string): void {
   socket.on("error", () => socket.destroy());
   socket.end(
--- a/packages/peers/src/peer_connection_test.ts
+++ b/packages/peers/src/peer_connection_test.ts
@@ -27,6 +27,7 @@
 } from "./serving_peers.ts";
 
 const TIMEOUT = 150;
+const MAX_CONNECTIONS = 10;
 const WAITS = { onTime: 1, late: 2, growth: 0 };
 const QUERY = { pool: "p", partition: "", priority: 0 };
 const REPLY: PieceRunReply = { outcomes: [], waits: WAITS, freedInputs: true };
@@ -80,7 +81,8 @@
   });
 
   async function startPeer(
-    { port = 0, isOld = false, config = "" }: {
+    { host = "127.0.0.1", port = 0, isOld = false, config = "" }: {
+      host?: string;
       port?: number;
       isOld?: boolean;
       config?: string;
@@ -111,14 +113,18 @@
       counts.requests++;
       listener(request, response);
     }, {
-      address: { host: "127.0.0.1", port },
+      address: { host, port },
       limits: {
         maxHeaderBytes: 16_384,
         requestTimeoutMs: 1_000,
-        maxConnections: 10,
+        maxConnections: MAX_CONNECTIONS,
       },
     });
-    server.on("connection", () => counts.connections++);
+    const sockets: Socket[] = [];
+    server.on("connection", (socket) => {
+      counts.connections++;
+      sockets.push(socket);
+    });
     let accepted: PeerConnections | undefined;
     const accept = () => {
       accepted = acceptServingPeers(server, {
@@ -133,7 +139,8 @@
       server.close();
     };
     closers.push(kill);
-    return { address: readServerAddress(server), counts, kill, accept };
+    const address = readServerAddress(server);
+    return { address, counts, sockets, kill, accept };
   }
 
   /** Starts a server that handles the bytes of each connection by itself. */
@@ -295,6 +302,70 @@
     await waitUntil(() => sockets[0]!.destroyed);
   });
 
+  // Guards against a connection that stays open as no call times out on it.
+  it("closes a connection without calls whose upgrade is not answered", async () => {
+    const { address, sockets } = await startRaw((socket) => socket.resume());
+    let isClosed = false;
+    const connection = openPeerConnection({
+      clock,
+      address,
+      siteKey: "",
+      connectTimeout: TIMEOUT,
+      idleTimeout: 100,
+      onRefused: () => {},
+      onClosed: () => isClosed = true,
+    });
+    const abandon = connection.call({
+      type: "query",
+      path: "ping",
+      input: undefined,
+      onReply: () => {},
+      onFailed: () => {},
+      onRefused: () => {},
+      onBytes: () => {},
+    });
+    // Longer than both time-outs: the peer may be late.
+    await system.sleep(300);
+    expect(isClosed).to.equal(false);
+    abandon();
+    await waitUntil(() => isClosed && sockets[0]!.destroyed);
+  });
+
+  // Guards against a foreign record in the entries' topic that ends the
+  // process: by a rejection, or by an exception in a timer.
+  for (
+    const address of [
+      "",
+      "abc",
+      "10.0.0.1",
+      "10.0.0.1:",
+      "10.0.0.1:0",
+      "10.0.0.1:99999",
+      "10.0.0.1:1e3",
+      ":7000",
+      "[::1:7000",
+      "a\nb:7000",
+    ]
+  ) {
+    it(`fails calls to the address ${JSON.stringify(address)}`, async () => {
+      for (let call = 0; call < 2; call++) {
+        const reply = await client.readWaits(address, QUERY);
+        expect(reply.isErr && reply.error).to.include({ kind: "unavailable" });
+        expect(reply.isErr && reply.error.message).to.contain("malformed");
+      }
+      // Longer than the time-out of the calls.
+      await system.sleep(200);
+    });
+  }
+
+  for (const format of ["[::1]", "::1"]) {
+    it(`connects to an IPv6 address written as ${format}`, async () => {
+      const { address } = await startPeer({ host: "::1" });
+      const port = address.slice(address.lastIndexOf(":") + 1);
+      await expectAnswer(`${format}:${port}`);
+    });
+  }
+
   it("calls a peer of an older build over HTTP, until it is replaced", async () => {
     const { address, counts, accept } = await startPeer({ isOld: true });
     await Promise.all([expectAnswer(address), expectAnswer(address)]);
@@ -347,6 +418,83 @@
     await pool.destroy();
   });
 
+  // Guards against clients that offer another protocol and were answered in
+  // HTTP before this server accepted upgrades.
+  it("answers requests that offer an upgrade to another protocol", async () => {
+    const { address, counts } = await startPeer();
+    const [host, port] = address.split(":");
+    const socket = connect(Number(port), host);
+    closers.push(() => socket.destroy());
+    let received = "";
+    socket.on("data", (chunk) => received += chunk.toString("latin1"));
+    const read = `GET /peers/readWaits?input=${
+      encodeURIComponent(JSON.stringify(QUERY))
+    } HTTP/1.1\r\nhost: a\r\n`;
+    const offer = "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n" +
+      "HTTP2-Settings: AAMAAABkAAQAAP__\r\n\r\n";
+    const countReplies = () =>
+      received.split(JSON.stringify({ result: { data: WAITS } })).length - 1;
+    socket.write(read + offer);
+    await waitUntil(() => countReplies() === 1);
+    // The connection serves further requests, also with bodies in parts.
+    const body = JSON.stringify({ results: [], pool: "p", partition: "" });
+    socket.write(
+      "POST /peers/releaseResults HTTP/1.1\r\nhost: a\r\n" +
+        "content-type: application/json\r\n" +
+        `content-length: ${body.length}\r\n${offer}${body.slice(0, 9)}`,
+    );
+    await system.sleep(50);
+    socket.write(body.slice(9));
+    await waitUntil(() => received.includes('{"result":{"data":null}}'));
+    socket.write(`${read}\r\n`);
+    await waitUntil(() => countReplies() === 2);
+    expect(received.match(/HTTP\/1.1 200 OK/g)).to.have.length(3);
+    expect(counts.requests).to.equal(3);
+    await expectAnswer(address);
+  });
+
+  // Guards against connections of clients that are gone, and against calls that
+  // are cut off since the server takes a long one for idle time.
+  it("closes a connection at the server after 65 s without a call", async () => {
+    const { address, sockets } = await startPeer();
+    const call = startRun(address, "long");
+    await waitUntil(() => runs.size === 1);
+    expect(sockets).to.have.length(1);
+    const [socket] = sockets;
+    expect(socket!.timeout).to.equal(65_000);
+    socket!.emit("timeout");
+    expect(socket!.destroyed).to.equal(false);
+    runs.get("long")!.finish();
+    expect((await call).isOk).to.equal(true);
+    socket!.emit("timeout");
+    expect(socket!.destroyed).to.equal(true);
+    // The client notices it.
+    await system.sleep(50);
+    await expectAnswer(address);
+  });
+
+  // Guards against connections that no longer count after their upgrade.
+  it("refuses connections above the limit of the server", async () => {
+    const { address } = await startPeer();
+    const open = Array.from(
+      { length: MAX_CONNECTIONS },
+      () => connectRaw(address),
+    );
+    const accepted = await Promise.all(
+      open.map((socket) =>
+        new Promise<string>((resolve) =>
+          socket.once("data", (chunk) => resolve(chunk.toString()))
+        )
+      ),
+    );
+    accepted.forEach((reply) => expect(reply).to.contain(" 101 "));
+    expect((await client.ping(address)).isErr).to.equal(true);
+    open[0]!.destroy();
+    await waitUntil(() => open[0]!.closed);
+    await system.sleep(50);
+    await expectAnswer(address);
+  });
+
   // Guards against a broken peer that affects more than its own connection.
   for (
     const [name, bytes, fault] of [
--- a/packages/shared/src/listening.ts
+++ b/packages/shared/src/listening.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { connect } from "node:net";
+import { parseAddress } from "./address.ts";
 import type { Clock, Millis } from "./clock.ts";
 
 /** The result of a connection attempt. */
@@ -12,7 +13,7 @@
   | "listening"
   /** The instance refused the connection: no process listens there. */
   | "refused"
-  /** A timeout or another error: the state is unknown. */
+  /** A timeout, another error or a malformed address: the state is unknown. */
   | "silent";
 
 /** Options of {@linkcode checkListening}. */
@@ -26,11 +27,10 @@
   address: string,
   { clock, timeout }: ListeningOptions,
 ): Promise<Listening> {
-  const colon = address.lastIndexOf(":");
-  const host = address.slice(0, colon);
-  const port = Number(address.slice(colon + 1));
+  const target = parseAddress(address);
+  if (target === undefined) return Promise.resolve("silent");
   return new Promise((resolve) => {
-    const socket = connect({ host, port });
+    const socket = connect({ ...target });
     const stop = clock.startTimer(timeout, () => finish("silent"));
     function finish(outcome: Listening) {
       stop();
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+export type { AddressParts } from "./address.ts";
+export { parseAddress } from "./address.ts";
 export { parseAmount } from "./amount.ts";
 export { putBounded } from "./bounded_map.ts";
 export type { CancelTimer, Clock, Millis } from "./clock.ts";
