perf(shared): single-use calls by node:http, streams without async generators

Cause: each call to an endpoint created an undici client, whose WebAssembly parser and set-up run interpreted, and each chunk passed two async generators. Change: single-use calls are made by node:http without an agent; bodies are read and forwarded by events, and the head of a stream is sent with its first chunk. A call whose connection was not established is reported as unsent also after an abort. The listeners of a paused response are removed when it resumes.

--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -22,6 +22,7 @@
 import { readBodyBytes } from "@mangoreach/shared";
 import type { Millis } from "@mangoreach/shared";
 import type { CallerResponse } from "./caller_response.ts";
+import { forwardChunks } from "./chunk_forwarding.ts";
 import { isRetryable, scheduleEarlyRelease } from "./early_release.ts";
 import type { AttemptResult, EndpointLoad } from "./endpoint_load.ts";
 import type { AdmittedRoute } from "./request_admission.ts";
@@ -388,18 +389,17 @@
   { status, headers, body }: EndpointReply,
   recordLatency: () => void,
 ): Promise<FinishedAttempt> {
-  try {
-    for await (const chunk of body as AsyncIterable<Buffer>) {
-      if (!response.isStarted) {
-        recordLatency();
-        // The engine fetches the stage results before it processes the prompt,
-        // so they are no longer needed after its first event.
-        results?.release();
-        response.startStream({ status, headers });
-      }
-      await response.write(chunk);
+  const end = await forwardChunks(body, (chunk) => {
+    if (!response.isStarted) {
+      recordLatency();
+      // The engine fetches the stage results before it processes the prompt,
+      // so they are no longer needed after its first event.
+      results?.release();
+      response.startStream({ status, headers });
     }
-  } catch {
+    return response.write(chunk);
+  });
+  if (end === "cut") {
     // A broken stream must not look complete to the caller; the cause lies with
     // the endpoint.
     if (!response.isStarted) {
--- a/packages/serving/src/caller_response.ts
+++ b/packages/serving/src/caller_response.ts
@@ -18,10 +18,13 @@
   readonly disconnected: AbortSignal;
   /** Sends a response with its complete body. */
   sendBuffered(answer: BufferedAnswer): void;
-  /** Sends the head of a streamed response. */
+  /** Starts a streamed response; its head is sent with the first chunk. */
   startStream(head: Omit<BufferedAnswer, "body">): void;
-  /** Writes a chunk; resolves once the caller can receive more. */
-  write(chunk: Buffer): Promise<void>;
+  /**
+   * Writes a chunk. Returns nothing if the caller can receive more, otherwise a
+   * promise that resolves once it can.
+   */
+  write(chunk: Buffer): Promise<void> | undefined;
   /** Ends a stream; a cut one must not look complete, so it is disconnected. */
   endStream(end: ResponseEnd): void;
   /** Sends a failure of this entry. */
@@ -74,11 +77,16 @@
     response.end(body);
   }
 
-  function write(chunk: Buffer): Promise<void> {
-    if (response.destroyed || response.write(chunk)) return Promise.resolve();
+  function write(chunk: Buffer): Promise<void> | undefined {
+    if (response.destroyed || response.write(chunk)) return undefined;
     return new Promise((resolve) => {
-      response.once("drain", resolve);
-      response.once("close", resolve);
+      const onWritable = () => {
+        response.off("drain", onWritable);
+        response.off("close", onWritable);
+        resolve();
+      };
+      response.on("drain", onWritable);
+      response.on("close", onWritable);
     });
   }
 
@@ -91,7 +99,6 @@
     startStream({ status, headers }) {
       if (response.headersSent || response.destroyed) return;
       writeHead(status, headers);
-      response.flushHeaders();
     },
     write,
     endStream(end) {
--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -1,20 +1,19 @@
 /**
- * HTTP calls by undici with a typed outcome, which includes whether the server
- * can have received the call.
+ * HTTP calls with a typed outcome, which includes whether the server can have
+ * received the call. Calls on connections that are reused are made by undici.
  *
  * @module
  */
 import type { Buffer } from "node:buffer";
 import { Buffer as NodeBuffer } from "node:buffer";
-import type { Socket } from "node:net";
 import type { Readable } from "node:stream";
 import { Readable as NodeReadable } from "node:stream";
 import { Result } from "true-myth";
 import type { Dispatcher } from "undici";
-import { buildConnector, Client } from "undici";
 import type { Millis } from "./clock.ts";
 import { parseJson } from "./http_server.ts";
 import { createPersistentConnections } from "./persistent_connections.ts";
+import { sendSingleUseCall } from "./single_use_call.ts";
 import { TIMED_OUT } from "./timeout.ts";
 
 /** Why a call has no usable answer. */
@@ -36,7 +35,7 @@
   message: string;
 }
 
-/** Headers by lower-case name, as undici returns them. */
+/** Headers by lower-case name; a repeated header has several values. */
 export type HttpHeaders = Record<string, string | string[] | undefined>;
 
 /** A buffered answer. */
@@ -84,8 +83,6 @@
   close(): Promise<void>;
 }
 
-/** An empty line between requests, which servers ignore. */
-const PROBE = "\r\n";
 const KEEP_ALIVE: Millis = 4_000;
 /** Codes of errors that occur before anything is written. */
 const NOT_SENT_CODES = new Set([
@@ -117,22 +114,14 @@
     if (call.signal?.aborted) {
       return Result.err({ kind: "aborted", sent: "no", message: "given up" });
     }
-    const singleUse = connections === "single"
-      ? createSingleUseConnection(call.address, connectTimeoutMs)
-      : undefined;
+    if (connections === "single") {
+      return await sendSingleUseCall(call, connectTimeoutMs);
+    }
     try {
-      const dispatcher: Dispatcher = singleUse?.dispatcher ??
-        kept.getPool(call.address);
-      const { statusCode, headers, body } = await dispatcher.request(
-        createRequestOptions(call),
-      );
-      return Result.ok({
-        status: statusCode,
-        headers,
-        body: singleUse === undefined ? body : singleUse.wrapBody(body),
-      });
+      const { statusCode, headers, body } = await kept.getPool(call.address)
+        .request(createRequestOptions(call));
+      return Result.ok({ status: statusCode, headers, body });
     } catch (error) {
-      void singleUse?.dispatcher.destroy();
       if (call.signal?.reason === TIMED_OUT) kept.discard(call.address);
       return Result.err(classifyError(error, call.signal));
     }
@@ -154,88 +143,6 @@
   return { call, callStream, close: kept.close };
 }
 
-/** A connection for one call, which detects a reset. */
-interface SingleUseConnection {
-  dispatcher: Client;
-  /** Wraps the body so that it fails if the connection was reset. */
-  wrapBody(body: Readable): Readable;
-}
-
-/**
- * Creates a connection that detects truncated answers. An answer without a
- * length ends with its connection, so after a reset a part of it would look
- * complete. undici treats a reset as the end if the connection is not
- * persistent, and libuv reports a normal end if the reset arrives together
- * with the last bytes. So this listens to the socket before undici does, and
- * when the socket ends it writes two bytes, which succeeds only if the
- * connection was closed normally.
- */
-function createSingleUseConnection(
-  address: string,
-  timeout: Millis,
-): SingleUseConnection {
-  const connect = buildConnector({ timeout });
-  let isReset = false;
-  let probe: Promise<void> | undefined;
-
-  function watchSocket(socket: Socket): void {
-    // Without this the socket closes its own side and the probe fails.
-    socket.allowHalfOpen = true;
-    socket.on("error", recordError);
-    socket.once("end", () => {
-      probe = new Promise((resolve) =>
-        socket.write(PROBE, (error) => {
-          if (error) recordError(error);
-          resolve();
-        })
-      );
-    });
-  }
-
-  function recordError(error: Error): void {
-    // Errors that undici raises itself, such as for a normal close, come from
-    // no system call.
-    if ("syscall" in error) isReset = true;
-  }
-
-  const dispatcher = new Client(`http://${address}`, {
-    pipelining: 0,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    connect(options, callback) {
-      connect(options, (...outcome) => {
-        const [, socket] = outcome;
-        // Absent after a failure, although the types do not say so.
-        if (socket) watchSocket(socket);
-        callback(...outcome);
-      });
-    },
-  });
-
-  async function* read(body: Readable) {
-    try {
-      yield* body as AsyncIterable<Buffer>;
-      await probe;
-      if (isReset) throw new Error("the connection was reset");
-    } finally {
-      void dispatcher.destroy();
-    }
-  }
-
-  function wrapBody(body: Readable): Readable {
-    const wrapped = NodeReadable.from(read(body), { objectMode: false });
-    // If nobody reads the body, the generator and its `finally` never run.
-    wrapped.once("close", () => {
-      body.on("error", () => {});
-      body.destroy();
-      void dispatcher.destroy();
-    });
-    return wrapped;
-  }
-
-  return { dispatcher, wrapBody };
-}
-
 function createRequestOptions(
   { address, path, method, headers, body, signal }: HttpCall,
 ) {
@@ -254,19 +161,44 @@
   body: AsyncIterable<Buffer>,
   limit: number,
 ): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  try {
-    for await (const chunk of body) {
+  const stream = body instanceof NodeReadable ? body : NodeReadable.from(body);
+  // Whether it was truncated or aborted, the body is not complete.
+  return (await collectBody(stream, limit)).unwrapOr(undefined);
+}
+
+/**
+ * Reads a complete body; undefined if it is too large. Listens to the stream
+ * itself, as iterating over it takes several promises for each chunk.
+ */
+function collectBody(
+  body: Readable,
+  limit: number,
+): Promise<Result<Buffer | undefined, Error>> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    let hasEnded = false;
+    body.on("data", (chunk: Buffer) => {
       length += chunk.length;
-      if (length > limit) return undefined;
-      chunks.push(chunk);
-    }
-    return NodeBuffer.concat(chunks);
-  } catch {
-    // Whether it was truncated or aborted, the body is not complete.
-    return undefined;
-  }
+      if (length <= limit) return void chunks.push(chunk);
+      resolve(Result.ok(undefined));
+      body.destroy();
+    });
+    body.once("end", () => {
+      hasEnded = true;
+      const whole = chunks.length === 1
+        ? chunks[0]!
+        : NodeBuffer.concat(chunks);
+      resolve(Result.ok(whole));
+    });
+    body.on("error", (error) => resolve(Result.err(error)));
+    // Destroyed before its end, possibly before this call.
+    const onClose = () => {
+      if (!hasEnded) resolve(Result.err(new Error("the body was cut")));
+    };
+    body.once("close", onClose);
+    if (body.destroyed) onClose();
+  });
 }
 
 async function readText(
@@ -276,27 +208,20 @@
     signal: AbortSignal | undefined;
   },
 ): Promise<Result<string, HttpFault>> {
-  let text = "";
-  let length = 0;
-  const decoder = new TextDecoder();
-  try {
-    for await (const chunk of body as AsyncIterable<Buffer>) {
-      length += chunk.length;
-      if (length > maxReplyBytes) {
-        body.destroy();
-        return Result.err({
-          kind: "too_large",
-          sent: "maybe",
-          message: `the answer is larger than ${maxReplyBytes} bytes`,
-        });
-      }
-      text += decoder.decode(chunk, { stream: true });
-    }
-    return Result.ok(text + decoder.decode());
-  } catch (error) {
-    const fault = classifyError(error, signal);
+  const bytes = await collectBody(body, maxReplyBytes);
+  if (bytes.isErr) {
+    const fault = classifyError(bytes.error, signal);
     return Result.err({ ...fault, sent: "maybe" });
   }
+  // Text is decoded by TextDecoder, which removes a byte order mark.
+  if (bytes.value !== undefined) {
+    return Result.ok(new TextDecoder().decode(bytes.value));
+  }
+  return Result.err({
+    kind: "too_large",
+    sent: "maybe",
+    message: `the answer is larger than ${maxReplyBytes} bytes`,
+  });
 }
 
 function classifyError(
--- /dev/null
+++ b/packages/shared/src/single_use_call_test.ts
@@ -0,0 +1,248 @@
+import type { AddressInfo, Server, Socket } from "node:net";
+import { createServer } from "node:net";
+import type { Readable } from "node:stream";
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "chai";
+import { createHttpClient, readBodyBytes } from "./http_client.ts";
+
+const OK = "HTTP/1.1 200 OK\r\n";
+const BIG = 50_000_000;
+/** What the kernel buffers for both sides of a loopback connection. */
+const KERNEL_BUFFERS = 12_000_000;
+
+describe("single-use calls", () => {
+  const http = createHttpClient({
+    connections: "single",
+    connectTimeoutMs: 200,
+    maxReplyBytes: 1_000,
+  });
+  let server: Server | undefined;
+  let sockets: Socket[] = [];
+
+  afterEach(() => {
+    sockets.forEach((socket) => socket.destroy());
+    sockets = [];
+    server?.close();
+  });
+
+  async function listen(serve: (socket: Socket) => void): Promise<string> {
+    server = createServer({ allowHalfOpen: true }, (socket) => {
+      sockets.push(socket);
+      socket.on("error", () => {});
+      serve(socket);
+    });
+    await new Promise<void>((resolve) =>
+      server!.listen(0, "127.0.0.1", () => resolve())
+    );
+    const { address, port } = server.address() as AddressInfo;
+    return `${address}:${port}`;
+  }
+
+  /** Answers with raw bytes, then runs `end`. */
+  function answerRaw(text: string, end: (socket: Socket) => void = () => {}) {
+    return listen((socket) =>
+      socket.once("data", () => socket.write(text, () => end(socket)))
+    );
+  }
+
+  async function call(address: string, signal?: AbortSignal) {
+    const reply = await http.call({
+      method: "POST",
+      address,
+      path: "/",
+      body: "question",
+      ...(signal && { signal }),
+    });
+    return reply.isOk
+      ? reply.value.text
+      : `${reply.error.kind} ${reply.error.sent}`;
+  }
+
+  const reset = (socket: Socket) => void socket.resetAndDestroy();
+  const close = (socket: Socket) => void socket.end();
+  const SIZED = `${OK}Content-Length: 4\r\n\r\nbody`;
+  const CHUNKED = `${OK}Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n`;
+  // Guards against answers that are accepted although they may be truncated, and
+  // against whole ones that are lost to a crash after their last byte.
+  const ANSWERS = [
+    { name: "with a length", text: SIZED, outcome: "body" },
+    {
+      name: "reset after its length",
+      text: SIZED,
+      end: reset,
+      outcome: "body",
+    },
+    { name: "in chunks", text: `${CHUNKED}\r\n`, outcome: "body" },
+    {
+      name: "in chunks, reset after the last",
+      text: `${CHUNKED}\r\n`,
+      end: reset,
+      outcome: "body",
+    },
+    { name: "with trailers", text: `${CHUNKED}A: b\r\n\r\n`, outcome: "body" },
+    { name: "followed by another", text: SIZED + SIZED, outcome: "body" },
+    {
+      name: "after a provisional one",
+      text: `HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n${SIZED}`,
+      outcome: "body",
+    },
+    { name: "without body", text: `${OK}\r\n`, end: close, outcome: "" },
+    { name: "that is not HTTP", text: "SSH-2.0-x\r\n", outcome: "cut maybe" },
+    {
+      name: "that both has a length and is in chunks",
+      text: CHUNKED.replace("\r\n", "\r\nContent-Length: 4\r\n") + "\r\n",
+      outcome: "cut maybe",
+    },
+    {
+      name: "that switches protocols",
+      text: "HTTP/1.1 101 x\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+      outcome: "cut maybe",
+    },
+    {
+      name: "reset in its head",
+      text: "HTTP/1.1 200 OK\r\nA:",
+      end: reset,
+      outcome: "cut maybe",
+    },
+    { name: "of no byte", text: "", end: reset, outcome: "cut maybe" },
+    {
+      name: "over the size limit",
+      text: `${OK}Content-Length: 1001\r\n\r\n${"x".repeat(1_001)}`,
+      outcome: "too_large maybe",
+    },
+  ];
+  for (const { name, text, end, outcome } of ANSWERS) {
+    it(`turns an answer ${name} into "${outcome}"`, async () => {
+      expect(await call(await answerRaw(text, end))).to.equal(outcome);
+    });
+  }
+
+  it("keeps all values of a repeated header and its order", async () => {
+    const address = await answerRaw(
+      `${OK}B: 1\r\nContent-Type: x\r\nb: 2\r\nContent-Length: 0\r\n\r\n`,
+    );
+    const reply = await http.call({ method: "GET", address, path: "/" });
+    expect(reply.isOk && Object.entries(reply.value.headers)).to.deep.equal([
+      ["b", ["1", "2"]],
+      ["content-type", "x"],
+      ["content-length", "0"],
+    ]);
+  });
+
+  it("sends each call on its own connection and closes it", async () => {
+    const heads: string[] = [];
+    let closed = 0;
+    const address = await listen((socket) => {
+      socket.once("data", (bytes) => {
+        heads.push(bytes.toString());
+        socket.write(SIZED);
+      });
+      socket.once("end", () => closed++);
+    });
+    await call(address);
+    await call(address);
+    await sleep(50);
+    expect(sockets.length).to.equal(2);
+    expect(closed).to.equal(2);
+    expect(heads[0]).to.equal(
+      `POST / HTTP/1.1\r\nhost: ${address}\r\nconnection: close\r\n` +
+        "content-length: 8\r\n\r\nquestion",
+    );
+  });
+
+  // An endpoint may refuse a request before it has read a long body.
+  it("accepts an answer that comes before the body is sent", async () => {
+    const address = await listen((socket) => {
+      socket.once("data", () => {
+        socket.pause();
+        socket.write(SIZED);
+      });
+    });
+    const reply = await http.call({
+      method: "POST",
+      address,
+      path: "/",
+      body: Buffer.alloc(BIG),
+    });
+    expect(reply.isOk && reply.value.text).to.equal("body");
+  });
+
+  // A call that is reported as unsent is sent to another endpoint, even if it
+  // must not run twice.
+  it("reports that nothing was sent if no connection is made in time", async () => {
+    // Nothing answers at this address, which is reserved for documentation.
+    expect(await call("192.0.2.1:9")).to.match(/^unreachable no$/);
+  });
+
+  it("blames no address for a header that HTTP does not permit", async () => {
+    const reply = await http.call({
+      method: "GET",
+      address: await answerRaw(SIZED),
+      path: "/",
+      headers: ["a", "b\nc"],
+    });
+    expect(reply.isErr && reply.error.sent).to.equal("maybe");
+  });
+
+  it("abandons a call at any moment", async () => {
+    const endless = await listen((socket) => {
+      socket.write(`${OK}Content-Length: 900\r\n\r\nx`);
+    });
+    for (const delay of [0, 1, 20]) {
+      const controller = new AbortController();
+      const reply = call(endless, controller.signal);
+      setTimeout(() => controller.abort(), delay);
+      expect(await reply).to.match(/^aborted (no|maybe)$/);
+    }
+    const aborted = AbortSignal.abort();
+    expect(await call(endless, aborted)).to.equal("aborted no");
+  });
+
+  // A received body must not look complete if its remainder was discarded.
+  for (const text of [SIZED, `${OK}\r\nbody`]) {
+    it("does not complete an unread body after an abort", async () => {
+      const address = await answerRaw(text, close);
+      const controller = new AbortController();
+      const reply = await http.callStream({
+        method: "GET",
+        address,
+        path: "/",
+        signal: controller.signal,
+      });
+      await sleep(20);
+      controller.abort();
+      const body = reply.isOk ? reply.value.body : undefined;
+      expect(await readBodyBytes(body!, 100)).to.equal(undefined);
+    });
+  }
+
+  for (const framing of [`Content-Length: ${BIG}\r\n`, ""]) {
+    it("stops reading from the endpoint while nobody reads the body", async () => {
+      let written = 0;
+      const address = await listen((socket) => {
+        socket.write(`${OK}${framing}\r\n`);
+        const chunk = Buffer.alloc(100_000);
+        const fill = () => {
+          while (written < BIG) {
+            written += chunk.length;
+            if (!socket.write(chunk)) return void socket.once("drain", fill);
+          }
+          socket.end();
+        };
+        fill();
+      });
+      const reply = await http.callStream({
+        method: "GET",
+        address,
+        path: "/",
+      });
+      const body = (reply.isOk ? reply.value.body : undefined) as Readable;
+      body.once("data", () => body.pause());
+      await sleep(300);
+      expect(written).to.be.lessThan(KERNEL_BUFFERS);
+      body.resume();
+      await new Promise((resolve) => body.once("end", resolve));
+      expect(written).to.equal(BIG);
+    });
+  }
+});
