fix(serving): shares only where many client accounts compete

Change: an entry names the account of a request to dispatchers only where the configuration has eight accounts or more; below, decisions are as before.

--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -5,7 +5,11 @@
  * @module
  */
 import type { Deadline, Failure, PoolSpec } from "@mangoreach/coordination";
-import { createDeadline, createFailure } from "@mangoreach/coordination";
+import {
+  createDeadline,
+  createFailure,
+  hasCompetingAccounts,
+} from "@mangoreach/coordination";
 import type { Millis } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { AttemptOutcome } from "./attempt_loop.ts";
@@ -126,6 +130,9 @@
 ): Promise<Result<StageResults, Failure>> {
   const { clock, log, router, random, callerElapsed, crashDetector } = state;
   const { route, table, rank, account } = admitted;
+  const sharedAccount = hasCompetingAccounts(table.config.accounts)
+    ? account
+    : undefined;
   const promptTokens = sumTokens(request.head.promptParts);
   // With just enough time left, a request misses its objective at the smallest
   // delay, and in a burst all would be slightly late. So the reserve includes
@@ -158,7 +165,7 @@
     stages: route.stages,
     durations,
     readWaits: (pool) =>
-      router.readWaits({ pool, priority: rank, place, account }),
+      router.readWaits({ pool, priority: rank, place, account: sharedAccount }),
     onTime: objectiveAt - clock.now(),
     remaining: deadlineAt - clock.now(),
     random,
@@ -172,7 +179,7 @@
     route,
     head: request.head,
     priority: rank,
-    account,
+    account: sharedAccount,
     objectiveAt,
     deadlineAt,
     durations,
--- a/packages/serving/src/request_service_test.ts
+++ b/packages/serving/src/request_service_test.ts
@@ -1,3 +1,4 @@
+import { MIN_COMPETING_ACCOUNTS } from "@mangoreach/coordination";
 import { createFakeClock, settlePromises } from "@mangoreach/shared";
 import { expect } from "chai";
 import { Result } from "true-myth";
@@ -15,31 +16,48 @@
   /** Serves a request that waits for its stage or for its endpoint. */
   function serve(
     place: "stage" | "endpoint",
-    { endpoints = ["e1"] }: { endpoints?: readonly string[] } = {},
+    { endpoints = ["e1"], accounts }: {
+      endpoints?: readonly string[];
+      /** Number of client accounts; by default the route needs no key. */
+      accounts?: number;
+    } = {},
   ) {
     const clock = createFakeClock(0);
     const shutdown = new AbortController();
     const route = createTestRoute({
-      isPublic: true,
+      isPublic: accounts === undefined,
       kind: "non_idempotent",
       stages: place === "stage"
         ? [{ pool: "makers", after: [], resultBytes: 1 }]
         : [],
     });
-    const table = createTestTable([route]);
+    const table = createTestTable(
+      [route],
+      accounts === undefined ? undefined : Array.from(
+        { length: accounts },
+        (_, index) => ({
+          name: `account-${index}`,
+          keys: [`key-${index}`],
+          priority: undefined,
+        }),
+      ),
+    );
+    const sentAccounts: (string | undefined)[] = [];
     const state = createTestState(clock, {
       readTable: () => table,
       shutdown: shutdown.signal,
       router: {
-        run: (_, signal) =>
-          new Promise((resolve) =>
+        run: ({ account }, signal) => {
+          sentAccounts.push(account);
+          return new Promise((resolve) =>
             signal.addEventListener("abort", () =>
               resolve(Result.err({
                 kind: "cancelled",
                 verdict: "not_run",
                 message: "given up",
               })))
-          ),
+          );
+        },
         readWaits: () => Promise.resolve({ onTime: 0, late: 0, growth: 0 }),
         release: () => {},
       },
@@ -58,13 +76,16 @@
     const { response, seen } = createRecordedResponse();
     const task = serveRequest(state, {
       request: {
-        head: createTestHead({ pieceCounts: [1] }),
+        head: createTestHead({
+          pieceCounts: [1],
+          ...(accounts === undefined ? {} : { key: "key-0" }),
+        }),
         body: Buffer.alloc(0),
       },
       response,
       receivedAt: 0,
     });
-    return { seen, task, shutdown };
+    return { seen, task, shutdown, sentAccounts };
   }
 
   // A stopping entry may be short of processor time. Requests that still wait
@@ -93,4 +114,20 @@
     expect(seen).to.deep.equal(["not_run"]);
     await task;
   });
+
+  // Where few accounts share a pool, shares would reorder most of the work, and
+  // fewer requests would be in time.
+  const SHARED = [
+    { accounts: MIN_COMPETING_ACCOUNTS - 1, sent: undefined },
+    { accounts: MIN_COMPETING_ACCOUNTS, sent: "account-0" },
+  ];
+  for (const { accounts, sent } of SHARED) {
+    it(`distinguishes the accounts of a site only if there are many: ${accounts}`, async () => {
+      const { sentAccounts, task, shutdown } = serve("stage", { accounts });
+      await settlePromises();
+      expect(sentAccounts).to.deep.equal([sent]);
+      shutdown.abort();
+      await task;
+    });
+  }
 });
