fix(serving): load and health follow the incarnation listed last

After the removal of a key the registry accepts an earlier start time. The loads still knew the later incarnation and returned a new state at each call: the endpoint had load 0 after 50 begins, was never ejected and ranked first. Listing and begin now create the state whatever the order of starts. Only late answers of an unlisted incarnation get a state of their own, which changes nothing.

--- a/packages/serving/src/endpoint_load.ts
+++ b/packages/serving/src/endpoint_load.ts
@@ -14,7 +14,6 @@
   createEndpointHealth,
   ejectSlowest,
   formatEndpointKey,
-  isOlderIncarnation,
 } from "@mangoreach/coordination";
 import type { Clock, Millis } from "@mangoreach/shared";
 
@@ -58,7 +57,7 @@
 interface EndpointState {
   info: EndpointInfo;
   pool: string;
-  /** A later incarnation is known; its calls in progress still end here. */
+  /** Another incarnation is listed; calls in progress still end here. */
   isReplaced: boolean;
   inFlight: number;
   inFlightAtReport: number;
@@ -69,16 +68,11 @@
 /** Creates the loads; all endpoints are healthy and idle at first. */
 export function createEndpointLoads(clock: Clock): EndpointLoads {
   const states = new Map<string, EndpointState>();
-  /** By endpoint id, the state of the latest incarnation. */
+  /** By endpoint id, the state of the incarnation that was listed last. */
   const latest = new Map<string, EndpointState>();
 
-  /** Returns the state of an endpoint; a restarted one has a new state. */
-  function findState(endpoint: EndpointInfo): EndpointState {
-    const key = formatEndpointKey(endpoint);
-    const existing = states.get(key);
-    if (existing !== undefined) return existing;
-    if (states.size >= MAX_TRACKED) dropIdle();
-    const created: EndpointState = {
+  function createState(endpoint: EndpointInfo): EndpointState {
+    return {
       info: endpoint,
       pool: endpoint.pool,
       isReplaced: false,
@@ -87,18 +81,40 @@
       report: undefined,
       health: createEndpointHealth(clock),
     };
+  }
+
+  /**
+   * Returns the state of a listed endpoint; a restarted one has a new state. It
+   * replaces other incarnations whatever their start times: once a key has been
+   * removed, the registry accepts an earlier start.
+   */
+  function findListedState(endpoint: EndpointInfo): EndpointState {
+    const key = formatEndpointKey(endpoint);
     const known = latest.get(endpoint.id);
-    // A late answer of an incarnation that is gone changes nothing.
-    if (known !== undefined && isOlderIncarnation(endpoint, known.info)) {
-      return { ...created, isReplaced: true };
-    }
-    if (known !== undefined && isOlderIncarnation(known.info, endpoint)) {
+    const existing = states.get(key);
+    if (existing !== undefined && existing === known) return existing;
+    if (existing === undefined && states.size >= MAX_TRACKED) dropIdle();
+    const state = existing ?? createState(endpoint);
+    state.isReplaced = false;
+    latest.set(endpoint.id, state);
+    states.set(key, state);
+    if (known !== undefined) {
       known.isReplaced = true;
       dropReplaced(known);
     }
-    latest.set(endpoint.id, created);
-    states.set(key, created);
-    return created;
+    return state;
+  }
+
+  /**
+   * Returns the state of the endpoint that an answer came from. An answer of an
+   * incarnation that is gone gets a state of its own, so it changes nothing.
+   */
+  function findAnsweredState(endpoint: EndpointInfo): EndpointState {
+    const existing = states.get(formatEndpointKey(endpoint));
+    if (existing !== undefined) return existing;
+    return latest.has(endpoint.id)
+      ? { ...createState(endpoint), isReplaced: true }
+      : findListedState(endpoint);
   }
 
   function dropReplaced({ info, inFlight, isReplaced }: EndpointState): void {
@@ -124,7 +140,7 @@
   }
 
   function createView(info: EndpointInfo): EndpointLoad {
-    const endpoint = findState(info);
+    const endpoint = findListedState(info);
     const { inFlight, health, report } = endpoint;
     const { slowdown } = health;
     const load = estimateLoad(endpoint);
@@ -141,10 +157,10 @@
     view: (endpoints) => endpoints.map(createView),
     listHealthy,
     begin(endpoint) {
-      findState(endpoint).inFlight++;
+      findListedState(endpoint).inFlight++;
     },
     end(endpoint, end) {
-      const state = findState(endpoint);
+      const state = findAnsweredState(endpoint);
       const { health } = state;
       state.inFlight--;
       dropReplaced(state);
@@ -154,12 +170,12 @@
       }
     },
     recordReport(endpoint, report) {
-      const target = findState(endpoint);
+      const target = findAnsweredState(endpoint);
       target.report = report;
       target.inFlightAtReport = target.inFlight;
     },
     recordRatio(endpoint, ratio) {
-      findState(endpoint).health.recordSuccess(ratio);
+      findAnsweredState(endpoint).health.recordSuccess(ratio);
       const ofPool = [...states.values()]
         .filter(({ pool, isReplaced }) =>
           pool === endpoint.pool && !isReplaced
--- a/packages/serving/src/endpoint_load_test.ts
+++ b/packages/serving/src/endpoint_load_test.ts
@@ -55,6 +55,47 @@
     expect(loads.view([again])[0]?.load).to.equal(0);
   });
 
+  // After a removal the registry accepts any start time: the endpoint's clock may
+  // have been set back, or an earlier record may have had a start time too far
+  // ahead. Without a state such an endpoint would always seem idle and healthy.
+  it("counts for a listed endpoint whatever the start times before", () => {
+    const { loads, endpoint } = create();
+    const ahead = { ...endpoint, incarnation: "9", startedAt: 9 };
+    const listed = { ...endpoint, incarnation: "1", startedAt: 1 };
+    loads.begin(ahead);
+    for (let index = 0; index < 50; index++) loads.begin(listed);
+    expect(loads.view([listed])[0]?.load).to.equal(50);
+    loads.recordReport(listed, {
+      running: 60,
+      queued: 0,
+      slots: 8,
+      takenAt: 0,
+    });
+    expect(loads.listHealthy([listed])[0]?.load).to.equal(60);
+    loads.end(listed, "unreachable");
+    expect(loads.view([listed])[0]?.health.isEjected()).to.equal(true);
+    // Late answers of the incarnation that was listed before, also after its
+    // last call has ended.
+    loads.end(ahead, "unreachable");
+    loads.recordReport(ahead, { running: 9, queued: 9, slots: 8, takenAt: 0 });
+    expect(loads.view([listed])[0]?.load).to.equal(59);
+  });
+
+  // Answers that arrive after the state of their incarnation has gone must not
+  // replace the state of the listed one, which would lose its load.
+  it("ignores late answers of an earlier incarnation", () => {
+    const { loads, endpoint } = create();
+    const old = { ...endpoint, incarnation: "1", startedAt: 1 };
+    const listed = { ...endpoint, incarnation: "2", startedAt: 2 };
+    loads.begin(listed);
+    loads.recordReport(old, { running: 9, queued: 9, slots: 8, takenAt: 0 });
+    loads.recordRatio(old, 9);
+    loads.end(old, "unreachable");
+    expect(loads.view([listed])[0]?.load).to.equal(1);
+    loads.recordRatio(listed, 1);
+    expect(loads.view([listed])[0]?.health.isEjected()).to.equal(false);
+  });
+
   it("never ejects for attempts that this entry gave up itself", () => {
     const { loads, endpoint } = create();
     for (let index = 0; index < 20; index++) {
