fix(coordination): a costly endpoint gets no fixed share of the requests

The better of two drawn uniformly gave the second best of three endpoints a third of the requests whatever it cost, and the other of two an eighth at seven times the cost. An endpoint of cost c is now drawn with weight 1 / c^1.5: 5% at seven times the cost. Without factors nothing changes.

The load test covers three more shapes and its bounds are tighter; the spread test expects the shares of the new weights, and covers a factor of 0.2.

--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -84,10 +84,10 @@
   LoadReport,
 } from "./endpoint.ts";
 export { formatEndpointKey, isOlderIncarnation } from "./endpoint.ts";
-export type { BetterOfTwoOptions } from "./work_factor.ts";
+export type { DrawnFirstOptions } from "./work_factor.ts";
 export {
   hasWorkFactor,
-  listBetterOfTwoFirst,
+  listDrawnFirst,
   readWorkFactor,
 } from "./work_factor.ts";
 export type {
--- a/packages/coordination/src/work_factor.ts
+++ b/packages/coordination/src/work_factor.ts
@@ -3,9 +3,9 @@
  * machines at the moment, as they report it.
  *
  * Entries that read the same figure must not all send to the same endpoint. So
- * an entry takes the better of two endpoints drawn at random: in a model of 87
- * entries and 3 or 4 endpoints this gave shorter tail latencies than a draw
- * between the two best, in proportion to the inverse of their cost.
+ * an entry draws one by chance, less often the more it costs. The better of two
+ * drawn uniformly gives the second best of three a third of the requests,
+ * whatever it costs; in simulations that lengthened latencies.
  *
  * @module
  */
@@ -39,34 +39,41 @@
   return 1 + (bounded - 1) * Math.min(1, weight);
 }
 
-/** Options of {@linkcode listBetterOfTwoFirst}. */
-export interface BetterOfTwoOptions<E> {
+/**
+ * An endpoint of cost c is drawn with weight 1 / c^1.5. In simulations of 2 to 4
+ * endpoints, exponents from 1.25 to 2 gave about the same latencies; with larger
+ * ones more entries move to one endpoint at once.
+ */
+const COST_EXPONENT = 1.5;
+
+/** Options of {@linkcode listDrawnFirst}. */
+export interface DrawnFirstOptions<E> {
+  /** Returns a number above 0. */
   estimateCost: (endpoint: E) => number;
   /** Returns a number from 0 up to 1. */
   random: () => number;
 }
 
 /**
- * Moves the better of two endpoints, drawn at random, to the front of a list in
- * order of cost. Of only two endpoints the better one would always be first, so
- * one is drawn in proportion to the inverse of its cost.
+ * Moves one endpoint, drawn with a chance that falls with its cost, to the front
+ * of a list in order of cost.
  */
-export function listBetterOfTwoFirst<E>(
+export function listDrawnFirst<E>(
   ranked: readonly E[],
-  { estimateCost, random }: BetterOfTwoOptions<E>,
+  { estimateCost, random }: DrawnFirstOptions<E>,
 ): E[] {
-  const count = ranked.length;
-  if (count < 2) return [...ranked];
-  const [best, second] = ranked.map(estimateCost) as [number, number];
-  const first = count === 2
-    ? Number(random() * (best + second) >= second)
-    : chooseBetterOfTwo(count, random);
-  return [ranked[first]!, ...ranked.filter((_, index) => index !== first)];
+  const weights = ranked.map((each) => estimateCost(each) ** -COST_EXPONENT);
+  const first = drawIndex(weights, random);
+  return [
+    ...ranked.slice(first, first + 1),
+    ...ranked.filter((_, index) => index !== first),
+  ];
 }
 
-/** Draws two different indexes and returns the lower one. */
-function chooseBetterOfTwo(count: number, random: () => number): number {
-  const one = Math.floor(random() * count);
-  const other = Math.floor(random() * (count - 1));
-  return Math.min(one, other < one ? other : other + 1);
+/** Draws an index in proportion to its weight. */
+function drawIndex(weights: readonly number[], random: () => number): number {
+  let left = random() * weights.reduce((sum, weight) => sum + weight, 0);
+  const drawn = weights.findIndex((weight) => (left -= weight) < 0);
+  // Rounding can leave a remainder after the last weight.
+  return Math.max(0, drawn);
 }
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -18,7 +18,7 @@
   createFailure,
   formatEndpointKey,
   hasWorkFactor,
-  listBetterOfTwoFirst,
+  listDrawnFirst,
   readWorkFactor,
   spreadRetryAfter,
 } from "@mangoreach/coordination";
@@ -171,9 +171,7 @@
   };
   const ranked = [...endpoints]
     .sort((a, b) => estimateCost(a) - estimateCost(b));
-  return hasFactors
-    ? listBetterOfTwoFirst(ranked, { estimateCost, random })
-    : ranked;
+  return hasFactors ? listDrawnFirst(ranked, { estimateCost, random }) : ranked;
 }
 
 /** Makes attempts until one is answered or no further one is allowed. */
--- a/packages/serving/src/work_factor_test.ts
+++ b/packages/serving/src/work_factor_test.ts
@@ -16,11 +16,43 @@
 } from "./test_support.ts";
 
 const ENTRIES = 87;
-/** Of 1.6 that the endpoints can serve if their factors are 1. */
-const PER_MILLISECOND = 1.1;
-const WORK: Millis = 15;
+/** How many requests an endpoint works on concurrently. */
+const SLOTS = 6;
 const REQUEST = { head: createTestHead(), body: Buffer.alloc(0) };
 
+interface LoadShape {
+  /** How many endpoints there are. */
+  count: number;
+  work: Millis;
+  perSecond: number;
+  /** How many times longer the work takes at one of the endpoints. */
+  slowest: number;
+}
+
+/** `atMost` bounds the latencies relative to those without factors. */
+const SHAPES = [
+  {
+    name: "4 endpoints of 15 ms",
+    ...{ count: 4, work: 15, perSecond: 1_100, slowest: 1 },
+    atMost: { mean: 0.75, p99: 0.75 },
+  },
+  {
+    name: "3 endpoints of 60 ms",
+    ...{ count: 3, work: 60, perSecond: 200, slowest: 1 },
+    atMost: { mean: 0.97, p99: 0.95 },
+  },
+  {
+    name: "3 endpoints of 60 ms, one 3 times slower",
+    ...{ count: 3, work: 60, perSecond: 130, slowest: 3 },
+    atMost: { mean: 0.97, p99: 0.95 },
+  },
+  {
+    name: "4 endpoints of 15 ms, one 3 times slower",
+    ...{ count: 4, work: 15, perSecond: 550, slowest: 3 },
+    atMost: { mean: 1, p99: 0.9 },
+  },
+];
+
 function createRandom(seed: number): () => number {
   const source = new Random(MersenneTwister19937.seed(seed));
   return () => source.real(0, 1);
@@ -78,7 +110,7 @@
 ): LoadReport => ({
   running: 0,
   queued: 0,
-  slots: 6,
+  slots: SLOTS,
   takenAt,
   ...(workFactor === undefined ? {} : { workFactor }),
 });
@@ -138,8 +170,13 @@
 
   // All entries have just read that one endpoint is much faster. If all chose
   // it, it would be overloaded before the next figure arrives.
-  for (const count of [2, 3, 4, 12]) {
-    it(`spreads ${ENTRIES} entries that read the same of ${count} endpoints`, () => {
+  for (
+    const { count, factor } of [
+      ...[2, 3, 4, 12].map((count) => ({ count, factor: 0.5 })),
+      { count: 4, factor: 0.2 },
+    ]
+  ) {
+    it(`spreads ${ENTRIES} entries that read ${factor} of one of ${count} endpoints`, () => {
       const random = createRandom(20261203);
       const clock = createFakeClock(0);
       const ids = Array.from({ length: count }, (_, index) => `e${index}`);
@@ -151,52 +188,81 @@
         endpoints.forEach((endpoint, index) =>
           state.loads.recordReport(
             endpoint,
-            createReport(0, index === 0 ? 0.5 : 1),
+            createReport(0, index === 0 ? factor : 1),
           )
         );
         return choose().id;
       });
       const first = chosen.filter((id) => id === "e0").length / ENTRIES;
-      // The better of two, or two thirds where there are only two.
-      const expected = 2 / Math.max(3, count);
+      const weight = factor ** -1.5;
+      const expected = weight / (weight + count - 1);
       expect(first).to.be.within(expected - 0.15, expected + 0.15);
     });
   }
 
+  // The better of two drawn uniformly gave the second best of three a third of
+  // the requests, and the dearer of two an eighth at seven times the cost.
+  for (const [best, ...others] of [[1, 7], [1, 7, 9], [1, 9, 9, 9]] as const) {
+    it(`sends little to endpoints of cost ${others.join(", ")}`, () => {
+      const costs = [best, ...others];
+      const { state, endpoints, choose } = createEntry(createFakeClock(0), {
+        ids: costs.map((_, index) => `e${index}`),
+        random: createRandom(20261203),
+      });
+      endpoints.forEach((endpoint, index) => {
+        state.loads.recordReport(endpoint, createReport(0, 1));
+        for (let n = 1; n < costs[index]!; n++) state.loads.begin(endpoint);
+      });
+      const chosen = Array.from({ length: 5_000 }, () => choose().id);
+      for (const { id } of endpoints.slice(1)) {
+        const share = chosen.filter((each) => each === id).length / 5_000;
+        expect(share).to.be.within(0.01, 0.07);
+      }
+    });
+  }
+
   // Against the choice without factors, under the same load.
-  it("shortens latencies under load", async () => {
-    const seeds = [100_000, 101_000, 102_000, 103_000];
-    const sums = { before: { mean: 0, p99: 0 }, after: { mean: 0, p99: 0 } };
-    for (const seed of seeds) {
-      const before = await runLoad({ reportsFactors: false, seed });
-      const after = await runLoad({ reportsFactors: true, seed });
+  for (const shape of SHAPES) {
+    it(`shortens latencies under load: ${shape.name}`, async () => {
+      const seeds = [100_000, 101_000, 102_000, 103_000];
+      const sums = { before: { mean: 0, p99: 0 }, after: { mean: 0, p99: 0 } };
+      for (const seed of seeds) {
+        const before = await runLoad({ ...shape, reportsFactors: false, seed });
+        const after = await runLoad({ ...shape, reportsFactors: true, seed });
+        for (const kind of ["mean", "p99"] as const) {
+          sums.before[kind] += before[kind];
+          sums.after[kind] += after[kind];
+        }
+      }
       for (const kind of ["mean", "p99"] as const) {
-        sums.before[kind] += before[kind];
-        sums.after[kind] += after[kind];
+        expect(sums.after[kind])
+          .to.be.lessThan(shape.atMost[kind] * sums.before[kind]);
       }
-    }
-    expect(sums.after.mean).to.be.lessThan(0.95 * sums.before.mean);
-    expect(sums.after.p99).to.be.lessThan(0.9 * sums.before.p99);
-  }).timeout(60_000);
+    }).timeout(60_000);
+  }
 });
 
 /**
- * 87 entries send 1,100 requests per second of 15 ms to 4 endpoints of 6 slots,
- * whose factors change several times a second; returns latencies.
+ * 87 entries send requests to endpoints of 6 slots, whose factors change several
+ * times a second; returns latencies.
  */
 async function runLoad(
-  { reportsFactors, seed }: { reportsFactors: boolean; seed: number },
+  { count, work, perSecond, slowest, reportsFactors, seed }: LoadShape & {
+    reportsFactors: boolean;
+    seed: number;
+  },
 ): Promise<{ mean: Millis; p99: Millis }> {
   // The load is the same whatever the entries draw for their choices.
   const random = createRandom(seed);
   const clock = createFakeClock(0);
-  const ids = ["e0", "e1", "e2", "e3"];
+  const ids = Array.from({ length: count }, (_, index) => `e${index}`);
   let seedOfEntry = seed;
   const entries = Array.from(
     { length: ENTRIES },
     () => createEntry(clock, { ids, random: createRandom(++seedOfEntry) }),
   );
-  const servers = ids.map(() => ({
+  const servers = ids.map((_, index) => ({
+    work: index === 0 ? work * slowest : work,
     factor: 1,
     running: [] as (() => void)[],
     queue: [] as (() => void)[],
@@ -205,10 +271,12 @@
 
   function start(index: number): void {
     const server = servers[index]!;
-    const next = server.running.length < 6 ? server.queue.shift() : undefined;
+    const next = server.running.length < SLOTS
+      ? server.queue.shift()
+      : undefined;
     if (next === undefined) return;
     server.running.push(next);
-    clock.startTimer(WORK * server.factor, () => {
+    clock.startTimer(server.work * server.factor, () => {
       server.running.splice(server.running.indexOf(next), 1);
       next();
       start(index);
@@ -226,7 +294,7 @@
       const { factor, running, queue } = servers[index]!;
       const latency = clock.now() - sentAt;
       latencies.push(latency);
-      loads.recordRatio(endpoint, latency / WORK);
+      loads.recordRatio(endpoint, latency / work);
       loads.end(endpoint, "done");
       const report = createReport(
         clock.now(),
@@ -242,7 +310,9 @@
     for (const server of servers) {
       if (random() < 1 / 150) server.factor = Math.exp(1.8 * random() - 0.9);
     }
-    for (let due = PER_MILLISECOND; due > 0; due--) if (random() < due) send();
+    for (let due = perSecond / 1_000; due > 0; due--) {
+      if (random() < due) send();
+    }
     await clock.advance(1);
   }
   latencies.sort((a, b) => a - b);
