--- a/packages/coordination/src/work_factor.ts
+++ b/packages/coordination/src/work_factor.ts
@@ -63,15 +63,15 @@
   { estimateCost, random }: DrawnFirstOptions<E>,
 ): E[] {
   const weights = ranked.map((each) => estimateCost(each) ** -COST_EXPONENT);
-  const first = drawIndex(weights, random);
+  const first = chooseIndex(weights, random);
   return [
     ...ranked.slice(first, first + 1),
     ...ranked.filter((_, index) => index !== first),
   ];
 }
 
-/** Draws an index in proportion to its weight. */
-function drawIndex(weights: readonly number[], random: () => number): number {
+/** Chooses an index at random, in proportion to its weight. */
+function chooseIndex(weights: readonly number[], random: () => number): number {
   let left = random() * weights.reduce((sum, weight) => sum + weight, 0);
   const drawn = weights.findIndex((weight) => (left -= weight) < 0);
   // Rounding can leave a remainder after the last weight.
