Send callers to entries by free capacity

Cause: address answers named live entries uniformly, so entries with 0.243 of a core got as many callers as those with 1.35.

Change: sampleEntries moves to coordination/src/steering and draws by capacity less idle and dispatcher cost, lowered by the square root of relative use. The size of an answer weighs the busiest entry's load against the connections that callers leave when an answer changes. Alike capacities are drawn as before.

--- a/packages/coordination/src/address_selection.ts
+++ b/packages/coordination/src/address_selection.ts
@@ -9,13 +9,7 @@
  * @module
  */
 import type { Millis } from "@mangoreach/shared";
-import { sampleItems } from "./sampling.ts";
-import type {
-  PeerHealth,
-  PeerRecord,
-  PeerState,
-  PeerView,
-} from "./membership.ts";
+import type { PeerHealth, PeerState } from "./membership.ts";
 
 /** An entry that may be included in an answer. */
 export interface AddressCandidate {
@@ -84,40 +78,6 @@
   return { ordered, keep: Math.round(keep) };
 }
 
-/** Options of {@linkcode sampleEntries}. */
-export interface EntrySampleOptions {
-  limit: number;
-  random: () => number;
-  /**
-   * Whether this entry has just started and has discovered few other entries.
-   */
-  isDiscovering: boolean;
-}
-
-/**
- * Samples the entries that are reported to a caller that balances its load
- * itself. The sample is new for each answer: a fleet is larger than an answer,
- * and a fixed subset in every answer would receive the load of the whole fleet.
- *
- * After a restart of the whole fleet, an entry has discovered few others. If
- * only those were reported, they would receive the load of the whole fleet.
- * During that time the other listed entries are reported as well, although some
- * may have ended.
- */
-export function sampleEntries(
-  views: readonly Pick<PeerView, "record" | "health">[],
-  { limit, random, isDiscovering }: EntrySampleOptions,
-): PeerRecord[] {
-  const usable = views.filter(({ record, health }) =>
-    record.state === "live" &&
-    (health === "alive" || (isDiscovering && health === "suspected"))
-  );
-  return sampleItems(usable.map(({ record }) => record), {
-    count: limit,
-    random,
-  });
-}
-
 function isUsable({ state, health }: AddressCandidate): boolean {
   return state === "live" && health === "alive";
 }
--- a/packages/coordination/src/high_capacity_members.ts
+++ b/packages/coordination/src/high_capacity_members.ts
@@ -6,7 +6,7 @@
  */
 
 /** Minimum capacity, as a share of the largest. */
-const MIN_CAPACITY_SHARE = 0.6;
+export const MIN_CAPACITY_SHARE = 0.6;
 
 /** Returns the members whose capacity is near the largest. */
 export function listHighCapacity<T>(
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -76,7 +76,12 @@
   AddressSelection,
   AddressSelectionOptions,
 } from "./address_selection.ts";
-export { chooseAddresses, sampleEntries } from "./address_selection.ts";
+export { chooseAddresses } from "./address_selection.ts";
+export type {
+  EntrySampleOptions,
+  SampledView,
+} from "./steering/entry_sample.ts";
+export { sampleEntries } from "./steering/entry_sample.ts";
 export type {
   EndpointInfo,
   EndpointSignals,
--- a/packages/serving/src/peer_gossip.ts
+++ b/packages/serving/src/peer_gossip.ts
@@ -227,8 +227,12 @@
     start,
     chooseEntries(limit) {
       // The own record shows the current state only after the next heartbeat.
-      const record: PeerRecord = { ...membership.self, state: "live" };
-      const own = { record, health: "alive" } as const;
+      const record: PeerRecord = {
+        ...membership.self,
+        state: "live",
+        inFlight: options.countInFlight(),
+      };
+      const own = { record, health: "alive", age: 0 } as const;
       const others = membership.list();
       const isLive = options.readState() === "live";
       const views = isLive ? [own, ...others] : others;
