--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -77,6 +77,7 @@
   AddressSelectionOptions,
 } from "./address_selection.ts";
 export { chooseAddresses } from "./address_selection.ts";
+export type { AnswerSize } from "./steering/answer_size.ts";
 export type {
   EntrySampleOptions,
   SampledView,
--- a/packages/coordination/src/steering/entry_sample.ts
+++ b/packages/coordination/src/steering/entry_sample.ts
@@ -7,6 +7,7 @@
 import type { Millis } from "@mangoreach/shared";
 import type { PeerRecord, PeerView } from "../membership.ts";
 import { sampleItems } from "../sampling.ts";
+import type { AnswerSize } from "./answer_size.ts";
 import { computeAnswerSize } from "./answer_size.ts";
 import type { SteeredEntry } from "./entry_weights.ts";
 import { computeEntryWeights } from "./entry_weights.ts";
@@ -19,6 +20,8 @@
    * Whether this entry has just started and has discovered few other entries.
    */
   isDiscovering: boolean;
+  /** Called for each sample that is drawn by capacity. */
+  onSized?: (size: AnswerSize) => void;
 }
 
 /** An entry that may be included in an answer. */
@@ -50,7 +53,7 @@
  */
 export function sampleEntries(
   views: readonly SampledView[],
-  { limit, random, isDiscovering }: EntrySampleOptions,
+  { limit, random, isDiscovering, onSized = () => {} }: EntrySampleOptions,
 ): PeerRecord[] {
   const usable: SteeredEntry[] = [];
   for (const { record, health, age } of views) {
@@ -65,7 +68,7 @@
     : undefined;
   const named = weights === undefined
     ? records
-    : sampleByWeight(records, { weights, limit, random });
+    : sampleByWeight(records, { weights, limit, random, onSized });
   return sampleItems(named, { count: limit, random });
 }
 
@@ -76,16 +79,16 @@
  */
 function sampleByWeight<T>(
   items: readonly T[],
-  { weights, limit, random }: {
+  { weights, limit, random, onSized }: {
     weights: Float64Array;
     limit: number;
     random: () => number;
+    onSized: (size: AnswerSize) => void;
   },
 ): T[] {
-  const { count, scale } = computeAnswerSize(weights, {
-    min: MIN_ANSWER,
-    max: limit,
-  });
+  const size = computeAnswerSize(weights, { min: MIN_ANSWER, max: limit });
+  onSized(size);
+  const { count, scale } = size;
   const drawn: T[] = [];
   let end = ROUNDING_ERROR + random();
   for (let index = 0; index < items.length; index++) {
--- a/packages/serving/src/decision_log.ts
+++ b/packages/serving/src/decision_log.ts
@@ -25,6 +25,7 @@
   | "load_report_unread"
   | "place_changed"
   | "peer_changed"
+  | "answer_size_changed"
   | "dependency_lost"
   | "dependency_regained"
   | "store_restored"
--- a/packages/serving/src/peer_gossip.ts
+++ b/packages/serving/src/peer_gossip.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type {
+  AnswerSize,
   EndpointDirectory,
   EndpointLimits,
   Membership,
@@ -91,6 +92,9 @@
 const FAST_GOSSIP_PEERS = 24;
 const MAX_TIMEOUT_FACTOR = 3;
 
+/** The size of answers is logged at most this often. */
+const ANSWER_SIZE_INTERVAL: Millis = 10_000;
+
 /** Jitter, as hundreds of entries republish to a restored store at once. */
 const REPUBLISH_JITTER: Millis = 1_000;
 
@@ -100,6 +104,7 @@
   /** Incarnation and state of each peer as last logged. */
   const peerStates = new Map<string, string>();
   const isDiscovering = createDiscoveryCheck(clock);
+  let loggedSize = { count: 0, at: -Infinity };
 
   const self: PeerRecord = {
     entry: settings.entry,
@@ -218,6 +223,16 @@
     });
   }
 
+  /** Logs occasional changes only: present use changes the size often. */
+  function recordAnswerSize(size: AnswerSize): void {
+    metrics.setAnswerSize(size);
+    const { count, busiest, kept } = size;
+    const isKnown = count === loggedSize.count;
+    if (isKnown || clock.now() - loggedSize.at < ANSWER_SIZE_INTERVAL) return;
+    loggedSize = { count, at: clock.now() };
+    log.record("answer_size_changed", { entries: count, busiest, kept });
+  }
+
   return {
     self,
     membership,
@@ -240,6 +255,7 @@
         limit,
         random,
         isDiscovering: isDiscovering(),
+        onSized: recordAnswerSize,
       });
     },
   };
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -18,6 +18,7 @@
   setConfigAge(age: Millis): void;
   countReading(topic: string, source: string, outcome: string): void;
   setKnown(what: "endpoints" | "peers", count: number): void;
+  setAnswerSize(size: { count: number; busiest: number }): void;
   countSignal(pool: string, signal: string): void;
   countUnreadLoad(pool: string): void;
   countUndecodable(topic: string): void;
@@ -85,6 +86,17 @@
     registers,
   });
 
+  const answerSize = new Gauge({
+    name: "mangoreach_address_answer_entries",
+    help: "Entries named in an answer to callers that is drawn by capacity",
+    registers,
+  });
+  const answerBusiest = new Gauge({
+    name: "mangoreach_address_answer_busiest",
+    help: "Load of the busiest entry relative to its share by capacity",
+    registers,
+  });
+
   const signals = new Counter({
     name: "mangoreach_endpoint_signals_total",
     help: "Answers in which endpoints ask for less or no work",
@@ -118,6 +130,10 @@
     countReading: (topic, source, outcome) =>
       readings.inc({ topic, source, outcome }),
     setKnown: (what, count) => known.set({ what }, count),
+    setAnswerSize: ({ count, busiest }) => {
+      answerSize.set(count);
+      answerBusiest.set(busiest);
+    },
     countSignal: (pool, signal) => signals.inc({ pool, signal }),
     countUnreadLoad: (pool) => unreadLoads.inc({ pool }),
     countUndecodable: (topic) => undecodable.inc({ topic }),
