--- a/packages/coordination/src/steering/entry_sample_test.ts
+++ b/packages/coordination/src/steering/entry_sample_test.ts
@@ -211,4 +211,17 @@
     expect(share("undefined-1")).to.be.above(1.3 * share("0.3-1"));
     expect(share("undefined-1")).to.be.below(0.85 * share("1.35-1"));
   });
+
+  // After a restart of the fleet, the few known ones would get all of the load.
+  it("include listed ones by capacity while this one has just started", () => {
+    const views = uneven.map((view, at): SampledView =>
+      at % 20 === 0 ? view : { ...view, health: "suspected" }
+    );
+    expect(sample(views).length).to.equal(5);
+    const named = Array.from({ length: 500 }, () => sample(views, true)).flat();
+    const count = (entry: string) =>
+      named.filter((record) => record.entry === entry).length;
+    expect(count("1.35-1")).to.be.above(2 * count("0.243-1"));
+    expect(count("0.243-1")).to.be.above(0);
+  });
 });
