feat(platform): operators switch fair shares on by the setting accountShares

Cause: shares reorder the work of all accounts. Change: the setting, false by default, replaces the number of accounts.

--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -273,7 +273,3 @@
 export { createEngineSelector } from "./engine_selector.ts";
 export type { PlannedStage } from "./stage_plan.ts";
 export { computeStageTime, planStages } from "./stage_plan.ts";
-export {
-  hasCompetingAccounts,
-  MIN_COMPETING_ACCOUNTS,
-} from "./fairness/competing_accounts.ts";
--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -5,11 +5,7 @@
  * @module
  */
 import type { Deadline, Failure, PoolSpec } from "@mangoreach/coordination";
-import {
-  createDeadline,
-  createFailure,
-  hasCompetingAccounts,
-} from "@mangoreach/coordination";
+import { createDeadline, createFailure } from "@mangoreach/coordination";
 import type { Millis } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { AttemptOutcome } from "./attempt_loop.ts";
@@ -130,9 +126,7 @@
 ): Promise<Result<StageResults, Failure>> {
   const { clock, log, router, random, callerElapsed, crashDetector } = state;
   const { route, table, rank, account } = admitted;
-  const sharedAccount = hasCompetingAccounts(table.config.accounts)
-    ? account
-    : undefined;
+  const sharedAccount = state.accountShares ? account : undefined;
   const promptTokens = sumTokens(request.head.promptParts);
   // With just enough time left, a request misses its objective at the smallest
   // delay, and in a burst all would be slightly late. So the reserve includes
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -324,6 +324,7 @@
     configAge,
     isBehindPeers,
     maxKeyAge: settings.maxKeyAge,
+    accountShares: settings.accountShares,
     membership,
     directory,
     loads,
--- a/packages/serving/src/serving_options.ts
+++ b/packages/serving/src/serving_options.ts
@@ -47,6 +47,8 @@
   repeatSlack: number;
   /** Retries allowed for each first attempt. */
   repeatShare: number;
+  /** Whether client accounts have shares of the stage pools. */
+  accountShares: boolean;
 }
 
 /** The platform that an entry runs on. */
--- a/packages/serving/src/serving_state.ts
+++ b/packages/serving/src/serving_state.ts
@@ -37,6 +37,8 @@
   isBehindPeers: () => boolean;
   /** Client accounts are not served by a configuration older than this. */
   maxKeyAge: Millis;
+  /** Whether client accounts have shares of the stage pools. */
+  accountShares: boolean;
   membership: Membership;
   directory: EndpointDirectory;
   loads: EndpointLoads;
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -290,6 +290,7 @@
     configAge: createDataAge({ clock, readWallTime: clock.now }),
     isBehindPeers: () => false,
     maxKeyAge: 1_000,
+    accountShares: false,
     membership: createMembership({
       clock,
       random: () => 0,
--- a/soak/src/entry_settings.ts
+++ b/soak/src/entry_settings.ts
@@ -45,6 +45,7 @@
     revokeMs: 5_000,
     stopS: STOP_S,
     repeatShare: 0.2,
+    accountShares: true,
     repeatSlack: 56,
   };
 }
