fix(shared): answers of endpoints that could end an entry or look complete

Cause, found by review: a status below 200 passed and the write of its head threw in a listener, which ends the process; a body whose last transfer coding is not chunked ends with its connection but skipped the check for a reset; a header named constructor was mixed with a member of every object; an abort before anyone listened to a body raised an error without a listener; bracketed addresses did not connect. Change: such a status is a cut answer, exceptions of the writer cut the stream, the check covers every body that its connection delimits, headers have no prototype.

--- a/packages/serving/src/chunk_forwarding.ts
+++ b/packages/serving/src/chunk_forwarding.ts
@@ -12,7 +12,7 @@
  * KiB, and a response stops accepting chunks at its own of 16 KiB; so both hold
  * less than two reads and two marks, besides the framing of chunks.
  */
-export const maxBytes = 163_840;
+export const MAX_BUFFERED_BYTES = 163_840;
 
 /**
  * Passes each chunk to `write` as it arrives; resolves when the body ends. While
@@ -24,7 +24,15 @@
 ): Promise<ResponseEnd> {
   return new Promise((resolve) => {
     body.on("data", (chunk: Buffer) => {
-      const writable = write(chunk);
+      let writable: Promise<void> | undefined;
+      try {
+        writable = write(chunk);
+      } catch {
+        // node:http throws for a head that HTTP does not permit. An exception in
+        // a listener would end the process.
+        body.destroy();
+        return;
+      }
       if (writable === undefined) return;
       body.pause();
       void writable.then(() => body.resume());
--- a/packages/serving/src/chunk_forwarding_test.ts
+++ b/packages/serving/src/chunk_forwarding_test.ts
@@ -2,12 +2,13 @@
 import type { AddressInfo, Socket } from "node:net";
 import { connect, createServer as createRawServer } from "node:net";
 import type { Readable } from "node:stream";
+import { PassThrough } from "node:stream";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createHttpClient } from "@mangoreach/shared";
 import { expect } from "chai";
 import type { CallerResponse } from "./caller_response.ts";
 import { createCallerResponse } from "./caller_response.ts";
-import { forwardChunks, maxBytes } from "./chunk_forwarding.ts";
+import { forwardChunks, MAX_BUFFERED_BYTES } from "./chunk_forwarding.ts";
 
 const SIZE = 60_000_000;
 /** Limit of the time until an event is forwarded. */
@@ -83,7 +84,7 @@
       await sleep(10);
       most = Math.max(most, seen.readBuffered());
     }
-    expect(most).to.be.within(1, maxBytes);
+    expect(most).to.be.within(1, MAX_BUFFERED_BYTES);
     expect(seen.end).to.equal(undefined);
     let received = 0;
     caller.on("data", (bytes) => received += bytes.length);
@@ -125,6 +126,17 @@
     expect(seen.end).to.equal("cut");
   });
 
+  // An exception in a listener would end the process.
+  it("cuts a stream whose chunk cannot be written", async () => {
+    const body = new PassThrough();
+    body.write("one");
+    const end = await forwardChunks(body, () => {
+      throw new RangeError("Invalid status code: 42");
+    });
+    expect(end).to.equal("cut");
+    expect(body.destroyed).to.equal(true);
+  });
+
   it("closes the endpoint's connection if the caller disconnects", async () => {
     let isClosed = false;
     const { caller, seen } = await start((socket) => {
--- a/packages/shared/src/single_use_call.ts
+++ b/packages/shared/src/single_use_call.ts
@@ -14,6 +14,7 @@
 import { connect } from "node:net";
 import { Readable as NodeReadable } from "node:stream";
 import { Result } from "true-myth";
+import { parseAddress } from "./address.ts";
 import type { Millis } from "./clock.ts";
 import type {
   HttpCall,
@@ -32,6 +33,11 @@
 /** Methods whose requests announce an empty body. */
 const METHODS_WITH_BODY = new Set(["POST", "PUT", "PATCH"]);
 
+/** Lower ones are provisional. */
+const FIRST_FINAL_STATUS = 200;
+/** Whether `chunked` is the last transfer coding. */
+const CHUNKED_LAST = /(?:^|[\s,])chunked\s*$/i;
+
 /** A connection and what is known about its end. */
 interface WatchedSocket {
   socket: Socket;
@@ -88,6 +94,13 @@
         if (body === undefined) fail(new Error("the connection was cut"));
       });
       request.once("response", (response: IncomingMessage) => {
+        const status = response.statusCode ?? 0;
+        // node:http accepts 000 to 099, but throws when one is forwarded.
+        if (status < FIRST_FINAL_STATUS) {
+          request?.destroy();
+          fail(new Error(`the status ${status} is invalid`));
+          return;
+        }
         if (isConnectionDelimited(response) && watched !== undefined) {
           body = createVerifiedBody(response, watched);
         } else {
@@ -98,7 +111,7 @@
         }
         body.once("close", finish);
         resolve(Result.ok({
-          status: response.statusCode ?? 0,
+          status,
           headers: listHeaders(response.rawHeaders),
           body,
         }));
@@ -125,10 +138,10 @@
  * succeeds only if the connection was closed normally.
  */
 function openSocket(address: string, timeout: Millis): WatchedSocket {
-  const colon = address.lastIndexOf(":");
+  const parts = parseAddress(address);
+  if (parts === undefined) throw new Error("the address is malformed");
   const socket = connect({
-    host: address.slice(0, colon),
-    port: Number(address.slice(colon + 1)),
+    ...parts,
     noDelay: true,
     // Without this the socket closes its own side and the probe fails.
     allowHalfOpen: true,
@@ -186,7 +199,8 @@
 
 /** Lists headers by lower-case name; a repeated one has several values. */
 function listHeaders(raw: readonly string[]): HttpHeaders {
-  const headers: HttpHeaders = {};
+  // Without a prototype, as `constructor` is a permitted name of a header.
+  const headers = Object.create(null) as HttpHeaders;
   for (let index = 0; index + 1 < raw.length; index += 2) {
     const name = raw[index]!.toLowerCase();
     const value = raw[index + 1]!;
@@ -198,10 +212,13 @@
   return headers;
 }
 
-/** Whether only the end of the connection delimits the body. */
+/**
+ * Whether only the end of the connection delimits the body, which is so for
+ * transfer codings that do not end with `chunked` too (RFC 9112, section 6.3).
+ */
 function isConnectionDelimited({ headers }: IncomingMessage): boolean {
   return headers["content-length"] === undefined &&
-    headers["transfer-encoding"] === undefined;
+    !CHUNKED_LAST.test(headers["transfer-encoding"] ?? "");
 }
 
 /** Creates a body that fails if the connection was reset. */
@@ -217,6 +234,8 @@
       callback(error);
     },
   });
+  // An abort before anyone listens must not end the process.
+  body.on("error", () => {});
   response.on("data", (chunk) => {
     if (!body.push(chunk)) response.pause();
   });
--- a/packages/shared/src/single_use_call_test.ts
+++ b/packages/shared/src/single_use_call_test.ts
@@ -101,6 +101,29 @@
       outcome: "body",
     },
     { name: "without body", text: `${OK}\r\n`, end: close, outcome: "" },
+    {
+      name: "in another transfer coding",
+      text: `${OK}Transfer-Encoding: gzip\r\n\r\nbody`,
+      end: close,
+      outcome: "body",
+    },
+    {
+      name: "in another transfer coding, reset with its last bytes",
+      text: `${OK}Transfer-Encoding: gzip\r\n\r\nbody`,
+      end: reset,
+      outcome: "cut maybe",
+    },
+    {
+      name: "in chunks that are coded again, reset with its last bytes",
+      text: `${OK}Transfer-Encoding: chunked, gzip\r\n\r\nbody`,
+      end: reset,
+      outcome: "cut maybe",
+    },
+    {
+      name: "whose status is invalid",
+      text: SIZED.replace("200", "042"),
+      outcome: "cut maybe",
+    },
     { name: "that is not HTTP", text: "SSH-2.0-x\r\n", outcome: "cut maybe" },
     {
       name: "that both has a length and is in chunks",
@@ -131,6 +154,15 @@
     });
   }
 
+  // Every object inherits a member of this name, which is no value of a header.
+  it("keeps a header named `constructor`", async () => {
+    const address = await answerRaw(
+      SIZED.replace("\r\n", "\r\nconstructor: x\r\n"),
+    );
+    const reply = await http.call({ method: "GET", address, path: "/" });
+    expect(reply.isOk && reply.value.headers["constructor"]).to.equal("x");
+  });
+
   it("keeps all values of a repeated header and its order", async () => {
     const address = await answerRaw(
       `${OK}B: 1\r\nContent-Type: x\r\nb: 2\r\nContent-Length: 0\r\n\r\n`,
@@ -230,6 +262,21 @@
     });
   }
 
+  // An error event without a listener would end the process.
+  it("survives an abort before anyone listens to the body", async () => {
+    const address = await answerRaw(`${OK}\r\npart`);
+    const controller = new AbortController();
+    const reply = await http.callStream({
+      method: "GET",
+      address,
+      path: "/",
+      signal: controller.signal,
+    });
+    controller.abort();
+    await sleep(20);
+    expect(reply.isOk && reply.value.body.destroyed).to.equal(true);
+  });
+
   for (const framing of [`Content-Length: ${BIG}\r\n`, ""]) {
     it("stops reading from the endpoint while nobody reads the body", async () => {
       let written = 0;
