fix(coordination): calls at slow endpoints, one ranking for drops and calls

Cause, found by review: under a backlog a call at a slow endpoint was filled with pieces that miss their deadline there; the queue was ranked by the specification when pieces are dropped and by the fastest endpoint when calls are planned; the storage check ran over the whole queue for every endpoint and piece. Change: the deadline holds under a backlog too, the fastest endpoint counts as no faster than specified, storage is checked last, and a query for the waits of an account ranks the queue once.

--- a/packages/coordination/src/endpoint_speed/speed_plan.ts
+++ b/packages/coordination/src/endpoint_speed/speed_plan.ts
@@ -34,9 +34,9 @@
    */
   listSuitable(piece: P, endpoints: readonly E[]): readonly E[];
   /**
-   * Whether a piece may be added to a call at a slow endpoint: not if the call
-   * would then take too long for its pieces, and the others can be served
-   * elsewhere soon.
+   * Whether a piece may be added to a call at a slow endpoint: not if it would
+   * miss its deadline there, nor if the call would then take too long for its
+   * pieces, and the others can be served elsewhere soon.
    */
   mayAdd(
     piece: P,
@@ -71,12 +71,17 @@
   return Math.max(...ratios) > EQUAL_FACTOR * Math.min(...ratios);
 }
 
-/** Returns the specification with the call times of the fastest endpoint. */
+/**
+ * Returns the specification with the call times of the fastest endpoint, or
+ * unchanged if that one is faster than specified: `dropInfeasible` orders by the
+ * specification, and a piece that is late for one order and on time for the
+ * other would be dropped although the next call has a position for it.
+ */
 export function computeFastestSpec(
   spec: BatchSpec,
   endpoints: readonly BatchEndpoint[],
 ): BatchSpec {
-  const fastest = Math.min(...endpoints.map(readRatio));
+  const fastest = Math.max(1, Math.min(...endpoints.map(readRatio)));
   return {
     ...spec,
     callTime: fastest * spec.callTime,
@@ -198,7 +203,11 @@
 
   function isWaiting(piece: P, endpoint: BatchEndpoint): boolean {
     if (assigned.has(piece)) return !isMetNow(piece, endpoint);
-    // Its result would be of no use.
+    return isUseless(piece, endpoint);
+  }
+
+  /** Whether its result would miss the deadline at a slow endpoint. */
+  function isUseless(piece: P, endpoint: BatchEndpoint): boolean {
     return isSlow(endpoint) &&
       now + estimateTime(endpoint, 1) > piece.deadlineAt;
   }
@@ -223,6 +232,7 @@
     piece: P,
     { endpoint, chosen }: { endpoint: BatchEndpoint; chosen: ReadonlySet<P> },
   ): boolean {
+    if (isUseless(piece, endpoint)) return false;
     if (!isSlow(endpoint) || isBacklogged) return true;
     const positions = (endpoints.length - 1) * perRound;
     const left = waiting.length - chosen.size;
--- a/packages/coordination/src/endpoint_speed/speed_plan_test.ts
+++ b/packages/coordination/src/endpoint_speed/speed_plan_test.ts
@@ -198,6 +198,17 @@
       .to.deep.equal({ fast: "late" });
   });
 
+  // Under a backlog calls are filled with pieces that would wait otherwise. Those
+  // that the slow endpoint finishes after their deadline were computed in vain.
+  it("fills no call with pieces that miss their deadline there", () => {
+    const pieces = [
+      createPiece("late", { objectiveAt: 100, deadlineAt: 500 }),
+      createPiece("patient", { objectiveAt: 110 }),
+    ];
+    expect(planCalls(pieces, [SLOW_FREE, FAST_BUSY], true))
+      .to.deep.equal({ slow: "patient" });
+  });
+
   it("decides as without speeds while ratios are within 10% of each other", () => {
     const piece = fc.record({
       priority: fc.nat(2),
--- a/packages/coordination/src/fairness/account_shares_replay_test.ts
+++ b/packages/coordination/src/fairness/account_shares_replay_test.ts
@@ -33,8 +33,8 @@
 const CAPACITY = ENDPOINTS * 22 / (200 + 22 * 7.8) * 1_000;
 
 /**
- * Replays 16 client accounts at one pool; in a burst, one of them sends five times as much, and the pool gets `load` times its
- * capacity. Returns the share of pieces within their objective during the burst
+ * Replays 16 client accounts at one pool; in a burst, one of them sends five
+ * times as much, and the pool gets `load` times its capacity. Returns the share of pieces within their objective during the burst
  * and the 3 s after it, by account and in total.
  */
 function replay(
--- a/packages/coordination/src/fairness/piece_ranking.ts
+++ b/packages/coordination/src/fairness/piece_ranking.ts
@@ -144,23 +144,27 @@
   });
 }
 
-/** Computes the queue of a new piece of one account and priority. */
-export function computeAccountQueue<P extends WaitingPiece>(
+/** Orders pieces for {@linkcode computeAccountQueue}. */
+export function rankForAccount<P extends WaitingPiece>(
   waiting: readonly P[],
-  { account, priority, shares, ...options }: RankOptions & {
+  options: RankOptions & { account: string },
+): PieceRanking<P> {
+  // The new piece may be the one that makes the queue contended.
+  return rankPieces(waiting, {
+    ...options,
+    estimateWait: estimateUnknownWait,
+  });
+}
+
+/** Computes the queue of a new piece of one account and priority. */
+export function computeAccountQueue(
+  { ranked, share }: PieceRanking<WaitingPiece>,
+  { account, priority, shares, spec }: Omit<RankOptions, "now"> & {
     account: string;
     priority: number;
     shares: AccountShares;
   },
 ): AccountQueue {
-  const { spec } = options;
-  const { ranked, share } = rankPieces(waiting, {
-    ...options,
-    shares,
-    account,
-    // The piece itself may be the one that makes the queue contended.
-    estimateWait: estimateUnknownWait,
-  });
   const own = ranked.filter(({ piece }) => piece.account === account);
   const ownAhead = own.filter(({ piece, isLate }) =>
     !isLate && piece.priority <= priority
--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -33,6 +33,7 @@
   computePieceCost,
   estimateUnknownWait,
   isLate,
+  rankForAccount,
   rankPieces,
 } from "./fairness/piece_ranking.ts";
 import { listLocalityWaiting } from "./locality_wait.ts";
@@ -140,9 +141,17 @@
   let waiting: P[] = [];
   /** The last forecast of the waits of on-time pieces. */
   let estimateWait = estimateUnknownWait;
+  /**
+   * The ranking for the last account that asked for its waits. A query asks for
+   * several priorities at once, and each takes a sort of the queue.
+   */
+  let accountRanking:
+    | { account: string; now: Millis; ranking: PieceRanking<P> }
+    | undefined;
 
   function add(piece: P): void {
     waiting.push(piece);
+    accountRanking = undefined;
   }
 
   /** Sorts again, because lateness and started groups change over time. */
@@ -154,12 +163,14 @@
       estimateWait,
     });
     waiting = ranking.ranked.map(({ piece }) => piece);
+    accountRanking = undefined;
     return ranking;
   }
 
   function remove(piece: P): void {
     const index = waiting.indexOf(piece);
     if (index >= 0) waiting.splice(index, 1);
+    accountRanking = undefined;
   }
 
   function dropInfeasible(now: Millis, forecast: WaitForecast): P[] {
@@ -269,17 +280,17 @@
       speedPlan: SpeedPlan<P, E> | undefined;
     },
   ): E | undefined {
-    const fitting = free.filter(({ info, roomTaken }) =>
-      !piece.excluded.has(info.id) &&
+    // The check of the storage sums up the queue, so it comes last.
+    const fitting = free.filter((endpoint) =>
+      !piece.excluded.has(endpoint.info.id) &&
+      speedPlan?.isWaiting(piece, endpoint) !== true &&
       hasStorage(piece, {
-        roomTaken,
-        storageLeft: spec.storageBytes - roomTaken,
+        roomTaken: endpoint.roomTaken,
+        storageLeft: spec.storageBytes - endpoint.roomTaken,
       })
     );
-    const suitable = speedPlan?.listSuitable(
-      piece,
-      fitting.filter((endpoint) => !speedPlan.isWaiting(piece, endpoint)),
-    ) ?? listFast(fitting);
+    const suitable = speedPlan?.listSuitable(piece, fitting) ??
+      listFast(fitting);
     const local = suitable.filter(({ info }) => info.place === piece.place);
     return findMostFree(local.length > 0 ? local : suitable);
   }
@@ -335,8 +346,11 @@
     const spec = readSpec();
     const growth = forecast.estimateGrowth(priority);
     if (account !== undefined && shares !== undefined) {
-      const queue = computeAccountQueue(waiting, {
-        now,
+      if (accountRanking?.account !== account || accountRanking.now !== now) {
+        const ranking = rankForAccount(waiting, { now, spec, shares, account });
+        accountRanking = { account, now, ranking };
+      }
+      const queue = computeAccountQueue(accountRanking.ranking, {
         spec,
         shares,
         account,
--- a/packages/serving/src/stage_dispatcher.ts
+++ b/packages/serving/src/stage_dispatcher.ts
@@ -17,6 +17,7 @@
   PieceWaits,
   RetryBudget,
   SendAllowance,
+  WaitForecast,
 } from "@mangoreach/coordination";
 import {
   createAccountShares,
@@ -170,14 +171,17 @@
   }
 
   function readWaits(priority: number, account?: string): PieceWaits {
-    const overall = estimateWaits(priority);
+    const forecast = readForecast();
+    const overall = estimateWaits(priority, { forecast });
     if (account === undefined) return overall;
-    return { ...estimateWaits(priority, account), overall };
+    return { ...estimateWaits(priority, { forecast, account }), overall };
   }
 
-  function estimateWaits(priority: number, account?: string) {
+  function estimateWaits(
+    priority: number,
+    { forecast, account }: { forecast: WaitForecast; account?: string },
+  ) {
     const now = clock.now();
-    const forecast = readForecast();
     return batcher.estimateWaits(priority, { now, forecast, account });
   }
 
@@ -248,7 +252,7 @@
     infeasible.forEach(({ account }) => shares.recordDrop(account));
     for (const [group, { order, priority, deadlineAt, account }] of groups) {
       failGroup(group, "late");
-      const { onTime, late, growth } = estimateWaits(priority);
+      const { onTime, late, growth } = readWaits(priority);
       log.record("pieces_dropped", {
         request: order.requestId,
         pool,
