--- a/soak/src/endpoint_slot.ts
+++ b/soak/src/endpoint_slot.ts
@@ -80,7 +80,7 @@
     startedAt = Date.now();
     const id = `i-${pool}-${index}-${idSequence}`;
     return pool === "stage"
-      ? startStageEndpoint(id)
+      ? startStageEndpoint(id, index)
       : startServingEndpoint(id, {
         ...logs,
         startedAt,
--- a/soak/src/soak_endpoints.ts
+++ b/soak/src/soak_endpoints.ts
@@ -34,7 +34,10 @@
 export const STREAM_EVENTS = 5;
 const EVENT_GAP_MS = 20;
 const WORK_MS = 15;
-const STAGE_CALL_MS = 40;
+/** Time of a stage call by the position of the endpoint; they differ in speed. */
+const STAGE_CALL_MS = [40, 96];
+/** Range of the fourth figure in load reports, which changes with each one. */
+const WORK_FACTORS = { min: 60, max: 240, step: 37 };
 
 /** Computes the response body for a request id. */
 export function computeBody(id: string): string {
@@ -73,6 +76,14 @@
   { startedAt, runs, arrivals, readSignals }: ServingEndpointOptions,
 ): Promise<SoakEndpoint> {
   const endpoint = formatEndpointKey({ id, incarnation: String(startedAt) });
+  let running = 0;
+  let reports = 0;
+
+  /** Formats a load report with four figures. */
+  function formatLoad(): string {
+    const { min, max, step } = WORK_FACTORS;
+    return `${running},0,8,${min + step * reports++ % (max - min)}`;
+  }
 
   async function handle(
     request: IncomingMessage,
@@ -93,6 +104,7 @@
     };
     arrivals.push(arrival);
     writeSignals(response, signals);
+    response.setHeader(HEADER.load, formatLoad());
     if (signals.pause !== undefined) {
       arrival.respondedAt = Date.now();
       return void response.writeHead(503, { [HEADER.notRun]: "1" }).end();
@@ -106,7 +118,9 @@
     };
     runs.set(requestId, [...(runs.get(requestId) ?? []), run]);
     response.setHeader(HEADER.proof, computeBody(requestId).slice(0, 16));
+    running++;
     await sleep(WORK_MS);
+    running--;
     arrival.respondedAt = Date.now();
     if (!path.startsWith("/draft/")) {
       return void response.end(computeBody(requestId));
@@ -122,14 +136,18 @@
 }
 
 /** Starts an endpoint that runs pieces; its results exist as long as it does. */
-export async function startStageEndpoint(id: string): Promise<SoakEndpoint> {
+export async function startStageEndpoint(
+  id: string,
+  position: number,
+): Promise<SoakEndpoint> {
+  const callTime = STAGE_CALL_MS[position % STAGE_CALL_MS.length];
   const endpoint = await startEndpoint(id, async (request, response) => {
     const body = JSON.parse(String(await readCompleteBody(request)) || "{}");
     if (request.url === PATH.stageFree) return void response.end("{}");
     if (readHeader(request, HEADER.targetInstance) !== id) {
       return void response.writeHead(421, { [HEADER.notRun]: "1" }).end();
     }
-    await sleep(STAGE_CALL_MS);
+    await sleep(callTime);
     const items = (body.items as { id: string; stage: number; piece: number }[])
       .map((item) => ({
         handle: `${endpoint.address}/${item.id}.${item.stage}.${item.piece}`,
