refactor(serving): one way to end a small body, the bounded map that exists

Cause: a last reading. Change: endWithBody in packages/shared, putBounded, the pool read from the info. Behaviour is the same. Result: the tests of these modules pass unchanged.

--- a/packages/serving/src/caller_response.ts
+++ b/packages/serving/src/caller_response.ts
@@ -6,6 +6,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Failure } from "@mangoreach/coordination";
+import { endWithBody } from "@mangoreach/shared";
 import type { HeaderList } from "./platform_interfaces.ts";
 
 /** How a response ended. */
@@ -50,11 +51,6 @@
   isClosing: () => boolean;
 }
 
-/**
- * Bodies up to this size are copied to a string, which node:http joins to the head
- * and writes at once; a head and a buffer are written by `writev`.
- */
-const MAX_COPIED = 16_384;
 const LAST_CHUNK = "0\r\n\r\n";
 
 /** Frames a chunk for `Transfer-Encoding: chunked`, as a latin1 string. */
@@ -87,8 +83,7 @@
     if (response.headersSent || response.destroyed) return;
     const length = ["Content-Length", String(body.length)] as const;
     writeHead(status, [...headers, length]);
-    if (body.length > MAX_COPIED) response.end(body);
-    else response.end(body.toString("latin1"), "latin1");
+    endWithBody(response, body);
   }
 
   function write(chunk: Buffer): Promise<void> | undefined {
--- a/packages/serving/src/endpoint_load.ts
+++ b/packages/serving/src/endpoint_load.ts
@@ -56,7 +56,6 @@
 
 interface EndpointState {
   info: EndpointInfo;
-  pool: string;
   /** Another incarnation is listed; calls in progress still end here. */
   isReplaced: boolean;
   inFlight: number;
@@ -74,7 +73,6 @@
   function createState(endpoint: EndpointInfo): EndpointState {
     return {
       info: endpoint,
-      pool: endpoint.pool,
       isReplaced: false,
       inFlight: 0,
       inFlightAtReport: 0,
@@ -177,8 +175,8 @@
     recordRatio(endpoint, ratio) {
       findAnsweredState(endpoint).health.recordSuccess(ratio);
       const ofPool = [...states.values()]
-        .filter(({ pool, isReplaced }) =>
-          pool === endpoint.pool && !isReplaced
+        .filter(({ info, isReplaced }) =>
+          info.pool === endpoint.pool && !isReplaced
         );
       ejectSlowest(ofPool.map(({ health }) => health));
     },
--- a/packages/serving/src/endpoint_signals.ts
+++ b/packages/serving/src/endpoint_signals.ts
@@ -14,6 +14,7 @@
 } from "@mangoreach/coordination";
 import { formatEndpointKey } from "@mangoreach/coordination";
 import type { Millis } from "@mangoreach/shared";
+import { putBounded } from "@mangoreach/shared";
 import type { DecisionFields, DecisionLog } from "./decision_log.ts";
 import type { Signalled } from "./platform_interfaces.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
@@ -68,8 +69,8 @@
 export function createSignalHandler(
   { log, metrics, limits, directory, pauses, listAt }: SignalHandlerOptions,
 ): SignalHandler {
-  /** Keys of endpoints whose unread load report was logged, oldest first. */
-  const logged = new Set<string>();
+  /** By endpoint key, the part of the load report that was logged as unread. */
+  const logged = new Map<string, string>();
 
   function recordUnreadLoad(
     { endpoint, way }: SignalOrigin,
@@ -78,11 +79,7 @@
     metrics.countUnreadLoad(endpoint.pool);
     const key = formatEndpointKey(endpoint);
     if (logged.has(key)) return;
-    const [oldest] = logged;
-    if (oldest !== undefined && logged.size >= MAX_LOGGED_ENDPOINTS) {
-      logged.delete(oldest);
-    }
-    logged.add(key);
+    putBounded(logged, [key, unread], MAX_LOGGED_ENDPOINTS);
     log.record("load_report_unread", {
       endpoint: endpoint.id,
       pool: endpoint.pool,
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -13,6 +13,7 @@
 export { createFakeClock, settlePromises } from "./fake_clock.ts";
 export type { Listening, ListeningOptions } from "./listening.ts";
 export { checkListening } from "./listening.ts";
+export { endWithBody } from "./message_body.ts";
 export type { Subject } from "./subject.ts";
 export { createSubject } from "./subject.ts";
 export type { SettingsFault, SettingsSource } from "./settings.ts";
--- a/packages/shared/src/single_use_call.ts
+++ b/packages/shared/src/single_use_call.ts
@@ -1,9 +1,8 @@
 /**
  * HTTP calls that each use a connection of their own, by node:http.
  *
- * One call takes half of the processor time that it takes with an undici client
- * for each connection, whose WebAssembly parser and set-up run interpreted in a
- * process that makes only a few calls per second.
+ * An undici client for each connection costs more: its WebAssembly parser and
+ * its set-up run interpreted in a process that makes only a few calls per second.
  *
  * @module
  */
@@ -22,14 +21,10 @@
   HttpHeaders,
   HttpStreamReply,
 } from "./http_client.ts";
+import { endWithBody } from "./message_body.ts";
 
 /** An empty line between requests, which servers ignore. */
 const PROBE = "\r\n";
-/**
- * Bodies up to this size are copied to a string, which node:http joins to the head
- * and writes at once; a head and a buffer are written by `writev`.
- */
-const MAX_COPIED = 16_384;
 /** Methods whose requests announce an empty body. */
 const METHODS_WITH_BODY = new Set(["POST", "PUT", "PATCH"]);
 
@@ -117,9 +112,8 @@
         }));
       });
       signal?.addEventListener("abort", handleAbort, { once: true });
-      if (call.body instanceof NodeBuffer && call.body.length <= MAX_COPIED) {
-        request.end(call.body.toString("latin1"), "latin1");
-      } else request.end(call.body);
+      if (call.body instanceof NodeBuffer) endWithBody(request, call.body);
+      else request.end(call.body);
     } catch (error) {
       // A name or value that HTTP does not permit. The fault lies with the call,
       // so the address must not count as unreachable.
