--- a/packages/coordination/src/endpoint_speed/speed_plan_test.ts
+++ b/packages/coordination/src/endpoint_speed/speed_plan_test.ts
@@ -1,56 +1,12 @@
 import { expect } from "chai";
 import fc from "fast-check";
-import type { BatchEndpoint, WaitingPiece } from "../piece_batcher.ts";
+import type { BatchEndpoint } from "../piece_batcher.ts";
 import { createPieceBatcher } from "../piece_batcher.ts";
-import type { BatchSpec } from "../serving_config.ts";
-
-/** A full call takes 300 ms, and 720 ms at a slow endpoint. */
-const SPEC: BatchSpec = {
-  slots: 1,
-  maxPieces: 4,
-  callTime: 200,
-  pieceTime: 25,
-  storageBytes: 1_000,
-  resultLifetime: 4_000,
-};
-const SLOW = 2.4;
-
-interface NamedPiece extends WaitingPiece {
-  name: string;
-}
+import type { NamedPiece } from "../test_pieces.ts";
+import { createEndpoint, createPiece, SPEC } from "../test_pieces.ts";
 
-function createPiece(
-  name: string,
-  change: Partial<WaitingPiece> = {},
-): NamedPiece {
-  return {
-    name,
-    group: { started: 0 },
-    priority: 1,
-    objectiveAt: 5_000,
-    deadlineAt: 10_000,
-    place: undefined,
-    resultBytes: 10,
-    movedBytes: 0,
-    excluded: new Set(),
-    ...change,
-  };
-}
-
-function createEndpoint(
-  id: string,
-  change: Partial<BatchEndpoint> = {},
-): BatchEndpoint {
-  const info = {
-    id,
-    incarnation: "1",
-    pool: "p",
-    place: id,
-    address: id,
-    state: "live",
-  } as const;
-  return { info, calls: 0, roomTaken: 0, slowdown: 1, freeAt: 0, ...change };
-}
+/** A full call takes 720 ms at a slow endpoint. */
+const SLOW = 2.4;
 
 /** Plans calls until none can start; returns the pieces at each endpoint. */
 function planCalls(
--- a/packages/coordination/src/piece_batcher_test.ts
+++ b/packages/coordination/src/piece_batcher_test.ts
@@ -1,57 +1,12 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import { createFakeClock } from "@mangoreach/shared";
-import type { BatchEndpoint, WaitingPiece } from "./piece_batcher.ts";
+import type { BatchEndpoint } from "./piece_batcher.ts";
 import { createPieceBatcher } from "./piece_batcher.ts";
 import { createPieceRates } from "./piece_rates.ts";
 import { createAccountShares } from "./fairness/account_shares.ts";
-import type { BatchSpec } from "./serving_config.ts";
-
-const SPEC: BatchSpec = {
-  slots: 1,
-  maxPieces: 4,
-  callTime: 200,
-  pieceTime: 25,
-  storageBytes: 1_000,
-  resultLifetime: 4_000,
-};
-
-interface NamedPiece extends WaitingPiece {
-  name: string;
-}
-
-function createPiece(
-  name: string,
-  change: Partial<WaitingPiece> = {},
-): NamedPiece {
-  return {
-    name,
-    group: { started: 0 },
-    priority: 1,
-    objectiveAt: 5_000,
-    deadlineAt: 10_000,
-    place: undefined,
-    resultBytes: 10,
-    movedBytes: 0,
-    excluded: new Set(),
-    ...change,
-  };
-}
-
-function createEndpoint(
-  id: string,
-  change: Partial<BatchEndpoint> = {},
-): BatchEndpoint {
-  const info = {
-    id,
-    incarnation: "1",
-    pool: "p",
-    place: id,
-    address: id,
-    state: "live",
-  } as const;
-  return { info, calls: 0, roomTaken: 0, slowdown: 1, freeAt: 0, ...change };
-}
+import type { NamedPiece } from "./test_pieces.ts";
+import { createEndpoint, createPiece, SPEC } from "./test_pieces.ts";
 
 const AT_START = { now: 0, isBacklogged: false };
 
