--- a/packages/coordination/src/fairness/account_shares_replay_test.ts
+++ b/packages/coordination/src/fairness/account_shares_replay_test.ts
@@ -161,9 +161,8 @@
     });
   }
 
-  // One account sends five times its usual rate for 5 s. Served first come,
-  // first served, all accounts miss their objectives for as long as the queue
-  // takes to empty, although the others send no more than before.
+  // First come, first served, the burst of one account makes all others late
+  // until the queue is empty.
   for (const seed of [1, 2, 3]) {
     it(`keeps small accounts in time in a burst of another, seed ${seed}`, () => {
       const firstCome = replay("first_come", { load: 1.3, seed });
--- a/packages/coordination/src/fairness/piece_ranking.ts
+++ b/packages/coordination/src/fairness/piece_ranking.ts
@@ -74,8 +74,7 @@
  * With several, a piece counts as late if it would miss its objective in the
  * next call that the queue can fill. By a call of one piece, an account above
  * its share would be sent pieces that are on time at the start of their call
- * and late at its end: in replays of 16 accounts at 1.3 times the capacity, 64
- * to 70% of all pieces were on time, and 80 to 84% with this rule.
+ * and late at its end.
  */
 export function rankPieces<P extends WaitingPiece>(
   waiting: readonly P[],
--- a/packages/coordination/src/steering/answer_size.ts
+++ b/packages/coordination/src/steering/answer_size.ts
@@ -27,9 +27,8 @@
 const FREE_EXCESS = 1.1;
 /**
  * Excess load that outweighs an answer in which nothing is kept. At most two
- * connections per request are opened anew then (requests of up to 2 s, answers
- * kept for 1 s), against 8 ms per request. A new connection cost 0.3 to 0.4 ms
- * more than a kept one with hot code; twice that is assumed.
+ * connections per request are opened anew then: requests take up to 2 s, and
+ * answers are kept for 1 s.
  */
 const CHANGE_COST = 0.2;
 
--- a/packages/coordination/src/steering/entry_weights.ts
+++ b/packages/coordination/src/steering/entry_weights.ts
@@ -15,16 +15,9 @@
   age?: Millis | undefined;
 }
 
-/**
- * Cores that an idle entry uses: 60 ms per second, measured with 75 entries and
- * the cost of the simulated network.
- */
+/** Cores that an idle entry uses. */
 const IDLE_CORES = 0.06;
-/**
- * Cores for dispatching and relaying, which only entries of high capacity do.
- * Estimated: a quarter of 16 ms per request, at 188 to 353 requests per second,
- * is 0.03 to 0.18 cores for each such entry.
- */
+/** Cores for dispatching and relaying, which only entries of high capacity do. */
 const DUTY_CORES = 0.1;
 /** Small entries keep at least this share of their capacity for requests. */
 const MIN_USABLE_SHARE = 0.25;
--- a/packages/coordination/src/work_factor.ts
+++ b/packages/coordination/src/work_factor.ts
@@ -4,8 +4,8 @@
  *
  * Entries that read the same figure must not all send to the same endpoint. So
  * an entry draws one by chance, less often the more it costs. The better of two
- * drawn uniformly gives the second best of three a third of the requests,
- * whatever it costs; in simulations that lengthened latencies.
+ * drawn uniformly would give the second best of three a third of the requests,
+ * whatever it costs.
  *
  * @module
  */
@@ -40,9 +40,8 @@
 }
 
 /**
- * An endpoint of cost c is drawn with weight 1 / c^1.5. In simulations of 2 to 4
- * endpoints, exponents from 1.25 to 2 gave about the same latencies; with larger
- * ones more entries move to one endpoint at once.
+ * An endpoint of cost c is drawn with weight 1 / c^1.5. The larger the exponent,
+ * the more entries move to one endpoint at once.
  */
 const COST_EXPONENT = 1.5;
 
--- a/packages/serving/src/caller_connection_errors_test.ts
+++ b/packages/serving/src/caller_connection_errors_test.ts
@@ -18,9 +18,8 @@
 const HEAD = "POST /r/x HTTP/1.1\r\nhost: a.example\r\n";
 const COMPLETE = `${HEAD}content-length: 1\r\n\r\nx`;
 
-// Node answers a connection error on its own. While a complete request runs,
-// its caller takes that answer for the one to this request: a 408 would say that
-// it did not run.
+// A caller takes Node's own 408 to a later, broken request for the answer to the
+// one that is running, and concludes that this one did not run.
 describe("errors on callers' connections", () => {
   /** Sends bytes; returns the statuses received until the connection ends. */
   async function send(
--- a/packages/serving/src/endpoint_load_test.ts
+++ b/packages/serving/src/endpoint_load_test.ts
@@ -55,9 +55,8 @@
     expect(loads.view([again])[0]?.load).to.equal(0);
   });
 
-  // After a removal the registry accepts any start time: the endpoint's clock may
-  // have been set back, or an earlier record may have had a start time too far
-  // ahead. Without a state such an endpoint would always seem idle and healthy.
+  // After a removal the registry accepts an earlier start time. Without a state
+  // such an endpoint would always seem idle and healthy.
   it("counts for a listed endpoint whatever the start times before", () => {
     const { loads, endpoint } = create();
     const ahead = { ...endpoint, incarnation: "9", startedAt: 9 };
--- a/packages/serving/src/endpoint_restart_test.ts
+++ b/packages/serving/src/endpoint_restart_test.ts
@@ -24,9 +24,8 @@
 const OLD_KEY = formatEndpointKey(OLD);
 const NEW_KEY = formatEndpointKey(NEW);
 
-// The rows of the table in docs/design/load_reports_and_restarts.md that no
-// other test covers. An endpoint that restarts under its id has no earlier
-// state.
+// The rows of the table in docs/design/load_reports_and_restarts.md that no other
+// test covers.
 describe("an endpoint that restarts under its id", () => {
   const clock = createFakeClock(0);
 
--- a/packages/serving/src/stage_dispatcher_test.ts
+++ b/packages/serving/src/stage_dispatcher_test.ts
@@ -120,9 +120,8 @@
     expect(stages.calls.length).to.equal(2);
   });
 
-  // An endpoint restarts during a call, which times out seconds later. Its next
-  // incarnation is free, but gets no piece that failed at the one before: the
-  // piece may have ended it.
+  // A piece that may have ended an endpoint must not be sent to its next
+  // incarnation.
   it("calls a restarted endpoint, except with pieces that failed there", async () => {
     const { dispatcher, stages, signal, endpoints } = create("e1");
     const list = endpoints as EndpointInfo[];
