feat(serving): tell whether an entry reaches the endpoints of a pool

Nothing in the logs told an entry that has lost its own path from a pool whose endpoints have ended, nor refused connections from silent ones: the three hypotheses of the incident. pool_unreachable and pool_reachable do, with mangoreach_endpoint_connects_total. No decision changes.

--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -35,6 +35,7 @@
   ForwardedRequest,
   NotRunReason,
 } from "./platform_interfaces.ts";
+import { findConnectOutcome } from "./pool_reach.ts";
 import type { ServingState } from "./serving_state.ts";
 import type { StageResults } from "./stage_graph.ts";
 
@@ -292,6 +293,7 @@
     signal: deadline.signal,
   });
   stopRelease();
+  state.recordConnect(endpoint, findConnectOutcome(answer));
   if (answer.isOk) {
     const source = { way: "request", to: endpoint, sentAt: startedAt } as const;
     state.handleSignals(source, answer.value);
--- a/packages/serving/src/decision_log.ts
+++ b/packages/serving/src/decision_log.ts
@@ -24,6 +24,8 @@
   | "endpoint_changed"
   | "load_report_unread"
   | "place_changed"
+  | "pool_unreachable"
+  | "pool_reachable"
   | "peer_changed"
   | "answer_size_changed"
   | "dependency_lost"
--- a/packages/serving/src/pool_components_test.ts
+++ b/packages/serving/src/pool_components_test.ts
@@ -18,6 +18,7 @@
       stages: createFakeStages(),
       listUsable: () => [],
       markLeaving: () => {},
+      recordConnect: () => {},
       handleSignals: () => {},
       allowance: createOpenAllowance(),
       listAt: () => [],
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -42,6 +42,7 @@
 import { createPoolComponents } from "./pool_components.ts";
 import { answerWaitsQuery } from "./pool_wait_cache.ts";
 import { createQuarantineGossip } from "./quarantine_gossip.ts";
+import { createPoolReach } from "./pool_reach.ts";
 import { serveRequest } from "./request_service.ts";
 import { createCrashDetector } from "./crash_detector.ts";
 import { createServingMetrics } from "./serving_metrics.ts";
@@ -284,6 +285,12 @@
     listAt,
   });
 
+  const recordConnect = createPoolReach({
+    clock,
+    log,
+    metrics,
+    listUsable: directory.listUsable,
+  });
   const pools = createPoolComponents({
     clock,
     log,
@@ -293,6 +300,7 @@
     listUsable: directory.listUsable,
     markLeaving: (endpointKey) => directory.markLeaving(endpointKey),
     handleSignals,
+    recordConnect,
     allowance,
     listAt,
     readTable,
@@ -331,6 +339,7 @@
     sendAllowance: allowance,
     handleSignals,
     recordUnreachable: siteState.recordUnreachable,
+    recordConnect,
     router,
     callEndpoint: platform.callEndpoint,
     crashDetector: createCrashDetector({
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -31,6 +31,7 @@
   countSignal(pool: string, signal: string): void;
   countUnreadLoad(pool: string): void;
   countUndecodable(topic: string): void;
+  countConnect(pool: string, outcome: string): void;
   /** Sets the source of the use by client account, read when collected. */
   setAccountUse(listUse: () => readonly PartitionUse[]): void;
 }
@@ -136,6 +137,13 @@
     registers,
   });
 
+  const connects = new Counter({
+    name: "mangoreach_endpoint_connects_total",
+    help: "Connections opened to endpoints by outcome",
+    labelNames: ["pool", "outcome"],
+    registers,
+  });
+
   let listUse: () => readonly PartitionUse[] = () => [];
   const addAccountGauge = (
     { name, help, read }: {
@@ -188,6 +196,7 @@
     },
     countSignal: (pool, signal) => signals.inc({ pool, signal }),
     countUnreadLoad: (pool) => unreadLoads.inc({ pool }),
+    countConnect: (pool, outcome) => connects.inc({ pool, outcome }),
     countUndecodable: (topic) => undecodable.inc({ topic }),
     setAccountUse: (list) => listUse = list,
   };
--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -27,12 +27,21 @@
   /** The answer is larger than allowed. */
   | "too_large";
 
+/** Why a connection could not be opened. */
+export type ConnectFailure =
+  /** The other side refused it. */
+  | "refused"
+  /** There was no response in time. */
+  | "silent";
+
 /** A call without a usable answer. */
 export interface HttpFault {
   kind: HttpFaultKind;
   /** Whether any byte of the call can have reached the server. */
   sent: "no" | "maybe";
   message: string;
+  /** Set if the connection was not opened, where that is known. */
+  connectFailure?: ConnectFailure;
 }
 
 /** Headers by lower-case name; a repeated header has several values. */
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -60,6 +60,7 @@
   formatServerSentEvent,
 } from "./server_sent_events.ts";
 export type {
+  ConnectFailure,
   HttpCall,
   HttpClient,
   HttpClientOptions,
--- a/packages/shared/src/single_use_call.ts
+++ b/packages/shared/src/single_use_call.ts
@@ -37,6 +37,8 @@
 interface WatchedSocket {
   socket: Socket;
   isConnected: boolean;
+  /** Whether it was not opened in time. */
+  isTimedOut: boolean;
   /** Whether a system call failed, as after a reset. */
   isReset: boolean;
   /** Set when the connection ended; resolves when `isReset` is known. */
@@ -143,6 +145,7 @@
   const watched: WatchedSocket = {
     socket,
     isConnected: false,
+    isTimedOut: false,
     isReset: false,
     probe: undefined,
   };
@@ -151,7 +154,10 @@
     if ("syscall" in error) watched.isReset = true;
   };
   const timer = setTimeout(
-    () => socket.destroy(new Error("the connection was not made in time")),
+    () => {
+      watched.isTimedOut = true;
+      socket.destroy(new Error("the connection was not made in time"));
+    },
     timeout,
   );
   socket.once("connect", () => {
@@ -263,7 +269,7 @@
       message: "given up",
     };
   }
-  return isUnsent
-    ? { kind: "unreachable", sent: "no", message }
-    : { kind: "cut", sent: "maybe", message };
+  if (!isUnsent) return { kind: "cut", sent: "maybe", message };
+  const connectFailure = watched.isTimedOut ? "silent" : "refused";
+  return { kind: "unreachable", sent: "no", message, connectFailure };
 }
