test(soak): entries that reach no endpoint must serve their callers

Reproduces the incident with real processes: one or two of three entries lose their connections to all endpoints (hanging, reset, or open ones continuing), while callers, the store and the peers reach them.

--- a/soak/src/soak_entry.ts
+++ b/soak/src/soak_entry.ts
@@ -15,6 +15,7 @@
   findEntryPorts,
   STOP_S,
 } from "./entry_settings.ts";
+import type { CutMode } from "./endpoint_cuts.ts";
 import type { FaultProxy } from "./fault_proxy.ts";
 import { startFaultProxy } from "./fault_proxy.ts";
 import type { TopicStore } from "./topic_store.ts";
@@ -25,11 +26,15 @@
   settingsFile: string;
   logFile: string;
   ready: string;
+  /** Control address. */
+  control: string;
   child: ChildProcess | undefined;
   callerProxy: FaultProxy;
   storeProxy: FaultProxy;
 }
 
+/** Starts the program so that its connections to endpoints can be cut. */
+const LAUNCHER = "soak/src/cut_launcher.cjs";
 const PROGRAM = "target/mangoreach-platform.cjs";
 const START_TIMEOUT_MS = 15_000;
 
@@ -53,6 +58,7 @@
     settingsFile,
     logFile: join(folder, `${name}.log`),
     ready: ports.ready,
+    control: ports.control,
     child: undefined,
     callerProxy,
     storeProxy,
@@ -63,16 +69,30 @@
 export function startEntry(entry: Entry): void {
   const child = spawn(process.execPath, [
     "--max-old-space-size=150",
+    LAUNCHER,
     PROGRAM,
     "--settings",
     entry.settingsFile,
-  ], { stdio: ["ignore", "pipe", "pipe"] });
+  ], { stdio: ["ignore", "pipe", "pipe", "ipc"] });
   const log = createWriteStream(entry.logFile, { flags: "a" });
   child.stdout?.pipe(log, { end: false });
   child.stderr?.pipe(log, { end: false });
   entry.child = child;
 }
 
+/**
+ * Cuts the connections of an entry to all addresses except those that are
+ * passing; without a mode the cut ends.
+ */
+export function sendCut(
+  { child }: Entry,
+  mode: CutMode | "none",
+  passing: readonly string[],
+): void {
+  // A process that has ended has no connections that could be cut.
+  if (child?.connected) child.send({ mode, passing }, () => {});
+}
+
 /** Resolves once the entry reports that it is ready. */
 export async function waitUntilReady({ name, ready }: Entry): Promise<void> {
   const limit = Date.now() + START_TIMEOUT_MS;
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -10,6 +10,7 @@
   formatEvacuationKey,
   TOPIC,
 } from "../../platform/src/wire_names.ts";
+import type { CutMode, EndpointCut } from "./endpoint_cuts.ts";
 import type { EndpointSlot } from "./endpoint_slot.ts";
 import { EVACUATED_PLACE, startEndpoints } from "./endpoint_slot.ts";
 import type { EntryFaultSpan, ObservedArrival } from "./endpoint_signals.ts";
@@ -23,6 +24,7 @@
 import {
   createEntry,
   replaceEntry,
+  sendCut,
   startEntry,
   waitUntilReady,
 } from "./soak_entry.ts";
@@ -40,12 +42,23 @@
   readonly leftAt: ReadonlyMap<string, number>;
   readonly coldSpans: readonly EndpointSpan[];
   readonly evacuations: readonly EndpointSpan[];
+  readonly endpointCuts: readonly EndpointCut[];
+  /** Cuts entries off from all endpoints; resolves once the cut has ended. */
+  cutEndpoints(cut: PlannedCut, duration: number): Promise<void>;
   /** Injects a fault; resolves once it has ended. */
   applyFault(fault: PlannedFault): Promise<void>;
   /** Stops all processes, proxies and stand-ins of the site. */
   stop(): Promise<void>;
 }
 
+/** Entries to cut off from all endpoints. */
+export interface PlannedCut {
+  mode: CutMode;
+  /** Index of the first one, modulo the number of entries. */
+  first: number;
+  count: number;
+}
+
 /** Time between the copy and the start of the store's outage. */
 const COPY_AGE_MS = 1_500;
 /** Exceeds the time limit after which an evacuated place gets no new work. */
@@ -85,6 +98,7 @@
   const runs: RunLog = new Map();
   const arrivals: ObservedArrival[] = [];
   const entryFaults: EntryFaultSpan[] = [];
+  const endpointCuts: EndpointCut[] = [];
   const leftAt = new Map<string, number>();
   const coldSpans: EndpointSpan[] = [];
   const evacuations: EndpointSpan[] = [];
@@ -174,6 +188,29 @@
     }
   }
 
+  async function cutEndpoints(
+    { mode, first, count }: PlannedCut,
+    duration: number,
+  ): Promise<void> {
+    const passing = entries.flatMap(({ control, storeProxy }) => [
+      control,
+      storeProxy.address,
+    ]);
+    const from = Date.now();
+    const cut = Array.from(
+      { length: count },
+      (_, index) => entries[(first + index) % entries.length]!,
+    );
+    endpointCuts.push(...cut.map(({ callerProxy }) => ({
+      entry: callerProxy.address,
+      from,
+      until: from + duration,
+    })));
+    cut.forEach((entry) => sendCut(entry, mode, passing));
+    await sleep(duration);
+    cut.forEach((entry) => sendCut(entry, "none", []));
+  }
+
   /** A fault of a link to an endpoint delays the requests of all entries to it. */
   function recordEntryFault(
     { kind, duration }: PlannedFault,
@@ -233,6 +270,8 @@
     runs,
     arrivals,
     entryFaults,
+    endpointCuts,
+    cutEndpoints,
     get revokedAt() {
       return revokedAt;
     },
