test(soak): each entry gets requests of all kinds

With three entries and three kinds in turn, each entry got one kind alone: the dispatcher of the stage pool got all streams, so its cut broke nobody else's.

--- a/soak/src/endpoint_cuts_site_test.ts
+++ b/soak/src/endpoint_cuts_site_test.ts
@@ -49,7 +49,8 @@
       }, CUT_MS)
     );
   for (let count = 0; Date.now() < end; count++) {
-    const kind = KINDS[count % KINDS.length]!;
+    // The caller uses the entries in turn; each gets requests of all kinds.
+    const kind = KINDS[Math.floor(count / ENTRIES) % KINDS.length]!;
     pending.push(caller.call(`${mode}-${count}`, kind, "key-1"));
     await sleep(GAP_MS);
   }
--- a/soak/src/soak_run.ts
+++ b/soak/src/soak_run.ts
@@ -68,7 +68,8 @@
 
   const pending: Promise<unknown>[] = [];
   for (let count = 0; Date.now() < recoveredAt + AFTER_RECOVERY_MS; count++) {
-    const kind = KINDS[count % KINDS.length]!;
+    // The caller uses the entries in turn; each gets requests of all kinds.
+    const kind = KINDS[Math.floor(count / entryCount) % KINDS.length]!;
     const key = count % REVOKED_KEY_INTERVAL === 0 ? "revoked" : "key-1";
     pending.push(caller.call(`${seed}-${count}-${startedAt}`, kind, key));
     await sleep(REQUEST_GAP_MS);
