--- a/packages/serving/src/pool_reach.ts
+++ b/packages/serving/src/pool_reach.ts
@@ -18,7 +18,10 @@
 import type { ServingMetrics } from "./serving_metrics.ts";
 
 /** The outcome of opening a connection. */
-export type ConnectOutcome = "connected" | ConnectFailure;
+export type ConnectOutcome = "connected" | PathFailure;
+
+/** A failure that says something about the path. */
+type PathFailure = Extract<ConnectFailure, "refused" | "silent">;
 
 /** Records how a connection to an endpoint was opened, if that is known. */
 export type RecordConnect = (
@@ -53,12 +56,12 @@
   { clock, log, metrics, listUsable }: PoolReachOptions,
 ): RecordConnect {
   /** By endpoint key, how the last connection failed. */
-  const failed = new Map<string, ConnectFailure>();
+  const failed = new Map<string, PathFailure>();
   const unreachableSince = new Map<string, Millis>();
 
   function recordFailure(
     endpoint: EndpointInfo,
-    failure: ConnectFailure,
+    failure: PathFailure,
   ): void {
     const { pool } = endpoint;
     putBounded(failed, [formatEndpointKey(endpoint), failure], MAX_FAILED);
--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -11,6 +11,8 @@
 import { Result } from "true-myth";
 import type { Dispatcher } from "undici";
 import type { Millis } from "./clock.ts";
+import type { Connect, ConnectFailure } from "./connection.ts";
+import { openConnection } from "./connection.ts";
 import { parseJson } from "./http_server.ts";
 import { createPersistentConnections } from "./persistent_connections.ts";
 import { sendSingleUseCall } from "./single_use_call.ts";
@@ -27,13 +29,6 @@
   /** The answer is larger than allowed. */
   | "too_large";
 
-/** Why a connection could not be opened. */
-export type ConnectFailure =
-  /** The other side refused it. */
-  | "refused"
-  /** There was no response in time. */
-  | "silent";
-
 /** A call without a usable answer. */
 export interface HttpFault {
   kind: HttpFaultKind;
@@ -41,7 +36,7 @@
   sent: "no" | "maybe";
   message: string;
   /** Set if the connection was not opened, where that is known. */
-  connectFailure?: ConnectFailure;
+  connectFailure?: Extract<ConnectFailure, "refused" | "silent">;
 }
 
 /** Headers by lower-case name; a repeated header has several values. */
@@ -83,6 +78,8 @@
    * deliver a late or duplicate answer to the next call.
    */
   connections: "kept" | "single";
+  /** Opens connections; direct ones if left out. */
+  connect: Connect;
 }
 
 /** An HTTP client. */
@@ -110,11 +107,13 @@
     maxReplyBytes = DEFAULT_MAX_REPLY_BYTES,
     connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT,
     connections = "kept",
+    connect,
   }: Partial<HttpClientOptions> = {},
 ): HttpClient {
   const kept = createPersistentConnections({
     keepAlive: KEEP_ALIVE,
     connectTimeout: connectTimeoutMs,
+    ...(connect === undefined ? {} : { connect }),
   });
 
   async function callStream(
@@ -124,7 +123,10 @@
       return Result.err({ kind: "aborted", sent: "no", message: "given up" });
     }
     if (connections === "single") {
-      return await sendSingleUseCall(call, connectTimeoutMs);
+      return await sendSingleUseCall(call, {
+        connect: connect ?? openConnection,
+        connectTimeout: connectTimeoutMs,
+      });
     }
     try {
       const { statusCode, headers, body } = await kept.getPool(call.address)
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -13,6 +13,13 @@
 export { createFakeClock, settlePromises } from "./fake_clock.ts";
 export type { Listening, ListeningOptions } from "./listening.ts";
 export { checkListening } from "./listening.ts";
+export type {
+  Connect,
+  ConnectFailure,
+  ConnectFault,
+  ConnectOptions,
+} from "./connection.ts";
+export { openConnection } from "./connection.ts";
 export { endWithBody } from "./message_body.ts";
 export type { Subject } from "./subject.ts";
 export { createSubject } from "./subject.ts";
@@ -60,7 +67,6 @@
   formatServerSentEvent,
 } from "./server_sent_events.ts";
 export type {
-  ConnectFailure,
   HttpCall,
   HttpClient,
   HttpClientOptions,
--- a/packages/shared/src/persistent_connections.ts
+++ b/packages/shared/src/persistent_connections.ts
@@ -9,8 +9,10 @@
  *
  * @module
  */
+import type { buildConnector } from "undici";
 import { Pool } from "undici";
 import type { Millis } from "./clock.ts";
+import type { Connect, ConnectFailure } from "./connection.ts";
 
 /** The persistent connections to one kind of server. */
 export interface PersistentConnections {
@@ -31,11 +33,40 @@
    */
   maxKeepAlive?: Millis;
   connectTimeout: Millis;
+  /** Opens connections; undici's own ones if left out. */
+  connect?: Connect;
 }
 
+/** Adapts a function that opens connections to undici. */
+function createConnector(
+  connect: Connect,
+  { address, connectTimeout }: { address: string; connectTimeout: Millis },
+): buildConnector.connector {
+  return (_options, callback) => {
+    void connect(address, { timeout: connectTimeout }).then((connection) => {
+      if (connection.isOk) return callback(null, connection.value);
+      const { failure, message } = connection.error;
+      callback(
+        Object.assign(new Error(message), CONNECT_ERRORS[failure]),
+        null,
+      );
+    });
+  };
+}
+
+/** The properties by which errors before a connection are recognised. */
+const REFUSED = { code: "ECONNREFUSED", syscall: "connect" } as const;
+const CONNECT_ERRORS: Readonly<Record<ConnectFailure, object>> = {
+  refused: REFUSED,
+  malformed_address: REFUSED,
+  silent: { code: "UND_ERR_CONNECT_TIMEOUT" },
+  aborted: { code: "UND_ERR_CONNECT_TIMEOUT" },
+};
+
 /** Creates an empty set of connection pools. */
 export function createPersistentConnections(
-  { keepAlive, maxKeepAlive, connectTimeout }: PersistentConnectionsOptions,
+  { keepAlive, maxKeepAlive, connectTimeout, connect }:
+    PersistentConnectionsOptions,
 ): PersistentConnections {
   const pools = new Map<string, Pool>();
 
@@ -49,6 +80,9 @@
         ? {}
         : { keepAliveMaxTimeout: maxKeepAlive }),
       connectTimeout,
+      ...(connect === undefined ? {} : {
+        connect: createConnector(connect, { address, connectTimeout }),
+      }),
       // Deadlines are enforced by abort signals, which also cover phases that
       // undici's own timeouts do not.
       headersTimeout: 0,
--- a/packages/shared/src/single_use_call.ts
+++ b/packages/shared/src/single_use_call.ts
@@ -10,11 +10,10 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import { request as sendRequest } from "node:http";
 import type { Socket } from "node:net";
-import { connect } from "node:net";
 import { Readable as NodeReadable } from "node:stream";
 import { Result } from "true-myth";
-import { parseAddress } from "./address.ts";
 import type { Millis } from "./clock.ts";
+import type { Connect, ConnectFault } from "./connection.ts";
 import type {
   HttpCall,
   HttpFault,
@@ -36,32 +35,54 @@
 /** A connection and what is known about its end. */
 interface WatchedSocket {
   socket: Socket;
-  isConnected: boolean;
-  /** Whether it was not opened in time. */
-  isTimedOut: boolean;
   /** Whether a system call failed, as after a reset. */
   isReset: boolean;
   /** Set when the connection ended; resolves when `isReset` is known. */
   probe: Promise<void> | undefined;
 }
 
+/** Options of {@linkcode sendSingleUseCall}. */
+export interface SingleUseCallOptions {
+  connect: Connect;
+  connectTimeout: Millis;
+}
+
 /**
  * Sends a call on a new connection, which is never reused; resolves with the
  * head of the answer.
  */
-export function sendSingleUseCall(
+export async function sendSingleUseCall(
+  call: HttpCall,
+  { connect, connectTimeout: timeout }: SingleUseCallOptions,
+): Promise<Result<HttpStreamReply, HttpFault>> {
+  const { address, signal } = call;
+  const connection = await connect(address, { timeout, signal });
+  return connection.isOk
+    ? await sendOnConnection(call, watchSocket(connection.value))
+    : Result.err(classifyConnectFault(connection.error));
+}
+
+function classifyConnectFault({ failure, message }: ConnectFault): HttpFault {
+  if (failure === "aborted") return { kind: "aborted", sent: "no", message };
+  // The fault lies with the call: the address must not count as unreachable.
+  if (failure === "malformed_address") {
+    return { kind: "cut", sent: "maybe", message };
+  }
+  return { kind: "unreachable", sent: "no", message, connectFailure: failure };
+}
+
+function sendOnConnection(
   call: HttpCall,
-  connectTimeout: Millis,
+  watched: WatchedSocket,
 ): Promise<Result<HttpStreamReply, HttpFault>> {
   return new Promise((resolve) => {
     const { signal } = call;
-    let watched: WatchedSocket | undefined;
     let request: ClientRequest | undefined;
     let body: NodeReadable | undefined;
 
     function fail(error: Error): void {
       finish();
-      resolve(Result.err(classifyFailure(error, watched, signal)));
+      resolve(Result.err(classifyFailure(error, signal)));
     }
 
     function finish(): void {
@@ -80,10 +101,7 @@
         method: call.method,
         path: call.path,
         headers: createHeaders(call) as never,
-        createConnection: () => {
-          watched = openSocket(call.address, connectTimeout);
-          return watched.socket;
-        },
+        createConnection: () => watched.socket,
       });
       request.on("error", fail);
       // Answers 101 and others that node:http drops without an error.
@@ -98,13 +116,13 @@
           fail(new Error(`the status ${status} is invalid`));
           return;
         }
-        if (isConnectionDelimited(response) && watched !== undefined) {
+        if (isConnectionDelimited(response)) {
           body = createVerifiedBody(response, watched);
         } else {
           body = response;
           // node:http would first send what is left of the request, and shut
           // down its side of the connection by a system call of its own.
-          response.prependOnceListener("end", () => watched?.socket.destroy());
+          response.prependOnceListener("end", () => watched.socket.destroy());
         }
         body.once("close", finish);
         resolve(Result.ok({
@@ -114,57 +132,33 @@
         }));
       });
       signal?.addEventListener("abort", handleAbort, { once: true });
+      if (signal?.aborted) handleAbort();
       if (call.body instanceof NodeBuffer) endWithBody(request, call.body);
       else request.end(call.body);
     } catch (error) {
       // A name or value that HTTP does not permit. The fault lies with the call,
       // so the address must not count as unreachable.
       request?.destroy();
+      watched.socket.destroy();
       fail(error instanceof Error ? error : new Error(String(error)));
     }
   });
 }
 
 /**
- * Opens a connection that detects truncated answers. An answer without a length
+ * Watches a connection to detect truncated answers. An answer without a length
  * ends with its connection, so after a reset a part of it would look complete:
  * node:http ends the body in both cases, and libuv reports a normal end if the
  * reset arrives together with the last bytes. So this listens to the socket
  * before node:http does, and when the socket ends it writes two bytes, which
  * succeeds only if the connection was closed normally.
  */
-function openSocket(address: string, timeout: Millis): WatchedSocket {
-  const parts = parseAddress(address);
-  if (parts === undefined) throw new Error("the address is malformed");
-  const socket = connect({
-    ...parts,
-    noDelay: true,
-    // Without this the socket closes its own side and the probe fails.
-    allowHalfOpen: true,
-  });
-  const watched: WatchedSocket = {
-    socket,
-    isConnected: false,
-    isTimedOut: false,
-    isReset: false,
-    probe: undefined,
-  };
+function watchSocket(socket: Socket): WatchedSocket {
+  const watched: WatchedSocket = { socket, isReset: false, probe: undefined };
   const recordError = (error: Error) => {
     // Errors that node:http raises itself come from no system call.
     if ("syscall" in error) watched.isReset = true;
   };
-  const timer = setTimeout(
-    () => {
-      watched.isTimedOut = true;
-      socket.destroy(new Error("the connection was not made in time"));
-    },
-    timeout,
-  );
-  socket.once("connect", () => {
-    watched.isConnected = true;
-    clearTimeout(timer);
-  });
-  socket.once("close", () => clearTimeout(timer));
   socket.on("error", recordError);
   socket.once("end", () => {
     watched.probe = new Promise((resolve) =>
@@ -256,20 +250,9 @@
 
 function classifyFailure(
   { message }: Error,
-  watched: WatchedSocket | undefined,
   signal: AbortSignal | undefined,
 ): HttpFault {
-  // Bytes are buffered in this process until the connection is established, and
-  // are discarded with it.
-  const isUnsent = watched !== undefined && !watched.isConnected;
-  if (signal?.aborted) {
-    return {
-      kind: "aborted",
-      sent: isUnsent ? "no" : "maybe",
-      message: "given up",
-    };
-  }
-  if (!isUnsent) return { kind: "cut", sent: "maybe", message };
-  const connectFailure = watched.isTimedOut ? "silent" : "refused";
-  return { kind: "unreachable", sent: "no", message, connectFailure };
+  return signal?.aborted
+    ? { kind: "aborted", sent: "maybe", message: "given up" }
+    : { kind: "cut", sent: "maybe", message };
 }
