--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -42,6 +42,11 @@
    * store is unreachable, but continues its work for other entries.
    */
   | "unready"
+  /**
+   * It reaches endpoints only through other entries: callers are served, but
+   * are sent elsewhere if others have room for them.
+   */
+  | "detached"
   | "leaving";
 
 /** The health of a peer as judged by this entry. */
--- a/packages/coordination/src/steering/entry_sample.ts
+++ b/packages/coordination/src/steering/entry_sample.ts
@@ -35,6 +35,12 @@
  * them have failed, and does not depend on a few small ones.
  */
 const MIN_ANSWER = 16;
+/**
+ * Detached entries are left out up to this share of all. Beyond it, the others
+ * would be overloaded by their callers: to pass bytes on for a detached entry
+ * takes much less than to serve its callers.
+ */
+const MAX_DETACHED_SHARE = 1 / 4;
 /** Above the rounding error of the sum of all chances. */
 const ROUNDING_ERROR = 1e-9;
 
@@ -55,13 +61,7 @@
   views: readonly SampledView[],
   { limit, random, isDiscovering, onSized = () => {} }: EntrySampleOptions,
 ): PeerRecord[] {
-  const usable: SteeredEntry[] = [];
-  for (const { record, health, age } of views) {
-    if (record.state !== "live") continue;
-    if (health === "alive") usable.push({ record, age });
-    // The use of an entry that is only listed is unknown.
-    else if (isDiscovering && health === "suspected") usable.push({ record });
-  }
+  const usable = listUsable(views, isDiscovering);
   const records = usable.map(({ record }) => record);
   const weights = records.length > MIN_ANSWER
     ? computeEntryWeights(usable)
@@ -72,6 +72,26 @@
   return sampleItems(named, { count: limit, random });
 }
 
+function listUsable(
+  views: readonly SampledView[],
+  isDiscovering: boolean,
+): SteeredEntry[] {
+  const live: SteeredEntry[] = [];
+  const detached: SteeredEntry[] = [];
+  for (const { record, health, age } of views) {
+    const { state } = record;
+    if (state !== "live" && state !== "detached") continue;
+    const list = state === "live" ? live : detached;
+    if (health === "alive") list.push({ record, age });
+    // The use of an entry that is only listed is unknown.
+    else if (isDiscovering && health === "suspected") list.push({ record });
+  }
+  const total = live.length + detached.length;
+  return detached.length <= MAX_DETACHED_SHARE * total
+    ? live
+    : [...live, ...detached];
+}
+
 /**
  * Systematic sampling: items are laid end to end by their chance of being
  * drawn, and those at a random offset plus whole numbers are taken. The chances
--- a/packages/coordination/src/steering/entry_sample_test.ts
+++ b/packages/coordination/src/steering/entry_sample_test.ts
@@ -48,6 +48,25 @@
     expect(count(false)).to.equal(3);
   });
 
+  // Detached entries serve callers through the others, but more slowly. If most
+  // of the fleet is detached, the others alone could not bear all callers.
+  it("exclude detached entries only while they are few", () => {
+    const list = (detached: number) => {
+      const views = createViews(8, "alive").map((
+        { record, health },
+        index,
+      ) => ({
+        record: index < detached
+          ? { ...record, state: "detached" as const }
+          : record,
+        health,
+      }));
+      return sampleEntries(views, { limit: 64, random, isDiscovering: false })
+        .filter(({ state }) => state === "detached").length;
+    };
+    expect([1, 2, 3, 4, 7, 8].map(list)).to.deep.equal([0, 0, 3, 4, 7, 8]);
+  });
+
   it("exclude entries that are leaving or lost", () => {
     const views = [
       ...createViews(2, "lost"),
--- a/packages/peers/src/exchange_loop.ts
+++ b/packages/peers/src/exchange_loop.ts
@@ -16,7 +16,12 @@
 import type { Clock, Listening, Millis } from "@mangoreach/shared";
 import type { Result } from "true-myth";
 import type { PeerExchange } from "./peer_protocol.ts";
-import { decodeHeartbeat, encodeHeartbeat } from "./peer_protocol.ts";
+import {
+  decodeHeartbeat,
+  decodeIntroduction,
+  encodeHeartbeat,
+  encodeIntroduction,
+} from "./peer_protocol.ts";
 import type { PoisonUpdate } from "./run_protocol.ts";
 
 /** Options of {@linkcode startExchangeLoop}. */
@@ -115,13 +120,15 @@
     const unreached = suspicions.map(({ incarnation, heartbeat }) =>
       [incarnation, heartbeat] satisfies [string, number]
     );
+    const detached = listDetached([...records, ...introductions]);
     const limits = options.chooseLimitUpdates?.(MAX_LIMITS) ?? [];
     const message: PeerExchange = {
       heartbeats: records.map(encodeHeartbeat),
-      introductions: [...introductions],
+      introductions: introductions.map(encodeIntroduction),
       leaving: options.directory.chooseLeavingMarks(MAX_MARKS),
       known: membership.list().length,
       ...(limits.length === 0 ? {} : { limits: [...limits] }),
+      ...(detached.length === 0 ? {} : { detached }),
       ...(unreached.length === 0 ? {} : { unreached }),
       ...(poison === undefined ? {} : { poison }),
     };
@@ -181,12 +188,19 @@
     const known = new Map(
       membership.list().map(({ record }) => [record.incarnation, record]),
     );
-    const updates = message.heartbeats.map(decodeHeartbeat)
+    const { detached } = message;
+    const updates = message.heartbeats
+      .map((heartbeat) => decodeHeartbeat(heartbeat, detached))
       .flatMap((heartbeat) => {
         const record = known.get(heartbeat.incarnation);
         return record === undefined ? [] : [{ ...record, ...heartbeat }];
       });
-    applyIntroductions(message.introductions, known);
+    applyIntroductions(
+      message.introductions.map((introduction) =>
+        decodeIntroduction(introduction, detached)
+      ),
+      known,
+    );
     membership.merge(updates).forEach(options.onHeartbeat);
     for (const [incarnation, heartbeat] of message.unreached ?? []) {
       membership.markSuspected({ incarnation, heartbeat });
@@ -279,3 +293,8 @@
 
   return { answer: handleMessage, notifyPeers, task: run() };
 }
+
+function listDetached(records: readonly PeerRecord[]): string[] {
+  const detached = records.filter(({ state }) => state === "detached");
+  return [...new Set(detached.map(({ incarnation }) => incarnation))];
+}
--- a/packages/peers/src/mod.ts
+++ b/packages/peers/src/mod.ts
@@ -50,5 +50,12 @@
   createServingPeerClient,
   createServingPeerListener,
 } from "./serving_peers.ts";
+export type {
+  ConnectForPeer,
+  TunnelFailure,
+  TunnelOptions,
+  TunnelTarget,
+} from "./tunnel.ts";
+export { openTunnel } from "./tunnel.ts";
 export type { ExchangeLoop, ExchangeLoopOptions } from "./exchange_loop.ts";
 export { startExchangeLoop } from "./exchange_loop.ts";
--- a/packages/peers/src/peer_connection_server.ts
+++ b/packages/peers/src/peer_connection_server.ts
@@ -23,8 +23,21 @@
   /** Called when this side closes a connection for a fault of the peer. */
   onFault?: (fault: ChannelFault) => void;
   onBytes?: ObserveBytes;
+  /** Serves the upgrades of other protocols, by their name. */
+  upgrades?: Readonly<Record<string, ServeUpgrade>>;
 }
 
+/** An HTTP request for an upgrade, with its connection. */
+export interface UpgradeRequest {
+  request: IncomingMessage;
+  socket: Duplex;
+  /** Bytes that were read together with the HTTP head. */
+  head: Buffer;
+}
+
+/** Serves an upgrade request of a peer. */
+export type ServeUpgrade = (upgrade: UpgradeRequest) => void;
+
 /** The connections from peers. */
 export interface PeerConnections {
   /** Closes all connections and aborts their calls. */
@@ -45,7 +58,8 @@
  */
 export function acceptPeerConnections(
   server: Server,
-  { router, isPeer, onFault, onBytes }: PeerConnectionServerOptions,
+  { router, isPeer, onFault, onBytes, upgrades = {} }:
+    PeerConnectionServerOptions,
 ): PeerConnections {
   const channels = new Set<FrameChannel>();
 
@@ -54,11 +68,16 @@
     socket: Duplex,
     head: Buffer,
   ): void {
-    if (request.headers.upgrade?.toLowerCase() !== UPGRADE_PROTOCOL) {
+    const protocol = request.headers.upgrade?.toLowerCase() ?? "";
+    const serveUpgrade = new Map(Object.entries(upgrades)).get(protocol);
+    if (protocol !== UPGRADE_PROTOCOL && serveUpgrade === undefined) {
       return serveWithoutUpgrade(server, { request, socket, head });
     }
     // Calls over HTTP are answered with the reason.
     if (!isPeer(request)) return refuseUpgrade(socket, "401 Unauthorized");
+    if (serveUpgrade !== undefined) {
+      return serveUpgrade({ request, socket, head });
+    }
     socket.write(
       "HTTP/1.1 101 Switching Protocols\r\nconnection: Upgrade\r\n" +
         `upgrade: ${UPGRADE_PROTOCOL}\r\n\r\n`,
@@ -159,11 +178,7 @@
  */
 function serveWithoutUpgrade(
   server: Server,
-  { request, socket, head }: {
-    request: IncomingMessage;
-    socket: Duplex;
-    head: Buffer;
-  },
+  { request, socket, head }: UpgradeRequest,
 ): void {
   const { method, url, httpVersion, rawHeaders } = request;
   const lines = [`${method} ${url} HTTP/${httpVersion}`];
--- a/packages/peers/src/peer_connection_test.ts
+++ b/packages/peers/src/peer_connection_test.ts
@@ -10,6 +10,7 @@
   startServer,
 } from "@mangoreach/shared";
 import { expect } from "chai";
+import { Result } from "true-myth";
 import { Pool } from "undici";
 import { encodeFrame } from "./frame_codec.ts";
 import { openPeerConnection } from "./peer_connection.ts";
@@ -128,6 +129,7 @@
     let accepted: PeerConnections | undefined;
     const accept = () => {
       accepted = acceptServingPeers(server, {
+        connectForPeer: () => Promise.resolve(Result.err("unavailable")),
         ...options,
         onFault: (fault) => faults.push(fault),
       });
--- a/packages/peers/src/peer_protocol.ts
+++ b/packages/peers/src/peer_protocol.ts
@@ -3,11 +3,32 @@
  *
  * @module
  */
-import type { PeerRecord } from "@mangoreach/coordination";
+import type { PeerRecord, PeerState } from "@mangoreach/coordination";
 import * as z from "zod";
 import { poisonUpdateSchema } from "./run_protocol.ts";
 
 const stateSchema = z.enum(["live", "unready", "leaving"]);
+type WireState = z.infer<typeof stateSchema>;
+
+/**
+ * Detached entries are `unready` in heartbeats and introductions, as builds
+ * that know no such state would reject the message, and are listed beside them.
+ */
+function encodeState(state: PeerState): WireState {
+  return state === "detached" ? "unready" : state;
+}
+
+function decodeState(
+  state: WireState,
+  { incarnation, detached }: {
+    incarnation: string;
+    detached: readonly string[];
+  },
+): PeerState {
+  return state === "unready" && detached.includes(incarnation)
+    ? "detached"
+    : state;
+}
 
 /**
  * The frequently changing state of an entry: incarnation, heartbeat, state,
@@ -32,22 +53,23 @@
   return [
     record.incarnation,
     record.heartbeat,
-    record.state,
+    encodeState(record.state),
     record.configVersion,
     record.inFlight,
     record.strainedPriority,
   ];
 }
 
-/** Decodes a received heartbeat. */
+/** Decodes a received heartbeat, with the detached entries of its message. */
 export function decodeHeartbeat(
   [incarnation, heartbeat, state, configVersion, inFlight, strainedPriority]:
     Heartbeat,
+  detached: readonly string[] = [],
 ) {
   return {
     incarnation,
     heartbeat,
-    state,
+    state: decodeState(state, { incarnation, detached }),
     configVersion,
     inFlight,
     strainedPriority,
@@ -70,6 +92,26 @@
   controlAddress: z.string(),
 });
 
+/** The full record of an entry as it is sent. */
+export type Introduction = z.infer<typeof introductionSchema>;
+
+/** Encodes the full record of an entry for sending. */
+export function encodeIntroduction(record: PeerRecord): Introduction {
+  return { ...record, state: encodeState(record.state) };
+}
+
+/** Decodes a full record, with the detached entries of its message. */
+export function decodeIntroduction(
+  introduction: Introduction,
+  detached: readonly string[] = [],
+): PeerRecord {
+  const { incarnation, state } = introduction;
+  return {
+    ...introduction,
+    state: decodeState(state, { incarnation, detached }),
+  };
+}
+
 const leavingMarkSchema = z.object({
   endpointKey: z.string(),
   age: z.number().min(0),
@@ -97,6 +139,8 @@
   /** Incarnations that could not be reached, with their last heartbeats. */
   unreached: z.array(z.tuple([z.string(), z.number().int()]))
     .max(MAX_RECORDS).optional(),
+  /** Incarnations of detached entries; left out if there are none. */
+  detached: z.array(z.string()).max(2 * MAX_RECORDS).optional(),
   /** Left out while nothing is suspected. */
   poison: poisonUpdateSchema.optional(),
 });
--- a/packages/peers/src/serving_peers.ts
+++ b/packages/peers/src/serving_peers.ts
@@ -38,6 +38,8 @@
 } from "./piece_protocol.ts";
 import type { RunReport, RunReportReply } from "./run_protocol.ts";
 import { runReportReplySchema, runReportSchema } from "./run_protocol.ts";
+import type { ConnectForPeer } from "./tunnel.ts";
+import { serveTunnel, TUNNEL_PROTOCOL } from "./tunnel.ts";
 import type { TopicReply, TopicRequest } from "./topic_protocol.ts";
 import { topicRepliesSchema, topicRequestsSchema } from "./topic_protocol.ts";
 
@@ -131,15 +133,22 @@
  */
 export function acceptServingPeers(
   server: Server,
-  { handlers, isPeer, onExchangeBytes, onFault }: ServingPeerServerOptions & {
-    /** Called when a connection is closed for a fault of the peer. */
-    onFault?: (fault: ChannelFault) => void;
-  },
+  { handlers, isPeer, onExchangeBytes, onFault, connectForPeer }:
+    & ServingPeerServerOptions
+    & {
+      /** Connects to endpoints for peers that do not reach them. */
+      connectForPeer: ConnectForPeer;
+      /** Called when a connection is closed for a fault of the peer. */
+      onFault?: (fault: ChannelFault) => void;
+    },
 ): PeerConnections {
   return acceptPeerConnections(server, {
     router: createServingRouter(handlers),
     isPeer,
     onBytes: createExchangeObserver(onExchangeBytes),
+    upgrades: {
+      [TUNNEL_PROTOCOL]: (upgrade) => void serveTunnel(upgrade, connectForPeer),
+    },
     ...(onFault === undefined ? {} : { onFault }),
   });
 }
--- /dev/null
+++ b/packages/peers/src/tunnel.ts
@@ -0,0 +1,168 @@
+/**
+ * Tunnels through a peer: an entry that cannot reach an endpoint itself asks a
+ * peer, by an HTTP upgrade, for a connection to it. The bytes pass through
+ * unchanged, and a reset on one side becomes a reset on the other: an answer
+ * that was cut must not look complete.
+ *
+ * @module
+ */
+import { request as sendRequest } from "node:http";
+import type { Socket } from "node:net";
+import type { Connect, ConnectOptions } from "@mangoreach/shared";
+import { Result } from "true-myth";
+import type { UpgradeRequest } from "./peer_connection_server.ts";
+import { PEER_PATH } from "./peer_path.ts";
+
+/** The protocol name in the upgrade of a connection that becomes a tunnel. */
+export const TUNNEL_PROTOCOL = "mangoreach-tunnel";
+
+/** The endpoint at the other end of a tunnel. */
+export interface TunnelTarget {
+  /** The endpoint's id: its address may have been reused. */
+  id: string;
+  /** `ip:port`. */
+  address: string;
+}
+
+/** Why there is no tunnel. */
+export type TunnelFailure =
+  /** The endpoint refused the peer's connection. */
+  | "refused"
+  /** The endpoint did not respond to the peer in time. */
+  | "silent"
+  /** The peer cannot be reached, is busy, or does not reach endpoints. */
+  | "unavailable";
+
+/** Options of {@linkcode openTunnel}. */
+export interface TunnelOptions extends ConnectOptions {
+  /** The peer's control address, `ip:port`. */
+  peer: string;
+  /** Opens the connection to the peer. */
+  connect: Connect;
+}
+
+/** Connects to an endpoint for a peer. */
+export type ConnectForPeer = (
+  target: TunnelTarget,
+  signal: AbortSignal,
+) => Promise<Result<Socket, TunnelFailure>>;
+
+const STATUS_OF_FAILURE: Readonly<Record<TunnelFailure, number>> = {
+  refused: 502,
+  silent: 504,
+  unavailable: 503,
+};
+/** An empty line between requests, which servers ignore. */
+const PROBE = "\r\n";
+
+/** Opens a tunnel to an endpoint; the signal aborts the attempt only. */
+export async function openTunnel(
+  { id, address }: TunnelTarget,
+  { peer, connect, timeout, signal }: TunnelOptions,
+): Promise<Result<Socket, TunnelFailure>> {
+  const connection = await connect(peer, { timeout, signal });
+  if (connection.isErr) return Result.err("unavailable");
+  const socket = connection.value;
+  const query = new URLSearchParams({ id, address });
+  return await new Promise((resolve) => {
+    const timer = setTimeout(() => fail("silent"), timeout);
+    const abort = () => fail("unavailable");
+
+    function finish(result: Result<Socket, TunnelFailure>): void {
+      clearTimeout(timer);
+      signal?.removeEventListener("abort", abort);
+      resolve(result);
+    }
+
+    function fail(failure: TunnelFailure): void {
+      socket.destroy();
+      finish(Result.err(failure));
+    }
+
+    signal?.addEventListener("abort", abort, { once: true });
+    const request = sendRequest({
+      path: `${PEER_PATH}tunnel?${query}`,
+      headers: { connection: "Upgrade", upgrade: TUNNEL_PROTOCOL },
+      createConnection: () => socket,
+    });
+    request.once("upgrade", (_response, _socket, head) => {
+      if (head.length > 0) socket.unshift(head);
+      finish(Result.ok(socket));
+    });
+    request.once("response", ({ statusCode }) => {
+      const failure = FAILURES.find((one) =>
+        STATUS_OF_FAILURE[one] === statusCode
+      );
+      fail(failure ?? "unavailable");
+    });
+    request.on("error", () => fail("unavailable"));
+    request.end();
+    if (signal?.aborted) abort();
+  });
+}
+
+const FAILURES = Object.keys(STATUS_OF_FAILURE) as TunnelFailure[];
+
+/**
+ * Serves the upgrade request of a tunnel; resolves when the tunnel has ended.
+ */
+export async function serveTunnel(
+  { request, socket, head }: UpgradeRequest,
+  connectForPeer: ConnectForPeer,
+): Promise<void> {
+  const controller = new AbortController();
+  const abort = () => controller.abort();
+  socket.on("error", abort);
+  socket.once("close", abort);
+  const { searchParams } = new URL(request.url ?? "", "http://peer");
+  const target = {
+    id: searchParams.get("id") ?? "",
+    address: searchParams.get("address") ?? "",
+  };
+  const connection = await connectForPeer(target, controller.signal);
+  if (connection.isErr) {
+    socket.end(
+      `HTTP/1.1 ${STATUS_OF_FAILURE[connection.error]} No Tunnel\r\n` +
+        "connection: close\r\ncontent-length: 0\r\n\r\n",
+      () => socket.destroy(),
+    );
+    return;
+  }
+  if (socket.destroyed) return void connection.value.destroy();
+  socket.removeAllListeners("timeout");
+  socket.write(
+    "HTTP/1.1 101 Switching Protocols\r\nconnection: Upgrade\r\n" +
+      `upgrade: ${TUNNEL_PROTOCOL}\r\n\r\n`,
+  );
+  if (head.length > 0) socket.unshift(head);
+  await runTunnel(socket as Socket, connection.value);
+}
+
+/** Passes bytes in both directions until both sockets have closed. */
+function runTunnel(near: Socket, far: Socket): Promise<void> {
+  near.setTimeout(0);
+  near.pipe(far, { end: false });
+  far.pipe(near, { end: false });
+  // The client of a call never closes its side alone: it has given up.
+  near.once("end", () => far.destroy());
+  // libuv reports a normal end if a reset arrives together with the last bytes;
+  // a write fails then.
+  far.once("end", () => {
+    far.write(PROBE, (error) => {
+      if (error) near.resetAndDestroy();
+      else near.end();
+    });
+  });
+  const closed = [near, far].map((socket, index, both) =>
+    new Promise<void>((resolve) => {
+      const other = both[1 - index]!;
+      socket.on("error", () => other.resetAndDestroy());
+      socket.once("close", () => {
+        // Its last bytes may still be on their way to the other side.
+        if (!other.writableEnded) other.destroy();
+        resolve();
+      });
+    })
+  );
+  return Promise.all(closed).then(() => {});
+}
--- /dev/null
+++ b/packages/peers/src/tunnel_test.ts
@@ -0,0 +1,173 @@
+import type { Server } from "node:http";
+import { createServer as createHttpServer } from "node:http";
+import type { AddressInfo, Server as NetServer, Socket } from "node:net";
+import { createServer } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createHttpClient, openConnection } from "@mangoreach/shared";
+import { expect } from "chai";
+import { Result } from "true-myth";
+import { acceptPeerConnections } from "./peer_connection_server.ts";
+import { createRouter } from "./peer_procedure.ts";
+import type { ConnectForPeer, TunnelFailure } from "./tunnel.ts";
+import { openTunnel, serveTunnel, TUNNEL_PROTOCOL } from "./tunnel.ts";
+
+const OK = "HTTP/1.1 200 OK\r\n";
+
+function readAddress(server: NetServer | Server): string {
+  const { address, port } = server.address() as AddressInfo;
+  return `${address}:${port}`;
+}
+
+describe("a tunnel through a peer", () => {
+  let servers: (NetServer | Server)[] = [];
+  let sockets: Socket[] = [];
+
+  afterEach(() => {
+    sockets.forEach((socket) => socket.destroy());
+    servers.forEach((server) => server.close());
+    [servers, sockets] = [[], []];
+  });
+
+  async function listen<T extends NetServer | Server>(server: T): Promise<T> {
+    servers.push(server);
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", () => resolve())
+    );
+    return server;
+  }
+
+  /** Starts an endpoint that answers with raw bytes, then runs `end`. */
+  async function startEndpoint(
+    text: string,
+    end: (socket: Socket) => void = () => {},
+  ): Promise<string> {
+    const server = createServer({ allowHalfOpen: true }, (socket) => {
+      sockets.push(socket);
+      socket.on("error", () => {});
+      socket.once("data", () => socket.write(text, () => end(socket)));
+    });
+    return readAddress(await listen(server));
+  }
+
+  async function startPeer(
+    connectForPeer: ConnectForPeer = async ({ address }, signal) => {
+      const connection = await openConnection(address, {
+        timeout: 500,
+        signal,
+      });
+      return connection.mapErr((): TunnelFailure => "refused");
+    },
+  ): Promise<string> {
+    const server = await listen(createHttpServer());
+    acceptPeerConnections(server as Server, {
+      router: createRouter({}),
+      isPeer: () => true,
+      upgrades: {
+        [TUNNEL_PROTOCOL]: (upgrade) =>
+          void serveTunnel(upgrade, connectForPeer),
+      },
+    });
+    return readAddress(server);
+  }
+
+  function createClient(peer: string) {
+    return createHttpClient({
+      connections: "single",
+      connect: async (address, { timeout, signal }) => {
+        const tunnel = await openTunnel({ id: "i-1", address }, {
+          peer,
+          connect: openConnection,
+          timeout,
+          signal,
+        });
+        return tunnel.mapErr((failure) => ({
+          failure: failure === "unavailable" ? "silent" as const : failure,
+          message: failure,
+        }));
+      },
+    });
+  }
+
+  async function call(peer: string, address: string, signal?: AbortSignal) {
+    const reply = await createClient(peer).call({
+      method: "POST",
+      address,
+      path: "/",
+      body: "question",
+      ...(signal && { signal }),
+    });
+    return reply.isOk
+      ? reply.value.text
+      : `${reply.error.kind} ${reply.error.sent}`;
+  }
+
+  const ANSWERS = [
+    {
+      name: "a sized answer",
+      text: `${OK}Content-Length: 4\r\n\r\nbody`,
+      outcome: "body",
+    },
+    {
+      name: "an answer that ends with its connection",
+      text: `${OK}\r\nbody`,
+      end: (socket: Socket) => void socket.end(),
+      outcome: "body",
+    },
+    {
+      name: "an answer that is reset",
+      text: `${OK}\r\nbody`,
+      end: (socket: Socket) => void socket.resetAndDestroy(),
+      outcome: "cut maybe",
+    },
+    {
+      name: "an answer that is too short",
+      text: `${OK}Content-Length: 9\r\n\r\nbody`,
+      end: (socket: Socket) => void socket.end(),
+      outcome: "cut maybe",
+    },
+  ];
+  for (const { name, text, end, outcome } of ANSWERS) {
+    // An answer that was cut behind the peer must not look complete.
+    it(`passes on ${name} as "${outcome}"`, async () => {
+      const peer = await startPeer();
+      expect(await call(peer, await startEndpoint(text, end))).to.equal(
+        outcome,
+      );
+    });
+  }
+
+  it("reports that nothing was sent if the endpoint refuses", async () => {
+    expect(await call(await startPeer(), "127.0.0.1:1"))
+      .to.equal("unreachable no");
+  });
+
+  it("reports that nothing was sent if the peer cannot help", async () => {
+    const peer = await startPeer(() =>
+      Promise.resolve(Result.err("unavailable"))
+    );
+    expect(await call(peer, "127.0.0.1:1")).to.equal("unreachable no");
+    // A peer of a build without tunnels.
+    const other = await listen(
+      createHttpServer((_, response) => response.writeHead(404).end()),
+    );
+    expect(await call(readAddress(other), "127.0.0.1:1"))
+      .to.equal("unreachable no");
+  });
+
+  // A caller that has left must not keep an endpoint at work.
+  it("closes the endpoint's connection when the call is abandoned", async () => {
+    const peer = await startPeer();
+    const endpoint = await startEndpoint("");
+    const controller = new AbortController();
+    const reply = call(peer, endpoint, controller.signal);
+    while (sockets.length === 0) await sleep(5);
+    const closed = new Promise<void>((resolve) => {
+      sockets[0]!.once("end", () => resolve());
+      sockets[0]!.once("close", () => resolve());
+    });
+    await sleep(20);
+    controller.abort();
+    expect(await reply).to.equal("aborted maybe");
+    await closed;
+  });
+});
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -35,7 +35,6 @@
   ForwardedRequest,
   NotRunReason,
 } from "./platform_interfaces.ts";
-import { findConnectOutcome } from "./pool_reach.ts";
 import type { ServingState } from "./serving_state.ts";
 import type { StageResults } from "./stage_graph.ts";
 
@@ -293,7 +292,6 @@
     signal: deadline.signal,
   });
   stopRelease();
-  state.recordConnect(endpoint, findConnectOutcome(answer));
   if (answer.isOk) {
     const source = { way: "request", to: endpoint, sentAt: startedAt } as const;
     state.handleSignals(source, answer.value);
@@ -312,7 +310,11 @@
     })
     : await handleAnswer(options, answer.value, recordLatency);
   loads.end(endpoint, end.load);
-  if (end.load === "unreachable") state.recordUnreachable(endpoint);
+  // One that is only silent may go on at any moment, and is not cold then.
+  const isRefused = answer.isErr && answer.error.connectFailure !== "silent";
+  if (end.load === "unreachable" && isRefused) {
+    state.recordUnreachable(endpoint);
+  }
   const { account } = admitted;
   if (end.load === "done") crashDetector.recordCompletion({ request, account });
   if (end.load === "broken") {
--- a/packages/serving/src/decision_log.ts
+++ b/packages/serving/src/decision_log.ts
@@ -22,6 +22,8 @@
   | "config_in_force"
   | "config_rejected"
   | "endpoint_changed"
+  | "endpoint_path_changed"
+  | "connection_relayed"
   | "load_report_unread"
   | "place_changed"
   | "pool_unreachable"
--- /dev/null
+++ b/packages/serving/src/endpoint_paths.ts
@@ -0,0 +1,427 @@
+/**
+ * Connects to endpoints directly, or through a peer if this entry's own path is
+ * broken.
+ *
+ * A failed connection says little by itself: the endpoint may have ended, or
+ * only the path from here may be broken. So peers are asked before an endpoint
+ * counts as unreachable. An entry that fails at several endpoints is detached:
+ * it connects through peers until one of its own connections succeeds again.
+ *
+ * @module
+ */
+import type { Socket } from "node:net";
+import type { EndpointInfo, PeerView } from "@mangoreach/coordination";
+import { sampleItems } from "@mangoreach/coordination";
+import type { TunnelFailure, TunnelTarget } from "@mangoreach/peers";
+import type {
+  Clock,
+  Connect,
+  ConnectFault,
+  ConnectOptions,
+  Listening,
+  Millis,
+} from "@mangoreach/shared";
+import { putBounded } from "@mangoreach/shared";
+import { Result } from "true-myth";
+import type { DecisionLog } from "./decision_log.ts";
+import type { RecordConnect } from "./pool_reach.ts";
+
+/** Opens a connection to an endpoint through the peer at a control address. */
+export type ConnectThrough = (
+  peer: string,
+  target: TunnelTarget,
+  options: ConnectOptions,
+) => Promise<Result<Socket, TunnelFailure>>;
+
+/** Options of {@linkcode createEndpointPaths}. */
+export interface EndpointPathsOptions {
+  clock: Clock;
+  /** Returns a number from 0 up to 1. */
+  random: () => number;
+  log: DecisionLog;
+  connectDirectly: Connect;
+  connectThrough: ConnectThrough;
+  listPeers: () => readonly PeerView[];
+  /** Lists all endpoints that may be listening at an address. */
+  listAt: (address: string) => readonly EndpointInfo[];
+  listEndpoints: () => readonly EndpointInfo[];
+  /** Records the outcome of each direct connection. */
+  recordConnect: RecordConnect;
+}
+
+/** The ways from this entry to endpoints. */
+export interface EndpointPaths {
+  /** Connects to an endpoint by its address. */
+  connect: Connect;
+  /** Connects directly, for a peer that does not reach the endpoint. */
+  connectForPeer(
+    target: TunnelTarget,
+    signal: AbortSignal,
+  ): Promise<Result<Socket, TunnelFailure>>;
+  /** Checks whether a process listens at an endpoint's address. */
+  checkListening(address: string): Promise<Listening>;
+  /** Whether this entry reaches endpoints only through peers. */
+  isDetached(): boolean;
+}
+
+type Connection = Result<Socket, ConnectFault>;
+
+/** A connection that takes longer than this is tried through a peer as well. */
+const HEDGE_DELAY: Millis = 200;
+/** Endpoints whose connections fail in a row until this entry is detached. */
+const DETACHED_AFTER = 2;
+/** Earlier failures say nothing about the present. */
+const FAILURE_TTL: Millis = 5_000;
+/** Peers that are asked for one connection at most. */
+const MAX_PEERS = 6;
+/** Peers that must confirm that an endpoint refuses connections. */
+const REFUSALS_TO_CONFIRM = 2;
+/** For this long, an endpoint that peers do not reach either is down. */
+const DOWN_TTL: Millis = 500;
+/** For this long, a peer that could not help is asked last. */
+const PEER_FAILURE_TTL: Millis = 2_000;
+/** How often a detached entry tries an endpoint directly. */
+const PROBE_INTERVAL: Millis = 500;
+const PROBE_TIMEOUT: Millis = 400;
+/** A round trip to an endpoint takes a few milliseconds. */
+const LISTENING_TIMEOUT: Millis = 500;
+/** Shorter than the time-out of the peer that waits for the connection. */
+const RELAY_TIMEOUT: Millis = 600;
+/** Connections for peers at one time. */
+const MAX_FOR_PEERS = 256;
+const MAX_TRACKED = 4_096;
+
+/** Creates the paths of an entry that has opened no connection. */
+export function createEndpointPaths(
+  options: EndpointPathsOptions,
+): EndpointPaths {
+  const { clock, random, log, connectThrough, listAt, recordConnect } = options;
+  /** By address, when a direct connection failed last. */
+  const failedAt = new Map<string, Millis>();
+  let lastReachedAt = -Infinity;
+  /** By address, when peers did not reach the endpoint either. */
+  const downAt = new Map<string, Millis>();
+  /** By control address, when a peer could not help. */
+  const peerFailedAt = new Map<string, Millis>();
+  let detachedAt: Millis | undefined;
+  let countForPeers = 0;
+
+  function isRecent(at: Millis | undefined, ttl: Millis): boolean {
+    return at !== undefined && clock.now() - at < ttl;
+  }
+
+  function isPathBroken(address: string): boolean {
+    return detachedAt !== undefined ||
+      isRecent(failedAt.get(address), FAILURE_TTL);
+  }
+
+  function recordDirect(address: string, connection: Connection): void {
+    const outcome = connection.isOk ? "connected" : connection.error.failure;
+    if (outcome === "aborted" || outcome === "malformed_address") return;
+    listAt(address).forEach((endpoint) => recordConnect(endpoint, outcome));
+    if (outcome === "connected") recordReached(address);
+    else recordFailed(address);
+  }
+
+  function recordSlowPath(address: string): void {
+    recordDirect(
+      address,
+      Result.err({ failure: "silent", message: "a peer was faster" }),
+    );
+  }
+
+  function recordReached(address: string): void {
+    failedAt.delete(address);
+    lastReachedAt = clock.now();
+    if (detachedAt === undefined) return;
+    failedAt.clear();
+    log.record("endpoint_path_changed", {
+      outcome: "attached",
+      detachedFor: clock.now() - detachedAt,
+    });
+    detachedAt = undefined;
+  }
+
+  function recordFailed(address: string): void {
+    putBounded(failedAt, [address, clock.now()], MAX_TRACKED);
+    if (detachedAt !== undefined) return;
+    const failed = [...failedAt.values()]
+      .filter((at) => at >= lastReachedAt && isRecent(at, FAILURE_TTL));
+    if (failed.length < DETACHED_AFTER) return;
+    detachedAt = clock.now();
+    log.record("endpoint_path_changed", {
+      outcome: "detached",
+      failed: failed.length,
+    });
+    void probeEndpoints();
+  }
+
+  /**
+   * Detached entries connect through peers, which does not show when their own
+   * path works again. The first probe is sent at once: if the endpoints that
+   * failed have ended, another one shows that this entry is not detached.
+   */
+  async function probeEndpoints(): Promise<void> {
+    while (detachedAt !== undefined) {
+      const endpoint = chooseProbed();
+      if (endpoint !== undefined) {
+        const connection = await openDirectly(endpoint.address, {
+          timeout: PROBE_TIMEOUT,
+        });
+        if (connection.isOk) return void connection.value.destroy();
+      }
+      await clock.sleep(PROBE_INTERVAL);
+    }
+  }
+
+  /** Prefers endpoints that are not known to fail, which may have ended. */
+  function chooseProbed(): EndpointInfo | undefined {
+    const all = options.listEndpoints();
+    const untried = all.filter(({ address }) => !failedAt.has(address));
+    const [chosen] = sampleItems(untried.length > 0 ? untried : all, {
+      count: 1,
+      random,
+    });
+    return chosen;
+  }
+
+  async function openDirectly(
+    address: string,
+    connectOptions: ConnectOptions,
+  ): Promise<Connection> {
+    const connection = await options.connectDirectly(address, connectOptions);
+    recordDirect(address, connection);
+    return connection;
+  }
+
+  /** Lists peers, those first that probably reach an endpoint in a place. */
+  function listRelays(place: string): string[] {
+    const rank = ({ record, health }: PeerView) => {
+      const { state, controlAddress } = record;
+      const hasFailed = isRecent(
+        peerFailedAt.get(controlAddress),
+        PEER_FAILURE_TTL,
+      );
+      return (hasFailed ? 8 : 0) + (health === "alive" ? 0 : 4) +
+        (state === "live" ? 0 : 2) + (record.place === place ? 0 : 1);
+    };
+    const usable = options.listPeers().filter(({ health, record }) =>
+      health !== "lost" && record.state !== "leaving"
+    );
+    return sampleItems(usable, { count: usable.length, random })
+      .map((view) => ({ view, rank: rank(view) }))
+      .sort((a, b) => a.rank - b.rank)
+      .slice(0, MAX_PEERS)
+      .map(({ view }) => view.record.controlAddress);
+  }
+
+  /**
+   * Tries peers in turn until one connects or some confirm a failure. The next
+   * one is tried as well if one takes long: its own path may be broken too.
+   */
+  function openThroughPeers(
+    address: string,
+    { timeout, signal }: ConnectOptions,
+  ): Promise<Connection> {
+    const [endpoint] = listAt(address);
+    const id = endpoint?.id ?? "";
+    const relays = listRelays(endpoint?.place ?? "");
+    const stop = new AbortController();
+    const abort = () => stop.abort();
+    signal?.addEventListener("abort", abort, { once: true });
+    if (signal?.aborted) abort();
+
+    return new Promise((resolve) => {
+      let running = 0;
+      let refusals = 0;
+      let stopTimer = () => {};
+      const stopTimeout = clock.startTimer(timeout, () => finishFailed());
+
+      function finish(connection: Connection): void {
+        stopTimer();
+        stopTimeout();
+        stop.abort();
+        signal?.removeEventListener("abort", abort);
+        resolve(connection);
+      }
+
+      function finishFailed(): void {
+        if (signal?.aborted) {
+          return finish(
+            Result.err({ failure: "aborted", message: "given up" }),
+          );
+        }
+        putBounded(downAt, [address, clock.now()], MAX_TRACKED);
+        finish(Result.err({
+          failure: refusals > 0 ? "refused" : "silent",
+          message: `no peer reaches ${address}`,
+        }));
+      }
+
+      function tryNext(): void {
+        stopTimer();
+        if (stop.signal.aborted) return;
+        const peer = relays.shift();
+        if (peer !== undefined) void tryPeer(peer);
+        else if (running === 0) finishFailed();
+      }
+
+      async function tryPeer(peer: string): Promise<void> {
+        running++;
+        stopTimer = clock.startTimer(HEDGE_DELAY, tryNext);
+        const tunnel = await connectThrough(peer, { id, address }, {
+          timeout,
+          signal: stop.signal,
+        });
+        running--;
+        if (stop.signal.aborted) {
+          if (tunnel.isOk) tunnel.value.destroy();
+          return;
+        }
+        if (tunnel.isOk) {
+          log.record("connection_relayed", { endpoint: id, address, peer });
+          return finish(Result.ok(tunnel.value));
+        }
+        if (tunnel.error === "unavailable") {
+          putBounded(peerFailedAt, [peer, clock.now()], MAX_TRACKED);
+        }
+        const isConfirmed = tunnel.error === "refused" &&
+          ++refusals >= REFUSALS_TO_CONFIRM;
+        if (isConfirmed) finishFailed();
+        else tryNext();
+      }
+
+      stop.signal.addEventListener("abort", () => {
+        if (signal?.aborted) finishFailed();
+      }, { once: true });
+      if (stop.signal.aborted) finishFailed();
+      else tryNext();
+    });
+  }
+
+  /** Runs both ways at once; the first connection is used. */
+  function openBothWays(
+    address: string,
+    { direct, relayed, stop }: {
+      direct: Promise<Connection>;
+      relayed: Promise<Connection>;
+      stop: AbortController;
+    },
+  ): Promise<Connection> {
+    return new Promise((resolve) => {
+      let failures = 0;
+      const handle = (connection: Connection) => {
+        if (connection.isErr) {
+          if (++failures === 2) resolve(connection);
+          return;
+        }
+        if (stop.signal.aborted) return void connection.value.destroy();
+        stop.abort();
+        resolve(connection);
+      };
+      void direct.then(handle);
+      void relayed.then((connection) => {
+        // The direct one is slower by far, and is not waited for.
+        if (connection.isOk && !stop.signal.aborted) recordSlowPath(address);
+        handle(connection);
+      });
+    });
+  }
+
+  async function openConnection(
+    address: string,
+    connectOptions: ConnectOptions,
+  ): Promise<Connection> {
+    const { timeout, signal } = connectOptions;
+    const startedAt = clock.now();
+    if (isPathBroken(address) && !isRecent(downAt.get(address), DOWN_TTL)) {
+      const relayed = await openThroughPeers(address, connectOptions);
+      // Peers that reach the endpoint's host know best that it has ended.
+      if (relayed.isOk || relayed.error.failure !== "silent") return relayed;
+    }
+    const stop = new AbortController();
+    const abort = () => stop.abort();
+    signal?.addEventListener("abort", abort, { once: true });
+    const left = Math.max(1, timeout - (clock.now() - startedAt));
+    const ways = { timeout: left, signal: stop.signal };
+    const direct = openDirectly(address, ways);
+    const connection = await waitAtMost(direct, HEDGE_DELAY);
+    const result = connection?.isOk || isRecent(downAt.get(address), DOWN_TTL)
+      ? await direct
+      : await openOtherWay(connection);
+    signal?.removeEventListener("abort", abort);
+    return result;
+
+    /** Connects through peers, also where the direct way is only slow. */
+    async function openOtherWay(
+      failed: Connection | undefined,
+    ): Promise<Connection> {
+      if (stop.signal.aborted) return await direct;
+      const relayed = openThroughPeers(address, {
+        ...ways,
+        timeout: Math.max(1, timeout - (clock.now() - startedAt)),
+      });
+      if (failed === undefined) {
+        return await openBothWays(address, { direct, relayed, stop });
+      }
+      const other = await relayed;
+      return other.isOk ? other : failed;
+    }
+  }
+
+  /** Returns undefined if the connection is not open or failed by then. */
+  function waitAtMost(
+    direct: Promise<Connection>,
+    delay: Millis,
+  ): Promise<Connection | undefined> {
+    return new Promise((resolve) => {
+      const stopTimer = clock.startTimer(delay, () => resolve(undefined));
+      void direct.then((connection) => {
+        stopTimer();
+        resolve(connection);
+      });
+    });
+  }
+
+  async function openForPeer(
+    { id, address }: TunnelTarget,
+    signal: AbortSignal,
+  ): Promise<Result<Socket, TunnelFailure>> {
+    const isKnown = listAt(address).some((endpoint) => endpoint.id === id);
+    // A path that is broken here says nothing about the endpoint.
+    const isUsable = isKnown && detachedAt === undefined &&
+      countForPeers < MAX_FOR_PEERS;
+    if (!isUsable) return Result.err("unavailable");
+    countForPeers++;
+    const connection = await openDirectly(address, {
+      timeout: RELAY_TIMEOUT,
+      signal,
+    });
+    if (connection.isErr) {
+      countForPeers--;
+      return Result.err(
+        connection.error.failure === "refused" ? "refused" : "silent",
+      );
+    }
+    connection.value.once("close", () => countForPeers--);
+    return Result.ok(connection.value);
+  }
+
+  async function checkListening(address: string): Promise<Listening> {
+    const connection = await openConnection(address, {
+      timeout: LISTENING_TIMEOUT,
+    });
+    if (connection.isErr) {
+      return connection.error.failure === "refused" ? "refused" : "silent";
+    }
+    connection.value.destroy();
+    return "listening";
+  }
+
+  return {
+    connect: openConnection,
+    connectForPeer: openForPeer,
+    checkListening,
+    isDetached: () => detachedAt !== undefined,
+  };
+}
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -29,6 +29,7 @@
 export type { MemberStore } from "./member_registry.ts";
 export type { QuarantineRecord, QuarantineStore } from "./quarantine_store.ts";
 export type {
+  EndpointClients,
   ServingEntryOptions,
   ServingPlatform,
   ServingSettings,
--- a/packages/serving/src/peer_gossip.ts
+++ b/packages/serving/src/peer_gossip.ts
@@ -241,17 +241,16 @@
     republish,
     start,
     chooseEntries(limit) {
+      const state = options.readState();
       // The own record shows the current state only after the next heartbeat.
       const record: PeerRecord = {
         ...membership.self,
-        state: "live",
+        state,
         inFlight: options.countInFlight(),
       };
       const own = { record, health: "alive", age: 0 } as const;
       const others = membership.list();
-      const isLive = options.readState() === "live";
-      const views = isLive ? [own, ...others] : others;
-      return sampleEntries(views, {
+      return sampleEntries([own, ...others], {
         limit,
         random,
         isDiscovering: isDiscovering(),
--- a/packages/serving/src/pool_components.ts
+++ b/packages/serving/src/pool_components.ts
@@ -26,7 +26,6 @@
 import type { EndpointCheck } from "./endpoint_check.ts";
 import type { EndpointLoads } from "./endpoint_load.ts";
 import type { SignalHandler } from "./endpoint_signals.ts";
-import type { RecordConnect } from "./pool_reach.ts";
 import type { StageEndpoints } from "./platform_interfaces.ts";
 import type { PartitionUse } from "./serving_metrics.ts";
 import type { StageDispatcher } from "./stage_dispatcher.ts";
@@ -43,7 +42,6 @@
   /** Marks an endpoint whose address now belongs to another instance. */
   markLeaving: (endpointKey: string) => void;
   handleSignals: SignalHandler;
-  recordConnect: RecordConnect;
   allowance: SendAllowance;
   /** Lists all endpoints that may be listening at an address. */
   listAt: (address: string) => readonly EndpointInfo[];
@@ -142,7 +140,6 @@
         listPartitionEndpoints(options.listUsable(pool), partition),
       markLeaving: options.markLeaving,
       handleSignals: options.handleSignals,
-      recordConnect: options.recordConnect,
       allowance: options.allowance,
       listAt: options.listAt,
       endpointCheck: options.endpointCheck,
--- a/packages/serving/src/pool_components_test.ts
+++ b/packages/serving/src/pool_components_test.ts
@@ -18,7 +18,6 @@
       stages: createFakeStages(),
       listUsable: () => [],
       markLeaving: () => {},
-      recordConnect: () => {},
       handleSignals: () => {},
       allowance: createOpenAllowance(),
       listAt: () => [],
--- a/packages/serving/src/pool_reach.ts
+++ b/packages/serving/src/pool_reach.ts
@@ -6,14 +6,8 @@
  */
 import type { EndpointInfo } from "@mangoreach/coordination";
 import { formatEndpointKey } from "@mangoreach/coordination";
-import type {
-  Clock,
-  ConnectFailure,
-  HttpFault,
-  Millis,
-} from "@mangoreach/shared";
+import type { Clock, ConnectFailure, Millis } from "@mangoreach/shared";
 import { putBounded } from "@mangoreach/shared";
-import type { Result } from "true-myth";
 import type { DecisionLog } from "./decision_log.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 
@@ -23,23 +17,12 @@
 /** A failure that says something about the path. */
 type PathFailure = Extract<ConnectFailure, "refused" | "silent">;
 
-/** Records how a connection to an endpoint was opened, if that is known. */
+/** Records how a direct connection to an endpoint was opened. */
 export type RecordConnect = (
   endpoint: EndpointInfo,
-  outcome: ConnectOutcome | undefined,
+  outcome: ConnectOutcome,
 ) => void;
 
-/**
- * Returns how the connection of a call was opened; undefined if that is
- * unknown, as after an abort.
- */
-export function findConnectOutcome(
-  reply: Result<unknown, HttpFault>,
-): ConnectOutcome | undefined {
-  if (reply.isOk || reply.error.kind === "cut") return "connected";
-  return reply.error.connectFailure;
-}
-
 /** Options of {@linkcode createPoolReach}. */
 export interface PoolReachOptions {
   clock: Clock;
@@ -92,7 +75,6 @@
   }
 
   return (endpoint, outcome) => {
-    if (outcome === undefined) return;
     metrics.countConnect(endpoint.pool, outcome);
     if (outcome === "connected") recordConnected(endpoint);
     else recordFailure(endpoint, outcome);
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -18,10 +18,15 @@
   createPoisonQuarantine,
   listSendingMembers,
 } from "@mangoreach/coordination";
-import type { PieceRun, ServingPeerServerOptions } from "@mangoreach/peers";
+import type {
+  ConnectForPeer,
+  PieceRun,
+  ServingPeerServerOptions,
+} from "@mangoreach/peers";
 import {
   acceptServingPeers,
   createServingPeerListener,
+  openTunnel,
 } from "@mangoreach/peers";
 import type { Millis } from "@mangoreach/shared";
 import {
@@ -37,6 +42,7 @@
 import { createEndpointCheck } from "./endpoint_check.ts";
 import { createEndpointLoads } from "./endpoint_load.ts";
 import { createSignalHandler } from "./endpoint_signals.ts";
+import { createEndpointPaths } from "./endpoint_paths.ts";
 import { createPeerGossip } from "./peer_gossip.ts";
 import { createPieceRouter } from "./piece_router.ts";
 import { createPoolComponents } from "./pool_components.ts";
@@ -194,7 +200,8 @@
    */
   function readState(): PeerState {
     if (phase !== "open") return "leaving";
-    return isServing() ? "live" : "unready";
+    if (!isServing()) return "unready";
+    return paths.isDetached() ? "detached" : "live";
   }
 
   const gossip = createPeerGossip({
@@ -245,9 +252,34 @@
     signal,
   });
 
+  const paths = createEndpointPaths({
+    clock,
+    random,
+    log,
+    connectDirectly: platform.connect,
+    connectThrough: (peer, target, connectOptions) =>
+      openTunnel(target, {
+        ...connectOptions,
+        peer,
+        connect: platform.connect,
+      }),
+    listPeers: membership.list,
+    listAt: siteState.listAt,
+    listEndpoints: directory.listAll,
+    recordConnect: createPoolReach({
+      clock,
+      log,
+      metrics,
+      listUsable: directory.listUsable,
+    }),
+  });
+  const { callEndpoint, stages } = platform.createEndpointClients(
+    paths.connect,
+  );
+
   const endpointCheck = createEndpointCheck({
     clock,
-    checkListening: platform.checkListening,
+    checkListening: paths.checkListening,
   });
   /** Entries that left send no more requests; unresponsive ones still may. */
   function listSenders(): string[] | undefined {
@@ -285,22 +317,15 @@
     listAt,
   });
 
-  const recordConnect = createPoolReach({
-    clock,
-    log,
-    metrics,
-    listUsable: directory.listUsable,
-  });
   const pools = createPoolComponents({
     clock,
     log,
     loads,
     endpointCheck,
-    stages: platform.stages,
+    stages,
     listUsable: directory.listUsable,
     markLeaving: (endpointKey) => directory.markLeaving(endpointKey),
     handleSignals,
-    recordConnect,
     allowance,
     listAt,
     readTable,
@@ -319,8 +344,7 @@
     peers,
     findDispatcher,
     listUsable: directory.listUsable,
-    readPlace: (result) =>
-      siteState.findPlace(platform.stages.findProducer(result)),
+    readPlace: (result) => siteState.findPlace(stages.findProducer(result)),
   });
 
   const state: ServingState = {
@@ -339,9 +363,8 @@
     sendAllowance: allowance,
     handleSignals,
     recordUnreachable: siteState.recordUnreachable,
-    recordConnect,
     router,
-    callEndpoint: platform.callEndpoint,
+    callEndpoint,
     crashDetector: createCrashDetector({
       clock,
       log,
@@ -349,7 +372,7 @@
       quarantine,
       gossip: quarantineGossip,
     }),
-    findProducer: platform.stages.findProducer,
+    findProducer: stages.findProducer,
     findPlace: siteState.findPlace,
     findBudget: pools.findBudget,
     findDelays: pools.findDelays,
@@ -407,8 +430,20 @@
   const peerConnections = acceptServingPeers(control, {
     ...peerServer,
     onFault: metrics.countPeerFault,
+    connectForPeer: openForPeer,
   });
 
+  /** A tunnel is work in progress, which a stopping entry finishes. */
+  async function openForPeer(...parameters: Parameters<ConnectForPeer>) {
+    const connection = await paths.connectForPeer(...parameters);
+    if (connection.isOk) {
+      tasks.add(
+        new Promise((resolve) => connection.value.once("close", resolve)),
+      );
+    }
+    return connection;
+  }
+
   function runForPeer(run: PieceRun, stop: AbortSignal) {
     const reply = findDispatcher(run.pool, run.partition).run(run, stop);
     tasks.add(reply);
--- a/packages/serving/src/serving_options.ts
+++ b/packages/serving/src/serving_options.ts
@@ -11,6 +11,7 @@
 } from "@mangoreach/coordination";
 import type {
   Clock,
+  Connect,
   ListenAddress,
   Listening,
   Logger,
@@ -51,6 +52,12 @@
   accountShares: boolean;
 }
 
+/** The clients of endpoints. */
+export interface EndpointClients {
+  callEndpoint: CallEndpoint;
+  stages: StageEndpoints;
+}
+
 /** The platform that an entry runs on. */
 export interface ServingPlatform {
   configSource: TopicSource;
@@ -63,10 +70,12 @@
   decodeEndpoint: (record: TopicRecord) => Result<EndpointInfo, string>;
   members: MemberStore;
   quarantine: QuarantineStore;
-  callEndpoint: CallEndpoint;
-  /** Probes whether a process listens at an endpoint's address. */
+  /** Creates the clients of endpoints, which open connections by `connect`. */
+  createEndpointClients: (connect: Connect) => EndpointClients;
+  /** Opens a connection to an endpoint or a peer. */
+  connect: Connect;
+  /** Probes whether a process listens at a peer's address. */
   checkListening: (address: string) => Promise<Listening>;
-  stages: StageEndpoints;
   decodeHead: (message: IncomingMessage) => Result<RequestHead, Failure>;
   encodeFailure: EncodeFailure;
 }
--- a/packages/serving/src/serving_state.ts
+++ b/packages/serving/src/serving_state.ts
@@ -18,7 +18,6 @@
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { DecisionLog } from "./decision_log.ts";
 import type { EndpointLoads } from "./endpoint_load.ts";
-import type { RecordConnect } from "./pool_reach.ts";
 import type { PieceRouter } from "./piece_router.ts";
 import type { CrashDetector } from "./crash_detector.ts";
 import type { SignalHandler } from "./endpoint_signals.ts";
@@ -48,8 +47,6 @@
   handleSignals: SignalHandler;
   /** Records that nothing listened at an endpoint's address. */
   recordUnreachable: (endpoint: EndpointInfo) => void;
-  /** Records how the connection of an attempt was opened, if it is known. */
-  recordConnect: RecordConnect;
   router: PieceRouter;
   callEndpoint: CallEndpoint;
   crashDetector: CrashDetector;
--- a/packages/serving/src/stage_dispatcher.ts
+++ b/packages/serving/src/stage_dispatcher.ts
@@ -46,8 +46,6 @@
   listGroups,
 } from "./dispatched_piece.ts";
 import { createInputReleaser } from "./input_release.ts";
-import type { RecordConnect } from "./pool_reach.ts";
-import { findConnectOutcome } from "./pool_reach.ts";
 import type { CallableEndpoint } from "./stage_endpoint_calls.ts";
 import { createStageEndpointCalls } from "./stage_endpoint_calls.ts";
 import { createResultStorage } from "./result_storage.ts";
@@ -71,7 +69,6 @@
   markLeaving: (endpointKey: string) => void;
   /** Handles the back-pressure signals in an endpoint's reply. */
   handleSignals: SignalHandler;
-  recordConnect: RecordConnect;
   allowance: SendAllowance;
   /** Lists all endpoints that may be listening at an address. */
   listAt: (address: string) => readonly EndpointInfo[];
@@ -316,7 +313,6 @@
       timeout: CALL_TIMEOUT_FACTOR * expected + CALL_TIMEOUT_SLACK,
     });
     cancelRelease();
-    options.recordConnect(info, findConnectOutcome(reply));
     endpointCalls.end(endpoint);
     const took = clock.now() - startedAt;
     if (reply.isErr) {
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -234,7 +234,6 @@
     listEndpoints: () =>
       endpoints.filter((endpoint) => !leaving.has(formatEndpointKey(endpoint))),
     markLeaving: (endpointKey) => leaving.add(endpointKey),
-    recordConnect: () => {},
     handleSignals: options.handleSignals ?? (() => {}),
     allowance: options.allowance ?? createOpenAllowance(),
     listAt: (address) =>
@@ -304,7 +303,6 @@
     sendAllowance: createOpenAllowance(),
     handleSignals: () => {},
     recordUnreachable: () => {},
-    recordConnect: () => {},
     router: {
       run: () => Promise.reject(new Error("no stages")),
       readWaits: () => Promise.resolve({ onTime: 0, late: 0, growth: 0 }),
--- a/soak/src/endpoint_cuts_site_test.ts
+++ b/soak/src/endpoint_cuts_site_test.ts
@@ -42,7 +42,7 @@
   const end = startedAt + DISCOVERY_MS + CUT_MS + AFTER_CUT_MS;
   const cut = sleep(DISCOVERY_MS)
     .then(() =>
-      site.cutEndpoints({
+      site.applyCut({
         mode,
         first: CUT_MODES.indexOf(mode),
         count: cutEntries,
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -44,7 +44,7 @@
   readonly evacuations: readonly EndpointSpan[];
   readonly endpointCuts: readonly EndpointCut[];
   /** Cuts entries off from all endpoints; resolves once the cut has ended. */
-  cutEndpoints(cut: PlannedCut, duration: number): Promise<void>;
+  applyCut(cut: PlannedCut, duration: number): Promise<void>;
   /** Injects a fault; resolves once it has ended. */
   applyFault(fault: PlannedFault): Promise<void>;
   /** Stops all processes, proxies and stand-ins of the site. */
@@ -188,7 +188,7 @@
     }
   }
 
-  async function cutEndpoints(
+  async function applyCut(
     { mode, first, count }: PlannedCut,
     duration: number,
   ): Promise<void> {
@@ -271,7 +271,7 @@
     arrivals,
     entryFaults,
     endpointCuts,
-    cutEndpoints,
+    applyCut,
     get revokedAt() {
       return revokedAt;
     },
