--- a/soak/src/endpoint_cuts.ts
+++ b/soak/src/endpoint_cuts.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { EntryFaultSpan } from "./endpoint_signals.ts";
 import type { CallResult } from "./soak_callers.ts";
 
 /** What happens to connections to endpoints. */
@@ -33,6 +34,22 @@
 const ALLOWED_FAILURES = 10;
 const ALLOWED_FAILURE_SHARE = 1 / 50;
 
+/**
+ * Lists the cuts whose entries had no other fault meanwhile, or so shortly
+ * before that they may not have settled.
+ */
+export function listSoundCuts(
+  cuts: readonly EndpointCut[],
+  faults: readonly EntryFaultSpan[],
+): EndpointCut[] {
+  return cuts.filter((cut) =>
+    !faults.some(({ entry, from, until }) =>
+      entry === cut.entry && from < cut.until &&
+      until + CUT_SETTLE_MS > cut.from
+    )
+  );
+}
+
 /** Requests and how many of them were served. */
 export interface ServedCount {
   sent: number;
--- a/soak/src/endpoint_signals.ts
+++ b/soak/src/endpoint_signals.ts
@@ -12,6 +12,8 @@
   isLeaving?: true;
   /** It refuses all requests and asks for a pause of this many milliseconds. */
   pause?: number;
+  /** It falls over if it rejects more requests than this within a second. */
+  brittle?: { rejectLimit: number; since: number };
 }
 
 /** A request that reached an endpoint, whether run or refused. */
@@ -24,6 +26,8 @@
   signals: SoakSignals;
   /** When the response headers were sent; undefined before. */
   respondedAt?: number;
+  /** It was rejected for want of room. */
+  isRejected?: true;
 }
 
 /** A period in which a fault affected an entry, by its caller address. */
@@ -51,6 +55,11 @@
 /** Requests of one entry that may reach an endpoint within its pause. */
 const ALLOWED_IN_PAUSE = 2;
 
+/** Times that one endpoint may fall over while it is brittle. */
+const ALLOWED_FALLS = 2;
+/** Rejections of an entry with a fault this long before do not count. */
+const FAULT_SETTLE_MS = 3_000;
+
 interface MatchedArrival extends ObservedArrival {
   entry: string;
   sentAt: number;
@@ -72,6 +81,7 @@
       ...listAboveLimit(list, context),
       ...listAfterLeaving(list, context),
       ...listInPause(list, context),
+      ...listFalls(list, context),
     ];
   });
 }
@@ -195,3 +205,27 @@
       : [`${within.length} requests reached ${endpoint} during its pause`];
   });
 }
+
+/** Counts how often an endpoint would have fallen over while it was brittle. */
+function listFalls(
+  list: readonly MatchedArrival[],
+  context: SignalContext,
+): string[] {
+  let falls = 0;
+  let recent: number[] = [];
+  for (const { at, entry, signals, isRejected } of list) {
+    if (signals.brittle === undefined || isRejected === undefined) continue;
+    const isExcused = hasFault(entry, context, {
+      from: at - FAULT_SETTLE_MS,
+      until: at,
+      kinds: ["stopped", "cut"],
+    });
+    if (isExcused) continue;
+    recent = [...recent.filter((other) => at - other < 1_000), at];
+    if (recent.length <= signals.brittle.rejectLimit) continue;
+    falls++;
+    recent = [];
+  }
+  if (falls <= ALLOWED_FALLS) return [];
+  return [`the brittle endpoint ${list[0]?.endpoint} fell over ${falls} times`];
+}
--- a/soak/src/fault_proxy.ts
+++ b/soak/src/fault_proxy.ts
@@ -13,6 +13,8 @@
   | "passing"
   /** Each chunk is delayed. */
   | "delayed"
+  /** All traffic waits until another mode is set, as at a paused endpoint. */
+  | "held"
   /** Requests are forwarded, responses are dropped. */
   | "one_way"
   /** All traffic is dropped without closing connections. */
@@ -30,6 +32,7 @@
 }
 
 const DELAY_MS = 60;
+const HELD_CHECK_MS = 20;
 
 /** Starts a proxy; resolves once it listens. */
 export async function startFaultProxy(target: string): Promise<FaultProxy> {
@@ -37,6 +40,10 @@
   let current = target;
   const sockets = new Set<Socket>();
 
+  async function waitWhileHeld(): Promise<void> {
+    while (mode === "held") await sleep(HELD_CHECK_MS);
+  }
+
   /** Forwards one direction and preserves the order of bytes. */
   function forward(from: Socket, to: Socket, isResponse: boolean): void {
     let lastSend: Promise<void> = Promise.resolve();
@@ -46,7 +53,7 @@
     function enqueueSend(send: () => void): void {
       const delay = mode === "delayed" ? DELAY_MS : 0;
       const due = sleep(delay);
-      lastSend = lastSend.then(() => due).then(send);
+      lastSend = lastSend.then(() => due).then(waitWhileHeld).then(send);
     }
 
     from.on("data", (chunk) => {
--- a/soak/src/guarantees.ts
+++ b/soak/src/guarantees.ts
@@ -14,6 +14,8 @@
   revokedAt: number | undefined;
   /** When an endpoint announced that it is leaving, by endpoint key. */
   leftAt: ReadonlyMap<string, number>;
+  /** Periods in which the store was disturbed. */
+  storeFaults: readonly StoreFaultSpan[];
   /** Periods in which endpoints were cold. */
   coldSpans: readonly EndpointSpan[];
   /** Periods in which the place of an endpoint was evacuated. */
@@ -24,6 +26,12 @@
   accounts: ReadonlyMap<string, string>;
 }
 
+/** A period in which the store did not serve entries as usual. */
+export interface StoreFaultSpan {
+  from: number;
+  until: number;
+}
+
 /** A period in which a condition applied to an endpoint. */
 export interface EndpointSpan {
   endpoint: string;
@@ -57,7 +65,7 @@
   );
   for (const [id, list] of runs) {
     for (const run of list) {
-      const left = context.leftAt.get(run.endpoint);
+      const left = findLeftAt(run.endpoint, context);
       if (left !== undefined && run.at > left + DRAIN_MS) {
         errors.push(
           `${id} ran at ${run.endpoint} after the endpoint had left`,
@@ -84,6 +92,22 @@
   ];
 }
 
+/**
+ * Returns when an endpoint announced that it is leaving; undefined if entries
+ * may not have read it, as the store was disturbed then or soon after.
+ */
+function findLeftAt(
+  endpoint: string,
+  { leftAt, storeFaults }: GuaranteeContext,
+): number | undefined {
+  const left = leftAt.get(endpoint);
+  if (left === undefined) return undefined;
+  const isDisturbed = storeFaults.some(({ from, until }) =>
+    from < left + DRAIN_MS && until > left
+  );
+  return isDisturbed ? undefined : left;
+}
+
 function listEvacuationViolations(
   runs: RunLog,
   { evacuations }: GuaranteeContext,
--- a/soak/src/regression_seeds.ts
+++ b/soak/src/regression_seeds.ts
@@ -67,4 +67,11 @@
     kinds: "third",
     cause: "the store's operator rewrote an old configuration over a newer one",
   },
+  {
+    seed: 510_003,
+    kinds: "all",
+    cause:
+      "a fault of the check: an endpoint announced its leaving while the store " +
+      "failed and lost it, and the store was silent soon after",
+  },
 ];
--- a/soak/src/soak_endpoints.ts
+++ b/soak/src/soak_endpoints.ts
@@ -34,6 +34,9 @@
 export const STREAM_EVENTS = 5;
 const EVENT_GAP_MS = 20;
 const WORK_MS = 15;
+const SLOTS = 8;
+/** A brittle endpoint has little room and works slowly. */
+const BRITTLE = { slots: 2, waiting: 1, workMs: 100, settleMs: 3_000 };
 /** Time of a stage call by the position of the endpoint; they differ in speed. */
 const STAGE_CALL_MS = [40, 96];
 /** Range of the fourth figure in load reports, which changes with each one. */
@@ -61,8 +64,11 @@
 
 function writeSignals(
   response: ServerResponse,
-  { limit, isLeaving, pause }: SoakSignals,
+  { limit, isLeaving, pause, brittle }: SoakSignals,
 ): void {
+  if (brittle !== undefined) {
+    response.setHeader(HEADER.rejectLimit, String(brittle.rejectLimit));
+  }
   if (limit !== undefined) response.setHeader(HEADER.rateLimit, String(limit));
   if (isLeaving) response.setHeader(HEADER.leaving, "1");
   if (pause !== undefined) {
@@ -82,7 +88,18 @@
   /** Formats a load report with four figures. */
   function formatLoad(): string {
     const { min, max, step } = WORK_FACTORS;
-    return `${running},0,8,${min + step * reports++ % (max - min)}`;
+    const slots = readSignals().brittle === undefined ? SLOTS : BRITTLE.slots;
+    const factor = min + step * reports++ % (max - min);
+    return `${Math.min(running, slots)},${
+      Math.max(0, running - slots)
+    },${slots},${factor}`;
+  }
+
+  /** A brittle endpoint soon lets fewer requests wait. */
+  function hasRoom({ brittle }: SoakSignals): boolean {
+    return brittle === undefined ||
+      Date.now() < brittle.since + BRITTLE.settleMs ||
+      running < BRITTLE.slots + BRITTLE.waiting;
   }
 
   async function handle(
@@ -109,6 +126,11 @@
       arrival.respondedAt = Date.now();
       return void response.writeHead(503, { [HEADER.notRun]: "1" }).end();
     }
+    if (!hasRoom(signals)) {
+      arrival.isRejected = true;
+      arrival.respondedAt = Date.now();
+      return void response.writeHead(503, { [HEADER.notRun]: "1" }).end();
+    }
     const path = request.url ?? "";
     const run = {
       endpoint,
@@ -119,7 +141,7 @@
     runs.set(requestId, [...(runs.get(requestId) ?? []), run]);
     response.setHeader(HEADER.proof, computeBody(requestId).slice(0, 16));
     running++;
-    await sleep(WORK_MS);
+    await sleep(signals.brittle === undefined ? WORK_MS : BRITTLE.workMs);
     running--;
     arrival.respondedAt = Date.now();
     if (!path.startsWith("/draft/")) {
--- a/soak/src/soak_plan.ts
+++ b/soak/src/soak_plan.ts
@@ -36,7 +36,15 @@
   /** An endpoint refuses all requests with a retry-after time. */
   | "endpoint_paused"
   /** An endpoint reports only in its responses that it is leaving, and exits later. */
-  | "endpoint_says_leaving";
+  | "endpoint_says_leaving"
+  /** An entry reaches no endpoint, but callers, the store and its peers. */
+  | "endpoints_cut"
+  /** All entries but one reach no endpoint. */
+  | "endpoints_cut_most"
+  /** An endpoint reports that it falls over if it rejects too many requests. */
+  | "endpoint_brittle"
+  /** A sound endpoint does not respond for a second, and goes on. */
+  | "endpoint_silent";
 
 /** One scheduled fault. */
 export interface PlannedFault {
@@ -84,14 +92,22 @@
   "endpoint_paused",
   "endpoint_says_leaving",
 ];
+const PATH_KINDS: readonly FaultKind[] = [
+  "endpoints_cut",
+  "endpoints_cut_most",
+  "endpoint_brittle",
+  "endpoint_silent",
+];
 const SECOND_SEED_OFFSET = 1_000_003;
 const THIRD_SEED_OFFSET = 2_000_003;
 const SIGNAL_SEED_OFFSET = 3_000_003;
+const PATH_SEED_OFFSET = 4_000_003;
 /** One fault per half second on average, so that faults overlap. Milliseconds. */
 const FIRST_MEAN_GAP = 500;
 const SECOND_MEAN_GAP = 1_500;
 const THIRD_MEAN_GAP = 2_000;
 const SIGNAL_MEAN_GAP = 1_500;
+const PATH_MEAN_GAP = 2_000;
 const MIN_DURATION = 200;
 const MAX_DURATION = 1_800;
 /** Kinds that must not happen twice: there is one key and one spare endpoint. */
@@ -103,7 +119,7 @@
 ]);
 
 /** The groups of fault kinds that a run includes. */
-export type FaultKindSet = "first" | "second" | "third" | "all";
+export type FaultKindSet = "first" | "second" | "third" | "signals" | "all";
 
 /** Creates the fault schedule of a run, ordered by time. */
 export function createSoakPlan(
@@ -127,12 +143,18 @@
     length,
     meanGap: THIRD_MEAN_GAP,
   });
-  const signals = kinds !== "all" ? [] : planKinds(SIGNAL_KINDS, {
+  const hasSignals = kinds === "signals" || kinds === "all";
+  const signals = !hasSignals ? [] : planKinds(SIGNAL_KINDS, {
     seed: seed + SIGNAL_SEED_OFFSET,
     length,
     meanGap: SIGNAL_MEAN_GAP,
   });
-  return [...first, ...second, ...third, ...signals]
+  const paths = kinds !== "all" ? [] : planKinds(PATH_KINDS, {
+    seed: seed + PATH_SEED_OFFSET,
+    length,
+    meanGap: PATH_MEAN_GAP,
+  });
+  return [...first, ...second, ...third, ...signals, ...paths]
     .sort((a, b) => a.at - b.at);
 }
 
--- a/soak/src/soak_run.ts
+++ b/soak/src/soak_run.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
+import { listCutViolations, listSoundCuts } from "./endpoint_cuts.ts";
 import { listIgnoredSignals } from "./endpoint_signals.ts";
 import { listViolations } from "./guarantees.ts";
 import type { CallResult, RequestKind } from "./soak_callers.ts";
@@ -78,6 +79,7 @@
   const violations = listViolations(results, site.runs, {
     revokedAt: site.revokedAt,
     leftAt: site.leftAt,
+    storeFaults: site.storeFaults,
     coldSpans: site.coldSpans,
     evacuations: site.evacuations,
     recoveredAt,
@@ -87,7 +89,13 @@
     results.map(({ id, entry, sentAt }) => [id, { entry, sentAt }]),
   );
   const { arrivals, entryFaults } = site;
-  violations.push(...listIgnoredSignals(arrivals, { requests, entryFaults }));
+  violations.push(
+    ...listIgnoredSignals(arrivals, { requests, entryFaults }),
+    ...listCutViolations(
+      results,
+      listSoundCuts(site.endpointCuts, entryFaults),
+    ),
+  );
   await caller.close();
   await site.stop();
   const served = results.filter(({ status }) => status === 200).length;
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -11,13 +11,14 @@
   TOPIC,
 } from "../../platform/src/wire_names.ts";
 import type { CutMode, EndpointCut } from "./endpoint_cuts.ts";
+import { CUT_MODES } from "./endpoint_cuts.ts";
 import type { EndpointSlot } from "./endpoint_slot.ts";
 import { EVACUATED_PLACE, startEndpoints } from "./endpoint_slot.ts";
 import type { EntryFaultSpan, ObservedArrival } from "./endpoint_signals.ts";
 import type { FaultProxy, ProxyMode } from "./fault_proxy.ts";
 import type { StoreMode, TopicStore } from "./topic_store.ts";
 import { startTopicStore } from "./topic_store.ts";
-import type { EndpointSpan } from "./guarantees.ts";
+import type { EndpointSpan, StoreFaultSpan } from "./guarantees.ts";
 import { createSoakConfig } from "./soak_config.ts";
 import type { RunLog } from "./soak_endpoints.ts";
 import type { Entry } from "./soak_entry.ts";
@@ -40,6 +41,7 @@
   readonly entryFaults: readonly EntryFaultSpan[];
   readonly revokedAt: number | undefined;
   readonly leftAt: ReadonlyMap<string, number>;
+  readonly storeFaults: readonly StoreFaultSpan[];
   readonly coldSpans: readonly EndpointSpan[];
   readonly evacuations: readonly EndpointSpan[];
   readonly endpointCuts: readonly EndpointCut[];
@@ -70,6 +72,13 @@
 /** A limit must be respected after 3 s; arrivals are counted for longer. */
 const LIMITED_MS = 5_000;
 const PAUSE_MS = 1_500;
+/** Entries must serve their callers 3 s after the begin of a cut. */
+const CUT_MS = 5_000;
+/** Rejections within a second that a brittle endpoint tolerates. */
+const REJECT_LIMIT = 3;
+/** A brittle endpoint lets fewer requests wait after 3 s. */
+const BRITTLE_MS = 5_000;
+const SILENT_MS = 1_000;
 /** Exceeds the time in which requests may still reach a leaving endpoint. */
 const LEAVING_MS = 3_500;
 /** Maximum time from stopping an entry until its replacement has started. */
@@ -100,6 +109,7 @@
   const entryFaults: EntryFaultSpan[] = [];
   const endpointCuts: EndpointCut[] = [];
   const leftAt = new Map<string, number>();
+  const storeFaults: StoreFaultSpan[] = [];
   const coldSpans: EndpointSpan[] = [];
   const evacuations: EndpointSpan[] = [];
   const store = await startTopicStore();
@@ -135,6 +145,10 @@
     const reporter = reporters[fault.target % reporters.length]!;
     const { kind, duration } = fault;
     recordEntryFault(fault, { entry, proxy });
+    if (kind.startsWith("store_")) {
+      const from = Date.now();
+      storeFaults.push({ from, until: from + duration });
+    }
     switch (kind) {
       case "entry_killed":
       case "entry_stopped":
@@ -164,6 +178,22 @@
         return await reporter.sendSignals({ pause: PAUSE_MS }, duration);
       case "endpoint_says_leaving":
         return await reporter.signalLeaving(LEAVING_MS + duration);
+      case "endpoints_cut":
+      case "endpoints_cut_most":
+        return await applyCut({
+          mode: CUT_MODES[fault.target % CUT_MODES.length]!,
+          first: fault.target,
+          count: kind === "endpoints_cut" ? 1 : entries.length - 1,
+        }, CUT_MS + duration);
+      case "endpoint_brittle":
+        return await reporter.sendSignals(
+          { brittle: { rejectLimit: REJECT_LIMIT, since: Date.now() } },
+          BRITTLE_MS + duration,
+        );
+      case "endpoint_silent":
+        link.proxy.setMode("held");
+        await sleep(SILENT_MS);
+        return link.proxy.setMode("passing");
       case "endpoint_leaves":
         leftAt.set(link.readKey(), Date.now());
         return await link.leave();
@@ -276,6 +306,7 @@
       return revokedAt;
     },
     leftAt,
+    storeFaults,
     coldSpans,
     evacuations,
     applyFault,
