fix(serving): a detached entry that finds no peer refuses soon

An entry that reaches no endpoint, and no peer that does, had each request wait for the time-out of up to four endpoints, a second each. It knows then that a connection is unlikely, so that it tries its own path for 0.4 s at most. Another way is tried 20 ms after the delay has passed, since a process short of processor time sees its own connections late. The new test failed before.

--- a/packages/serving/src/endpoint_paths.ts
+++ b/packages/serving/src/endpoint_paths.ts
@@ -67,7 +67,8 @@
 type Connection = Result<Socket, ConnectFault>;
 
 /** A connection that takes longer than this is tried through a peer as well. */
-const HEDGE_DELAY: Millis = 200;
+const HEDGE_DELAY: Millis = 180;
+const HEDGE_GRACE: Millis = 20;
 /** Endpoints whose connections fail in a row until this entry is detached. */
 const DETACHED_AFTER = 2;
 /** Earlier failures say nothing about the present. */
@@ -342,7 +343,10 @@
     const stop = new AbortController();
     const abort = () => stop.abort();
     signal?.addEventListener("abort", abort, { once: true });
-    const left = Math.max(1, timeout - (clock.now() - startedAt));
+    // A detached entry that finds no peer knows that it can hardly connect, and
+    // its callers should not wait for that.
+    const longest = detachedAt === undefined ? timeout : PROBE_TIMEOUT;
+    const left = Math.max(1, longest - (clock.now() - startedAt));
     const ways = { timeout: left, signal: stop.signal };
     const direct = openDirectly(address, ways);
     const connection = await waitAtMost(direct, HEDGE_DELAY);
@@ -375,7 +379,10 @@
     delay: Millis,
   ): Promise<Connection | undefined> {
     return new Promise((resolve) => {
-      const stopTimer = clock.startTimer(delay, () => resolve(undefined));
+      let stopTimer = clock.startTimer(delay, () => {
+        // A process short of processor time is late to see its connections.
+        stopTimer = clock.startTimer(HEDGE_GRACE, () => resolve(undefined));
+      });
       void direct.then((connection) => {
         stopTimer();
         resolve(connection);
--- a/packages/serving/src/endpoint_paths_test.ts
+++ b/packages/serving/src/endpoint_paths_test.ts
@@ -219,6 +219,21 @@
       .to.deep.equal({ outcome: "silent", took: TIMEOUT });
   });
 
+  // A caller must not wait for the time-outs of several endpoints if neither this
+  // entry nor a peer reaches any.
+  it("fail soon if the entry is detached and no peer helps", async () => {
+    const fleet = new PathFleet(8, 12);
+    fleet.cut(8, "silent");
+    for (let number = 0; number < 4; number++) {
+      await fleet.connectAll(
+        Array.from({ length: 8 }, (_, entry) => ({ entry, endpoint: number })),
+      );
+    }
+    const { outcome, took } = await fleet.connect(0, 7);
+    expect({ outcome, isSoon: took <= 400 })
+      .to.deep.equal({ outcome: "silent", isSoon: true });
+  });
+
   it("end at endpoints that the entry does not know", async () => {
     const fleet = new PathFleet(2, 1);
     const { signal } = new AbortController();
