--- a/soak/src/endpoint_signals_site_test.ts
+++ b/soak/src/endpoint_signals_site_test.ts
@@ -17,8 +17,15 @@
 const OBSERVATION_MS = 9_000;
 const GAP_MS = 12;
 
-/** Runs real entries with one signalling endpoint and no other fault. */
-async function collectIgnoredSignals(kind: FaultKind) {
+/** Requests for more than twice the room of brittle endpoints. */
+const BURST_GAP_MS = 6;
+const PLAIN_ENDPOINTS = [0, 1, 2];
+
+/** Runs real entries with signalling endpoints and no other fault. */
+async function collectIgnoredSignals(
+  kind: FaultKind,
+  { targets = [FIRST_PLAIN_ENDPOINT], gap = GAP_MS } = {},
+) {
   const folder = mkdtempSync(join(tmpdir(), "mangoreach-signals-"));
   const site = await startSoakSite({ entryCount: ENTRIES, folder });
   const results: CallResult[] = [];
@@ -26,17 +33,14 @@
     addresses: site.callerAddresses,
     onResult: (result) => results.push(result),
   });
-  void site.applyFault({
-    kind,
-    at: 0,
-    duration: DURATION_MS,
-    target: FIRST_PLAIN_ENDPOINT,
-  });
+  for (const target of targets) {
+    void site.applyFault({ kind, at: 0, duration: DURATION_MS, target });
+  }
   const pending: Promise<unknown>[] = [];
   const startedAt = Date.now();
   for (let count = 0; Date.now() - startedAt < OBSERVATION_MS; count++) {
     pending.push(caller.call(`${kind}-${count}`, "plain", "key-1"));
-    await sleep(GAP_MS);
+    await sleep(gap);
   }
   await Promise.all(pending);
   const requests = new Map(
@@ -50,11 +54,13 @@
   return { ignored, share: served / results.length };
 }
 
-describe("entries with a signalling endpoint, over real connections", () => {
+describe("entries with a signalling or silent endpoint, over real connections", () => {
   const KINDS: readonly FaultKind[] = [
     "endpoint_limited",
     "endpoint_paused",
     "endpoint_says_leaving",
+    "endpoint_brittle",
+    "endpoint_silent",
   ];
   for (const kind of KINDS) {
     // Its pool has two other endpoints, so nearly all requests must succeed.
@@ -64,4 +70,14 @@
       expect(share).to.be.at.least(0.98);
     }).timeout(30_000);
   }
+
+  // All of the pool have little room, and each entry would have some of its
+  // requests rejected at each of them.
+  it("make no brittle endpoint of a pool fall over in a burst", async () => {
+    const { ignored } = await collectIgnoredSignals("endpoint_brittle", {
+      targets: PLAIN_ENDPOINTS,
+      gap: BURST_GAP_MS,
+    });
+    expect(ignored).to.deep.equal([]);
+  }).timeout(30_000);
 });
