--- a/packages/coordination/src/brittle_allowance.ts
+++ b/packages/coordination/src/brittle_allowance.ts
@@ -8,6 +8,7 @@
  * its slots. An entry that is among them nowhere may send a single request to
  * one endpoint of its own. Shares of all entries would be below one request in a
  * large fleet.
+ *
  * An entry that was rejected all the same pauses, for as long as its share of
  * the tolerated rejections takes to recur.
  *
@@ -62,7 +63,7 @@
 
 /** The requests that entries may have in progress at an endpoint. */
 export interface RoomShares {
-  /** Entries that share most of the slots, by their rank. */
+  /** Entries that share the slots, by their rank. */
   senders: number;
   /** Requests of each of them in progress. */
   perSender: number;
--- a/packages/serving/src/endpoint_paths.ts
+++ b/packages/serving/src/endpoint_paths.ts
@@ -10,40 +10,24 @@
  * @module
  */
 import type { Socket } from "node:net";
-import type { EndpointInfo, PeerView } from "@mangoreach/coordination";
+import type { EndpointInfo } from "@mangoreach/coordination";
 import { sampleItems } from "@mangoreach/coordination";
 import type { TunnelFailure, TunnelTarget } from "@mangoreach/peers";
 import type {
-  Clock,
   Connect,
-  ConnectFault,
   ConnectOptions,
   Listening,
   Millis,
 } from "@mangoreach/shared";
 import { putBounded } from "@mangoreach/shared";
 import { Result } from "true-myth";
-import type { DecisionLog } from "./decision_log.ts";
+import type { Connection, PeerRelaysOptions } from "./peer_relays.ts";
+import { createPeerRelays } from "./peer_relays.ts";
 import type { RecordConnect } from "./pool_reach.ts";
 
-/** Opens a connection to an endpoint through the peer at a control address. */
-export type ConnectThrough = (
-  peer: string,
-  target: TunnelTarget,
-  options: ConnectOptions,
-) => Promise<Result<Socket, TunnelFailure>>;
-
 /** Options of {@linkcode createEndpointPaths}. */
-export interface EndpointPathsOptions {
-  clock: Clock;
-  /** Returns a number from 0 up to 1. */
-  random: () => number;
-  log: DecisionLog;
+export interface EndpointPathsOptions extends PeerRelaysOptions {
   connectDirectly: Connect;
-  connectThrough: ConnectThrough;
-  listPeers: () => readonly PeerView[];
-  /** Lists all endpoints that may be listening at an address. */
-  listAt: (address: string) => readonly EndpointInfo[];
   listEndpoints: () => readonly EndpointInfo[];
   /** Records the outcome of each direct connection. */
   recordConnect: RecordConnect;
@@ -64,8 +48,6 @@
   isDetached(): boolean;
 }
 
-type Connection = Result<Socket, ConnectFault>;
-
 /** A connection that takes longer than this is tried through a peer as well. */
 const HEDGE_DELAY: Millis = 180;
 const HEDGE_GRACE: Millis = 20;
@@ -73,14 +55,6 @@
 const DETACHED_AFTER = 2;
 /** Earlier failures say nothing about the present. */
 const FAILURE_TTL: Millis = 5_000;
-/** Peers that are asked for one connection at most. */
-const MAX_PEERS = 6;
-/** Peers that must confirm that an endpoint refuses connections. */
-const REFUSALS_TO_CONFIRM = 2;
-/** For this long, an endpoint that peers do not reach either is down. */
-const DOWN_TTL: Millis = 500;
-/** For this long, a peer that could not help is asked last. */
-const PEER_FAILURE_TTL: Millis = 2_000;
 /** How often a detached entry tries an endpoint directly. */
 const PROBE_INTERVAL: Millis = 500;
 const PROBE_TIMEOUT: Millis = 400;
@@ -96,14 +70,11 @@
 export function createEndpointPaths(
   options: EndpointPathsOptions,
 ): EndpointPaths {
-  const { clock, random, log, connectThrough, listAt, recordConnect } = options;
+  const { clock, random, log, listAt, recordConnect } = options;
   /** By address, when a direct connection failed last. */
   const failedAt = new Map<string, Millis>();
   let lastReachedAt = -Infinity;
-  /** By address, when peers did not reach the endpoint either. */
-  const downAt = new Map<string, Millis>();
-  /** By control address, when a peer could not help. */
-  const peerFailedAt = new Map<string, Millis>();
+  const relays = createPeerRelays(options);
   let detachedAt: Millis | undefined;
   let countForPeers = 0;
 
@@ -195,111 +166,6 @@
     return connection;
   }
 
-  /** Lists peers, those first that probably reach an endpoint in a place. */
-  function listRelays(place: string): string[] {
-    const rank = ({ record, health }: PeerView) => {
-      const { state, controlAddress } = record;
-      const hasFailed = isRecent(
-        peerFailedAt.get(controlAddress),
-        PEER_FAILURE_TTL,
-      );
-      return (hasFailed ? 8 : 0) + (health === "alive" ? 0 : 4) +
-        (state === "live" ? 0 : 2) + (record.place === place ? 0 : 1);
-    };
-    const usable = options.listPeers().filter(({ health, record }) =>
-      health !== "lost" && record.state !== "leaving"
-    );
-    return sampleItems(usable, { count: usable.length, random })
-      .map((view) => ({ view, rank: rank(view) }))
-      .sort((a, b) => a.rank - b.rank)
-      .slice(0, MAX_PEERS)
-      .map(({ view }) => view.record.controlAddress);
-  }
-
-  /**
-   * Tries peers in turn until one connects or some confirm a failure. The next
-   * one is tried as well if one takes long: its own path may be broken too.
-   */
-  function openThroughPeers(
-    address: string,
-    { timeout, signal }: ConnectOptions,
-  ): Promise<Connection> {
-    const [endpoint] = listAt(address);
-    const id = endpoint?.id ?? "";
-    const relays = listRelays(endpoint?.place ?? "");
-    const stop = new AbortController();
-    const abort = () => stop.abort();
-    signal?.addEventListener("abort", abort, { once: true });
-    if (signal?.aborted) abort();
-
-    return new Promise((resolve) => {
-      let running = 0;
-      let refusals = 0;
-      let stopTimer = () => {};
-      const stopTimeout = clock.startTimer(timeout, () => finishFailed());
-
-      function finish(connection: Connection): void {
-        stopTimer();
-        stopTimeout();
-        stop.abort();
-        signal?.removeEventListener("abort", abort);
-        resolve(connection);
-      }
-
-      function finishFailed(): void {
-        if (signal?.aborted) {
-          return finish(
-            Result.err({ failure: "aborted", message: "given up" }),
-          );
-        }
-        putBounded(downAt, [address, clock.now()], MAX_TRACKED);
-        finish(Result.err({
-          failure: refusals > 0 ? "refused" : "silent",
-          message: `no peer reaches ${address}`,
-        }));
-      }
-
-      function tryNext(): void {
-        stopTimer();
-        if (stop.signal.aborted) return;
-        const peer = relays.shift();
-        if (peer !== undefined) void tryPeer(peer);
-        else if (running === 0) finishFailed();
-      }
-
-      async function tryPeer(peer: string): Promise<void> {
-        running++;
-        stopTimer = clock.startTimer(HEDGE_DELAY, tryNext);
-        const tunnel = await connectThrough(peer, { id, address }, {
-          timeout,
-          signal: stop.signal,
-        });
-        running--;
-        if (stop.signal.aborted) {
-          if (tunnel.isOk) tunnel.value.destroy();
-          return;
-        }
-        if (tunnel.isOk) {
-          log.record("connection_relayed", { endpoint: id, address, peer });
-          return finish(Result.ok(tunnel.value));
-        }
-        if (tunnel.error === "unavailable") {
-          putBounded(peerFailedAt, [peer, clock.now()], MAX_TRACKED);
-        }
-        const isConfirmed = tunnel.error === "refused" &&
-          ++refusals >= REFUSALS_TO_CONFIRM;
-        if (isConfirmed) finishFailed();
-        else tryNext();
-      }
-
-      stop.signal.addEventListener("abort", () => {
-        if (signal?.aborted) finishFailed();
-      }, { once: true });
-      if (stop.signal.aborted) finishFailed();
-      else tryNext();
-    });
-  }
-
   /** Runs both ways at once; the first connection is used. */
   function openBothWays(
     address: string,
@@ -335,8 +201,8 @@
   ): Promise<Connection> {
     const { timeout, signal } = connectOptions;
     const startedAt = clock.now();
-    if (isPathBroken(address) && !isRecent(downAt.get(address), DOWN_TTL)) {
-      const relayed = await openThroughPeers(address, connectOptions);
+    if (isPathBroken(address) && !relays.isDown(address)) {
+      const relayed = await relays.connect(address, connectOptions);
       // Peers that reach the endpoint's host know best that it has ended.
       if (relayed.isOk || relayed.error.failure !== "silent") return relayed;
     }
@@ -350,7 +216,7 @@
     const ways = { timeout: left, signal: stop.signal };
     const direct = openDirectly(address, ways);
     const connection = await waitAtMost(direct, HEDGE_DELAY);
-    const result = connection?.isOk || isRecent(downAt.get(address), DOWN_TTL)
+    const result = connection?.isOk || relays.isDown(address)
       ? await direct
       : await openOtherWay(connection);
     signal?.removeEventListener("abort", abort);
@@ -361,7 +227,7 @@
       failed: Connection | undefined,
     ): Promise<Connection> {
       if (stop.signal.aborted) return await direct;
-      const relayed = openThroughPeers(address, {
+      const relayed = relays.connect(address, {
         ...ways,
         timeout: Math.max(1, timeout - (clock.now() - startedAt)),
       });
