fix(serving): a detached entry probes once at a time, and not after its stop

An entry that was attached and detached again within half a second had two series of probes, and they went on when it stopped. Nothing was seen of it; found in reading. The test fails without the signal (8 probes in 4 s after the stop).

--- a/packages/serving/src/endpoint_paths.ts
+++ b/packages/serving/src/endpoint_paths.ts
@@ -28,6 +28,8 @@
 /** Options of {@linkcode createEndpointPaths}. */
 export interface EndpointPathsOptions extends PeerRelaysOptions {
   connectDirectly: Connect;
+  /** Ends the probes. */
+  signal: AbortSignal;
   listEndpoints: () => readonly EndpointInfo[];
   /** Records the outcome of each direct connection. */
   recordConnect: RecordConnect;
@@ -70,7 +72,7 @@
 export function createEndpointPaths(
   options: EndpointPathsOptions,
 ): EndpointPaths {
-  const { clock, random, log, listAt, recordConnect } = options;
+  const { clock, random, log, listAt, recordConnect, signal } = options;
   /** By address, when a direct connection failed last. */
   const failedAt = new Map<string, Millis>();
   let lastReachedAt = -Infinity;
@@ -125,7 +127,7 @@
       outcome: "detached",
       failed: failed.length,
     });
-    void probeEndpoints();
+    void probeEndpoints(detachedAt);
   }
 
   /**
@@ -133,8 +135,8 @@
    * path works again. The first probe is sent at once: if the endpoints that
    * failed have ended, another one shows that this entry is not detached.
    */
-  async function probeEndpoints(): Promise<void> {
-    while (detachedAt !== undefined) {
+  async function probeEndpoints(since: Millis): Promise<void> {
+    while (detachedAt === since && !signal.aborted) {
       const endpoint = chooseProbed();
       if (endpoint !== undefined) {
         const connection = await openDirectly(endpoint.address, {
@@ -142,7 +144,7 @@
         });
         if (connection.isOk) return void connection.value.destroy();
       }
-      await clock.sleep(PROBE_INTERVAL);
+      await clock.sleep(PROBE_INTERVAL, signal);
     }
   }
 
--- a/packages/serving/src/endpoint_paths_test.ts
+++ b/packages/serving/src/endpoint_paths_test.ts
@@ -28,6 +28,9 @@
   readonly entries: readonly EndpointPaths[];
   readonly #cuts = new Map<number, PathState>();
   readonly #ended = new Map<string, PathState>();
+  readonly stop = new AbortController();
+  /** Direct connections that were tried. */
+  direct = 0;
   /** Tunnels that each entry opened for others. */
   readonly relayed: number[];
 
@@ -47,6 +50,7 @@
         clock: this.clock,
         random: () => random.realZeroToOneExclusive(),
         log: createSilentDecisionLog(),
+        signal: this.stop.signal,
         connectDirectly: this.#createConnect(number),
         connectThrough: async (peer, target, { signal }) => {
           await this.clock.sleep(ROUND_TRIP);
@@ -80,6 +84,7 @@
 
   #createConnect(entry: number): Connect {
     return async (address, { timeout, signal }) => {
+      this.direct++;
       const state = this.#ended.get(address) ?? this.#cuts.get(entry) ?? "open";
       await this.clock.sleep(
         state === "silent" ? timeout : ROUND_TRIP,
@@ -186,6 +191,29 @@
     expect(Math.max(...fleet.relayed)).to.equal(0);
   });
 
+  // A detached entry that stops or is attached again must not go on probing.
+  it("are probed while the entry is detached, and once at a time", async () => {
+    const fleet = new PathFleet(8, 12);
+    const counts: number[] = [];
+    const countProbes = async () => {
+      fleet.direct = 0;
+      await fleet.clock.advance(4_000);
+      counts.push(fleet.direct);
+    };
+    for (let round = 0; round < 3; round++) {
+      fleet.cut(1, "refused");
+      for (let number = 0; number < 3; number++) await fleet.connect(0, number);
+      if (round === 2) break;
+      fleet.heal();
+      await fleet.clock.advance(510);
+    }
+    await countProbes();
+    fleet.stop.abort();
+    await countProbes();
+    // Each takes a round trip besides the interval of half a second.
+    expect(counts).to.deep.equal([7, 0]);
+  });
+
   // If a crash of endpoints were taken for a broken path, their callers would
   // wait for peers each time.
   it("tell endpoints that have ended from a broken path", async () => {
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -261,6 +261,7 @@
     clock,
     random,
     log,
+    signal,
     connectDirectly: platform.connect,
     connectThrough: (peer, target, connectOptions) =>
       openTunnel(target, {
