--- a/packages/coordination/src/brittle_allowance.ts
+++ b/packages/coordination/src/brittle_allowance.ts
@@ -115,7 +115,7 @@
     }
     const endpoints = listUsable(pool);
     const isSender = endpoints.some((endpoint) => {
-      const { slots = UNKNOWN_SLOTS } = readRoom(endpoint);
+      const { slots } = readRoom(endpoint);
       return findRank(endpoint) < computeShares(endpoint, slots).senders;
     });
     const [home] = isSender ? [] : listByRendezvous(endpoints, {
@@ -126,12 +126,12 @@
     return home?.id;
   }
 
-  function readRoom(endpoint: EndpointInfo): EndpointRoom {
+  function readRoom(endpoint: EndpointInfo) {
     const load = inProgress.get(formatEndpointKey(endpoint)) ?? 0;
     const room = options.readRoom?.(endpoint);
     return {
       load: Math.max(load, room?.load ?? 0),
-      slots: room?.slots ?? endpoint.slots,
+      slots: room?.slots ?? endpoint.slots ?? UNKNOWN_SLOTS,
     };
   }
 
@@ -173,7 +173,7 @@
     const key = formatEndpointKey(endpoint);
     const rejectLimit = brittle.find(endpoint.pool);
     if (rejectLimit === undefined) return 0;
-    const { load, slots = UNKNOWN_SLOTS } = readRoom(endpoint);
+    const { load, slots } = readRoom(endpoint);
     const shares = computeShares(endpoint, slots);
     const max = computeMax(endpoint, { slots, shares });
     if (max === 0) return Infinity;
@@ -197,7 +197,7 @@
       else inProgress.delete(key);
       const rejectLimit = isRejected ? brittle.find(endpoint.pool) : undefined;
       if (rejectLimit === undefined) return;
-      const { slots = UNKNOWN_SLOTS } = readRoom(endpoint);
+      const { slots } = readRoom(endpoint);
       const shares = computeShares(endpoint, slots);
       buckets.take(key, computeRate(shares, rejectLimit));
     },
--- a/packages/peers/src/tunnel_test.ts
+++ b/packages/peers/src/tunnel_test.ts
@@ -1,9 +1,13 @@
 import type { Server } from "node:http";
 import { createServer as createHttpServer } from "node:http";
-import type { AddressInfo, Server as NetServer, Socket } from "node:net";
+import type { Server as NetServer, Socket } from "node:net";
 import { createServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { createHttpClient, openConnection } from "@mangoreach/shared";
+import {
+  createHttpClient,
+  openConnection,
+  readServerAddress,
+} from "@mangoreach/shared";
 import { expect } from "chai";
 import { Result } from "true-myth";
 import { acceptPeerConnections } from "./peer_connection_server.ts";
@@ -13,11 +17,6 @@
 
 const OK = "HTTP/1.1 200 OK\r\n";
 
-function readAddress(server: NetServer | Server): string {
-  const { address, port } = server.address() as AddressInfo;
-  return `${address}:${port}`;
-}
-
 describe("a tunnel through a peer", () => {
   let servers: (NetServer | Server)[] = [];
   let sockets: Socket[] = [];
@@ -46,7 +45,7 @@
       socket.on("error", () => {});
       socket.once("data", () => socket.write(text, () => end(socket)));
     });
-    return readAddress(await listen(server));
+    return readServerAddress(await listen(server));
   }
 
   async function startPeer(
@@ -67,7 +66,7 @@
           void serveTunnel(upgrade, connectForPeer),
       },
     });
-    return readAddress(server);
+    return readServerAddress(server);
   }
 
   function createClient(peer: string) {
@@ -150,7 +149,7 @@
     const other = await listen(
       createHttpServer((_, response) => response.writeHead(404).end()),
     );
-    expect(await call(readAddress(other), "127.0.0.1:1"))
+    expect(await call(readServerAddress(other), "127.0.0.1:1"))
       .to.equal("unreachable no");
   });
 
--- a/packages/serving/src/endpoint_paths.ts
+++ b/packages/serving/src/endpoint_paths.ts
@@ -22,7 +22,7 @@
 import { putBounded } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { Connection, PeerRelaysOptions } from "./peer_relays.ts";
-import { createPeerRelays } from "./peer_relays.ts";
+import { createPeerRelays, HEDGE_DELAY } from "./peer_relays.ts";
 import type { RecordConnect } from "./pool_reach.ts";
 
 /** Options of {@linkcode createEndpointPaths}. */
@@ -50,8 +50,7 @@
   isDetached(): boolean;
 }
 
-/** A connection that takes longer than this is tried through a peer as well. */
-const HEDGE_DELAY: Millis = 180;
+/** How much longer the direct way is waited for before peers are asked. */
 const HEDGE_GRACE: Millis = 20;
 /** Endpoints whose connections fail in a row until this entry is detached. */
 const DETACHED_AFTER = 2;
--- a/packages/serving/src/peer_relays.ts
+++ b/packages/serving/src/peer_relays.ts
@@ -51,8 +51,8 @@
 
 /** Peers that are asked for one connection at most. */
 const MAX_PEERS = 6;
-/** The next peer is asked as well if one takes longer than this. */
-const HEDGE_DELAY: Millis = 180;
+/** If one way or peer takes longer than this, the next is tried as well. */
+export const HEDGE_DELAY: Millis = 180;
 /** Peers that must confirm that an endpoint refuses connections. */
 const REFUSALS_TO_CONFIRM = 2;
 /** For this long, an endpoint that peers do not reach either is down. */
--- a/packages/shared/src/http_server.ts
+++ b/packages/shared/src/http_server.ts
@@ -13,7 +13,7 @@
   ServerResponse,
 } from "node:http";
 import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Server as NetServer } from "node:net";
 import { handleClientErrors } from "./client_errors.ts";
 
 /** An address to listen on: IP address and port; port 0 selects a free port. */
@@ -68,7 +68,7 @@
 }
 
 /** The `ip:port` that a started server listens on. */
-export function readServerAddress(server: Server): string {
+export function readServerAddress(server: NetServer): string {
   const { address, port } = server.address() as AddressInfo;
   return `${address}:${port}`;
 }
