feat(serving): log lines name versions of endpoints and resumed streams

Callers saw streams that held events of two software versions. No line of an entry named a version, and none told a request that resumes a stream from one that begins it, so that the hypotheses of the incident could not be told apart. The records of endpoints and the heads of requests are read accordingly; no decision uses them yet.

--- a/packages/coordination/src/endpoint.ts
+++ b/packages/coordination/src/endpoint.ts
@@ -18,6 +18,8 @@
   /** How much longer it stays cold, as of its report. */
   coldLeft?: Millis;
   pool: string;
+  /** Version of its software; missing if it does not say. */
+  version?: string;
   place: string;
   /** `ip:port`. */
   address: string;
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -34,6 +34,7 @@
   EndpointReply,
   ForwardedRequest,
   NotRunReason,
+  RequestHead,
 } from "./platform_interfaces.ts";
 import type { ServingState } from "./serving_state.ts";
 import type { StageResults } from "./stage_graph.ts";
@@ -372,6 +373,8 @@
     request: request.head.id,
     pool: admitted.pool,
     endpoint: endpoint.id,
+    version: endpoint.version,
+    resumes: formatResumed(request.head),
     load: load === undefined ? undefined : load.running + load.queued,
     left: deadline.remaining(),
     latency,
@@ -381,6 +384,11 @@
   return end;
 }
 
+/** Formats the stream that a request resumes for log lines. */
+export function formatResumed({ resumed }: RequestHead): string | undefined {
+  return resumed === undefined ? undefined : resumed.id ?? "unnamed";
+}
+
 function classifyFault(
   sent: "no" | "maybe",
   { message, deadline }: { message: string; deadline: Deadline },
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -14,6 +14,7 @@
   HeaderList,
   NotRunReason,
   RequestHead,
+  ResumedStream,
   Signalled,
   StageCall,
   StageEndpoints,
--- a/packages/serving/src/platform_interfaces.ts
+++ b/packages/serving/src/platform_interfaces.ts
@@ -18,6 +18,15 @@
 /** Header names and values, unchanged and in the order received. */
 export type HeaderList = readonly (readonly [name: string, value: string])[];
 
+/** The stream that a request resumes, of which its caller has some events. */
+export interface ResumedStream {
+  /**
+   * The id of the attempt that brought the first event; undefined if the caller
+   * does not name it.
+   */
+  id: string | undefined;
+}
+
 /** The decoded head of a caller's request. */
 export interface RequestHead {
   /** The id that the caller gave to this attempt. */
@@ -34,6 +43,8 @@
   /** The number of pieces for each stage, in the order of the stages. */
   pieceCounts: readonly number[];
   pieceKey: string | undefined;
+  /** Undefined if the request begins anew. */
+  resumed: ResumedStream | undefined;
   /** Headers that are forwarded to the endpoint unchanged. */
   forwardedHeaders: HeaderList;
 }
--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -12,6 +12,7 @@
 import {
   chooseEndpoint,
   computeRetryAfter,
+  formatResumed,
   readShortestWait,
   runAttempts,
   sumTokens,
@@ -229,6 +230,7 @@
     account: admitted?.account,
     priority: admitted?.priority,
     endpoint,
+    resumes: formatResumed(request.head),
     attempts,
     status,
     end,
--- a/packages/serving/src/site_state.ts
+++ b/packages/serving/src/site_state.ts
@@ -341,6 +341,7 @@
       pool: endpoint.pool,
       address: endpoint.address,
       incarnation: endpoint.incarnation,
+      version: endpoint.version,
       source: "instance_list",
       outcome: endpoint.state,
     });
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -125,6 +125,7 @@
     promptParts: [],
     pieceCounts: [],
     pieceKey: "key-1",
+    resumed: undefined,
     forwardedHeaders: [],
     ...change,
   };
