test(soak): resumed streams must hold events of one version

Real entries, endpoints that write their version into each event, callers that resume; the first entry stays, is killed or is frozen. Soak sites gain a pool of endpoints of several versions.

--- a/soak/src/endpoint_slot.ts
+++ b/soak/src/endpoint_slot.ts
@@ -14,8 +14,13 @@
 import { startServingEndpoint, startStageEndpoint } from "./soak_endpoints.ts";
 
 const HEARTBEAT_MS = 400;
+/** A released endpoint serves for this long after it has said that it leaves. */
+const RELEASE_MS = 2_500;
 /** Endpoints per pool, in the order that the `target` of a fault indexes. */
 const ENDPOINT_COUNTS = { plain: 3, stage: 2, engine: 1 };
+const FIRST_VERSION = "v1";
+/** The pool whose endpoints serve streams that may be resumed. */
+const CHAT_POOL = "chat";
 
 /** Index of the endpoint of a pool that runs in the place to evacuate. */
 const EVACUATED_INDEX = 2;
@@ -41,6 +46,13 @@
   signalLeaving(duration: number): Promise<void>;
   /** Announces that the endpoint is cold; resolves when it is warm again. */
   runCold(duration: number): Promise<void>;
+  /**
+   * Announces that the endpoint leaves, then replaces it by one of another
+   * version.
+   */
+  release(version: string): Promise<void>;
+  /** Publishes another version, or none, without another endpoint. */
+  publishVersion(version: string | undefined): void;
   close(): void;
 }
 
@@ -59,17 +71,37 @@
     Object.entries(ENDPOINT_COUNTS).flatMap(([pool, count]) =>
       Array.from(
         { length: count },
-        (_, index) => startSlot(store, { pool, index, logs }),
+        (_, index) =>
+          startSlot(store, { pool, index, logs, version: FIRST_VERSION }),
       )
     ),
   );
 }
 
+/** Starts endpoints of these versions that serve resumable streams. */
+export function startChatEndpoints(
+  store: TopicStore,
+  { versions, logs }: { versions: readonly string[]; logs: EndpointLogs },
+): Promise<EndpointSlot[]> {
+  return Promise.all(
+    versions.map((version, index) =>
+      startSlot(store, { pool: CHAT_POOL, index, logs, version })
+    ),
+  );
+}
+
 async function startSlot(
   store: TopicStore,
-  { pool, index, logs }: { pool: string; index: number; logs: EndpointLogs },
+  { pool, index, logs, version }: {
+    pool: string;
+    index: number;
+    logs: EndpointLogs;
+    version: string;
+  },
 ): Promise<EndpointSlot> {
-  const place = index === EVACUATED_INDEX ? EVACUATED_PLACE : "z";
+  const isEvacuated = pool !== CHAT_POOL && index === EVACUATED_INDEX;
+  const place = isEvacuated ? EVACUATED_PLACE : "z";
+  let published: string | undefined = version;
   let idSequence = 0;
   let isClosed = false;
   let state = "ready";
@@ -83,6 +115,7 @@
       ? startStageEndpoint(id, index)
       : startServingEndpoint(id, {
         ...logs,
+        version,
         startedAt,
         readSignals: () => signals,
       });
@@ -94,6 +127,7 @@
       service: pool,
       address: proxy.address,
       zone: place,
+      version: published,
       state,
       born: startedAt,
       coldLeftMs: Math.max(0, coldUntil - Date.now()),
@@ -158,6 +192,18 @@
       await sleep(duration);
       publishRecord();
     },
+    async release(next) {
+      state = "draining";
+      publishRecord();
+      await sleep(RELEASE_MS);
+      version = next;
+      published = next;
+      await startSuccessor();
+    },
+    publishVersion(next) {
+      published = next;
+      publishRecord();
+    },
     async leave() {
       state = "draining";
       publishRecord();
--- /dev/null
+++ b/soak/src/resumed_streams_site_test.ts
@@ -0,0 +1,163 @@
+import { mkdtempSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "chai";
+import type { PlannedFault } from "./soak_plan.ts";
+import type { SoakSite } from "./soak_site.ts";
+import { startSoakSite } from "./soak_site.ts";
+import type { ObservedStream, StreamCallOptions } from "./stream_callers.ts";
+import {
+  callStream,
+  countTries,
+  listStreamViolations,
+} from "./stream_callers.ts";
+
+const ENTRIES = 3;
+/** Time in which entries discover each other and an endpoint's version settles. */
+const DISCOVERY_MS = 4_500;
+const STREAMS = 24;
+const STREAM_GAP_MS = 60;
+const BREAK_AFTER = 3;
+/** A stream that cannot go on is refused within this time. */
+const REFUSAL_MS = 700;
+/** Share of tries that succeeds where nothing else is wrong. */
+const MIN_SERVED_SHARE = 0.9;
+
+interface Scenario {
+  name: string;
+  versions?: readonly string[];
+  /** Runs between the first try of the streams and the next. */
+  disturb?: (site: SoakSite) => Promise<void>;
+  chooseName?: StreamCallOptions["chooseName"];
+  /** Tries after the first one, each at the next entry. */
+  resumes?: number;
+}
+
+/** Lets the tries of all streams wait until a disturbance has taken effect. */
+function createGate(disturb: () => Promise<void>): () => Promise<void> {
+  let disturbed: Promise<void> | undefined;
+  return () => disturbed ??= disturb();
+}
+
+async function runScenario(
+  { versions, disturb, chooseName, resumes = 1 }: Scenario,
+): Promise<ObservedStream[]> {
+  const folder = mkdtempSync(join(tmpdir(), "mangoreach-streams-"));
+  const site = await startSoakSite({
+    entryCount: ENTRIES,
+    folder,
+    ...(versions === undefined ? {} : { chatVersions: versions }),
+  });
+  await sleep(DISCOVERY_MS);
+  const beforeResume = disturb && createGate(() => disturb(site));
+  const streams: Promise<ObservedStream>[] = [];
+  for (let count = 0; count < STREAMS; count++) {
+    // A disturbance hits the first entry; the streams go on at the others.
+    const first = disturb === undefined ? count : 0;
+    const entries = Array.from({ length: 1 + resumes }, (_, index) => {
+      const step = index * (1 + count % (ENTRIES - 1));
+      return site.callerAddresses[(first + step) % ENTRIES]!;
+    });
+    streams.push(callStream({
+      id: `s${count}`,
+      entries,
+      breakAfter: BREAK_AFTER,
+      ...(chooseName === undefined ? {} : { chooseName }),
+      ...(beforeResume === undefined ? {} : { beforeResume }),
+    }));
+    await sleep(STREAM_GAP_MS);
+  }
+  const ended = await Promise.all(streams);
+  await site.stop();
+  return ended;
+}
+
+function describeShare(sent: number, served: number): string {
+  return served >= MIN_SERVED_SHARE * sent
+    ? "served"
+    : served === 0
+    ? "none served"
+    : `${served} of ${sent} served`;
+}
+
+function describeStreams(streams: readonly ObservedStream[]) {
+  const { begun, resumed } = countTries(streams);
+  const slow = streams.flatMap(({ tries }) => tries)
+    .filter(({ status, sentAt, endedAt }) =>
+      status !== 200 && endedAt - sentAt > REFUSAL_MS
+    );
+  return {
+    violations: listStreamViolations(streams),
+    begun: describeShare(begun.sent, begun.served),
+    resumed: describeShare(resumed.sent, resumed.served),
+    slowRefusals: slow.length,
+  };
+}
+
+function createEntryFault(kind: PlannedFault["kind"], target: number) {
+  return { kind, at: 0, duration: 3_000, target } satisfies PlannedFault;
+}
+
+const GOES_ON = {
+  violations: [],
+  begun: "served",
+  resumed: "served",
+  slowRefusals: 0,
+};
+const REFUSED = { ...GOES_ON, resumed: "none served" };
+
+/** The entry that begins the streams is gone when they are resumed. */
+const FIRST_ENTRY_GONE: readonly Scenario[] = [
+  {
+    name: "killed",
+    disturb: async (site) => {
+      void site.applyFault(createEntryFault("entry_killed", 0));
+      await sleep(100);
+    },
+  },
+  {
+    name: "frozen",
+    disturb: async (site) => {
+      void site.applyFault(createEntryFault("entry_paused", 0));
+      await sleep(100);
+    },
+  },
+];
+
+describe("resumed streams, over real connections", () => {
+  // Callers would get a stream whose parts do not fit together.
+  it("hold events of one version while two versions serve", async () => {
+    const scenarios: readonly Scenario[] = [
+      { name: "one resume" },
+      { name: "three resumes, each naming the first try", resumes: 3 },
+      {
+        name: "three versions",
+        versions: ["v1", "v1", "v2", "v2", "v3", "v3"],
+      },
+      ...FIRST_ENTRY_GONE,
+    ];
+    const found: Record<string, unknown> = {};
+    await Promise.all(scenarios.map(async (scenario) => {
+      found[scenario.name] = describeStreams(await runScenario(scenario));
+    }));
+    expect(found).to.deep.equal(
+      Object.fromEntries(scenarios.map(({ name }) => [name, GOES_ON])),
+    );
+  }).timeout(60_000);
+
+  // What began where is not known, so that a wrong version might be chosen.
+  it("are refused at once if nothing tells their version", async () => {
+    const scenarios: readonly Scenario[] = [
+      { name: "no name", chooseName: () => undefined },
+      { name: "an unknown name", chooseName: () => "unknown" },
+    ];
+    const found: Record<string, unknown> = {};
+    await Promise.all(scenarios.map(async (scenario) => {
+      found[scenario.name] = describeStreams(await runScenario(scenario));
+    }));
+    expect(found).to.deep.equal(
+      Object.fromEntries(scenarios.map(({ name }) => [name, REFUSED])),
+    );
+  }).timeout(60_000);
+});
--- a/soak/src/soak_config.ts
+++ b/soak/src/soak_config.ts
@@ -68,10 +68,17 @@
         maxAttempts: 1,
         stages,
       }),
+      createRoute("chat", {
+        kind: "stream",
+        service: "chat",
+        maxAttempts: 2,
+        resumable: true,
+      }),
     ],
     services: [
       { name: "plain", maxConns: 100, ...cold },
       { name: "engine", maxConns: 100, engine, ...cold },
+      { name: "chat", maxConns: 100, engine },
       { name: "stage", maxConns: 100, pieces },
     ],
     limits: {
--- a/soak/src/soak_endpoints.ts
+++ b/soak/src/soak_endpoints.ts
@@ -33,6 +33,9 @@
 /** Events of a complete stream. */
 export const STREAM_EVENTS = 5;
 const EVENT_GAP_MS = 20;
+/** Events of a complete stream that may be resumed. */
+export const CHAT_EVENTS = 12;
+const CHAT_EVENT_GAP_MS = 40;
 const WORK_MS = 15;
 const SLOTS = 8;
 /** A brittle endpoint has little room and works slowly. */
@@ -54,6 +57,8 @@
 
 /** Options of {@linkcode startServingEndpoint}. */
 export interface ServingEndpointOptions {
+  /** Version of its software, which is the content of resumable streams. */
+  version: string;
   startedAt: number;
   runs: RunLog;
   /** Log of all requests that reach the endpoint, whether run or refused. */
@@ -79,7 +84,7 @@
 /** Starts an endpoint that serves plain requests and streams. */
 export async function startServingEndpoint(
   id: string,
-  { startedAt, runs, arrivals, readSignals }: ServingEndpointOptions,
+  { version, startedAt, runs, arrivals, readSignals }: ServingEndpointOptions,
 ): Promise<SoakEndpoint> {
   const endpoint = formatEndpointKey({ id, incarnation: String(startedAt) });
   let running = 0;
@@ -144,6 +149,10 @@
     await sleep(signals.brittle === undefined ? WORK_MS : BRITTLE.workMs);
     running--;
     arrival.respondedAt = Date.now();
+    if (path.startsWith("/chat/")) {
+      const lastEvent = readHeader(request, HEADER.lastEvent) ?? "0";
+      return await writeChat(response, { version, after: Number(lastEvent) });
+    }
     if (!path.startsWith("/draft/")) {
       return void response.end(computeBody(requestId));
     }
@@ -157,6 +166,20 @@
   return await startEndpoint(id, handle);
 }
 
+/** Writes the events of a stream after the one that the caller has. */
+async function writeChat(
+  response: ServerResponse,
+  { version, after }: { version: string; after: number },
+): Promise<void> {
+  response.setHeader("content-type", "text/event-stream");
+  for (let event = after + 1; event <= CHAT_EVENTS; event++) {
+    if (response.destroyed) return;
+    response.write(`id: ${event}\ndata: ${version}\n\n`);
+    await sleep(CHAT_EVENT_GAP_MS);
+  }
+  response.end();
+}
+
 /** Starts an endpoint that runs pieces; its results exist as long as it does. */
 export async function startStageEndpoint(
   id: string,
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -13,7 +13,11 @@
 import type { CutMode, EndpointCut } from "./endpoint_cuts.ts";
 import { CUT_MODES } from "./endpoint_cuts.ts";
 import type { EndpointSlot } from "./endpoint_slot.ts";
-import { EVACUATED_PLACE, startEndpoints } from "./endpoint_slot.ts";
+import {
+  EVACUATED_PLACE,
+  startChatEndpoints,
+  startEndpoints,
+} from "./endpoint_slot.ts";
 import type { EntryFaultSpan, ObservedArrival } from "./endpoint_signals.ts";
 import type { FaultProxy, ProxyMode } from "./fault_proxy.ts";
 import type { StoreMode, TopicStore } from "./topic_store.ts";
@@ -35,6 +39,8 @@
 export interface SoakSite {
   /** Addresses for callers: a proxy in front of each entry. */
   readonly callerAddresses: readonly string[];
+  /** Endpoints that serve resumable streams. */
+  readonly chatEndpoints: readonly EndpointSlot[];
   readonly runs: RunLog;
   /** All requests that reached plain endpoints and engines. */
   readonly arrivals: readonly ObservedArrival[];
@@ -84,6 +90,9 @@
 /** Maximum time from stopping an entry until its replacement has started. */
 const STOP_TIME_MS = 9_000;
 
+/** A release is halfway through: two endpoints serve of each version. */
+const CHAT_VERSIONS = ["v1", "v1", "v2", "v2"];
+
 const STOP_SIGNALS = {
   entry_killed: "SIGKILL",
   entry_stopped: "SIGTERM",
@@ -101,7 +110,12 @@
 
 /** Starts a site; resolves once all entries are ready. */
 export async function startSoakSite(
-  { entryCount, folder }: { entryCount: number; folder: string },
+  { entryCount, folder, chatVersions = CHAT_VERSIONS }: {
+    entryCount: number;
+    folder: string;
+    /** The version of each endpoint that serves resumable streams. */
+    chatVersions?: readonly string[];
+  },
 ): Promise<SoakSite> {
   mkdirSync(folder, { recursive: true });
   const runs: RunLog = new Map();
@@ -122,7 +136,12 @@
       createSoakConfig(version, { isRevoked: revokedAt !== undefined }),
     );
   publish();
-  const endpoints = await startEndpoints(store, { runs, arrivals });
+  const logs = { runs, arrivals };
+  const endpoints = await startEndpoints(store, logs);
+  const chatEndpoints = await startChatEndpoints(store, {
+    versions: chatVersions,
+    logs,
+  });
   const entries: Entry[] = [];
   for (let index = 0; index < entryCount; index++) {
     entries.push(await createEntry(`entry-${index}`, { store, folder }));
@@ -290,13 +309,14 @@
       callerProxy.close();
       storeProxy.close();
     }
-    endpoints.forEach((endpoint) => endpoint.close());
+    [...endpoints, ...chatEndpoints].forEach((endpoint) => endpoint.close());
     store.close();
     await sleep(50);
   }
 
   return {
     callerAddresses: entries.map(({ callerProxy }) => callerProxy.address),
+    chatEndpoints,
     runs,
     arrivals,
     entryFaults,
