fix(serving): resumed streams go on at the version that began them

Cause: the version of endpoints was not read at all, a continuation was routed like a new stream, and where a stream began was remembered nowhere, least of all at the entry that takes it up.

The first event of a stream fixes its origin: pool, endpoint, version. The entry remembers it and sends it to three keepers, chosen by rendezvous hashing; the first event waits for none of them. An entry that a caller resumes a stream at asks up to eight peers for what it doesn't remember, and sends the stream to endpoints of that version only, retries included. As an origin never changes, copies are alike or missing. If nobody remembers the stream, or it is not named, it goes on only where the pool has had a single version for longer than a caller waits, as watched here or by a peer with a fresh view; so streams that may be resumed begin at a new version only 2.5 s after it is known, while another version has room. All others are refused at once: not run, with a time to return only if a peer was silent or an endpoint has just gone. A version that changes under an id counts as unknown for a minute. Ids of two client accounts don't clash.

New streams prefer versions of which a second endpoint takes work: the other ones could not be resumed. A resumed stream comes one priority before those that have not begun.

The choice of an endpoint moved from attempt_loop.ts to a file of its own.

--- a/packages/coordination/src/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry.ts
@@ -69,6 +69,7 @@
     endpoints.set(endpoint.id, endpoint);
     const hasChanged = known === undefined || known.state !== endpoint.state ||
       known.address !== endpoint.address || known.pool !== endpoint.pool ||
+      known.version !== endpoint.version ||
       known.incarnation !== endpoint.incarnation;
     if (hasChanged) notifyChange();
     return hasChanged;
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -277,5 +277,25 @@
   PromptPart,
 } from "./engine_selector.ts";
 export { createEngineSelector } from "./engine_selector.ts";
+export type {
+  BegunStream,
+  StreamOrigin,
+  StreamOrigins,
+} from "./resumption/stream_origins.ts";
+export {
+  createStreamOrigins,
+  formatStreamKey,
+} from "./resumption/stream_origins.ts";
+export type {
+  PoolVersions,
+  VersionHistory,
+  VersionSighting,
+} from "./resumption/version_history.ts";
+export {
+  createVersionHistory,
+  findOnlyVersion,
+  MAX_HISTORY_AGE,
+  MAX_STREAM_LIFETIME,
+} from "./resumption/version_history.ts";
 export type { PlannedStage } from "./stage_plan.ts";
 export { computeStageTime, planStages } from "./stage_plan.ts";
--- a/packages/peers/src/peer_connection_test.ts
+++ b/packages/peers/src/peer_connection_test.ts
@@ -99,6 +99,8 @@
       readWaits: () => WAITS,
       releaseResults: () => {},
       reportRuns: () => ({ quarantined: [] }),
+      recordStreams: () => {},
+      findStream: () => ({ stream: null, history: [] }),
       readConfig: () => config,
       readTopics: () => Promise.resolve([]),
     };
--- a/packages/peers/src/serving_peers.ts
+++ b/packages/peers/src/serving_peers.ts
@@ -38,6 +38,12 @@
 } from "./piece_protocol.ts";
 import type { RunReport, RunReportReply } from "./run_protocol.ts";
 import { runReportReplySchema, runReportSchema } from "./run_protocol.ts";
+import type { StreamQuery, StreamReply, StreamRow } from "./stream_protocol.ts";
+import {
+  streamQuerySchema,
+  streamReplySchema,
+  streamRowsSchema,
+} from "./stream_protocol.ts";
 import type { ConnectForPeer } from "./tunnel.ts";
 import { serveTunnel, TUNNEL_PROTOCOL } from "./tunnel.ts";
 import type { TopicReply, TopicRequest } from "./topic_protocol.ts";
@@ -52,6 +58,9 @@
   releaseResults(release: ResultRelease): void;
   /** Counts runs of the contents that this entry is an aggregator for. */
   reportRuns(report: RunReport): RunReportReply;
+  /** Remembers streams that began at the peer. */
+  recordStreams(streams: readonly StreamRow[]): void;
+  findStream(query: StreamQuery): StreamReply;
   /**
    * The configuration in force here as it was published; null if there is
    * none.
@@ -71,6 +80,9 @@
 const readRelease = createMessageReader(releaseSchema);
 const readRunReport = createMessageReader(runReportSchema);
 const readRunReportReply = createMessageReader(runReportReplySchema);
+const readStreamRows = createMessageReader(streamRowsSchema);
+const readStreamQuery = createMessageReader(streamQuerySchema);
+const readStreamReply = createMessageReader(streamReplySchema);
 const readTopicRequests = createMessageReader(topicRequestsSchema);
 const readTopicReplies = createMessageReader(topicRepliesSchema);
 const readNull = createMessageReader(z.null());
@@ -89,6 +101,13 @@
       .query(({ input }) => handlers.readWaits(input)),
     reportRuns: peerProcedure.input(readRunReport)
       .mutation(({ input }) => handlers.reportRuns(input)),
+    recordStreams: peerProcedure.input(readStreamRows)
+      .mutation(({ input }) => {
+        handlers.recordStreams(input);
+        return null;
+      }),
+    findStream: peerProcedure.input(readStreamQuery)
+      .query(({ input }) => handlers.findStream(input)),
     readTopics: peerProcedure.input(readTopicRequests)
       .query(({ input }) => handlers.readTopics(input)),
     readConfig: peerProcedure.query(() => handlers.readConfig()),
@@ -186,6 +205,14 @@
     address: string,
     report: RunReport,
   ): Promise<Result<RunReportReply, Failure>>;
+  recordStreams(
+    address: string,
+    streams: readonly StreamRow[],
+  ): Promise<Result<null, Failure>>;
+  findStream(
+    address: string,
+    query: StreamQuery,
+  ): Promise<Result<StreamReply, Failure>>;
   /**
    * The configuration in force there as it was published; null if there is
    * none.
@@ -212,6 +239,9 @@
 /** Admission waits this long for the reply, and then proceeds without it. */
 const WAITS_TIMEOUT: Millis = 100;
 
+/** A caller that resumes a stream waits for the replies. */
+const STREAM_TIMEOUT: Millis = 200;
+
 /** An entry that has not replied by then is paused or unreachable. */
 const TOPIC_TIMEOUT_MARGIN: Millis = 300;
 
@@ -289,6 +319,24 @@
         read: readRunReportReply,
         timeout,
       }),
+    recordStreams: (address, streams) =>
+      request({
+        address,
+        path: "recordStreams",
+        type: "mutation",
+        input: [...streams],
+        read: readNull,
+        timeout,
+      }),
+    findStream: (address, query) =>
+      request({
+        address,
+        path: "findStream",
+        type: "query",
+        input: query,
+        read: readStreamReply,
+        timeout: STREAM_TIMEOUT,
+      }),
     readConfig: (address) =>
       request({
         address,
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -11,23 +11,20 @@
   Deadline,
   EndpointInfo,
   Failure,
-  PromptPart,
   Verdict,
 } from "@mangoreach/coordination";
-import {
-  createFailure,
-  formatEndpointKey,
-  hasWorkFactor,
-  listDrawnFirst,
-  readWorkFactor,
-  spreadRetryAfter,
-} from "@mangoreach/coordination";
+import { createFailure, formatEndpointKey } from "@mangoreach/coordination";
 import { readBodyBytes } from "@mangoreach/shared";
 import type { Millis } from "@mangoreach/shared";
 import type { CallerResponse } from "./caller_response.ts";
 import { forwardChunks } from "./chunk_forwarding.ts";
 import { isRetryable, scheduleEarlyRelease } from "./early_release.ts";
-import type { AttemptResult, EndpointLoad } from "./endpoint_load.ts";
+import {
+  computeRetryAfter,
+  sumTokens,
+  waitForEndpoint,
+} from "./endpoint_choice.ts";
+import type { AttemptResult } from "./endpoint_load.ts";
 import type { AdmittedRoute } from "./request_admission.ts";
 import type {
   EndpointAnswer,
@@ -88,127 +85,9 @@
  * which `maxAttempts` of the route does not count.
  */
 const MAX_ATTEMPTS = 4;
-/** The longest wait for room at brittle endpoints. */
-const MAX_ROOM_WAIT: Millis = 300;
-/** The longest wait as a share of the latency objective. */
-const MAX_ROOM_WAIT_SHARE = 0.5;
-const ROOM_CHECK_INTERVAL: Millis = 20;
 const MAX_ANSWER_BYTES = 8_388_608;
 const FIRST_FAILING_STATUS = 500;
 
-/** Returns the size of a request in prompt tokens, at least 1. */
-export function sumTokens(parts: readonly PromptPart[]): number {
-  return parts.reduce((sum, { tokens }) => sum + tokens, 1);
-}
-
-/**
- * Returns the best endpoint that may be sent the request now, if there is one.
- * Endpoints that are due for a probe of their limit come first.
- */
-export function chooseEndpoint(
-  {
-    clock,
-    directory,
-    loads,
-    membership,
-    findEngineChoice,
-    sendAllowance,
-    random,
-  }: ServingState,
-  { request, admitted, avoid }: {
-    request: ForwardedRequest;
-    admitted: AdmittedRoute;
-    avoid: readonly string[];
-  },
-): EndpointInfo | undefined {
-  const usable = directory.listUsable(admitted.pool)
-    .filter(({ id }) => !avoid.includes(id));
-  const inUse = loads.listHealthy(usable);
-  const engine = admitted.table.findPool(admitted.pool)?.engine;
-  const ranked = engine === undefined
-    ? rankByCost(inUse, {
-      ownPlace: membership.self.place,
-      // An engine works on a stream for seconds; the figure has changed by then.
-      usesFactors: admitted.route.kind !== "stream",
-      now: clock.now(),
-      random,
-    })
-    : findEngineChoice(admitted.pool)
-      .rank(request.head.promptParts, inUse, engine);
-  const isProbeDue = ({ info }: EndpointLoad) =>
-    sendAllowance.isProbeDue(info) && sendAllowance.maySend(info);
-  const chosen = ranked.find(isProbeDue) ??
-    ranked.find(({ info }) => sendAllowance.maySend(info));
-  return chosen?.info;
-}
-
-/**
- * Returns the time until some endpoint of a pool accepts a request, by the
- * limits and pauses that the endpoints reported.
- */
-export function readShortestWait(
-  { directory, sendAllowance }: Pick<
-    ServingState,
-    "directory" | "sendAllowance"
-  >,
-  pool: string,
-): Millis {
-  return sendAllowance.readShortestWait(directory.listUsable(pool));
-}
-
-/** Cost of an endpoint in another place, in requests in progress. */
-const OTHER_PLACE_COST = 0.5;
-
-function rankByCost(
-  endpoints: readonly EndpointLoad[],
-  { ownPlace, usesFactors, now, random }: {
-    ownPlace: string;
-    /** Whether the work factors that endpoints report count. */
-    usesFactors: boolean;
-    now: Millis;
-    random: () => number;
-  },
-): EndpointLoad[] {
-  const hasFactors = usesFactors &&
-    endpoints.some(({ report }) => hasWorkFactor(report, now));
-  const estimateCost = ({ info, load, slowdown, report }: EndpointLoad) => {
-    const factor = hasFactors ? readWorkFactor(report, now) : 1;
-    return (1 + load) * slowdown * factor +
-      (info.place === ownPlace ? 0 : OTHER_PLACE_COST);
-  };
-  const ranked = [...endpoints]
-    .sort((a, b) => estimateCost(a) - estimateCost(b));
-  return hasFactors ? listDrawnFirst(ranked, { estimateCost, random }) : ranked;
-}
-
-/**
- * Chooses an endpoint; waits a little if only room at brittle ones is missing.
- * It is found again within one request's time, sooner than the caller could
- * come back.
- */
-async function waitForEndpoint(
-  state: ServingState,
-  { request, admitted, deadline }: AttemptOptions,
-  avoid: readonly string[],
-): Promise<EndpointInfo | undefined> {
-  const { clock, directory, sendAllowance } = state;
-  const longest = Math.min(
-    MAX_ROOM_WAIT,
-    MAX_ROOM_WAIT_SHARE * admitted.route.objective,
-  );
-  const endAt = clock.now() + longest;
-  for (;;) {
-    const chosen = chooseEndpoint(state, { request, admitted, avoid });
-    if (chosen !== undefined || clock.now() >= endAt) return chosen;
-    const isRoomAwaited = directory.listUsable(admitted.pool)
-      .some((endpoint) =>
-        !avoid.includes(endpoint.id) && sendAllowance.isRoomAwaited(endpoint)
-      );
-    if (!isRoomAwaited || deadline.signal.aborted) return undefined;
-    await clock.sleep(ROOM_CHECK_INTERVAL, deadline.signal);
-  }
-}
-
 /** Makes attempts until one is answered or no further one is allowed. */
 export async function runAttempts(
   state: ServingState,
@@ -232,7 +111,7 @@
       runs < route.maxAttempts &&
       (runs === 0 || mayRepeat) && !deadline.signal.aborted;
     const endpoint = isAllowed
-      ? await waitForEndpoint(state, options, avoid)
+      ? await waitForEndpoint(state, { ...options, avoid })
       : undefined;
     const isWithinBudget = attempts === 0 || endpoint === undefined ||
       state.findBudget(pool).withdraw();
@@ -285,21 +164,12 @@
     verdict,
     message,
     ...(verdict === "not_run"
-      ? { retryAfterMs: computeRetryAfter(state, admitted.pool) }
+      ? { retryAfterMs: computeRetryAfter(state, admitted) }
       : {}),
   });
   return { failure, attempts, ...endpointField };
 }
 
-/**
- * Returns when the caller should retry, with jitter. An infinite wait counts as
- * none, as another entry may be able to send to the pool sooner than this one.
- */
-export function computeRetryAfter(state: ServingState, pool: string): Millis {
-  const wait = readShortestWait(state, pool);
-  return spreadRetryAfter(Number.isFinite(wait) ? wait : 0, state.random);
-}
-
 async function runAttempt(
   state: ServingState,
   options: AttemptOptions,
@@ -331,18 +201,27 @@
     state.handleSignals(source, answer.value);
   }
   let latency: Millis | undefined;
-  const recordLatency = () => {
+  const handleStarted = () => {
     const size = sumTokens(request.head.promptParts);
     latency = clock.now() - startedAt;
     const ratio = findDelays(admitted.pool).record(size, latency);
     loads.recordRatio(endpoint, ratio);
   };
+  const handleFirstEvent = () => {
+    handleStarted();
+    const { route, account } = admitted;
+    const { head } = request;
+    state.resumption.recordBegun({ head, route, account }, endpoint);
+  };
   const end = answer.isErr
     ? classifyFault(answer.error.sent, {
       message: answer.error.message,
       deadline,
     })
-    : await handleAnswer(options, answer.value, recordLatency);
+    : await handleAnswer(options, answer.value, {
+      handleStarted,
+      handleFirstEvent,
+    });
   loads.end(endpoint, end.load);
   const isRejected = end.kind === "lost" && end.reason === "full";
   // Connections above an endpoint's limit are reset.
@@ -402,10 +281,17 @@
   };
 }
 
+interface AnswerHandlers {
+  /** Called before the caller receives the first bytes. */
+  handleStarted: () => void;
+  /** Called instead before the caller receives the first event of a stream. */
+  handleFirstEvent: () => void;
+}
+
 async function handleAnswer(
   options: AttemptOptions,
   answer: EndpointAnswer,
-  recordLatency: () => void,
+  { handleStarted, handleFirstEvent }: AnswerHandlers,
 ): Promise<FinishedAttempt> {
   if (answer.kind === "not_run") {
     return {
@@ -427,8 +313,8 @@
   const isStream = options.admitted.route.kind === "stream" &&
     answer.status < 300;
   return isStream
-    ? await streamReply(options, answer, recordLatency)
-    : await sendBufferedReply(options, answer, recordLatency);
+    ? await streamReply(options, answer, handleFirstEvent)
+    : await sendBufferedReply(options, answer, handleStarted);
 }
 
 /**
@@ -438,7 +324,7 @@
 async function sendBufferedReply(
   { response, admitted, deadline }: AttemptOptions,
   reply: EndpointReply,
-  recordLatency: () => void,
+  handleStarted: () => void,
 ): Promise<FinishedAttempt> {
   const body = await readBodyBytes(reply.body, MAX_ANSWER_BYTES);
   if (body === undefined) {
@@ -447,7 +333,7 @@
       deadline,
     });
   }
-  recordLatency();
+  handleStarted();
   const { status, headers } = reply;
   const isFailure = status >= FIRST_FAILING_STATUS;
   if (isFailure && admitted.route.kind === "idempotent") {
@@ -467,11 +353,11 @@
 async function streamReply(
   { response, deadline, results }: AttemptOptions,
   { status, headers, body }: EndpointReply,
-  recordLatency: () => void,
+  handleFirstEvent: () => void,
 ): Promise<FinishedAttempt> {
   const end = await forwardChunks(body, (chunk) => {
     if (!response.isStarted) {
-      recordLatency();
+      handleFirstEvent();
       // The engine fetches the stage results before it processes the prompt,
       // so they are no longer needed after its first event.
       results?.release();
--- a/packages/serving/src/decision_log.ts
+++ b/packages/serving/src/decision_log.ts
@@ -13,6 +13,7 @@
   | "request_refused"
   | "request_failed"
   | "attempt_ended"
+  | "stream_resumed"
   | "run_broken"
   | "quarantine_changed"
   | "stage_ended"
--- /dev/null
+++ b/packages/serving/src/endpoint_choice_test.ts
@@ -0,0 +1,84 @@
+import type { Route } from "@mangoreach/coordination";
+import { createFakeClock } from "@mangoreach/shared";
+import { expect } from "chai";
+import { chooseEndpoint } from "./endpoint_choice.ts";
+import {
+  createTestEndpoint,
+  createTestHead,
+  createTestRoute,
+  createTestState,
+  createTestTable,
+} from "./test_support.ts";
+
+const RESUMABLE = { kind: "stream", isResumable: true } as const;
+const REQUEST = { head: createTestHead(), body: Buffer.alloc(0) };
+
+/** Sends as many requests as there are endpoints; returns where, in order. */
+async function listChosen(
+  versions: Record<string, string>,
+  { route = RESUMABLE, version, before = versions }: {
+    route?: Partial<Route>;
+    version?: string;
+    /** The versions that served before. */
+    before?: Record<string, string>;
+  } = {},
+): Promise<string[]> {
+  const clock = createFakeClock(0);
+  const state = createTestState(clock, {});
+  const listEndpoints = (present: Record<string, string>) =>
+    Object.entries(present).map(([id, named]) =>
+      createTestEndpoint(id, { version: named })
+    );
+  state.history.update(listEndpoints(before));
+  await clock.advance(10_000);
+  state.history.update(listEndpoints(versions));
+  state.directory.replaceAll(listEndpoints(versions));
+  const testRoute = createTestRoute(route);
+  const admitted = {
+    route: testRoute,
+    table: createTestTable([testRoute]),
+    pool: "pool",
+    ...(version === undefined ? {} : { version }),
+    account: undefined,
+    priority: 1,
+    rank: 17,
+  };
+  const avoid: string[] = [];
+  for (;;) {
+    const chosen = chooseEndpoint(state, { request: REQUEST, admitted, avoid });
+    if (chosen === undefined) return avoid;
+    avoid.push(chosen.id);
+  }
+}
+
+describe("choice by version", () => {
+  // A stream must not hold events of two versions.
+  it("sends a resumed stream to its version only", async () => {
+    const versions = { a: "v1", b: "v2", c: "v1" };
+    expect(await listChosen(versions, { version: "v1" }))
+      .to.deep.equal(["a", "c"]);
+  });
+
+  // If that endpoint went, the stream could not be resumed.
+  it("begins streams last where no other endpoint has the version", async () => {
+    const versions = { a: "v1", b: "v2", c: "v2" };
+    expect(await listChosen(versions)).to.deep.equal(["b", "c", "a"]);
+  });
+
+  // Other entries would take the version before for the only one.
+  it("begins streams last at a version that others may not know", async () => {
+    const versions = { a: "v2", b: "v2", c: "v1", d: "v1" };
+    const before = { c: "v1", d: "v1" };
+    expect(await listChosen(versions, { before }))
+      .to.deep.equal(["c", "d", "a", "b"]);
+  });
+
+  it("sends requests that can't be resumed to any version", async () => {
+    const versions = { a: "v1", b: "v2", c: "v2" };
+    const found = await Promise.all([
+      listChosen(versions, { route: { kind: "stream" } }),
+      listChosen(versions, { route: { kind: "idempotent" } }),
+    ]);
+    expect(found).to.deep.equal([["a", "b", "c"], ["a", "b", "c"]]);
+  });
+});
--- a/packages/serving/src/request_admission.ts
+++ b/packages/serving/src/request_admission.ts
@@ -15,6 +15,7 @@
 import { Result } from "true-myth";
 import type { RequestHead } from "./platform_interfaces.ts";
 import type { ServingState } from "./serving_state.ts";
+import type { ResumeTarget } from "./stream_resumption.ts";
 
 /** What a request was admitted to. */
 export interface AdmittedRoute {
@@ -22,6 +23,8 @@
   table: RouteTable;
   /** The pool that answers this request. */
   pool: string;
+  /** The only version of endpoints that may serve it; undefined if any may. */
+  version?: string;
   /** The client account; undefined on public routes or without accounts. */
   account: string | undefined;
   /** 0 is the highest. */
@@ -86,6 +89,19 @@
   return Result.ok({ route, table, pool, account: name, priority, rank });
 }
 
+/**
+ * Fixes the endpoints of a resumed stream. It comes before streams of its
+ * priority that have not begun: its caller has waited for part of it already.
+ */
+export function admitResumed(
+  admitted: AdmittedRoute,
+  { pool, version }: ResumeTarget,
+): AdmittedRoute {
+  const priority = Math.max(0, admitted.priority - 1);
+  const rank = Math.max(0, admitted.rank - ROUTE_PRIORITIES);
+  return { ...admitted, pool, version, priority, rank };
+}
+
 function computeRank(priority: number, routePriority: number): number {
   return priority * ROUTE_PRIORITIES +
     Math.min(ROUTE_PRIORITIES - 1, routePriority);
--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -9,17 +9,16 @@
 import type { Millis } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { AttemptOutcome } from "./attempt_loop.ts";
+import { formatResumed, runAttempts } from "./attempt_loop.ts";
 import {
   chooseEndpoint,
   computeRetryAfter,
-  formatResumed,
   readShortestWait,
-  runAttempts,
   sumTokens,
-} from "./attempt_loop.ts";
+} from "./endpoint_choice.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import type { AdmittedRoute } from "./request_admission.ts";
-import { admitRequest } from "./request_admission.ts";
+import { admitRequest, admitResumed } from "./request_admission.ts";
 import type { ForwardedRequest } from "./platform_interfaces.ts";
 import type { ServingState } from "./serving_state.ts";
 import { findInfeasible } from "./stage_admission.ts";
@@ -67,7 +66,7 @@
   if (response.disconnected.aborted) onDisconnected();
   const onShutdown = () => deadline.cancel("shutdown");
   state.shutdown.addEventListener("abort", onShutdown, { once: true });
-  const outcome = await runAdmittedRequest(state, context, {
+  const outcome = await runResumable(state, context, {
     admitted: admitted.value,
     deadline,
   });
@@ -84,6 +83,25 @@
   deadline: Deadline;
 }
 
+/** Finds out first where a resumed stream may go on. */
+async function runResumable(
+  state: ServingState,
+  context: RequestContext,
+  { admitted, deadline }: AdmittedRequest,
+): Promise<AttemptOutcome> {
+  const { head } = context.request;
+  const { route, account } = admitted;
+  if (head.resumed === undefined || route.kind !== "stream") {
+    return runAdmittedRequest(state, context, { admitted, deadline });
+  }
+  const target = await state.resumption.findTarget({ head, route, account });
+  if (target.isErr) return { failure: target.error, attempts: 0 };
+  return runAdmittedRequest(state, context, {
+    admitted: admitResumed(admitted, target.value),
+    deadline,
+  });
+}
+
 async function runAdmittedRequest(
   state: ServingState,
   context: RequestContext,
@@ -148,11 +166,11 @@
   // If no endpoint accepts the request by the time its stages end, running them
   // would be wasted, and the caller would wait just to be refused.
   const stageTime = Math.max(0, ...durations);
-  if (readShortestWait(state, admitted.pool) > stageTime) {
+  if (readShortestWait(state, admitted) > stageTime) {
     return Result.err(createFailure("unavailable", {
       verdict: "not_run",
       message: "no endpoint takes work",
-      retryAfterMs: computeRetryAfter(state, admitted.pool),
+      retryAfterMs: computeRetryAfter(state, admitted),
     }));
   }
   const place = chooseEndpoint(state, { request, admitted, avoid: [] })?.place;
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -16,6 +16,7 @@
   createElapsedEstimator,
   createEntryAllowance,
   createPoisonQuarantine,
+  createStreamOrigins,
   listKnownEntries,
   listSendingMembers,
 } from "@mangoreach/coordination";
@@ -55,6 +56,8 @@
 import { createServingMetrics } from "./serving_metrics.ts";
 import type { ServingEntryOptions } from "./serving_options.ts";
 import type { ServingState } from "./serving_state.ts";
+import { createStreamOriginGossip } from "./stream_origin_gossip.ts";
+import { createStreamResumption } from "./stream_resumption.ts";
 import { createRelayedSource } from "./relayed_source.ts";
 import { createSiteState } from "./site_state.ts";
 import {
@@ -177,7 +180,7 @@
       },
     },
   });
-  const { configAge, directory, readTable } = siteState;
+  const { configAge, directory, history, readTable } = siteState;
   const freshness = createConfigFreshness({
     clock,
     random,
@@ -257,6 +260,19 @@
     signal,
   });
 
+  const originGossip = createStreamOriginGossip({
+    clock,
+    origins: createStreamOrigins(clock),
+    history,
+    readEndpointAge: siteState.readEndpointAge,
+    membership,
+    send: peers.recordStreams,
+    query: async (address, query) => {
+      const reply = await peers.findStream(address, query);
+      return reply.isOk ? reply.value : undefined;
+    },
+  });
+
   const paths = createEndpointPaths({
     clock,
     random,
@@ -366,6 +382,14 @@
     accountShares: settings.accountShares,
     membership,
     directory,
+    history,
+    resumption: createStreamResumption({
+      log,
+      metrics,
+      gossip: originGossip,
+      history,
+      directory,
+    }),
     loads,
     sendAllowance: allowance,
     handleSignals,
@@ -416,6 +440,8 @@
       exchange: (message) => exchange.answer(message),
       runPieces: (run, stop) => runForPeer(run, stop),
       reportRuns: quarantineGossip.answer,
+      recordStreams: originGossip.handleRows,
+      findStream: originGossip.answer,
       readConfig: () => siteState.readPublished() ?? null,
       readTopics: (queries) => handleTopicRequests(siteState.relays, queries),
       readWaits: (query) =>
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -31,6 +31,7 @@
   countSignal(pool: string, signal: string): void;
   countUnreadLoad(pool: string): void;
   countUndecodable(topic: string): void;
+  countResumed(outcome: string): void;
   countConnect(pool: string, outcome: string): void;
   /** Sets the source of the use by client account, read when collected. */
   setAccountUse(listUse: () => readonly PartitionUse[]): void;
@@ -144,6 +145,13 @@
     registers,
   });
 
+  const resumed = new Counter({
+    name: "mangoreach_streams_resumed_total",
+    help: "Streams that callers resumed, by how they went on or why not",
+    labelNames: ["outcome"],
+    registers,
+  });
+
   let listUse: () => readonly PartitionUse[] = () => [];
   const addAccountGauge = (
     { name, help, read }: {
@@ -197,6 +205,7 @@
     countSignal: (pool, signal) => signals.inc({ pool, signal }),
     countUnreadLoad: (pool) => unreadLoads.inc({ pool }),
     countConnect: (pool, outcome) => connects.inc({ pool, outcome }),
+    countResumed: (outcome) => resumed.inc({ outcome }),
     countUndecodable: (topic) => undecodable.inc({ topic }),
     setAccountUse: (list) => listUse = list,
   };
--- a/packages/serving/src/serving_state.ts
+++ b/packages/serving/src/serving_state.ts
@@ -14,6 +14,7 @@
   RetryBudget,
   RouteTable,
   SendAllowance,
+  VersionHistory,
 } from "@mangoreach/coordination";
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { DecisionLog } from "./decision_log.ts";
@@ -22,6 +23,7 @@
 import type { CrashDetector } from "./crash_detector.ts";
 import type { SignalHandler } from "./endpoint_signals.ts";
 import type { CallEndpoint } from "./platform_interfaces.ts";
+import type { StreamResumption } from "./stream_resumption.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 
 /** State and components for serving requests. */
@@ -41,6 +43,9 @@
   accountShares: boolean;
   membership: Membership;
   directory: EndpointDirectory;
+  /** Versions of the endpoints that have served. */
+  history: VersionHistory;
+  resumption: StreamResumption;
   loads: EndpointLoads;
   sendAllowance: SendAllowance;
   /** Handles the back-pressure signals of an endpoint's answer. */
--- a/packages/serving/src/site_state.ts
+++ b/packages/serving/src/site_state.ts
@@ -14,6 +14,7 @@
   PlaceEvacuation,
   RouteTable,
   ServingConfig,
+  VersionHistory,
 } from "@mangoreach/coordination";
 import {
   createColdEndpoints,
@@ -22,6 +23,7 @@
   createEndpointRegistry,
   createPlaceEvacuation,
   createRouteTable,
+  createVersionHistory,
 } from "@mangoreach/coordination";
 import type { TopicName } from "@mangoreach/peers";
 import type { Clock, Logger, Millis } from "@mangoreach/shared";
@@ -79,6 +81,7 @@
   applyPublished(value: string): void;
   readonly configAge: DataAge;
   readonly directory: EndpointDirectory;
+  readonly history: VersionHistory;
   /** Whether an endpoint is cold, or may be cold. */
   isCold(endpoint: EndpointInfo): boolean;
   /** Returns how long ago the store confirmed the endpoints. */
@@ -198,12 +201,16 @@
     isEvacuated: evacuation.isEvacuated,
   });
 
+  const history = createVersionHistory(clock);
+
   const roster: EndpointRegistry = createEndpointRegistry({
     clock,
     recoveryGrace: RECOVERY_GRACE,
     onChange(endpoints) {
       byAddress = createAddressIndex(endpoints);
       directory.replaceAll(endpoints);
+      // Records of the first snapshot are applied one by one.
+      if (isEndpointsKnown) history.update(endpoints);
       metrics.setKnown("endpoints", endpoints.length);
       onEndpoints();
     },
@@ -285,6 +292,7 @@
   const endpointSink: TopicSink = {
     handleRestored() {
       roster.handleRestored();
+      history.handleGap();
       recordRestored("endpoints");
     },
     replaceAll(records) {
@@ -292,6 +300,8 @@
       endpoints.forEach(recordCold);
       roster.replaceAll(endpoints);
       isEndpointsKnown = true;
+      history.handleGap();
+      history.update(roster.list());
     },
     apply(record) {
       if (record.value === undefined) {
@@ -409,6 +419,7 @@
     applyPublished: (value) => applyConfig(value, "peer"),
     configAge,
     directory,
+    history,
     isCold: (endpoint) =>
       cold.isCold(endpoint) || evacuation.isReturning(endpoint.place),
     readEndpointAge: endpointAge.read,
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -21,6 +21,7 @@
   createMembership,
   createRetryBudget,
   createRouteTable,
+  createVersionHistory,
   formatEndpointKey,
 } from "@mangoreach/coordination";
 import type { FakeClock, HttpFaultKind } from "@mangoreach/shared";
@@ -302,6 +303,11 @@
       self: createTestPeer("entry"),
     }),
     directory: createEndpointDirectory({ clock, markTtl: 1_000 }),
+    history: createVersionHistory(clock),
+    resumption: {
+      recordBegun: () => {},
+      findTarget: () => Promise.reject(new Error("no streams")),
+    },
     loads: createEndpointLoads(clock),
     sendAllowance: createOpenAllowance(),
     handleSignals: () => {},
--- a/packages/serving/src/work_factor_test.ts
+++ b/packages/serving/src/work_factor_test.ts
@@ -5,7 +5,7 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import { MersenneTwister19937, Random } from "random-js";
-import { chooseEndpoint } from "./attempt_loop.ts";
+import { chooseEndpoint } from "./endpoint_choice.ts";
 import type { EndpointLoad } from "./endpoint_load.ts";
 import {
   createTestEndpoint,
--- a/soak/src/resumed_streams_site_test.ts
+++ b/soak/src/resumed_streams_site_test.ts
@@ -19,6 +19,8 @@
 const STREAMS = 24;
 const STREAM_GAP_MS = 60;
 const BREAK_AFTER = 3;
+/** Time in which all streams begin. */
+const BEGIN_MS = 3_000;
 /** A stream that cannot go on is refused within this time. */
 const REFUSAL_MS = 700;
 /** Share of tries that succeeds where nothing else is wrong. */
@@ -34,10 +36,21 @@
   resumes?: number;
 }
 
-/** Lets the tries of all streams wait until a disturbance has taken effect. */
+/**
+ * Lets streams wait until all have begun and a disturbance has taken effect. The
+ * first entry would not begin those that it gets later.
+ */
 function createGate(disturb: () => Promise<void>): () => Promise<void> {
   let disturbed: Promise<void> | undefined;
-  return () => disturbed ??= disturb();
+  let waiting = 0;
+  let notifyAllBegun = () => {};
+  const allBegun = new Promise<void>((resolve) => notifyAllBegun = resolve);
+  return async () => {
+    waiting++;
+    if (waiting === STREAMS) notifyAllBegun();
+    await Promise.race([allBegun, sleep(BEGIN_MS)]);
+    await (disturbed ??= disturb());
+  };
 }
 
 async function runScenario(
