feat(serving): where streams began outlives the entries in the store

A stream's origin was remembered by its entry and three keepers; after a restart of all entries nobody knew it, and every resumed stream of a pool with two versions was refused.

New scenarios of resumed_streams_site_test: all entries restarted, the store silent, the other entries just started, entries cut from endpoints, one of two endpoints of a version gone.

--- a/packages/peers/src/mod.ts
+++ b/packages/peers/src/mod.ts
@@ -37,7 +37,11 @@
   RunReportReply,
 } from "./run_protocol.ts";
 export type { StreamQuery, StreamReply, StreamRow } from "./stream_protocol.ts";
-export { MAX_POOL_VERSIONS, MAX_STREAM_ROWS } from "./stream_protocol.ts";
+export {
+  MAX_POOL_VERSIONS,
+  MAX_STREAM_ROWS,
+  streamRowsSchema,
+} from "./stream_protocol.ts";
 export type { TopicName, TopicReply, TopicRequest } from "./topic_protocol.ts";
 export type { ChannelFault } from "./frame_channel.ts";
 export type { PeerConnections } from "./peer_connection_server.ts";
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -27,6 +27,7 @@
   TopicSource,
 } from "./platform_interfaces.ts";
 export type { EncodeFailure } from "./caller_response.ts";
+export type { LoggedStreams, StreamStore } from "./stream_log.ts";
 export type { MemberStore } from "./member_registry.ts";
 export type { QuarantineRecord, QuarantineStore } from "./quarantine_store.ts";
 export type {
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -56,6 +56,7 @@
 import { createServingMetrics } from "./serving_metrics.ts";
 import type { ServingEntryOptions } from "./serving_options.ts";
 import type { ServingState } from "./serving_state.ts";
+import { createStreamLog } from "./stream_log.ts";
 import { createStreamOriginGossip } from "./stream_origin_gossip.ts";
 import { createStreamResumption } from "./stream_resumption.ts";
 import { createRelayedSource } from "./relayed_source.ts";
@@ -266,6 +267,13 @@
     history,
     readEndpointAge: siteState.readEndpointAge,
     membership,
+    streamLog: createStreamLog({
+      clock,
+      readWallTime,
+      log,
+      store: platform.streams,
+      countEntries: () => membership.list().length + 1,
+    }),
     send: peers.recordStreams,
     query: async (address, query) => {
       const reply = await peers.findStream(address, query);
--- a/packages/serving/src/serving_options.ts
+++ b/packages/serving/src/serving_options.ts
@@ -20,6 +20,7 @@
 import type { Result } from "true-myth";
 import type { EncodeFailure } from "./caller_response.ts";
 import type { MemberStore } from "./member_registry.ts";
+import type { StreamStore } from "./stream_log.ts";
 import type { QuarantineStore } from "./quarantine_store.ts";
 import type {
   CallEndpoint,
@@ -70,6 +71,8 @@
   decodeEndpoint: (record: TopicRecord) => Result<EndpointInfo, string>;
   members: MemberStore;
   quarantine: QuarantineStore;
+  /** Where streams began, for entries that start later. */
+  streams: StreamStore;
   /** Creates the clients of endpoints, which open connections by `connect`. */
   createEndpointClients: (connect: Connect) => EndpointClients;
   /** Opens a connection to an endpoint or a peer. */
--- a/packages/serving/src/stream_origin_gossip.ts
+++ b/packages/serving/src/stream_origin_gossip.ts
@@ -20,6 +20,7 @@
 import type { StreamQuery, StreamReply, StreamRow } from "@mangoreach/peers";
 import { MAX_POOL_VERSIONS, MAX_STREAM_ROWS } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
+import type { StreamLog } from "./stream_log.ts";
 
 /** Options of {@linkcode createStreamOriginGossip}. */
 export interface StreamOriginGossipOptions {
@@ -29,6 +30,8 @@
   /** Returns how long ago the store confirmed the endpoints. */
   readEndpointAge: () => Millis;
   membership: Pick<Membership, "list">;
+  /** Outlives all entries; other entries are faster. */
+  streamLog: StreamLog;
   /** Sends streams to a peer, which remembers them. */
   send: (address: string, rows: readonly StreamRow[]) => Promise<unknown>;
   /** Queries a peer; resolves with undefined if it did not reply. */
@@ -55,7 +58,7 @@
   /** Remembers the streams of a peer. */
   handleRows(rows: readonly StreamRow[]): void;
   answer(query: StreamQuery): StreamReply;
-  /** Asks peers unless this entry remembers the stream itself. */
+  /** Asks peers and the store for a stream that is not remembered here. */
   find(
     key: string | undefined,
     pools: readonly string[],
@@ -82,6 +85,7 @@
 
   function record(stream: BegunStream): void {
     origins.record(stream);
+    options.streamLog.write(encodeStream(stream));
     for (const { controlAddress } of listKeepers(stream.key)) {
       if (pending.size === 0) clock.startTimer(BATCH_WINDOW, sendPending);
       const rows = pending.get(controlAddress) ?? [];
@@ -144,10 +148,17 @@
       .slice(0, QUERIED_PEERS);
     const query = { key: key ?? null, pools: [...pools] };
     const replies = await queryUntilFound(peers, query);
-    return {
-      ...createKnowledge([own, ...replies]),
-      isPartial: replies.length < peers.length,
-    };
+    const known = createKnowledge([own, ...replies]);
+    if (known.origin !== undefined) return known;
+    const origin = key === undefined ? undefined : await findLogged(key);
+    return { ...known, origin, isPartial: replies.length < peers.length };
+  }
+
+  /** Finds a stream whose keepers have all gone. */
+  async function findLogged(key: string): Promise<StreamOrigin | undefined> {
+    const rows = await options.streamLog.readRows();
+    rows.map(decodeStream).forEach(origins.record);
+    return origins.find(key);
   }
 
   /** Resolves once a peer remembers the stream, or all have been asked. */
--- a/packages/serving/src/stream_origin_gossip_test.ts
+++ b/packages/serving/src/stream_origin_gossip_test.ts
@@ -12,6 +12,7 @@
 
 const DELIVERY: Millis = 5;
 const QUERY_TIMEOUT: Millis = 200;
+const NO_LOG = { write: () => {}, readRows: () => Promise.resolve([]) };
 const ORIGIN = { pool: "pool", endpoint: "a", version: "v1" };
 
 interface Fleet {
@@ -54,6 +55,7 @@
             age: 0,
           })).filter((_view, index) => index !== self),
       },
+      streamLog: NO_LOG,
       send: async (address, rows) => (await reach(address))?.handleRows(rows),
       query: async (address, query) => {
         const peer = await reach(address);
@@ -181,6 +183,7 @@
       history,
       readEndpointAge: () => endpointAge,
       membership: { list: () => [] },
+      streamLog: NO_LOG,
       send: () => Promise.resolve(),
       query: () => Promise.resolve(undefined),
     });
--- a/soak/src/resumed_streams_site_test.ts
+++ b/soak/src/resumed_streams_site_test.ts
@@ -21,6 +21,8 @@
 const BREAK_AFTER = 3;
 /** Time in which all streams begin. */
 const BEGIN_MS = 3_000;
+/** Time after which a restarted entry serves. */
+const RESTART_MS = 1_500;
 /** A stream that cannot go on is refused within this time. */
 const REFUSAL_MS = 700;
 /** Share of tries that succeeds where nothing else is wrong. */
@@ -108,10 +110,28 @@
   };
 }
 
+async function describeScenarios(scenarios: readonly Scenario[]) {
+  const found: Record<string, ReturnType<typeof describeStreams>> = {};
+  await Promise.all(scenarios.map(async (scenario) => {
+    found[scenario.name] = describeStreams(await runScenario(scenario));
+  }));
+  return found;
+}
+
 function createEntryFault(kind: PlannedFault["kind"], target: number) {
   return { kind, at: 0, duration: 3_000, target } satisfies PlannedFault;
 }
 
+/** Applies a fault to all entries at once; resolves once all serve again. */
+async function applyToAll(site: SoakSite, kind: PlannedFault["kind"]) {
+  await Promise.all(
+    site.callerAddresses.map((_, target) =>
+      site.applyFault({ ...createEntryFault(kind, target), duration: 100 })
+    ),
+  );
+  await sleep(RESTART_MS);
+}
+
 const GOES_ON = {
   violations: [],
   begun: "served",
@@ -138,6 +158,54 @@
   },
 ];
 
+/** What one entry knows is lost, or can't be read, when streams go on. */
+const KNOWLEDGE_LOST: readonly Scenario[] = [
+  {
+    name: "all entries restarted",
+    disturb: (site) => applyToAll(site, "entry_killed"),
+  },
+  {
+    name: "the store does not reply",
+    disturb: async (site) => {
+      void site.applyFault(createEntryFault("store_silent", 0));
+      await sleep(100);
+    },
+  },
+  {
+    name: "the other entries have just started",
+    disturb: async (site) => {
+      await Promise.all([1, 2].map((target) =>
+        site.applyFault({
+          ...createEntryFault("entry_killed", target),
+          duration: 100,
+        })
+      ));
+      await sleep(RESTART_MS);
+    },
+  },
+  {
+    name: "the entries reach no endpoint but through the first one",
+    disturb: async (site) => {
+      void site.applyCut({ mode: "reset", first: 1, count: 2 }, 3_000);
+      await sleep(100);
+    },
+  },
+  {
+    name: "one of two endpoints of a version leaves",
+    disturb: async (site) => {
+      void site.chatEndpoints[0]!.release("v2");
+      await sleep(1_000);
+    },
+  },
+  {
+    name: "one of two endpoints of a version crashes",
+    disturb: async (site) => {
+      void site.chatEndpoints[3]!.replace(3_000);
+      await sleep(1_000);
+    },
+  },
+];
+
 describe("resumed streams, over real connections", () => {
   // Callers would get a stream whose parts do not fit together.
   it("hold events of one version while two versions serve", async () => {
@@ -150,26 +218,25 @@
       },
       ...FIRST_ENTRY_GONE,
     ];
-    const found: Record<string, unknown> = {};
-    await Promise.all(scenarios.map(async (scenario) => {
-      found[scenario.name] = describeStreams(await runScenario(scenario));
-    }));
-    expect(found).to.deep.equal(
+    expect(await describeScenarios(scenarios)).to.deep.equal(
       Object.fromEntries(scenarios.map(({ name }) => [name, GOES_ON])),
     );
   }).timeout(60_000);
 
+  // The memory of an entry does not outlive it, and it may lose its sources.
+  it("go on where entries have restarted or are cut off", async () => {
+    expect(await describeScenarios(KNOWLEDGE_LOST)).to.deep.equal(
+      Object.fromEntries(KNOWLEDGE_LOST.map(({ name }) => [name, GOES_ON])),
+    );
+  }).timeout(60_000);
+
   // What began where is not known, so that a wrong version might be chosen.
   it("are refused at once if nothing tells their version", async () => {
     const scenarios: readonly Scenario[] = [
       { name: "no name", chooseName: () => undefined },
       { name: "an unknown name", chooseName: () => "unknown" },
     ];
-    const found: Record<string, unknown> = {};
-    await Promise.all(scenarios.map(async (scenario) => {
-      found[scenario.name] = describeStreams(await runScenario(scenario));
-    }));
-    expect(found).to.deep.equal(
+    expect(await describeScenarios(scenarios)).to.deep.equal(
       Object.fromEntries(scenarios.map(({ name }) => [name, REFUSED])),
     );
   }).timeout(60_000);
--- a/soak/src/topic_store.ts
+++ b/soak/src/topic_store.ts
@@ -49,6 +49,8 @@
 /** Delay after which operators rewrite records lost in a restore. */
 const REWRITE_MS = 500;
 const HEAD_BYTES = 16;
+/** Records of other topics have no keys; an append is one record here. */
+const KEYED_PREFIX = "keyed.";
 /** Two bytes of content, the first of which gives a key length of nine. */
 const UNREADABLE_RECORD = Buffer.from([0, 0, 0, 2, 9, 1]);
 
@@ -157,7 +159,9 @@
       return void response.writeHead(410).end("{}");
     }
     const records = topic.records.slice(from).map(({ bytes }) => bytes);
-    response.end(Buffer.concat([Buffer.alloc(HEAD_BYTES), ...records]));
+    const head = Buffer.alloc(HEAD_BYTES);
+    head.writeBigUInt64BE(BigInt(topic.records.length));
+    response.end(Buffer.concat([head, ...records]));
   }
 
   async function handleAppend(
@@ -166,6 +170,16 @@
     response: ServerResponse,
   ): Promise<void> {
     const appended = await readCompleteBody(request);
+    if (!name.startsWith(KEYED_PREFIX)) {
+      append(findTopic(name), {
+        bytes: appended,
+        key: "",
+        value: undefined,
+        writtenAt: Date.now(),
+      });
+      setEraHeader(response);
+      return void response.end("{}");
+    }
     const encoded = Buffer.concat([Buffer.alloc(HEAD_BYTES), appended]);
     const records = decodeRecords(encoded) ?? [];
     records.forEach(({ key, value }) => write(name, key, value));
