--- a/soak/src/endpoint_slot.ts
+++ b/soak/src/endpoint_slot.ts
@@ -51,8 +51,10 @@
    * version.
    */
   release(version: string): Promise<void>;
-  /** Publishes another version, or none, without another endpoint. */
-  publishVersion(version: string | undefined): void;
+  /** Replaces the endpoint by one of another version under the same id. */
+  upgrade(version: string): Promise<void>;
+  /** Publishes no version from now on. */
+  hideVersion(): void;
   close(): void;
 }
 
@@ -200,8 +202,14 @@
       published = next;
       await startSuccessor();
     },
-    publishVersion(next) {
+    async upgrade(next) {
+      endpoint.close();
+      version = next;
       published = next;
+      await startReplacement();
+    },
+    hideVersion() {
+      published = undefined;
       publishRecord();
     },
     async leave() {
--- a/soak/src/stream_callers.ts
+++ b/soak/src/stream_callers.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { Buffer } from "node:buffer";
 import { request } from "undici";
 import { HEADER } from "../../platform/src/wire_names.ts";
 import { CHAT_EVENTS } from "./soak_endpoints.ts";
@@ -64,6 +65,7 @@
     const resumes = firstId === undefined ? undefined : chooseName(firstId);
     const ended = await runTry({
       id: `${id}.${index}`,
+      session: Buffer.from(id).toString("hex"),
       resumes,
       entry,
       lastEvent,
@@ -79,8 +81,10 @@
 }
 
 async function runTry(
-  { id, resumes, entry, lastEvent, breakAfter }: {
+  { id, session, resumes, entry, lastEvent, breakAfter }: {
     id: string;
+    /** Hexadecimal; each session has a home among the endpoints. */
+    session: string;
     resumes: string | undefined;
     entry: string;
     lastEvent: number;
@@ -102,6 +106,7 @@
         authorization: "Bearer key-1",
         [HEADER.requestId]: id,
         [HEADER.deadline]: String(TRY_DEADLINE_MS),
+        [HEADER.promptParts]: `${session}:100,${session}ff:20`,
         ...resumeHeaders,
       },
       body: "question",
