--- a/packages/peers/src/exchange_loop_test.ts
+++ b/packages/peers/src/exchange_loop_test.ts
@@ -7,7 +7,7 @@
 import type { Membership, PeerRecord } from "@mangoreach/coordination";
 import { createMembership } from "@mangoreach/coordination";
 import type { FakeClock } from "@mangoreach/shared";
-import { createFakeClock } from "@mangoreach/shared";
+import { createFakeClock, createSharedController } from "@mangoreach/shared";
 import { expect } from "chai";
 import { MersenneTwister19937, Random } from "random-js";
 import { Result } from "true-myth";
@@ -46,7 +46,7 @@
   const clock: FakeClock = createFakeClock(0);
   const engine = new Random(MersenneTwister19937.seed(seed));
   const random = () => engine.real(0, 1);
-  const controller = new AbortController();
+  const controller = createSharedController();
   const peers = new Map<string, Peer>();
   const records = Array.from({ length: size }, (_, i) => createRecord(i));
 
--- a/packages/serving/src/endpoint_paths_test.ts
+++ b/packages/serving/src/endpoint_paths_test.ts
@@ -6,7 +6,7 @@
   FakeClock,
   Millis,
 } from "@mangoreach/shared";
-import { createFakeClock } from "@mangoreach/shared";
+import { createFakeClock, createSharedController } from "@mangoreach/shared";
 import { expect } from "chai";
 import { MersenneTwister19937, Random } from "random-js";
 import { Result } from "true-myth";
@@ -28,7 +28,7 @@
   readonly entries: readonly EndpointPaths[];
   readonly #cuts = new Map<number, PathState>();
   readonly #ended = new Map<string, PathState>();
-  readonly stop = new AbortController();
+  readonly stop = createSharedController();
   /** Direct connections that were tried. */
   direct = 0;
   /** Tunnels that each entry opened for others. */
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -4,7 +4,6 @@
  *
  * @module
  */
-import { setMaxListeners } from "node:events";
 import type { RequestListener } from "node:http";
 import type {
   PeerRecord,
@@ -32,6 +31,7 @@
 } from "@mangoreach/peers";
 import type { Millis } from "@mangoreach/shared";
 import {
+  createSharedController,
   createTaskSet,
   readServerAddress,
   startServer,
@@ -127,11 +127,9 @@
 ): Promise<ServingEntry> {
   const { settings, platform, clock, readWallTime, random } = options;
   const logger = options.logger.forPart("entry");
-  const controller = new AbortController();
+  const controller = createSharedController();
   const { signal } = controller;
-  // Each follower listens to the signal permanently; this is not a leak.
-  setMaxListeners(0, signal);
-  const shutdown = new AbortController();
+  const shutdown = createSharedController();
   const metrics = createServingMetrics(settings.entry);
   const log = createDecisionLog({
     clock,
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -25,6 +25,7 @@
   formatEndpointKey,
 } from "@mangoreach/coordination";
 import type { FakeClock, HttpFaultKind } from "@mangoreach/shared";
+import { createSharedController } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { CallerResponse } from "./caller_response.ts";
 import { createSilentDecisionLog } from "./decision_log.ts";
@@ -330,7 +331,7 @@
     findBudget: () => createRetryBudget({ share: 0, max: 10 }),
     findDelays: createDelayModel,
     findEngineChoice: () => createEngineSelector(clock),
-    shutdown: new AbortController().signal,
+    shutdown: createSharedController().signal,
     ...change,
   };
 }
--- a/packages/serving/src/topic_tree_replay_test.ts
+++ b/packages/serving/src/topic_tree_replay_test.ts
@@ -8,7 +8,7 @@
 import { createDataAge, createMembership } from "@mangoreach/coordination";
 import type { TopicName, TopicReply, TopicRequest } from "@mangoreach/peers";
 import type { FakeClock, Millis } from "@mangoreach/shared";
-import { createFakeClock } from "@mangoreach/shared";
+import { createFakeClock, createSharedController } from "@mangoreach/shared";
 import { expect } from "chai";
 import { MersenneTwister19937, Random } from "random-js";
 import { Result } from "true-myth";
@@ -68,7 +68,7 @@
   const clock = createFakeClock(0);
   const random = new Random(MersenneTwister19937.seed(seed));
   const randomReal = () => random.real(0, 1);
-  const controller = new AbortController();
+  const controller = createSharedController();
   const { signal } = controller;
   const calls: Millis[] = [];
   const calledAt = new Map<number, Millis>();
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -21,6 +21,7 @@
 } from "./connection.ts";
 export { openConnection } from "./connection.ts";
 export { endWithBody } from "./message_body.ts";
+export { createSharedController } from "./shared_controller.ts";
 export type { Subject } from "./subject.ts";
 export { createSubject } from "./subject.ts";
 export type { SettingsFault, SettingsSource } from "./settings.ts";
