feat(serving): resumed streams use the last endpoints of a version while they leave

When the last endpoints of a version leave, a stream that they began could go on nowhere, although they finish what they get for two seconds more. It is sent to them for 1.2 s from the earliest time at which they may have said that they leave, if no endpoint of the version stays.

How long a single version must have served before an unnamed stream goes on at it follows from how long its caller still waits: a stream cannot have begun earlier. With a timeout of 15 s it took 30 s, now 17 s for a caller that has waited 2 s.

--- a/packages/coordination/src/endpoint_directory.ts
+++ b/packages/coordination/src/endpoint_directory.ts
@@ -47,6 +47,11 @@
    * report.
    */
   isEvacuated?: (place: string) => boolean;
+  /**
+   * Returns how long before now a change in the instance list may have been
+   * made; by default, it is not known.
+   */
+  readListAge?: () => Millis;
 }
 
 /** The endpoints known to one entry. */
@@ -57,6 +62,11 @@
   markLeaving(endpointKey: string, evidence?: LeavingEvidence): boolean;
   /** Lists the endpoints of `pool` that accept new work. */
   listUsable(pool: string): EndpointInfo[];
+  /**
+   * Lists the endpoints of `pool` that have been leaving for `maxAge` at most;
+   * they still finish requests.
+   */
+  listLeaving(pool: string, maxAge: Millis): EndpointInfo[];
   /** Lists all endpoints in the instance list. */
   listAll(): EndpointInfo[];
   /** Selects the most recent marks for peers, at most `limit`. */
@@ -75,11 +85,30 @@
 
 /** Creates an empty directory. */
 export function createEndpointDirectory(
-  { clock, markTtl, isEvacuated = () => false }: EndpointDirectoryOptions,
+  { clock, markTtl, isEvacuated = () => false, readListAge = () => Infinity }:
+    EndpointDirectoryOptions,
 ): EndpointDirectory {
   let endpoints: readonly EndpointInfo[] = [];
   /** By endpoint key. */
   const marks = new Map<string, Mark>();
+  /** The earliest time at which each leaving endpoint may have begun to leave. */
+  let leavingSince = new Map<string, Millis>();
+
+  function replaceAll(next: readonly EndpointInfo[]): void {
+    endpoints = next;
+    const known = leavingSince;
+    leavingSince = new Map(
+      next.filter(({ state }) => state === "leaving").map((endpoint) => {
+        const key = formatEndpointKey(endpoint);
+        return [key, known.get(key) ?? clock.now() - readListAge()];
+      }),
+    );
+  }
+
+  function mayWork(endpoint: EndpointInfo, pool: string): boolean {
+    return endpoint.pool === pool && !isEvacuated(endpoint.place) &&
+      !isMarked(formatEndpointKey(endpoint));
+  }
 
   function isMarked(endpointKey: string): boolean {
     const mark = marks.get(endpointKey);
@@ -121,16 +150,20 @@
   }
 
   return {
-    replaceAll(next) {
-      endpoints = next;
-    },
+    replaceAll,
     markLeaving,
     listUsable: (pool) =>
       endpoints.filter((endpoint) =>
-        endpoint.pool === pool && endpoint.state === "live" &&
-        !isEvacuated(endpoint.place) &&
-        !isMarked(formatEndpointKey(endpoint))
+        endpoint.state === "live" && mayWork(endpoint, pool)
       ),
+    listLeaving(pool, maxAge) {
+      const earliest = clock.now() - maxAge;
+      return endpoints.filter((endpoint) => {
+        const since = leavingSince.get(formatEndpointKey(endpoint));
+        return since !== undefined && since >= earliest &&
+          mayWork(endpoint, pool);
+      });
+    },
     listAll: () => [...endpoints],
     chooseLeavingMarks,
   };
--- a/packages/coordination/src/endpoint_directory_test.ts
+++ b/packages/coordination/src/endpoint_directory_test.ts
@@ -96,4 +96,32 @@
     expect(listIds()).to.deep.equal(["e1", "e2"]);
     expect(directory.markLeaving(key, { age: 1_100 })).to.equal(false);
   });
+
+  // An endpoint that leaves must get no requests 2 s later, counted from when it
+  // said so; the list is read some time after that.
+  it("lists endpoints that have just begun to leave", async () => {
+    const clock = createFakeClock(10_000);
+    let listAge = Infinity;
+    const directory = createEndpointDirectory({
+      clock,
+      markTtl: 1_000,
+      readListAge: () => listAge,
+    });
+    const leaving = { state: "leaving" } as const;
+    const listLeaving = () =>
+      directory.listLeaving("encoder", 1_000).map(({ id }) => id);
+    directory.replaceAll([endpoint("e1", leaving), endpoint("e2")]);
+    const found = [listLeaving()];
+    listAge = 400;
+    const all = ["e1", "e2", "e3"].map((id) => endpoint(id, leaving));
+    directory.replaceAll(all);
+    directory.markLeaving(formatEndpointKey(endpoint("e3")), { isSaid: true });
+    found.push(listLeaving());
+    await clock.advance(600);
+    directory.replaceAll(all);
+    found.push(listLeaving());
+    await clock.advance(1);
+    found.push(listLeaving());
+    expect(found).to.deep.equal([[], ["e2"], ["e2"], []]);
+  });
 });
--- a/packages/serving/src/endpoint_choice.ts
+++ b/packages/serving/src/endpoint_choice.ts
@@ -26,6 +26,8 @@
 /** The longest wait as a share of the latency objective. */
 const MAX_ROOM_WAIT_SHARE = 0.5;
 const ROOM_CHECK_INTERVAL: Millis = 20;
+/** An endpoint that leaves gets no requests after 2 s. */
+const MAX_LEAVING_AGE: Millis = 1_200;
 
 /** What the choice of an endpoint depends on. */
 export interface ChoiceOptions {
@@ -75,15 +77,22 @@
   return chosen?.info;
 }
 
-/** Lists the endpoints of the pool, and of the version if it is fixed. */
+/**
+ * Lists the endpoints of the pool. If the version is fixed, those of it, which
+ * are those that have just begun to leave if no others are left.
+ */
 export function listUsable(
   { directory, history }: Pick<ServingState, "directory" | "history">,
   { pool, version }: Pick<AdmittedRoute, "pool" | "version">,
 ): EndpointInfo[] {
   const usable = directory.listUsable(pool);
-  return version === undefined
-    ? usable
-    : usable.filter((endpoint) => history.readVersion(endpoint) === version);
+  if (version === undefined) return usable;
+  const isOfVersion = (endpoint: EndpointInfo) =>
+    history.readVersion(endpoint) === version;
+  const staying = usable.filter(isOfVersion);
+  return staying.length > 0
+    ? staying
+    : directory.listLeaving(pool, MAX_LEAVING_AGE).filter(isOfVersion);
 }
 
 /** Whether the request begins a stream that its caller may resume later. */
--- a/packages/serving/src/endpoint_choice_test.ts
+++ b/packages/serving/src/endpoint_choice_test.ts
@@ -1,7 +1,8 @@
 import type { Route } from "@mangoreach/coordination";
+import { createEndpointDirectory } from "@mangoreach/coordination";
 import { createFakeClock } from "@mangoreach/shared";
 import { expect } from "chai";
-import { chooseEndpoint } from "./endpoint_choice.ts";
+import { chooseEndpoint, listUsable } from "./endpoint_choice.ts";
 import {
   createTestEndpoint,
   createTestHead,
@@ -59,6 +60,35 @@
       .to.deep.equal(["a", "c"]);
   });
 
+  // The last endpoints of a version finish what they get within two seconds.
+  it("sends a resumed stream to endpoints that leave if no others stay", () => {
+    const clock = createFakeClock(0);
+    const directory = createEndpointDirectory({
+      clock,
+      markTtl: 1_000,
+      readListAge: () => 0,
+    });
+    const state = createTestState(clock, { directory });
+    const endpoints = (["live", "leaving", "live"] as const).map(
+      (endpointState, index) =>
+        createTestEndpoint(`e${index}`, {
+          state: endpointState,
+          version: `v${Math.ceil(index / 2)}`,
+        }),
+    );
+    state.history.update(endpoints);
+    directory.replaceAll(endpoints);
+    const listIds = (version?: string) =>
+      listUsable(state, {
+        pool: "pool",
+        ...(version === undefined ? {} : { version }),
+      }).map(({ id }) => id);
+    expect([listIds(), listIds("v0"), listIds("v1")])
+      .to.deep.equal([["e0", "e2"], ["e0"], ["e2"]]);
+    directory.replaceAll(endpoints.slice(0, 2));
+    expect(listIds("v1")).to.deep.equal(["e1"]);
+  });
+
   // If that endpoint went, the stream could not be resumed.
   it("begins streams last where no other endpoint has the version", async () => {
     const versions = { a: "v1", b: "v2", c: "v2" };
--- a/packages/serving/src/site_state.ts
+++ b/packages/serving/src/site_state.ts
@@ -199,6 +199,8 @@
     clock,
     markTtl: LEAVING_MARK_TTL,
     isEvacuated: evacuation.isEvacuated,
+    // A change is applied before the read that brought it counts.
+    readListAge: endpointAge.read,
   });
 
   const history = createVersionHistory(clock);
--- a/packages/serving/src/stream_resumption.ts
+++ b/packages/serving/src/stream_resumption.ts
@@ -20,6 +20,7 @@
 import type { Millis } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { DecisionLog } from "./decision_log.ts";
+import { listUsable } from "./endpoint_choice.ts";
 import type { RequestHead } from "./platform_interfaces.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 import type {
@@ -33,7 +34,7 @@
   metrics: ServingMetrics;
   gossip: Pick<StreamOriginGossip, "record" | "find">;
   history: VersionHistory;
-  directory: Pick<EndpointDirectory, "listUsable">;
+  directory: EndpointDirectory;
 }
 
 /** A request of a stream that may be resumed. */
@@ -69,6 +70,8 @@
 /** Callers wait for a stream for at most about twice the timeout of a route. */
 const LIFETIME_FACTOR = 2;
 const MIN_LIFETIME: Millis = 10_000;
+/** Endpoints that are gone from the list serve for some seconds. */
+const MIN_PERIOD: Millis = 5_000;
 /** A peer that is short of processor time or frozen may answer by then. */
 const RETRY_AFTER_PARTIAL: Millis = 300;
 /** An endpoint that crashed may be replaced by one of its version by then. */
@@ -106,7 +109,7 @@
       id === undefined ? undefined : formatStreamKey({ account, id }),
       pools,
     );
-    const found = chooseTarget(knowledge, route);
+    const found = chooseTarget(knowledge, request);
     const outcome = typeof found === "string" ? found : checkTarget(found);
     const target = typeof found === "string" ? undefined : found;
     metrics.countResumed(outcome);
@@ -126,7 +129,7 @@
 
   function chooseTarget(
     { origin, histories }: StreamKnowledge,
-    route: Route,
+    { route, head: { budget } }: StreamRequest,
   ): FoundTarget | ResumeOutcome {
     if (origin !== undefined) {
       const { pool, endpoint, version } = origin;
@@ -141,7 +144,7 @@
     const [only, ...others] = route.pools;
     if (only === undefined || others.length > 0) return "unknown";
     const { pool } = only;
-    const period = computeLifetime(route);
+    const period = computePeriod(route, budget);
     for (const versions of histories) {
       const seen = versions.get(pool);
       const version = seen && findOnlyVersion(seen, period);
@@ -154,9 +157,8 @@
 
   /** A version of which no endpoint takes work can't go on. */
   function checkTarget({ pool, version, outcome }: FoundTarget): ResumeOutcome {
-    const isServed = directory.listUsable(pool)
-      .some((endpoint) => history.readVersion(endpoint) === version);
-    return isServed ? outcome : "version_gone";
+    const usable = listUsable({ directory, history }, { pool, version });
+    return usable.length > 0 ? outcome : "version_gone";
   }
 
   function explainRefusal(
@@ -205,3 +207,14 @@
     Math.max(MIN_LIFETIME, LIFETIME_FACTOR * timeout),
   );
 }
+
+/**
+ * Returns the longest time since the first event of a stream that its caller
+ * still awaits for `budget`.
+ */
+function computePeriod({ timeout }: Route, budget: Millis): Millis {
+  const total = LIFETIME_FACTOR * timeout;
+  // A caller that names no deadline may have begun at any time before.
+  const left = Number.isFinite(budget) ? Math.min(budget, timeout) : 0;
+  return Math.min(MAX_STREAM_LIFETIME, Math.max(MIN_PERIOD, total - left));
+}
