test(soak): streams that callers resume, releases and restarts of all entries

Each soak run has an engine pool whose endpoints change between three versions, and callers that resume streams at the next entry up to three times. No stream may hold events of two versions; after the last fault, resumed streams of a version with two endpoints must go on at least half as often as new ones begin.

--- a/soak/src/endpoint_slot.ts
+++ b/soak/src/endpoint_slot.ts
@@ -32,6 +32,8 @@
   readonly proxy: FaultProxy;
   readonly pool: string;
   readonly place: string;
+  /** Version of the endpoint's software. */
+  readVersion(): string;
   /** Key of the current endpoint, which differs for each incarnation. */
   readKey(): string;
   /** Kills the endpoint; another starts at the same address after `duration` ms. */
@@ -161,6 +163,7 @@
     proxy,
     pool,
     place,
+    readVersion: () => version,
     readKey: () =>
       formatEndpointKey({
         id: endpoint.id,
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -64,10 +64,11 @@
         entryCount: Number(values.entries),
         folder: join(folder, String(seed)),
       });
-      const { requests, served, faults, violations } = result;
+      const { requests, served, resumed, faults, violations } = result;
       if (violations.length > 0) failed++;
       process.stdout.write(
         `seed ${seed}: ${faults} faults, ${served} of ${requests} served, ` +
+          `${resumed.served} of ${resumed.sent} streams went on, ` +
           `${violations.length} violations\n` +
           violations.slice(0, 10).map((line) => `  ${line}\n`).join(""),
       );
--- a/soak/src/regression_seeds.ts
+++ b/soak/src/regression_seeds.ts
@@ -69,7 +69,7 @@
   },
   {
     seed: 510_003,
-    kinds: "all",
+    kinds: "paths",
     cause:
       "a fault of the check: an endpoint announced its leaving while the store " +
       "failed and lost it, and the store was silent soon after",
--- a/soak/src/soak_plan.ts
+++ b/soak/src/soak_plan.ts
@@ -44,7 +44,15 @@
   /** An endpoint reports that it falls over if it rejects too many requests. */
   | "endpoint_brittle"
   /** A sound endpoint does not respond for a second, and goes on. */
-  | "endpoint_silent";
+  | "endpoint_silent"
+  /** An endpoint of resumable streams leaves; one of another version follows. */
+  | "chat_released"
+  /** An endpoint of resumable streams crashes; one of its version follows. */
+  | "chat_killed"
+  /** All connections of callers to an entry are reset. */
+  | "callers_reset"
+  /** All entries are killed at once. */
+  | "entries_killed";
 
 /** One scheduled fault. */
 export interface PlannedFault {
@@ -98,16 +106,26 @@
   "endpoint_brittle",
   "endpoint_silent",
 ];
+const VERSION_KINDS: readonly FaultKind[] = [
+  "chat_released",
+  "chat_released",
+  "chat_killed",
+  "callers_reset",
+  "callers_reset",
+  "entries_killed",
+];
 const SECOND_SEED_OFFSET = 1_000_003;
 const THIRD_SEED_OFFSET = 2_000_003;
 const SIGNAL_SEED_OFFSET = 3_000_003;
 const PATH_SEED_OFFSET = 4_000_003;
+const VERSION_SEED_OFFSET = 5_000_003;
 /** One fault per half second on average, so that faults overlap. Milliseconds. */
 const FIRST_MEAN_GAP = 500;
 const SECOND_MEAN_GAP = 1_500;
 const THIRD_MEAN_GAP = 2_000;
 const SIGNAL_MEAN_GAP = 1_500;
 const PATH_MEAN_GAP = 2_000;
+const VERSION_MEAN_GAP = 1_200;
 const MIN_DURATION = 200;
 const MAX_DURATION = 1_800;
 /** Kinds that must not happen twice: there is one key and one spare endpoint. */
@@ -116,10 +134,17 @@
   "endpoint_leaves",
   "place_evacuated",
   "endpoint_says_leaving",
+  "entries_killed",
 ]);
 
 /** The groups of fault kinds that a run includes. */
-export type FaultKindSet = "first" | "second" | "third" | "signals" | "all";
+export type FaultKindSet =
+  | "first"
+  | "second"
+  | "third"
+  | "signals"
+  | "paths"
+  | "all";
 
 /** Creates the fault schedule of a run, ordered by time. */
 export function createSoakPlan(
@@ -143,18 +168,24 @@
     length,
     meanGap: THIRD_MEAN_GAP,
   });
-  const hasSignals = kinds === "signals" || kinds === "all";
+  const hasPaths = kinds === "paths" || kinds === "all";
+  const hasSignals = kinds === "signals" || hasPaths;
   const signals = !hasSignals ? [] : planKinds(SIGNAL_KINDS, {
     seed: seed + SIGNAL_SEED_OFFSET,
     length,
     meanGap: SIGNAL_MEAN_GAP,
   });
-  const paths = kinds !== "all" ? [] : planKinds(PATH_KINDS, {
+  const paths = !hasPaths ? [] : planKinds(PATH_KINDS, {
     seed: seed + PATH_SEED_OFFSET,
     length,
     meanGap: PATH_MEAN_GAP,
   });
-  return [...first, ...second, ...third, ...signals, ...paths]
+  const versions = kinds !== "all" ? [] : planKinds(VERSION_KINDS, {
+    seed: seed + VERSION_SEED_OFFSET,
+    length,
+    meanGap: VERSION_MEAN_GAP,
+  });
+  return [...first, ...second, ...third, ...signals, ...paths, ...versions]
     .sort((a, b) => a.at - b.at);
 }
 
--- a/soak/src/soak_plan_test.ts
+++ b/soak/src/soak_plan_test.ts
@@ -41,7 +41,9 @@
       duration: 1_655,
       target: 726,
     });
+    const paths = createSoakPlan(1_007, 8_000, { kinds: "paths" });
     const all = createSoakPlan(1_007, 8_000);
+    expect(all.filter((fault) => isPlanned(paths, fault))).to.deep.equal(paths);
     expect(all.filter((fault) => isPlanned(first, fault))).to.deep.equal(first);
     expect(all.length).to.be.greaterThan(first.length);
   });
--- a/soak/src/soak_run.ts
+++ b/soak/src/soak_run.ts
@@ -13,7 +13,15 @@
 import { ACCOUNTS } from "./soak_config.ts";
 import type { FaultKindSet } from "./soak_plan.ts";
 import { createSoakPlan } from "./soak_plan.ts";
+import type { SoakSite } from "./soak_site.ts";
 import { startSoakSite } from "./soak_site.ts";
+import type { ObservedStream, TryCount } from "./stream_callers.ts";
+import {
+  callStream,
+  countTries,
+  listLostStreams,
+  listStreamViolations,
+} from "./stream_callers.ts";
 
 /** Options of {@linkcode runSoak}. */
 export interface SoakOptions {
@@ -31,6 +39,8 @@
   seed: number;
   requests: number;
   served: number;
+  /** Tries that resumed a stream. */
+  resumed: TryCount;
   faults: number;
   violations: string[];
 }
@@ -43,6 +53,12 @@
 const AFTER_RECOVERY_MS = 2_500;
 /** Every n-th request uses the key that gets revoked. */
 const REVOKED_KEY_INTERVAL = 5;
+/** Every n-th request is accompanied by a stream that is resumed. */
+const STREAM_INTERVAL = 5;
+/** Tries of one stream, each at the next entry. */
+const STREAM_TRIES = 4;
+/** Faults may have ended the endpoints of a version until shortly before. */
+const VERSION_SETTLE_MS = 1_000;
 
 /** Runs one seed to completion. */
 export async function runSoak(
@@ -67,12 +83,19 @@
   let recoveredAt = Infinity;
   void recovered.then(() => sleep(1_500)).then(() => recoveredAt = Date.now());
 
+  const streams: ObservedStream[] = [];
   const pending: Promise<unknown>[] = [];
   for (let count = 0; Date.now() < recoveredAt + AFTER_RECOVERY_MS; count++) {
     // The caller uses the entries in turn; each gets requests of all kinds.
     const kind = KINDS[Math.floor(count / entryCount) % KINDS.length]!;
     const key = count % REVOKED_KEY_INTERVAL === 0 ? "revoked" : "key-1";
     pending.push(caller.call(`${seed}-${count}-${startedAt}`, kind, key));
+    if (count % STREAM_INTERVAL === 0) {
+      const id = `${seed}-${count}-stream`;
+      pending.push(
+        runStream(site, { id, count }).then((ended) => streams.push(ended)),
+      );
+    }
     await sleep(REQUEST_GAP_MS);
   }
   await Promise.race([Promise.all(pending), sleep(2 * CALL_DEADLINE_MS)]);
@@ -96,6 +119,15 @@
       listSoundCuts(site.endpointCuts, entryFaults),
     ),
   );
+  violations.push(
+    ...listStreamViolations(streams),
+    ...listLostStreams(streams, {
+      since: recoveredAt + VERSION_SETTLE_MS,
+      lasts: (version) =>
+        site.chatEndpoints.filter((slot) => slot.readVersion() === version)
+          .length >= 2,
+    }),
+  );
   await caller.close();
   await site.stop();
   const served = results.filter(({ status }) => status === 200).length;
@@ -103,7 +135,20 @@
     seed,
     requests: results.length,
     served,
+    resumed: countTries(streams).resumed,
     faults: plan.length,
     violations,
   };
 }
+
+/** Runs a stream whose connection breaks after one to four events. */
+function runStream(
+  { callerAddresses }: SoakSite,
+  { id, count }: { id: string; count: number },
+): Promise<ObservedStream> {
+  const entries = Array.from(
+    { length: STREAM_TRIES },
+    (_, index) => callerAddresses[(count + index) % callerAddresses.length]!,
+  );
+  return callStream({ id, entries, breakAfter: 1 + count % 4 });
+}
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -92,6 +92,8 @@
 
 /** A release is halfway through: two endpoints serve of each version. */
 const CHAT_VERSIONS = ["v1", "v1", "v2", "v2"];
+/** Releases go in either direction. */
+const RELEASED_VERSIONS = ["v1", "v2", "v3"];
 
 const STOP_SIGNALS = {
   entry_killed: "SIGKILL",
@@ -163,6 +165,7 @@
     const reporters = endpoints.filter(({ pool }) => pool !== "stage");
     const reporter = reporters[fault.target % reporters.length]!;
     const { kind, duration } = fault;
+    const chat = chatEndpoints[fault.target % chatEndpoints.length]!;
     recordEntryFault(fault, { entry, proxy });
     if (kind.startsWith("store_")) {
       const from = Date.now();
@@ -225,6 +228,16 @@
         return await runEvacuation(EVACUATION_MS + duration);
       case "endpoint_cold":
         return await runColdPeriod(link, COLD_MS + duration);
+      case "chat_released":
+        return await chat.release(
+          RELEASED_VERSIONS[fault.target % RELEASED_VERSIONS.length]!,
+        );
+      case "chat_killed":
+        return await chat.replace(duration);
+      case "callers_reset":
+        return entry.callerProxy.resetAll();
+      case "entries_killed":
+        return await killAllEntries(duration);
       case "foreign_records":
         return writeForeignRecords(store, fault.target);
       case "key_revoked":
@@ -237,6 +250,19 @@
     }
   }
 
+  async function killAllEntries(duration: number): Promise<void> {
+    const from = Date.now();
+    entryFaults.push(...entries.map(({ callerProxy }) => ({
+      entry: callerProxy.address,
+      kind: "stopped" as const,
+      from,
+      until: from + duration + STOP_TIME_MS,
+    })));
+    await Promise.all(
+      entries.map((entry) => replaceEntry(entry, "SIGKILL", duration)),
+    );
+  }
+
   async function applyCut(
     { mode, first, count }: PlannedCut,
     duration: number,
--- a/soak/src/stream_callers.ts
+++ b/soak/src/stream_callers.ts
@@ -181,3 +181,38 @@
   };
   return { begun: count(false), resumed: count(true) };
 }
+
+/** Minimum number of resumed tries that say something about their share. */
+const MIN_RESUMED = 12;
+/** Share of the resumed tries that go on, against that of new streams. */
+const MIN_RESUMED_SHARE = 0.5;
+
+/**
+ * Reports if resumed streams go on much less often than new ones begin. Counts
+ * tries sent since `since`, and resumed ones of a version that `lasts`.
+ */
+export function listLostStreams(
+  streams: readonly ObservedStream[],
+  { since, lasts }: { since: number; lasts: (version: string) => boolean },
+): string[] {
+  const sound = streams.map(({ id, tries }) => {
+    const version = tries.flatMap(({ events }) => events)[0]?.version;
+    const mayGoOn = version !== undefined && lasts(version);
+    return {
+      id,
+      tries: tries.filter(({ sentAt, isResumed }) =>
+        sentAt >= since && (!isResumed || mayGoOn)
+      ),
+    };
+  });
+  const { begun, resumed } = countTries(sound);
+  const isLost = resumed.sent >= MIN_RESUMED &&
+    resumed.served / resumed.sent <
+      MIN_RESUMED_SHARE * begun.served / begun.sent;
+  return isLost
+    ? [
+      `${resumed.served} of ${resumed.sent} resumed streams went on, ` +
+      `${begun.served} of ${begun.sent} new ones began`,
+    ]
+    : [];
+}
