--- a/packages/serving/src/stream_origin_gossip.ts
+++ b/packages/serving/src/stream_origin_gossip.ts
@@ -151,7 +151,9 @@
     const known = createKnowledge([own, ...replies]);
     if (known.origin !== undefined) return known;
     const origin = key === undefined ? undefined : await findLogged(key);
-    return { ...known, origin, isPartial: replies.length < peers.length };
+    // An entry that has just started may not know its peers yet.
+    const isPartial = peers.length === 0 || replies.length < peers.length;
+    return { ...known, origin, isPartial };
   }
 
   /** Finds a stream whose keepers have all gone. */
--- a/packages/serving/src/stream_origin_gossip_test.ts
+++ b/packages/serving/src/stream_origin_gossip_test.ts
@@ -170,6 +170,12 @@
     });
   });
 
+  it("says that it may not know all if it knows no peer", async () => {
+    const { gossips } = createFleet(1);
+    const { isPartial } = await gossips[0]!.find("unknown", ["pool"]);
+    expect(isPartial).to.equal(true);
+  });
+
   // An entry that has just started has watched nothing itself.
   it("reads the versions that peers have watched", async () => {
     const clock = createFakeClock(0);
