fix(serving): a late requester sees endpoints that were relayed before

Cause, suspected from its log: after the store was restored from a copy, an entry trusts an endpoint that it did not know only once it writes again.

--- a/packages/serving/src/topic_relay.ts
+++ b/packages/serving/src/topic_relay.ts
@@ -217,6 +217,8 @@
     }
     if (!isComplete) return { kind: "unknown" };
     const records = [...newest].map(([key, { value }]) => ({ key, value }));
+    // The requester now learns of the restore, after records were relayed.
+    if (from.era < next.era) markUnverified();
     return { kind: "newest", records, ...known };
   }
 
--- a/packages/serving/src/topic_relay_test.ts
+++ b/packages/serving/src/topic_relay_test.ts
@@ -253,6 +253,22 @@
     expect(await ask(4, { era: 1 })).to.equal(" next 5 of era 1 age 0");
   });
 
+  // A requester that learns of the restore late waits for each endpoint to write
+  // again, and would never see those that had done so before.
+  it("relays records again after a late requester's snapshot", async () => {
+    const copy = { ...createResult(3, "a=1/1"), isSnapshot: true };
+    const { readOn, ask } = await create(
+      { ...copy, next: createPosition(3, 1) },
+      { ...createResult(4, "a=1/2"), next: createPosition(4, 1) },
+      { ...createResult(5, "a=1/3"), next: createPosition(5, 1) },
+    );
+    await readOn(5);
+    await readOn(3, 1);
+    expect(await ask(5)).to.equal("all: a=1/2 next 4 of era 1 age 0");
+    await readOn(4, 1);
+    expect(await ask(4, { era: 1 })).to.equal("a=1/3 next 5 of era 1 age 0");
+  });
+
   it("does not answer for an era that it has not read", async () => {
     const { ask } = await create();
     expect(await ask(2, { era: 1 })).to.equal("unknown");
