fix(serving): an unnamed stream goes on only if no view has a second version

A resumed stream that nobody remembers went on at the only version of the first fresh view that had one, also if this entry or another peer had seen a second one. New versions get such streams only once all entries know them, but not where no other endpoint takes work. All views must agree.

--- a/packages/coordination/src/resumption/version_history.ts
+++ b/packages/coordination/src/resumption/version_history.ts
@@ -161,14 +161,17 @@
 }
 
 /**
- * Returns the version that has served alone in a pool for `period`; undefined
- * if there were several, or if they were not watched for that long.
+ * Returns the version that has served alone in a pool for `period`, by the views
+ * of several entries; undefined if there were several in any of them, or if none
+ * has watched for that long.
  */
 export function findOnlyVersion(
-  { watchedFor, versions }: PoolVersions,
+  views: readonly PoolVersions[],
   period: Millis,
 ): string | undefined {
-  if (watchedFor < period) return undefined;
-  const recent = versions.filter(({ seenAgo }) => seenAgo <= period);
-  return recent.length === 1 ? recent[0]?.version : undefined;
+  if (!views.some(({ watchedFor }) => watchedFor >= period)) return undefined;
+  const recent = views.flatMap(({ versions }) => versions)
+    .filter(({ seenAgo }) => seenAgo <= period);
+  const versions = new Set(recent.map(({ version }) => version));
+  return versions.size === 1 ? recent[0]?.version : undefined;
 }
--- a/packages/coordination/src/resumption/version_history_test.ts
+++ b/packages/coordination/src/resumption/version_history_test.ts
@@ -27,7 +27,7 @@
         createEndpoint(id, version)
       ),
     );
-  const findOnly = () => findOnlyVersion(history.read("pool"), PERIOD);
+  const findOnly = () => findOnlyVersion([history.read("pool")], PERIOD);
   return { clock, history, update, findOnly };
 }
 
@@ -73,6 +73,21 @@
     expect(findOnly()).to.equal(undefined);
   });
 
+  // A peer may not have read yet of a version that is known elsewhere.
+  it("has no only version if one of several views has another", () => {
+    const view = (watchedFor: number, version: string) => ({
+      watchedFor,
+      versions: [{ version, seenAgo: 0 }],
+    });
+    const found = [
+      [view(PERIOD, "v1"), view(0, "v1")],
+      [view(PERIOD, "v1"), view(0, "v2")],
+      [view(PERIOD - 1, "v1"), view(0, "v1")],
+      [],
+    ].map((views) => findOnlyVersion(views, PERIOD));
+    expect(found).to.deep.equal(["v1", undefined, undefined, undefined]);
+  });
+
   // Another entry may still know the version before, and so may a stream.
   it("does not know a version that changed under its id", async () => {
     const { clock, history, update, findOnly } = createHistory();
--- a/packages/serving/src/stream_resumption.ts
+++ b/packages/serving/src/stream_resumption.ts
@@ -144,15 +144,11 @@
     const [only, ...others] = route.pools;
     if (only === undefined || others.length > 0) return "unknown";
     const { pool } = only;
-    const period = computePeriod(route, budget);
-    for (const versions of histories) {
-      const seen = versions.get(pool);
-      const version = seen && findOnlyVersion(seen, period);
-      if (version !== undefined) {
-        return { pool, version, outcome: "only_version" };
-      }
-    }
-    return "unknown";
+    const views = histories.flatMap((versions) => versions.get(pool) ?? []);
+    const version = findOnlyVersion(views, computePeriod(route, budget));
+    return version === undefined
+      ? "unknown"
+      : { pool, version, outcome: "only_version" };
   }
 
   /** A version of which no endpoint takes work can't go on. */
