--- a/soak/src/resumed_streams_site_test.ts
+++ b/soak/src/resumed_streams_site_test.ts
@@ -198,6 +198,16 @@
       await sleep(100);
     },
   },
+  {
+    name: "the entries reach no other entry",
+    disturb: async (site) => {
+      void site.applyCut(
+        { mode: "reset", first: 0, count: ENTRIES, from: "peers" },
+        3_000,
+      );
+      await sleep(500);
+    },
+  },
   {
     name: "one of two endpoints of a version leaves",
     disturb: async (site) => {
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -65,6 +65,8 @@
   /** Index of the first one, modulo the number of entries. */
   first: number;
   count: number;
+  /** What they no longer reach; by default, endpoints. */
+  from?: "endpoints" | "peers";
 }
 
 /** Time between the copy and the start of the store's outage. */
@@ -264,19 +266,23 @@
   }
 
   async function applyCut(
-    { mode, first, count }: PlannedCut,
+    { mode, first, count, from: target = "endpoints" }: PlannedCut,
     duration: number,
   ): Promise<void> {
-    const passing = entries.flatMap(({ control, storeProxy }) => [
-      control,
-      storeProxy.address,
-    ]);
+    const stores = entries.map(({ storeProxy }) => storeProxy.address);
+    const passing = target === "endpoints"
+      ? [...stores, ...entries.map(({ control }) => control)]
+      : [
+        ...stores,
+        ...[...endpoints, ...chatEndpoints].map((slot) => slot.proxy.address),
+      ];
     const from = Date.now();
     const cut = Array.from(
       { length: count },
       (_, index) => entries[(first + index) % entries.length]!,
     );
-    endpointCuts.push(...cut.map(({ callerProxy }) => ({
+    const endpointCut = target === "endpoints" ? cut : [];
+    endpointCuts.push(...endpointCut.map(({ callerProxy }) => ({
       entry: callerProxy.address,
       from,
       until: from + duration,
