--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -11,6 +11,7 @@
   Deadline,
   EndpointInfo,
   Failure,
+  PromptPart,
   Verdict,
 } from "@mangoreach/coordination";
 import { createFailure, formatEndpointKey } from "@mangoreach/coordination";
@@ -19,11 +20,7 @@
 import type { CallerResponse } from "./caller_response.ts";
 import { forwardChunks } from "./chunk_forwarding.ts";
 import { isRetryable, scheduleEarlyRelease } from "./early_release.ts";
-import {
-  computeRetryAfter,
-  sumTokens,
-  waitForEndpoint,
-} from "./endpoint_choice.ts";
+import { computeRetryAfter, waitForEndpoint } from "./endpoint_choice.ts";
 import type { AttemptResult } from "./endpoint_load.ts";
 import type { AdmittedRoute } from "./request_admission.ts";
 import type {
@@ -88,6 +85,11 @@
 const MAX_ANSWER_BYTES = 8_388_608;
 const FIRST_FAILING_STATUS = 500;
 
+/** Returns the size of a request in prompt tokens, at least 1. */
+export function sumTokens(parts: readonly PromptPart[]): number {
+  return parts.reduce((sum, { tokens }) => sum + tokens, 1);
+}
+
 /** Makes attempts until one is answered or no further one is allowed. */
 export async function runAttempts(
   state: ServingState,
--- a/packages/serving/src/endpoint_choice.ts
+++ b/packages/serving/src/endpoint_choice.ts
@@ -6,7 +6,6 @@
 import type {
   Deadline,
   EndpointInfo,
-  PromptPart,
   VersionHistory,
 } from "@mangoreach/coordination";
 import {
@@ -37,11 +36,6 @@
   avoid: readonly string[];
 }
 
-/** Returns the size of a request in prompt tokens, at least 1. */
-export function sumTokens(parts: readonly PromptPart[]): number {
-  return parts.reduce((sum, { tokens }) => sum + tokens, 1);
-}
-
 /**
  * Returns the best endpoint that may be sent the request now, if there is one.
  * Endpoints that are due for a probe of their limit come first.
--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -9,12 +9,11 @@
 import type { Millis } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { AttemptOutcome } from "./attempt_loop.ts";
-import { formatResumed, runAttempts } from "./attempt_loop.ts";
+import { formatResumed, runAttempts, sumTokens } from "./attempt_loop.ts";
 import {
   chooseEndpoint,
   computeRetryAfter,
   readShortestWait,
-  sumTokens,
 } from "./endpoint_choice.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import type { AdmittedRoute } from "./request_admission.ts";
@@ -66,7 +65,7 @@
   if (response.disconnected.aborted) onDisconnected();
   const onShutdown = () => deadline.cancel("shutdown");
   state.shutdown.addEventListener("abort", onShutdown, { once: true });
-  const outcome = await runResumable(state, context, {
+  const outcome = await runRequest(state, context, {
     admitted: admitted.value,
     deadline,
   });
@@ -84,7 +83,7 @@
 }
 
 /** Finds out first where a resumed stream may go on. */
-async function runResumable(
+async function runRequest(
   state: ServingState,
   context: RequestContext,
   { admitted, deadline }: AdmittedRequest,
--- a/packages/serving/src/stream_origin_gossip.ts
+++ b/packages/serving/src/stream_origin_gossip.ts
@@ -11,6 +11,7 @@
   BegunStream,
   Membership,
   PeerRecord,
+  PeerView,
   PoolVersions,
   StreamOrigin,
   StreamOrigins,
@@ -43,9 +44,9 @@
 
 /** What an entry and its peers know of a stream that a caller resumes. */
 export interface StreamKnowledge {
-  /** Undefined if no entry that replied remembers it. */
+  /** Undefined if no entry that replied remembers it, nor the store. */
   origin: StreamOrigin | undefined;
-  /** Versions of each pool by the views that are fresh. */
+  /** The versions of each pool, as seen by this entry and by peers. */
   histories: readonly ReadonlyMap<string, PoolVersions>[];
   /** Whether a peer that may know more did not reply. */
   isPartial: boolean;
@@ -100,10 +101,10 @@
     for (const [address, rows] of batches) void options.send(address, rows);
   }
 
-  /** Ranks the peers that are usable in some way for a stream. */
+  /** Lists the usable peers, those that rank highest for a stream first. */
   function listPeers(
     key: string,
-    mayUse: (view: ReturnType<Membership["list"]>[number]) => boolean,
+    mayUse: (view: PeerView) => boolean,
   ): PeerRecord[] {
     return listByRendezvous(
       membership.list().filter(mayUse).map(({ record }) => record),
