fix(serving): streams are written to the store only while several versions serve

With a single version, a resumed stream goes on there once an entry or a peer has watched it for long enough; only a restart of all entries in between makes it be refused until then. The test counts what is written.

--- a/packages/coordination/src/resumption/version_history.ts
+++ b/packages/coordination/src/resumption/version_history.ts
@@ -32,6 +32,8 @@
   /** Records that endpoints may have come and gone without being seen. */
   handleGap(): void;
   read(pool: string): PoolVersions;
+  /** Whether more than one version of a pool has been seen lately. */
+  hasSeveral(pool: string): boolean;
   /**
    * Whether the version of an endpoint changed lately while its id stayed:
    * others may know the one before.
@@ -154,6 +156,7 @@
       watchedSince = undefined;
     },
     read,
+    hasSeveral: (pool) => (pools.get(pool)?.size ?? 0) > 1,
     hasChanged,
     readVersion,
     isSettled,
--- a/packages/coordination/src/resumption/version_history_test.ts
+++ b/packages/coordination/src/resumption/version_history_test.ts
@@ -54,6 +54,18 @@
     expect(found).to.deep.equal([undefined, undefined, "v2"]);
   });
 
+  it("has several versions until the others have gone for long", async () => {
+    const { clock, history, update } = createHistory();
+    const found: boolean[] = [];
+    const steps = [{ a: "v1" }, { a: "v1", b: "v2" }, { a: "v1" }, { a: "v1" }];
+    for (const versions of steps) {
+      update(versions);
+      found.push(history.hasSeveral("pool"));
+      await clock.advance(60_001);
+    }
+    expect(found).to.deep.equal([false, true, true, false]);
+  });
+
   // Endpoints may have come and gone while nothing was read.
   it("begins anew after a gap", async () => {
     const { clock, history, update, findOnly } = createHistory();
--- a/packages/serving/src/stream_origin_gossip.ts
+++ b/packages/serving/src/stream_origin_gossip.ts
@@ -31,7 +31,7 @@
   /** Returns how long ago the store confirmed the endpoints. */
   readEndpointAge: () => Millis;
   membership: Pick<Membership, "list">;
-  /** Outlives all entries; other entries are faster. */
+  /** Outlives all entries; other entries are faster and cost less. */
   streamLog: StreamLog;
   /** Sends streams to a peer, which remembers them. */
   send: (address: string, rows: readonly StreamRow[]) => Promise<unknown>;
@@ -86,7 +86,10 @@
 
   function record(stream: BegunStream): void {
     origins.record(stream);
-    options.streamLog.write(encodeStream(stream));
+    // The calls to the store cost; with one version, any endpoint will do.
+    if (history.hasSeveral(stream.origin.pool)) {
+      options.streamLog.write(encodeStream(stream));
+    }
     for (const { controlAddress } of listKeepers(stream.key)) {
       if (pending.size === 0) clock.startTimer(BATCH_WINDOW, sendPending);
       const rows = pending.get(controlAddress) ?? [];
--- a/packages/serving/src/stream_origin_gossip_test.ts
+++ b/packages/serving/src/stream_origin_gossip_test.ts
@@ -176,6 +176,31 @@
     expect(isPartial).to.equal(true);
   });
 
+  // Each call to the store has a price.
+  it("writes streams to the store only where several versions serve", () => {
+    const clock = createFakeClock(0);
+    const history = createVersionHistory(clock);
+    const written: string[] = [];
+    const gossip = createStreamOriginGossip({
+      clock,
+      origins: createStreamOrigins(clock),
+      history,
+      readEndpointAge: () => 0,
+      membership: { list: () => [] },
+      streamLog: { ...NO_LOG, write: ([key]) => written.push(key) },
+      send: () => Promise.resolve(),
+      query: () => Promise.resolve(undefined),
+    });
+    const record = (key: string) =>
+      gossip.record({ key, origin: ORIGIN, lifetime: 10_000 });
+    const first = createTestEndpoint("a", { version: "v1" });
+    history.update([first]);
+    record("one version");
+    history.update([first, createTestEndpoint("b", { version: "v2" })]);
+    record("two versions");
+    expect(written).to.deep.equal(["two versions"]);
+  });
+
   // An entry that has just started has watched nothing itself.
   it("reads the versions that peers have watched", async () => {
     const clock = createFakeClock(0);
