fix(serving): a record of the log holds no more streams than a reader accepts

Up to 1,024 streams that had waited for the store went into one record, and the reader's schema accepts 256: the whole record would have been left out. The test failed before with one record of 600.

--- a/packages/serving/src/stream_log.ts
+++ b/packages/serving/src/stream_log.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { StreamRow } from "@mangoreach/peers";
+import { MAX_STREAM_ROWS } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { Result } from "true-myth";
 import type { DecisionLog } from "./decision_log.ts";
@@ -47,7 +48,7 @@
 const MIN_WRITE_INTERVAL: Millis = 250;
 /** Bounds the writes of all entries together to 100 a second. */
 const WRITE_INTERVAL_PER_ENTRY: Millis = 10;
-/** Streams that wait while the store can't be written; a record holds as many. */
+/** Streams that wait while the store can't be written. */
 const MAX_PENDING = 1_024;
 /** Covers the longest lifetime of a stream at the highest rate of writes. */
 const MAX_RECORDS = 6_000;
@@ -80,8 +81,8 @@
   }
 
   async function writePending(): Promise<void> {
-    const rows = pending;
-    pending = [];
+    const rows = pending.slice(0, MAX_STREAM_ROWS);
+    pending = pending.slice(MAX_STREAM_ROWS);
     const written = await store.append({ writtenAt: readWallTime(), rows });
     if (written.isErr) {
       recordLost(written.error);
--- a/packages/serving/src/stream_log_test.ts
+++ b/packages/serving/src/stream_log_test.ts
@@ -89,6 +89,15 @@
       .to.deep.equal([createRow("a")]);
   });
 
+  // A reader would leave out a record with more streams than a message may hold.
+  it("writes no more streams in a record than a message may hold", async () => {
+    const { clock, log, records } = createLog();
+    for (let count = 0; count < 600; count++) log.write(createRow(`${count}`));
+    await clock.advance(2_000);
+    expect(records.map(({ rows }) => rows.length))
+      .to.deep.equal([256, 256, 88]);
+  });
+
   it("reads the streams that have time left", async () => {
     const { clock, records, readKeys } = createLog();
     records.push({ writtenAt: 0, rows: [createRow("a"), createRow("b", 50)] });
