fix(soak): a stopped site starts no entry

resumed_streams_site_test stops its site while a killed entry is still to be replaced: the entry started after the end and stayed (ten were found), and long soak runs did not exit. replaceEntry starts only the successor of the entry's current process, which stop now takes away.

--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -336,7 +336,11 @@
   }
 
   async function stop(): Promise<void> {
-    for (const { child } of entries) child?.kill("SIGKILL");
+    for (const entry of entries) {
+      entry.child?.kill("SIGKILL");
+      // An entry that is being replaced must not start after the site's end.
+      entry.child = undefined;
+    }
     for (const { callerProxy, storeProxy } of entries) {
       callerProxy.close();
       storeProxy.close();
