--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -81,4 +81,5 @@
 }
 
 if (values.help) process.stdout.write(USAGE);
-else process.exitCode = (await run()) > 0 ? 1 : 0;
+// Connections that a fault has silenced may outlive their site.
+else process.exit((await run()) > 0 ? 1 : 0);
