--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -77,10 +77,16 @@
   const topics = new Map();
   const sockets = new Set();
   let mode = "up";
+  let era = 0;
 
   function findTopic(name) {
     if (!topics.has(name)) {
-      topics.set(name, { records: [], newest: new Map(), waiting: new Set() });
+      topics.set(name, {
+        records: [],
+        writtenAt: [],
+        newest: new Map(),
+        waiting: new Set(),
+      });
     }
     return topics.get(name);
   }
@@ -99,24 +105,47 @@
     const topic = findTopic(name);
     const offset = topic.records.length;
     topic.records.push(content);
-    if (name.startsWith("keyed.")) {
-      const length = content[0];
-      const key = content.subarray(1, 1 + length).toString();
-      const value = content.subarray(1 + length);
-      if (value.length === 0) topic.newest.delete(key);
-      else topic.newest.set(key, { value, offset });
-    }
+    topic.writtenAt.push(Date.now());
+    if (name.startsWith("keyed.")) applyNewest(topic, content, offset);
     for (const wake of [...topic.waiting]) wake();
     return offset;
   }
 
+  function applyNewest({ newest }, content, offset) {
+    const length = content[0];
+    const key = content.subarray(1, 1 + length).toString();
+    const value = content.subarray(1 + length);
+    if (value.length === 0) newest.delete(key);
+    else newest.set(key, { value, offset });
+  }
+
+  /** Comes back from a copy; what was written since is gone. */
+  function restore(copiedAt) {
+    era++;
+    for (const [name, topic] of topics) {
+      const kept = topic.writtenAt.filter((at) => at <= copiedAt).length;
+      topic.records.length = kept;
+      topic.writtenAt.length = kept;
+      topic.newest.clear();
+      if (name.startsWith("keyed.")) {
+        topic.records.forEach((content, offset) =>
+          applyNewest(topic, content, offset)
+        );
+      }
+      for (const wake of [...topic.waiting]) wake();
+    }
+  }
+
   function put(name, key, value) {
     const text = value === undefined ? undefined : JSON.stringify(value);
     append(name, encode(key, text));
   }
 
   function sendJson(response, status, body) {
-    response.writeHead(status, { "content-type": "application/json" });
+    response.writeHead(status, {
+      "content-type": "application/json",
+      "store-era": String(era),
+    });
     response.end(JSON.stringify(body));
   }
 
@@ -171,6 +200,9 @@
         });
       }
       if (mode === "silent") return;
+      if (from > topic.records.length) {
+        return sendJson(response, 410, { first: 0 });
+      }
       const head = Buffer.alloc(16);
       head.writeBigUInt64BE(BigInt(topic.records.length), 0);
       const parts = [head];
@@ -179,6 +211,7 @@
         length.writeUInt32BE(record.length);
         parts.push(length, record);
       }
+      response.writeHead(200, { "store-era": String(era) });
       return void response.end(Buffer.concat(parts));
     }
     sendJson(response, 404, {});
@@ -196,6 +229,7 @@
   return {
     address,
     put,
+    restore,
     /** `up`, or `silent`: calls get no answer. */
     setMode(next) {
       mode = next;
