--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -21,7 +21,7 @@
 
 const ENTRIES = 3;
 const RUNNERS = 4;
-const CLIENTS = 12;
+const CLIENTS = 24;
 const TERM_GAP_MS = 1_000;
 const WARM_UP_MS = 4_000;
 const TRAFFIC_MS = 16_000;
@@ -114,9 +114,9 @@
   platform.start(await platform.addEntry(`front-${number}`));
 }
 const { entries } = platform;
-const ready = await Promise.all(entries.map((entry) =>
-  platform.waitUntilReady(entry)
-));
+const ready = await Promise.all(
+  entries.map((entry) => platform.waitUntilReady(entry)),
+);
 if (ready.includes(false)) {
   record("an entry was not ready");
   platform.stop();
@@ -134,7 +134,12 @@
 
 async function sendStream(client) {
   const id = createId();
-  const request = { id, sentAt: undefined, address: undefined, outcome: undefined };
+  const request = {
+    id,
+    sentAt: undefined,
+    address: undefined,
+    outcome: undefined,
+  };
   request.outcome = await client.send({
     path: `/reply/${id}`,
     attempt: id,
@@ -174,8 +179,10 @@
   client.close();
 }
 
-const clients = Array.from({ length: CLIENTS }, (_, number) =>
-  runClient(number));
+const clients = Array.from(
+  { length: CLIENTS },
+  (_, number) => runClient(number),
+);
 await sleep(3_000);
 /** By caller address. */
 const stoppedAt = new Map();
@@ -205,13 +212,16 @@
     endedAt <= at + GRACE_MS + 1_000;
   if (!isPlanned || endedAt - sentAt >= TIMEOUT_MS) continue;
   if (sentAt <= at + EXCUSED_MS) excused++;
-  else lost.push(`${id}: sent ${sentAt - at} ms after the SIGTERM of its ` +
-    `machine, run, and cut ${endedAt - at} ms after it`);
+  else {lost.push(
+      `${id}: sent ${sentAt - at} ms after the SIGTERM of its ` +
+        `machine, run, and cut ${endedAt - at} ms after it`,
+    );}
 }
 lost.forEach((line) => record(`LOST ${line}`));
-const served = requests.filter(({ outcome }) =>
-  outcome.end === "answered" && outcome.status === 200
-).length;
+const served =
+  requests.filter(({ outcome }) =>
+    outcome.end === "answered" && outcome.status === 200
+  ).length;
 const verdict = `${requests.length} requests, ${served} served; cut off by a ` +
   `stopping machine: ${excused} sent within 3 s after its SIGTERM (excused), ` +
   `${lost.length} sent later (LOST)`;
--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -3,16 +3,22 @@
  * keeps the answer for its time, and longer while it gets no new one, and sends
  * its requests on channels that it keeps open.
  */
-import { createChannel, resolve, sleep } from "./harness.mjs";
+import { createChannel, resolve } from "./harness.mjs";
 
 const LOOKUP_TRIES = 3;
 
-/** Creates a client; `patience` is how many times the `ttlS` it keeps answers. */
-export function createClient({ entries, patience = 1, ttlMaxS = 5 }) {
+/**
+ * Creates a client; `patience` is how many times the `ttlS` it keeps answers.
+ * Without `keepsChannels` it opens a new channel for each request.
+ */
+export function createClient(
+  { entries, patience = 1, ttlMaxS = 5, keepsChannels = true },
+) {
   let addresses = [];
   let validUntil = 0;
   let lookup;
-  const failed = new Map();
+  /** Addresses that have failed this client since the last answer. */
+  const failed = new Set();
   const channels = [];
 
   async function lookUp() {
@@ -20,6 +26,7 @@
       const answer = await resolve(entry);
       if (answer === undefined) continue;
       addresses = answer.addresses;
+      failed.clear();
       const ttl = Math.min(answer.ttlS, ttlMaxS) * 1_000;
       validUntil = Date.now() + patience * ttl;
       return;
@@ -39,9 +46,7 @@
       addresses.includes(channel.address)
     );
     if (open !== undefined) return open;
-    const usable = addresses.filter((address) =>
-      Date.now() - (failed.get(address) ?? 0) > 1_000
-    );
+    const usable = addresses.filter((address) => !failed.has(address));
     const from = usable.length > 0 ? usable : addresses;
     if (from.length === 0) return undefined;
     const address = from[Math.floor(Math.random() * from.length)];
@@ -60,8 +65,8 @@
     onSent?.(channel.address);
     const outcome = await channel.connection.send(request);
     channel.isBusy = false;
-    if (outcome.end === "cut") {
-      failed.set(channel.address, Date.now());
+    if (outcome.end === "cut") failed.add(channel.address);
+    if (outcome.end === "cut" || !keepsChannels) {
       channel.isClosed = true;
       channel.connection.close();
       channels.splice(channels.indexOf(channel), 1);
@@ -73,5 +78,5 @@
     channels.forEach(({ connection }) => connection.close());
   }
 
-  return { send, close, sleep };
+  return { send, close };
 }
--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -445,6 +445,16 @@
     rmSync(folder, { recursive: true, force: true });
   }
 
+  function abort(reason) {
+    record(`the script was ended: ${reason}`);
+    stop();
+    process.exit(2);
+  }
+
+  process.once("SIGTERM", abort);
+  process.once("SIGINT", abort);
+  process.once("uncaughtException", (error) => abort(error.stack));
+
   return { entries, addEntry, start, send, isReady, waitUntilReady, stop };
 }
 
--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -48,6 +48,10 @@
   serve(request, response).catch(() => response.destroy());
 });
 server.listen(0, "127.0.0.1", () => {
-  process.send({ kind: "address", address: `127.0.0.1:${server.address().port}` });
+  process.send({
+    kind: "address",
+    address: `127.0.0.1:${server.address().port}`,
+  });
 });
 process.on("message", () => process.exit(0));
+process.on("disconnect", () => process.exit(0));
