--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -1,8 +1,8 @@
 /**
- * A model runner as a process of its own, which ends when the platform says so.
- * It streams events of an answer that has no length and ends with its channel.
+ * A model runner as a process of its own, which the platform can take away. It
+ * streams events of an answer that has no length and ends with its channel.
  *
- * Arguments: its id. It writes its address, and a line for each run that ends.
+ * Argument: its id. It reports its address, its runs and the events that it made.
  */
 import http from "node:http";
 import process from "node:process";
@@ -53,5 +53,4 @@
     address: `127.0.0.1:${server.address().port}`,
   });
 });
-process.on("message", () => process.exit(0));
 process.on("disconnect", () => process.exit(0));
--- a/review/lib/runner_process.mjs
+++ b/review/lib/runner_process.mjs
@@ -50,10 +50,10 @@
       state = "draining";
       register();
     },
-    /** The process exits; its entry is removed. */
-    async exit() {
+    /** The process is gone at once; its entry is removed. */
+    async end() {
       clearInterval(timer);
-      child.send("exit");
+      child.kill("SIGKILL");
       await exited;
       store.put("keyed.servers", id, undefined);
     },
