feat(serving): count how requests end after the signal to stop

A stopping entry logged only how many requests it cut off at the end. Whether it refuses requests that could have ended, or accepts those that cannot, was not to be told from its logs or metrics.

Now requests that end after the signal are counted as refused, finished, cut or failed for another reason: in `process_stopped`, and in `mangoreach_requests_while_stopping_total`.

--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -23,6 +23,7 @@
 import { findInfeasible } from "./stage_admission.ts";
 import type { StageResults } from "./stage_graph.ts";
 import { runStages } from "./stage_graph.ts";
+import type { StopOutcome } from "./stop_window.ts";
 
 /** A request with the response to its caller. */
 export interface RequestContext {
@@ -74,7 +75,11 @@
   if (outcome.failure !== undefined && !response.isStarted) {
     response.refuse(outcome.failure);
   }
-  recordOutcome(state, context, { admitted: admitted.value, ...outcome });
+  recordOutcome(state, context, {
+    admitted: admitted.value,
+    isCutOff: deadline.signal.reason === "shutdown",
+    ...outcome,
+  });
 }
 
 interface AdmittedRequest {
@@ -224,13 +229,29 @@
   });
 }
 
+/** How a request ended, as it is recorded. */
+interface RecordedOutcome extends Partial<AttemptOutcome> {
+  admitted?: AdmittedRoute;
+  /** Whether it was ended because the process exits. */
+  isCutOff?: boolean;
+}
+
+function classifyStopOutcome(
+  { failure, end, isCutOff = false }: RecordedOutcome,
+): StopOutcome {
+  if (failure?.verdict === "not_run") return "refused";
+  if (failure === undefined && end === "complete") return "finished";
+  return isCutOff ? "cut" : "failed";
+}
+
 function recordOutcome(
-  { clock, log, metrics, configAge, readTable, membership }: ServingState,
+  state: ServingState,
   { request, receivedAt, response }: RequestContext,
-  { admitted, failure, attempts, status, endpoint, end }:
-    & Partial<AttemptOutcome>
-    & { admitted?: AdmittedRoute },
+  outcome: RecordedOutcome,
 ): void {
+  const { clock, log, metrics, configAge, readTable, membership } = state;
+  const { admitted, failure, attempts, status, endpoint, end } = outcome;
+  state.stopWindow.recordEnd(classifyStopOutcome(outcome));
   const took = clock.now() - receivedAt;
   const routeName = admitted?.route.name ?? "none";
   const kind = failure === undefined
--- a/packages/serving/src/request_service_test.ts
+++ b/packages/serving/src/request_service_test.ts
@@ -2,6 +2,7 @@
 import { expect } from "chai";
 import { Result } from "true-myth";
 import { serveRequest } from "./request_service.ts";
+import { createStopWindow } from "./stop_window.ts";
 import {
   createRecordedResponse,
   createTestEndpoint,
@@ -43,7 +44,13 @@
       ),
     );
     const sentAccounts: (string | undefined)[] = [];
+    const stopWindow = createStopWindow(clock, {
+      stopTime: 8_000,
+      onEnded: () => {},
+    });
+    stopWindow.begin();
     const state = createTestState(clock, {
+      stopWindow,
       readTable: () => table,
       accountShares,
       shutdown: shutdown.signal,
@@ -86,24 +93,32 @@
       response,
       receivedAt: 0,
     });
-    return { seen, task, shutdown, sentAccounts };
+    return { seen, task, shutdown, sentAccounts, stopWindow };
   }
 
   // A stopping entry may be short of processor time. Requests that still wait
   // when it must exit need an answer rather than a closed connection: without a
   // verdict the caller can't retry a request that must not run twice.
   const CASES = [
-    { place: "stage", answer: "not_run" },
-    { place: "endpoint", answer: "may_have_run" },
+    { place: "stage", answer: "not_run", counted: { refused: 1 } },
+    { place: "endpoint", answer: "may_have_run", counted: { cut: 1 } },
   ] as const;
-  for (const { place, answer } of CASES) {
+  for (const { place, answer, counted } of CASES) {
     it(`answers what waits at the ${place} when the process ends`, async () => {
-      const { seen, task, shutdown } = serve(place);
+      const { seen, task, shutdown, stopWindow } = serve(place);
       await settlePromises();
       expect(seen).to.deep.equal([]);
       shutdown.abort();
       await task;
       expect(seen).to.deep.equal([answer]);
+      expect(stopWindow.readCounts())
+        .to.deep.equal({
+          refused: 0,
+          finished: 0,
+          failed: 0,
+          cut: 0,
+          ...counted,
+        });
     });
   }
 
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -57,6 +57,7 @@
 import { createServingMetrics } from "./serving_metrics.ts";
 import type { ServingEntryOptions } from "./serving_options.ts";
 import type { ServingState } from "./serving_state.ts";
+import { createStopWindow } from "./stop_window.ts";
 import { createStreamLog } from "./stream_log.ts";
 import { createStreamOriginGossip } from "./stream_origin_gossip.ts";
 import { createStreamResumption } from "./stream_resumption.ts";
@@ -93,12 +94,6 @@
  * new requests arrive here.
  */
 const LEAVE_DELAY: Millis = 3_200;
-/**
- * Requests in progress are ended with a response this long before the process
- * is killed: a caller whose connection just closes does not know whether it may
- * retry.
- */
-const SHUTDOWN_MARGIN: Millis = 800;
 /** Longer than a peer takes to confirm the end of a tunnel. */
 const TUNNEL_LINGER: Millis = 200;
 /**
@@ -142,6 +137,10 @@
   const tasks = createTaskSet((error) =>
     logger.error("Background task failed.", { error: String(error) })
   );
+  const stopWindow = createStopWindow(clock, {
+    stopTime: settings.stopTime,
+    onEnded: metrics.countStopped,
+  });
   let phase: ListenerPhase = "open";
 
   const loads = createEndpointLoads(clock);
@@ -424,6 +423,7 @@
     findDelays: pools.findDelays,
     findEngineChoice: pools.findEngineChoice,
     callerElapsed: createElapsedEstimator(clock),
+    stopWindow,
     shutdown: shutdown.signal,
   };
 
@@ -438,6 +438,7 @@
     readPhase: () => phase,
     onRefused: (failure, id) => {
       metrics.countRequest("none", "request_refused");
+      stopWindow.recordEnd("refused");
       log.record("request_refused", {
         request: id,
         reason: failure.message,
@@ -532,8 +533,8 @@
   });
 
   async function stop(): Promise<void> {
-    const startedAt = clock.now();
     phase = "leaving";
+    stopWindow.begin();
     log.record("process_stopping", { inProgress: tasks.size });
     membership.updateSelf({ state: "leaving" });
     void exchange.notifyPeers(MAX_NOTIFIED_PEERS);
@@ -542,16 +543,14 @@
     phase = "refusing";
     controller.abort();
     listener.server.closeIdleConnections();
-    const left = settings.stopTime - SHUTDOWN_MARGIN -
-      (clock.now() - startedAt);
-    await Promise.race([finishWork(), clock.sleep(left)]);
+    await Promise.race([finishWork(), clock.sleep(stopWindow.readTimeLeft())]);
     const cutOff = tasks.size;
     shutdown.abort();
     await Promise.race([
       tasks.waitUntilEmpty(),
       clock.sleep(REPLY_FLUSH_TIMEOUT),
     ]);
-    log.record("process_stopped", { cutOff });
+    log.record("process_stopped", { cutOff, ...stopWindow.readCounts() });
   }
 
   function kill(): void {
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -6,6 +6,7 @@
 import type { AccountUse } from "@mangoreach/coordination";
 import type { Millis } from "@mangoreach/shared";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { StopOutcome } from "./stop_window.ts";
 
 /** Use of one pool partition by one client account. */
 export interface PartitionUse extends AccountUse {
@@ -33,6 +34,8 @@
   countUndecodable(topic: string): void;
   countResumed(outcome: string): void;
   countConnect(pool: string, outcome: string): void;
+  /** A request that ended after the signal to stop. */
+  countStopped(outcome: StopOutcome): void;
   /** Sets the source of the use by client account, read when collected. */
   setAccountUse(listUse: () => readonly PartitionUse[]): void;
 }
@@ -152,6 +155,13 @@
     registers,
   });
 
+  const stopped = new Counter({
+    name: "mangoreach_requests_while_stopping_total",
+    help: "Requests that ended after the signal to stop, by outcome",
+    labelNames: ["outcome"],
+    registers,
+  });
+
   let listUse: () => readonly PartitionUse[] = () => [];
   const addAccountGauge = (
     { name, help, read }: {
@@ -206,6 +216,7 @@
     countUnreadLoad: (pool) => unreadLoads.inc({ pool }),
     countConnect: (pool, outcome) => connects.inc({ pool, outcome }),
     countResumed: (outcome) => resumed.inc({ outcome }),
+    countStopped: (outcome) => stopped.inc({ outcome }),
     countUndecodable: (topic) => undecodable.inc({ topic }),
     setAccountUse: (list) => listUse = list,
   };
--- a/packages/serving/src/serving_state.ts
+++ b/packages/serving/src/serving_state.ts
@@ -24,6 +24,7 @@
 import type { CrashDetector } from "./crash_detector.ts";
 import type { SignalHandler } from "./endpoint_signals.ts";
 import type { CallEndpoint } from "./platform_interfaces.ts";
+import type { StopWindow } from "./stop_window.ts";
 import type { StreamResumption } from "./stream_resumption.ts";
 import type { ServingMetrics } from "./serving_metrics.ts";
 
@@ -63,6 +64,8 @@
   findPlace: (address: string) => string | undefined;
   findBudget: (pool: string) => RetryBudget;
   callerElapsed: ElapsedEstimator;
+  /** The time that is left once this entry was told to stop. */
+  stopWindow: StopWindow;
   /** Aborts shortly before the process exits: every caller gets an answer. */
   shutdown: AbortSignal;
   findDelays: (pool: string) => DelayModel;
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -44,6 +44,7 @@
 } from "./platform_interfaces.ts";
 import { createServingMetrics } from "./serving_metrics.ts";
 import type { ServingState } from "./serving_state.ts";
+import { createStopWindow } from "./stop_window.ts";
 import type { StageDispatcherOptions } from "./stage_dispatcher.ts";
 import { createStageDispatcher } from "./stage_dispatcher.ts";
 
@@ -343,6 +344,7 @@
     findBudget: () => createRetryBudget({ share: 0, max: 10 }),
     findDelays: createDelayModel,
     findEngineChoice: () => createEngineSelector(clock),
+    stopWindow: createStopWindow(clock, { stopTime: 8_000, onEnded: () => {} }),
     shutdown: createSharedController().signal,
     ...change,
   };
