fix(serving): a stopping entry accepts only what it can finish

Accepting, passing on and cutting off each had a time of their own: an entry accepted all requests for 3.2 s, passed on whatever it had accepted, also after its stages or a retry, and cut off at 7.2 s. Nothing compared what a request would still take with what was left. A shorter time to accept would have kept the rule and lost the same streams.

Ruled out: streams lost on the way or by their endpoint (all were at work there when the entry ended them), answers kept for longer than three seconds (while all entries stop, no lookup is answered and callers keep the last one; the rule allows that), one phase entered late (the lines of the entry show it in time).

The time that is left binds all three. Before a request is sent to an endpoint its answer is estimated: by the delay until its first event, the most tokens that its caller names, and the pace of the route's recent answers, at that endpoint if enough are known. What may not end in time is refused at once, as not run, so that its caller goes elsewhere; if no entry serves, with a time to come back by which some may. Requests whose stages run at the signal are decided on then, and each before every attempt. They need less certainty, as they would be late elsewhere. An entry goes on accepting what it can finish until it has no work, and so follows the configuration and its endpoints until then. Refusals name the time left and the estimate.

--- a/packages/coordination/src/deadline.ts
+++ b/packages/coordination/src/deadline.ts
@@ -20,7 +20,14 @@
 }
 
 /** Why the work on a request was stopped. */
-export type CancelReason = "deadline" | "caller_gone" | "shutdown" | "hopeless";
+export type CancelReason =
+  | "deadline"
+  | "caller_gone"
+  /** The process exits now. */
+  | "shutdown"
+  /** The process was told to stop and could not finish the answer. */
+  | "stopping"
+  | "hopeless";
 
 /** Options of {@linkcode createDeadline}. */
 export interface DeadlineOptions {
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -154,6 +154,16 @@
 export { createSenderRank, rankSenders } from "./sender_rank.ts";
 export type { SendAllowance, SendAllowanceOptions } from "./send_allowance.ts";
 export { createSendAllowance } from "./send_allowance.ts";
+export type {
+  CompletionModel,
+  EstimateOptions,
+  ExpectedAnswer,
+  MeasuredAnswer,
+} from "./completion_model.ts";
+export {
+  createCompletionModel,
+  createCompletionModels,
+} from "./completion_model.ts";
 export type { DelayModel } from "./delay_model.ts";
 export { createDelayModel } from "./delay_model.ts";
 export type { LatencyModel } from "./latency_model.ts";
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -11,7 +11,6 @@
   Deadline,
   EndpointInfo,
   Failure,
-  PromptPart,
   Verdict,
 } from "@mangoreach/coordination";
 import { createFailure, formatEndpointKey } from "@mangoreach/coordination";
@@ -29,6 +28,7 @@
 import { isRetryable, scheduleEarlyRelease } from "./early_release.ts";
 import { computeRetryAfter, waitForEndpoint } from "./endpoint_choice.ts";
 import type { AttemptResult } from "./endpoint_load.ts";
+import { readExpectedAnswer, sumTokens } from "./expected_answer.ts";
 import type { AdmittedRoute } from "./request_admission.ts";
 import type {
   EndpointAnswer,
@@ -39,11 +39,14 @@
 } from "./platform_interfaces.ts";
 import type { ServingState } from "./serving_state.ts";
 import type { StageResults } from "./stage_graph.ts";
+import { findStopRefusal } from "./stop_admission.ts";
 
 /** Options of {@linkcode runAttempts}. */
 export interface AttemptOptions {
   request: ForwardedRequest;
   response: CallerResponse;
+  /** When the whole request had been read. */
+  admittedAt: Millis;
   admitted: AdmittedRoute;
   deadline: Deadline;
   /** Results of the route's stages; undefined if it has none. */
@@ -95,17 +98,12 @@
 const MAX_ANSWER_BYTES = 8_388_608;
 const FIRST_FAILING_STATUS = 500;
 
-/** Returns the size of a request in prompt tokens, at least 1. */
-export function sumTokens(parts: readonly PromptPart[]): number {
-  return parts.reduce((sum, { tokens }) => sum + tokens, 1);
-}
-
 /** Makes attempts until one is answered or no further one is allowed. */
 export async function runAttempts(
   state: ServingState,
   options: AttemptOptions,
 ): Promise<AttemptOutcome> {
-  const { request, admitted, deadline } = options;
+  const { request, admittedAt, admitted, deadline } = options;
   const { route, pool, account } = admitted;
   const mayRepeat = isRetryable(route);
   const avoid: string[] = [];
@@ -125,9 +123,21 @@
     const endpoint = isAllowed
       ? await waitForEndpoint(state, { ...options, avoid })
       : undefined;
+    const stopping = endpoint === undefined
+      ? undefined
+      : findStopRefusal(state, {
+        head: request.head,
+        admittedAt,
+        admitted,
+        deadline,
+        endpoint,
+      });
+    if (stopping !== undefined && runs === 0) {
+      return { failure: stopping, attempts };
+    }
     const isWithinBudget = attempts === 0 || endpoint === undefined ||
       state.findBudget(pool).withdraw();
-    if (endpoint === undefined || !isWithinBudget) {
+    if (endpoint === undefined || stopping !== undefined || !isWithinBudget) {
       return finishFailed(state, options, { last, attempts, endpointId, runs });
     }
     endpointId = endpoint.id;
@@ -190,6 +200,7 @@
   const { clock, loads, callEndpoint, findDelays, crashDetector } = state;
   const { request, admitted, deadline, results } = options;
   const startedAt = clock.now();
+  const expected = readExpectedAnswer(state, { head: request.head, admitted });
   const stopRelease = results === undefined ? () => {} : scheduleEarlyRelease({
     ...state,
     endpoint,
@@ -248,6 +259,15 @@
   if (end.load === "unreachable" && isRefused) {
     state.recordUnreachable(endpoint);
   }
+  if (request.head.resumed === undefined && isServed(end)) {
+    state.findCompletion(admitted.route.name).record({
+      ...expected,
+      endpoint,
+      first: latency,
+      took: clock.now() - startedAt,
+      isWhole: end.kind === "answered" && end.end === "complete",
+    });
+  }
   const { account } = admitted;
   // Endpoints that fail may not have begun to answer.
   const isCompleted = end.kind === "answered" && end.load === "done" &&
@@ -275,6 +295,8 @@
     load: load === undefined ? undefined : load.running + load.queued,
     left: deadline.remaining(),
     latency,
+    took: clock.now() - startedAt,
+    outputTokens: request.head.outputTokens,
     outcome: end.kind === "lost" ? end.message : `status ${end.status}`,
     verdict: end.kind === "lost" ? end.verdict : "ran",
     delimiter: answer.isOk && answer.value.kind === "reply"
@@ -286,6 +308,13 @@
   return end;
 }
 
+/** Whether an attempt tells how long answers take: it ran, and did not fail. */
+function isServed(end: FinishedAttempt): boolean {
+  return end.kind === "lost"
+    ? end.verdict !== "not_run"
+    : end.status < FIRST_FAILING_STATUS;
+}
+
 /** Formats the stream that a request resumes for log lines. */
 export function formatResumed({ resumed }: RequestHead): string | undefined {
   return resumed === undefined ? undefined : resumed.id ?? "unnamed";
--- a/packages/serving/src/attempt_loop_test.ts
+++ b/packages/serving/src/attempt_loop_test.ts
@@ -63,6 +63,7 @@
   const outcome = await runAttempts(state, {
     request: { head: createTestHead(), body: Buffer.alloc(0) },
     response,
+    admittedAt: 0,
     admitted: {
       route: testRoute,
       table,
--- a/packages/serving/src/caller_connection_errors_test.ts
+++ b/packages/serving/src/caller_connection_errors_test.ts
@@ -1,3 +1,4 @@
+import { createFailure } from "@mangoreach/coordination";
 import { connect } from "node:net";
 import {
   createSystemClock,
@@ -46,6 +47,8 @@
       },
       readLimits: () => LIMITS,
       readPhase: () => "open",
+      createStoppingFailure: () =>
+        createFailure("stopping", { verdict: "not_run", message: "" }),
       onRefused: () => {},
     });
     const [host, port] = readServerAddress(server).split(":");
--- a/packages/serving/src/caller_listener.ts
+++ b/packages/serving/src/caller_listener.ts
@@ -9,7 +9,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Failure, RequestLimits } from "@mangoreach/coordination";
 import { createFailure } from "@mangoreach/coordination";
-import type { Clock, ListenAddress, Millis, TaskSet } from "@mangoreach/shared";
+import type { Clock, ListenAddress, TaskSet } from "@mangoreach/shared";
 import { readBody, startServer } from "@mangoreach/shared";
 import type { Result } from "true-myth";
 import type { CallerResponse, EncodeFailure } from "./caller_response.ts";
@@ -20,7 +20,10 @@
 /** Whether requests are served. */
 export type ListenerPhase =
   | "open"
-  /** Serves, and closes connections so that callers reconnect elsewhere. */
+  /**
+   * Serves what can end in time, and closes connections so that callers
+   * reconnect elsewhere.
+   */
   | "leaving"
   /** Refuses new requests and completes those in progress. */
   | "refusing";
@@ -35,6 +38,8 @@
   serve: (context: RequestContext) => Promise<void>;
   readLimits: () => RequestLimits;
   readPhase: () => ListenerPhase;
+  /** Creates the refusal of an entry that takes no more requests. */
+  createStoppingFailure: () => Failure;
   /** Called for requests that are refused before routing. */
   onRefused: (failure: Failure, id: string | undefined) => void;
 }
@@ -49,8 +54,6 @@
 /** Node rejects longer heads itself, with status 431. */
 const MAX_HEADER_BYTES = 16_384;
 const MAX_CONNECTIONS = 3_000;
-/** A caller that retries after this time reaches another entry. */
-const RETRY_AFTER_STOPPING: Millis = 50;
 /** The first ends the turn that read the request; the second reads again. */
 const READ_TURNS = 2;
 /** Ratio of the time limits for a complete request and for its head. */
@@ -81,7 +84,7 @@
     }
     if (head.isErr) return refuse(response, head.error, id);
     if (readPhase() === "refusing") {
-      return refuse(response, failStopping(), id);
+      return refuse(response, options.createStoppingFailure(), id);
     }
     const request = { head: head.value, body: body.body };
     await options.serve({ request, response, receivedAt });
@@ -134,11 +137,3 @@
     message: `the body is larger than ${limit} bytes`,
   });
 }
-
-function failStopping(): Failure {
-  return createFailure("stopping", {
-    verdict: "not_run",
-    message: "this entry is stopping; another one serves at once",
-    retryAfterMs: RETRY_AFTER_STOPPING,
-  });
-}
--- a/packages/serving/src/caller_listener_test.ts
+++ b/packages/serving/src/caller_listener_test.ts
@@ -1,3 +1,4 @@
+import { createFailure } from "@mangoreach/coordination";
 import { connect } from "node:net";
 import { createSystemClock, createTaskSet } from "@mangoreach/shared";
 import { readServerAddress } from "@mangoreach/shared";
@@ -41,6 +42,8 @@
       },
       readLimits: () => LIMITS,
       readPhase: () => "open",
+      createStoppingFailure: () =>
+        createFailure("stopping", { verdict: "not_run", message: "" }),
       onRefused: () => {},
     });
     const [host, port] = readServerAddress(server).split(":");
--- a/packages/serving/src/platform_interfaces.ts
+++ b/packages/serving/src/platform_interfaces.ts
@@ -40,6 +40,8 @@
   /** The API key of a client account, if the request has one. */
   key: string | undefined;
   promptParts: readonly PromptPart[];
+  /** The most tokens of the answer; undefined if the caller does not say. */
+  outputTokens: number | undefined;
   /** The number of pieces for each stage, in the order of the stages. */
   pieceCounts: readonly number[];
   pieceKey: string | undefined;
--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -5,17 +5,22 @@
  * @module
  */
 import type { Deadline, Failure, PoolSpec } from "@mangoreach/coordination";
-import { createDeadline, createFailure } from "@mangoreach/coordination";
+import {
+  computeStageTime,
+  createDeadline,
+  createFailure,
+} from "@mangoreach/coordination";
 import type { Millis } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { AttemptOutcome } from "./attempt_loop.ts";
-import { formatResumed, runAttempts, sumTokens } from "./attempt_loop.ts";
+import { formatResumed, runAttempts } from "./attempt_loop.ts";
 import {
   chooseEndpoint,
   computeRetryAfter,
   readShortestWait,
 } from "./endpoint_choice.ts";
 import type { CallerResponse } from "./caller_response.ts";
+import { sumTokens } from "./expected_answer.ts";
 import type { AdmittedRoute } from "./request_admission.ts";
 import { admitRequest, admitResumed } from "./request_admission.ts";
 import type { ForwardedRequest } from "./platform_interfaces.ts";
@@ -23,6 +28,7 @@
 import { findInfeasible } from "./stage_admission.ts";
 import type { StageResults } from "./stage_graph.ts";
 import { runStages } from "./stage_graph.ts";
+import { createStoppingFailure, findStopRefusal } from "./stop_admission.ts";
 import type { StopOutcome } from "./stop_window.ts";
 
 /** A request with the response to its caller. */
@@ -38,6 +44,9 @@
 /** Time of a stage besides its calls, to its dispatcher and back. */
 const STAGE_OVERHEAD: Millis = 40;
 
+/** Share of the recent requests whose stages took no longer than expected. */
+const USUAL_SHARE = 0.8;
+
 /** A queue that grew while the request waited has emptied by then. */
 const RETRY_AFTER_STAGE_FAILURE: Millis = 300;
 
@@ -54,7 +63,8 @@
     return recordOutcome(state, context, { failure: admitted.error });
   }
   const { route } = admitted.value;
-  const elapsed = clock.now() - receivedAt;
+  const admittedAt = clock.now();
+  const elapsed = admittedAt - receivedAt;
   const deadline = createDeadline({
     clock,
     budget: Math.min(request.head.budget, route.timeout) - elapsed,
@@ -68,6 +78,7 @@
   state.shutdown.addEventListener("abort", onShutdown, { once: true });
   const outcome = await runRequest(state, context, {
     admitted: admitted.value,
+    admittedAt,
     deadline,
   });
   deadline.release();
@@ -84,6 +95,8 @@
 
 interface AdmittedRequest {
   admitted: AdmittedRoute;
+  /** When the whole request had been read. */
+  admittedAt: Millis;
   deadline: Deadline;
 }
 
@@ -91,26 +104,27 @@
 async function runRequest(
   state: ServingState,
   context: RequestContext,
-  { admitted, deadline }: AdmittedRequest,
+  { admitted, ...rest }: AdmittedRequest,
 ): Promise<AttemptOutcome> {
   const { head } = context.request;
   const { route, account } = admitted;
   if (head.resumed === undefined || route.kind !== "stream") {
-    return runAdmittedRequest(state, context, { admitted, deadline });
+    return runAdmittedRequest(state, context, { admitted, ...rest });
   }
   const target = await state.resumption.findTarget({ head, route, account });
   if (target.isErr) return { failure: target.error, attempts: 0 };
   return runAdmittedRequest(state, context, {
     admitted: admitResumed(admitted, target.value),
-    deadline,
+    ...rest,
   });
 }
 
 async function runAdmittedRequest(
   state: ServingState,
   context: RequestContext,
-  { admitted, deadline }: AdmittedRequest,
+  admittedRequest: AdmittedRequest,
 ): Promise<AttemptOutcome> {
+  const { admitted, admittedAt, deadline } = admittedRequest;
   const { request, response } = context;
   const { account } = admitted;
   const refusal = state.crashDetector.findRefusal({ request, account });
@@ -118,21 +132,21 @@
   state.findBudget(admitted.pool).deposit();
   let results: StageResults | undefined;
   if (admitted.route.stages.length > 0) {
-    const stageResults = await runRouteStages(state, context, {
-      admitted,
-      deadline,
-    });
+    const stopWatching = watchStop(state, context, admittedRequest);
+    const stageResults = await runRouteStages(state, context, admittedRequest);
+    stopWatching();
     if (stageResults.isErr) {
-      return {
-        failure: explainStageFailure(stageResults.error, deadline),
-        attempts: 0,
-      };
+      const failure = deadline.signal.reason === "stopping"
+        ? createStoppingFailure(state)
+        : explainStageFailure(stageResults.error, deadline);
+      return { failure, attempts: 0 };
     }
     results = stageResults.value;
   }
   const outcome = await runAttempts(state, {
     request,
     response,
+    admittedAt,
     admitted,
     deadline,
     results,
@@ -141,11 +155,35 @@
   return outcome;
 }
 
+/**
+ * Abandons a request before it is sent if this entry is told to stop and could
+ * not finish its answer; returns a function that ends the watch.
+ */
+function watchStop(
+  state: ServingState,
+  { request }: RequestContext,
+  { admitted, admittedAt, deadline }: AdmittedRequest,
+): () => void {
+  const { begun } = state.stopWindow;
+  const { head } = request;
+  const onBegun = () => {
+    const refusal = findStopRefusal(state, {
+      head,
+      admittedAt,
+      admitted,
+      deadline,
+    });
+    if (refusal !== undefined) deadline.cancel("stopping");
+  };
+  begun.addEventListener("abort", onBegun, { once: true });
+  return () => begun.removeEventListener("abort", onBegun);
+}
+
 /** Runs the stages, if possible in the same place as the likely engine. */
 async function runRouteStages(
   state: ServingState,
   { request, receivedAt }: RequestContext,
-  { admitted, deadline }: AdmittedRequest,
+  { admitted, admittedAt, deadline }: AdmittedRequest,
 ): Promise<Result<StageResults, Failure>> {
   const { clock, log, router, random, callerElapsed, crashDetector } = state;
   const { route, table, rank, account } = admitted;
@@ -167,6 +205,20 @@
       request.head.pieceCounts[number] ?? 0,
     )
   );
+  const expected = {
+    firstAfter: computeStageTime(route.stages, durations),
+    tokens: 0,
+  };
+  const stageModel = state.findStageCompletion(route.name);
+  const stopping = findStopRefusal(state, {
+    head: request.head,
+    admittedAt,
+    admitted,
+    deadline,
+    delay: stageModel.estimate(expected, { share: USUAL_SHARE }) ??
+      expected.firstAfter,
+  });
+  if (stopping !== undefined) return Result.err(stopping);
   // If no endpoint accepts the request by the time its stages end, running them
   // would be wasted, and the caller would wait just to be refused.
   const stageTime = Math.max(0, ...durations);
@@ -188,7 +240,8 @@
     random,
   });
   if (infeasible !== undefined) return Result.err(infeasible);
-  return runStages({
+  const startedAt = clock.now();
+  const results = await runStages({
     clock,
     random,
     log,
@@ -208,6 +261,9 @@
       crashDetector.recordStageCrashes({ request, account }, ends),
     signal: deadline.signal,
   });
+  const took = clock.now() - startedAt;
+  stageModel.record({ ...expected, first: took, took, isWhole: results.isOk });
+  return results;
 }
 
 /** Estimates a stage's time with as few calls as possible, run in sequence. */
--- a/packages/serving/src/request_service_test.ts
+++ b/packages/serving/src/request_service_test.ts
@@ -1,3 +1,4 @@
+import type { Millis } from "@mangoreach/shared";
 import { createFakeClock, settlePromises } from "@mangoreach/shared";
 import { expect } from "chai";
 import { Result } from "true-myth";
@@ -16,11 +17,20 @@
   /** Serves a request that waits for its stage or for its endpoint. */
   function serve(
     place: "stage" | "endpoint",
-    { endpoints = ["e1"], accounts, accountShares = false }: {
+    {
+      endpoints = ["e1"],
+      accounts,
+      accountShares = false,
+      timeout = 4_000,
+      isStopping = true,
+    }: {
       endpoints?: readonly string[];
       /** Number of client accounts; by default the route needs no key. */
       accounts?: number;
       accountShares?: boolean;
+      timeout?: Millis;
+      /** Whether the request comes after the signal to stop. */
+      isStopping?: boolean;
     } = {},
   ) {
     const clock = createFakeClock(0);
@@ -28,6 +38,7 @@
     const route = createTestRoute({
       isPublic: accounts === undefined,
       kind: "non_idempotent",
+      timeout,
       stages: place === "stage"
         ? [{ pool: "makers", after: [], resultBytes: 1 }]
         : [],
@@ -44,11 +55,12 @@
       ),
     );
     const sentAccounts: (string | undefined)[] = [];
+    let sentCount = 0;
     const stopWindow = createStopWindow(clock, {
       stopTime: 8_000,
       onEnded: () => {},
     });
-    stopWindow.begin();
+    if (isStopping) stopWindow.begin();
     const state = createTestState(clock, {
       stopWindow,
       readTable: () => table,
@@ -69,15 +81,17 @@
         readWaits: () => Promise.resolve({ onTime: 0, late: 0, growth: 0 }),
         release: () => {},
       },
-      callEndpoint: ({ signal }) =>
-        new Promise((resolve) =>
+      callEndpoint: ({ signal }) => {
+        sentCount++;
+        return new Promise((resolve) =>
           signal.addEventListener("abort", () =>
             resolve(Result.err({
               kind: "aborted",
               sent: "maybe",
               message: "given up",
             })))
-        ),
+        );
+      },
     });
     state.directory.replaceAll(endpoints.map((id) => createTestEndpoint(id)));
     state.configAge.recordConfirmed(state.configAge.readTime());
@@ -85,6 +99,7 @@
     const task = serveRequest(state, {
       request: {
         head: createTestHead({
+          budget: 20_000,
           pieceCounts: [1],
           ...(accounts === undefined ? {} : { key: "key-0" }),
         }),
@@ -93,7 +108,14 @@
       response,
       receivedAt: 0,
     });
-    return { seen, task, shutdown, sentAccounts, stopWindow };
+    return {
+      seen,
+      task,
+      shutdown,
+      sentAccounts,
+      stopWindow,
+      countSent: () => sentCount,
+    };
   }
 
   // A stopping entry may be short of processor time. Requests that still wait
@@ -122,6 +144,41 @@
     });
   }
 
+  // Callers lost answers that were cut off at the end of an entry which knew on
+  // their arrival that they could not end in time.
+  for (const place of ["stage", "endpoint"] as const) {
+    it(`refuses at once what cannot end, before its ${place}`, async () => {
+      const { seen, task, sentAccounts, countSent } = serve(place, {
+        timeout: 30_000,
+      });
+      await task;
+      expect({ seen, sent: countSent() + sentAccounts.length })
+        .to.deep.equal({ seen: ["not_run"], sent: 0 });
+    });
+  }
+
+  // A request whose stages run at the signal would be passed on after them, and
+  // its answer be cut off.
+  it("refuses at the signal what waits and cannot end", async () => {
+    const { seen, task, stopWindow, countSent } = serve("stage", {
+      timeout: 30_000,
+      isStopping: false,
+    });
+    await settlePromises();
+    expect(seen).to.deep.equal([]);
+    stopWindow.begin();
+    await task;
+    expect({ seen, sent: countSent(), ...stopWindow.readCounts() })
+      .to.deep.equal({
+        seen: ["not_run"],
+        sent: 0,
+        refused: 1,
+        finished: 0,
+        failed: 0,
+        cut: 0,
+      });
+  });
+
   // All places with engines are evacuated. If the stages ran first, the request
   // would be refused a second later, and the caller would have lost that time.
   it("refuses at once before the stages if no endpoint is usable", async () => {
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -12,6 +12,7 @@
 } from "@mangoreach/coordination";
 import {
   createColdAllowance,
+  createCompletionModels,
   createElapsedEstimator,
   createEntryAllowance,
   createPoisonQuarantine,
@@ -57,6 +58,7 @@
 import { createServingMetrics } from "./serving_metrics.ts";
 import type { ServingEntryOptions } from "./serving_options.ts";
 import type { ServingState } from "./serving_state.ts";
+import { createStoppingFailure } from "./stop_admission.ts";
 import { createStopWindow } from "./stop_window.ts";
 import { createStreamLog } from "./stream_log.ts";
 import { createStreamOriginGossip } from "./stream_origin_gossip.ts";
@@ -90,8 +92,8 @@
 }
 
 /**
- * Callers cache the list of entries for at most three seconds. After that no
- * new requests arrive here.
+ * Callers cache the list of entries for at most three seconds, and longer only
+ * while no entry answers their lookups. An entry without work stays that long.
  */
 const LEAVE_DELAY: Millis = 3_200;
 /** Longer than a peer takes to confirm the end of a tunnel. */
@@ -423,6 +425,8 @@
     findDelays: pools.findDelays,
     findEngineChoice: pools.findEngineChoice,
     callerElapsed: createElapsedEstimator(clock),
+    findCompletion: createCompletionModels(),
+    findStageCompletion: createCompletionModels(),
     stopWindow,
     shutdown: shutdown.signal,
   };
@@ -436,6 +440,7 @@
     serve: (served) => serveRequest(state, served),
     readLimits: () => readTable()?.config.limits ?? DEFAULT_LIMITS,
     readPhase: () => phase,
+    createStoppingFailure: () => createStoppingFailure(state),
     onRefused: (failure, id) => {
       metrics.countRequest("none", "request_refused");
       stopWindow.recordEnd("refused");
@@ -539,11 +544,11 @@
     membership.updateSelf({ state: "leaving" });
     void exchange.notifyPeers(MAX_NOTIFIED_PEERS);
     void platform.members.remove(membership.self);
-    await clock.sleep(LEAVE_DELAY);
+    await clock.sleep(Math.min(LEAVE_DELAY, stopWindow.readTimeLeft()));
+    await waitAtMost(tasks.waitUntilEmpty());
     phase = "refusing";
     controller.abort();
-    listener.server.closeIdleConnections();
-    await Promise.race([finishWork(), clock.sleep(stopWindow.readTimeLeft())]);
+    await waitAtMost(finishWork());
     const cutOff = tasks.size;
     shutdown.abort();
     await Promise.race([
@@ -562,6 +567,10 @@
     }
   }
 
+  function waitAtMost(work: Promise<void>): Promise<void> {
+    return Promise.race([work, clock.sleep(stopWindow.readTimeLeft())]);
+  }
+
   async function finishWork(): Promise<void> {
     const closed = stopServer(listener.server);
     await tasks.waitUntilEmpty();
--- a/packages/serving/src/serving_state.ts
+++ b/packages/serving/src/serving_state.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type {
+  CompletionModel,
   DataAge,
   DelayModel,
   ElapsedEstimator,
@@ -69,5 +70,9 @@
   /** Aborts shortly before the process exits: every caller gets an answer. */
   shutdown: AbortSignal;
   findDelays: (pool: string) => DelayModel;
+  /** Learns how long answers of a route take from their sending on. */
+  findCompletion: (route: string) => CompletionModel;
+  /** Learns how long the stages of a route take. */
+  findStageCompletion: (route: string) => CompletionModel;
   findEngineChoice: (pool: string) => EngineSelector;
 }
--- /dev/null
+++ b/packages/serving/src/stop_admission.ts
@@ -0,0 +1,99 @@
+/**
+ * Decides whether an entry that was told to stop may still send a request to an
+ * endpoint: only if the whole answer reaches the caller before the entry ends.
+ * Otherwise it is refused at once, while the caller has time to go elsewhere.
+ *
+ * @module
+ */
+import type { Deadline, EndpointInfo, Failure } from "@mangoreach/coordination";
+import { createFailure } from "@mangoreach/coordination";
+import type { Millis } from "@mangoreach/shared";
+import { readExpectedAnswer } from "./expected_answer.ts";
+import type { RequestHead } from "./platform_interfaces.ts";
+import type { AdmittedRoute } from "./request_admission.ts";
+import type { ServingState } from "./serving_state.ts";
+
+/** Options of {@linkcode findStopRefusal}. */
+export interface StopCheckOptions {
+  head: RequestHead;
+  /** When the whole request had been read. */
+  admittedAt: Millis;
+  admitted: Pick<AdmittedRoute, "route" | "pool">;
+  deadline: Deadline;
+  /** Time until the request can be sent. */
+  delay?: Millis;
+  /** The endpoint to which it would be sent, once that is chosen. */
+  endpoint?: EndpointInfo;
+}
+
+/** How sure it must be that an answer ends in time. */
+interface Caution {
+  /** Share of the recent answers that would have. */
+  share: number;
+  /** How much slower endpoints may become while they answer. */
+  slowdown: number;
+}
+
+/** A request that has just come loses nothing by going elsewhere. */
+const NEW_REQUEST: Caution = { share: 1, slowdown: 1.25 };
+/**
+ * One that came before the signal to stop has waited, and would be late
+ * elsewhere.
+ */
+const WAITING_REQUEST: Caution = { share: 0.8, slowdown: 1 };
+/** Time to forward the last bytes, also when short of processor time. */
+const FORWARD_TIME: Millis = 150;
+/** A caller that retries after this time reaches another entry. */
+const RETRY_AFTER_STOPPING: Millis = 50;
+
+/**
+ * Returns the refusal of a request whose answer may not end before requests are
+ * cut off; undefined before the signal to stop.
+ */
+export function findStopRefusal(
+  state: ServingState,
+  { head, admittedAt, admitted, deadline, delay = 0, endpoint }:
+    StopCheckOptions,
+): Failure | undefined {
+  const { stopWindow, findCompletion } = state;
+  const left = stopWindow.readTimeLeft();
+  // The deadline ends it before it is cut off.
+  if (deadline.remaining() <= left) return undefined;
+  const isNew = stopWindow.hasBegunBefore(admittedAt);
+  const { share, slowdown } = isNew ? NEW_REQUEST : WAITING_REQUEST;
+  const expected = readExpectedAnswer(state, { head, admitted });
+  const time = findCompletion(admitted.route.name)
+    .estimate(expected, { share, endpoint });
+  if (time === undefined) return createStoppingFailure(state);
+  const longest = delay + slowdown * time + FORWARD_TIME;
+  return longest <= left ? undefined : createStoppingFailure(state, longest);
+}
+
+/**
+ * Creates the refusal of an entry that was told to stop. If no other entry
+ * serves, callers come back when some have started again, and not all at once.
+ *
+ * @param longest how long the answer might have taken, if that is known
+ */
+export function createStoppingFailure(
+  { membership, stopWindow, random }: Pick<
+    ServingState,
+    "membership" | "stopWindow" | "random"
+  >,
+  longest?: Millis,
+): Failure {
+  const hasOther = membership.list().some(({ health, record }) =>
+    health === "alive" && record.state === "live"
+  );
+  const left = Math.max(0, stopWindow.readTimeLeft());
+  const message = `this entry ends in ${Math.round(left)} ms` +
+    (longest === undefined
+      ? ""
+      : `; the answer may take ${Math.round(longest)} ms`);
+  const wait = hasOther ? 0 : left * (0.5 + random());
+  return createFailure("stopping", {
+    verdict: "not_run",
+    message,
+    retryAfterMs: Math.max(RETRY_AFTER_STOPPING, Math.round(wait)),
+  });
+}
--- a/packages/serving/src/stop_window.ts
+++ b/packages/serving/src/stop_window.ts
@@ -22,6 +22,8 @@
   readonly begun: AbortSignal;
   /** Begins the window; later calls have no effect. */
   begin(): void;
+  /** Whether the signal to stop came before a time. */
+  hasBegunBefore(time: Millis): boolean;
   /** Time until requests are cut off; infinite before the signal to stop. */
   readTimeLeft(): Millis;
   /** Counts a request that ended; before the signal to stop it does nothing. */
@@ -55,14 +57,17 @@
 ): StopWindow {
   const controller = createSharedController();
   const counts = { refused: 0, finished: 0, failed: 0, cut: 0 };
+  let begunAt = Infinity;
   let endAt = Infinity;
   return {
     begun: controller.signal,
     begin() {
       if (controller.signal.aborted) return;
-      endAt = clock.now() + stopTime - SHUTDOWN_MARGIN;
+      begunAt = clock.now();
+      endAt = begunAt + stopTime - SHUTDOWN_MARGIN;
       controller.abort();
     },
+    hasBegunBefore: (time) => begunAt <= time,
     readTimeLeft: () => endAt - clock.now(),
     recordEnd(outcome) {
       if (!controller.signal.aborted) return;
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -14,6 +14,7 @@
   ServingConfig,
 } from "@mangoreach/coordination";
 import {
+  createCompletionModel,
   createDataAge,
   createDelayModel,
   createEndpointDirectory,
@@ -130,6 +131,7 @@
     budget: 5_000,
     key: undefined,
     promptParts: [],
+    outputTokens: undefined,
     pieceCounts: [],
     pieceKey: "key-1",
     resumed: undefined,
@@ -343,6 +345,8 @@
     findPlace: () => undefined,
     findBudget: () => createRetryBudget({ share: 0, max: 10 }),
     findDelays: createDelayModel,
+    findCompletion: createCompletionModel,
+    findStageCompletion: createCompletionModel,
     findEngineChoice: () => createEngineSelector(clock),
     stopWindow: createStopWindow(clock, { stopTime: 8_000, onEnded: () => {} }),
     shutdown: createSharedController().signal,
--- a/soak/src/entry_settings.ts
+++ b/soak/src/entry_settings.ts
@@ -26,11 +26,13 @@
 /** Creates the settings of an entry that has one core to itself. */
 export function createEntrySettings(
   entry: string,
-  { ports, store, logLevel }: {
+  { ports, store, logLevel, stopS = STOP_S }: {
     ports: EntryPorts;
     /** `ip:port`. */
     store: string;
     logLevel: PlatformSettings["logLevel"];
+    /** Time limit to stop, in seconds. */
+    stopS?: number;
   },
 ): PlatformSettings {
   return {
@@ -43,7 +45,7 @@
     seeds: [],
     store,
     revokeMs: 5_000,
-    stopS: STOP_S,
+    stopS,
     repeatShare: 0.2,
     accountShares: true,
     repeatSlack: 56,
--- a/soak/src/soak_entry.ts
+++ b/soak/src/soak_entry.ts
@@ -41,7 +41,12 @@
 /** Writes the settings of an entry and starts its proxies. */
 export async function createEntry(
   name: string,
-  { store, folder }: { store: TopicStore; folder: string },
+  { store, folder, stopS }: {
+    store: TopicStore;
+    folder: string;
+    /** Time limit to stop, in seconds. */
+    stopS?: number;
+  },
 ): Promise<Entry> {
   const ports = await findEntryPorts();
   const storeProxy = await startFaultProxy(store.address);
@@ -51,6 +56,7 @@
     ports,
     store: storeProxy.address,
     logLevel: "info",
+    ...(stopS === undefined ? {} : { stopS }),
   });
   writeFileSync(settingsFile, JSON.stringify(settings));
   return {
