fix(serving): requests are cut off near the end of any time to stop

What callers saw: with a time to stop of two or three seconds, streams in progress were cut off after 1.2 and 2.2 s, with more than a quarter of that time left.

Cause: requests were cut off 0.8 s before the process is killed, whatever the time to stop; that is a tenth of 8 s, but two fifths of 2 s. The same with the 0.5 s to send the last answers, which could last until after the kill.

Now both are shares of a time to stop that is short.

The unit test failed before with 200, 1200 and 2200 ms left instead of 900, 1800 and 2700.

--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -99,9 +99,12 @@
 /** Longer than a peer takes to confirm the end of a tunnel. */
 const TUNNEL_LINGER: Millis = 200;
 /**
- * Time to send those responses, enough for an instance short of processor time.
+ * Time to send the responses of requests that are cut off, enough for an
+ * instance short of processor time.
  */
-const REPLY_FLUSH_TIMEOUT: Millis = 500;
+const MAX_REPLY_FLUSH: Millis = 500;
+/** The same as a share of the time until the process is killed. */
+const REPLY_FLUSH_SHARE = 0.6;
 /** Maximum number of peers notified at once when this entry leaves. */
 const MAX_NOTIFIED_PEERS = 10;
 /** Limits in use until the first configuration is known. */
@@ -553,7 +556,12 @@
     shutdown.abort();
     await Promise.race([
       tasks.waitUntilEmpty(),
-      clock.sleep(REPLY_FLUSH_TIMEOUT),
+      clock.sleep(
+        Math.min(
+          MAX_REPLY_FLUSH,
+          REPLY_FLUSH_SHARE * stopWindow.readTimeToKill(),
+        ),
+      ),
     ]);
     log.record("process_stopped", { cutOff, ...stopWindow.readCounts() });
   }
--- a/packages/serving/src/stop_window.ts
+++ b/packages/serving/src/stop_window.ts
@@ -26,6 +26,8 @@
   hasBegunBefore(time: Millis): boolean;
   /** Time until requests are cut off; infinite before the signal to stop. */
   readTimeLeft(): Millis;
+  /** Time until the process is killed; infinite before the signal to stop. */
+  readTimeToKill(): Millis;
   /** Counts a request that ended; before the signal to stop it does nothing. */
   recordEnd(outcome: StopOutcome): void;
   /** Returns the counts since the signal to stop. */
@@ -40,7 +42,9 @@
  * is killed: a caller whose connection just closes does not know whether it may
  * retry.
  */
-const SHUTDOWN_MARGIN: Millis = 800;
+const MAX_SHUTDOWN_MARGIN: Millis = 800;
+/** The same as a share of a short time to stop. */
+const SHUTDOWN_MARGIN_SHARE = 0.1;
 
 /** Options of {@linkcode createStopWindow}. */
 export interface StopWindowOptions {
@@ -57,6 +61,10 @@
 ): StopWindow {
   const controller = createSharedController();
   const counts = { refused: 0, finished: 0, failed: 0, cut: 0 };
+  const margin = Math.min(
+    MAX_SHUTDOWN_MARGIN,
+    SHUTDOWN_MARGIN_SHARE * stopTime,
+  );
   let begunAt = Infinity;
   let endAt = Infinity;
   return {
@@ -64,11 +72,12 @@
     begin() {
       if (controller.signal.aborted) return;
       begunAt = clock.now();
-      endAt = begunAt + stopTime - SHUTDOWN_MARGIN;
+      endAt = begunAt + stopTime - margin;
       controller.abort();
     },
     hasBegunBefore: (time) => begunAt <= time,
     readTimeLeft: () => endAt - clock.now(),
+    readTimeToKill: () => endAt + margin - clock.now(),
     recordEnd(outcome) {
       if (!controller.signal.aborted) return;
       counts[outcome]++;
--- a/packages/serving/src/stop_window_test.ts
+++ b/packages/serving/src/stop_window_test.ts
@@ -27,6 +27,23 @@
     expect(left).to.deep.equal([Infinity, 7_200, 6_200, 5_200]);
   });
 
+  // With a fixed margin, an entry with two seconds to stop cut off requests after
+  // 1.2 s, with two fifths of its time left.
+  it("cuts off in the last tenth of a short time to stop", () => {
+    const left = [1_000, 2_000, 3_000, 8_000, 30_000].map((stopTime) => {
+      const { window } = create(stopTime);
+      window.begin();
+      return [window.readTimeLeft(), window.readTimeToKill()];
+    });
+    expect(left).to.deep.equal([
+      [900, 1_000],
+      [1_800, 2_000],
+      [2_700, 3_000],
+      [7_200, 8_000],
+      [29_200, 30_000],
+    ]);
+  });
+
   // Requests that end before the signal would hide how many a stop costs.
   it("counts only requests that end after the signal", () => {
     const { ended, window } = create();
--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -78,6 +78,11 @@
   "soak/src/main.ts",
   ...["--seed", SOAK_SEED, "--seeds", "2", "--jobs", "2", "--seconds", "4"],
 ], counts);
+check("soak of stops", [
+  "tsx",
+  "soak/src/main.ts",
+  ...["--seed", SOAK_SEED, "--seeds", "2", "--jobs", "2", "--kinds", "stops"],
+], counts);
 
 const knownFailures = readKnownFailures();
 const isCi = process.argv.includes("--ci");
