fix(serving): a second signal to stop does not begin a second stop

What callers would see: an entry that is told to stop once more, after it had finished and begun to refuse, accepted requests again, and its process ended under them when the first stop was over.

Cause: each SIGTERM ran the whole stop anew, from its phase of leaving on.

Now every signal gets the same stop. The test failed before: the second signal began a stop of its own. It was not seen to cost a request in the soak, whose signals come again within 1.5 s; the reopened phase is read in the code.

--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -540,7 +540,14 @@
     control: readServerAddress(control),
   });
 
-  async function stop(): Promise<void> {
+  let stopped: Promise<void> | undefined;
+
+  /** The signal may come again while this entry stops. */
+  function stop(): Promise<void> {
+    return stopped ??= runStop();
+  }
+
+  async function runStop(): Promise<void> {
     phase = "leaving";
     stopWindow.begin();
     log.record("process_stopping", { inProgress: tasks.size });
