fix(serving): a stopping entry opens no new tunnels while others can

What callers would see: a request whose entry reaches no endpoint itself went through a peer that had been told to stop, and was cut off when that peer ended, though neither its caller nor its entry had been told anything.

Cause: an entry that stops went on to connect for its peers. They leave it out once they know of the stop, half a second later; until then they cannot know how long it lasts, and it does not know how long their requests take.

Now it refuses such a connection at once, and the peer asks another entry; if no other entry serves, it still connects, as the request would fail otherwise.

--- a/packages/serving/src/endpoint_paths.ts
+++ b/packages/serving/src/endpoint_paths.ts
@@ -33,6 +33,8 @@
   listEndpoints: () => readonly EndpointInfo[];
   /** Records the outcome of each direct connection. */
   recordConnect: RecordConnect;
+  /** Whether this entry connects for peers at all. */
+  mayRelay: () => boolean;
 }
 
 /** The ways from this entry to endpoints. */
@@ -264,7 +266,7 @@
     const isKnown = listAt(address).some((endpoint) => endpoint.id === id);
     // A path that is broken here says nothing about the endpoint.
     const isUsable = isKnown && detachedAt === undefined &&
-      countForPeers < MAX_FOR_PEERS;
+      countForPeers < MAX_FOR_PEERS && options.mayRelay();
     if (!isUsable) return Result.err("unavailable");
     countForPeers++;
     const connection = await openDirectly(address, {
--- a/packages/serving/src/endpoint_paths_test.ts
+++ b/packages/serving/src/endpoint_paths_test.ts
@@ -29,6 +29,8 @@
   readonly #cuts = new Map<number, PathState>();
   readonly #ended = new Map<string, PathState>();
   readonly stop = createSharedController();
+  /** Entries that were told to stop. */
+  readonly stopping = new Set<number>();
   /** Direct connections that were tried. */
   direct = 0;
   /** Tunnels that each entry opened for others. */
@@ -69,6 +71,7 @@
           this.endpoints.filter((endpoint) => endpoint.address === address),
         listEndpoints: () => this.endpoints,
         recordConnect: () => {},
+        mayRelay: () => !this.stopping.has(number),
       })
     );
   }
@@ -262,6 +265,18 @@
       .to.deep.equal({ outcome: "silent", isSoon: true });
   });
 
+  // A stream through an entry that was told to stop was cut off when it ended,
+  // though another peer could have carried it.
+  it("go through another peer than one that stops", async () => {
+    const fleet = new PathFleet(3, 1);
+    fleet.cut(1, "refused");
+    fleet.stopping.add(1);
+    for (let connection = 0; connection < 8; connection++) {
+      expect((await fleet.connect(0, 0)).outcome).to.equal("connected");
+    }
+    expect(fleet.relayed).to.deep.equal([0, 0, 8]);
+  });
+
   it("end at endpoints that the entry does not know", async () => {
     const fleet = new PathFleet(2, 1);
     const { signal } = new AbortController();
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -58,7 +58,7 @@
 import { createServingMetrics } from "./serving_metrics.ts";
 import type { ServingEntryOptions } from "./serving_options.ts";
 import type { ServingState } from "./serving_state.ts";
-import { createStoppingFailure } from "./stop_admission.ts";
+import { createStoppingFailure, hasLivePeer } from "./stop_admission.ts";
 import { createStopWindow } from "./stop_window.ts";
 import { createStreamLog } from "./stream_log.ts";
 import { createStreamOriginGossip } from "./stream_origin_gossip.ts";
@@ -312,6 +312,8 @@
       metrics,
       listUsable: directory.listUsable,
     }),
+    // A peer does not know that its connection would be cut off here.
+    mayRelay: () => phase === "open" || !hasLivePeer(membership),
   });
   const { callEndpoint, stages } = platform.createEndpointClients(
     paths.connect,
--- a/packages/serving/src/stop_admission.ts
+++ b/packages/serving/src/stop_admission.ts
@@ -5,7 +5,12 @@
  *
  * @module
  */
-import type { Deadline, EndpointInfo, Failure } from "@mangoreach/coordination";
+import type {
+  Deadline,
+  EndpointInfo,
+  Failure,
+  Membership,
+} from "@mangoreach/coordination";
 import { createFailure } from "@mangoreach/coordination";
 import type { Millis } from "@mangoreach/shared";
 import { readExpectedAnswer } from "./expected_answer.ts";
@@ -69,6 +74,13 @@
   return longest <= left ? undefined : createStoppingFailure(state, longest);
 }
 
+/** Whether another entry serves callers and reaches endpoints itself. */
+export function hasLivePeer(membership: Pick<Membership, "list">): boolean {
+  return membership.list().some(({ health, record }) =>
+    health === "alive" && record.state === "live"
+  );
+}
+
 /**
  * Creates the refusal of an entry that was told to stop. If no other entry
  * serves, callers come back when some have started again, and not all at once.
@@ -82,15 +94,12 @@
   >,
   longest?: Millis,
 ): Failure {
-  const hasOther = membership.list().some(({ health, record }) =>
-    health === "alive" && record.state === "live"
-  );
   const left = Math.max(0, stopWindow.readTimeLeft());
   const message = `this entry ends in ${Math.round(left)} ms` +
     (longest === undefined
       ? ""
       : `; the answer may take ${Math.round(longest)} ms`);
-  const wait = hasOther ? 0 : left * (0.5 + random());
+  const wait = hasLivePeer(membership) ? 0 : left * (0.5 + random());
   return createFailure("stopping", {
     verdict: "not_run",
     message,
