fix(entry): a leaving entry refuses what it would cut off

The product's own entry accepted everything for `drainMs` and cut off after `shutdownMs` more.

Now a request whose deadline comes after the cut, and whose stages would by their forecast last until then, is refused at once as not run. The test failed before with "cut off" and one request cut off.

--- a/bench/src/path_test.ts
+++ b/bench/src/path_test.ts
@@ -323,6 +323,27 @@
     await http.close();
   });
 
+  // A draft that takes half a second was accepted 0.2 s before it was cut off,
+  // and its caller could not tell whether it had run.
+  it("refuse what they would cut off", async () => {
+    site = await startLocalSite({
+      engineTimes: SLOW_ENGINE,
+      timing: { drainMs: 200, shutdownMs: 100 },
+    });
+    const http = createHttpClient();
+    const call = async () => {
+      const reply = await http.call(
+        createDraftCall(site, "/v1/pipelines/draft"),
+      );
+      return reply.isOk ? reply.value.status : "cut off";
+    };
+    const before = [await call(), await call(), await call()];
+    const stopped = site.entries[0]?.stop();
+    expect({ before, after: await call(), cutOff: await stopped })
+      .to.deep.equal({ before: [200, 200, 200], after: 503, cutOff: 0 });
+    await http.close();
+  });
+
   // An endpoint leaves, but the instance list shows it only much later. After the
   // first refusal no new request is sent there, and no request is lost.
   it("send no new requests to a leaving endpoint while the list lags", async () => {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -101,6 +101,8 @@
   const { incarnation, logger, metrics, timeline } = context;
   const entryLogger = logger.forPart("entry");
   let phase: "serving" | "leaving" | "stopping" = "serving";
+  /** When requests in progress are cut off. */
+  let cutOffAt = Infinity;
 
   const directory = createEndpointDirectory({
     clock,
@@ -207,6 +209,7 @@
       resumeTokens,
     }),
     isStopping: () => phase === "stopping",
+    readTimeLeft: () => cutOffAt - clock.now(),
   });
   const serverLimits = {
     maxHeaderBytes: settings.limits.maxHeaderBytes,
@@ -334,12 +337,14 @@
 
   async function stop(): Promise<number> {
     phase = "leaving";
+    const { drainMs, shutdownMs } = settings.timing;
+    cutOffAt = clock.now() + drainMs + shutdownMs;
     timeline.record("process_stopping");
     entryLogger.info("Leaving; no longer listed in address responses.");
     membership.updateSelf({ state: "leaving" });
     await exchange.notifyPeers();
     // Callers cache address lists for a while, so they are still served.
-    await clock.sleep(settings.timing.drainMs, shutdown.signal);
+    await clock.sleep(drainMs, shutdown.signal);
     phase = "stopping";
     await waitForRequests();
     const cutOffCount = requestTasks.size;
@@ -351,9 +356,8 @@
   }
 
   async function waitForRequests(): Promise<void> {
-    const timeoutAt = clock.now() + settings.timing.shutdownMs;
     void stopServer(callerServer);
-    while (requestTasks.size > 0 && clock.now() < timeoutAt) {
+    while (requestTasks.size > 0 && clock.now() < cutOffAt) {
       await clock.sleep(STOP_CHECK_INTERVAL, shutdown.signal);
       if (shutdown.signal.aborted) return;
     }
--- a/packages/entry/src/request_handler.ts
+++ b/packages/entry/src/request_handler.ts
@@ -86,6 +86,8 @@
   execution: RequestExecution;
   /** Whether new requests are refused because this entry is stopping. */
   isStopping: () => boolean;
+  /** Time until requests are cut off; infinite unless this entry stops. */
+  readTimeLeft: () => Millis;
 }
 
 /** A request whose head and body are valid. */
@@ -100,6 +102,9 @@
   execute(run: RequestRun): Promise<ExecutionResult>;
 }
 
+/** Requests may take longer than is forecast for them. */
+const FORECAST_FACTOR = 1.5;
+
 /** Creates the request handler of one entry. */
 export function createRequestHandler(
   context: EntryContext,
@@ -284,7 +289,7 @@
     run: RequestRun,
     checked: CheckedRequest,
   ): Promise<ExecutionResult> {
-    if (options.isStopping()) {
+    if (options.isStopping() || !mayEndInTime(run, checked)) {
       return { kind: "failed", failure: failStopping() };
     }
     // The deadline may have passed while the claim was pending or the process
@@ -300,6 +305,21 @@
     return outcome;
   }
 
+  /**
+   * Whether a request ends before this entry would cut it off: by its deadline,
+   * or by a forecast of its stages.
+   */
+  function mayEndInTime(
+    { deadline, workClass }: RequestRun,
+    checked: CheckedRequest,
+  ): boolean {
+    const left = options.readTimeLeft();
+    if (deadline.remaining() <= left) return true;
+    const time = checked.forecast(workClass.priority)
+      .reduce((sum, { wait, service }) => sum + wait + service, 0);
+    return FORECAST_FACTOR * time <= left;
+  }
+
   function admit(
     run: RequestRun,
     checked: CheckedRequest,
