fix(serving): errors of endpoints do not count as short answers

What callers would see: where endpoints answer some requests of a route with an error, a stopping entry takes its answers for shorter than they are, accepts a stream and cuts it off.

Cause: an answer with a status from 300 to 499 was recorded for the estimate as a stream that ended at its first byte. Read in the code that came with the estimate, not seen in a run; the test failed before, with `[true]` for a 404.

--- a/packages/coordination/src/completion_model.ts
+++ b/packages/coordination/src/completion_model.ts
@@ -69,9 +69,9 @@
 const MIN_PACED: Millis = 500;
 /** Ratio of the slowest to the mean pace while no long stream has ended. */
 const UNKNOWN_PACE_RATIO = 1.5;
-const MAX_ENDPOINTS = 256;
+const MAX_ENDPOINTS = 64;
 /** Routes whose models are kept. */
-const MAX_ROUTES = 1_024;
+const MAX_ROUTES = 256;
 
 /** Creates the model of a route without answers. */
 export function createCompletionModel(): CompletionModel {
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -97,6 +97,7 @@
 const MAX_ATTEMPTS = 4;
 const MAX_ANSWER_BYTES = 8_388_608;
 const FIRST_FAILING_STATUS = 500;
+const FIRST_ERROR_STATUS = 300;
 
 /** Makes attempts until one is answered or no further one is allowed. */
 export async function runAttempts(
@@ -308,11 +309,14 @@
   return end;
 }
 
-/** Whether an attempt tells how long answers take: it ran, and did not fail. */
+/**
+ * Whether an attempt tells how long answers take. Endpoints give errors sooner
+ * than answers.
+ */
 function isServed(end: FinishedAttempt): boolean {
   return end.kind === "lost"
     ? end.verdict !== "not_run"
-    : end.status < FIRST_FAILING_STATUS;
+    : end.status < FIRST_ERROR_STATUS;
 }
 
 /** Formats the stream that a request resumes for log lines. */
@@ -365,7 +369,7 @@
     };
   }
   const isStream = options.admitted.route.kind === "stream" &&
-    answer.status < 300;
+    answer.status < FIRST_ERROR_STATUS;
   return isStream
     ? await streamReply(options, answer, handlers)
     : await sendBufferedReply(options, answer, handlers);
--- a/packages/serving/src/attempt_loop_test.ts
+++ b/packages/serving/src/attempt_loop_test.ts
@@ -39,6 +39,7 @@
   const testRoute = createTestRoute(route);
   const table = createTestTable([testRoute]);
   const { response, seen } = createRecordedResponse();
+  const recorded: boolean[] = [];
   const state = createTestState(clock, {
     readTable: () => table,
     directory,
@@ -59,6 +60,10 @@
       );
     },
     findBudget: () => createRetryBudget({ share: 0, max: budget }),
+    findCompletion: () => ({
+      record: ({ isWhole }) => recorded.push(isWhole),
+      estimate: () => undefined,
+    }),
   });
   const outcome = await runAttempts(state, {
     request: { head: createTestHead(), body: Buffer.alloc(0) },
@@ -75,7 +80,7 @@
     deadline: createDeadline({ clock, budget: 4_000 }),
     results: undefined,
   });
-  return { outcome, seen, called: called.map(({ id }) => id) };
+  return { outcome, seen, recorded, called: called.map(({ id }) => id) };
 }
 
 const COMPLETE = () => createTestReply(["whole"]);
@@ -167,6 +172,18 @@
     });
   }
 
+  // An endpoint gives errors sooner than answers: counted, they would make the
+  // answers of a stopping entry look shorter than they are.
+  it("records how long answers take, but not errors and refusals", async () => {
+    const denied = () => createTestReply(["no"], { status: 404 });
+    const outcomes = await Promise.all(
+      [[COMPLETE], [CUT], [FAILED], [denied], [FULL, COMPLETE], [UNSENT]]
+        .map((steps) => run(steps, { route: { kind: "stream" } })),
+    );
+    expect(outcomes.map(({ recorded }) => recorded))
+      .to.deep.equal([[true], [false], [], [], [true], []]);
+  });
+
   it("runs a request on as many endpoints as its route allows", async () => {
     const { called } = await run([MAYBE, MAYBE, COMPLETE], {
       route: { maxAttempts: 1 },
