--- a/soak/src/stop_callers.ts
+++ b/soak/src/stop_callers.ts
@@ -8,6 +8,7 @@
 import { Agent, request as sendHttp } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { HEADER } from "../../platform/src/wire_names.ts";
+import { TOKENS_PER_EVENT } from "./stop_endpoints.ts";
 
 /** The kinds of requests, by their path. */
 export type StopRoute =
@@ -50,7 +51,6 @@
 
 /** Longer than any stream; only the end of an entry cuts one off. */
 export const STOP_DEADLINE_MS = 25_000;
-const TOKENS_PER_EVENT = 3;
 const BODY = "question";
 
 /** Creates a caller without connections. */
