fix(platform): changed settings do not end a process that is still loading

What callers would see: an entry that restarts while its settings change is gone once more, without a line in its log, until it is started again.

Cause: the handler of SIGHUP was set once the entry had started. Until then the signal's default action ends the process; loading the program takes some 0.2 s. Nothing from before the program is loaded can be mended here: some 40 ms in which Node.js itself starts.

Now the launcher takes the signal before it loads the program.

--- a/scripts/launcher.cjs
+++ b/scripts/launcher.cjs
@@ -11,8 +11,13 @@
 const { existsSync, readFileSync } = require("node:fs");
 const { wrap } = require("node:module");
 const { dirname, join } = require("node:path");
+const process = require("node:process");
 const { Script } = require("node:vm");
 
+// The program handles this signal once it runs. By default it would end a
+// process that is still loading.
+process.on("SIGHUP", () => {});
+
 const BUNDLE = join(__dirname, "mangoreach-platform.bundle.cjs");
 const COMPILED = join(__dirname, "mangoreach-platform.compiled");
 
