test(soak): a process that ends by itself is reported

A run in which an entry ended by itself waited for its end for ever. It is now a violation, and the entry is started again. Signals that settings have changed go only to processes that have loaded their program: before, Node.js cannot handle them.

--- a/soak/src/cut_launcher.cjs
+++ b/soak/src/cut_launcher.cjs
@@ -82,3 +82,4 @@
 process.channel?.unref();
 process.argv.splice(1, 1);
 require(resolve(process.argv[1]));
+process.send?.("loaded");
--- a/soak/src/stop_site.ts
+++ b/soak/src/stop_site.ts
@@ -21,6 +21,8 @@
   /** Runs at endpoints by request id. */
   readonly runs: ReadonlyMap<string, readonly ObservedStopRun[]>;
   readonly stops: readonly ObservedStop[];
+  /** Describes processes that ended without being told to stop. */
+  readonly ownEnds: readonly string[];
   /** Tells entries to stop; resolves once their successors have started. */
   runStop(stop: PlannedStop): Promise<void>;
   applyChange(change: PlannedChange): void;
@@ -38,6 +40,9 @@
   const runs = new Map<string, ObservedStopRun[]>();
   const stops: ObservedStop[] = [];
   const startedAt = new Map<Entry, number>();
+  const ownEnds: string[] = [];
+  /** Entries whose process has loaded its program and can handle signals. */
+  const loaded = new Set<Entry>();
   let version = 1;
   let isClosed = false;
 
@@ -47,8 +52,23 @@
   }
 
   function startProcess(entry: Entry): void {
-    startedAt.set(entry, Date.now());
+    const at = Date.now();
+    startedAt.set(entry, at);
+    loaded.delete(entry);
     startEntry(entry);
+    const { child, name } = entry;
+    child?.once("message", () => loaded.add(entry));
+    child?.once("exit", (code, signal) => {
+      // A process that is told to stop is no longer the entry's.
+      if (entry.child !== child || isClosed) return;
+      const end = signal ?? `status ${code}`;
+      ownEnds.push(
+        `${name} ended by itself ${Date.now() - at} ms after its ` +
+          `start: ${end}`,
+      );
+      entry.child = undefined;
+      startProcess(entry);
+    });
   }
 
   /** Replaces the process of an entry, unless that is going on already. */
@@ -128,10 +148,12 @@
     callerAddresses: entries.map(({ callerProxy }) => callerProxy.address),
     runs,
     stops,
+    ownEnds,
     runStop,
     applyChange({ kind, target }) {
       if (kind === "configuration") return publishConfig();
-      entries[target % entries.length]!.child?.kill("SIGHUP");
+      const entry = entries[target % entries.length]!;
+      if (loaded.has(entry)) entry.child?.kill("SIGHUP");
     },
     close,
   };
--- a/soak/src/stop_soak.ts
+++ b/soak/src/stop_soak.ts
@@ -115,6 +115,6 @@
       requests.filter(({ status, end }) => status === 200 && end === "complete")
         .length,
     ...countStopped(observations),
-    violations: listStopViolations(observations),
+    violations: [...listStopViolations(observations), ...site.ownEnds],
   };
 }
