--- a/packages/coordination/src/completion_model.ts
+++ b/packages/coordination/src/completion_model.ts
@@ -16,7 +16,10 @@
 export interface ExpectedAnswer {
   /** Expected time until the first event, or until an answer without events. */
   firstAfter: Millis;
-  /** The most tokens that it may have; undefined if the caller does not say. */
+  /**
+   * The most tokens that it may have. Answers whose callers do not say it count
+   * as one token each, whatever their length.
+   */
   tokens: number | undefined;
 }
 
