--- a/soak/src/stop_checks.ts
+++ b/soak/src/stop_checks.ts
@@ -83,57 +83,89 @@
 }
 
 /** Lists what must not happen around the stop of an entry. */
-export function listStopViolations(
+export function listStopViolations(observations: StopObservations): string[] {
+  const { requests, stops } = observations;
+  const violations = requests.flatMap((request) => {
+    const stop = findStop(request, stops);
+    return [
+      ...listRunViolations(request, observations),
+      ...(stop === undefined
+        ? listUnstoppedViolations(request, observations)
+        : listCutViolations(request, { ...observations, stop })),
+    ];
+  });
+  return [...violations, ...listRefusalViolations(observations)];
+}
+
+function listRunViolations(
+  { id, status }: ObservedRequest,
+  { runs }: StopObservations,
+): string[] {
+  const count = runs.get(id)?.length ?? 0;
+  return [
+    ...(count > 1 ? [`${id} ran ${count} times`] : []),
+    ...(status === 503 && count > 0 ? [`${id} was refused and ran`] : []),
+  ];
+}
+
+function listUnstoppedViolations(
+  { id, route, end }: ObservedRequest,
+  { runs }: StopObservations,
+): string[] {
+  return end === "cut" && runs.has(id)
+    ? [`${id} (${route}) ran and was cut without a stop`]
+    : [];
+}
+
+/** Lists answers that came late or were cut off by a stop. */
+function listCutViolations(
+  { id, route, events, status, end, sentAt, endedAt }: ObservedRequest,
+  { runs, stopTime, eventGap, stop }: StopObservations & { stop: ObservedStop },
+): string[] {
+  const took = endedAt - sentAt;
+  if (status === 503) {
+    const isLate = route !== "staged" && took > REFUSAL_MS;
+    return isLate ? [`${id} was refused after ${took} ms`] : [];
+  }
+  const wasCut = end === "cut" &&
+    runs.get(id)?.some((run) => !run.isWhole && !isSlowed(run, eventGap));
+  if (!wasCut) return [];
+  const after = sentAt - stop.at;
+  const cutAfter = endedAt - stop.at;
+  if (after > 0) {
+    return [
+      `${id} (${route}, ${events} events) was sent ${after} ms after the ` +
+      `signal, ran, and was cut ${cutAfter} ms after it`,
+    ];
+  }
+  if (cutAfter >= (1 - LAST_SHARE) * stopTime) return [];
+  return [
+    `${id} (${route}) was sent before the signal and cut ${cutAfter} ms ` +
+    `after it, with time left`,
+  ];
+}
+
+/** Reports if many streams are refused that could end. */
+function listRefusalViolations(
   { requests, runs, stops, stopTime, eventGap }: StopObservations,
 ): string[] {
-  const errors: string[] = [];
-  let sure = 0;
-  let accepted = 0;
-  for (const request of requests) {
-    const { id, status, end, sentAt, endedAt, route, events } = request;
-    const own = runs.get(id) ?? [];
-    if (own.length > 1) errors.push(`${id} ran ${own.length} times`);
-    if (status === 503 && own.length > 0) {
-      errors.push(`${id} was refused and ran`);
-    }
+  const sure = requests.filter((request) => {
+    const { id, route, events, status, sentAt } = request;
     const stop = findStop(request, stops);
-    if (stop === undefined) {
-      if (end === "cut" && own.length > 0) {
-        errors.push(`${id} (${route}) ran and was cut without a stop`);
-      }
-      continue;
-    }
-    const after = sentAt - stop.at;
-    const isRefused = status === 503;
-    if (isRefused && route !== "staged" && endedAt - sentAt > REFUSAL_MS) {
-      errors.push(`${id} was refused after ${endedAt - sentAt} ms`);
-    }
-    const wasCut = end === "cut" &&
-      own.some((run) => !run.isWhole && !isSlowed(run, eventGap));
-    const cutAfter = endedAt - stop.at;
-    if (wasCut && after > 0) {
-      errors.push(
-        `${id} (${route}, ${events} events) was sent ${after} ms after the ` +
-          `signal, ran, and was cut ${cutAfter} ms after it`,
-      );
-    } else if (wasCut && cutAfter < (1 - LAST_SHARE) * stopTime) {
-      errors.push(
-        `${id} (${route}) was sent before the signal and cut ${cutAfter} ms ` +
-          `after it, with time left`,
-      );
+    if (stop === undefined || route !== "talk" || sentAt <= stop.at) {
+      return false;
     }
-    const left = stopTime - after;
-    const isSure = route === "talk" && after > 0 &&
-      stop.at - stop.startedAt > LEARNING_MS && end !== "unreachable" &&
-      (status !== 0 || own.length > 0) &&
+    const wasRead = status !== 0 || runs.has(id);
+    const hasLearnt = stop.at - stop.startedAt > LEARNING_MS;
+    const left = stopTime - (sentAt - stop.at);
+    return wasRead && hasLearnt &&
       events * eventGap + SURE_MARGIN_MS < SURE_SHARE * left;
-    if (isSure) sure++;
-    if (isSure && !isRefused) accepted++;
-  }
-  if (sure >= MIN_SURE_STREAMS && accepted < MIN_ACCEPTED_SHARE * sure) {
-    errors.push(`${accepted} of ${sure} streams that could end were accepted`);
-  }
-  return errors;
+  });
+  const accepted = sure.filter(({ status }) => status !== 503).length;
+  return sure.length >= MIN_SURE_STREAMS &&
+      accepted < MIN_ACCEPTED_SHARE * sure.length
+    ? [`${accepted} of ${sure.length} streams that could end were accepted`]
+    : [];
 }
 
 /** Counts what became of the requests that met a stop. */
