--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -44,7 +44,7 @@
 /** Time of a stage besides its calls, to its dispatcher and back. */
 const STAGE_OVERHEAD: Millis = 40;
 
-/** Share of the recent requests whose stages took no longer than expected. */
+/** Share of the recent requests whose stages took no longer than estimated. */
 const USUAL_SHARE = 0.8;
 
 /** A queue that grew while the request waited has emptied by then. */
--- a/packages/serving/src/stop_window.ts
+++ b/packages/serving/src/stop_window.ts
@@ -8,7 +8,7 @@
 
 /** What became of a request after the signal to stop. */
 export type StopOutcome =
-  /** Refused because it might not have ended in time. */
+  /** It did not run, for whatever reason, and its caller was told so. */
   | "refused"
   | "finished"
   /** Failed, but not because this entry stopped. */
