refactor(serving): the time of stages is estimated only while an entry stops

It is now a function that is called once the entry stops and no deadline comes first. No decision changes; the tests keep their assertions.

--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -215,8 +215,9 @@
     admittedAt,
     admitted,
     deadline,
-    delay: stageModel.estimate(expected, { share: USUAL_SHARE }) ??
-      expected.firstAfter,
+    estimateDelay: () =>
+      stageModel.estimate(expected, { share: USUAL_SHARE }) ??
+        expected.firstAfter,
   });
   if (stopping !== undefined) return Result.err(stopping);
   // If no endpoint accepts the request by the time its stages end, running them
--- a/packages/serving/src/stop_admission.ts
+++ b/packages/serving/src/stop_admission.ts
@@ -25,8 +25,8 @@
   admittedAt: Millis;
   admitted: Pick<AdmittedRoute, "route" | "pool">;
   deadline: Deadline;
-  /** Time until the request can be sent. */
-  delay?: Millis;
+  /** Estimates the time until the request can be sent; 0 if left out. */
+  estimateDelay?: () => Millis;
   /** The endpoint to which it would be sent, once that is chosen. */
   endpoint?: EndpointInfo;
 }
@@ -57,7 +57,7 @@
  */
 export function findStopRefusal(
   state: ServingState,
-  { head, admittedAt, admitted, deadline, delay = 0, endpoint }:
+  { head, admittedAt, admitted, deadline, estimateDelay = () => 0, endpoint }:
     StopCheckOptions,
 ): Failure | undefined {
   const { stopWindow, findCompletion } = state;
@@ -70,7 +70,7 @@
   const time = findCompletion(admitted.route.name)
     .estimate(expected, { share, endpoint });
   if (time === undefined) return createStoppingFailure(state);
-  const longest = delay + slowdown * time + FORWARD_TIME;
+  const longest = estimateDelay() + slowdown * time + FORWARD_TIME;
   return longest <= left ? undefined : createStoppingFailure(state, longest);
 }
 
--- a/packages/serving/src/stop_admission_test.ts
+++ b/packages/serving/src/stop_admission_test.ts
@@ -78,7 +78,7 @@
         admittedAt: 1_000 + admittedAt,
         admitted: { route, pool: "pool" },
         deadline: createDeadline({ clock, budget }),
-        delay,
+        estimateDelay: () => delay,
       });
     const before = check();
     expect(before).to.equal(undefined);
