refactor(soak): the stop soak records no time to return that nothing checks

retryAfterMs was read from answers and used nowhere; the deadline is used in one file only. Checks are unchanged; stop_checks_test and stop_soak_test passed.

--- a/soak/src/stop_callers.ts
+++ b/soak/src/stop_callers.ts
@@ -31,7 +31,6 @@
   endedAt: number;
   /** 0 if there was no answer. */
   status: number;
-  retryAfterMs: number | undefined;
   /** `unreachable` if no connection was opened. */
   end: "complete" | "cut" | "unreachable";
 }
@@ -50,7 +49,7 @@
 }
 
 /** Longer than any stream; only the end of an entry cuts one off. */
-export const STOP_DEADLINE_MS = 25_000;
+const STOP_DEADLINE_MS = 25_000;
 const BODY = "question";
 
 /** Creates a caller without connections. */
@@ -67,7 +66,6 @@
         end: ObservedRequest["end"],
         response?: IncomingMessage,
       ) => {
-        const retryAfter = response?.headers[HEADER.retryAfter];
         resolve({
           id,
           route,
@@ -76,9 +74,6 @@
           sentAt,
           endedAt: Date.now(),
           status: response?.statusCode ?? 0,
-          retryAfterMs: retryAfter === undefined
-            ? undefined
-            : 1_000 * Number(retryAfter),
           end,
         });
       };
--- a/soak/src/stop_checks_test.ts
+++ b/soak/src/stop_checks_test.ts
@@ -17,7 +17,6 @@
     sentAt: STOP_AT + 1_000,
     endedAt: STOP_AT + 4_000,
     status: 200,
-    retryAfterMs: undefined,
     end: "cut",
     ...change,
   };
