feat(serving): log counts of crashes, count granted and denied retries

The reported case left open whether requests that crash endpoints, or repeats of other requests, went beyond their bound: nothing told how many crashes an entry knew of when it counted one, nor how many repeats of a pool were granted or denied. `crash_counted` and `mangoreach_retries_total` tell both; summed over entries the latter is what the operators' bound is about.

No decision changes.

--- a/packages/coordination/src/crash_evidence.ts
+++ b/packages/coordination/src/crash_evidence.ts
@@ -59,7 +59,8 @@
     trait: string,
     earlier: readonly (readonly string[])[],
   ): CommonCause | undefined;
-  has(trait: string): boolean;
+  /** Counts the recent crashes with a trait. */
+  countCrashes(trait: string): number;
   remove(trait: string): boolean;
   /** Removes crashes whose cause is known from traits other than `except`. */
   removeCrashes(
@@ -182,7 +183,7 @@
     },
     record,
     findCause,
-    has: (trait) => listRecent(trait).length > 0,
+    countCrashes: (trait) => listRecent(trait).length,
     remove: (trait) => known.delete(trait),
     removeCrashes,
     readAge: (trait) =>
--- a/packages/coordination/src/crash_evidence_test.ts
+++ b/packages/coordination/src/crash_evidence_test.ts
@@ -93,8 +93,12 @@
         endedAgo: 0,
       });
     }
-    expect([evidence.size, evidence.has("part:0"), evidence.has("part:2999")])
-      .to.deep.equal([512, false, true]);
+    expect([
+      evidence.size,
+      evidence.countCrashes("part:0"),
+      evidence.countCrashes("part:2999"),
+    ])
+      .to.deep.equal([512, 0, 1]);
     await clock.advance(600_000);
     evidence.removeExpired();
     expect(evidence.size).to.equal(0);
--- a/packages/coordination/src/poison_quarantine.ts
+++ b/packages/coordination/src/poison_quarantine.ts
@@ -64,6 +64,8 @@
 
 /** The request contents that one entry suspects or has quarantined. */
 export interface PoisonQuarantine {
+  /** Counts the crashes that are known here with a trait. */
+  countCrashes(trait: string): number;
   /** Whether nothing is suspected, so that no digest needs to be computed. */
   isEmpty(): boolean;
   /**
@@ -378,6 +380,7 @@
   return {
     isEmpty: () =>
       evidence.size === 0 && known.size === 0 && suspectedAt.size === 0,
+    countCrashes: evidence.countCrashes,
     recordCrash,
     confirmCause,
     recordCompletion,
--- a/packages/coordination/src/retry_budget.ts
+++ b/packages/coordination/src/retry_budget.ts
@@ -22,11 +22,14 @@
   max: number;
   /** Returns this process's part of `max` if several processes share it. */
   readShare?: () => number;
+  /** Observes whether second attempts were granted. */
+  onWithdrawn?: (isGranted: boolean) => void;
 }
 
 /** Creates a full budget. */
 export function createRetryBudget(
-  { share, max, readShare = () => 1 }: RetryBudgetOptions,
+  { share, max, readShare = () => 1, onWithdrawn = () => {} }:
+    RetryBudgetOptions,
 ): RetryBudget {
   let balance = max * readShare();
   return {
@@ -37,9 +40,10 @@
       balance = Math.min(max * readShare(), balance + share);
     },
     withdraw() {
-      if (balance < 1) return false;
-      balance -= 1;
-      return true;
+      const isGranted = balance >= 1;
+      if (isGranted) balance -= 1;
+      onWithdrawn(isGranted);
+      return isGranted;
     },
   };
 }
--- a/packages/serving/src/decision_log.ts
+++ b/packages/serving/src/decision_log.ts
@@ -15,6 +15,7 @@
   | "attempt_ended"
   | "stream_resumed"
   | "run_broken"
+  | "crash_counted"
   | "quarantine_changed"
   | "stage_ended"
   | "stage_call"
--- a/packages/serving/src/pool_components.ts
+++ b/packages/serving/src/pool_components.ts
@@ -27,7 +27,7 @@
 import type { EndpointLoads } from "./endpoint_load.ts";
 import type { SignalHandler } from "./endpoint_signals.ts";
 import type { StageEndpoints } from "./platform_interfaces.ts";
-import type { PartitionUse } from "./serving_metrics.ts";
+import type { PartitionUse, ServingMetrics } from "./serving_metrics.ts";
 import type { StageDispatcher } from "./stage_dispatcher.ts";
 import { createStageDispatcher } from "./stage_dispatcher.ts";
 
@@ -35,6 +35,7 @@
 export interface PoolComponentsOptions {
   clock: Clock;
   log: DecisionLog;
+  metrics: Pick<ServingMetrics, "countRetry">;
   loads: EndpointLoads;
   endpointCheck: EndpointCheck;
   stages: StageEndpoints;
@@ -105,10 +106,10 @@
 }
 
 /** Returns a lookup that creates the component of each pool on first use. */
-function createPerPool<T>(create: () => T): (pool: string) => T {
+function createPerPool<T>(create: (pool: string) => T): (pool: string) => T {
   const components = new Map<string, T>();
   return (pool) => {
-    const component = components.get(pool) ?? create();
+    const component = components.get(pool) ?? create(pool);
     components.set(pool, component);
     return component;
   };
@@ -124,6 +125,11 @@
   const isDiscovering = createDiscoveryCheck(clock);
   let maxEntries = MIN_ENTRIES;
 
+  function observeRetries(pool: string): (isGranted: boolean) => void {
+    return (isGranted) =>
+      options.metrics.countRetry(pool, isGranted ? "granted" : "denied");
+  }
+
   function findDispatcher(pool: string, partition: string): StageDispatcher {
     const key = `${pool}/${partition}`;
     const known = dispatchers.get(key);
@@ -149,6 +155,7 @@
       budget: createRetryBudget({
         share: PIECE_RETRY_SHARE,
         max: PIECE_RETRY_SLACK,
+        onWithdrawn: observeRetries(pool),
       }),
     });
     dispatchers.set(key, dispatcher);
@@ -166,7 +173,7 @@
       : maxEntries;
   }
 
-  const findBudget = createPerPool(() =>
+  const findBudget = createPerPool((pool) =>
     createRetryBudget({
       share: options.repeatShare,
       max: options.repeatSlack,
@@ -174,9 +181,10 @@
       // one.
       readShare: () =>
         Math.max(1 / options.repeatSlack, 1 / countBudgetEntries()),
+      onWithdrawn: observeRetries(pool),
     })
   );
-  const findDelays = createPerPool(createDelayModel);
+  const findDelays = createPerPool(() => createDelayModel());
   const findEngineChoice = createPerPool(() => createEngineSelector(clock));
 
   function listAccountUse(): PartitionUse[] {
--- a/packages/serving/src/pool_components_test.ts
+++ b/packages/serving/src/pool_components_test.ts
@@ -11,6 +11,7 @@
     const components = createPoolComponents({
       clock,
       log: createSilentDecisionLog(),
+      metrics: { countRetry: () => {} },
       loads: createEndpointLoads(clock),
       endpointCheck: {
         checkCondition: () => Promise.resolve("unknown"),
--- a/packages/serving/src/quarantine_gossip.ts
+++ b/packages/serving/src/quarantine_gossip.ts
@@ -142,12 +142,20 @@
 
   function countCrash(trait: string, run: CrashedRun): void {
     const cause = quarantine.recordCrash(trait, run);
+    recordCount(trait, run);
     if (cause === undefined) return;
     if (cause.isAmbiguous) {
       clock.startTimer(AMBIGUOUS_DELAY, () => addSuspect(cause));
     } else addSuspect(cause);
   }
 
+  /** A first crash tells nothing about a trait. */
+  function recordCount(trait: string, { endpointKey }: CrashedRun): void {
+    const crashes = quarantine.countCrashes(trait);
+    if (crashes < 2) return;
+    log.record("crash_counted", { trait, crashes, endpoint: endpointKey });
+  }
+
   function addSuspect(cause: SuspectedCause): void {
     suspects.set(cause.trait, cause);
     if (isChecking) return;
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -363,6 +363,7 @@
   const pools = createPoolComponents({
     clock,
     log,
+    metrics,
     loads,
     endpointCheck,
     stages,
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -33,6 +33,8 @@
   countUnreadLoad(pool: string): void;
   countUndecodable(topic: string): void;
   countResumed(outcome: string): void;
+  /** A second or later attempt that the retry budget granted or denied. */
+  countRetry(pool: string, outcome: "granted" | "denied"): void;
   countConnect(pool: string, outcome: string): void;
   /** A request that ended after the signal to stop. */
   countStopped(outcome: StopOutcome): void;
@@ -155,6 +157,13 @@
     registers,
   });
 
+  const retries = new Counter({
+    name: "mangoreach_retries_total",
+    help: "Second and later attempts, also of pieces, by the retry budget",
+    labelNames: ["pool", "outcome"],
+    registers,
+  });
+
   const stopped = new Counter({
     name: "mangoreach_requests_while_stopping_total",
     help: "Requests that ended after the signal to stop, by outcome",
@@ -216,6 +225,7 @@
     countUnreadLoad: (pool) => unreadLoads.inc({ pool }),
     countConnect: (pool, outcome) => connects.inc({ pool, outcome }),
     countResumed: (outcome) => resumed.inc({ outcome }),
+    countRetry: (pool, outcome) => retries.inc({ pool, outcome }),
     countStopped: (outcome) => stopped.inc({ outcome }),
     countUndecodable: (topic) => undecodable.inc({ topic }),
     setAccountUse: (list) => listUse = list,
