fix(serving): crashes of endpoints are counted across restarts of all entries

Callers saw: a request, or a part of prompts, that crashes each endpoint went on doing so for as long as entries were killed within the series: with all of them replaced after the first, second, fourth and sixth crash 10 of 10 requests reached an engine, and 12 of 12 with a first part.

Cause: three entries keep the count for each trait, in memory; only what was found to crash endpoints was in the store. The class: a bound that holds for the life of a site, counted by processes that end before it.

Each entry that had requests at a crashed endpoint writes their traits to the store, in one of eight records. All entries read them, and whoever counts the next crash with such a trait counts them too, whichever entries have counted before. What completes clears them as it clears evidence.

--- a/packages/coordination/src/crash_evidence.ts
+++ b/packages/coordination/src/crash_evidence.ts
@@ -90,7 +90,7 @@
  */
 const SIMULTANEOUS_WINDOW: Millis = 500;
 /** Crashes further apart are unrelated. */
-const EVIDENCE_TTL: Millis = 600_000;
+export const EVIDENCE_TTL: Millis = 600_000;
 /** The newest crashes of a trait that are kept, and runs of one of them. */
 const MAX_CRASHES = CRASHES_TO_BLAME_AMBIGUOUS;
 const MAX_RUNS = 6;
@@ -113,27 +113,33 @@
       endpointKey === run.endpointKey
     );
     // Several requests with the trait may have run there.
-    if (present !== undefined) {
-      if (present.runs.length < MAX_RUNS) present.runs.push(run.traits);
-      return;
-    }
-    if (isSimultaneous(crashes.at(-1), run)) return;
+    if (present !== undefined) return addRun(present, run.traits);
+    if (crashes.some((crash) => isSimultaneous(crash, run))) return;
     crashes.push({
       endpointKey: run.endpointKey,
       at: clock.now() - run.endedAgo,
       runs: [run.traits],
     });
+    // Crashes that are read from the store may be older.
+    crashes.sort((a, b) => a.at - b.at);
     known.delete(trait);
     known.set(trait, crashes.slice(-MAX_CRASHES));
     const [oldest] = known.keys();
     if (known.size > MAX_TRAITS) known.delete(oldest!);
   }
 
-  function isSimultaneous(last: Crash | undefined, run: CrashedRun): boolean {
-    if (last === undefined) return false;
+  /** The same run may be reported and be read from the store. */
+  function addRun({ runs }: Crash, traits: readonly string[]): void {
+    const isKnown = runs.some((run) =>
+      run.length === traits.length && hasAll(run, traits)
+    );
+    if (!isKnown && runs.length < MAX_RUNS) runs.push(traits);
+  }
+
+  function isSimultaneous({ at }: Crash, run: CrashedRun): boolean {
     const now = clock.now();
-    return now - run.sentAgo < last.at &&
-      now - run.endedAgo - last.at < SIMULTANEOUS_WINDOW;
+    return now - run.sentAgo < at &&
+      Math.abs(now - run.endedAgo - at) < SIMULTANEOUS_WINDOW;
   }
 
   function findCause(
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -13,6 +13,7 @@
 export type { CancelReason, Deadline, DeadlineOptions } from "./deadline.ts";
 export { createDeadline } from "./deadline.ts";
 export type { CrashedRun } from "./crash_evidence.ts";
+export { EVIDENCE_TTL } from "./crash_evidence.ts";
 export type {
   CauseKnowledge,
   PoisonQuarantine,
--- a/packages/coordination/src/poison_quarantine.ts
+++ b/packages/coordination/src/poison_quarantine.ts
@@ -17,7 +17,8 @@
 import type { Clock, Millis } from "@mangoreach/shared";
 import { putBounded } from "@mangoreach/shared";
 import type { CommonCause, CrashedRun } from "./crash_evidence.ts";
-import { createCrashEvidence } from "./crash_evidence.ts";
+import { createCrashEvidence, EVIDENCE_TTL } from "./crash_evidence.ts";
+import { createCrashHistory } from "./crash_history.ts";
 import { formatTraits, isPartTrait, parseTraits } from "./request_traits.ts";
 
 /** Request contents that are quarantined: those with certain traits. */
@@ -73,6 +74,11 @@
    * to, if any, which quarantines nothing before it is confirmed.
    */
   recordCrash(trait: string, run: CrashedRun): SuspectedCause | undefined;
+  /**
+   * Notes a crash that the store has. It counts against its traits once another
+   * crash with them is recorded.
+   */
+  noteCrash(run: CrashedRun): void;
   /**
    * Confirms a cause by what entries know; returns the quarantine that begins,
    * if evidence remains.
@@ -143,6 +149,7 @@
 /** Creates an empty quarantine. */
 export function createPoisonQuarantine(clock: Clock): PoisonQuarantine {
   const evidence = createCrashEvidence(clock);
+  const history = createCrashHistory(clock);
   /** By content, in the order of the last change. */
   const known = new Map<string, QuarantineState>();
   /** Contents that are quarantined now, by each of their traits. */
@@ -194,10 +201,22 @@
         isRelapse: true,
       };
     }
-    evidence.record(trait, run);
+    const earlier = history.take(trait);
+    for (const one of [...earlier, run]) {
+      if (!explainedAt.has(one.endpointKey)) evidence.record(trait, one);
+    }
     return findSuspectedCause(trait);
   }
 
+  function noteCrash(run: CrashedRun): void {
+    if (run.endedAgo >= EVIDENCE_TTL) return;
+    const endedAt = clock.now() - run.endedAgo;
+    const traits = run.traits.filter((trait) =>
+      (releasedAt.get(trait) ?? -Infinity) < endedAt
+    );
+    history.add(run, traits);
+  }
+
   function findSuspectedCause(trait: string): SuspectedCause | undefined {
     const earlier = [...byTrait.get(trait) ?? []]
       .map((content) => known.get(content)!.traits);
@@ -308,7 +327,9 @@
 
   /** Returns whether the trait was suspected. */
   function clearTrait(trait: string): boolean {
-    const hadEvidence = evidence.remove(trait);
+    const wasCounted = evidence.remove(trait);
+    const hadHistory = history.remove(trait);
+    const hadEvidence = wasCounted || hadHistory;
     const wasSuspected = isSuspectedByPeers(trait);
     suspectedAt.delete(trait);
     if (!hadEvidence && !wasSuspected) return false;
@@ -361,6 +382,7 @@
 
   function removeExpired(): void {
     evidence.removeExpired();
+    history.removeExpired();
     for (const [content, state] of known) {
       const isOver = state.quarantinedAt === undefined && state.term === 0 &&
         clock.now() - state.releasedAt >= RELEASE_TTL;
@@ -379,9 +401,11 @@
 
   return {
     isEmpty: () =>
-      evidence.size === 0 && known.size === 0 && suspectedAt.size === 0,
+      evidence.size === 0 && history.isEmpty() && known.size === 0 &&
+      suspectedAt.size === 0,
     countCrashes: evidence.countCrashes,
     recordCrash,
+    noteCrash,
     confirmCause,
     recordCompletion,
     listQuarantined: (traits) =>
--- a/packages/coordination/src/poison_quarantine_test.ts
+++ b/packages/coordination/src/poison_quarantine_test.ts
@@ -46,6 +46,37 @@
     expect(quarantine.readTimeLeft(["other"])).to.equal(0);
   });
 
+  // Guards against counts that begin anew in each process.
+  it("begins with the third crash, of which the store had two", () => {
+    const clock = createFakeClock(10_000);
+    const quarantine = createPoisonQuarantine(clock);
+    const noteCrash = (endpointKey: string, endedAgo: number) =>
+      quarantine.noteCrash({
+        traits: ["c", "other"],
+        endpointKey,
+        sentAgo: endedAgo + 100,
+        endedAgo,
+      });
+    noteCrash("e2", 1_000);
+    noteCrash("e1", 4_000);
+    expect(quarantine.isEmpty()).to.equal(false);
+    expect(quarantine.readTimeLeft(["c"])).to.equal(0);
+    expect(recordCrash(quarantine, "e3")).to.equal(true);
+    expect(quarantine.readTimeLeft(["c"])).to.equal(10 * MINUTE);
+  });
+
+  it("does not count what the store had of a content that completed since", () => {
+    const clock = createFakeClock(10_000);
+    const quarantine = createPoisonQuarantine(clock);
+    const crash = { traits: ["c"], sentAgo: 1_100, endedAgo: 1_000 };
+    quarantine.noteCrash({ ...crash, endpointKey: "e1" });
+    quarantine.recordCompletion(["c"]);
+    // It is read again, as after a restore of the store.
+    quarantine.noteCrash({ ...crash, endpointKey: "e1" });
+    const found = ["e2", "e3"].map((key) => recordCrash(quarantine, key));
+    expect(found).to.deep.equal([false, false]);
+  });
+
   it("counts simultaneous crashes once", async () => {
     const clock = createFakeClock(1_000);
     const quarantine = createPoisonQuarantine(clock);
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -29,6 +29,12 @@
 export type { EncodeFailure } from "./caller_response.ts";
 export type { LoggedStreams, StreamStore } from "./stream_log.ts";
 export type { MemberStore } from "./member_registry.ts";
+export type {
+  CrashRecord,
+  CrashRecordKey,
+  StoredCrash,
+  StoredRun,
+} from "./crash_records.ts";
 export type { QuarantineRecord, QuarantineStore } from "./quarantine_store.ts";
 export type {
   EndpointClients,
--- a/packages/serving/src/quarantine_gossip.ts
+++ b/packages/serving/src/quarantine_gossip.ts
@@ -8,8 +8,9 @@
  * aggregator asks all entries what they know of its traits: a part of a prompt
  * that only happened to be there has completed at some of them. A new
  * quarantine is sent to all entries and written to the platform's store, from
- * which entries read it that start later. Peers gossip it too, as messages may
- * be lost and the store may be unavailable.
+ * which entries read it that start later, with the crashes that do not amount to
+ * one yet. Peers gossip it too, as messages may be lost and the store may be
+ * unavailable.
  *
  * @module
  */
@@ -33,6 +34,7 @@
 } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { Result } from "true-myth";
+import { createCrashRecords } from "./crash_records.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { QuarantineStore } from "./quarantine_store.ts";
 import type { TopicRecord } from "./platform_interfaces.ts";
@@ -40,6 +42,8 @@
 /** Options of {@linkcode createQuarantineGossip}. */
 export interface QuarantineGossipOptions {
   clock: Clock;
+  /** Milliseconds since 1970; may jump. */
+  readWallTime: () => Millis;
   random: () => number;
   log: DecisionLog;
   quarantine: PoisonQuarantine;
@@ -117,6 +121,17 @@
   /** Causes that the next question to the other entries is about, by trait. */
   const suspects = new Map<string, SuspectedCause>();
   let isChecking = false;
+  const crashRecords = createCrashRecords({
+    clock,
+    readWallTime: options.readWallTime,
+    entry: membership.self.entry,
+    write: (record) => void writeStore(() => store.writeCrash(record)),
+    onRead: quarantine.noteCrash,
+    isResponsible: (entry) => {
+      const [responsible] = listAggregators(entry);
+      return responsible !== undefined && isSelf(responsible);
+    },
+  });
 
   function recordCrash(run: CrashedRun): void {
     // Its cause is known; other requests that it cut are not to blame.
@@ -125,6 +140,7 @@
       return;
     }
     for (const trait of run.traits) recordTrait(trait, run);
+    if (run.traits.length > 0) crashRecords.add(run);
   }
 
   function recordTrait(trait: string, run: CrashedRun): void {
@@ -341,6 +357,10 @@
     for (const record of records) {
       const decoded = store.decode(record);
       if (decoded === undefined) continue;
+      if (decoded.kind === "crash") {
+        crashRecords.apply(decoded.record);
+        continue;
+      }
       const { content, quarantined } = decoded;
       if (quarantined !== undefined) mergeQuarantined(quarantined, "store");
       else quarantine.release(content);
@@ -369,6 +389,7 @@
       const isAggregator = listAggregators(found.content).some(isSelf);
       if (isAggregator) void writeStore(() => store.publish(found));
     }
+    crashRecords.republish();
   }
 
   async function releaseExpired(): Promise<void> {
@@ -379,6 +400,7 @@
         const isAggregator = listAggregators(content).some(isSelf);
         if (isAggregator) void writeStore(() => store.remove(content));
       }
+      crashRecords.removeExpired();
     }
   }
 
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -254,6 +254,7 @@
   const quarantine = createPoisonQuarantine(clock);
   const quarantineGossip = createQuarantineGossip({
     clock,
+    readWallTime,
     random,
     log,
     quarantine,
--- a/packages/serving/src/test_fleet.ts
+++ b/packages/serving/src/test_fleet.ts
@@ -4,11 +4,7 @@
  *
  * @module
  */
-import type {
-  EndpointInfo,
-  QuarantinedContent,
-  Route,
-} from "@mangoreach/coordination";
+import type { EndpointInfo, Route } from "@mangoreach/coordination";
 import {
   createEndpointDirectory,
   createPoisonQuarantine,
@@ -21,7 +17,7 @@
 import { createEndpointCheck } from "./endpoint_check.ts";
 import type { QuarantineGossip } from "./quarantine_gossip.ts";
 import { createQuarantineGossip } from "./quarantine_gossip.ts";
-import type { QuarantineStore } from "./quarantine_store.ts";
+import type { QuarantineRecord, QuarantineStore } from "./quarantine_store.ts";
 import { serveRequest } from "./request_service.ts";
 import { createCrashDetector } from "./crash_detector.ts";
 import type { CallEndpoint, EndpointAnswer } from "./platform_interfaces.ts";
@@ -164,7 +160,7 @@
   };
 
   /** The records of the store. */
-  const records = new Map<string, QuarantinedContent>();
+  const records = new Map<string, QuarantineRecord>();
   let isStoreDown = false;
   const gossips: QuarantineGossip[] = [];
   const peers = Array.from(
@@ -173,20 +169,25 @@
   );
 
   const store: QuarantineStore = {
-    publish: (quarantined) =>
-      writeStore(
-        quarantined.content,
-        () => records.set(quarantined.content, quarantined),
-      ),
-    remove: (content) => writeStore(content, () => records.delete(content)),
-    decode: ({ key }) => ({ content: key, quarantined: records.get(key) }),
+    publish(quarantined) {
+      const { content } = quarantined;
+      return writeStore(content, { kind: "quarantine", content, quarantined });
+    },
+    remove: (content) =>
+      writeStore(content, {
+        kind: "quarantine",
+        content,
+        quarantined: undefined,
+      }),
+    writeCrash: (record) =>
+      writeStore(`${record.entry}/${record.slot}`, { kind: "crash", record }),
+    decode: ({ key }) => records.get(key),
   };
 
-  function writeStore(content: string, write: () => void) {
+  function writeStore(key: string, record: QuarantineRecord) {
     if (isStoreDown) return Promise.resolve(Result.err<null, string>("down"));
-    write();
-    const record = { key: content, value: undefined };
-    gossips.forEach((entry) => entry.applyRecords([record]));
+    records.set(key, record);
+    gossips.forEach((entry) => entry.applyRecords([{ key, value: undefined }]));
     return Promise.resolve(Result.ok<null, string>(null));
   }
 
@@ -206,6 +207,7 @@
     const quarantine = createPoisonQuarantine(clock);
     const quarantineGossip = createQuarantineGossip({
       clock,
+      readWallTime: clock.now,
       random: () => 0.5,
       log,
       quarantine,
