fix(platform): the time handed on is what is left once the connection is open

What endpoints saw: a request whose connection took 0.7 s to open, through a slow path or a peer, came with all of the time that was left before it. A repeat after that asks an endpoint to work past the caller's deadline.

Cause: headers were created before the connection. A path that is only slow is waited for up to a second.

The deadline is computed when the connection is open. The test, whose clock advances only while it opens, saw 1234, 1234, 1234 before and sees 1234, 534, 1 now. The exact header of the request in the test before it needed a clock that stands still, as opening takes a millisecond.

--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -68,6 +68,11 @@
   path: string;
   /** By name, or as alternating names and values. */
   headers?: Record<string, string> | string[];
+  /**
+   * Creates further names and values once the connection is open, which may
+   * take a second. Only for connections that are not reused.
+   */
+  createLateHeaders?: () => string[];
   body?: string | Buffer;
   signal?: AbortSignal;
 }
--- a/packages/shared/src/single_use_call.ts
+++ b/packages/shared/src/single_use_call.ts
@@ -177,11 +177,12 @@
 
 /** Creates alternating names and values, which node:http sends unchanged. */
 function createHeaders(
-  { method, address, headers = [], body }: HttpCall,
+  { method, address, headers = [], createLateHeaders, body }: HttpCall,
 ): string[] {
   const list = Array.isArray(headers)
     ? headers.slice()
     : Object.entries(headers).flat();
+  if (createLateHeaders !== undefined) list.push(...createLateHeaders());
   let hasHost = false;
   for (let index = 0; index < list.length && !hasHost; index += 2) {
     hasHost = list[index]!.toLowerCase() === "host";
