fix(serving): a relay keeps to pauses that an endpoint asked for through it

What endpoints saw: while seven of eight entries reach plain endpoints only through the eighth, one that had answered this entry 503 with a time got 4 more connections from it within that time (2 are allowed).

Cause: an endpoint asks whoever connects to it. The class: a word that is kept by whoever reads it, where it is meant for whoever brought it.

The entry that reads the answer tells the peers through which it called, and a relay opens no connections for others to an endpoint that it is to leave alone.

--- a/packages/peers/src/peer_connection_test.ts
+++ b/packages/peers/src/peer_connection_test.ts
@@ -98,6 +98,7 @@
         }),
       readWaits: () => WAITS,
       releaseResults: () => {},
+      reportPause: () => {},
       reportRuns: () => ({ quarantined: [] }),
       checkCauses: () => ({ causes: [] }),
       recordStreams: () => {},
--- a/packages/peers/src/serving_peers.ts
+++ b/packages/peers/src/serving_peers.ts
@@ -48,6 +48,8 @@
   runReportReplySchema,
   runReportSchema,
 } from "./run_protocol.ts";
+import type { PauseReport } from "./pause_protocol.ts";
+import { pauseReportSchema } from "./pause_protocol.ts";
 import type { StreamQuery, StreamReply, StreamRow } from "./stream_protocol.ts";
 import {
   streamQuerySchema,
@@ -66,6 +68,8 @@
   runPieces(run: PieceRun, signal: AbortSignal): Promise<PieceRunReply>;
   readWaits(query: WaitsQuery): WaitsReply;
   releaseResults(release: ResultRelease): void;
+  /** Notes a pause that an endpoint asked for through this entry. */
+  reportPause(report: PauseReport): void;
   /** Counts runs of the contents that this entry is an aggregator for. */
   reportRuns(report: RunReport): RunReportReply;
   /** Tells what is known here about suspected causes of crashes. */
@@ -90,6 +94,7 @@
 const readWaitsReply = createMessageReader(waitsReplySchema);
 const readWaitsQuery = createMessageReader(waitsQuerySchema);
 const readRelease = createMessageReader(releaseSchema);
+const readPauseReport = createMessageReader(pauseReportSchema);
 const readRunReport = createMessageReader(runReportSchema);
 const readRunReportReply = createMessageReader(runReportReplySchema);
 const readCauseQuery = createMessageReader(causeQuerySchema);
@@ -132,6 +137,11 @@
         handlers.releaseResults(input);
         return null;
       }),
+    reportPause: peerProcedure.input(readPauseReport)
+      .mutation(({ input }) => {
+        handlers.reportPause(input);
+        return null;
+      }),
   });
 }
 
@@ -218,6 +228,10 @@
     address: string,
     release: ResultRelease,
   ): Promise<Result<null, Failure>>;
+  reportPause(
+    address: string,
+    report: PauseReport,
+  ): Promise<Result<null, Failure>>;
   reportRuns(
     address: string,
     report: RunReport,
@@ -335,6 +349,15 @@
         read: readNull,
         timeout,
       }),
+    reportPause: (address, report) =>
+      request({
+        address,
+        path: "reportPause",
+        type: "mutation",
+        input: report,
+        read: readNull,
+        timeout,
+      }),
     reportRuns: (address, report) =>
       request({
         address,
--- a/packages/serving/src/endpoint_paths.ts
+++ b/packages/serving/src/endpoint_paths.ts
@@ -35,6 +35,8 @@
   recordConnect: RecordConnect;
   /** Whether this entry connects for peers at all. */
   mayRelay: () => boolean;
+  /** Whether an endpoint asked this entry, or a peer through it, for a pause. */
+  isPaused: (endpoint: EndpointInfo) => boolean;
 }
 
 /** The ways from this entry to endpoints. */
@@ -50,6 +52,8 @@
   checkListening(address: string): Promise<Listening>;
   /** Whether this entry reaches endpoints only through peers. */
   isDetached(): boolean;
+  /** Lists the peers that have connected to an address for this entry. */
+  listRelays(address: string, since: Millis): string[];
 }
 
 /** How much longer the direct way is waited for before peers are asked. */
@@ -263,9 +267,11 @@
     { id, address }: TunnelTarget,
     signal: AbortSignal,
   ): Promise<Result<Socket, TunnelFailure>> {
-    const isKnown = listAt(address).some((endpoint) => endpoint.id === id);
-    // A path that is broken here says nothing about the endpoint.
-    const isUsable = isKnown && detachedAt === undefined &&
+    const endpoint = listAt(address).find((one) => one.id === id);
+    // A path that is broken here says nothing about the endpoint. One that asked
+    // for a pause does not tell requests of this entry from those of peers.
+    const isUsable = endpoint !== undefined && !options.isPaused(endpoint) &&
+      detachedAt === undefined &&
       countForPeers < MAX_FOR_PEERS && options.mayRelay();
     if (!isUsable) return Result.err("unavailable");
     countForPeers++;
@@ -299,5 +305,6 @@
     connectForPeer: openForPeer,
     checkListening,
     isDetached: () => detachedAt !== undefined,
+    listRelays: relays.listUsed,
   };
 }
--- a/packages/serving/src/endpoint_paths_test.ts
+++ b/packages/serving/src/endpoint_paths_test.ts
@@ -31,6 +31,8 @@
   readonly stop = createSharedController();
   /** Entries that were told to stop. */
   readonly stopping = new Set<number>();
+  /** Entries that all endpoints asked for a pause. */
+  readonly paused = new Set<number>();
   /** Direct connections that were tried. */
   direct = 0;
   /** Tunnels that each entry opened for others. */
@@ -72,6 +74,7 @@
         listEndpoints: () => this.endpoints,
         recordConnect: () => {},
         mayRelay: () => !this.stopping.has(number),
+        isPaused: () => this.paused.has(number),
       })
     );
   }
@@ -277,6 +280,22 @@
     expect(fleet.relayed).to.deep.equal([0, 0, 8]);
   });
 
+  // The endpoint counts a relay's connections as the relay's own requests.
+  it("go through another peer than one that was asked for a pause", async () => {
+    const fleet = new PathFleet(3, 1);
+    fleet.cut(1, "refused");
+    fleet.paused.add(1);
+    const since = fleet.clock.now();
+    for (let connection = 0; connection < 8; connection++) {
+      expect((await fleet.connect(0, 0)).outcome).to.equal("connected");
+    }
+    expect(fleet.relayed).to.deep.equal([0, 0, 8]);
+    const { listRelays } = fleet.entries[0]!;
+    expect(listRelays("10.0.0.0:1", since)).to.deep.equal(["2"]);
+    await fleet.clock.advance(1);
+    expect(listRelays("10.0.0.0:1", fleet.clock.now())).to.deep.equal([]);
+  });
+
   it("end at endpoints that the entry does not know", async () => {
     const fleet = new PathFleet(2, 1);
     const { signal } = new AbortController();
--- a/packages/serving/src/endpoint_signals.ts
+++ b/packages/serving/src/endpoint_signals.ts
@@ -54,6 +54,11 @@
   pauses: Pick<EndpointPauses, "record">;
   /** Lists all endpoints that may be listening at an address. */
   listAt: (address: string) => readonly EndpointInfo[];
+  /** Tells the peers through which a call was sent of a pause. */
+  reportPause: (
+    endpoint: EndpointInfo,
+    paused: { pause: Millis; sentAt: Millis },
+  ) => void;
 }
 
 /**
@@ -69,8 +74,16 @@
 
 /** Creates the handler of one entry. */
 export function createSignalHandler(
-  { log, metrics, limits, brittle, directory, pauses, listAt }:
-    SignalHandlerOptions,
+  {
+    log,
+    metrics,
+    limits,
+    brittle,
+    directory,
+    pauses,
+    listAt,
+    reportPause,
+  }: SignalHandlerOptions,
 ): SignalHandler {
   /** By endpoint key, the part of the load report that was logged as unread. */
   const logged = new Map<string, string>();
@@ -122,9 +135,10 @@
   }
 
   function applyPause(from: SignalOrigin, pause: Millis): void {
-    const { endpoint } = from;
+    const { endpoint, sentAt } = from;
     metrics.countSignal(endpoint.pool, "pause");
     pauses.record(formatEndpointKey(endpoint), pause);
+    reportPause(endpoint, { pause, sentAt });
     recordChange(from, { pause, outcome: "paused" });
   }
 
--- a/packages/serving/src/endpoint_signals_test.ts
+++ b/packages/serving/src/endpoint_signals_test.ts
@@ -20,6 +20,7 @@
       directory: { markLeaving: () => false },
       pauses: { record: () => {} },
       listAt: () => [],
+      reportPause: () => {},
     });
     const receive = (id: string, incarnation = "1") =>
       handleSignals(
--- a/packages/serving/src/fleet_simulation.ts
+++ b/packages/serving/src/fleet_simulation.ts
@@ -285,6 +285,7 @@
       pauses: entryAllowance.pauses,
       directory,
       listAt: () => [],
+      reportPause: () => {},
     });
     return state;
   }
--- a/packages/serving/src/peer_relays.ts
+++ b/packages/serving/src/peer_relays.ts
@@ -47,6 +47,8 @@
   connect: Connect;
   /** Whether peers did not reach an endpoint a moment ago. */
   isDown(address: string): boolean;
+  /** Lists the peers that have connected to an address since then. */
+  listUsed(address: string, since: Millis): string[];
 }
 
 /** Peers that are asked for one connection at most. */
@@ -69,11 +71,19 @@
   const downAt = new Map<string, Millis>();
   /** By control address, when a peer could not help. */
   const peerFailedAt = new Map<string, Millis>();
+  /** By address, when each peer connected to it last. */
+  const connectedAt = new Map<string, Map<string, Millis>>();
 
   function isRecent(at: Millis | undefined, ttl: Millis): boolean {
     return at !== undefined && clock.now() - at < ttl;
   }
 
+  function recordUsed(address: string, peer: string): void {
+    const peers = connectedAt.get(address) ?? new Map<string, Millis>();
+    putBounded(peers, [peer, clock.now()], MAX_PEERS);
+    putBounded(connectedAt, [address, peers], MAX_TRACKED);
+  }
+
   /** Lists peers, those first that probably reach an endpoint in a place. */
   function listRelays(place: string): string[] {
     const rank = ({ record, health }: PeerView) => {
@@ -160,6 +170,7 @@
         }
         if (tunnel.isOk) {
           log.record("connection_relayed", { endpoint: id, address, peer });
+          recordUsed(address, peer);
           return finish(Result.ok(tunnel.value));
         }
         if (tunnel.error === "unavailable") {
@@ -182,5 +193,8 @@
   return {
     connect: openTunnelConnection,
     isDown: (address) => isRecent(downAt.get(address), DOWN_TTL),
+    listUsed: (address, since) =>
+      [...connectedAt.get(address) ?? []].filter(([, at]) => at >= since)
+        .map(([peer]) => peer),
   };
 }
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -18,6 +18,7 @@
   createPoisonQuarantine,
   createRecentCompletions,
   createStreamOrigins,
+  formatEndpointKey,
   listKnownEntries,
   listSendingMembers,
 } from "@mangoreach/coordination";
@@ -315,6 +316,7 @@
     }),
     // A peer does not know that its connection would be cut off here.
     mayRelay: () => phase === "open" || !hasLivePeer(membership),
+    isPaused: (endpoint) => pauses.readLeft(formatEndpointKey(endpoint)) > 0,
   });
   const { callEndpoint, stages } = platform.createEndpointClients(
     paths.connect,
@@ -359,6 +361,13 @@
     directory,
     pauses,
     listAt,
+    // The endpoint asks whoever connects to it.
+    reportPause(endpoint, { pause, sentAt }) {
+      const endpointKey = formatEndpointKey(endpoint);
+      for (const peer of paths.listRelays(endpoint.address, sentAt)) {
+        void peers.reportPause(peer, { endpointKey, pause });
+      }
+    },
   });
 
   const pools = createPoolComponents({
@@ -480,6 +489,15 @@
             findDispatcher(query.pool, query.partition)
               .readWaits(priority, query.account),
         ),
+      reportPause({ endpointKey, pause }) {
+        pauses.record(endpointKey, pause);
+        log.record("endpoint_changed", {
+          endpoint: endpointKey,
+          pause,
+          source: "peer",
+          outcome: "paused",
+        });
+      },
       releaseResults: ({ pool, partition, results }) =>
         findDispatcher(pool, partition).release(results),
     },
--- a/packages/serving/src/stage_back_pressure_test.ts
+++ b/packages/serving/src/stage_back_pressure_test.ts
@@ -73,6 +73,7 @@
         pauses,
         directory: { markLeaving: () => false },
         listAt: () => [],
+        reportPause: () => {},
       }),
     },
   );
