fix(serving): restarts and large fleets add nothing to the retry budget

What endpoints may see: entries that restart while a pool fails make one more retry at each start, whatever their predecessors have consumed. Eight entries save up 44.8 of 56; all of them started twice within ten seconds add 16. With more entries than slack (57 where 56 are allowed) one saved retry each is more than all may make together.

A budget begins empty: what an entry uses in its first seconds its own requests have earned. Where an entry's part of the slack is below one, it is granted that share of its retries.

Both tests failed before (true instead of false at the start; 360 saved retries at a slack of 56).

--- a/packages/coordination/src/retry_budget.ts
+++ b/packages/coordination/src/retry_budget.ts
@@ -18,30 +18,54 @@
 export interface RetryBudgetOptions {
   /** Second attempts allowed for each first attempt. */
   share: number;
-  /** Maximum balance; also the initial one. */
+  /** Maximum balance, for all processes that share it together. */
   max: number;
   /** Returns this process's part of `max` if several processes share it. */
   readShare?: () => number;
+  /**
+   * Whether the budget begins with nothing saved up. Otherwise each start of a
+   * process would add to what its predecessor has consumed.
+   */
+  startsEmpty?: boolean;
+  /** Returns a number from 0 up to 1; by default 0, which grants all. */
+  random?: () => number;
   /** Observes whether second attempts were granted. */
   onWithdrawn?: (isGranted: boolean) => void;
 }
 
-/** Creates a full budget. */
+/** Creates a budget. */
 export function createRetryBudget(
-  { share, max, readShare = () => 1, onWithdrawn = () => {} }:
-    RetryBudgetOptions,
+  {
+    share,
+    max,
+    readShare = () => 1,
+    startsEmpty = false,
+    random = () => 0,
+    onWithdrawn = () => {},
+  }: RetryBudgetOptions,
 ): RetryBudget {
-  let balance = max * readShare();
+  let balance = startsEmpty ? 0 : max * readShare();
+
+  /**
+   * Where a process may save up less than one attempt, it saves up one and is
+   * granted that part of its attempts.
+   */
+  function mayUseWhole(): boolean {
+    const part = max * readShare();
+    return part >= 1 || random() < part;
+  }
+
   return {
     get balance() {
       return balance;
     },
     deposit() {
-      balance = Math.min(max * readShare(), balance + share);
+      balance = Math.min(Math.max(1, max * readShare()), balance + share);
     },
     withdraw() {
-      const isGranted = balance >= 1;
-      if (isGranted) balance -= 1;
+      const hasOne = balance >= 1;
+      if (hasOne) balance -= 1;
+      const isGranted = hasOne && mayUseWhole();
       onWithdrawn(isGranted);
       return isGranted;
     },
--- a/packages/serving/src/pool_components.ts
+++ b/packages/serving/src/pool_components.ts
@@ -34,6 +34,7 @@
 /** Options of {@linkcode createPoolComponents}. */
 export interface PoolComponentsOptions {
   clock: Clock;
+  random: () => number;
   log: DecisionLog;
   metrics: Pick<ServingMetrics, "countRetry">;
   loads: EndpointLoads;
@@ -173,14 +174,19 @@
       : maxEntries;
   }
 
+  /** What an entry uses during discovery, its own requests have earned. */
+  function computeBudgetShare(): number {
+    const share = 1 / countBudgetEntries();
+    return isDiscovering() ? Math.max(1 / options.repeatSlack, share) : share;
+  }
+
   const findBudget = createPerPool((pool) =>
     createRetryBudget({
       share: options.repeatShare,
       max: options.repeatSlack,
-      // At least one retry per entry: a smaller share would never add up to
-      // one.
-      readShare: () =>
-        Math.max(1 / options.repeatSlack, 1 / countBudgetEntries()),
+      readShare: computeBudgetShare,
+      startsEmpty: true,
+      random: options.random,
       onWithdrawn: observeRetries(pool),
     })
   );
--- a/packages/serving/src/pool_components_test.ts
+++ b/packages/serving/src/pool_components_test.ts
@@ -1,15 +1,18 @@
 import { createFakeClock } from "@mangoreach/shared";
 import { expect } from "chai";
+import { MersenneTwister19937, Random } from "random-js";
 import { createSilentDecisionLog } from "./decision_log.ts";
 import { createEndpointLoads } from "./endpoint_load.ts";
 import { createPoolComponents } from "./pool_components.ts";
 import { createFakeStages, createOpenAllowance } from "./test_support.ts";
 
 describe("pool components", () => {
-  function create(known: { entries: number }) {
+  function create(known: { entries: number; slack?: number }) {
     const clock = createFakeClock(0);
+    const random = new Random(MersenneTwister19937.seed(known.entries));
     const components = createPoolComponents({
       clock,
+      random: () => random.realZeroToOneExclusive(),
       log: createSilentDecisionLog(),
       metrics: { countRetry: () => {} },
       loads: createEndpointLoads(clock),
@@ -26,7 +29,7 @@
       releaseInputs: () => {},
       countEntries: () => known.entries,
       repeatShare: 0.2,
-      repeatSlack: 212,
+      repeatSlack: known.slack ?? 212,
     });
     /** Counts the retries that this entry allows immediately. */
     const countRetries = () => {
@@ -36,9 +39,30 @@
       while (budget.withdraw()) retries++;
       return retries;
     };
-    return { clock, countRetries };
+    return { clock, countRetries, findBudget: components.findBudget };
   }
 
+  // Guards against entries that restart again and again while endpoints fail,
+  // each time with a new retry that no request has earned.
+  it("grant no retry to an entry that has just started", () => {
+    for (const entries of [1, 8, 195]) {
+      const budget = create({ entries, slack: 56 }).findBudget("pool");
+      expect(budget.withdraw()).to.equal(false);
+      for (let count = 0; count < 5; count++) budget.deposit();
+      expect(budget.balance).to.be.closeTo(1, 1e-9);
+    }
+  });
+
+  // Guards against one saved retry for each entry where the slack is smaller.
+  it("share a slack that is smaller than the number of entries", async () => {
+    const { clock, countRetries } = create({ entries: 360, slack: 56 });
+    countRetries();
+    await clock.advance(6_000);
+    let saved = 0;
+    for (let entry = 0; entry < 360; entry++) saved += countRetries();
+    expect(saved).to.be.within(30, 82);
+  });
+
   // All 86 instances of a site restart while an endpoint fails. If each entry,
   // which knows only itself, used the complete slack of the pool, the endpoint
   // would get many times the retries that the operators allow.
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -372,6 +372,7 @@
 
   const pools = createPoolComponents({
     clock,
+    random,
     log,
     metrics,
     loads,
