test(soak): repeats are judged, summed over entries

The soak judged no repeats: none of its endpoints failed requests, and no check summed arrivals. Judged from what callers and endpoints see: repeats in any 10 s, runs beyond what routes permit, time handed on, and arrivals of what crashes endpoints; pauses were judged before.

--- a/packages/coordination/src/crash_history.ts
+++ b/packages/coordination/src/crash_history.ts
@@ -15,9 +15,7 @@
   /** Adds a run under those of its traits that may still be to blame. */
   add(run: CrashedRun, traits: readonly string[]): void;
   /** Removes and returns the runs with a trait, oldest first. */
-  take(trait: string): CrashedRun[];
-  /** Forgets the runs with a trait; returns whether there were any. */
-  remove(trait: string): boolean;
+  remove(trait: string): CrashedRun[];
   removeExpired(): void;
 }
 
@@ -61,7 +59,7 @@
     }
   }
 
-  function take(trait: string): CrashedRun[] {
+  function remove(trait: string): CrashedRun[] {
     const runs = listRecent(trait);
     byTrait.delete(trait);
     return runs.sort((a, b) => b.endedAgo - a.endedAgo);
@@ -70,8 +68,7 @@
   return {
     isEmpty: () => byTrait.size === 0,
     add,
-    take,
-    remove: (trait) => byTrait.delete(trait),
+    remove,
     removeExpired() {
       for (const trait of [...byTrait.keys()]) {
         if (listRecent(trait).length === 0) byTrait.delete(trait);
--- a/packages/coordination/src/poison_quarantine.ts
+++ b/packages/coordination/src/poison_quarantine.ts
@@ -201,7 +201,7 @@
         isRelapse: true,
       };
     }
-    const earlier = history.take(trait);
+    const earlier = history.remove(trait);
     for (const one of [...earlier, run]) {
       if (!explainedAt.has(one.endpointKey)) evidence.record(trait, one);
     }
@@ -328,7 +328,7 @@
   /** Returns whether the trait was suspected. */
   function clearTrait(trait: string): boolean {
     const wasCounted = evidence.remove(trait);
-    const hadHistory = history.remove(trait);
+    const hadHistory = history.remove(trait).length > 0;
     const hadEvidence = wasCounted || hadHistory;
     const wasSuspected = isSuspectedByPeers(trait);
     suspectedAt.delete(trait);
--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -78,6 +78,12 @@
   "soak/src/main.ts",
   ...["--seed", SOAK_SEED, "--seeds", "2", "--jobs", "2", "--seconds", "4"],
 ], counts);
+check("soak of repeats", [
+  "tsx",
+  "soak/src/main.ts",
+  ...["--seed", SOAK_SEED, "--seeds", "2", "--jobs", "2", "--seconds", "4"],
+  ...["--kinds", "repeats"],
+], counts);
 check("soak of stops", [
   "tsx",
   "soak/src/main.ts",
--- a/soak/src/endpoint_signals.ts
+++ b/soak/src/endpoint_signals.ts
@@ -14,6 +14,28 @@
   pause?: number;
   /** It falls over if it rejects more requests than this within a second. */
   brittle?: { rejectLimit: number; since: number };
+  /** It fails this share of what it gets. */
+  failing?: { share: number; how: FailureMode };
+}
+
+/** What a failing endpoint does with a request. */
+export type FailureMode =
+  /** It runs it and answers 500. */
+  | "error"
+  /** It runs it and resets the connection. */
+  | "reset"
+  /** It refuses it. */
+  | "full";
+
+/** A request as its caller sent it. */
+export interface SentRequest {
+  /** The caller address of the entry that received it. */
+  entry: string;
+  sentAt: number;
+  /** The pool that serves its route. */
+  pool: string;
+  /** Milliseconds that its caller waits. */
+  budget: number;
 }
 
 /** A request that reached an endpoint, whether run or refused. */
@@ -22,6 +44,8 @@
   endpoint: string;
   requestId: string;
   at: number;
+  /** Milliseconds that it is told to have; undefined if it is told none. */
+  deadline?: number;
   /** Signals in its response. */
   signals: SoakSignals;
   /** When the response headers were sent; undefined before. */
--- a/soak/src/endpoint_slot.ts
+++ b/soak/src/endpoint_slot.ts
@@ -7,6 +7,7 @@
 import { formatEndpointKey } from "@mangoreach/coordination";
 import { TOPIC } from "../../platform/src/wire_names.ts";
 import type { ObservedArrival, SoakSignals } from "./endpoint_signals.ts";
+import type { PieceArrival } from "./repeat_checks.ts";
 import type { FaultProxy } from "./fault_proxy.ts";
 import { startFaultProxy } from "./fault_proxy.ts";
 import type { TopicStore } from "./topic_store.ts";
@@ -66,6 +67,9 @@
 export interface EndpointLogs {
   runs: RunLog;
   arrivals: ObservedArrival[];
+  pieceArrivals: PieceArrival[];
+  /** When endpoints ended, by their key. */
+  endpointEnds: Map<string, number>;
   /** Whether some streams have neither a length nor chunks. */
   hasUnframed: boolean;
 }
@@ -120,7 +124,10 @@
     startedAt = Date.now();
     const id = `i-${pool}-${index}-${idSequence}`;
     return pool === "stage"
-      ? startStageEndpoint(id, index)
+      ? startStageEndpoint(id, {
+        position: index,
+        pieceArrivals: logs.pieceArrivals,
+      })
       : startServingEndpoint(id, {
         ...logs,
         version,
@@ -130,6 +137,17 @@
       });
   };
   let endpoint = await start();
+
+  function closeEndpoint(): void {
+    logs.endpointEnds.set(readKey(), Date.now());
+    endpoint.close();
+  }
+
+  function readKey(): string {
+    const incarnation = String(startedAt);
+    return formatEndpointKey({ id: endpoint.id, incarnation });
+  }
+
   const proxy = await startFaultProxy(endpoint.address);
   const publishRecord = () =>
     store.put(TOPIC.endpoints, endpoint.id, {
@@ -147,7 +165,7 @@
   /** Ends the endpoint; its address refuses connections until it is back. */
   async function killAndRestart(): Promise<void> {
     proxy.refuseConnections(true);
-    endpoint.close();
+    closeEndpoint();
     await sleep(CRASH_MS);
     await startReplacement();
     proxy.refuseConnections(false);
@@ -164,7 +182,9 @@
    * that another one may have started meanwhile.
    */
   async function startReplacement(): Promise<void> {
+    const endedKey = readKey();
     const next = await start();
+    logs.endpointEnds.set(endedKey, Date.now());
     endpoint.close();
     endpoint = next;
     if (isClosed) return endpoint.close();
@@ -178,18 +198,14 @@
     pool,
     place,
     readVersion: () => version,
-    readKey: () =>
-      formatEndpointKey({
-        id: endpoint.id,
-        incarnation: String(startedAt),
-      }),
+    readKey,
     async replace(duration) {
-      endpoint.close();
+      closeEndpoint();
       await sleep(duration);
       await startSuccessor();
     },
     async restart(duration) {
-      endpoint.close();
+      closeEndpoint();
       await sleep(duration);
       await startReplacement();
     },
@@ -202,7 +218,7 @@
       signals = { ...signals, isLeaving: true };
       await sleep(duration);
       signals = {};
-      endpoint.close();
+      closeEndpoint();
       await startSuccessor();
     },
     async runCold(duration) {
@@ -220,7 +236,7 @@
       await startSuccessor();
     },
     async upgrade(next) {
-      endpoint.close();
+      closeEndpoint();
       version = next;
       published = next;
       await startReplacement();
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -23,8 +23,8 @@
   --seconds T   duration of the fault phase of a run (8)
   --entries N   entries per site (3)
   --jobs N      concurrent runs (1)
-  --kinds K     faults: first, second, third, signals, paths, versions, all
-                (all); or stops: signals to stop under long streams, with their
+  --kinds K     faults: first, second, third, signals, paths, versions,
+                all, repeats (all); or stops: signals to stop under long streams, with their
                 own schedule and, unless it is given, number of entries
 `;
 
@@ -104,11 +104,12 @@
         entryCount: Number(values.entries ?? DEFAULT_ENTRIES),
         folder: join(folder, String(seed)),
       });
-      const { requests, served, resumed, faults, violations } = result;
+      const { requests, served, resumed, faults, repeats, violations } = result;
       report(
         seed,
         `${faults} faults, ${served} of ${requests} served, ` +
-          `${resumed.served} of ${resumed.sent} streams went on`,
+          `${resumed.served} of ${resumed.sent} streams went on, repeated ` +
+          `${repeats.requests} requests and ${repeats.pieces} pieces`,
         violations,
       );
     }
--- a/soak/src/poison_requests.ts
+++ b/soak/src/poison_requests.ts
@@ -7,42 +7,70 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import { HEADER } from "../../platform/src/wire_names.ts";
-import type { ObservedArrival } from "./endpoint_signals.ts";
+import type { ObservedArrival, SentRequest } from "./endpoint_signals.ts";
 import { formatParts } from "./soak_callers.ts";
-import { POISON_PART } from "./soak_endpoints.ts";
+import { POISON_BODY, POISON_PART } from "./soak_endpoints.ts";
 
 const GAP_MS = 600;
 const DEADLINE_MS = 2_000;
 const ID_PREFIX = "poison-";
+const CONTENT_PREFIX = "content-";
+/** One in so many has the content. */
+const CONTENT_INTERVAL = 3;
 /** Crashes after which all entries know the part. */
 const CRASHES_TO_KNOW = 5;
 /** Requests that may reach endpoints after that. */
 const ALLOWED_ARRIVALS = 3;
 
+/** How poison requests are sent. */
+export interface PoisonOptions {
+  addresses: readonly string[];
+  signal: AbortSignal;
+  /** Whether one content that crashes endpoints comes again and again, too. */
+  hasContent: boolean;
+  /** Called with each request as it is sent. */
+  onSent: (id: string, sent: SentRequest) => void;
+}
+
 /** Sends such requests at the entries in turn until the signal aborts. */
 export async function sendPoisonRequests(
-  addresses: readonly string[],
-  signal: AbortSignal,
+  { addresses, signal, hasContent, onSent }: PoisonOptions,
 ): Promise<void> {
   for (let count = 0; !signal.aborted; count++) {
-    const address = addresses[count % addresses.length]!;
-    void sendPoisonRequest(address, `${ID_PREFIX}${count}`);
+    const entry = addresses[count % addresses.length]!;
+    const isContent = hasContent && count % CONTENT_INTERVAL === 1;
+    const id = `${isContent ? CONTENT_PREFIX : ID_PREFIX}${count}`;
+    onSent(id, {
+      entry,
+      sentAt: Date.now(),
+      pool: "plain",
+      budget: DEADLINE_MS,
+    });
+    void sendPoisonRequest(entry, {
+      id,
+      path: isContent ? "/once/content" : `/once/${id}`,
+      body: isContent ? POISON_BODY : id,
+      parts: formatParts(id, isContent ? [] : [`${POISON_PART}1`]),
+    });
     await sleep(GAP_MS);
   }
 }
 
-async function sendPoisonRequest(address: string, id: string): Promise<void> {
+async function sendPoisonRequest(
+  address: string,
+  sent: { id: string; path: string; body: string; parts: string },
+): Promise<void> {
   try {
-    const { body } = await request(`http://${address}/once/${id}`, {
+    const { body } = await request(`http://${address}${sent.path}`, {
       method: "POST",
       headers: {
         host: "soak.example",
         authorization: "Bearer key-1",
-        [HEADER.requestId]: id,
+        [HEADER.requestId]: sent.id,
         [HEADER.deadline]: String(DEADLINE_MS),
-        [HEADER.promptParts]: formatParts(id, [`${POISON_PART}1`]),
+        [HEADER.promptParts]: sent.parts,
       },
-      body: id,
+      body: sent.body,
       signal: AbortSignal.timeout(DEADLINE_MS),
     });
     await body.dump();
--- a/soak/src/soak_endpoints.ts
+++ b/soak/src/soak_endpoints.ts
@@ -10,6 +10,7 @@
 import { formatEndpointKey } from "@mangoreach/coordination";
 import { HEADER, PATH } from "../../platform/src/wire_names.ts";
 import type { ObservedArrival, SoakSignals } from "./endpoint_signals.ts";
+import type { PieceArrival } from "./repeat_checks.ts";
 import type { SoakHandler, SoakServer } from "./soak_server.ts";
 import { readCompleteBody, startSoakServer } from "./soak_server.ts";
 
@@ -42,6 +43,8 @@
 const BROKEN_INTERVAL = 24;
 /** Begins the parts of prompts that crash each endpoint. */
 export const POISON_PART = "bad";
+/** A body that crashes each endpoint. */
+export const POISON_BODY = "crash";
 const SLOTS = 8;
 /** A brittle endpoint has little room and works slowly. */
 const BRITTLE = { slots: 2, waiting: 1, workMs: 100, settleMs: 3_000 };
@@ -129,7 +132,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    await readCompleteBody(request);
+    const body = String(await readCompleteBody(request));
     const requestId = readHeader(request, HEADER.requestId) ?? "";
     response.setHeader(HEADER.requestId, requestId);
     if (readHeader(request, HEADER.targetInstance) !== id) {
@@ -140,6 +143,7 @@
       endpoint,
       requestId,
       at: Date.now(),
+      deadline: Number(readHeader(request, HEADER.deadline) ?? Infinity),
       signals,
     };
     arrivals.push(arrival);
@@ -154,6 +158,10 @@
       arrival.respondedAt = Date.now();
       return void response.writeHead(503, { [HEADER.notRun]: "1" }).end();
     }
+    const failure = chooseFailure(signals);
+    if (failure === "full") {
+      return void response.writeHead(503, { [HEADER.notRun]: "1" }).end();
+    }
     const path = request.url ?? "";
     const run = {
       endpoint,
@@ -166,7 +174,9 @@
     running++;
     await sleep(signals.brittle === undefined ? WORK_MS : BRITTLE.workMs);
     running--;
-    if (hasPoisonPart(request)) return crash();
+    if (hasPoisonPart(request) || body === POISON_BODY) return crash();
+    if (failure === "reset") return void response.destroy();
+    if (failure === "error") return void response.writeHead(500).end("failed");
     arrival.respondedAt = Date.now();
     if (path.startsWith("/chat/")) {
       const lastEvent = readHeader(request, HEADER.lastEvent) ?? "0";
@@ -190,6 +200,12 @@
   return await startEndpoint(id, handle);
 }
 
+function chooseFailure({ failing }: SoakSignals) {
+  return failing !== undefined && Math.random() < failing.share
+    ? failing.how
+    : undefined;
+}
+
 function hasPoisonPart(request: IncomingMessage): boolean {
   const parts = readHeader(request, HEADER.promptParts) ?? "";
   return parts.split(",").some((part) => part.startsWith(POISON_PART));
@@ -228,10 +244,20 @@
   response.end();
 }
 
+interface PieceItem {
+  id: string;
+  stage: number;
+  piece: number;
+}
+
 /** Starts an endpoint that runs pieces; its results exist as long as it does. */
 export async function startStageEndpoint(
   id: string,
-  position: number,
+  { position, pieceArrivals }: {
+    position: number;
+    /** Log of all pieces that reach the endpoint. */
+    pieceArrivals: PieceArrival[];
+  },
 ): Promise<SoakEndpoint> {
   const callTime = STAGE_CALL_MS[position % STAGE_CALL_MS.length];
   const endpoint = await startEndpoint(id, async (request, response) => {
@@ -240,11 +266,14 @@
     if (readHeader(request, HEADER.targetInstance) !== id) {
       return void response.writeHead(421, { [HEADER.notRun]: "1" }).end();
     }
+    const pieces = (body.items as PieceItem[])
+      .map(({ id, stage, piece }) => `${id}.${stage}.${piece}`);
+    const at = Date.now();
+    pieceArrivals.push(...pieces.map((piece) => ({ piece, at })));
     await sleep(callTime);
-    const items = (body.items as { id: string; stage: number; piece: number }[])
-      .map((item) => ({
-        handle: `${endpoint.address}/${item.id}.${item.stage}.${item.piece}`,
-      }));
+    const items = pieces.map((piece) => ({
+      handle: `${endpoint.address}/${piece}`,
+    }));
     response.end(JSON.stringify({ items }));
   });
   return endpoint;
--- a/soak/src/soak_plan.ts
+++ b/soak/src/soak_plan.ts
@@ -52,7 +52,11 @@
   /** All connections of callers to an entry are reset. */
   | "callers_reset"
   /** All entries are killed at once. */
-  | "entries_killed";
+  | "entries_killed"
+  /** The same, several times in a run. */
+  | "entries_killed_again"
+  /** All endpoints of a pool fail requests for some time. */
+  | "pool_failing";
 
 /** One scheduled fault. */
 export interface PlannedFault {
@@ -114,11 +118,18 @@
   "callers_reset",
   "entries_killed",
 ];
+const REPEAT_KINDS: readonly FaultKind[] = [
+  "pool_failing",
+  "pool_failing",
+  "pool_failing",
+  "entries_killed_again",
+];
 const SECOND_SEED_OFFSET = 1_000_003;
 const THIRD_SEED_OFFSET = 2_000_003;
 const SIGNAL_SEED_OFFSET = 3_000_003;
 const PATH_SEED_OFFSET = 4_000_003;
 const VERSION_SEED_OFFSET = 5_000_003;
+const REPEAT_SEED_OFFSET = 6_000_003;
 /** One fault per half second on average, so that faults overlap. Milliseconds. */
 const FIRST_MEAN_GAP = 500;
 const SECOND_MEAN_GAP = 1_500;
@@ -126,6 +137,7 @@
 const SIGNAL_MEAN_GAP = 1_500;
 const PATH_MEAN_GAP = 2_000;
 const VERSION_MEAN_GAP = 1_200;
+const REPEAT_MEAN_GAP = 1_500;
 const MIN_DURATION = 200;
 const MAX_DURATION = 1_800;
 /** Kinds that must not happen twice: there is one key and one spare endpoint. */
@@ -146,7 +158,9 @@
   | "paths"
   | "versions"
   /** Also answers without a length, and requests that crash endpoints. */
-  | "all";
+  | "all"
+  /** Also pools that fail, with one content that crashes endpoints. */
+  | "repeats";
 
 /** Creates the fault schedule of a run, ordered by time. */
 export function createSoakPlan(
@@ -170,7 +184,8 @@
     length,
     meanGap: THIRD_MEAN_GAP,
   });
-  const hasVersions = kinds === "versions" || kinds === "all";
+  const hasRepeats = kinds === "repeats";
+  const hasVersions = kinds === "versions" || kinds === "all" || hasRepeats;
   const hasPaths = kinds === "paths" || hasVersions;
   const hasSignals = kinds === "signals" || hasPaths;
   const signals = !hasSignals ? [] : planKinds(SIGNAL_KINDS, {
@@ -188,8 +203,20 @@
     length,
     meanGap: VERSION_MEAN_GAP,
   });
-  return [...first, ...second, ...third, ...signals, ...paths, ...versions]
-    .sort((a, b) => a.at - b.at);
+  const repeats = !hasRepeats ? [] : planKinds(REPEAT_KINDS, {
+    seed: seed + REPEAT_SEED_OFFSET,
+    length,
+    meanGap: REPEAT_MEAN_GAP,
+  });
+  return [
+    ...first,
+    ...second,
+    ...third,
+    ...signals,
+    ...paths,
+    ...versions,
+    ...repeats,
+  ].sort((a, b) => a.at - b.at);
 }
 
 function planKinds(
--- a/soak/src/soak_run.ts
+++ b/soak/src/soak_run.ts
@@ -6,9 +6,11 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { listCutViolations, listSoundCuts } from "./endpoint_cuts.ts";
+import type { SentRequest } from "./endpoint_signals.ts";
 import { listIgnoredSignals } from "./endpoint_signals.ts";
 import { listViolations } from "./guarantees.ts";
 import { listPoisonViolations, sendPoisonRequests } from "./poison_requests.ts";
+import { listRepeats, listRepeatViolations } from "./repeat_checks.ts";
 import type { CallResult, RequestKind } from "./soak_callers.ts";
 import { CALL_DEADLINE_MS, createSoakCaller } from "./soak_callers.ts";
 import { ACCOUNTS } from "./soak_config.ts";
@@ -22,6 +24,7 @@
   countTries,
   listLostStreams,
   listStreamViolations,
+  TRY_DEADLINE_MS,
 } from "./stream_callers.ts";
 
 /** Options of {@linkcode runSoak}. */
@@ -43,6 +46,8 @@
   /** Tries that resumed a stream. */
   resumed: TryCount;
   faults: number;
+  /** Arrivals at endpoints beyond the first of each request or piece. */
+  repeats: { requests: number; pieces: number };
   violations: string[];
 }
 
@@ -66,11 +71,11 @@
   { seed, kinds, length, entryCount, folder }: SoakOptions,
 ): Promise<SoakResult> {
   const plan = createSoakPlan(seed, length, { kinds });
-  const hasPoison = kinds === "all";
+  const hasPoison = kinds === "all" || kinds === "repeats";
   const site = await startSoakSite({
     entryCount,
     folder,
-    hasUnframed: kinds === "all",
+    hasUnframed: hasPoison,
   });
   const results: CallResult[] = [];
   const caller = createSoakCaller({
@@ -87,7 +92,15 @@
     sleep(length + RECOVERY_MS),
   ]);
   const poison = new AbortController();
-  if (hasPoison) void sendPoisonRequests(site.callerAddresses, poison.signal);
+  const poisonSent = new Map<string, SentRequest>();
+  if (hasPoison) {
+    void sendPoisonRequests({
+      addresses: site.callerAddresses,
+      signal: poison.signal,
+      hasContent: kinds === "repeats",
+      onSent: (id, sent) => poisonSent.set(id, sent),
+    });
+  }
   let recoveredAt = Infinity;
   void recovered.then(() => sleep(1_500)).then(() => recoveredAt = Date.now());
 
@@ -129,6 +142,21 @@
       listSoundCuts(site.endpointCuts, entryFaults),
     ),
   );
+  const pieceRepeats = listRepeats(
+    site.pieceArrivals.map(({ piece, at }) => ({ name: piece, at })),
+  );
+  violations.push(
+    ...listRepeatViolations(arrivals, site.runs, {
+      requests: new Map([
+        ...poisonSent,
+        ...listSent(results),
+        ...listSentStreams(streams),
+      ]),
+      entryFaults,
+      storeFaults: site.storeFaults,
+      endpointEnds: site.endpointEnds,
+    }),
+  );
   violations.push(
     ...listStreamViolations(streams),
     ...listLostStreams(streams, {
@@ -147,10 +175,41 @@
     served,
     resumed: countTries(streams).resumed,
     faults: plan.length,
+    repeats: {
+      requests: listRepeats(
+        arrivals.map(({ requestId, at }) => ({ name: requestId, at })),
+      ).length,
+      pieces: pieceRepeats.length,
+    },
     violations,
   };
 }
 
+/** The pool that each kind of request ends at. */
+const POOLS: Readonly<Record<RequestKind, string>> = {
+  plain: "plain",
+  once: "plain",
+  draft: "engine",
+};
+
+function listSent(
+  results: readonly CallResult[],
+): (readonly [string, SentRequest])[] {
+  return results.map(({ id, entry, sentAt, kind }) => [
+    id,
+    { entry, sentAt, pool: POOLS[kind], budget: CALL_DEADLINE_MS },
+  ]);
+}
+
+function listSentStreams(
+  streams: readonly ObservedStream[],
+): (readonly [string, SentRequest])[] {
+  return streams.flatMap(({ tries }) => tries).map(({ id, entry, sentAt }) => [
+    id,
+    { entry, sentAt, pool: "chat", budget: TRY_DEADLINE_MS },
+  ]);
+}
+
 /** Runs a stream whose connection breaks after one to four events. */
 function runStream(
   { callerAddresses }: SoakSite,
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -18,7 +18,12 @@
   startChatEndpoints,
   startEndpoints,
 } from "./endpoint_slot.ts";
-import type { EntryFaultSpan, ObservedArrival } from "./endpoint_signals.ts";
+import type {
+  EntryFaultSpan,
+  FailureMode,
+  ObservedArrival,
+} from "./endpoint_signals.ts";
+import type { PieceArrival } from "./repeat_checks.ts";
 import type { FaultProxy, ProxyMode } from "./fault_proxy.ts";
 import type { StoreMode, TopicStore } from "./topic_store.ts";
 import { startTopicStore } from "./topic_store.ts";
@@ -44,6 +49,10 @@
   readonly runs: RunLog;
   /** All requests that reached plain endpoints and engines. */
   readonly arrivals: readonly ObservedArrival[];
+  /** All pieces that reached stage endpoints. */
+  readonly pieceArrivals: readonly PieceArrival[];
+  /** When endpoints ended, by their key. */
+  readonly endpointEnds: ReadonlyMap<string, number>;
   readonly entryFaults: readonly EntryFaultSpan[];
   readonly revokedAt: number | undefined;
   readonly leftAt: ReadonlyMap<string, number>;
@@ -87,6 +96,9 @@
 /** A brittle endpoint lets fewer requests wait after 3 s. */
 const BRITTLE_MS = 5_000;
 const SILENT_MS = 1_000;
+const FAILING_MS = 1_500;
+const FAILING_SHARES = [1, 0.5, 0.8];
+const FAILURE_MODES: readonly FailureMode[] = ["error", "full", "reset"];
 /** Exceeds the time in which requests may still reach a leaving endpoint. */
 const LEAVING_MS = 3_500;
 /** Maximum time from stopping an entry until its replacement has started. */
@@ -142,7 +154,9 @@
       createSoakConfig(version, { isRevoked: revokedAt !== undefined }),
     );
   publish();
-  const logs = { runs, arrivals, hasUnframed };
+  const pieceArrivals: PieceArrival[] = [];
+  const endpointEnds = new Map<string, number>();
+  const logs = { runs, arrivals, pieceArrivals, endpointEnds, hasUnframed };
   const endpoints = await startEndpoints(store, logs);
   const chatEndpoints = await startChatEndpoints(store, {
     versions: chatVersions,
@@ -241,7 +255,10 @@
       case "callers_reset":
         return entry.callerProxy.resetAll();
       case "entries_killed":
+      case "entries_killed_again":
         return await killAllEntries(duration);
+      case "pool_failing":
+        return await runFailures(fault);
       case "foreign_records":
         return writeForeignRecords(store, fault.target);
       case "key_revoked":
@@ -254,6 +271,22 @@
     }
   }
 
+  /** All endpoints of a pool fail a share of what they get. */
+  async function runFailures(
+    { target, duration }: PlannedFault,
+  ): Promise<void> {
+    const failing = {
+      share: FAILING_SHARES[target % FAILING_SHARES.length]!,
+      how: FAILURE_MODES[target % FAILURE_MODES.length]!,
+    };
+    const pool = target % 2 === 0 ? "plain" : "chat";
+    const slots = [...endpoints, ...chatEndpoints];
+    await Promise.all(
+      slots.filter((slot) => slot.pool === pool)
+        .map((slot) => slot.sendSignals({ failing }, FAILING_MS + duration)),
+    );
+  }
+
   async function killAllEntries(duration: number): Promise<void> {
     const from = Date.now();
     entryFaults.push(...entries.map(({ callerProxy }) => ({
@@ -357,6 +390,8 @@
     chatEndpoints,
     runs,
     arrivals,
+    pieceArrivals,
+    endpointEnds,
     entryFaults,
     endpointCuts,
     applyCut,
--- a/soak/src/stop_endpoints.ts
+++ b/soak/src/stop_endpoints.ts
@@ -117,7 +117,10 @@
   }
   for (let index = 0; index < STAGE_ENDPOINTS; index++) {
     const id = `i-stage-${index}`;
-    const server = await startStageEndpoint(id, 0);
+    const server = await startStageEndpoint(id, {
+      position: 0,
+      pieceArrivals: [],
+    });
     running.push(server);
     publishRecord("stage", id, server);
   }
--- a/soak/src/stream_callers.ts
+++ b/soak/src/stream_callers.ts
@@ -50,7 +50,8 @@
   beforeResume?: () => Promise<void>;
 }
 
-const TRY_DEADLINE_MS = 4_000;
+/** Deadline that callers set for each try. */
+export const TRY_DEADLINE_MS = 4_000;
 
 /** Opens a stream and resumes it until it is complete or no entry is left. */
 export async function callStream(
