fix(serving): only requests that have reached an endpoint draw on the budget

Callers saw: a request that met an endpoint that had ended was given up if the pool's budget was spent, though it had reached nobody. It matters more for an entry that has just started: it has earned no retries yet and knows endpoints that have ended meanwhile.

Cause: the budget was charged for each attempt after the first. It bounds what endpoints get beyond the first arrival; an attempt whose connection was refused is no arrival.

--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -2,8 +2,8 @@
  * Sends a request to endpoints and retries it where the route permits.
  *
  * A request that must not run twice is sent to a second endpoint only if the
- * first reported that it did not run it, or if nothing was sent. Every retry
- * draws on the pool's retry budget.
+ * first reported that it did not run it, or if nothing was sent. Every retry of
+ * a request that has reached an endpoint draws on the pool's retry budget.
  *
  * @module
  */
@@ -109,6 +109,7 @@
   const mayRepeat = isRetryable(route);
   const avoid: string[] = [];
   let runs = 0;
+  let hasArrived = false;
   let last: FailedAttempt | undefined;
   let endpointId: string | undefined;
   for (let attempts = 0;; attempts++) {
@@ -136,7 +137,8 @@
     if (stopping !== undefined && runs === 0) {
       return { failure: stopping, attempts };
     }
-    const isWithinBudget = attempts === 0 || endpoint === undefined ||
+    // What never reached an endpoint is not repeated.
+    const isWithinBudget = !hasArrived || endpoint === undefined ||
       state.findBudget(pool).withdraw();
     if (endpoint === undefined || stopping !== undefined || !isWithinBudget) {
       return finishFailed(state, options, { last, attempts, endpointId, runs });
@@ -155,6 +157,7 @@
     avoid.push(endpoint.id);
     last = end;
     if (end.verdict !== "not_run") runs++;
+    hasArrived ||= end.load !== "unreachable";
     if (end.reason === "other_instance") {
       state.directory.markLeaving(formatEndpointKey(endpoint));
     }
