fix(shared): a head that never ends is given up, and tried elsewhere

Callers saw: a request that may be repeated got 504 at its deadline, or was given up, where its endpoint sent provisional answers (1xx) without end or a head byte by byte, though another endpoint was free.

Cause: an answer is awaited until the deadline, whatever comes instead of its head. Silence is no fault (whoever works sends nothing), but bytes that go on for half a second after the first without completing a head, or more than four provisional answers, are. The connection is closed, the endpoint counts as failing, and the request goes on where its kind permits.

--- /dev/null
+++ b/packages/shared/src/head_guard.ts
@@ -0,0 +1,83 @@
+/**
+ * Ends calls whose answer never gets to its head: provisional answers without
+ * end, or a head that comes in pieces for ever. Silence is no fault: whoever
+ * works on a call sends nothing meanwhile.
+ *
+ * @module
+ */
+import type { ClientRequest } from "node:http";
+import type { Socket } from "node:net";
+import type { Millis } from "./clock.ts";
+
+/** Provisional answers to one call; servers send one, if any. */
+const MAX_PROVISIONAL = 4;
+/** A head is sent at once; its segments come within this time. */
+const SEGMENTS_TIME: Millis = 500;
+/** If more come in this time after it, the head has no end. */
+const LATE_TIME: Millis = 500;
+
+/**
+ * Watches a call until its head has come; calls `onFault` once at most. Returns
+ * a function that ends the watch.
+ */
+export function watchHead(
+  request: ClientRequest,
+  onFault: (error: Error) => void,
+): () => void {
+  let provisional = 0;
+  /** Whether the segments of a head should have come. */
+  let isLate = false;
+  let hasLate = false;
+  let timer: NodeJS.Timeout | undefined;
+  let socket: Socket | undefined;
+
+  function dropSegments(): void {
+    clearTimeout(timer);
+    timer = undefined;
+    isLate = false;
+    hasLate = false;
+  }
+
+  function stop(): void {
+    dropSegments();
+    socket?.off("data", handleSegment);
+    request.off("socket", handleSocket);
+    request.off("information", handleProvisional);
+  }
+
+  function fail(message: string): void {
+    stop();
+    onFault(new Error(message));
+  }
+
+  function handleSegment(): void {
+    hasLate ||= isLate;
+    timer ??= setTimeout(handleLate, SEGMENTS_TIME);
+  }
+
+  function handleLate(): void {
+    isLate = true;
+    timer = setTimeout(() => {
+      if (hasLate) fail("the head of the answer has no end");
+      else dropSegments();
+    }, LATE_TIME);
+  }
+
+  function handleProvisional(): void {
+    // What came so far was a whole head.
+    dropSegments();
+    if (++provisional > MAX_PROVISIONAL) {
+      fail("provisional answers have no end");
+    }
+  }
+
+  function handleSocket(connected: Socket): void {
+    socket = connected;
+    // Behind the listener of node:http, which may have found the head by then.
+    socket.on("data", handleSegment);
+  }
+
+  request.once("socket", handleSocket);
+  request.on("information", handleProvisional);
+  return stop;
+}
--- a/packages/shared/src/single_use_call.ts
+++ b/packages/shared/src/single_use_call.ts
@@ -22,6 +22,7 @@
   HttpHeaders,
   HttpStreamReply,
 } from "./http_client.ts";
+import { watchHead } from "./head_guard.ts";
 import { endWithBody } from "./message_body.ts";
 
 /** An empty line between requests, which servers ignore. */
@@ -79,6 +80,7 @@
     const { signal } = call;
     let request: ClientRequest | undefined;
     let body: NodeReadable | undefined;
+    let stopWatching = () => {};
 
     function fail(error: Error): void {
       finish();
@@ -86,6 +88,7 @@
     }
 
     function finish(): void {
+      stopWatching();
       signal?.removeEventListener("abort", handleAbort);
     }
 
@@ -104,11 +107,13 @@
         createConnection: () => watched.socket,
       });
       request.on("error", fail);
+      stopWatching = watchHead(request, (error) => request?.destroy(error));
       // Answers 101 and others that node:http drops without an error.
       request.once("close", () => {
         if (body === undefined) fail(new Error("the connection was cut"));
       });
       request.once("response", (response: IncomingMessage) => {
+        stopWatching();
         const status = response.statusCode ?? 0;
         // node:http accepts 000 to 099, but throws when one is forwarded.
         if (status < FIRST_FINAL_STATUS) {
