fix(serving): one bound for all answers that an entry holds

Callers saw nothing, operators an entry that outgrows its machine: with 80 requests at once and bodies without end it took 742 MB, where a machine has 350. A body that trickles held a request that may be repeated until its deadline (504).

Cause: bodies were bounded one by one (8 MB), never together.

Answers count until their callers have taken them, and streams by what is buffered while their callers do not read; a stream ends at 8 MB like other answers. A body of many small pieces at less than 1 KB/s for two seconds is given up too. The endpoint counts as failing, and the request goes on elsewhere where its kind permits. The metric mangoreach_held_bytes tells the sum.

--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -14,7 +14,7 @@
   Verdict,
 } from "@mangoreach/coordination";
 import { createFailure, formatEndpointKey } from "@mangoreach/coordination";
-import { createEventBoundary, readBodyBytes } from "@mangoreach/shared";
+import { createEventBoundary, readLimitedBody } from "@mangoreach/shared";
 import type { EventPosition, Millis } from "@mangoreach/shared";
 import type { AnswerEnd, ContentEnd } from "./answer_end.ts";
 import {
@@ -24,7 +24,7 @@
   classifyPosition,
 } from "./answer_end.ts";
 import type { CallerResponse } from "./caller_response.ts";
-import { forwardChunks } from "./chunk_forwarding.ts";
+import { forwardChunks, MAX_BUFFERED_BYTES } from "./chunk_forwarding.ts";
 import { isRetryable, scheduleEarlyRelease } from "./early_release.ts";
 import { computeRetryAfter, waitForEndpoint } from "./endpoint_choice.ts";
 import type { AttemptResult } from "./endpoint_load.ts";
@@ -95,6 +95,7 @@
  * which `maxAttempts` of the route does not count.
  */
 const MAX_ATTEMPTS = 4;
+/** The same for streams, which are not held. */
 const MAX_ANSWER_BYTES = 8_388_608;
 const FIRST_FAILING_STATUS = 500;
 const FIRST_ERROR_STATUS = 300;
@@ -246,6 +247,7 @@
       deadline,
     })
     : await handleAnswer(options, answer.value, {
+      state,
       handleStarted,
       handleFirstEvent,
       checkEnd: ({ delimiter }, content) =>
@@ -341,6 +343,7 @@
 }
 
 interface AnswerHandlers {
+  state: Pick<ServingState, "clock" | "heldBytes">;
   /** Called before the caller receives the first bytes. */
   handleStarted: () => void;
   /** Called instead before the caller receives the first event of a stream. */
@@ -385,10 +388,25 @@
 async function sendBufferedReply(
   { response, admitted, deadline }: AttemptOptions,
   reply: EndpointReply,
-  { handleStarted, checkEnd }: AnswerHandlers,
+  { state, handleStarted, checkEnd }: AnswerHandlers,
 ): Promise<FinishedAttempt> {
   const { status, headers } = reply;
-  const body = await readBodyBytes(reply.body, MAX_ANSWER_BYTES);
+  const read = await readLimitedBody(reply.body, {
+    limit: MAX_ANSWER_BYTES,
+    heldBytes: state.heldBytes,
+    clock: state.clock,
+  });
+  if (read.isErr && read.error.fault !== "cut") {
+    return {
+      kind: "lost",
+      verdict: "may_have_run",
+      message: `not an answer: ${read.error.fault}`,
+      load: "failing",
+    };
+  }
+  const body = read.isOk ? read.value.bytes : undefined;
+  // The caller may read slowly.
+  if (read.isOk) response.onceClosed(read.value.release);
   const end = body === undefined
     ? "cut"
     : await checkEnd(reply, classifyBody(body, classifyContent(headers)));
@@ -418,7 +436,7 @@
 async function streamReply(
   { response, deadline, results }: AttemptOptions,
   reply: EndpointReply,
-  { handleFirstEvent, checkEnd }: AnswerHandlers,
+  { state, handleFirstEvent, checkEnd }: AnswerHandlers,
 ): Promise<FinishedAttempt> {
   const { status, headers, body, delimiter } = reply;
   const hasEvents = classifyContent(headers, "events") === "events";
@@ -433,10 +451,21 @@
     response.startStream({ status, headers, isUnproven });
   }
 
+  /** Accounts for what is buffered while the caller does not read. */
+  function waitWritable(writable: Promise<void>): Promise<void> {
+    const part = state.heldBytes.open(() => body.destroy());
+    part.add(MAX_BUFFERED_BYTES);
+    return writable.then(part.release);
+  }
+
+  let length = 0;
   const forwarded = await forwardChunks(body, (chunk) => {
+    length += chunk.length;
+    if (length > MAX_ANSWER_BYTES) return void body.destroy();
     boundary.push(chunk);
     if (!response.isStarted) start();
-    return response.write(chunk);
+    const writable = response.write(chunk);
+    return writable && waitWritable(writable);
   });
   const position = hasEvents ? boundary.readPosition() : undefined;
   const content = position === undefined
--- a/packages/serving/src/caller_response.ts
+++ b/packages/serving/src/caller_response.ts
@@ -17,6 +17,8 @@
   readonly isStarted: boolean;
   /** Aborts if the caller disconnects before the response is complete. */
   readonly disconnected: AbortSignal;
+  /** Calls back once the connection took the response, or has closed. */
+  onceClosed(callback: () => void): void;
   /** Sends a response with its complete body. */
   sendBuffered(answer: BufferedAnswer): void;
   /** Starts a streamed response; its head is sent with the first chunk. */
@@ -126,6 +128,10 @@
       return response.headersSent;
     },
     disconnected: controller.signal,
+    onceClosed(callback) {
+      if (response.closed) callback();
+      else response.once("close", callback);
+    },
     sendBuffered,
     startStream({ status, headers, isUnproven = false }) {
       if (response.headersSent || response.destroyed) return;
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -129,7 +129,8 @@
 export async function startServingEntry(
   options: ServingEntryOptions,
 ): Promise<ServingEntry> {
-  const { settings, platform, clock, readWallTime, random } = options;
+  const { settings, platform, clock, readWallTime, random, heldBytes } =
+    options;
   const logger = options.logger.forPart("entry");
   const controller = createSharedController();
   const { signal } = controller;
@@ -391,6 +392,7 @@
   });
   const { findDispatcher } = pools;
   metrics.setAccountUse(pools.listAccountUse);
+  metrics.setHeldBytes(() => heldBytes.size);
   const router = createPieceRouter({
     clock,
     random,
@@ -428,6 +430,7 @@
     recordUnreachable: siteState.recordUnreachable,
     router,
     callEndpoint,
+    heldBytes,
     endpointCheck,
     crashDetector: createCrashDetector({
       clock,
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -38,6 +38,8 @@
   countConnect(pool: string, outcome: string): void;
   /** A request that ended after the signal to stop. */
   countStopped(outcome: StopOutcome): void;
+  /** Sets the source of the bytes of answers held, read when collected. */
+  setHeldBytes(readBytes: () => number): void;
   /** Sets the source of the use by client account, read when collected. */
   setAccountUse(listUse: () => readonly PartitionUse[]): void;
 }
@@ -171,6 +173,16 @@
     registers,
   });
 
+  let readHeldBytes = () => 0;
+  new Gauge({
+    name: "mangoreach_held_bytes",
+    help: "Bytes of endpoints' and the store's answers that are held",
+    registers,
+    collect() {
+      this.set(readHeldBytes());
+    },
+  });
+
   let listUse: () => readonly PartitionUse[] = () => [];
   const addAccountGauge = (
     { name, help, read }: {
@@ -228,6 +240,7 @@
     countRetry: (pool, outcome) => retries.inc({ pool, outcome }),
     countStopped: (outcome) => stopped.inc({ outcome }),
     countUndecodable: (topic) => undecodable.inc({ topic }),
+    setHeldBytes: (readBytes) => readHeldBytes = readBytes,
     setAccountUse: (list) => listUse = list,
   };
 }
--- a/packages/serving/src/serving_options.ts
+++ b/packages/serving/src/serving_options.ts
@@ -12,6 +12,7 @@
 import type {
   Clock,
   Connect,
+  HeldBytes,
   ListenAddress,
   Listening,
   Logger,
@@ -88,6 +89,8 @@
   settings: ServingSettings;
   platform: ServingPlatform;
   clock: Clock;
+  /** Bounds the answers that the process holds, of all clients together. */
+  heldBytes: HeldBytes;
   /** Returns the time of day, which advances while the process is suspended. */
   readWallTime: () => Millis;
   logger: Logger;
--- a/packages/serving/src/serving_state.ts
+++ b/packages/serving/src/serving_state.ts
@@ -17,7 +17,7 @@
   SendAllowance,
   VersionHistory,
 } from "@mangoreach/coordination";
-import type { Clock, Millis } from "@mangoreach/shared";
+import type { Clock, HeldBytes, Millis } from "@mangoreach/shared";
 import type { DecisionLog } from "./decision_log.ts";
 import type { EndpointCheck } from "./endpoint_check.ts";
 import type { EndpointLoads } from "./endpoint_load.ts";
@@ -57,6 +57,8 @@
   recordUnreachable: (endpoint: EndpointInfo) => void;
   router: PieceRouter;
   callEndpoint: CallEndpoint;
+  /** Bounds the answers that this entry holds. */
+  heldBytes: HeldBytes;
   crashDetector: CrashDetector;
   endpointCheck: EndpointCheck;
   /** Returns the address of the endpoint that stores a result. */
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -30,7 +30,7 @@
   FakeClock,
   HttpFaultKind,
 } from "@mangoreach/shared";
-import { createSharedController } from "@mangoreach/shared";
+import { createHeldBytes, createSharedController } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { CallerResponse } from "./caller_response.ts";
 import { createSilentDecisionLog } from "./decision_log.ts";
@@ -270,6 +270,7 @@
       return seen.length > 0;
     },
     disconnected: new AbortController().signal,
+    onceClosed: () => {},
     sendBuffered: ({ status, body, isUnproven }) =>
       void seen.push(`${status} ${body}${isUnproven ? " unproven" : ""}`),
     startStream: ({ status, isUnproven }) =>
@@ -348,6 +349,7 @@
     findCompletion: createCompletionModel,
     findStageCompletion: createCompletionModel,
     findEngineChoice: () => createEngineSelector(clock),
+    heldBytes: createHeldBytes(Infinity),
     stopWindow: createStopWindow(clock, { stopTime: 8_000, onEnded: () => {} }),
     shutdown: createSharedController().signal,
     ...change,
--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -10,11 +10,12 @@
 import { Readable as NodeReadable } from "node:stream";
 import { Result } from "true-myth";
 import type { Dispatcher } from "undici";
-import type { Millis } from "./clock.ts";
+import type { Clock, Millis } from "./clock.ts";
 import type { BodyDelimiter } from "./body_delimiter.ts";
 import { classifyDelimiter } from "./body_delimiter.ts";
 import type { Connect, ConnectFailure } from "./connection.ts";
 import { openConnection } from "./connection.ts";
+import type { HeldBytes } from "./held_bytes.ts";
 import { parseJson } from "./http_server.ts";
 import { createPersistentConnections } from "./persistent_connections.ts";
 import { sendSingleUseCall } from "./single_use_call.ts";
@@ -89,6 +90,8 @@
   connections: "kept" | "single";
   /** Opens connections; direct ones if left out. */
   connect: Connect;
+  /** Bounds the answers that this process holds, of all clients together. */
+  heldBytes: HeldBytes;
 }
 
 /** An HTTP client. */
@@ -117,6 +120,7 @@
     connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT,
     connections = "kept",
     connect,
+    heldBytes,
   }: Partial<HttpClientOptions> = {},
 ): HttpClient {
   const kept = createPersistentConnections({
@@ -161,6 +165,7 @@
     const text = await readText(body, {
       maxReplyBytes,
       signal: options.signal,
+      heldBytes,
     });
     return text.map((complete) => ({
       status,
@@ -186,71 +191,127 @@
   };
 }
 
-/** Reads a complete body; undefined if it is truncated or too large. */
-export async function readBodyBytes(
-  body: AsyncIterable<Buffer>,
-  limit: number,
-): Promise<Buffer | undefined> {
-  const stream = body instanceof NodeReadable ? body : NodeReadable.from(body);
-  // Whether it was truncated or aborted, the body is not complete.
-  return (await collectBody(stream, limit)).unwrapOr(undefined);
+/** Why a body was not read to its end. */
+export type BodyFault =
+  /** It was truncated, or this side gave it up. */
+  | "cut"
+  /** It is larger than allowed, or this process holds too much. */
+  | "too_large"
+  /** It trickles and may have no end. */
+  | "trickling";
+
+/** Options of {@linkcode readLimitedBody}. */
+export interface BodyOptions {
+  /** Maximum size in bytes. */
+  limit: number;
+  /** Bounds what this process holds; not bounded if left out. */
+  heldBytes?: HeldBytes | undefined;
+  /** Tells whether the body trickles; not asked if left out. */
+  clock?: Clock | undefined;
+}
+
+/** A body that is held until it is released. */
+export interface LimitedBody {
+  bytes: Buffer;
+  release(): void;
 }
 
+/** A body that comes in more pieces than this may trickle. */
+const MAX_PIECES = 64;
+/** Whoever sends that many does so within this time, */
+const TRICKLE_TIME: Millis = 2_000;
+/** or at this rate in bytes per second. */
+const MIN_BODY_RATE = 1_024;
+
 /**
- * Reads a complete body; undefined if it is too large. Listens to the stream
- * itself, as iterating over it takes several promises for each chunk.
+ * Reads a complete body. Closes the connection at once if it is not an answer's.
+ * Listens to the stream itself, as iterating over it takes several promises for
+ * each chunk.
  */
-function collectBody(
+export function readLimitedBody(
   body: Readable,
-  limit: number,
-): Promise<Result<Buffer | undefined, Error>> {
+  { limit, heldBytes, clock }: BodyOptions,
+): Promise<Result<LimitedBody, { fault: BodyFault; error?: Error }>> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let length = 0;
     let hasEnded = false;
+    const startedAt = clock?.now() ?? 0;
+    const part = heldBytes?.open(() => fail("too_large"));
+
+    function fail(fault: BodyFault, error?: Error): void {
+      part?.release();
+      chunks.length = 0;
+      resolve(Result.err({ fault, ...(error === undefined ? {} : { error }) }));
+      body.destroy();
+    }
+
+    function isTrickling(): boolean {
+      if (clock === undefined || chunks.length <= MAX_PIECES) return false;
+      const elapsed = clock.now() - startedAt;
+      return elapsed > TRICKLE_TIME && 1_000 * length / elapsed < MIN_BODY_RATE;
+    }
+
     body.on("data", (chunk: Buffer) => {
+      if (body.destroyed) return;
       length += chunk.length;
-      if (length <= limit) return void chunks.push(chunk);
-      resolve(Result.ok(undefined));
-      body.destroy();
+      if (length > limit) return fail("too_large");
+      chunks.push(chunk);
+      part?.add(chunk.length);
+      if (isTrickling()) fail("trickling");
     });
     body.once("end", () => {
       hasEnded = true;
-      const whole = chunks.length === 1
+      part?.keep();
+      const bytes = chunks.length === 1
         ? chunks[0]!
         : NodeBuffer.concat(chunks);
-      resolve(Result.ok(whole));
+      resolve(Result.ok({ bytes, release: () => part?.release() }));
     });
-    body.on("error", (error) => resolve(Result.err(error)));
+    body.on("error", (error) => fail("cut", error));
     // Destroyed before its end, possibly before this call.
     const onClose = () => {
-      if (!hasEnded) resolve(Result.err(new Error("the body was cut")));
+      if (!hasEnded) fail("cut", new Error("the body was cut"));
     };
     body.once("close", onClose);
     if (body.destroyed) onClose();
   });
 }
 
+/** Reads a complete body; undefined if it is truncated or too large. */
+export async function readBodyBytes(
+  body: AsyncIterable<Buffer>,
+  limit: number,
+): Promise<Buffer | undefined> {
+  const stream = body instanceof NodeReadable ? body : NodeReadable.from(body);
+  // Whether it was truncated or aborted, the body is not complete.
+  const read = await readLimitedBody(stream, { limit });
+  return read.isOk ? read.value.bytes : undefined;
+}
+
 async function readText(
   body: Readable,
-  { maxReplyBytes, signal }: {
+  { maxReplyBytes, signal, heldBytes }: {
     maxReplyBytes: number;
     signal: AbortSignal | undefined;
+    heldBytes: HeldBytes | undefined;
   },
 ): Promise<Result<string, HttpFault>> {
-  const bytes = await collectBody(body, maxReplyBytes);
-  if (bytes.isErr) {
-    const fault = classifyError(bytes.error, signal);
-    return Result.err({ ...fault, sent: "maybe" });
+  const read = await readLimitedBody(body, { limit: maxReplyBytes, heldBytes });
+  if (read.isOk) {
+    read.value.release();
+    // Text is decoded by TextDecoder, which removes a byte order mark.
+    return Result.ok(new TextDecoder().decode(read.value.bytes));
   }
-  // Text is decoded by TextDecoder, which removes a byte order mark.
-  if (bytes.value !== undefined) {
-    return Result.ok(new TextDecoder().decode(bytes.value));
+  const { fault, error } = read.error;
+  if (fault !== "too_large") {
+    return Result.err({ ...classifyError(error, signal), sent: "maybe" });
   }
   return Result.err({
     kind: "too_large",
     sent: "maybe",
-    message: `the answer is larger than ${maxReplyBytes} bytes`,
+    message:
+      `the answer is larger than ${maxReplyBytes} bytes, or too many are`,
   });
 }
 
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -84,12 +84,16 @@
   HttpHeaders,
   HttpReply,
   HttpStreamReply,
+  LimitedBody,
 } from "./http_client.ts";
 export {
   createHttpClient,
   readBodyBytes,
+  readLimitedBody,
   readReplyJson,
 } from "./http_client.ts";
+export type { HeldBytes } from "./held_bytes.ts";
+export { createHeldBytes } from "./held_bytes.ts";
 export type { Timeout } from "./timeout.ts";
 export type {
   PersistentConnections,
--- /dev/null
+++ b/soak/src/endless_answers.ts
@@ -0,0 +1,113 @@
+/**
+ * Bytes that are no answer and go on until the other side closes the connection.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
+
+/** What has no end. */
+export type EndlessShape =
+  /** Provisional answers. */
+  | "provisional"
+  /** A head, one byte at a time. */
+  | "slow_head"
+  /** Header fields. */
+  | "head"
+  /** A body that only its connection delimits. */
+  | "body"
+  /** A body in chunks. */
+  | "chunks"
+  /** A body, one byte at a time. */
+  | "slow_body";
+
+/** All shapes. */
+export const ENDLESS_SHAPES: readonly EndlessShape[] = [
+  "provisional",
+  "slow_head",
+  "head",
+  "body",
+  "chunks",
+  "slow_body",
+];
+
+const SLOW_GAP_MS = 20;
+const BLOCK = Buffer.alloc(65_536, "x");
+const CHUNK = Buffer.concat([
+  Buffer.from(`${BLOCK.length.toString(16)}\r\n`),
+  BLOCK,
+  Buffer.from("\r\n"),
+]);
+const FIELD = Buffer.from("x-filler: 0123456789\r\n");
+
+interface EndlessPlan {
+  first: string;
+  next: Buffer;
+  gap: number;
+}
+
+function createPlan(shape: EndlessShape, headers: string): EndlessPlan {
+  const start = `HTTP/1.1 200 OK\r\n${headers}`;
+  switch (shape) {
+    case "provisional":
+      return {
+        first: "",
+        next: Buffer.from("HTTP/1.1 103 Early Hints\r\n\r\n"),
+        gap: SLOW_GAP_MS,
+      };
+    case "slow_head":
+      return {
+        first: `${start}x-filler: `,
+        next: Buffer.from("0"),
+        gap: SLOW_GAP_MS,
+      };
+    case "head":
+      return { first: start, next: FIELD, gap: 0 };
+    case "body":
+      return { first: `${start}\r\n`, next: BLOCK, gap: 0 };
+    case "chunks":
+      return {
+        first: `${start}transfer-encoding: chunked\r\n\r\n`,
+        next: CHUNK,
+        gap: 0,
+      };
+    case "slow_body":
+      return {
+        first: `${start}\r\n`,
+        next: Buffer.from("x"),
+        gap: SLOW_GAP_MS,
+      };
+  }
+}
+
+/**
+ * Writes such bytes, as fast as they are read or slowly; resolves with the time
+ * until the connection was closed, in milliseconds.
+ */
+export function writeEndless(
+  socket: Socket,
+  { shape, headers }: {
+    shape: EndlessShape;
+    /** Complete header lines. */
+    headers: string;
+  },
+): Promise<number> {
+  const startedAt = Date.now();
+  const { first, next, gap } = createPlan(shape, headers);
+  socket.write(first);
+
+  function writeNext(): void {
+    if (socket.destroyed) return;
+    if (gap > 0) {
+      socket.write(next);
+      return void setTimeout(writeNext, gap);
+    }
+    if (socket.write(next)) setImmediate(writeNext);
+    else socket.once("drain", writeNext);
+  }
+
+  writeNext();
+  return new Promise((resolve) =>
+    socket.once("close", () => resolve(Date.now() - startedAt))
+  );
+}
--- a/soak/src/endpoint_signals.ts
+++ b/soak/src/endpoint_signals.ts
@@ -25,7 +25,9 @@
   /** It runs it and resets the connection. */
   | "reset"
   /** It refuses it. */
-  | "full";
+  | "full"
+  /** It sends bytes that are no answer until the connection is closed. */
+  | "endless";
 
 /** A request as its caller sent it. */
 export interface SentRequest {
--- a/soak/src/soak_endpoints.ts
+++ b/soak/src/soak_endpoints.ts
@@ -9,6 +9,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { formatEndpointKey } from "@mangoreach/coordination";
 import { HEADER, PATH } from "../../platform/src/wire_names.ts";
+import { ENDLESS_SHAPES, writeEndless } from "./endless_answers.ts";
 import type { ObservedArrival, SoakSignals } from "./endpoint_signals.ts";
 import type { PieceArrival } from "./repeat_checks.ts";
 import type { SoakHandler, SoakServer } from "./soak_server.ts";
@@ -110,6 +111,7 @@
   let running = 0;
   let reports = 0;
   let streams = 0;
+  let endless = 0;
 
   /** Formats a load report with four figures. */
   function formatLoad(): string {
@@ -176,6 +178,12 @@
     running--;
     if (hasPoisonPart(request) || body === POISON_BODY) return crash();
     if (failure === "reset") return void response.destroy();
+    if (failure === "endless" && response.socket !== null) {
+      const shape = ENDLESS_SHAPES[endless++ % ENDLESS_SHAPES.length]!;
+      const headers = `${HEADER.requestId}: ${requestId}\r\n` +
+        `${HEADER.proof}: ${computeBody(requestId).slice(0, 16)}\r\n`;
+      return void await writeEndless(response.socket, { shape, headers });
+    }
     if (failure === "error") return void response.writeHead(500).end("failed");
     arrival.respondedAt = Date.now();
     if (path.startsWith("/chat/")) {
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -98,7 +98,12 @@
 const SILENT_MS = 1_000;
 const FAILING_MS = 1_500;
 const FAILING_SHARES = [1, 0.5, 0.8];
-const FAILURE_MODES: readonly FailureMode[] = ["error", "full", "reset"];
+const FAILURE_MODES: readonly FailureMode[] = [
+  "error",
+  "full",
+  "reset",
+  "endless",
+];
 /** Exceeds the time in which requests may still reach a leaving endpoint. */
 const LEAVING_MS = 3_500;
 /** Maximum time from stopping an entry until its replacement has started. */
