--- a/packages/coordination/src/crash_history.ts
+++ b/packages/coordination/src/crash_history.ts
@@ -1,7 +1,7 @@
 /**
- * Crashes that processes recorded before this one started, or that it has not
- * been told of otherwise. They count once another crash with one of their traits
- * is recorded.
+ * Crashes that were read from the platform's store, some of them from before this
+ * process started. They count once another crash with one of their traits is
+ * recorded.
  *
  * @module
  */
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -95,7 +95,7 @@
  * which `maxAttempts` of the route does not count.
  */
 const MAX_ATTEMPTS = 4;
-/** The same for streams, which are not held. */
+/** The largest answer, whether it is held or streamed. */
 const MAX_ANSWER_BYTES = 8_388_608;
 const FIRST_FAILING_STATUS = 500;
 const FIRST_ERROR_STATUS = 300;
