fix(serving): saved retries after the first window of a process

Until then an entry uses what its requests earn; from then on its part of the slack is saved up. The bound holds in every window, and a site that has started ten seconds before its first request has all its retries.

--- a/packages/coordination/src/retry_budget.ts
+++ b/packages/coordination/src/retry_budget.ts
@@ -23,10 +23,10 @@
   /** Returns this process's part of `max` if several processes share it. */
   readShare?: () => number;
   /**
-   * Whether the budget begins with nothing saved up. Otherwise each start of a
-   * process would add to what its predecessor has consumed.
+   * Whether what a predecessor of this process has consumed no longer counts.
+   * Until then nothing is saved up: each start of a process would add to it.
    */
-  startsEmpty?: boolean;
+  isSettled?: () => boolean;
   /** Returns a number from 0 up to 1; by default 0, which grants all. */
   random?: () => number;
   /** Observes whether second attempts were granted. */
@@ -39,12 +39,19 @@
     share,
     max,
     readShare = () => 1,
-    startsEmpty = false,
+    isSettled = () => true,
     random = () => 0,
     onWithdrawn = () => {},
   }: RetryBudgetOptions,
 ): RetryBudget {
-  let balance = startsEmpty ? 0 : max * readShare();
+  let balance = 0;
+  let isFilled = false;
+
+  function fillOnce(): void {
+    if (isFilled || !isSettled()) return;
+    isFilled = true;
+    balance = Math.max(balance, max * readShare());
+  }
 
   /**
    * Where a process may save up less than one attempt, it saves up one and is
@@ -57,12 +64,15 @@
 
   return {
     get balance() {
+      fillOnce();
       return balance;
     },
     deposit() {
+      fillOnce();
       balance = Math.min(Math.max(1, max * readShare()), balance + share);
     },
     withdraw() {
+      fillOnce();
       const hasOne = balance >= 1;
       if (hasOne) balance -= 1;
       const isGranted = hasOne && mayUseWhole();
--- a/packages/serving/src/pool_components.ts
+++ b/packages/serving/src/pool_components.ts
@@ -21,7 +21,7 @@
   createRetryBudget,
   listPartitionEndpoints,
 } from "@mangoreach/coordination";
-import type { Clock } from "@mangoreach/shared";
+import type { Clock, Millis } from "@mangoreach/shared";
 import type { DecisionLog } from "./decision_log.ts";
 import type { EndpointCheck } from "./endpoint_check.ts";
 import type { EndpointLoads } from "./endpoint_load.ts";
@@ -79,6 +79,8 @@
  * fleet whose entries all restart.
  */
 const DISCOVERY_ENTRIES = 100;
+/** Retries of all entries together are bounded in any window of this length. */
+const BUDGET_WINDOW: Millis = 10_000;
 /** Pieces are retried by a dispatcher, which can be any entry. */
 const PIECE_RETRY_SHARE = 0.1;
 const PIECE_RETRY_SLACK = 10;
@@ -124,6 +126,7 @@
   const dispatchers = new Map<string, StageDispatcher>();
   const partitionShares: PartitionShares[] = [];
   const isDiscovering = createDiscoveryCheck(clock);
+  const startedAt = clock.now();
   let maxEntries = MIN_ENTRIES;
 
   function observeRetries(pool: string): (isGranted: boolean) => void {
@@ -185,7 +188,7 @@
       share: options.repeatShare,
       max: options.repeatSlack,
       readShare: computeBudgetShare,
-      startsEmpty: true,
+      isSettled: () => clock.now() - startedAt >= BUDGET_WINDOW,
       random: options.random,
       onWithdrawn: observeRetries(pool),
     })
--- a/packages/serving/src/pool_components_test.ts
+++ b/packages/serving/src/pool_components_test.ts
@@ -53,6 +53,18 @@
     }
   });
 
+  // Its predecessor's retries are no longer in a window with its own.
+  it("grant saved retries to an entry that has run for a window", async () => {
+    const { clock, findBudget } = create({ entries: 8, slack: 56 });
+    const budget = findBudget("pool");
+    await clock.advance(9_999);
+    expect(budget.balance).to.equal(0);
+    await clock.advance(1);
+    expect(
+      [budget, findBudget("other")].map(({ balance }) => balance.toFixed(3)),
+    ).to.deep.equal(["5.600", "5.600"]);
+  });
+
   // Guards against one saved retry for each entry where the slack is smaller.
   it("share a slack that is smaller than the number of entries", async () => {
     const { clock, countRetries } = create({ entries: 360, slack: 56 });
