--- a/soak/src/endless_answers_site_test.ts
+++ b/soak/src/endless_answers_site_test.ts
@@ -21,6 +21,7 @@
 import type { TopicStore } from "./topic_store.ts";
 import { startTopicStore } from "./topic_store.ts";
 
+const REQUEST_ID = new RegExp(`${HEADER.requestId}: (\\S+)`, "i");
 const DEADLINE_MS = 6_000;
 /** Long before callers give up. */
 const PROMPT_MS = 3_500;
@@ -69,7 +70,7 @@
       socket.once("close", () => sockets.delete(socket));
       socket.once("data", (data) => {
         const received = String(data);
-        const requestId = /x-attempt-id: (\S+)/i.exec(received)?.[1];
+        const requestId = REQUEST_ID.exec(received)?.[1];
         const headers =
           `${HEADER.requestId}: ${requestId}\r\n${HEADER.proof}: proof\r\n`;
         if (faulty.includes(id)) serveEndless(socket, headers);
