--- a/packages/coordination/src/retry_budget.ts
+++ b/packages/coordination/src/retry_budget.ts
@@ -47,7 +47,7 @@
   let balance = 0;
   let isFilled = false;
 
-  function fillOnce(): void {
+  function addSaved(): void {
     if (isFilled || !isSettled()) return;
     isFilled = true;
     balance = Math.max(balance, max * readShare());
@@ -64,15 +64,15 @@
 
   return {
     get balance() {
-      fillOnce();
+      addSaved();
       return balance;
     },
     deposit() {
-      fillOnce();
+      addSaved();
       balance = Math.min(Math.max(1, max * readShare()), balance + share);
     },
     withdraw() {
-      fillOnce();
+      addSaved();
       const hasOne = balance >= 1;
       if (hasOne) balance -= 1;
       const isGranted = hasOne && mayUseWhole();
