--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -284,7 +284,9 @@
       share: FAILING_SHARES[target % FAILING_SHARES.length]!,
       how: FAILURE_MODES[target % FAILURE_MODES.length]!,
     };
-    const pool = target % 2 === 0 ? "plain" : "chat";
+    // Each pool fails in each way.
+    const isPlain = Math.floor(target / FAILURE_MODES.length) % 2 === 0;
+    const pool = isPlain ? "plain" : "chat";
     const slots = [...endpoints, ...chatEndpoints];
     await Promise.all(
       slots.filter((slot) => slot.pool === pool)
