--- a/packages/serving/src/attempt_loop_test.ts
+++ b/packages/serving/src/attempt_loop_test.ts
@@ -144,8 +144,6 @@
     });
   }
 
-  // When several endpoints fail together, a second attempt for every caller
-  // would double the load on the remaining ones.
   // A restarted entry, which has no budget yet, may know endpoints that ended.
   it("needs no retry budget until a request has reached an endpoint", async () => {
     const seen: string[][] = [];
@@ -157,6 +155,8 @@
     expect(seen).to.deep.equal([["200 whole"], []]);
   });
 
+  // When several endpoints fail together, a second attempt for every caller
+  // would double the load on the remaining ones.
   it("makes no retry without retry budget", async () => {
     const { called, outcome } = await run([FULL, COMPLETE], { budget: 0 });
     expect(called.length).to.equal(1);
