--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -286,6 +286,16 @@
     }, 200);
     const crashedAt = Date.now();
   };
+  runner.beat = beat;
+  /** Exits: its kernel closes the channels in an orderly way. */
+  runner.exit = () => {
+    clearInterval(heartbeat);
+    runner.isUp = false;
+    server.close();
+    sockets.forEach((socket) => socket.destroy());
+    if (store.mode === "good") store.put("keyed.servers", id, undefined);
+    record(`runner ${id} exits`);
+  };
   runner.close = () => {
     clearInterval(heartbeat);
     server.close();
