--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -44,6 +44,9 @@
 /** Whether the disruption happens; `TROUBLE=0` leaves it out. */
 export const HAS_TROUBLE = process.env.TROUBLE !== "0";
 
+/** Runs `close` when the case ends. */
+export const onClose = (close) => CLOSERS.push(close);
+
 /** Opens the record of a case. */
 export function openRecord(folder) {
   recordFile = join(folder, "record.txt");
@@ -286,16 +289,6 @@
     }, 200);
     const crashedAt = Date.now();
   };
-  runner.beat = beat;
-  /** Exits: its kernel closes the channels in an orderly way. */
-  runner.exit = () => {
-    clearInterval(heartbeat);
-    runner.isUp = false;
-    server.close();
-    sockets.forEach((socket) => socket.destroy());
-    if (store.mode === "good") store.put("keyed.servers", id, undefined);
-    record(`runner ${id} exits`);
-  };
   runner.close = () => {
     clearInterval(heartbeat);
     server.close();
