--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,117 +1,114 @@
 /**
- * An entry gets SIGTERM while callers with a slow link still receive answers
- * that their runner has completed.
+ * All entries are killed at the same moment while callers receive streams of a
+ * pool with one software version. The callers take the streams up again.
  */
-import { createHash } from "node:crypto";
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import {
-  createFolder, createId, createManifest, HAS_TROUBLE, openRequest, record,
-  runCase, sleep, startEntries, startRunner, startStore,
+  BOUNDS, createFolder, createId, createManifest, HAS_TROUBLE, record, runCase,
+  sleep, startEntries, startRunner, startStore,
 } from "../lib-2/site.mjs";
+import { createStreamServer, describeTry, tryStream } from "../lib-2/streams.mjs";
 
 const FOLDER = dirname(fileURLToPath(import.meta.url));
-const CALLERS = 4;
-const ANSWER_BYTES = 6_000_000;
+const STREAMS = 20;
+const EVENTS = 60;
+const GAP_MS = 250;
 const DEADLINE_MS = 20_000;
-/** SIGTERM comes this long after the requests were sent. */
-const TERM_AFTER_MS = 1_000;
-/** For this long callers read 32 KB every 250 ms, then as fast as they can. */
-const SLOW_MS = 5_500;
-const SLOW_STEP_MS = 250;
-const SLOW_STEP_BYTES = 32_768;
+const PATH = "/utkast/sak";
+/** The kill comes this long after the first stream began. */
+const KILL_AFTER_MS = 3_000;
+/** The platform starts a process again after a short delay. */
+const RESTART_MS = 1_000;
+const MAX_TRIES = 8;
+const RETRY_MS = 1_000;
 
-const path = (name) => `/dokument/${name}`;
-const digest = (bytes) => createHash("sha256").update(bytes).digest("hex").slice(0, 16);
-
-/** The answer of a request: bytes that no other request gets. */
-function createAnswer(id) {
-  const seed = createHash("sha256").update(id).digest();
-  return Buffer.alloc(ANSWER_BYTES, seed);
-}
-
-/** Receives an answer slowly at first. */
-function receive(entry, id) {
-  return new Promise((resolve) => {
-    const sentAt = Date.now();
-    const request = openRequest(entry.callers, { method: "GET", path: path(id), id, deadlineMs: DEADLINE_MS });
-    let length = 0;
-    const hash = createHash("sha256");
-    const finish = (end, status) => resolve({ id, end, status, length, digest: hash.digest("hex").slice(0, 16), tookMs: Date.now() - sentAt });
-    request.once("response", (response) => {
-      record(`caller ${id}: head ${response.statusCode}, length ${response.headers["content-length"]}`);
-      response.on("error", () => {});
-      const take = (chunk) => {
-        length += chunk.length;
-        hash.update(chunk);
-      };
-      const timer = setInterval(() => {
-        if (Date.now() - sentAt >= SLOW_MS) {
-          clearInterval(timer);
-          response.on("data", take);
-          return;
-        }
-        const chunk = response.read(SLOW_STEP_BYTES) ?? response.read();
-        if (chunk !== null) take(chunk);
-      }, SLOW_STEP_MS);
-      response.once("end", () => finish("complete", response.statusCode));
-      response.once("close", () => {
-        clearInterval(timer);
-        if (!response.complete) finish("cut", response.statusCode);
+/** A caller: begins a stream, and takes it up again until it is complete. */
+async function callStream(entries, { stream, tries }) {
+  const deadlineAt = Date.now() + DEADLINE_MS;
+  const prompt = createId();
+  let first;
+  let lastEvent = 0;
+  for (let count = 0; count < MAX_TRIES && Date.now() < deadlineAt - 500; count++) {
+    const running = entries.filter(({ isUp }) => isUp);
+    const entry = running[Math.floor(Math.random() * running.length)];
+    if (entry !== undefined) {
+      const id = createId();
+      const end = await tryStream(entry, {
+        path: PATH, id, prompt, deadlineMs: deadlineAt - Date.now(), lastEvent, resumes: first,
+        onEvent: ({ number }) => {
+          first ??= id;
+          lastEvent = number;
+        },
       });
-    });
-    request.once("error", (error) => finish(`failed: ${error.code}`, 0));
-    request.end();
-  });
+      record(describeTry(end));
+      tries.push({ ...end, stream });
+      if (lastEvent >= EVENTS) return true;
+      // A caller honours Retry-After, and waits between tries without it.
+      await sleep(Math.max(RETRY_MS, end.retryAfterMs ?? 0));
+    } else await sleep(RETRY_MS);
+  }
+  return false;
 }
 
 await runCase(FOLDER, async () => {
   const folder = createFolder();
   const store = await startStore();
-  const ran = [];
-  const sent = new Map();
-  for (const index of [1, 2]) {
-    await startRunner(store, {
-      id: `i-portal-${index}`, service: "klageportal", slots: 6,
-      serve(request, response, runner) {
-        const id = request.headers["x-attempt-id"];
-        const body = createAnswer(id);
-        ran.push(id);
-        record(`runner ${runner.id} runs ${id}`);
-        response.setHeader("X-Response-Seal", digest(body));
-        response.once("finish", () => {
-          sent.set(id, Date.now());
-          record(`runner ${runner.id} has sent the whole answer of ${id}`);
-        });
-        response.end(body);
-      },
-    });
+  const serve = createStreamServer({ events: EVENTS, gapMs: GAP_MS });
+  const runners = [];
+  for (let index = 1; index <= 4; index++) {
+    runners.push(await startRunner(store, { id: `i-llm-${index}`, service: "llm-fleet", version: "v1", serve }));
   }
   store.publish(createManifest({
     routes: [{
-      name: "dokument", host: "jepu9.example", pathPrefix: "/dokument/", kind: "idempotent",
-      timeoutMs: DEADLINE_MS, targetLatencyMs: 2_000, service: "klageportal", maxAttempts: 2,
+      name: "utkast", host: "jepu9.example", pathPrefix: "/utkast/", kind: "stream", sticky: true, resumable: true,
+      targetGapMs: 400, timeoutMs: DEADLINE_MS, targetLatencyMs: 1_900, service: "llm-fleet", maxAttempts: 2,
     }],
-    services: [{ name: "klageportal", maxConns: 110 }],
+    services: [{ name: "llm-fleet", engine: { slots: 64, kvCapacity: 328_764, models: [{ name: "m" }] } }],
   }));
-  const [first] = await startEntries(store, 3, folder);
-  await sleep(3_500);
-  const ids = Array.from({ length: CALLERS }, createId);
-  const answers = ids.map((id) => {
-    record(`caller ${id}: sends GET ${path(id)} to ${first.name}`);
-    return receive(first, id);
-  });
-  await sleep(TERM_AFTER_MS);
-  if (HAS_TROUBLE) first.kill("SIGTERM");
-  const ended = await Promise.all(answers);
-  let lost = 0;
-  for (const { id, end, status, length, digest: got, tookMs } of ended) {
-    const isWhole = end === "complete" && got === digest(createAnswer(id));
-    record(`caller ${id}: status ${status}, ${end}, ${length} of ${ANSWER_BYTES} bytes after ${tookMs} ms`);
-    const isLost = ran.includes(id) && sent.has(id) && !isWhole && tookMs < DEADLINE_MS;
-    if (isLost) lost++;
+  const entries = await startEntries(store, 3, folder);
+  await sleep(4_000);
+
+  const tries = [];
+  const streams = [];
+  for (let count = 0; count < STREAMS; count++) {
+    streams.push(callStream(entries, { stream: count, tries }));
+    await sleep(50);
+  }
+  await sleep(KILL_AFTER_MS);
+  if (HAS_TROUBLE) {
+    entries.forEach((entry) => entry.kill("SIGKILL"));
+    await sleep(RESTART_MS);
+    entries.forEach((entry) => entry.start());
+    await Promise.all(entries.map((entry) => entry.waitUntilReady()));
+    await sleep(BOUNDS.stableWindowMs);
+  }
+  // New streams begin meanwhile.
+  const newTries = [];
+  const fresh = [];
+  for (let count = 0; count < STREAMS; count++) {
+    fresh.push(callStream(entries, { stream: count, tries: newTries }));
+    await sleep(100);
+  }
+  const completed = (await Promise.all(streams)).filter(Boolean).length;
+  await Promise.all(fresh);
+
+  const isInTouch = ({ sentAt, entry }) => sentAt - entry.startedAt >= BOUNDS.stableWindowMs;
+  /** For each stream with such a try, whether one of them brought an event. */
+  function judge(list, isResumed) {
+    const byStream = new Map();
+    for (const one of list) {
+      if (one.isResumed !== isResumed || !isInTouch(one)) continue;
+      byStream.set(one.stream, (byStream.get(one.stream) ?? false) || one.events.length > 0);
+    }
+    const served = [...byStream.values()].filter(Boolean).length;
+    return { count: byStream.size, served, share: byStream.size === 0 ? 1 : served / byStream.size };
   }
-  record(`${lost} of ${CALLERS} answers that the runner completed were cut off`);
-  console.log(`${lost} of ${CALLERS} answers cut off`);
-  return lost > 0;
+  const taken = judge(tries, true);
+  const begun = judge(newTries, false);
+  const summary = `${completed} of ${STREAMS} streams completed; taken up at machines in touch: ` +
+    `${taken.count}, of which ${taken.served} go on; new streams: ${begun.count}, of which ${begun.served} begin`;
+  record(summary);
+  console.log(summary);
+  return taken.count >= 12 && taken.share < begun.share / 2;
 });
--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -59,6 +59,11 @@
   appendFileSync(recordFile, `${at} ${text}\n`);
 }
 
+/** Processes that were started; none outlives the case. */
+const CHILDREN = new Set();
+process.on("exit", () => CHILDREN.forEach((child) => child.kill("SIGKILL")));
+for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) process.on(signal, () => process.exit(2));
+
 /** Runs a case; ends everything that it started; exits with its result. */
 export async function runCase(folder, play, limitMs = 115_000) {
   openRecord(folder);
@@ -326,6 +331,8 @@
     const log = createWriteStream(join(folder, `${name}.log`), { flags: "a" });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
+    CHILDREN.add(child);
+    child.once("exit", () => CHILDREN.delete(child));
     entry.child = child;
     entry.startedAt = Date.now();
     entry.isUp = true;
