--- a/review/lib-2/streams.mjs
+++ b/review/lib-2/streams.mjs
@@ -63,6 +63,7 @@
       });
     });
     request.once("error", (error) => finish(`failed: ${error.code}`));
+    record(`try ${id} is sent to ${entry.name}${lastEvent > 0 ? `, resumes ${resumes} after event ${lastEvent}` : ""}`);
     request.end("draft");
   });
 }
