feat(serving): requests log the time since their caller's first attempt

Requests with stages carry `waited` in their last line, where it isn't 0: the estimate by which their objective is taken to be nearer. No decision changes; the estimate is read once per request, where it was read before.

--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -69,6 +69,9 @@
     clock,
     budget: Math.min(request.head.budget, route.timeout) - elapsed,
   });
+  const waited = route.stages.length === 0
+    ? 0
+    : state.callerElapsed.read(route.name, request.head.budget);
   const onDisconnected = () => deadline.cancel("caller_gone");
   response.disconnected.addEventListener("abort", onDisconnected, {
     once: true,
@@ -79,6 +82,7 @@
   const outcome = await runRequest(state, context, {
     admitted: admitted.value,
     admittedAt,
+    waited,
     deadline,
   });
   deadline.release();
@@ -88,6 +92,7 @@
   }
   recordOutcome(state, context, {
     admitted: admitted.value,
+    waited,
     isCutOff: deadline.signal.reason === "shutdown",
     ...outcome,
   });
@@ -97,6 +102,8 @@
   admitted: AdmittedRoute;
   /** When the whole request had been read. */
   admittedAt: Millis;
+  /** Estimated time since the caller's first attempt; 0 without stages. */
+  waited: Millis;
   deadline: Deadline;
 }
 
@@ -183,9 +190,9 @@
 async function runRouteStages(
   state: ServingState,
   { request, receivedAt }: RequestContext,
-  { admitted, admittedAt, deadline }: AdmittedRequest,
+  { admitted, admittedAt, waited, deadline }: AdmittedRequest,
 ): Promise<Result<StageResults, Failure>> {
-  const { clock, log, router, random, callerElapsed, crashDetector } = state;
+  const { clock, log, router, random, crashDetector } = state;
   const { route, table, rank, account } = admitted;
   const sharedAccount = state.accountShares ? account : undefined;
   const promptTokens = sumTokens(request.head.promptParts);
@@ -196,8 +203,7 @@
     ENGINE_RESERVE,
     state.findDelays(admitted.pool).estimateUsual(promptTokens),
   );
-  const elapsed = callerElapsed.read(route.name, request.head.budget);
-  const objectiveAt = receivedAt - elapsed + route.objective - reserve;
+  const objectiveAt = receivedAt - waited + route.objective - reserve;
   const deadlineAt = deadline.at - ENGINE_RESERVE;
   const durations = route.stages.map(({ pool }, number) =>
     estimateStageTime(
@@ -289,6 +295,8 @@
 /** How a request ended, as it is recorded. */
 interface RecordedOutcome extends Partial<AttemptOutcome> {
   admitted?: AdmittedRoute;
+  /** See {@linkcode AdmittedRequest}. */
+  waited?: Millis;
   /** Whether it was ended because the process exits. */
   isCutOff?: boolean;
 }
@@ -307,7 +315,8 @@
   outcome: RecordedOutcome,
 ): void {
   const { clock, log, metrics, configAge, readTable, membership } = state;
-  const { admitted, failure, attempts, status, endpoint, end } = outcome;
+  const { admitted, waited, failure, attempts, status, endpoint, end } =
+    outcome;
   state.stopWindow.recordEnd(classifyStopOutcome(outcome));
   const took = clock.now() - receivedAt;
   const routeName = admitted?.route.name ?? "none";
@@ -331,6 +340,7 @@
     end,
     took,
     budget: request.head.budget,
+    ...(waited === undefined || waited === 0 ? {} : { waited }),
     configVersion: readTable()?.config.version,
     configAge: configAge.read(),
     peers: membership.list().length,
