fix(coordination): callers who wait less long than others do not count as retries

Cause: the time since a caller's first attempt was taken to be the longest budget of its route less its own. Callers of a class differ by 15 % in how long they wait: with a deadline of ten times the objective, half of the first attempts seemed to be over 1.1 s of their 1.5 s old, and ranked behind all that was on time from their first stage on.

Now only as many of the smallest budgets count as retries as first attempts have failed at this entry, and only for the time by which they are below the others.

--- a/packages/coordination/src/elapsed_estimator.ts
+++ b/packages/coordination/src/elapsed_estimator.ts
@@ -7,25 +7,36 @@
  * as new, a retry would be served before requests that can still be on time,
  * and be late all the same.
  *
+ * Callers of a route also differ in how long they wait at all. A request counts
+ * as a retry only if its budget is among the smallest, as many as first attempts
+ * have failed: otherwise callers who wait less long would be late from the
+ * start.
+ *
  * @module
  */
 import type { Clock, Millis } from "@mangoreach/shared";
 
-/** Learns the time budget that callers of a route have for a first attempt. */
+/** Learns the time budgets that callers of a route have for first attempts. */
 export interface ElapsedEstimator {
   /**
-   * Returns how long ago a caller with `budget` left made its first attempt.
+   * Records an attempt, and returns how long ago its caller made the first one.
    */
   read(route: string, budget: Millis): Millis;
+  /**
+   * Records that a first attempt has failed, after which its caller may retry.
+   */
+  recordFailed(route: string): void;
 }
 
-/** The longest budget is forgotten after one to two of these periods. */
-const MEMORY_PERIOD: Millis = 30_000;
+/** Attempts and failures are forgotten after this time. */
+const MEMORY_PERIOD: Millis = 45_000;
+/** The newest attempts of a route that are compared. */
+const MAX_ATTEMPTS = 128;
 
 interface RouteMemory {
-  since: Millis;
-  longest: Millis;
-  previousLongest: Millis;
+  /** In the order of their arrival. */
+  attempts: { at: Millis; budget: Millis }[];
+  failures: Millis[];
 }
 
 /** Creates an estimator that has seen no request. */
@@ -33,20 +44,34 @@
   const routes = new Map<string, RouteMemory>();
 
   function find(route: string): RouteMemory {
-    const now = clock.now();
-    const known = routes.get(route);
-    if (known !== undefined && now - known.since < MEMORY_PERIOD) return known;
-    const previousLongest = known?.longest ?? 0;
-    const next = { since: now, longest: 0, previousLongest };
-    routes.set(route, next);
-    return next;
+    const memory = routes.get(route) ?? { attempts: [], failures: [] };
+    routes.set(route, memory);
+    const since = clock.now() - MEMORY_PERIOD;
+    dropFirst(memory.attempts, ({ at }) => at < since);
+    // The same span for both, or the share of failures would be wrong.
+    const first = memory.attempts[0]?.at ?? Infinity;
+    dropFirst(memory.failures, (at) => at < first);
+    return memory;
   }
 
   function read(route: string, budget: Millis): Millis {
-    const memory = find(route);
-    memory.longest = Math.max(memory.longest, budget);
-    return Math.max(memory.longest, memory.previousLongest) - budget;
+    const { attempts, failures } = find(route);
+    attempts.push({ at: clock.now(), budget });
+    if (attempts.length > MAX_ATTEMPTS) attempts.shift();
+    const budgets = attempts.map((attempt) => attempt.budget)
+      .sort((a, b) => a - b);
+    const retries = Math.min(failures.length, budgets.length - 1);
+    const smallest = budgets[retries] ?? budget;
+    return Math.max(0, smallest - budget);
   }
 
-  return { read };
+  return {
+    read,
+    recordFailed: (route) => void find(route).failures.push(clock.now()),
+  };
+}
+
+function dropFirst<T>(list: T[], isPast: (item: T) => boolean): void {
+  const kept = list.findIndex((item) => !isPast(item));
+  list.splice(0, kept < 0 ? list.length : kept);
 }
--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -70,7 +70,7 @@
     budget: Math.min(request.head.budget, route.timeout) - elapsed,
   });
   const waited = route.stages.length === 0
-    ? 0
+    ? undefined
     : state.callerElapsed.read(route.name, request.head.budget);
   const onDisconnected = () => deadline.cancel("caller_gone");
   response.disconnected.addEventListener("abort", onDisconnected, {
@@ -102,8 +102,8 @@
   admitted: AdmittedRoute;
   /** When the whole request had been read. */
   admittedAt: Millis;
-  /** Estimated time since the caller's first attempt; 0 without stages. */
-  waited: Millis;
+  /** Estimated time since the caller's first attempt; undefined without stages. */
+  waited: Millis | undefined;
   deadline: Deadline;
 }
 
@@ -190,7 +190,7 @@
 async function runRouteStages(
   state: ServingState,
   { request, receivedAt }: RequestContext,
-  { admitted, admittedAt, waited, deadline }: AdmittedRequest,
+  { admitted, admittedAt, waited = 0, deadline }: AdmittedRequest,
 ): Promise<Result<StageResults, Failure>> {
   const { clock, log, router, random, crashDetector } = state;
   const { route, table, rank, account } = admitted;
@@ -296,7 +296,7 @@
 interface RecordedOutcome extends Partial<AttemptOutcome> {
   admitted?: AdmittedRoute;
   /** See {@linkcode AdmittedRequest}. */
-  waited?: Millis;
+  waited?: Millis | undefined;
   /** Whether it was ended because the process exits. */
   isCutOff?: boolean;
 }
@@ -317,9 +317,11 @@
   const { clock, log, metrics, configAge, readTable, membership } = state;
   const { admitted, waited, failure, attempts, status, endpoint, end } =
     outcome;
+  const routeName = admitted?.route.name ?? "none";
   state.stopWindow.recordEnd(classifyStopOutcome(outcome));
+  const mayRetry = failure !== undefined && !response.disconnected.aborted;
+  if (mayRetry && waited === 0) state.callerElapsed.recordFailed(routeName);
   const took = clock.now() - receivedAt;
-  const routeName = admitted?.route.name ?? "none";
   const kind = failure === undefined
     ? "request_answered"
     : failure.verdict === "not_run"
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -342,7 +342,7 @@
       findRefusal: () => undefined,
     },
     findProducer: () => "",
-    callerElapsed: { read: () => 0 },
+    callerElapsed: { read: () => 0, recordFailed: () => {} },
     findPlace: () => undefined,
     findBudget: () => createRetryBudget({ share: 0, max: 10 }),
     findDelays: createDelayModel,
