fix(coordination): calls do not outlast the objective of what they hold

Cause: a call was filled with whatever waited. A piece with ample time that rides along costs nothing to its own request and delays all others in the call, at each stage.

Now, unless there is a backlog, a piece is left for the next call if the call would end after an objective that it can meet without that piece, and the piece can wait for a full call more. Under a backlog calls are filled as before, as an unused position is lost capacity then.

class_floor_replay_test plays three classes, callers of different patience, and 1.6 times the load for half of the time, through serveRequest and dispatchers. The test failed before.

--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -41,6 +41,7 @@
 import { listLocalityWaiting } from "./locality_wait.ts";
 import type { PieceWaits, WaitForecast } from "./piece_rates.ts";
 import type { BatchSpec } from "./serving_config.ts";
+import { computeFullCall } from "./serving_config.ts";
 
 /** The pieces of one stage of one request. */
 export interface PieceGroup {
@@ -264,6 +265,7 @@
       const pieces = choosePieces(first, {
         endpoint,
         mayWait,
+        now,
         isBacklogged,
         spec,
         speedPlan,
@@ -332,14 +334,16 @@
   }
 
   /**
-   * Fills a call. Pieces that may wait for their own place are left out, except
+   * Fills a call. Pieces that may wait for their own place are left out, and
+   * those with ample time that would make the call too long for others; except
    * under a backlog, when an unused position in a call is lost capacity.
    */
   function choosePieces(
     first: P,
-    { endpoint, mayWait, isBacklogged, spec, speedPlan }: {
+    { endpoint, mayWait, now, isBacklogged, spec, speedPlan }: {
       endpoint: BatchEndpoint;
       mayWait: (piece: P) => boolean;
+      now: Millis;
       isBacklogged: boolean;
       spec: BatchSpec;
       speedPlan: Pick<SpeedPlan<P, BatchEndpoint>, "mayAdd"> | undefined;
@@ -348,6 +352,28 @@
     const chosen = new Set([first]);
     const startedGroups = new Set([first.group]);
     let roomTaken = endpoint.roomTaken + first.resultBytes;
+    const ratio = speedPlan === undefined ? 1 : endpoint.timeRatio ?? 1;
+    /** The earliest objective that the call can meet. */
+    let neededBy = Infinity;
+
+    function computeEnd(pieces: number): Millis {
+      return now + ratio * (spec.callTime + pieces * spec.pieceTime);
+    }
+
+    function includeObjective({ objectiveAt }: P): void {
+      if (objectiveAt >= computeEnd(chosen.size)) {
+        neededBy = Math.min(neededBy, objectiveAt);
+      }
+    }
+
+    /** Whether it makes the call too long for others and can wait for the next. */
+    function isTooMuch({ objectiveAt }: P): boolean {
+      const end = computeEnd(chosen.size + 1);
+      return end > neededBy &&
+        objectiveAt > end + ratio * computeFullCall(spec);
+    }
+
+    includeObjective(first);
 
     function addFitting(pieces: readonly P[]): void {
       for (const piece of pieces) {
@@ -360,9 +386,11 @@
           : hasStorage(piece, { roomTaken, storageLeft });
         if (!fits) continue;
         if (speedPlan?.mayAdd(piece, { endpoint, chosen }) === false) continue;
+        if (!isBacklogged && isTooMuch(piece)) continue;
         startedGroups.add(piece.group);
         roomTaken += piece.resultBytes;
         chosen.add(piece);
+        includeObjective(piece);
       }
     }
 
