fix(serving): the expected time of a stage includes what others add to it

A stage was expected to take a call with the pieces of its own request and 40 ms. Entries admitted requests with ample time, and ordered those with little, by a schedule that no busy pool keeps: until an endpoint is free and for the pieces of others in a call, some 100 ms more pass.

--- a/packages/serving/src/request_service.ts
+++ b/packages/serving/src/request_service.ts
@@ -41,8 +41,11 @@
 
 /** Minimum time of an engine after the stages until its first event. */
 const ENGINE_RESERVE: Millis = 150;
-/** Time of a stage besides its calls, to its dispatcher and back. */
-const STAGE_OVERHEAD: Millis = 40;
+/**
+ * Time of a stage besides calls with its own pieces: to its dispatcher and back,
+ * until an endpoint is free, and for the pieces of others in its calls.
+ */
+const STAGE_OVERHEAD: Millis = 100;
 
 /** Share of the recent requests whose stages took no longer than estimated. */
 const USUAL_SHARE = 0.8;
