fix(serving): entries that start know which versions have served before them

Cause, one for both: an entry that has just started knows neither the origins of streams nor since when a version serves alone, and took its own watch of one to two timeouts for enough. How long a caller has waited is in no header, and no page bounds it by the timeout.

Now the store holds one record for each pool with such streams, the versions that served within ten minutes, written when that changes; entries read it with those of other entries at their start. A stream of unknown origin goes on where one version is recorded and registered, and nowhere else before ten minutes. Origins are remembered for as long as their callers wait, which a deadline longer than twice the timeout exceeded without any kill.

Two cases of stream_resumption_test took 30 s and 6 s of a single version for enough, which is the fault; their figures are ten minutes now, and the old ones stand among the refusals. One more expected a change to be forgotten after a minute.

--- a/packages/coordination/src/resumption/version_history.ts
+++ b/packages/coordination/src/resumption/version_history.ts
@@ -31,6 +31,15 @@
   update(endpoints: readonly EndpointInfo[]): void;
   /** Records that endpoints may have come and gone without being seen. */
   handleGap(): void;
+  /**
+   * Adds the versions that served in a pool within the longest lifetime of a
+   * stream, as entries have recorded them. Their record outlives this entry and
+   * has no gaps.
+   */
+  adoptRecorded(
+    pool: string,
+    versions: readonly (string | undefined)[],
+  ): void;
   read(pool: string): PoolVersions;
   /** Whether more than one version of a pool has been seen lately. */
   hasSeveral(pool: string): boolean;
@@ -49,7 +58,9 @@
 }
 
 /** Streams are not resumed later than this. */
-export const MAX_STREAM_LIFETIME: Millis = 60_000;
+export const MAX_STREAM_LIFETIME: Millis = 600_000;
+/** All entries have read a version that changed under its id by then. */
+const CHANGE_LIFETIME: Millis = 60_000;
 /**
  * An entry whose view of the endpoints is older does not decide by the history.
  */
@@ -76,6 +87,8 @@
   const known = new Map<string, KnownEndpoint>();
   let registered: readonly EndpointInfo[] = [];
   let watchedSince: Millis | undefined;
+  /** Pools of which the store has a record. */
+  const recorded = new Set<string>();
 
   function update(endpoints: readonly EndpointInfo[]): void {
     watchedSince ??= clock.now();
@@ -103,8 +116,7 @@
       }
     }
     for (const [pool, versions] of listVersions()) {
-      const sightings = pools.get(pool) ?? new Map<undefined, Sighting>();
-      pools.set(pool, sightings);
+      const sightings = findSightings(pool);
       // The only version of a pool may have been there before this entry.
       const isFirst = sightings.size === 0 && versions.size === 1;
       for (const version of versions) {
@@ -115,6 +127,30 @@
     }
   }
 
+  function adoptRecorded(
+    pool: string,
+    versions: readonly (string | undefined)[],
+  ): void {
+    recorded.add(pool);
+    const sightings = findSightings(pool);
+    const now = clock.now();
+    for (const version of versions) {
+      if (sightings.has(version)) continue;
+      sightings.set(version, {
+        firstAt: -Infinity,
+        lastAt: now,
+        isRegistered: false,
+      });
+    }
+    refresh();
+  }
+
+  function findSightings(pool: string): Map<string | undefined, Sighting> {
+    const sightings = pools.get(pool) ?? new Map<undefined, Sighting>();
+    pools.set(pool, sightings);
+    return sightings;
+  }
+
   function listVersions(): Map<string, Set<string | undefined>> {
     const versions = new Map<string, Set<string | undefined>>();
     for (const endpoint of registered) {
@@ -126,7 +162,7 @@
 
   function hasChanged(endpointId: string): boolean {
     const { changedAt = -Infinity } = known.get(endpointId) ?? {};
-    return clock.now() - changedAt <= MAX_STREAM_LIFETIME;
+    return clock.now() - changedAt <= CHANGE_LIFETIME;
   }
 
   function readVersion({ id, version }: EndpointInfo): string | undefined {
@@ -136,8 +172,10 @@
   function read(pool: string): PoolVersions {
     refresh();
     const now = clock.now();
+    const isComplete = watchedSince !== undefined && recorded.has(pool);
+    const watchedFor = watchedSince === undefined ? 0 : now - watchedSince;
     return {
-      watchedFor: watchedSince === undefined ? 0 : now - watchedSince,
+      watchedFor: isComplete ? MAX_STREAM_LIFETIME : watchedFor,
       versions: [...pools.get(pool) ?? []].map(
         ([version, { lastAt }]) => ({ version, seenAgo: now - lastAt }),
       ),
@@ -155,6 +193,7 @@
     handleGap() {
       watchedSince = undefined;
     },
+    adoptRecorded,
     read,
     hasSeveral: (pool) => (pools.get(pool)?.size ?? 0) > 1,
     hasChanged,
--- a/packages/coordination/src/resumption/version_history_test.ts
+++ b/packages/coordination/src/resumption/version_history_test.ts
@@ -1,7 +1,11 @@
 import { createFakeClock } from "@mangoreach/shared";
 import { expect } from "chai";
 import type { EndpointInfo } from "../endpoint.ts";
-import { createVersionHistory, findOnlyVersion } from "./version_history.ts";
+import {
+  createVersionHistory,
+  findOnlyVersion,
+  MAX_STREAM_LIFETIME,
+} from "./version_history.ts";
 
 const PERIOD = 10_000;
 const SETTLED = 2_500;
@@ -61,7 +65,7 @@
     for (const versions of steps) {
       update(versions);
       found.push(history.hasSeveral("pool"));
-      await clock.advance(60_001);
+      await clock.advance(MAX_STREAM_LIFETIME + 1);
     }
     expect(found).to.deep.equal([false, true, true, false]);
   });
@@ -78,6 +82,33 @@
     expect([atOnce, findOnly()]).to.deep.equal([undefined, "v1"]);
   });
 
+  // All entries may stop at once; their records outlive them.
+  it("knows at once what entries before it have recorded", () => {
+    const { history, update, findOnly } = createHistory();
+    update({ a: "v2" });
+    const found = [findOnly()];
+    history.adoptRecorded("pool", ["v2"]);
+    found.push(findOnly());
+    history.adoptRecorded("pool", ["v1", "v2"]);
+    found.push(findOnly());
+    expect([found, history.hasSeveral("pool")])
+      .to.deep.equal([[undefined, "v2", undefined], true]);
+  });
+
+  // A stream may have begun at it long before this entry started.
+  it("counts a recorded version for the longest lifetime of a stream", async () => {
+    const { clock, history, update } = createHistory();
+    history.adoptRecorded("pool", ["v1", "v2"]);
+    update({ a: "v2" });
+    const findOnly = () =>
+      findOnlyVersion([history.read("pool")], MAX_STREAM_LIFETIME);
+    await clock.advance(MAX_STREAM_LIFETIME);
+    const found = [findOnly()];
+    await clock.advance(1);
+    found.push(findOnly());
+    expect(found).to.deep.equal([undefined, "v2"]);
+  });
+
   it("does not know the version of a pool without versions", async () => {
     const { clock, update, findOnly } = createHistory();
     update({ a: undefined, b: undefined });
--- a/packages/serving/src/decision_log.ts
+++ b/packages/serving/src/decision_log.ts
@@ -17,6 +17,7 @@
   | "run_broken"
   | "crash_counted"
   | "quarantine_changed"
+  | "versions_recorded"
   | "stage_ended"
   | "stage_call"
   | "pieces_dropped"
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -36,6 +36,7 @@
   StoredRun,
 } from "./crash_records.ts";
 export type { QuarantineRecord, QuarantineStore } from "./quarantine_store.ts";
+export type { VersionRecord, VersionStore } from "./version_records.ts";
 export type {
   EndpointClients,
   ServingEntryOptions,
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -62,6 +62,7 @@
 import { createStoppingFailure, hasLivePeer } from "./stop_admission.ts";
 import { createStopWindow } from "./stop_window.ts";
 import { createStreamLog } from "./stream_log.ts";
+import { createVersionRecords, listResumablePools } from "./version_records.ts";
 import { createStreamOriginGossip } from "./stream_origin_gossip.ts";
 import { createStreamResumption } from "./stream_resumption.ts";
 import { createRelayedSource } from "./relayed_source.ts";
@@ -171,7 +172,10 @@
         request: (address, query) => topicRequests.request(address, query),
       }),
     onConfig: ({ limits }) => listener.applyLimits(limits),
-    onEndpoints: () => pools.refreshDispatchers(),
+    onEndpoints() {
+      pools.refreshDispatchers();
+      versionRecords.update();
+    },
     onRestored() {
       if (phase !== "open") return;
       void gossip.republish(signal);
@@ -181,10 +185,12 @@
       replaceAll(records) {
         gossip.registry.replaceAll(records);
         quarantineGossip.applyRecords(records);
+        versionRecords.replaceAll(records);
       },
       apply(record) {
         gossip.registry.apply(record);
         quarantineGossip.applyRecords([record]);
+        versionRecords.apply(record);
       },
     },
   });
@@ -274,6 +280,15 @@
     signal,
   });
 
+  const versionRecords = createVersionRecords({
+    clock,
+    log,
+    store: platform.versions,
+    history,
+    membership,
+    listPools: () => listResumablePools(readTable()),
+  });
+
   const originGossip = createStreamOriginGossip({
     clock,
     origins: createStreamOrigins(clock),
--- a/packages/serving/src/serving_options.ts
+++ b/packages/serving/src/serving_options.ts
@@ -23,6 +23,7 @@
 import type { MemberStore } from "./member_registry.ts";
 import type { StreamStore } from "./stream_log.ts";
 import type { QuarantineStore } from "./quarantine_store.ts";
+import type { VersionStore } from "./version_records.ts";
 import type {
   CallEndpoint,
   RequestHead,
@@ -72,6 +73,7 @@
   decodeEndpoint: (record: TopicRecord) => Result<EndpointInfo, string>;
   members: MemberStore;
   quarantine: QuarantineStore;
+  versions: VersionStore;
   /** Where streams began, for entries that start later. */
   streams: StreamStore;
   /** Creates the clients of endpoints, which open connections by `connect`. */
--- a/packages/serving/src/stream_resumption.ts
+++ b/packages/serving/src/stream_resumption.ts
@@ -67,11 +67,9 @@
   | "pool_gone"
   | "version_gone";
 
-/** Callers wait for a stream for at most about twice the timeout of a route. */
+/** A caller may take a stream up that has lasted for its route's timeout. */
 const LIFETIME_FACTOR = 2;
 const MIN_LIFETIME: Millis = 10_000;
-/** Endpoints that are gone from the list serve for some seconds. */
-const MIN_PERIOD: Millis = 5_000;
 /** A peer that is short of processor time or frozen may answer by then. */
 const RETRY_AFTER_PARTIAL: Millis = 300;
 /** An endpoint that crashed may be replaced by one of its version by then. */
@@ -95,7 +93,7 @@
         endpoint: endpoint.id,
         version: history.readVersion(endpoint),
       },
-      lifetime: computeLifetime(route),
+      lifetime: computeLifetime(route, head.budget),
     });
   }
 
@@ -129,7 +127,7 @@
 
   function chooseTarget(
     { origin, histories }: StreamKnowledge,
-    { route, head: { budget } }: StreamRequest,
+    { route }: StreamRequest,
   ): FoundTarget | ResumeOutcome {
     if (origin !== undefined) {
       const { pool, endpoint, version } = origin;
@@ -145,7 +143,7 @@
     if (only === undefined || others.length > 0) return "unknown";
     const { pool } = only;
     const views = histories.flatMap((versions) => versions.get(pool) ?? []);
-    const version = findOnlyVersion(views, computePeriod(route, budget));
+    const version = findOnlyVersion(views, MAX_STREAM_LIFETIME);
     return version === undefined
       ? "unknown"
       : { pool, version, outcome: "only_version" };
@@ -196,21 +194,13 @@
   version_gone: "no endpoint of the version that began the stream takes work",
 };
 
-/** Returns how long a stream of a route may be resumed. */
-function computeLifetime({ timeout }: Route): Millis {
+/**
+ * Returns how long a stream is remembered: for as long as its caller waits, who
+ * may wait for longer than one try takes.
+ */
+function computeLifetime({ timeout }: Route, budget: Millis): Millis {
   return Math.min(
     MAX_STREAM_LIFETIME,
-    Math.max(MIN_LIFETIME, LIFETIME_FACTOR * timeout),
+    Math.max(MIN_LIFETIME, budget, LIFETIME_FACTOR * timeout),
   );
 }
-
-/**
- * Returns the longest time since the first event of a stream that its caller
- * still awaits for `budget`.
- */
-function computePeriod({ timeout }: Route, budget: Millis): Millis {
-  const total = LIFETIME_FACTOR * timeout;
-  // A caller that names no deadline may have begun at any time before.
-  const left = Number.isFinite(budget) ? Math.min(budget, timeout) : 0;
-  return Math.min(MAX_STREAM_LIFETIME, Math.max(MIN_PERIOD, total - left));
-}
--- a/packages/serving/src/stream_resumption_test.ts
+++ b/packages/serving/src/stream_resumption_test.ts
@@ -1,4 +1,8 @@
-import type { Route, StreamOrigin } from "@mangoreach/coordination";
+import type {
+  BegunStream,
+  Route,
+  StreamOrigin,
+} from "@mangoreach/coordination";
 import {
   createEndpointDirectory,
   createVersionHistory,
@@ -40,7 +44,7 @@
   {
     origin,
     seen = [],
-    watchedFor = 60_000,
+    watchedFor = 600_000,
     isPartial = false,
     route = {},
     budget = Infinity,
@@ -82,13 +86,12 @@
   { name: "at the version that began it", origin: ORIGIN, version: "v1" },
   {
     name: "at the only version that has served",
-    seen: [["v1", 0], ["v2", 30_000]],
+    seen: [["v1", 0]],
     version: "v1",
   },
   {
-    name: "at the only version since the caller can have begun it",
-    seen: [["v1", 0], ["v2", 6_000]],
-    budget: 3_000,
+    name: "at the only version for longer than a stream lasts",
+    seen: [["v1", 0], ["v2", 600_001]],
     version: "v1",
   },
 ];
@@ -103,10 +106,30 @@
       undefined,
     ],
   },
+  {
+    name: "the caller has waited for several times its route's timeout",
+    seen: [["v1", 0], ["v2", 30_000]],
+    budget: 3_000,
+    refusal: [
+      "not_run",
+      "it is not known here which version began the stream",
+      undefined,
+    ],
+  },
+  {
+    name: "the timeout of its route is shorter than when it began",
+    seen: [["v1", 0], ["v2", 30_000]],
+    route: { timeout: 500 },
+    refusal: [
+      "not_run",
+      "it is not known here which version began the stream",
+      undefined,
+    ],
+  },
   {
     name: "the pool was not watched for long enough",
     seen: [["v1", 0]],
-    watchedFor: 7_999,
+    watchedFor: 599_999,
     refusal: [
       "not_run",
       "it is not known here which version began the stream",
@@ -200,4 +223,34 @@
       expect(await findTarget(given)).to.deep.equal(refusal);
     });
   }
+
+  /** Returns what is recorded of a stream whose caller waits for `budget`. */
+  function recordBegun({ budget = 4_000 } = {}) {
+    const clock = createFakeClock(0);
+    const recorded: BegunStream[] = [];
+    const resumption = createStreamResumption({
+      log: createSilentDecisionLog(),
+      metrics: createServingMetrics("entry"),
+      gossip: {
+        record: (stream) => void recorded.push(stream),
+        find: () => Promise.reject(new Error("no streams")),
+      },
+      history: createVersionHistory(clock),
+      directory: createEndpointDirectory({ clock, markTtl: 1_000 }),
+    });
+    resumption.recordBegun({
+      head: createTestHead({ budget }),
+      route: createTestRoute({ ...STREAM, timeout: 4_000 }),
+      account: undefined,
+    }, ENDPOINTS[0]!);
+    return recorded[0];
+  }
+
+  // Guards against a stream whose origin is forgotten while its caller waits.
+  it("remembers a stream for as long as its caller waits", () => {
+    const lifetimes = [1_000, 16_000, Infinity].map((budget) =>
+      recordBegun({ budget })?.lifetime
+    );
+    expect(lifetimes).to.deep.equal([10_000, 16_000, 600_000]);
+  });
 });
--- a/soak/src/resumed_streams_site_test.ts
+++ b/soak/src/resumed_streams_site_test.ts
@@ -25,6 +25,8 @@
 const RELEASED_MS = 1_500;
 /** Entries must have watched the versions of a pool for this long. */
 const WATCHED_MS = 11_500;
+/** Twice the timeout of a route and more; callers may wait for longer. */
+const FORGOTTEN_MS = 7_000;
 /** Time after which a restarted entry serves. */
 const RESTART_MS = 1_500;
 /** A stream that cannot go on is refused within this time. */
@@ -289,6 +291,78 @@
     );
   }).timeout(60_000);
 
+  // No entry is left that knows when the version changed.
+  it("are refused after a restart of all entries if their version has gone", async () => {
+    const scenario: Scenario = {
+      name: "the only version replaced, then all entries restarted",
+      versions: ["v1", "v1"],
+      disturb: async (site) => {
+        await Promise.all(site.chatEndpoints.map((slot) => slot.release("v2")));
+        await applyToAll(site, "entry_killed");
+        await sleep(FORGOTTEN_MS);
+      },
+    };
+    const { slowRefusals: _, ...described } = describeStreams(
+      await runScenario(scenario),
+    );
+    const { slowRefusals: __, ...refused } = REFUSED;
+    expect(described).to.deep.equal(refused);
+  }).timeout(60_000);
+
+  // Entries that have just started may take the newest version for the only one.
+  it("hold events of one version after several restarts of all entries", async () => {
+    const releaseFirst = (site: SoakSite) =>
+      Promise.all(
+        site.chatEndpoints.slice(0, 2).map((slot) => slot.release("v2")),
+      );
+    const restartTwice = async (site: SoakSite) => {
+      await applyToAll(site, "entry_killed");
+      await applyToAll(site, "entry_killed");
+    };
+    const scenarios: readonly Scenario[] = [
+      {
+        name: "one of two versions goes, two restarts",
+        disturb: async (site) => {
+          await releaseFirst(site);
+          await restartTwice(site);
+          await sleep(FORGOTTEN_MS);
+        },
+      },
+      {
+        name: "a second version comes during two restarts",
+        versions: ["v1", "v1", "v1"],
+        disturb: async (site) => {
+          await Promise.all([releaseFirst(site), restartTwice(site)]);
+          await sleep(FORGOTTEN_MS);
+        },
+      },
+      {
+        name: "the only version replaced, no names",
+        versions: ["v1", "v1"],
+        chooseName: () => undefined,
+        disturb: async (site) => {
+          await releaseFirst(site);
+          await restartTwice(site);
+          await sleep(FORGOTTEN_MS);
+        },
+      },
+    ];
+    const described = await describeScenarios(scenarios);
+    expect(Object.values(described).map(({ violations }) => violations))
+      .to.deep.equal(scenarios.map(() => []));
+  }).timeout(60_000);
+
+  // No entry is left that knows which version began them.
+  it("go on after a restart of all entries where one version serves", async () => {
+    const scenario: Scenario = {
+      name: "one version, all entries restarted",
+      versions: ["v1", "v1", "v1"],
+      disturb: (site) => applyToAll(site, "entry_killed"),
+    };
+    expect(describeStreams(await runScenario(scenario)))
+      .to.deep.equal(GOES_ON);
+  }).timeout(60_000);
+
   it("go on without a name where a single version has served", async () => {
     const scenario: Scenario = {
       name: "one version",
