fix(serving): streams that begin during an outage of the store have no known version

Cause: the version of an endpoint was taken from the list however old the list was. A restart under an id changes nothing else that an entry could see.

Streams that began before the outage go on as before.

--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -438,6 +438,7 @@
       gossip: originGossip,
       history,
       directory,
+      isListCurrent: siteState.isEndpointListCurrent,
     }),
     loads,
     sendAllowance: allowance,
--- a/packages/serving/src/site_state.ts
+++ b/packages/serving/src/site_state.ts
@@ -86,6 +86,11 @@
   isCold(endpoint: EndpointInfo): boolean;
   /** Returns how long ago the store confirmed the endpoints. */
   readEndpointAge(): Millis;
+  /**
+   * Whether a restart of an endpoint would be known here: not during an outage of
+   * the store, nor before endpoints have registered again.
+   */
+  isEndpointListCurrent(): boolean;
   /** Records that nothing listened at an endpoint's address. */
   recordUnreachable(endpoint: EndpointInfo): void;
   /** Returns the place of the endpoint at an address. */
@@ -112,6 +117,8 @@
  * seconds.
  */
 const RECOVERY_GRACE: Millis = 1_800;
+/** Endpoints that restarted during an outage have registered again by then. */
+const REGISTRATION_TIME: Millis = 2_500;
 /** An unconfirmed mark that an endpoint is leaving expires after this. */
 const LEAVING_MARK_TTL: Millis = 4_000;
 
@@ -134,6 +141,8 @@
   let published: string | undefined;
   let isEndpointsKnown = false;
   let isMembersKnown = false;
+  /** Until then, records of endpoints may be older than the last outage. */
+  let outdatedUntil: Millis = -Infinity;
   /** Endpoints by address; an address may be reused by another endpoint. */
   let byAddress: ReadonlyMap<string, readonly EndpointInfo[]> = new Map();
   /** Keys of records that could not be decoded. */
@@ -321,10 +330,12 @@
     },
     recordConfirmed: endpointAge.recordConfirmed,
     handleUnavailable() {
+      outdatedUntil = Infinity;
       roster.handleUnavailable();
       recordDependency("lost", "instance_list");
     },
     handleAvailable() {
+      outdatedUntil = clock.now() + REGISTRATION_TIME;
       roster.handleAvailable();
       recordDependency("regained", "instance_list");
     },
@@ -425,6 +436,7 @@
     isCold: (endpoint) =>
       cold.isCold(endpoint) || evacuation.isReturning(endpoint.place),
     readEndpointAge: endpointAge.read,
+    isEndpointListCurrent: () => clock.now() >= outdatedUntil,
     recordUnreachable: cold.recordUnreachable,
     findPlace: (address) => listAt(address).at(-1)?.place,
     listAt,
--- a/packages/serving/src/site_state_test.ts
+++ b/packages/serving/src/site_state_test.ts
@@ -1,10 +1,15 @@
 import type { EndpointInfo } from "@mangoreach/coordination";
-import type { Logger } from "@mangoreach/shared";
+import type { FakeClock, Logger } from "@mangoreach/shared";
 import { createFakeClock, createSilentLogger } from "@mangoreach/shared";
 import { expect } from "chai";
 import { Result } from "true-myth";
 import { createSilentDecisionLog } from "./decision_log.ts";
-import type { TopicReadResult, TopicRecord } from "./platform_interfaces.ts";
+import type {
+  TopicReadError,
+  TopicReadResult,
+  TopicRecord,
+  TopicSource,
+} from "./platform_interfaces.ts";
 import { createServingMetrics } from "./serving_metrics.ts";
 import type { ServingPlatform } from "./serving_options.ts";
 import { createSiteState } from "./site_state.ts";
@@ -30,6 +35,38 @@
 }
 
 describe("site state", () => {
+  /** Follows one source of endpoints. */
+  function start(
+    { clock, source }: { clock: FakeClock; source: TopicSource },
+  ) {
+    const platform = {
+      configSource: createSource([]),
+      configKey: "config",
+      readEvacuatedPlace: () => undefined,
+      decodeConfig: () => Result.err("there is none"),
+      endpointSource: source,
+      decodeEndpoint,
+      members: { source: createSource([]) },
+    } as unknown as ServingPlatform;
+    const siteState = createSiteState({
+      clock,
+      readWallTime: clock.now,
+      random: () => 0.5,
+      log: createSilentDecisionLog(),
+      logger: createSilentLogger(),
+      metrics: createServingMetrics("entry"),
+      platform,
+      createRelayedSource: (_topic, relayed) => relayed,
+      onConfig: () => {},
+      onEndpoints: () => {},
+      members: { replaceAll: () => {}, apply: () => {} },
+      onRestored: () => {},
+    });
+    const controller = new AbortController();
+    void siteState.follow(controller.signal);
+    return { siteState, stop: () => controller.abort() };
+  }
+
   async function follow(
     reads: readonly (readonly TopicRecord[])[],
     published: readonly (readonly TopicRecord[])[] = [],
@@ -96,6 +133,37 @@
       .to.have.members(["e1", "e2"]);
   });
 
+  // An endpoint may restart under its id while its record can't be read, and
+  // registers again some time after the store is back.
+  it("has no current list of endpoints until after an outage", async () => {
+    const clock = createFakeClock(0);
+    let isAvailable = true;
+    const read = () =>
+      Promise.resolve(
+        isAvailable
+          ? Result.ok<TopicReadResult, TopicReadError>({
+            records: [],
+            next: createPosition(0),
+          })
+          : Result.err<TopicReadResult, TopicReadError>("unavailable"),
+      );
+    const source = { readSnapshot: read, readFrom: read };
+    const { siteState, stop } = start({ clock, source });
+    const found: boolean[] = [];
+    const note = async (duration: number) => {
+      await clock.advance(duration);
+      found.push(siteState.isEndpointListCurrent());
+    };
+    await note(5_000);
+    isAvailable = false;
+    await note(5_000);
+    isAvailable = true;
+    await note(2_000);
+    await note(6_000);
+    stop();
+    expect(found).to.deep.equal([true, false, false, true]);
+  });
+
   // The operator evacuates a place: its endpoints continue to serve the
   // requests that they have, and still report that they are ready.
   it("uses no endpoint of an evacuated place until it is cleared", async () => {
--- a/packages/serving/src/stream_resumption.ts
+++ b/packages/serving/src/stream_resumption.ts
@@ -35,6 +35,8 @@
   gossip: Pick<StreamOriginGossip, "record" | "find">;
   history: VersionHistory;
   directory: EndpointDirectory;
+  /** Whether a restart of an endpoint would be known here. */
+  isListCurrent: () => boolean;
 }
 
 /** A request of a stream that may be resumed. */
@@ -79,7 +81,8 @@
 
 /** Creates the resumption of one entry. */
 export function createStreamResumption(
-  { log, metrics, gossip, history, directory }: StreamResumptionOptions,
+  { log, metrics, gossip, history, directory, isListCurrent }:
+    StreamResumptionOptions,
 ): StreamResumption {
   function recordBegun(
     { head, route, account }: StreamRequest,
@@ -91,7 +94,8 @@
       origin: {
         pool: endpoint.pool,
         endpoint: endpoint.id,
-        version: history.readVersion(endpoint),
+        // It may have restarted under its id with another version.
+        version: isListCurrent() ? history.readVersion(endpoint) : undefined,
       },
       lifetime: computeLifetime(route, head.budget),
     });
--- a/packages/serving/src/stream_resumption_test.ts
+++ b/packages/serving/src/stream_resumption_test.ts
@@ -71,6 +71,7 @@
     gossip: { record: () => {}, find: () => Promise.resolve(knowledge) },
     history,
     directory,
+    isListCurrent: () => true,
   });
   const target = await resumption.findTarget({
     head: createTestHead({ resumed: { id: "s" }, budget }),
@@ -225,7 +226,7 @@
   }
 
   /** Returns what is recorded of a stream whose caller waits for `budget`. */
-  function recordBegun({ budget = 4_000 } = {}) {
+  function recordBegun({ budget = 4_000, isListCurrent = true } = {}) {
     const clock = createFakeClock(0);
     const recorded: BegunStream[] = [];
     const resumption = createStreamResumption({
@@ -237,6 +238,7 @@
       },
       history: createVersionHistory(clock),
       directory: createEndpointDirectory({ clock, markTtl: 1_000 }),
+      isListCurrent: () => isListCurrent,
     });
     resumption.recordBegun({
       head: createTestHead({ budget }),
@@ -246,6 +248,15 @@
     return recorded[0];
   }
 
+  // Guards against a stream that goes on at the version that its endpoint had
+  // before it restarted during an outage of the store.
+  it("does not trust a version that may have changed unseen", () => {
+    const versions = [true, false].map((isListCurrent) =>
+      recordBegun({ isListCurrent })?.origin.version
+    );
+    expect(versions).to.deep.equal(["v1", undefined]);
+  });
+
   // Guards against a stream whose origin is forgotten while its caller waits.
   it("remembers a stream for as long as its caller waits", () => {
     const lifetimes = [1_000, 16_000, Infinity].map((budget) =>
