fix(serving): a request is in progress until its caller has read the answer

Cause: a request's task ended once its answer had been handed to node:http. A process that stops found no task left, and closed connections whose response had ended though its bytes still waited in the process.

Now the task lasts until the connection took the response or has closed, and a process that stops waits for it within its time.

--- a/packages/serving/src/caller_listener.ts
+++ b/packages/serving/src/caller_listener.ts
@@ -88,6 +88,9 @@
     }
     const request = { head: head.value, body: body.body };
     await options.serve({ request, response, receivedAt });
+    // Callers may read slowly. A process that stops waits for its tasks, and the
+    // rest of an answer would be lost with its connection.
+    await new Promise<void>((resolve) => response.onceClosed(resolve));
   }
 
   function refuse(
