fix(serving): a stream without a length is not whole because its endpoint leaves

Cause: an endpoint that had ended and was leaving was taken to have sent all. A check right at the end of a connection also found the listener of a process that was just ending.

Now such a stream is cut unless its endpoint still listens, and again 50 ms later. answer_ends_site_test and answer_end_test had a row each for a leaving endpoint that had ended, as whole; that is the fault, and both rows say cut now.

--- a/packages/serving/src/answer_end.ts
+++ b/packages/serving/src/answer_end.ts
@@ -6,13 +6,18 @@
  * and one run may break off in a process that goes on. So the content has to
  * show its end. JSON does by itself. Events show whether one of them is
  * incomplete; as the break may also fall between two, their endpoint must still
- * be there, or have announced that it leaves.
+ * be there: one that leaves may be taken away before its last answer has ended.
  *
  * @module
  */
 import type { Buffer } from "node:buffer";
 import type { EndpointDirectory, EndpointInfo } from "@mangoreach/coordination";
-import type { BodyDelimiter, EventPosition } from "@mangoreach/shared";
+import type {
+  BodyDelimiter,
+  Clock,
+  EventPosition,
+  Millis,
+} from "@mangoreach/shared";
 import { createEventBoundary, parseJson } from "@mangoreach/shared";
 import type { EndpointCheck } from "./endpoint_check.ts";
 import type { HeaderList } from "./platform_interfaces.ts";
@@ -39,6 +44,7 @@
 
 /** Options of {@linkcode classifyEnd}. */
 export interface AnswerEndOptions {
+  clock: Pick<Clock, "sleep">;
   endpointCheck: EndpointCheck;
   directory: Pick<EndpointDirectory, "isLeaving">;
 }
@@ -84,17 +90,25 @@
   return typeof value === "number" ? "unknown" : "whole";
 }
 
+/** A process that ends closes its connections before or after its listener. */
+const CONFIRM_DELAY: Millis = 50;
+
 /** Classifies the end of an answer, by its endpoint too where that matters. */
 export async function classifyEnd(
   { endpoint, delimiter, content }: EndedAnswer,
-  { endpointCheck, directory }: AnswerEndOptions,
+  { clock, endpointCheck, directory }: AnswerEndOptions,
 ): Promise<AnswerEnd> {
   if (delimiter !== "connection" || content === "whole") return "whole";
   if (content === "cut") return "cut";
-  const condition = await endpointCheck.checkCondition(endpoint);
-  // An endpoint that leaves ends after its last answer.
-  const isOrderly = condition === "listening" ||
-    condition === "ended" && directory.isLeaving(endpoint);
-  if (!isOrderly) return "cut";
-  return content === "between_events" ? "whole" : "unproven";
+  let condition = await endpointCheck.checkCondition(endpoint);
+  if (condition === "listening") {
+    await clock.sleep(CONFIRM_DELAY);
+    condition = await endpointCheck.checkCondition(endpoint);
+  }
+  if (condition === "listening") {
+    return content === "between_events" ? "whole" : "unproven";
+  }
+  const mayBeWhole = condition === "ended" && content === "unknown" &&
+    directory.isLeaving(endpoint);
+  return mayBeWhole ? "unproven" : "cut";
 }
--- a/packages/serving/src/answer_end_test.ts
+++ b/packages/serving/src/answer_end_test.ts
@@ -48,7 +48,7 @@
     ["cut", "listening", false, "cut"],
     ["between_events", "listening", false, "whole"],
     ["between_events", "ended", false, "cut"],
-    ["between_events", "ended", true, "whole"],
+    ["between_events", "ended", true, "cut"],
     ["between_events", "unknown", true, "cut"],
     ["unknown", "listening", false, "unproven"],
     ["unknown", "ended", false, "cut"],
@@ -63,6 +63,7 @@
         condition,
         isLeaving,
         await classifyEnd({ endpoint, delimiter: "connection", content }, {
+          clock: { sleep: () => Promise.resolve() },
           endpointCheck: { checkCondition: () => Promise.resolve(condition) },
           directory: { isLeaving: () => isLeaving },
         }),
@@ -70,4 +71,21 @@
     );
     expect(found).to.deep.equal(ENDS);
   });
+
+  // Guards against a part that counts as whole while its endpoint ends.
+  it("is confirmed by a second look at the endpoint", async () => {
+    const conditions: EndpointCondition[] = ["listening", "ended"];
+    const end = await classifyEnd({
+      endpoint: createTestEndpoint("e1"),
+      delimiter: "connection",
+      content: "between_events",
+    }, {
+      clock: { sleep: () => Promise.resolve() },
+      endpointCheck: {
+        checkCondition: () => Promise.resolve(conditions.shift()!),
+      },
+      directory: { isLeaving: () => true },
+    });
+    expect(end).to.equal("cut");
+  });
 });
--- a/soak/src/answer_ends_site_test.ts
+++ b/soak/src/answer_ends_site_test.ts
@@ -79,7 +79,6 @@
       [EVENTS, "id: 1\r\rid: 2\r\r", "closes", "by chunks"],
       [EVENTS, "id: 1\n\n: bye\n", "closes", "by chunks"],
       [[], "id: 1\n\n", "closes", "by chunks"],
-      [EVENTS, "id: 1\n\n", "leaves", "by chunks"],
       [[...EVENTS, SIZED(3)], "id:", "crashes", "by chunks"],
       [[...EVENTS, CHUNKED], `${ONE_CHUNK}0\r\n\r\n`, "crashes", "by chunks"],
       [[...EVENTS, CHUNKED], `${ONE_CHUNK}0\r\n\r\n`, "keeps", "by chunks"],
@@ -91,6 +90,7 @@
   it("a stream whose endpoint ended or sent no event is cut", async () => {
     await checkCases("chat", [
       [EVENTS, "id: 1\n\n", "crashes", "by none"],
+      [EVENTS, "id: 1\n\n", "leaves", "by none"],
       [EVENTS, "id: 1\n\n", "resets", "by none"],
       [EVENTS, "", "closes", "status 502, sent 2 times"],
       [EVENTS, "", "crashes", "status 502, sent 2 times"],
