fix(serving): the bodies of requests have a bound for the process

Cause: each body had a limit, all together had none. They are held until their answers have been sent.

Now 64 MiB of bodies are held. A body that does not fit is refused as not run, with a second to come back: at once and unread if its length is announced, else where it stops to fit. A single larger body is still taken.

--- a/packages/serving/src/caller_listener_test.ts
+++ b/packages/serving/src/caller_listener_test.ts
@@ -16,6 +16,9 @@
 };
 const REQUEST = "POST /r/x HTTP/1.1\r\nhost: a.example\r\n" +
   "content-length: 1\r\n\r\nx";
+const BODY_BYTES = 4_000_000;
+const BODIES = 24;
+const MAX_HELD_BODY_BYTES = 67_108_864;
 /** More than the buffers of a connection hold. */
 const LARGE_BYTES = 16_000_000;
 /** Time within which all requests that were read are served. */
@@ -24,10 +27,21 @@
 describe("caller listener", () => {
   /** Starts a listener that answers every request with the same body. */
   function start(
-    { tasks, body = Buffer.from(""), onServed = () => {} }: {
+    {
+      tasks,
+      body = Buffer.from(""),
+      onServed = () => {},
+      onRefused = () => {},
+      wait = Promise.resolve(),
+      maxBodyBytes = LIMITS.maxBodyBytes,
+    }: {
       tasks: TaskSet;
       body?: Buffer;
       onServed?: () => void;
+      onRefused?: () => void;
+      /** Requests are answered after this. */
+      wait?: Promise<void>;
+      maxBodyBytes?: number;
     },
   ) {
     return startCallerListener({
@@ -36,16 +50,16 @@
       tasks,
       decodeHead: () => Result.ok(createTestHead()),
       encodeFailure: () => ({ status: 503, headers: [] }),
-      serve: ({ response }) => {
+      serve: async ({ response }) => {
         onServed();
+        await wait;
         response.sendBuffered({ status: 200, headers: [], body });
-        return Promise.resolve();
       },
-      readLimits: () => LIMITS,
+      readLimits: () => ({ ...LIMITS, maxBodyBytes }),
       readPhase: () => "open",
       createStoppingFailure: () =>
         createFailure("stopping", { verdict: "not_run", message: "" }),
-      onRefused: () => {},
+      onRefused,
     });
   }
 
@@ -104,6 +118,47 @@
     expect(running).to.deep.equal([1, 0]);
   });
 
+  // Guards against a process that is killed for its memory, with all requests in
+  // progress, because endpoints read large bodies slowly.
+  for (const framing of ["length", "chunks"] as const) {
+    it(`refuses bodies beyond the memory for them, by ${framing}`, async () => {
+      const counts = { served: 0, refused: 0 };
+      let finishAll = () => {};
+      const finished = new Promise<void>((resolve) => finishAll = resolve);
+      const tasks = createTaskSet((error) => {
+        throw error;
+      });
+      const { server } = await start({
+        tasks,
+        onServed: () => counts.served++,
+        onRefused: () => counts.refused++,
+        wait: finished,
+        maxBodyBytes: BODY_BYTES,
+      });
+      const send = () =>
+        fetch(`http://${readServerAddress(server)}/r/x`, {
+          method: "POST",
+          body: framing === "length"
+            ? Buffer.alloc(BODY_BYTES)
+            : new Blob([Buffer.alloc(BODY_BYTES)]).stream(),
+          duplex: "half",
+        } as RequestInit).then(({ status }) => status);
+      const statuses = Promise.all(Array.from({ length: BODIES }, send));
+      await new Promise((resolve) => setTimeout(resolve, 4 * SETTLE_MS));
+      const during = { ...counts };
+      finishAll();
+      const ended = await statuses;
+      const later = await send();
+      server.closeAllConnections();
+      server.close();
+      expect([during.served > 0, during.refused > 0, later])
+        .to.deep.equal([true, true, 200]);
+      expect(during.served * BODY_BYTES).to.be.at.most(MAX_HELD_BODY_BYTES);
+      expect(ended.filter((status) => status === 503).length)
+        .to.equal(during.refused);
+    });
+  }
+
   it("serves the requests of callers that stay connected", async () => {
     const staying = Array.from(
       { length: 20 },
--- a/packages/shared/src/http_server.ts
+++ b/packages/shared/src/http_server.ts
@@ -41,6 +41,8 @@
 export type BodyOutcome =
   | { kind: "whole"; body: Buffer }
   | { kind: "too_large" }
+  /** The process holds too many bytes of other bodies. */
+  | { kind: "no_memory" }
   | { kind: "cut" };
 
 /** Starts a server and resolves once it listens. */
@@ -80,20 +82,37 @@
   await closed;
 }
 
-/** Reads a request's body up to `limit` bytes. */
+/**
+ * Reads a request's body up to `limit` bytes. `acquire` takes the memory of each
+ * part, and returns whether there was enough.
+ */
 export function readBody(
   request: IncomingMessage,
   limit: number,
+  acquire: (bytes: number) => boolean = () => true,
 ): Promise<BodyOutcome> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let length = 0;
+    /** The rest is read, or the caller would not read its answer. */
+    let isDiscarded = false;
+    // A body of a known length that can't be held is not read at all.
+    const announced = Math.min(limit, readAnnouncedLength(request));
+    if (announced > 0 && !acquire(announced)) {
+      return resolve({ kind: "no_memory" });
+    }
     request.on("data", (chunk: Buffer) => {
       length += chunk.length;
       if (length > limit) {
         request.pause();
         return resolve({ kind: "too_large" });
       }
+      if (isDiscarded) return;
+      if (announced === 0 && !acquire(chunk.length)) {
+        isDiscarded = true;
+        chunks.length = 0;
+        return resolve({ kind: "no_memory" });
+      }
       chunks.push(chunk);
     });
     request.once("end", () => {
@@ -105,6 +124,12 @@
   });
 }
 
+/** Returns 0 for a body of unknown length. */
+function readAnnouncedLength({ headers }: IncomingMessage): number {
+  const length = Number(headers["content-length"] ?? 0);
+  return Number.isInteger(length) && length > 0 ? length : 0;
+}
+
 /** Options of {@linkcode sendJson}. */
 export interface SendJsonOptions {
   status: number;
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -7,6 +7,8 @@
 export { parseAddress } from "./address.ts";
 export { parseAmount } from "./amount.ts";
 export { putBounded } from "./bounded_map.ts";
+export type { ByteBudget } from "./byte_budget.ts";
+export { createByteBudget } from "./byte_budget.ts";
 export type { CancelTimer, Clock, Millis } from "./clock.ts";
 export { createSystemClock } from "./clock.ts";
 export type { FakeClock } from "./fake_clock.ts";
