--- a/packages/coordination/src/piece_batcher.ts
+++ b/packages/coordination/src/piece_batcher.ts
@@ -360,7 +360,7 @@
       return now + ratio * (spec.callTime + pieces * spec.pieceTime);
     }
 
-    function includeObjective({ objectiveAt }: P): void {
+    function addObjective({ objectiveAt }: P): void {
       if (objectiveAt >= computeEnd(chosen.size)) {
         neededBy = Math.min(neededBy, objectiveAt);
       }
@@ -373,7 +373,7 @@
         objectiveAt > end + ratio * computeFullCall(spec);
     }
 
-    includeObjective(first);
+    addObjective(first);
 
     function addFitting(pieces: readonly P[]): void {
       for (const piece of pieces) {
@@ -390,7 +390,7 @@
         startedGroups.add(piece.group);
         roomTaken += piece.resultBytes;
         chosen.add(piece);
-        includeObjective(piece);
+        addObjective(piece);
       }
     }
 
