fix(coordination): a part that crashes endpoints is blamed alone where others vary beside it

Cause: each crash ended runs of all six cases, so that six sets of traits were equally common, and one of them was taken. And the evidence against each case's part was complete at the same crash; its quarantine explained the crashes, and the evidence against the bad part went with them.

Now, where several sets are equally common, what they have in common is blamed, unless a later part may be the cause; and a part that a later one came with each time waits for the evidence against that one, until five crashes.

--- a/packages/coordination/src/crash_evidence.ts
+++ b/packages/coordination/src/crash_evidence.ts
@@ -154,15 +154,20 @@
     );
     if (!isWider) return undefined;
     const [first, ...others] = crashes;
-    const traits = findCommonTraits(first!, others);
-    const isAmbiguous = crashes.every(({ runs }) =>
-      runs.some((run) => hasLaterPart(run, { trait, except: traits }))
-    );
-    if (isAmbiguous && crashes.length < CRASHES_TO_BLAME_AMBIGUOUS) {
-      return undefined;
-    }
+    const largest = findCommonTraits(first!, others);
+    const mayBeLater = (except: readonly string[]) =>
+      crashes.every(({ runs }) =>
+        runs.some((run) => hasLaterPart(run, { trait, except }))
+      );
+    const shared = listInAll(largest);
+    const traits = mayBeLater(shared) ? largest[0]! : shared;
+    const isAmbiguous = mayBeLater(traits);
+    // The evidence against a later part that came with it each time tells more.
+    const isLast = !hasLaterPart(traits, { trait, except: [] });
+    const isEarly = crashes.length < CRASHES_TO_BLAME_AMBIGUOUS;
+    if (isEarly && (isAmbiguous || !isLast)) return undefined;
     return {
-      traits,
+      traits: [...traits],
       endpointKeys: crashes.map(({ endpointKey }) => endpointKey),
       age: clock.now() - first!.at,
       isAmbiguous,
@@ -217,8 +222,15 @@
   return traits.every((trait) => run.includes(trait));
 }
 
-/** Finds the largest set of traits that a run of each crash had. */
-function findCommonTraits(first: Crash, others: readonly Crash[]): string[] {
+/**
+ * Finds the largest sets of traits that a run of each crash had. There are
+ * several where other traits vary within each crash: none of those is needed for
+ * a crash.
+ */
+function findCommonTraits(
+  first: Crash,
+  others: readonly Crash[],
+): (readonly string[])[] {
   const found = first.runs.map((run) =>
     others.reduce<readonly string[]>(
       (common, { runs }) =>
@@ -228,9 +240,15 @@
       run,
     )
   );
-  return [...findLargest(found)];
+  const { length } = findLargest(found);
+  return found.filter((set) => set.length === length);
 }
 
 function findLargest(sets: readonly (readonly string[])[]): readonly string[] {
   return sets.reduce((best, set) => set.length > best.length ? set : best);
 }
+
+function listInAll(sets: readonly (readonly string[])[]): string[] {
+  const [first = [], ...others] = sets;
+  return first.filter((trait) => others.every((set) => set.includes(trait)));
+}
--- a/packages/coordination/src/crash_evidence_test.ts
+++ b/packages/coordination/src/crash_evidence_test.ts
@@ -71,6 +71,21 @@
     }).to.deep.equal({ four: undefined, five: [FIRST, true] });
   });
 
+  // Guards against a part that is refused in one of its many combinations at a
+  // time, while all of them run together at the same endpoints.
+  it("blames a part alone if the others beside it vary at each crash", async () => {
+    const cases = [1, 2, 3, 4, 5, 6];
+    const together = [1, 2, 3].map((crash) =>
+      cases.map((number) =>
+        run(10 * crash + number, FIRST, `part:case${number}`, BAD)
+      )
+    );
+    expect({
+      bad: await findCause(BAD, together),
+      beside: await findCause("part:case1", together),
+    }).to.deep.equal({ bad: [FIRST, BAD, false], beside: undefined });
+  });
+
   it("widens a known cause after two crashes without one of its traits", async () => {
     const known = [1, 2, 3].map((number) => [run(number, FIRST, BAD)]);
     const wider = [4, 5].map((number) => [run(number, "part:4", BAD)]);
