--- a/packages/serving/src/class_floor_replay_test.ts
+++ b/packages/serving/src/class_floor_replay_test.ts
@@ -31,9 +31,9 @@
 } from "./test_support.ts";
 
 /**
- * Three classes whose requests pass up to three stage pools in a row and an
- * engine, through the whole of serveRequest, at several entries. A third of the
- * time there is more work than the pools can do.
+ * A class whose requests pass up to three stage pools in a row and an engine. They
+ * run through the whole of serveRequest, at several entries; for half of the time
+ * there are more of them.
  */
 interface ClassLoad {
   name: string;
