refactor(serving): one test of peers that stay; one set-up of the site state's tests

Whether a peer is alive and not leaving stood in three places (crash reports, keepers of streams, writers of versions); it is isStaying of the membership now. The test of an outage repeated the set-up of the others. The count of a byte budget was read nowhere. No decision and no assertion changes.

--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -301,3 +301,8 @@
   if (a.incarnation !== b.incarnation) return a.startedAt > b.startedAt;
   return a.heartbeat > b.heartbeat;
 }
+
+/** Whether a peer is alive and not about to leave. */
+export function isStaying({ health, record }: PeerView): boolean {
+  return health === "alive" && record.state !== "leaving";
+}
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -76,7 +76,7 @@
   PeerSuspicion,
   PeerView,
 } from "./membership.ts";
-export { createMembership } from "./membership.ts";
+export { createMembership, isStaying } from "./membership.ts";
 export type {
   AddressCandidate,
   AddressSelection,
--- a/packages/serving/src/quarantine_gossip.ts
+++ b/packages/serving/src/quarantine_gossip.ts
@@ -23,7 +23,11 @@
   RecentCompletions,
   SuspectedCause,
 } from "@mangoreach/coordination";
-import { isPartTrait, listByRendezvous } from "@mangoreach/coordination";
+import {
+  isPartTrait,
+  isStaying,
+  listByRendezvous,
+} from "@mangoreach/coordination";
 import type {
   CauseQuery,
   CauseReply,
@@ -237,11 +241,7 @@
   }
 
   function listOthers(): PeerRecord[] {
-    return membership.list()
-      .filter(({ health, record }) =>
-        health === "alive" && record.state !== "leaving"
-      )
-      .map(({ record }) => record);
+    return membership.list().filter(isStaying).map(({ record }) => record);
   }
 
   /** Lists the aggregators of a trait, this entry possibly among them. */
--- a/packages/serving/src/site_state_test.ts
+++ b/packages/serving/src/site_state_test.ts
@@ -10,6 +10,7 @@
   TopicRecord,
   TopicSource,
 } from "./platform_interfaces.ts";
+import type { ServingMetrics } from "./serving_metrics.ts";
 import { createServingMetrics } from "./serving_metrics.ts";
 import type { ServingPlatform } from "./serving_options.ts";
 import { createSiteState } from "./site_state.ts";
@@ -35,14 +36,24 @@
 }
 
 describe("site state", () => {
-  /** Follows one source of endpoints. */
-  function start(
-    { clock, source }: { clock: FakeClock; source: TopicSource },
-  ) {
+  /** Follows the sources of endpoints and of the configuration. */
+  function start({
+    clock,
+    source,
+    configSource = createSource([]),
+    logger = createSilentLogger(),
+    metrics = createServingMetrics("entry"),
+  }: {
+    clock: FakeClock;
+    source: TopicSource;
+    configSource?: TopicSource;
+    logger?: Logger;
+    metrics?: ServingMetrics;
+  }) {
     const platform = {
-      configSource: createSource([]),
+      configSource,
       configKey: "config",
-      readEvacuatedPlace: () => undefined,
+      readEvacuatedPlace: (key: string) => /^away (.*)/.exec(key)?.[1],
       decodeConfig: () => Result.err("there is none"),
       endpointSource: source,
       decodeEndpoint,
@@ -53,8 +64,8 @@
       readWallTime: clock.now,
       random: () => 0.5,
       log: createSilentDecisionLog(),
-      logger: createSilentLogger(),
-      metrics: createServingMetrics("entry"),
+      logger,
+      metrics,
       platform,
       createRelayedSource: (_topic, relayed) => relayed,
       onConfig: () => {},
@@ -78,33 +89,15 @@
       ...createSilentLogger(),
       warn: (_message, fields) => warnings.push(fields?.endpoint),
     };
-    const platform = {
-      configSource: createSource(published),
-      configKey: "config",
-      readEvacuatedPlace: (key: string) => /^away (.*)/.exec(key)?.[1],
-      decodeConfig: () => Result.err("there is none"),
-      endpointSource: createSource(reads),
-      decodeEndpoint,
-      members: { source: createSource([]) },
-    } as unknown as ServingPlatform;
-    const siteState = createSiteState({
+    const { siteState, stop } = start({
       clock,
-      readWallTime: clock.now,
-      random: () => 0.5,
-      log: createSilentDecisionLog(),
+      source: createSource(reads),
+      configSource: createSource(published),
       logger,
       metrics,
-      platform,
-      createRelayedSource: (_topic, source) => source,
-      onConfig: () => {},
-      onEndpoints: () => {},
-      members: { replaceAll: () => {}, apply: () => {} },
-      onRestored: () => {},
     });
-    const controller = new AbortController();
-    void siteState.follow(controller.signal);
     await clock.advance(2_500);
-    controller.abort();
+    stop();
     const usable = siteState.directory.listUsable("pool").map(({ id }) => id);
     const { values } = await metrics.registry
       .getSingleMetric("mangoreach_records_undecodable_total")!.get();
--- a/packages/serving/src/stream_origin_gossip.ts
+++ b/packages/serving/src/stream_origin_gossip.ts
@@ -17,7 +17,11 @@
   StreamOrigins,
   VersionHistory,
 } from "@mangoreach/coordination";
-import { listByRendezvous, MAX_HISTORY_AGE } from "@mangoreach/coordination";
+import {
+  isStaying,
+  listByRendezvous,
+  MAX_HISTORY_AGE,
+} from "@mangoreach/coordination";
 import type { StreamQuery, StreamReply, StreamRow } from "@mangoreach/peers";
 import { MAX_POOL_VERSIONS, MAX_STREAM_ROWS } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
@@ -116,10 +120,7 @@
   }
 
   function listKeepers(key: string): PeerRecord[] {
-    return listPeers(
-      key,
-      ({ health, record }) => health === "alive" && record.state !== "leaving",
-    ).slice(0, KEEPERS);
+    return listPeers(key, isStaying).slice(0, KEEPERS);
   }
 
   function answer({ key, pools }: StreamQuery): StreamReply {
--- a/packages/serving/src/version_records.ts
+++ b/packages/serving/src/version_records.ts
@@ -13,11 +13,11 @@
  */
 import type {
   Membership,
-  PeerRecord,
   RouteTable,
   VersionHistory,
 } from "@mangoreach/coordination";
 import {
+  isStaying,
   listByRendezvous,
   MAX_STREAM_LIFETIME,
 } from "@mangoreach/coordination";
@@ -137,10 +137,7 @@
   /** Returns how many entries write before this one. */
   function computeRank(pool: string): number {
     const { self } = membership;
-    const peers: PeerRecord[] = membership.list()
-      .filter(({ health, record }) =>
-        health === "alive" && record.state !== "leaving"
-      )
+    const peers = membership.list().filter(isStaying)
       .map(({ record }) => record);
     const order = listByRendezvous([self, ...peers], {
       key: pool,
--- a/packages/shared/src/byte_budget.ts
+++ b/packages/shared/src/byte_budget.ts
@@ -6,8 +6,6 @@
 
 /** A budget of bytes. */
 export interface ByteBudget {
-  /** The bytes in use now. */
-  readonly used: number;
   /**
    * Takes bytes, and returns whether there were enough; whoever comes first takes
    * any number.
@@ -20,9 +18,6 @@
 export function createByteBudget(max: number): ByteBudget {
   let used = 0;
   return {
-    get used() {
-      return used;
-    },
     acquire(bytes) {
       if (used > 0 && used + bytes > max) return false;
       used += bytes;
