--- a/standins/src/mod.ts
+++ b/standins/src/mod.ts
@@ -40,3 +40,16 @@
   formatHttpReply,
   startScriptedServer,
 } from "./scripted_server.ts";
+export type {
+  ClientForm,
+  Crowd,
+  CrowdOptions,
+  ProcessPeak,
+} from "./misbehaving_clients.ts";
+export {
+  formatChunk,
+  formatChunks,
+  sendWhole,
+  startCrowd,
+  watchProcess,
+} from "./misbehaving_clients.ts";
