fix(shared): what peers make a process hold is bounded at every listener

Callers saw: an entry ended (heap out of memory) under 10 connections with bodies in chunks of one byte, or with requests sent ahead whose answers they did not read, at any listener; one whole body of 4 MiB in chunks of one byte, within the manifest's limits, ended it in calm. Meanwhile nobody got an answer.

Cause: node:http parses a whole segment at once and creates an object for each chunk of a body and each request, however many there are; the budget of bodies counted their bytes, a hundredth of what the heap held. Nothing bounded requests in progress, answers that wait behind an unread one, or connections of all listeners together.

Fix: one guard of all listeners (packages/shared/src/connections). Bytes of a connection reach the parser one request at a time; what was sent ahead waits unparsed, and its connection is not read meanwhile, so nothing has to be refused. Chunks are joined before the parser sees them, small parts of bodies are copied into blocks. Connections, requests, estimated memory and bodies are bounded for the process; what is idle, unread or unfinished gives way first, never a request in progress whose answers are read. Waiting connections are served a few in each turn of the event loop. Responses behind another one are told when their connection closes; their requests stayed in progress for ever before.

Each limit is a checked setting (connections.*), with a log line a second (connections_limited) and a counter (mangoreach_connection_limits_total).

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -33,6 +33,7 @@
 import type { Clock, Logger, Millis } from "@mangoreach/shared";
 import {
   createCausalClock,
+  createConnectionGuard,
   createTaskSet,
   createTimeline,
   readServerAddress,
@@ -211,6 +212,20 @@
     isStopping: () => phase === "stopping",
     readTimeLeft: () => cutOffAt - clock.now(),
   });
+  const callersLogger = logger.forPart("callers");
+  const connections = createConnectionGuard({
+    clock,
+    limits: settings.connections,
+    onLimited({ limit, count }) {
+      metrics.countLimited(limit, count);
+      callersLogger.warn("A limit of connections has acted.", {
+        limit,
+        count,
+        connections: connections.connectionCount,
+        bytes: connections.bytes,
+      });
+    },
+  });
   const serverLimits = {
     maxHeaderBytes: settings.limits.maxHeaderBytes,
     requestTimeoutMs: settings.limits.requestTimeoutMs,
@@ -227,13 +242,19 @@
         ...serverLimits,
         maxConnections: settings.limits.maxConnections,
       },
+      guard: connections,
     },
   );
   const controlServer = await startServer(
     (request, response) => handleControlRequest(request, response),
     {
       address: settings.controlAddress,
-      limits: { ...serverLimits, maxConnections: CONTROL_CONNECTIONS },
+      limits: {
+        ...serverLimits,
+        maxConnections: CONTROL_CONNECTIONS,
+        maxRequestsAhead: 1,
+      },
+      guard: connections,
     },
   );
   const membership = createOwnMembership(context, {
--- a/packages/entry/src/entry_metrics.ts
+++ b/packages/entry/src/entry_metrics.ts
@@ -16,6 +16,8 @@
   observeStage(stage: string, seconds: number): void;
   countSecondAttempt(reason: "retry" | "hedge"): void;
   countDropped(): void;
+  /** A limit for what peers make this process hold has acted. */
+  countLimited(limit: string, count: number): void;
   countPeerBytes(direction: "in" | "out", bytes: number): void;
   setConfigVersion(version: number): void;
   setInFlight(count: number): void;
@@ -80,6 +82,12 @@
     help: "Results dropped because their echo differs from the call",
     registers,
   });
+  const limited = new Counter({
+    name: "mangoreach_connection_limits_total",
+    help: "Acts of the limits for what connections hold, by limit",
+    labelNames: ["limit"],
+    registers,
+  });
   const peerBytes = new Counter({
     name: "mangoreach_peer_bytes_total",
     help: "Bytes of control messages, without HTTP headers",
@@ -110,6 +118,7 @@
       durations.observe({ class: className }, time),
     observeStage: (stage, time) => stages.observe({ stage }, time),
     countSecondAttempt: (reason) => seconds.inc({ reason }),
+    countLimited: (limit, count) => limited.inc({ limit }, count),
     countDropped: () => dropped.inc(),
     countPeerBytes: (direction, bytes) => peerBytes.inc({ direction }, bytes),
     setConfigVersion: (value) => version.set(value),
--- a/packages/entry/src/entry_settings.ts
+++ b/packages/entry/src/entry_settings.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { SettingsFault, SettingsSource } from "@mangoreach/shared";
-import { parseSettings } from "@mangoreach/shared";
+import { connectionLimitsSchema, parseSettings } from "@mangoreach/shared";
 import type { Result } from "true-myth";
 import * as z from "zod";
 
@@ -97,6 +97,8 @@
   peers: z.array(remoteSchema).default([])
     .describe("Control addresses to ask while the instance list is away"),
   limits: limitsSchema,
+  connections: connectionLimitsSchema.prefault({})
+    .describe("What peers can make the process hold"),
   timing: timingSchema,
   logLevel: z.enum(["silent", "error", "warn", "info", "debug"])
     .default("info"),
--- a/packages/entry/src/request_failures.ts
+++ b/packages/entry/src/request_failures.ts
@@ -11,6 +11,8 @@
 
 const RETRY_AFTER_NOT_READY: Millis = 1_000;
 const RETRY_AFTER_STOPPING: Millis = 0;
+/** Large bodies are read by their endpoints within seconds. */
+const RETRY_AFTER_MEMORY: Millis = 1_000;
 
 /** Creates the refusal of a body that the schema rejects. */
 export function failBody(error: z.ZodError): Failure {
@@ -37,6 +39,15 @@
   });
 }
 
+/** Creates the refusal of a body that the process cannot hold. */
+export function failMemory(): Failure {
+  return createFailure("overloaded", {
+    verdict: "not_run",
+    message: "the bodies of other requests take all memory for bodies",
+    retryAfterMs: RETRY_AFTER_MEMORY,
+  });
+}
+
 /** Creates the refusal of an entry that has no configuration yet. */
 export function failNotReady(): Failure {
   return createFailure("unavailable", {
--- a/packages/entry/src/request_handler.ts
+++ b/packages/entry/src/request_handler.ts
@@ -36,6 +36,7 @@
   failBody,
   failClass,
   failDeadlinePassed,
+  failMemory,
   failNotFound,
   failNotReady,
   failStopping,
@@ -120,7 +121,7 @@
     const opened = openRequest(exchange);
     if (opened.isErr) return refuseWithoutBody(exchange, opened.error);
     const { head, site, id } = opened.value;
-    const body = await readBodyOrRefuse(exchange);
+    const body = await readBodyOrRefuse(exchange, head);
     if (body === undefined) return;
     const pipeline = site.findPipeline(name);
     if (pipeline === undefined) {
@@ -159,7 +160,7 @@
     const opened = openRequest(exchange);
     if (opened.isErr) return refuseWithoutBody(exchange, opened.error);
     const { head, site, id } = opened.value;
-    const body = await readBodyOrRefuse(exchange);
+    const body = await readBodyOrRefuse(exchange, head);
     if (body === undefined) return;
     const service = site.findService(name);
     if (service === undefined) {
@@ -183,10 +184,20 @@
     });
   }
 
-  async function readBodyOrRefuse({ request, response }: Exchange) {
+  async function readBodyOrRefuse(
+    { request, response }: Exchange,
+    head: RequestHead,
+  ) {
     const outcome = await readBody(request, settings.limits.maxBodyBytes);
     if (outcome.kind === "whole") return outcome.body;
     if (outcome.kind === "cut") return undefined;
+    if (outcome.kind === "no_memory") {
+      refuseWithoutBody(
+        { request, response },
+        weakenVerdict(failMemory(), head),
+      );
+      return undefined;
+    }
     refuseWithoutBody(
       { request, response },
       createFailure("too_large", {
--- a/packages/peers/src/peer_connection_server.ts
+++ b/packages/peers/src/peer_connection_server.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage, Server } from "node:http";
 import type { Duplex } from "node:stream";
 import type { Millis } from "@mangoreach/shared";
+import { releaseConnection } from "@mangoreach/shared";
 import type { AnyTRPCRouter } from "@trpc/server";
 import { callTRPCProcedure, getTRPCErrorFromUnknown } from "@trpc/server";
 import type { ChannelFault, FrameChannel } from "./frame_channel.ts";
@@ -68,6 +69,7 @@
     socket: Duplex,
     head: Buffer,
   ): void {
+    releaseConnection(socket);
     const protocol = request.headers.upgrade?.toLowerCase() ?? "";
     const serveUpgrade = new Map(Object.entries(upgrades)).get(protocol);
     if (protocol !== UPGRADE_PROTOCOL && serveUpgrade === undefined) {
--- a/packages/peers/src/peer_procedure.ts
+++ b/packages/peers/src/peer_procedure.ts
@@ -10,7 +10,7 @@
   RequestListener,
   ServerResponse,
 } from "node:http";
-import { readBodyBytes, sendJson } from "@mangoreach/shared";
+import { readBody, sendJson } from "@mangoreach/shared";
 import type { AnyTRPCRouter } from "@trpc/server";
 import {
   callTRPCProcedure,
@@ -148,8 +148,8 @@
 }
 
 async function readText(request: IncomingMessage): Promise<string> {
-  const bytes = await readBodyBytes(request, MAX_BODY_BYTES);
-  if (bytes !== undefined) return bytes.toString();
+  const read = await readBody(request, MAX_BODY_BYTES);
+  if (read.kind === "whole") return read.body.toString();
   throw new TRPCError({ code: "BAD_REQUEST", message: "no whole body" });
 }
 
--- a/packages/serving/src/caller_listener.ts
+++ b/packages/serving/src/caller_listener.ts
@@ -9,8 +9,18 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Failure, RequestLimits } from "@mangoreach/coordination";
 import { createFailure } from "@mangoreach/coordination";
-import type { Clock, ListenAddress, Millis, TaskSet } from "@mangoreach/shared";
-import { createByteBudget, readBody, startServer } from "@mangoreach/shared";
+import type {
+  Clock,
+  ConnectionGuard,
+  ListenAddress,
+  Millis,
+  TaskSet,
+} from "@mangoreach/shared";
+import {
+  createConnectionGuard,
+  readBody,
+  startServer,
+} from "@mangoreach/shared";
 import type { Result } from "true-myth";
 import type { CallerResponse, EncodeFailure } from "./caller_response.ts";
 import { createCallerResponse } from "./caller_response.ts";
@@ -33,6 +43,8 @@
   clock: Clock;
   address: ListenAddress;
   tasks: TaskSet;
+  /** Bounds what connections hold; with the default limits if left out. */
+  guard?: ConnectionGuard | undefined;
   decodeHead: (message: IncomingMessage) => Result<RequestHead, Failure>;
   encodeFailure: EncodeFailure;
   serve: (context: RequestContext) => Promise<void>;
@@ -54,13 +66,8 @@
 /** Node rejects longer heads itself, with status 431. */
 const MAX_HEADER_BYTES = 16_384;
 const MAX_CONNECTIONS = 3_000;
-/**
- * Bodies are held until their answers have been sent: endpoints read slowly, and
- * a request may be sent again. The rest of the memory is for answers and code.
- */
-const MAX_HELD_BODY_BYTES = 67_108_864;
-/** Large bodies are read by their endpoints within seconds. */
-const RETRY_AFTER_MEMORY: Millis = 1_000;
+/** Requests and large bodies leave an entry within seconds. */
+const RETRY_AFTER_OVERLOAD: Millis = 1_000;
 /** The first ends the turn that read the request; the second reads again. */
 const READ_TURNS = 2;
 /** Ratio of the time limits for a complete request and for its head. */
@@ -71,28 +78,11 @@
   options: CallerListenerOptions,
 ): Promise<CallerListener> {
   const { clock, address, tasks, readLimits, readPhase } = options;
+  const guard = options.guard ?? createConnectionGuard({ clock });
 
-  const bodyBudget = createByteBudget(MAX_HELD_BODY_BYTES);
-
-  /** Holds the memory of the request's body until its answer has been sent. */
   async function handle(
-    message: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
-    let held = 0;
-    const acquire = (bytes: number) => {
-      if (!bodyBudget.acquire(bytes)) return false;
-      held += bytes;
-      return true;
-    };
-    await handleRequest(message, response, acquire)
-      .finally(() => bodyBudget.release(held));
-  }
-
-  async function handleRequest(
     message: IncomingMessage,
     serverResponse: ServerResponse,
-    acquire: (bytes: number) => boolean,
   ): Promise<void> {
     const receivedAt = clock.now();
     const response = createCallerResponse(serverResponse, {
@@ -101,7 +91,7 @@
     });
     const head = options.decodeHead(message);
     const { maxBodyBytes } = readLimits();
-    const body = await readBody(message, maxBodyBytes, acquire);
+    const body = await readBody(message, maxBodyBytes);
     if (body.kind === "cut" || await hasDisconnected(message)) return;
     const id = head.isOk ? head.value.id : undefined;
     if (body.kind === "too_large") {
@@ -111,6 +101,10 @@
       return refuse(response, createMemoryFailure(), id);
     }
     if (head.isErr) return refuse(response, head.error, id);
+    if (guard.isFull()) {
+      guard.record("requests");
+      return refuse(response, createOverloadFailure(), id);
+    }
     if (readPhase() === "refusing") {
       return refuse(response, options.createStoppingFailure(), id);
     }
@@ -134,6 +128,7 @@
     (message, response) => tasks.add(handle(message, response)),
     {
       address,
+      guard,
       limits: {
         maxHeaderBytes: MAX_HEADER_BYTES,
         requestTimeoutMs: readLimits().headerTimeout,
@@ -162,11 +157,19 @@
   return socket.readableEnded || socket.destroyed;
 }
 
+function createOverloadFailure(): Failure {
+  return createFailure("overloaded", {
+    verdict: "not_run",
+    message: "the entry has too many requests in progress",
+    retryAfterMs: RETRY_AFTER_OVERLOAD,
+  });
+}
+
 function createMemoryFailure(): Failure {
   return createFailure("overloaded", {
     verdict: "not_run",
     message: "the bodies of other requests take all memory for bodies",
-    retryAfterMs: RETRY_AFTER_MEMORY,
+    retryAfterMs: RETRY_AFTER_OVERLOAD,
   });
 }
 
--- a/packages/serving/src/decision_log.ts
+++ b/packages/serving/src/decision_log.ts
@@ -32,6 +32,7 @@
   | "pool_unreachable"
   | "pool_reachable"
   | "peer_changed"
+  | "connections_limited"
   | "answer_size_changed"
   | "dependency_lost"
   | "dependency_regained"
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -32,8 +32,9 @@
   createServingPeerListener,
   openTunnel,
 } from "@mangoreach/peers";
-import type { Millis } from "@mangoreach/shared";
+import type { ConnectionGuard, Millis } from "@mangoreach/shared";
 import {
+  createConnectionGuard,
   createSharedController,
   createTaskSet,
   readServerAddress,
@@ -83,6 +84,8 @@
    * if it is ready.
    */
   chooseEntries(limit: number): PeerRecord[];
+  /** Bounds the connections of all servers of the process. */
+  readonly guard: ConnectionGuard;
   /** Serves the entry's metrics. */
   readonly metricsListener: RequestListener;
   /** Records that the settings file was reloaded. */
@@ -121,6 +124,7 @@
   maxHeaderBytes: 16_384,
   requestTimeoutMs: 10_000,
   maxConnections: 1_000,
+  maxRequestsAhead: 1,
   // Longer than the idle time-out of the peers' clients, which could otherwise
   // send a request on a connection that is just being closed.
   idleTimeoutMs: 65_000,
@@ -142,6 +146,19 @@
     logger,
     onDropped: (kind) => metrics.countDroppedLine(kind),
   });
+  const guard = createConnectionGuard({
+    clock,
+    limits: settings.connections,
+    onLimited({ limit, count }) {
+      metrics.countLimited(limit, count);
+      log.record("connections_limited", {
+        limit,
+        count,
+        connections: guard.connectionCount,
+        bytes: guard.bytes,
+      });
+    },
+  });
   const tasks = createTaskSet((error) =>
     logger.error("Background task failed.", { error: String(error) })
   );
@@ -471,6 +488,7 @@
     clock,
     address: settings.callers,
     tasks,
+    guard,
     decodeHead: platform.decodeHead,
     encodeFailure: platform.encodeFailure,
     serve: (served) => serveRequest(state, served),
@@ -525,7 +543,7 @@
   };
   const control = await startServer(
     createServingPeerListener(peerServer),
-    { address: settings.control, limits: PEER_LIMITS },
+    { address: settings.control, limits: PEER_LIMITS, guard },
   );
   const peerConnections = acceptServingPeers(control, {
     ...peerServer,
@@ -636,6 +654,7 @@
 
   return {
     isReady: isServing,
+    guard,
     chooseEntries: gossip.chooseEntries,
     metricsListener: (_request, response) => {
       metrics.registry.metrics().then(
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -35,6 +35,8 @@
   countResumed(outcome: string): void;
   /** A second or later attempt that the retry budget granted or denied. */
   countRetry(pool: string, outcome: "granted" | "denied"): void;
+  /** A limit for what peers make this process hold has acted. */
+  countLimited(limit: string, count: number): void;
   countConnect(pool: string, outcome: string): void;
   /** A request that ended after the signal to stop. */
   countStopped(outcome: StopOutcome): void;
@@ -90,6 +92,12 @@
     labelNames: ["fault"],
     registers,
   });
+  const limited = new Counter({
+    name: "mangoreach_connection_limits_total",
+    help: "Acts of the limits for what connections hold, by limit",
+    labelNames: ["limit"],
+    registers,
+  });
   const configVersion = new Gauge({
     name: "mangoreach_config_version",
     help: "Version of the configuration in force here",
@@ -223,6 +231,7 @@
     countDroppedLine: (kind) => droppedLines.inc({ kind }),
     countUnanswered: () => unanswered.inc(),
     countPeerBytes: (direction, bytes) => peerBytes.inc({ direction }, bytes),
+    countLimited: (limit, count) => limited.inc({ limit }, count),
     countPeerFault: (fault) => peerFaults.inc({ fault }),
     setConfigVersion: (version) => configVersion.set(version),
     setConfigAge: (age) => configAge.set(age / MILLIS_PER_SECOND),
--- a/packages/serving/src/serving_options.ts
+++ b/packages/serving/src/serving_options.ts
@@ -12,6 +12,7 @@
 import type {
   Clock,
   Connect,
+  ConnectionLimits,
   HeldBytes,
   ListenAddress,
   Listening,
@@ -43,6 +44,8 @@
   control: ListenAddress;
   /** Control addresses of entries to contact first; some may be dead. */
   seeds: readonly string[];
+  /** Limits for what connections hold; the default ones if left out. */
+  connections?: ConnectionLimits | undefined;
   /** Client accounts are not served by a configuration older than this. */
   maxKeyAge: Millis;
   /** Time from the signal to stop until the process is killed. */
--- a/packages/shared/src/client_errors.ts
+++ b/packages/shared/src/client_errors.ts
@@ -8,14 +8,10 @@
  *
  * @module
  */
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Server } from "node:http";
 import { STATUS_CODES } from "node:http";
-import type { Duplex } from "node:stream";
-
-interface OpenExchange {
-  message: IncomingMessage;
-  response: ServerResponse;
-}
+import type { Socket } from "node:net";
+import { listExchanges } from "./connections/connection_guard.ts";
 
 const STATUSES: ReadonlyMap<string, number> = new Map([
   ["ERR_HTTP_REQUEST_TIMEOUT", 408],
@@ -29,19 +25,8 @@
  * completely; it closes the connection after any error.
  */
 export function handleClientErrors(server: Server): void {
-  const open = new WeakMap<Duplex, Set<OpenExchange>>();
-
-  server.on("request", (message, response) => {
-    const { socket } = message;
-    const exchanges = open.get(socket) ?? new Set();
-    open.set(socket, exchanges);
-    const exchange = { message, response };
-    exchanges.add(exchange);
-    response.once("close", () => exchanges.delete(exchange));
-  });
-
   server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-    const exchanges = [...open.get(socket) ?? []];
+    const exchanges = listExchanges(socket as Socket);
     const isAnswerable = socket.writable &&
       exchanges.every(({ message, response }) =>
         !message.complete && !response.headersSent
--- /dev/null
+++ b/packages/shared/src/connections/connection_guard.ts
@@ -0,0 +1,494 @@
+/**
+ * Bounds what all peers together can make a process hold: connections, requests,
+ * heads, bodies, and answers that are not read. What does no work for a peer
+ * that reads gives way first.
+ *
+ * @module
+ */
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import type { Clock, Millis } from "../clock.ts";
+import { createSystemClock } from "../clock.ts";
+import type { HeldBytes, HeldPart } from "../held_bytes.ts";
+import { createHeldBytes } from "../held_bytes.ts";
+import type { ConnectionLimits } from "./connection_limits.ts";
+import {
+  computeMaxConnections,
+  DEFAULT_CONNECTION_LIMITS,
+} from "./connection_limits.ts";
+import { chooseByAge, chooseByMemory } from "./eviction.ts";
+import type { RequestInput } from "./request_input.ts";
+import { createRequestInput } from "./request_input.ts";
+import { createTurnQueue } from "./turn_queue.ts";
+
+/** A limit that has acted. */
+export type LimitKind =
+  /** A connection was closed for a newer one. */
+  | "connections"
+  /** A connection was closed to free memory. */
+  | "connection_bytes"
+  /** A request was refused. */
+  | "requests"
+  /** Requests that were sent ahead wait. */
+  | "requests_ahead"
+  /** A body was refused or gave way to a smaller one. */
+  | "body_bytes"
+  /** A connection of a peer was closed. */
+  | "peer_bytes";
+
+/** How often a limit has acted since its last report. */
+export interface LimitReport {
+  limit: LimitKind;
+  count: number;
+}
+
+/** A request whose response has not closed. */
+export interface Exchange {
+  message: IncomingMessage;
+  response: ServerResponse;
+}
+
+/** An open connection of one of the listeners. */
+export interface GuardedConnection {
+  readonly socket: Socket;
+  readonly exchanges: ReadonlySet<Exchange>;
+  /** Estimated memory, in bytes. */
+  readonly bytes: number;
+  /** When it last made progress. */
+  readonly activeAt: Millis;
+  /** Whether a request of it has been answered. */
+  readonly hasServed: boolean;
+  /** Whether it now speaks another protocol. */
+  readonly isUpgraded: boolean;
+  /** Whether it has not read its answers for a while. */
+  readonly isUnread: boolean;
+}
+
+/** The limits of one listener. */
+export interface ListenerLimits {
+  maxConnections: number;
+  /** Requests of one connection served at once; the guard's own if left out. */
+  maxRequestsAhead?: number | undefined;
+}
+
+/** The guard of all listeners of a process. */
+export interface ConnectionGuard {
+  readonly limits: ConnectionLimits;
+  /** Bodies of requests, until their responses have closed. */
+  readonly bodies: HeldBytes;
+  /** Messages of connections that peers have upgraded. */
+  readonly peerMessages: HeldBytes;
+  /** Estimated memory of connections, in bytes. */
+  readonly bytes: number;
+  readonly connectionCount: number;
+  /** Whether a new request has to be refused. */
+  isFull(): boolean;
+  /** Records that a request has been read; it ends with its response. */
+  beginRequest(response: ServerResponse): void;
+  /** Reports an act of a limit. */
+  record(limit: LimitKind): void;
+  /** Guards the connections of a server. */
+  add(server: Server, limits: ListenerLimits): void;
+}
+
+/** Options of {@linkcode createConnectionGuard}. */
+export interface ConnectionGuardOptions {
+  limits?: ConnectionLimits | undefined;
+  clock?: Clock;
+  /** Called once a second at most for each limit. */
+  onLimited?: ((report: LimitReport) => void) | undefined;
+}
+
+/** A socket, its parser and their listeners. */
+const CONNECTION_BYTES = 8_192;
+/** A request with its response, timers and closures. */
+const EXCHANGE_BYTES = 16_384;
+/** Memory that short headers take, each of them as strings of its own. */
+const HEAD_FACTOR = 8;
+/** Shares of the limits above which no connection is served ahead. */
+const AHEAD_MEMORY_SHARE = 0.5;
+const AHEAD_REQUEST_SHARE = 0.1;
+/** Share to which memory is freed. */
+const FREED_SHARE = 0.9;
+/** Bytes of a body that are read before other connections have their turn. */
+const BODY_TURN_BYTES = 131_072;
+const CHECK_INTERVAL: Millis = 100;
+/** Fewer connections than this do not hold much unread. */
+const CHECKED_CONNECTIONS = 32;
+/** A caller that reads has taken bytes within this time. */
+const UNREAD_TIME: Millis = 500;
+/** A body that makes no progress for this long gives way first. */
+const STALLED_TIME: Millis = 1_000;
+const REPORT_INTERVAL: Millis = 1_000;
+
+interface Connection extends GuardedConnection {
+  readonly exchanges: Set<Exchange>;
+  readonly listener: ListenerLimits & { count: number };
+  input: RequestInput | undefined;
+  bytes: number;
+  activeAt: Millis;
+  hasServed: boolean;
+  isUpgraded: boolean;
+  isUnread: boolean;
+  /** Estimated from the heads of the exchanges. */
+  exchangeBytes: number;
+  /** Output at the last check, in bytes. */
+  outputBytes: number;
+  /** Bytes that the socket had sent at the last check. */
+  sentBytes: number;
+  sentAt: Millis;
+  /** Bytes of bodies read in this turn. */
+  turnBytes: number;
+  recordUse(): void;
+}
+
+const connections = new WeakMap<Socket, Connection>();
+const guards = new WeakMap<Socket, ConnectionGuard>();
+
+/** Creates the guard of a process. */
+export function createConnectionGuard(
+  {
+    limits = DEFAULT_CONNECTION_LIMITS,
+    clock = createSystemClock(),
+    onLimited,
+  }: ConnectionGuardOptions = {},
+): ConnectionGuard {
+  const maxConnections = computeMaxConnections(limits.maxConnections);
+  const open = new Set<Connection>();
+  const turns = createTurnQueue(clock);
+  const reports = new Map<LimitKind, number>();
+  let bytes = 0;
+  /** Requests whose responses have not closed. */
+  let exchangeCount = 0;
+  /** Those of them that have been read completely. */
+  let requestCount = 0;
+  let isReporting = false;
+  let isChecking = false;
+
+  function record(limit: LimitKind): void {
+    if (onLimited === undefined) return;
+    reports.set(limit, (reports.get(limit) ?? 0) + 1);
+    if (isReporting) return;
+    isReporting = true;
+    clock.startTimer(REPORT_INTERVAL, () => {
+      isReporting = false;
+      reports.forEach((count, kind) => onLimited({ limit: kind, count }));
+      reports.clear();
+    });
+  }
+
+  function updateBytes(connection: Connection): void {
+    const { input, exchangeBytes, outputBytes } = connection;
+    const next = CONNECTION_BYTES + exchangeBytes + outputBytes +
+      (input?.waitingBytes ?? 0) + HEAD_FACTOR * (input?.headBytes ?? 0);
+    bytes += next - connection.bytes;
+    connection.bytes = next;
+    if (bytes > limits.maxConnectionBytes) evictLargest();
+  }
+
+  function evictLargest(): void {
+    const excess = bytes - FREED_SHARE * limits.maxConnectionBytes;
+    const now = clock.now();
+    for (const victim of chooseByMemory(open, { now, bytes: excess })) {
+      record("connection_bytes");
+      evict(victim as Connection);
+    }
+  }
+
+  function evict(connection: Connection): void {
+    remove(connection);
+    connection.socket.resetAndDestroy();
+  }
+
+  function remove(connection: Connection): void {
+    if (!open.delete(connection)) return;
+    connection.listener.count--;
+    bytes -= connection.bytes;
+    connection.bytes = 0;
+  }
+
+  /** Makes room for a new connection; returns whether there is any. */
+  function admitConnection(listener: Connection["listener"]): boolean {
+    const isListenerFull = listener.count >= listener.maxConnections;
+    if (!isListenerFull && open.size < maxConnections) return true;
+    record("connections");
+    const victim = chooseByAge(open, {
+      now: clock.now(),
+      mayClose: (one) =>
+        !isListenerFull || (one as Connection).listener === listener,
+    });
+    if (victim === undefined) return false;
+    evict(victim as Connection);
+    return true;
+  }
+
+  function handleConnection(
+    server: Server,
+    socket: Socket,
+    listener: Connection["listener"],
+  ): void {
+    const known = connections.get(socket);
+    if (known !== undefined) {
+      // An upgrade that was refused goes on as a request.
+      known.isUpgraded = false;
+      return openInput(server, known);
+    }
+    if (!admitConnection(listener)) return void socket.destroy();
+    const now = clock.now();
+    const connection: Connection = {
+      socket,
+      listener,
+      exchanges: new Set(),
+      input: undefined,
+      bytes: 0,
+      activeAt: now,
+      hasServed: false,
+      isUpgraded: false,
+      isUnread: false,
+      exchangeBytes: 0,
+      outputBytes: 0,
+      sentBytes: 0,
+      sentAt: now,
+      turnBytes: 0,
+      recordUse() {
+        connection.activeAt = clock.now();
+      },
+    };
+    connections.set(socket, connection);
+    guards.set(socket, guard);
+    open.add(connection);
+    listener.count++;
+    openInput(server, connection);
+    updateBytes(connection);
+    socket.once("close", () => closeConnection(connection));
+    socket.on("drain", () => schedule(connection));
+    scheduleCheck();
+  }
+
+  function openInput(server: Server, connection: Connection): void {
+    const { socket } = connection;
+    connection.input = createRequestInput(socket, {
+      mayBegin: () => mayBegin(connection),
+      onWaiting: () => schedule(connection),
+      onHeld: () => updateBytes(connection),
+      onMalformed: () => {
+        const error = Object.assign(new Error("a chunk is malformed"), {
+          code: "HPE_INVALID_CHUNK_SIZE",
+        });
+        server.emit("clientError", error, socket);
+      },
+      onBody: (count, message) => recordBody(connection, { count, message }),
+    });
+  }
+
+  function schedule(connection: Connection): void {
+    const { input } = connection;
+    if (input !== undefined && input.waitingBytes > 0) {
+      turns.add(connection, () => input.resume());
+    }
+  }
+
+  function mayBegin(connection: Connection): boolean {
+    const { socket, exchanges, listener } = connection;
+    if (socket.writableNeedDrain) return false;
+    if (exchanges.size === 0) return true;
+    const maxAhead = listener.maxRequestsAhead ?? limits.maxRequestsAhead;
+    const isAllowed = exchanges.size < maxAhead &&
+      exchangeCount < AHEAD_REQUEST_SHARE * limits.maxRequests &&
+      bytes < AHEAD_MEMORY_SHARE * limits.maxConnectionBytes &&
+      sumOutput(connection) < socket.writableHighWaterMark;
+    if (!isAllowed) record("requests_ahead");
+    return isAllowed;
+  }
+
+  /** Reads other connections before the rest of a long body. */
+  function recordBody(
+    connection: Connection,
+    { count, message }: { count: number; message: IncomingMessage },
+  ): void {
+    connection.activeAt = clock.now();
+    connection.turnBytes += count;
+    if (connection.turnBytes < BODY_TURN_BYTES || message.isPaused()) return;
+    connection.turnBytes = 0;
+    if (message.complete) return;
+    message.pause();
+    turns.add(message, () => message.resume());
+  }
+
+  function handleRequest(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const connection = connections.get(message.socket);
+    if (connection === undefined) return;
+    const exchange: Exchange = { message, response };
+    const cost = EXCHANGE_BYTES +
+      HEAD_FACTOR * (connection.input?.headBytes ?? 0);
+    connection.exchanges.add(exchange);
+    connection.exchangeBytes += cost;
+    connection.activeAt = clock.now();
+    connection.input?.begin(message, response);
+    exchangeCount++;
+    response.once("close", () => {
+      connection.exchanges.delete(exchange);
+      connection.exchangeBytes -= cost;
+      connection.hasServed = true;
+      connection.activeAt = clock.now();
+      exchangeCount--;
+      if (!open.has(connection)) return;
+      updateBytes(connection);
+      schedule(connection);
+    });
+  }
+
+  function closeConnection(connection: Connection): void {
+    remove(connection);
+    // Responses behind another one have no socket, and are not told.
+    setImmediate(() => {
+      for (const { response } of [...connection.exchanges]) {
+        if (!response.closed) response.emit("close");
+      }
+    });
+  }
+
+  function scheduleCheck(): void {
+    if (isChecking || open.size < CHECKED_CONNECTIONS) return;
+    isChecking = true;
+    clock.startTimer(CHECK_INTERVAL, () => {
+      isChecking = false;
+      checkOutput();
+      scheduleCheck();
+    });
+  }
+
+  /** Estimates what connections hold because their answers are not read. */
+  function checkOutput(): void {
+    const now = clock.now();
+    for (const connection of [...open]) {
+      if (!open.has(connection)) continue;
+      const { socket } = connection;
+      // The account of messages has those of upgraded connections.
+      const output = connection.isUpgraded ? 0 : sumOutput(connection);
+      const sent = socket.bytesWritten - socket.writableLength;
+      if (output === 0 || sent !== connection.sentBytes) {
+        connection.sentAt = now;
+      }
+      connection.sentBytes = sent;
+      connection.outputBytes = output;
+      connection.isUnread = now - connection.sentAt >= UNREAD_TIME;
+      updateBytes(connection);
+    }
+  }
+
+  const guard: ConnectionGuard = {
+    limits,
+    bodies: createHeldBytes(limits.maxBodyBytes, {
+      clock,
+      stallTime: STALLED_TIME,
+      // A body within the limits of its listener is always read in calm.
+      mayExceedAlone: true,
+    }),
+    peerMessages: createHeldBytes(limits.maxPeerBytes),
+    get bytes() {
+      return bytes;
+    },
+    get connectionCount() {
+      return open.size;
+    },
+    isFull: () =>
+      requestCount > limits.maxRequests || bytes > limits.maxConnectionBytes,
+    beginRequest(response) {
+      requestCount++;
+      response.once("close", () => requestCount--);
+    },
+    record,
+    add(server, listenerLimits) {
+      const listener = { ...listenerLimits, count: 0 };
+      server.on(
+        "connection",
+        (socket: Socket) => handleConnection(server, socket, listener),
+      );
+      server.prependListener("request", handleRequest);
+    },
+  };
+  return guard;
+}
+
+/** Bytes of answers that the connection has not taken. */
+function sumOutput({ socket, exchanges }: Connection): number {
+  let sum = socket.writableLength;
+  for (const { response } of exchanges) {
+    if (response.socket === null) sum += response.writableLength;
+  }
+  return sum;
+}
+
+/** Lists the requests of a connection whose responses have not closed. */
+export function listExchanges(socket: Socket): readonly Exchange[] {
+  return [...connections.get(socket)?.exchanges ?? []];
+}
+
+/**
+ * Leaves a connection that asks for an upgrade to its handler, with what was
+ * read behind the request.
+ */
+export function releaseConnection(socket: Duplex): void {
+  const connection = connections.get(socket as Socket);
+  if (connection === undefined) return;
+  connection.input?.detach();
+  connection.input = undefined;
+  connection.isUpgraded = true;
+}
+
+/**
+ * Opens the account of the messages of an upgraded connection; `onEnded` is
+ * called if the connection has to give way.
+ */
+export function openMessages(
+  socket: Duplex,
+  onEnded: () => void,
+): HeldPart | undefined {
+  const guard = guards.get(socket as Socket);
+  return guard?.peerMessages.open(() => {
+    guard.record("peer_bytes");
+    onEnded();
+  });
+}
+
+/** Records that an upgraded connection is in use. */
+export function recordUse(socket: Duplex): void {
+  connections.get(socket as Socket)?.recordUse();
+}
+
+/** The account of one body. */
+export interface BodyAccount extends HeldPart {
+  /** Records that the request has been read completely. */
+  complete(): void;
+}
+
+/**
+ * Opens the account of a request's body, which is closed with the response;
+ * `onEnded` is called if the body has to give way.
+ */
+export function openBody(
+  message: IncomingMessage,
+  onEnded: () => void,
+): BodyAccount | undefined {
+  const guard = guards.get(message.socket);
+  const exchange = listExchanges(message.socket)
+    .find((one) => one.message === message);
+  if (guard === undefined || exchange === undefined) return undefined;
+  const part = guard.bodies.open(() => {
+    guard.record("body_bytes");
+    onEnded();
+  });
+  exchange.response.once("close", part.release);
+  return {
+    ...part,
+    complete() {
+      part.keep();
+      guard.beginRequest(exchange.response);
+    },
+  };
+}
--- /dev/null
+++ b/packages/shared/src/connections/request_input.ts
@@ -0,0 +1,262 @@
+/**
+ * Passes the bytes of a connection to the HTTP parser, one request at a time.
+ *
+ * The parser of node:http reads all requests of a segment at once, and creates
+ * an object for each request and for each chunk of a body, however many there
+ * are. Here the rest of the segment waits until the next request may begin, and
+ * the chunks of a body are joined first.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { ChunkJoiner } from "./chunk_joiner.ts";
+import { createChunkJoiner } from "./chunk_joiner.ts";
+import type { HeadEnd } from "./head_end.ts";
+import { createHeadEnd } from "./head_end.ts";
+
+/** Options of {@linkcode createRequestInput}. */
+export interface RequestInputOptions {
+  /** Whether the next request may begin. */
+  mayBegin: () => boolean;
+  /** Called when bytes wait; `resume` is to be called later. */
+  onWaiting: () => void;
+  /** Called when the bytes that wait, or those of a head, have changed. */
+  onHeld: () => void;
+  /** Called for chunks that are malformed. */
+  onMalformed: () => void;
+  /** Called after a part of a body; its message may be paused. */
+  onBody: (bytes: number, message: IncomingMessage) => void;
+}
+
+/** The input of one connection. */
+export interface RequestInput {
+  /** Bytes that wait for the end of other requests. */
+  readonly waitingBytes: number;
+  /** Bytes of the head that is being read. */
+  readonly headBytes: number;
+  /** Whether a request is being read. */
+  readonly isReading: boolean;
+  /** Begins the next request if it may. */
+  resume(): void;
+  /** Records the request that the parser has found. */
+  begin(message: IncomingMessage, response: ServerResponse): void;
+  /** Leaves the connection and the bytes that wait to another protocol. */
+  detach(): void;
+}
+
+type State =
+  /** Between requests. */
+  | "between"
+  | "head"
+  | "length"
+  | "chunks"
+  | "trailers"
+  /** The connection ends with its last answer; what follows is ignored. */
+  | "ended";
+
+const CR = 13;
+const LF = 10;
+const LAST_CHUNK = Buffer.from("0\r\n");
+const LINE_END = Buffer.from("\r\n");
+/** Bytes of the end of a head that the line before has. */
+const MATCHED_BY_LINE = 2;
+
+/** Puts the input between a connection and its HTTP parser. */
+export function createRequestInput(
+  socket: Socket,
+  { mayBegin, onWaiting, onHeld, onMalformed, onBody }: RequestInputOptions,
+): RequestInput {
+  const [parse] = socket.listeners("data") as ((part: Buffer) => void)[];
+  let state: State = "between";
+  let waiting: Buffer | undefined;
+  let headBytes = 0;
+  let headEnd: HeadEnd = createHeadEnd();
+  let joiner: ChunkJoiner = createChunkJoiner();
+  /** Of a body with a length. */
+  let bytesLeft = 0;
+  let current:
+    | { message: IncomingMessage; response: ServerResponse }
+    | undefined;
+  let isAttached = true;
+  /** What follows the head that is being parsed. */
+  let rest: Buffer | undefined;
+
+  socket.off("data", parse!);
+  // Takes the socket back from the parser, which would read its handle.
+  socket.on("data", handlePart);
+
+  function handlePart(part: Buffer): void {
+    if (waiting !== undefined) {
+      waiting = Buffer.concat([waiting, part]);
+      socket.pause();
+      return onHeld();
+    }
+    read(part);
+  }
+
+  function forwardPart(part: Buffer): void {
+    if (part.length > 0) parse!.call(socket, part);
+  }
+
+  function isOpen(): boolean {
+    return isAttached && !socket.destroyed;
+  }
+
+  /** Keeps what cannot be read yet. */
+  function wait(part: Buffer, at: number): void {
+    if (at === part.length) return;
+    waiting = part.subarray(at);
+    socket.pause();
+    onHeld();
+    onWaiting();
+  }
+
+  function read(part: Buffer): void {
+    let at = 0;
+    let hasBegun = false;
+    while (at < part.length && isOpen()) {
+      if (state === "between") {
+        at = dropEmptyLines(part, at);
+        if (at === part.length) return;
+        // One request in a turn, so that other connections are read meanwhile.
+        if (hasBegun || !mayBegin()) return wait(part, at);
+        hasBegun = true;
+        state = "head";
+        headEnd = createHeadEnd();
+        current = undefined;
+      }
+      at = readState(part, at);
+    }
+  }
+
+  /** Reads what the current state allows; returns the offset behind it. */
+  function readState(part: Buffer, at: number): number {
+    switch (state) {
+      case "head":
+        return readHead(part, at);
+      case "length":
+        return readLength(part, at);
+      case "chunks":
+        return readChunks(part, at);
+      case "trailers":
+        return readTrailers(part, at);
+      default:
+        return part.length;
+    }
+  }
+
+  function readHead(part: Buffer, at: number): number {
+    const end = headEnd.find(part, at);
+    const until = end < 0 ? part.length : end;
+    headBytes += until - at;
+    onHeld();
+    rest = part.subarray(until);
+    forwardPart(part.subarray(at, until));
+    rest = undefined;
+    if (!isAttached) return part.length;
+    if (end >= 0) startBody();
+    else if (current !== undefined) endMalformed();
+    return until;
+  }
+
+  function startBody(): void {
+    headBytes = 0;
+    // The server has refused the request itself, and closes the connection.
+    if (current === undefined) return void (state = "ended");
+    const { headers } = current.message;
+    if (headers["transfer-encoding"] !== undefined) {
+      state = "chunks";
+      joiner = createChunkJoiner();
+      return;
+    }
+    bytesLeft = Number(headers["content-length"] ?? 0);
+    if (bytesLeft > 0) state = "length";
+    else endRequest();
+  }
+
+  function endRequest(): void {
+    state = current?.response.shouldKeepAlive ? "between" : "ended";
+  }
+
+  function endMalformed(): void {
+    state = "ended";
+    onMalformed();
+  }
+
+  function readLength(part: Buffer, at: number): number {
+    const until = Math.min(part.length, at + bytesLeft);
+    bytesLeft -= until - at;
+    if (bytesLeft === 0) endRequest();
+    forwardPart(part.subarray(at, until));
+    onBody(until - at, current!.message);
+    return until;
+  }
+
+  function readChunks(part: Buffer, from: number): number {
+    const joined = joiner.read(part, from);
+    if (joined === undefined) {
+      endMalformed();
+      return part.length;
+    }
+    const { data, at, isLast } = joined;
+    if (data.length > 0) forwardPart(formatChunk(data));
+    if (isLast) {
+      state = "trailers";
+      headEnd = createHeadEnd(MATCHED_BY_LINE);
+      forwardPart(LAST_CHUNK);
+    }
+    onBody(at - from, current!.message);
+    return at;
+  }
+
+  function readTrailers(part: Buffer, at: number): number {
+    const end = headEnd.find(part, at);
+    const until = end < 0 ? part.length : end;
+    if (end >= 0) endRequest();
+    forwardPart(part.subarray(at, until));
+    return until;
+  }
+
+  return {
+    get waitingBytes() {
+      return waiting?.length ?? 0;
+    },
+    get headBytes() {
+      return headBytes;
+    },
+    get isReading() {
+      return state !== "between" && state !== "ended";
+    },
+    resume() {
+      if (waiting === undefined || !isOpen() || !mayBegin()) return;
+      const part = waiting;
+      waiting = undefined;
+      read(part);
+      if (!isOpen()) return;
+      onHeld();
+      if (waiting === undefined) socket.resume();
+    },
+    begin(message, response) {
+      current = { message, response };
+    },
+    detach() {
+      isAttached = false;
+      socket.off("data", handlePart);
+      if (rest !== undefined && rest.length > 0) socket.unshift(rest);
+      rest = undefined;
+    },
+  };
+}
+
+function dropEmptyLines(part: Buffer, from: number): number {
+  let at = from;
+  while (part[at] === CR || part[at] === LF) at++;
+  return at;
+}
+
+function formatChunk(data: Buffer): Buffer {
+  const size = Buffer.from(`${data.length.toString(16)}\r\n`, "latin1");
+  return Buffer.concat([size, data, LINE_END]);
+}
--- a/packages/shared/src/http_server.ts
+++ b/packages/shared/src/http_server.ts
@@ -15,6 +15,12 @@
 import { createServer } from "node:http";
 import type { AddressInfo, Server as NetServer } from "node:net";
 import { handleClientErrors } from "./client_errors.ts";
+import { createBodyCollector } from "./connections/body_collector.ts";
+import type { ConnectionGuard } from "./connections/connection_guard.ts";
+import {
+  createConnectionGuard,
+  openBody,
+} from "./connections/connection_guard.ts";
 
 /** An address to listen on: IP address and port; port 0 selects a free port. */
 export interface ListenAddress {
@@ -30,7 +36,10 @@
    * closed.
    */
   requestTimeoutMs: number;
+  /** Beyond it, idle connections are closed for new ones. */
   maxConnections: number;
+  /** Requests of one connection served at once. */
+  maxRequestsAhead?: number;
   /**
    * Timeout of idle connections; Node's default of some seconds if left out.
    */
@@ -45,10 +54,17 @@
   | { kind: "no_memory" }
   | { kind: "cut" };
 
+const STATUS_EXPECTATION_FAILED = 417;
+
 /** Starts a server and resolves once it listens. */
 export async function startServer(
   listener: RequestListener,
-  { address, limits }: { address: ListenAddress; limits: ServerLimits },
+  { address, limits, guard = createConnectionGuard() }: {
+    address: ListenAddress;
+    limits: ServerLimits;
+    /** Bounds what the connections of all servers of a process hold. */
+    guard?: ConnectionGuard | undefined;
+  },
 ): Promise<Server> {
   const server = createServer({
     maxHeaderSize: limits.maxHeaderBytes,
@@ -61,7 +77,11 @@
       : { keepAliveTimeout: limits.idleTimeoutMs }),
   }, listener);
   handleClientErrors(server);
-  server.maxConnections = limits.maxConnections;
+  guard.add(server, limits);
+  server.on("checkExpectation", (_message, response) => {
+    response.writeHead(STATUS_EXPECTATION_FAILED, { connection: "close" });
+    response.end();
+  });
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
     server.listen(address.port, address.host, resolve);
@@ -83,41 +103,43 @@
 }
 
 /**
- * Reads a request's body up to `limit` bytes. `acquire` takes the memory of each
- * part, and returns whether there was enough.
+ * Reads a request's body up to `limit` bytes, within the memory that its server
+ * has for bodies.
  */
 export function readBody(
   request: IncomingMessage,
   limit: number,
-  acquire: (bytes: number) => boolean = () => true,
 ): Promise<BodyOutcome> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const collector = createBodyCollector();
     let length = 0;
     /** The rest is read, or the caller would not read its answer. */
     let isDiscarded = false;
-    // A body of a known length that can't be held is not read at all.
+    const held = openBody(request, () => {
+      isDiscarded = true;
+      collector.clear();
+      resolve({ kind: "no_memory" });
+    });
     const announced = Math.min(limit, readAnnouncedLength(request));
-    if (announced > 0 && !acquire(announced)) {
-      return resolve({ kind: "no_memory" });
-    }
+    if (announced > 0) held?.add(announced);
+    // A body of a known length that can't be held is not read at all.
+    if (isDiscarded) return;
     request.on("data", (chunk: Buffer) => {
       length += chunk.length;
       if (length > limit) {
         request.pause();
+        collector.clear();
+        held?.release();
         return resolve({ kind: "too_large" });
       }
       if (isDiscarded) return;
-      if (announced === 0 && !acquire(chunk.length)) {
-        isDiscarded = true;
-        chunks.length = 0;
-        return resolve({ kind: "no_memory" });
-      }
-      chunks.push(chunk);
+      const taken = collector.add(chunk);
+      if (announced === 0 && taken > 0) held?.add(taken);
     });
     request.once("end", () => {
-      const body = chunks.length === 1 ? chunks[0]! : NodeBuffer.concat(chunks);
-      resolve({ kind: "whole", body });
+      if (isDiscarded) return;
+      held?.complete();
+      resolve({ kind: "whole", body: collector.join() });
     });
     request.once("close", () => resolve({ kind: "cut" }));
     request.once("error", () => resolve({ kind: "cut" }));
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -7,8 +7,6 @@
 export { parseAddress } from "./address.ts";
 export { parseAmount } from "./amount.ts";
 export { putBounded } from "./bounded_map.ts";
-export type { ByteBudget } from "./byte_budget.ts";
-export { createByteBudget } from "./byte_budget.ts";
 export type { CancelTimer, Clock, Millis } from "./clock.ts";
 export { createSystemClock } from "./clock.ts";
 export type { FakeClock } from "./fake_clock.ts";
@@ -94,7 +92,7 @@
   readLimitedBody,
   readReplyJson,
 } from "./http_client.ts";
-export type { HeldBytes } from "./held_bytes.ts";
+export type { HeldBytes, HeldPart } from "./held_bytes.ts";
 export { createHeldBytes } from "./held_bytes.ts";
 export type { Timeout } from "./timeout.ts";
 export type {
@@ -103,3 +101,22 @@
 } from "./persistent_connections.ts";
 export { createPersistentConnections } from "./persistent_connections.ts";
 export { startTimeout, TIMED_OUT } from "./timeout.ts";
+export type {
+  ConnectionGuard,
+  ConnectionGuardOptions,
+  LimitKind,
+  LimitReport,
+} from "./connections/connection_guard.ts";
+export {
+  createConnectionGuard,
+  openMessages,
+  recordUse,
+  releaseConnection,
+} from "./connections/connection_guard.ts";
+export type { BodyCollector } from "./connections/body_collector.ts";
+export { createBodyCollector } from "./connections/body_collector.ts";
+export type { ConnectionLimits } from "./connections/connection_limits.ts";
+export {
+  connectionLimitsSchema,
+  DEFAULT_CONNECTION_LIMITS,
+} from "./connections/connection_limits.ts";
--- a/scripts/settings_reference.ts
+++ b/scripts/settings_reference.ts
@@ -12,6 +12,7 @@
   operatorSettingsSchema,
 } from "@mangoreach/operators";
 import { z } from "zod";
+import { platformSettingsSchema } from "../platform/src/platform_settings.ts";
 
 const PAGE = "docs/operators/settings.md";
 
@@ -82,6 +83,7 @@
   "Files are JSON with comments. Durations are milliseconds.",
   "",
   formatSection("mangoreach-entry", entrySettingsSchema),
+  formatSection("mangoreach-platform", platformSettingsSchema),
   formatSection(
     "mangoreachctl and mangoreach-timeline",
     operatorSettingsSchema,
--- a/soak/src/entry_settings.ts
+++ b/soak/src/entry_settings.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { DEFAULT_CONNECTION_LIMITS } from "@mangoreach/shared";
 import type { PlatformSettings } from "../../platform/src/platform_settings.ts";
 import { findFreePorts } from "./free_ports.ts";
 
@@ -48,6 +49,7 @@
     stopS,
     repeatShare: 0.2,
     accountShares: true,
+    connections: DEFAULT_CONNECTION_LIMITS,
     repeatSlack: 56,
   };
 }
