fix(shared): bytes of no request are read in turn; tests of the guard

Cause: empty lines, and what follows the last request of a connection, were dropped as fast as they came, while bodies are read in turn. Requests that wait are counted once for each time that they are held, not at each look.

The tests of the guard play it on real connections: requests sent ahead in order (2, 8, 32, 500), bodies and heads split anywhere, what gives way and what does not.

--- a/packages/shared/src/connections/connection_guard.ts
+++ b/packages/shared/src/connections/connection_guard.ts
@@ -111,8 +111,8 @@
 const AHEAD_REQUEST_SHARE = 0.1;
 /** Share to which memory is freed. */
 const FREED_SHARE = 0.9;
-/** Bytes of a body that are read before other connections have their turn. */
-const BODY_TURN_BYTES = 131_072;
+/** Bytes that are read before other connections have their turn. */
+const TURN_BYTES = 131_072;
 const CHECK_INTERVAL: Millis = 100;
 /** Fewer connections than this do not hold much unread. */
 const CHECKED_CONNECTIONS = 32;
@@ -138,8 +138,10 @@
   /** Bytes that the socket had sent at the last check. */
   sentBytes: number;
   sentAt: Millis;
-  /** Bytes of bodies read in this turn. */
+  /** Bytes of bodies, or of no request, read in this turn. */
   turnBytes: number;
+  /** Whether requests that were sent ahead wait. */
+  isHeld: boolean;
   recordUse(): void;
 }
 
@@ -251,6 +253,7 @@
       sentBytes: 0,
       sentAt: now,
       turnBytes: 0,
+      isHeld: false,
       recordUse() {
         connection.activeAt = clock.now();
       },
@@ -279,6 +282,7 @@
         server.emit("clientError", error, socket);
       },
       onBody: (count, message) => recordBody(connection, { count, message }),
+      onDropped: (count) => recordDropped(connection, count),
     });
   }
 
@@ -292,13 +296,17 @@
   function mayBegin(connection: Connection): boolean {
     const { socket, exchanges, listener } = connection;
     if (socket.writableNeedDrain) return false;
-    if (exchanges.size === 0) return true;
+    if (exchanges.size === 0) {
+      connection.isHeld = false;
+      return true;
+    }
     const maxAhead = listener.maxRequestsAhead ?? limits.maxRequestsAhead;
     const isAllowed = exchanges.size < maxAhead &&
       exchangeCount < AHEAD_REQUEST_SHARE * limits.maxRequests &&
       bytes < AHEAD_MEMORY_SHARE * limits.maxConnectionBytes &&
       sumOutput(connection) < socket.writableHighWaterMark;
-    if (!isAllowed) record("requests_ahead");
+    if (!isAllowed && !connection.isHeld) record("requests_ahead");
+    connection.isHeld = !isAllowed;
     return isAllowed;
   }
 
@@ -309,13 +317,23 @@
   ): void {
     connection.activeAt = clock.now();
     connection.turnBytes += count;
-    if (connection.turnBytes < BODY_TURN_BYTES || message.isPaused()) return;
+    if (connection.turnBytes < TURN_BYTES || message.isPaused()) return;
     connection.turnBytes = 0;
     if (message.complete) return;
     message.pause();
     turns.add(message, () => message.resume());
   }
 
+  /** Reads other connections before more bytes that belong to no request. */
+  function recordDropped(connection: Connection, count: number): void {
+    const { socket } = connection;
+    connection.turnBytes += count;
+    if (connection.turnBytes < TURN_BYTES) return;
+    connection.turnBytes = 0;
+    socket.pause();
+    turns.add(socket, () => socket.resume());
+  }
+
   function handleRequest(
     message: IncomingMessage,
     response: ServerResponse,
--- a/packages/shared/src/connections/request_input.ts
+++ b/packages/shared/src/connections/request_input.ts
@@ -28,6 +28,8 @@
   onMalformed: () => void;
   /** Called after a part of a body; its message may be paused. */
   onBody: (bytes: number, message: IncomingMessage) => void;
+  /** Called after bytes that belong to no request. */
+  onDropped: (bytes: number) => void;
 }
 
 /** The input of one connection. */
@@ -66,7 +68,8 @@
 /** Puts the input between a connection and its HTTP parser. */
 export function createRequestInput(
   socket: Socket,
-  { mayBegin, onWaiting, onHeld, onMalformed, onBody }: RequestInputOptions,
+  { mayBegin, onWaiting, onHeld, onMalformed, onBody, onDropped }:
+    RequestInputOptions,
 ): RequestInput {
   const [parse] = socket.listeners("data") as ((part: Buffer) => void)[];
   let state: State = "between";
@@ -118,7 +121,9 @@
     let hasBegun = false;
     while (at < part.length && isOpen()) {
       if (state === "between") {
-        at = dropEmptyLines(part, at);
+        const begin = dropEmptyLines(part, at);
+        if (begin > at) onDropped(begin - at);
+        at = begin;
         if (at === part.length) return;
         // One request in a turn, so that other connections are read meanwhile.
         if (hasBegun || !mayBegin()) return wait(part, at);
@@ -143,6 +148,7 @@
       case "trailers":
         return readTrailers(part, at);
       default:
+        onDropped(part.length - at);
         return part.length;
     }
   }
