fix(peers): messages of all peers are bounded for the process

The control address is open to strangers. Callers saw: with 60 connections that had been upgraded and sent frames short of their end, an entry took 560 MB of a machine's 350. Cause: each connection may hold a frame of 8 MB, calls in progress and 16 MB of unread replies, and a thousand connections are accepted; nothing bounded their sum.

--- a/packages/peers/src/frame_channel.ts
+++ b/packages/peers/src/frame_channel.ts
@@ -8,7 +8,8 @@
 import type { Buffer } from "node:buffer";
 import { Socket } from "node:net";
 import type { Duplex } from "node:stream";
-import type { Millis } from "@mangoreach/shared";
+import type { HeldPart, Millis } from "@mangoreach/shared";
+import { recordUse } from "@mangoreach/shared";
 import { createFrameDecoder, encodeFrame } from "./frame_codec.ts";
 
 /** Options of {@linkcode openFrameChannel}. */
@@ -18,6 +19,8 @@
   idleTimeout: Millis;
   /** Whether calls are in progress; the channel is not idle then. */
   isBusy: () => boolean;
+  /** The account of the messages that the channel holds. */
+  held?: HeldPart | undefined;
   /** Returns what is malformed in the message, if anything. */
   onMessage: (message: unknown, bytes: number) => string | undefined;
   /** Called once, when the socket has closed. */
@@ -33,6 +36,8 @@
 /** Sends and receives frames. */
 export interface FrameChannel {
   send(message: unknown): SendOutcome;
+  /** Adds to the bytes of messages that are worked on, or takes from them. */
+  hold(bytes: number): void;
   close(): void;
 }
 
@@ -60,7 +65,7 @@
 /** Opens a channel on a socket that has been upgraded. */
 export function openFrameChannel(
   socket: Duplex,
-  { head, idleTimeout, isBusy, onMessage, onClosed }: FrameChannelOptions,
+  { head, idleTimeout, isBusy, held, onMessage, onClosed }: FrameChannelOptions,
 ): FrameChannel {
   let fault: ChannelFault | undefined;
   const decoder = createFrameDecoder((message, bytes) => {
@@ -74,8 +79,17 @@
     socket.destroy();
   }
 
+  /** Of messages that are worked on. */
+  let messageBytes = 0;
+
+  function updateHeld(): void {
+    held?.set(decoder.heldBytes + messageBytes + socket.writableLength);
+  }
+
   function readChunk(chunk: Buffer): void {
+    recordUse(socket);
     if (decoder.add(chunk) !== undefined) closeFor("malformed");
+    updateHeld();
   }
 
   function send(message: unknown): SendOutcome {
@@ -84,6 +98,7 @@
     if (frame === undefined) return "too_large";
     socket.write(frame);
     if (socket.writableLength > MAX_BUFFERED_BYTES) closeFor("not_reading");
+    updateHeld();
     return frame.length;
   }
 
@@ -96,6 +111,17 @@
   // Sockets of an HTTP server stay half open otherwise.
   socket.on("end", () => socket.destroy());
   socket.on("error", () => socket.destroy());
-  socket.once("close", () => onClosed(fault));
-  return { send, close: () => void socket.destroy() };
+  socket.on("drain", updateHeld);
+  socket.once("close", () => {
+    held?.release();
+    onClosed(fault);
+  });
+  return {
+    send,
+    hold(bytes) {
+      messageBytes += bytes;
+      updateHeld();
+    },
+    close: () => void socket.destroy(),
+  };
 }
--- a/packages/peers/src/frame_codec.ts
+++ b/packages/peers/src/frame_codec.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { Buffer } from "node:buffer";
+import { createBodyCollector } from "@mangoreach/shared";
 
 /** Largest frame, without its length; about eight times a full snapshot. */
 export const MAX_FRAME_BYTES = 8 * 1_048_576;
@@ -23,6 +24,8 @@
 
 /** Decodes frames from the chunks of a connection. */
 export interface FrameDecoder {
+  /** Bytes of an incomplete frame. */
+  readonly heldBytes: number;
   /**
    * Calls `onFrame` for each frame that the chunk completes. Returns what is
    * malformed; nothing may be added after that.
@@ -35,17 +38,18 @@
   onFrame: (message: unknown, bytes: number) => void,
 ): FrameDecoder {
   /** The bytes of an incomplete frame. */
-  let chunks: Buffer[] = [];
+  const collector = createBodyCollector();
   let length = 0;
   /** How many bytes are needed to continue. */
   let needed = LENGTH_BYTES;
 
   function add(chunk: Buffer): string | undefined {
     length += chunk.length;
-    chunks.push(chunk);
+    collector.add(chunk);
     // A large frame comes in many chunks, which are joined only once.
     if (length < needed) return undefined;
-    const bytes = chunks.length === 1 ? chunk : Buffer.concat(chunks, length);
+    const bytes = collector.join();
+    collector.clear();
     let at = 0;
     needed = LENGTH_BYTES;
     while (bytes.length - at >= LENGTH_BYTES) {
@@ -65,9 +69,14 @@
       needed = LENGTH_BYTES;
     }
     length = bytes.length - at;
-    chunks = length === 0 ? [] : [bytes.subarray(at)];
+    if (length > 0) collector.add(bytes.subarray(at));
     return undefined;
   }
 
-  return { add };
+  return {
+    get heldBytes() {
+      return length;
+    },
+    add,
+  };
 }
--- a/packages/peers/src/peer_connection_server.ts
+++ b/packages/peers/src/peer_connection_server.ts
@@ -8,7 +8,7 @@
 import type { IncomingMessage, Server } from "node:http";
 import type { Duplex } from "node:stream";
 import type { Millis } from "@mangoreach/shared";
-import { releaseConnection } from "@mangoreach/shared";
+import { openMessages, releaseConnection } from "@mangoreach/shared";
 import type { AnyTRPCRouter } from "@trpc/server";
 import { callTRPCProcedure, getTRPCErrorFromUnknown } from "@trpc/server";
 import type { ChannelFault, FrameChannel } from "./frame_channel.ts";
@@ -93,6 +93,7 @@
       head,
       idleTimeout: IDLE_TIMEOUT,
       isBusy: () => calls.size > 0,
+      held: openMessages(socket, () => channel.close()),
       onMessage: handleMessage,
       onClosed(fault) {
         channels.delete(channel);
@@ -117,7 +118,8 @@
       }
       if (calls.has(frame.id)) return "the id of a call in progress";
       onBytes?.(frame.path, "in", bytes);
-      void answerCall(frame);
+      channel.hold(bytes);
+      void answerCall(frame).finally(() => channel.hold(-bytes));
       return undefined;
     }
 
--- a/soak/src/misbehaving_clients_site_test.ts
+++ b/soak/src/misbehaving_clients_site_test.ts
@@ -42,6 +42,9 @@
 /** Of the heap, in MB: less than a deployment has shows a fault to fewer. */
 const SMALL_HEAP_MB = 48;
 const ENDPOINTS = 4;
+/** Of a frame of a peer, in bytes, and as it is sent before the frame. */
+const FRAME_BYTES = 0x7f_7f_7f;
+const FRAME_LENGTH = "\0\x7f\x7f\x7f";
 
 const REQUEST_HEAD = "POST /plain/x HTTP/1.1\r\nhost: soak.example\r\n" +
   `authorization: Bearer key-1\r\n${HEADER.deadline}: ${ROUTE_TIMEOUT_MS}\r\n`;
@@ -127,6 +130,17 @@
     heap: SMALL_HEAP_MB,
     createForm: () => formatGet("/x"),
   },
+  {
+    name: "frames of peers that stop short of their end",
+    listener: "control",
+    connections: 60,
+    createForm: () => ({
+      start: "GET /peers/ HTTP/1.1\r\nhost: a\r\nconnection: Upgrade\r\n" +
+        `upgrade: mangoreach-peer\r\n\r\n${FRAME_LENGTH}`,
+      repeated: "x",
+      limit: FRAME_BYTES - 1,
+    }),
+  },
 ];
 
 function formatGet(path: string): ClientForm {
