fix(entry): an entry refuses requests beyond connections.maxRequests

The setting stands in the settings of both entries, but only the platform's caller listener asked the guard. mangoreach-entry asks it now, once a body has been read; what it refuses has not run. A server without a guard of its own process has the connections of its own limits, as before.

98 tests of the entry and of the end-to-end path pass; read in the code, no run shows the refusal itself.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -195,10 +195,25 @@
     services: clients.services,
     policy,
   });
+  const callersLogger = logger.forPart("callers");
+  const connections = createConnectionGuard({
+    clock,
+    limits: settings.connections,
+    onLimited({ limit, count }) {
+      metrics.countLimited(limit, count);
+      callersLogger.warn("A limit of connections has acted.", {
+        limit,
+        count,
+        connections: connections.connectionCount,
+        bytes: connections.bytes,
+      });
+    },
+  });
   const requests = createRequestHandler(context, {
     credentials,
     readSite: () => config.site,
     guard,
+    connections,
     admission,
     attainment,
     pools,
@@ -212,20 +227,6 @@
     isStopping: () => phase === "stopping",
     readTimeLeft: () => cutOffAt - clock.now(),
   });
-  const callersLogger = logger.forPart("callers");
-  const connections = createConnectionGuard({
-    clock,
-    limits: settings.connections,
-    onLimited({ limit, count }) {
-      metrics.countLimited(limit, count);
-      callersLogger.warn("A limit of connections has acted.", {
-        limit,
-        count,
-        connections: connections.connectionCount,
-        bytes: connections.bytes,
-      });
-    },
-  });
   const serverLimits = {
     maxHeaderBytes: settings.limits.maxHeaderBytes,
     requestTimeoutMs: settings.limits.requestTimeoutMs,
--- a/packages/entry/src/request_handler.ts
+++ b/packages/entry/src/request_handler.ts
@@ -22,7 +22,7 @@
   formatBoundId,
 } from "@mangoreach/coordination";
 import type { StoredAnswer } from "@mangoreach/peers";
-import type { Millis } from "@mangoreach/shared";
+import type { ConnectionGuard, Millis } from "@mangoreach/shared";
 import { parseJson, readBody } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { SendAnswerOptions } from "./caller_answer.ts";
@@ -36,6 +36,7 @@
   failBody,
   failClass,
   failDeadlinePassed,
+  failFull,
   failMemory,
   failNotFound,
   failNotReady,
@@ -78,6 +79,8 @@
   credentials: CredentialsCheck;
   readSite: () => SiteConfig | undefined;
   guard: AtMostOnceGuard;
+  /** Bounds the requests and bodies of all connections. */
+  connections: ConnectionGuard;
   /** Undefined for the baselines, which admit everything. */
   admission: Admission | undefined;
   attainment: AttainmentTracker;
@@ -189,7 +192,6 @@
     head: RequestHead,
   ) {
     const outcome = await readBody(request, settings.limits.maxBodyBytes);
-    if (outcome.kind === "whole") return outcome.body;
     if (outcome.kind === "cut") return undefined;
     if (outcome.kind === "no_memory") {
       refuseWithoutBody(
@@ -198,6 +200,12 @@
       );
       return undefined;
     }
+    if (outcome.kind === "whole") {
+      if (!options.connections.isFull()) return outcome.body;
+      options.connections.record("requests");
+      refuse({ request, response }, failFull(), head);
+      return undefined;
+    }
     refuseWithoutBody(
       { request, response },
       createFailure("too_large", {
--- a/packages/shared/src/http_server.ts
+++ b/packages/shared/src/http_server.ts
@@ -21,6 +21,7 @@
   createConnectionGuard,
   openBody,
 } from "./connections/connection_guard.ts";
+import { DEFAULT_CONNECTION_LIMITS } from "./connections/connection_limits.ts";
 
 /** An address to listen on: IP address and port; port 0 selects a free port. */
 export interface ListenAddress {
@@ -59,7 +60,7 @@
 /** Starts a server and resolves once it listens. */
 export async function startServer(
   listener: RequestListener,
-  { address, limits, guard = createConnectionGuard() }: {
+  { address, limits, guard = createOwnGuard(limits) }: {
     address: ListenAddress;
     limits: ServerLimits;
     /** Bounds what the connections of all servers of a process hold. */
@@ -89,6 +90,13 @@
   return server;
 }
 
+/** Creates the guard of a server that shares none. */
+function createOwnGuard({ maxConnections }: ServerLimits): ConnectionGuard {
+  return createConnectionGuard({
+    limits: { ...DEFAULT_CONNECTION_LIMITS, maxConnections },
+  });
+}
+
 /** The `ip:port` that a started server listens on. */
 export function readServerAddress(server: NetServer): string {
   const { address, port } = server.address() as AddressInfo;
