refactor(shared): the guard's registry and its reports stand apart; closed connections hold nothing

One fault on the way, read in the code: a connection that gives way while its head is being read was counted again by the next update, so that the estimate of all connections grew for good.

--- a/packages/shared/src/client_errors.ts
+++ b/packages/shared/src/client_errors.ts
@@ -11,7 +11,7 @@
 import type { Server } from "node:http";
 import { STATUS_CODES } from "node:http";
 import type { Socket } from "node:net";
-import { listExchanges } from "./connections/connection_guard.ts";
+import { listExchanges } from "./connections/connection_registry.ts";
 
 const STATUSES: ReadonlyMap<string, number> = new Map([
   ["ERR_HTTP_REQUEST_TIMEOUT", 408],
--- a/packages/shared/src/connections/connection_guard.ts
+++ b/packages/shared/src/connections/connection_guard.ts
@@ -7,71 +7,27 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import type { Duplex } from "node:stream";
 import type { Clock, Millis } from "../clock.ts";
 import { createSystemClock } from "../clock.ts";
-import type { HeldBytes, HeldPart } from "../held_bytes.ts";
+import type { HeldBytes } from "../held_bytes.ts";
 import { createHeldBytes } from "../held_bytes.ts";
 import type { ConnectionLimits } from "./connection_limits.ts";
 import {
   computeMaxConnections,
   DEFAULT_CONNECTION_LIMITS,
 } from "./connection_limits.ts";
+import type {
+  Connection,
+  Exchange,
+  ListenerLimits,
+} from "./connection_registry.ts";
+import { connections, guards } from "./connection_registry.ts";
 import { chooseByAge, chooseByMemory } from "./eviction.ts";
-import type { RequestInput } from "./request_input.ts";
+import type { LimitKind, LimitReport } from "./limit_reporter.ts";
+import { createLimitReporter } from "./limit_reporter.ts";
 import { createRequestInput } from "./request_input.ts";
 import { createTurnQueue } from "./turn_queue.ts";
 
-/** A limit that has acted. */
-export type LimitKind =
-  /** A connection was closed for a newer one. */
-  | "connections"
-  /** A connection was closed to free memory. */
-  | "connection_bytes"
-  /** A request was refused. */
-  | "requests"
-  /** Requests that were sent ahead wait. */
-  | "requests_ahead"
-  /** A body was refused or gave way to a smaller one. */
-  | "body_bytes"
-  /** A connection of a peer was closed. */
-  | "peer_bytes";
-
-/** How often a limit has acted since its last report. */
-export interface LimitReport {
-  limit: LimitKind;
-  count: number;
-}
-
-/** A request whose response has not closed. */
-export interface Exchange {
-  message: IncomingMessage;
-  response: ServerResponse;
-}
-
-/** An open connection of one of the listeners. */
-export interface GuardedConnection {
-  readonly socket: Socket;
-  readonly exchanges: ReadonlySet<Exchange>;
-  /** Estimated memory, in bytes. */
-  readonly bytes: number;
-  /** When it last made progress. */
-  readonly activeAt: Millis;
-  /** Whether a request of it has been answered. */
-  readonly hasServed: boolean;
-  /** Whether it now speaks another protocol. */
-  readonly isUpgraded: boolean;
-  /** Whether it has not read its answers for a while. */
-  readonly isUnread: boolean;
-}
-
-/** The limits of one listener. */
-export interface ListenerLimits {
-  maxConnections: number;
-  /** Requests of one connection served at once; the guard's own if left out. */
-  maxRequestsAhead?: number | undefined;
-}
-
 /** The guard of all listeners of a process. */
 export interface ConnectionGuard {
   readonly limits: ConnectionLimits;
@@ -120,33 +76,6 @@
 const UNREAD_TIME: Millis = 500;
 /** A body that makes no progress for this long gives way first. */
 const STALLED_TIME: Millis = 1_000;
-const REPORT_INTERVAL: Millis = 1_000;
-
-interface Connection extends GuardedConnection {
-  readonly exchanges: Set<Exchange>;
-  readonly listener: ListenerLimits & { count: number };
-  input: RequestInput | undefined;
-  bytes: number;
-  activeAt: Millis;
-  hasServed: boolean;
-  isUpgraded: boolean;
-  isUnread: boolean;
-  /** Estimated from the heads of the exchanges. */
-  exchangeBytes: number;
-  /** Output at the last check, in bytes. */
-  outputBytes: number;
-  /** Bytes that the socket had sent at the last check. */
-  sentBytes: number;
-  sentAt: Millis;
-  /** Bytes of bodies, or of no request, read in this turn. */
-  turnBytes: number;
-  /** Whether requests that were sent ahead wait. */
-  isHeld: boolean;
-  recordUse(): void;
-}
-
-const connections = new WeakMap<Socket, Connection>();
-const guards = new WeakMap<Socket, ConnectionGuard>();
 
 /** Creates the guard of a process. */
 export function createConnectionGuard(
@@ -159,28 +88,16 @@
   const maxConnections = computeMaxConnections(limits.maxConnections);
   const open = new Set<Connection>();
   const turns = createTurnQueue(clock);
-  const reports = new Map<LimitKind, number>();
+  const record = createLimitReporter({ clock, onLimited });
   let bytes = 0;
   /** Requests whose responses have not closed. */
   let exchangeCount = 0;
   /** Those of them that have been read completely. */
   let requestCount = 0;
-  let isReporting = false;
   let isChecking = false;
 
-  function record(limit: LimitKind): void {
-    if (onLimited === undefined) return;
-    reports.set(limit, (reports.get(limit) ?? 0) + 1);
-    if (isReporting) return;
-    isReporting = true;
-    clock.startTimer(REPORT_INTERVAL, () => {
-      isReporting = false;
-      reports.forEach((count, kind) => onLimited({ limit: kind, count }));
-      reports.clear();
-    });
-  }
-
   function updateBytes(connection: Connection): void {
+    if (!open.has(connection)) return;
     const { input, exchangeBytes, outputBytes } = connection;
     const next = CONNECTION_BYTES + exchangeBytes + outputBytes +
       (input?.waitingBytes ?? 0) + HEAD_FACTOR * (input?.headBytes ?? 0);
@@ -354,7 +271,7 @@
       connection.hasServed = true;
       connection.activeAt = clock.now();
       exchangeCount--;
-      if (!open.has(connection)) return;
+      connection.isUnread = false;
       updateBytes(connection);
       schedule(connection);
     });
@@ -441,72 +358,3 @@
   }
   return sum;
 }
-
-/** Lists the requests of a connection whose responses have not closed. */
-export function listExchanges(socket: Socket): readonly Exchange[] {
-  return [...connections.get(socket)?.exchanges ?? []];
-}
-
-/**
- * Leaves a connection that asks for an upgrade to its handler, with what was
- * read behind the request.
- */
-export function releaseConnection(socket: Duplex): void {
-  const connection = connections.get(socket as Socket);
-  if (connection === undefined) return;
-  connection.input?.detach();
-  connection.input = undefined;
-  connection.isUpgraded = true;
-}
-
-/**
- * Opens the account of the messages of an upgraded connection; `onEnded` is
- * called if the connection has to give way.
- */
-export function openMessages(
-  socket: Duplex,
-  onEnded: () => void,
-): HeldPart | undefined {
-  const guard = guards.get(socket as Socket);
-  return guard?.peerMessages.open(() => {
-    guard.record("peer_bytes");
-    onEnded();
-  });
-}
-
-/** Records that an upgraded connection is in use. */
-export function recordUse(socket: Duplex): void {
-  connections.get(socket as Socket)?.recordUse();
-}
-
-/** The account of one body. */
-export interface BodyAccount extends HeldPart {
-  /** Records that the request has been read completely. */
-  complete(): void;
-}
-
-/**
- * Opens the account of a request's body, which is closed with the response;
- * `onEnded` is called if the body has to give way.
- */
-export function openBody(
-  message: IncomingMessage,
-  onEnded: () => void,
-): BodyAccount | undefined {
-  const guard = guards.get(message.socket);
-  const exchange = listExchanges(message.socket)
-    .find((one) => one.message === message);
-  if (guard === undefined || exchange === undefined) return undefined;
-  const part = guard.bodies.open(() => {
-    guard.record("body_bytes");
-    onEnded();
-  });
-  exchange.response.once("close", part.release);
-  return {
-    ...part,
-    complete() {
-      part.keep();
-      guard.beginRequest(exchange.response);
-    },
-  };
-}
--- a/packages/shared/src/connections/connection_guard_test.ts
+++ b/packages/shared/src/connections/connection_guard_test.ts
@@ -9,8 +9,9 @@
   sendJson,
   startServer,
 } from "../http_server.ts";
-import type { ConnectionGuard, LimitReport } from "./connection_guard.ts";
+import type { ConnectionGuard } from "./connection_guard.ts";
 import { createConnectionGuard } from "./connection_guard.ts";
+import type { LimitReport } from "./limit_reporter.ts";
 import type { ConnectionLimits } from "./connection_limits.ts";
 import { DEFAULT_CONNECTION_LIMITS } from "./connection_limits.ts";
 
--- /dev/null
+++ b/packages/shared/src/connections/connection_registry.ts
@@ -0,0 +1,140 @@
+/**
+ * Finds the guarded connection of a socket, for those who read its requests or
+ * speak another protocol on it.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import type { Millis } from "../clock.ts";
+import type { HeldPart } from "../held_bytes.ts";
+import type { ConnectionGuard } from "./connection_guard.ts";
+import type { RequestInput } from "./request_input.ts";
+
+/** A request whose response has not closed. */
+export interface Exchange {
+  message: IncomingMessage;
+  response: ServerResponse;
+}
+
+/** An open connection of one of the listeners. */
+export interface GuardedConnection {
+  readonly socket: Socket;
+  readonly exchanges: ReadonlySet<Exchange>;
+  /** Estimated memory, in bytes. */
+  readonly bytes: number;
+  /** When it last made progress. */
+  readonly activeAt: Millis;
+  /** Whether a request of it has been answered. */
+  readonly hasServed: boolean;
+  /** Whether it now speaks another protocol. */
+  readonly isUpgraded: boolean;
+  /** Whether it has not read its answers for a while. */
+  readonly isUnread: boolean;
+}
+
+/** The limits of one listener. */
+export interface ListenerLimits {
+  maxConnections: number;
+  /** Requests of one connection served at once; the guard's own if left out. */
+  maxRequestsAhead?: number | undefined;
+}
+
+/** An open connection with what its guard keeps of it. */
+export interface Connection extends GuardedConnection {
+  readonly exchanges: Set<Exchange>;
+  readonly listener: ListenerLimits & { count: number };
+  input: RequestInput | undefined;
+  bytes: number;
+  activeAt: Millis;
+  hasServed: boolean;
+  isUpgraded: boolean;
+  isUnread: boolean;
+  /** Estimated from the heads of the exchanges. */
+  exchangeBytes: number;
+  /** Output at the last check, in bytes. */
+  outputBytes: number;
+  /** Bytes that the socket had sent at the last check. */
+  sentBytes: number;
+  sentAt: Millis;
+  /** Bytes of bodies, or of no request, read in this turn. */
+  turnBytes: number;
+  /** Whether requests that were sent ahead wait. */
+  isHeld: boolean;
+  recordUse(): void;
+}
+
+/** The connections of all guards of the process. */
+export const connections = new WeakMap<Socket, Connection>();
+/** Their guards. */
+export const guards = new WeakMap<Socket, ConnectionGuard>();
+
+/** Lists the requests of a connection whose responses have not closed. */
+export function listExchanges(socket: Socket): readonly Exchange[] {
+  return [...connections.get(socket)?.exchanges ?? []];
+}
+
+/**
+ * Leaves a connection that asks for an upgrade to its handler, with what was
+ * read behind the request.
+ */
+export function releaseConnection(socket: Duplex): void {
+  const connection = connections.get(socket as Socket);
+  if (connection === undefined) return;
+  connection.input?.detach();
+  connection.input = undefined;
+  connection.isUpgraded = true;
+}
+
+/**
+ * Opens the account of the messages of an upgraded connection; `onEnded` is
+ * called if the connection has to give way.
+ */
+export function openMessages(
+  socket: Duplex,
+  onEnded: () => void,
+): HeldPart | undefined {
+  const guard = guards.get(socket as Socket);
+  return guard?.peerMessages.open(() => {
+    guard.record("peer_bytes");
+    onEnded();
+  });
+}
+
+/** Records that an upgraded connection is in use. */
+export function recordUse(socket: Duplex): void {
+  connections.get(socket as Socket)?.recordUse();
+}
+
+/** The account of one body. */
+export interface BodyAccount extends HeldPart {
+  /** Records that the request has been read completely. */
+  complete(): void;
+}
+
+/**
+ * Opens the account of a request's body, which is closed with the response;
+ * `onEnded` is called if the body has to give way.
+ */
+export function openBody(
+  message: IncomingMessage,
+  onEnded: () => void,
+): BodyAccount | undefined {
+  const guard = guards.get(message.socket);
+  const exchange = listExchanges(message.socket)
+    .find((one) => one.message === message);
+  if (guard === undefined || exchange === undefined) return undefined;
+  const part = guard.bodies.open(() => {
+    guard.record("body_bytes");
+    onEnded();
+  });
+  exchange.response.once("close", part.release);
+  return {
+    ...part,
+    complete() {
+      part.keep();
+      guard.beginRequest(exchange.response);
+    },
+  };
+}
--- a/packages/shared/src/connections/eviction.ts
+++ b/packages/shared/src/connections/eviction.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Millis } from "../clock.ts";
-import type { GuardedConnection } from "./connection_guard.ts";
+import type { GuardedConnection } from "./connection_registry.ts";
 
 /** What a connection does, in the order in which connections give way. */
 type Use =
--- a/packages/shared/src/http_server.ts
+++ b/packages/shared/src/http_server.ts
@@ -17,10 +17,8 @@
 import { handleClientErrors } from "./client_errors.ts";
 import { createBodyCollector } from "./connections/body_collector.ts";
 import type { ConnectionGuard } from "./connections/connection_guard.ts";
-import {
-  createConnectionGuard,
-  openBody,
-} from "./connections/connection_guard.ts";
+import { createConnectionGuard } from "./connections/connection_guard.ts";
+import { openBody } from "./connections/connection_registry.ts";
 import { DEFAULT_CONNECTION_LIMITS } from "./connections/connection_limits.ts";
 
 /** An address to listen on: IP address and port; port 0 selects a free port. */
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -104,15 +104,14 @@
 export type {
   ConnectionGuard,
   ConnectionGuardOptions,
-  LimitKind,
-  LimitReport,
 } from "./connections/connection_guard.ts";
+export { createConnectionGuard } from "./connections/connection_guard.ts";
 export {
-  createConnectionGuard,
   openMessages,
   recordUse,
   releaseConnection,
-} from "./connections/connection_guard.ts";
+} from "./connections/connection_registry.ts";
+export type { LimitKind, LimitReport } from "./connections/limit_reporter.ts";
 export type { BodyCollector } from "./connections/body_collector.ts";
 export { createBodyCollector } from "./connections/body_collector.ts";
 export type { ConnectionLimits } from "./connections/connection_limits.ts";
