fix(peers): frames are read in turn; large chunks are not copied

Cause: upgraded connections read without turns, up to 2 MB each in one turn of the event loop, and each large part of a body was copied twice before the parser copied it again. Now upgraded connections have turns as bodies have, large data is passed on as it is, and the messages of peers have 32 MiB (connections.maxPeerBytes).

The test of joined chunks now has large ones and large parts.

--- a/packages/peers/src/frame_channel.ts
+++ b/packages/peers/src/frame_channel.ts
@@ -87,7 +87,7 @@
   }
 
   function readChunk(chunk: Buffer): void {
-    recordUse(socket);
+    recordUse(socket, chunk.length);
     if (decoder.add(chunk) !== undefined) closeFor("malformed");
     updateHeld();
   }
--- a/packages/shared/src/connections/chunk_joiner.ts
+++ b/packages/shared/src/connections/chunk_joiner.ts
@@ -9,9 +9,9 @@
 
 /** What was decoded from a part of a body. */
 export interface JoinedChunks {
-  /** The data of all chunks in the part. */
+  /** The data of the chunks up to there; may be empty. */
   data: Buffer;
-  /** Where the decoder stopped: at the end of the part or of the last chunk. */
+  /** Where the decoder stopped; the rest of the part is to be read next. */
   at: number;
   /** Whether the last chunk has been read; trailers follow. */
   isLast: boolean;
@@ -38,6 +38,8 @@
 const SPACE = 32;
 const SEMICOLON = 59;
 const MAX_SIZE = 0xffff_ffff;
+/** Data of a chunk from this size on is not copied. */
+const MIN_LARGE_BYTES = 4_096;
 /** Of one body, as in the HTTP parser. */
 const MAX_EXTENSION_BYTES = 16_384;
 
@@ -84,7 +86,18 @@
     return true;
   }
 
+  /** Large data is passed on as it is. */
+  function readLargeData(part: Buffer, from: number): JoinedChunks | undefined {
+    const at = Math.min(part.length, from + size);
+    if (state !== "data" || at - from < MIN_LARGE_BYTES) return undefined;
+    size -= at - from;
+    if (size === 0) state = "data_cr";
+    return { data: part.subarray(from, at), at, isLast: false };
+  }
+
   function read(part: Buffer, from: number): JoinedChunks | undefined {
+    const large = readLargeData(part, from);
+    if (large !== undefined) return large;
     const data = Buffer.allocUnsafe(part.length - from);
     let length = 0;
     let at = from;
@@ -97,6 +110,7 @@
       }
       if (state === "data") {
         const end = Math.min(part.length, at + size);
+        if (end - at >= MIN_LARGE_BYTES) break;
         length += part.copy(data, length, at, end);
         size -= end - at;
         at = end;
--- a/packages/shared/src/connections/chunk_joiner_test.ts
+++ b/packages/shared/src/connections/chunk_joiner_test.ts
@@ -12,11 +12,16 @@
   for (let part = 0; at < bytes.length; part++) {
     const size = sizes[part % sizes.length]!;
     const input = bytes.subarray(at, at + size);
-    const read = joiner.read(input, 0);
-    if (read === undefined) return "malformed";
-    data.push(read.data);
-    at += read.at;
-    if (read.isLast) break;
+    let isLast = false;
+    for (let from = 0; from < input.length && !isLast;) {
+      const read = joiner.read(input, from);
+      if (read === undefined) return "malformed";
+      data.push(read.data);
+      at += read.at - from;
+      from = read.at;
+      isLast = read.isLast;
+    }
+    if (isLast) break;
   }
   return {
     data: Buffer.concat(data).toString("latin1"),
@@ -35,10 +40,17 @@
     const chunk = fc.oneof(
       fc.string({ minLength: 1, maxLength: 3 }),
       fc.string({ minLength: 1, maxLength: 600 }),
+      fc.constant("y".repeat(9_000)),
     ).map((text) => Buffer.from(text).toString("latin1"));
     fc.assert(fc.property(
       fc.array(chunk, { maxLength: 20 }),
-      fc.array(fc.integer({ min: 1, max: 90 }), { minLength: 1 }),
+      fc.array(
+        fc.oneof(
+          fc.integer({ min: 1, max: 90 }),
+          fc.integer({ min: 1, max: 20_000 }),
+        ),
+        { minLength: 1 },
+      ),
       fc.constantFrom("", ";a", ';name="x"'),
       (chunks, sizes, extension) => {
         const text = formatChunks(chunks, extension) + "0\r\nrest";
--- a/packages/shared/src/connections/connection_guard.ts
+++ b/packages/shared/src/connections/connection_guard.ts
@@ -111,7 +111,7 @@
     const now = clock.now();
     for (const victim of chooseByMemory(open, { now, bytes: excess })) {
       record("connection_bytes");
-      evict(victim as Connection);
+      evict(victim);
     }
   }
 
@@ -134,11 +134,10 @@
     record("connections");
     const victim = chooseByAge(open, {
       now: clock.now(),
-      mayClose: (one) =>
-        !isListenerFull || (one as Connection).listener === listener,
+      mayClose: (one) => !isListenerFull || one.listener === listener,
     });
     if (victim === undefined) return false;
-    evict(victim as Connection);
+    evict(victim);
     return true;
   }
 
@@ -171,8 +170,9 @@
       sentAt: now,
       turnBytes: 0,
       isHeld: false,
-      recordUse() {
+      recordUse(count) {
         connection.activeAt = clock.now();
+        scheduleReading(connection, count);
       },
     };
     connections.set(socket, connection);
@@ -199,7 +199,7 @@
         server.emit("clientError", error, socket);
       },
       onBody: (count, message) => recordBody(connection, { count, message }),
-      onDropped: (count) => recordDropped(connection, count),
+      onDropped: (count) => scheduleReading(connection, count),
     });
   }
 
@@ -241,8 +241,8 @@
     turns.add(message, () => message.resume());
   }
 
-  /** Reads other connections before more bytes that belong to no request. */
-  function recordDropped(connection: Connection, count: number): void {
+  /** Reads other connections before more bytes that are not of a body. */
+  function scheduleReading(connection: Connection, count: number): void {
     const { socket } = connection;
     connection.turnBytes += count;
     if (connection.turnBytes < TURN_BYTES) return;
--- a/packages/shared/src/connections/connection_limits.ts
+++ b/packages/shared/src/connections/connection_limits.ts
@@ -36,7 +36,7 @@
       "Bodies of all requests, until their answers are sent; beyond it the largest unfinished one is refused with 503 and has not run",
     ),
   maxPeerBytes: z.number().int().min(MEGABYTE).max(1_024 * MEGABYTE)
-    .default(64 * MEGABYTE)
+    .default(32 * MEGABYTE)
     .describe(
       "Messages of peers being read, worked on or sent; beyond it the connection with the most is closed",
     ),
--- a/packages/shared/src/connections/connection_registry.ts
+++ b/packages/shared/src/connections/connection_registry.ts
@@ -58,11 +58,11 @@
   /** Bytes that the socket had sent at the last check. */
   sentBytes: number;
   sentAt: Millis;
-  /** Bytes of bodies, or of no request, read in this turn. */
+  /** Bytes read since the last turn of others. */
   turnBytes: number;
   /** Whether requests that were sent ahead wait. */
   isHeld: boolean;
-  recordUse(): void;
+  recordUse(count: number): void;
 }
 
 /** The connections of all guards of the process. */
@@ -102,9 +102,9 @@
   });
 }
 
-/** Records that an upgraded connection is in use. */
-export function recordUse(socket: Duplex): void {
-  connections.get(socket as Socket)?.recordUse();
+/** Records bytes that were read from an upgraded connection. */
+export function recordUse(socket: Duplex, count: number): void {
+  connections.get(socket as Socket)?.recordUse(count);
 }
 
 /** The account of one body. */
--- a/packages/shared/src/connections/eviction.ts
+++ b/packages/shared/src/connections/eviction.ts
@@ -42,14 +42,11 @@
 }
 
 /** Chooses the one that gives way first, and of these the longest idle. */
-export function chooseByAge(
-  connections: Iterable<GuardedConnection>,
-  { now, mayClose }: {
-    now: Millis;
-    mayClose: (connection: GuardedConnection) => boolean;
-  },
-): GuardedConnection | undefined {
-  let chosen: GuardedConnection | undefined;
+export function chooseByAge<T extends GuardedConnection>(
+  connections: Iterable<T>,
+  { now, mayClose }: { now: Millis; mayClose: (connection: T) => boolean },
+): T | undefined {
+  let chosen: T | undefined;
   let chosenRank = ORDER.indexOf("in_use");
   for (const connection of connections) {
     if (!mayClose(connection)) continue;
@@ -65,15 +62,15 @@
 }
 
 /** Chooses the largest ones that give way, until enough bytes are freed. */
-export function chooseByMemory(
-  connections: Iterable<GuardedConnection>,
+export function chooseByMemory<T extends GuardedConnection>(
+  connections: Iterable<T>,
   { now, bytes }: { now: Millis; bytes: number },
-): GuardedConnection[] {
+): T[] {
   const candidates = [...connections]
     .filter((one) => !one.isUpgraded && classifyUse(one, now) !== "in_use")
     .sort((a, b) => b.bytes - a.bytes);
   let freed = 0;
-  const chosen: GuardedConnection[] = [];
+  const chosen: T[] = [];
   for (const connection of candidates) {
     if (freed >= bytes) break;
     freed += connection.bytes;
--- a/packages/shared/src/connections/request_input.ts
+++ b/packages/shared/src/connections/request_input.ts
@@ -38,8 +38,6 @@
   readonly waitingBytes: number;
   /** Bytes of the head that is being read. */
   readonly headBytes: number;
-  /** Whether a request is being read. */
-  readonly isReading: boolean;
   /** Begins the next request if it may. */
   resume(): void;
   /** Records the request that the parser has found. */
@@ -207,7 +205,11 @@
       return part.length;
     }
     const { data, at, isLast } = joined;
-    if (data.length > 0) forwardPart(formatChunk(data));
+    if (data.length > 0) {
+      forwardPart(Buffer.from(`${data.length.toString(16)}\r\n`, "latin1"));
+      forwardPart(data);
+      forwardPart(LINE_END);
+    }
     if (isLast) {
       state = "trailers";
       headEnd = createHeadEnd(MATCHED_BY_LINE);
@@ -232,9 +234,6 @@
     get headBytes() {
       return headBytes;
     },
-    get isReading() {
-      return state !== "between" && state !== "ended";
-    },
     resume() {
       if (waiting === undefined || !isOpen() || !mayBegin()) return;
       const part = waiting;
@@ -261,8 +260,3 @@
   while (part[at] === CR || part[at] === LF) at++;
   return at;
 }
-
-function formatChunk(data: Buffer): Buffer {
-  const size = Buffer.from(`${data.length.toString(16)}\r\n`, "latin1");
-  return Buffer.concat([size, data, LINE_END]);
-}
