--- a/bench/src/misbehaving_clients_test.ts
+++ b/bench/src/misbehaving_clients_test.ts
@@ -9,6 +9,7 @@
 import { OPERATOR_PATHS } from "@mangoreach/operators";
 import type { ClientForm } from "@mangoreach/standins";
 import {
+  formatAhead,
   formatChunk,
   formatChunks,
   sendWhole,
@@ -30,7 +31,6 @@
 const ANSWER_TIMEOUT_MS = 20_000;
 const DEADLINE_MS = 60_000;
 const CROWD_MS = 5_000;
-const ENDLESS = 268_435_456;
 
 const AUTHORIZATION = `authorization: Bearer handlers:${LOCAL_KEYS.handlers}`;
 const REQUEST_HEAD =
@@ -42,10 +42,6 @@
 const ORDINARY = `${REQUEST_HEAD}content-length: ${ORDINARY_BODY.length}\r\n` +
   `\r\n${ORDINARY_BODY}`;
 
-function formatAhead(request: string): ClientForm {
-  return { start: "", repeated: request, limit: ENDLESS };
-}
-
 function formatGet(path: string, headers = ""): ClientForm {
   return formatAhead(`GET ${path} HTTP/1.1\r\nhost: a\r\n${headers}\r\n`);
 }
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 export type { Failure, FailureKind, Verdict } from "./failure.ts";
+export { createFullFailure, createMemoryFailure } from "./overload_failures.ts";
 export {
   combineVerdicts,
   createCallFailure,
--- a/packages/entry/src/request_failures.ts
+++ b/packages/entry/src/request_failures.ts
@@ -11,8 +11,6 @@
 
 const RETRY_AFTER_NOT_READY: Millis = 1_000;
 const RETRY_AFTER_STOPPING: Millis = 0;
-/** Requests and large bodies leave an entry within seconds. */
-const RETRY_AFTER_OVERLOAD: Millis = 1_000;
 
 /** Creates the refusal of a body that the schema rejects. */
 export function failBody(error: z.ZodError): Failure {
@@ -39,24 +37,6 @@
   });
 }
 
-/** Creates the refusal of an entry with too many requests in progress. */
-export function failFull(): Failure {
-  return createFailure("overloaded", {
-    verdict: "not_run",
-    message: "the entry has too many requests in progress",
-    retryAfterMs: RETRY_AFTER_OVERLOAD,
-  });
-}
-
-/** Creates the refusal of a body that the process cannot hold. */
-export function failMemory(): Failure {
-  return createFailure("overloaded", {
-    verdict: "not_run",
-    message: "the bodies of other requests take all memory for bodies",
-    retryAfterMs: RETRY_AFTER_OVERLOAD,
-  });
-}
-
 /** Creates the refusal of an entry that has no configuration yet. */
 export function failNotReady(): Failure {
   return createFailure("unavailable", {
--- a/packages/entry/src/request_handler.ts
+++ b/packages/entry/src/request_handler.ts
@@ -18,6 +18,8 @@
 import {
   createDeadline,
   createFailure,
+  createFullFailure,
+  createMemoryFailure,
   formatBinding,
   formatBoundId,
 } from "@mangoreach/coordination";
@@ -36,8 +38,6 @@
   failBody,
   failClass,
   failDeadlinePassed,
-  failFull,
-  failMemory,
   failNotFound,
   failNotReady,
   failStopping,
@@ -196,14 +196,14 @@
     if (outcome.kind === "no_memory") {
       refuseWithoutBody(
         { request, response },
-        weakenVerdict(failMemory(), head),
+        weakenVerdict(createMemoryFailure(), head),
       );
       return undefined;
     }
     if (outcome.kind === "whole") {
       if (!options.connections.isFull()) return outcome.body;
       options.connections.record("requests");
-      refuse({ request, response }, failFull(), head);
+      refuse({ request, response }, createFullFailure(), head);
       return undefined;
     }
     refuseWithoutBody(
--- a/packages/serving/src/caller_listener.ts
+++ b/packages/serving/src/caller_listener.ts
@@ -8,12 +8,15 @@
 import { setImmediate } from "node:timers/promises";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Failure, RequestLimits } from "@mangoreach/coordination";
-import { createFailure } from "@mangoreach/coordination";
+import {
+  createFailure,
+  createFullFailure,
+  createMemoryFailure,
+} from "@mangoreach/coordination";
 import type {
   Clock,
   ConnectionGuard,
   ListenAddress,
-  Millis,
   TaskSet,
 } from "@mangoreach/shared";
 import {
@@ -66,8 +69,6 @@
 /** Node rejects longer heads itself, with status 431. */
 const MAX_HEADER_BYTES = 16_384;
 const MAX_CONNECTIONS = 3_000;
-/** Requests and large bodies leave an entry within seconds. */
-const RETRY_AFTER_OVERLOAD: Millis = 1_000;
 /** The first ends the turn that read the request; the second reads again. */
 const READ_TURNS = 2;
 /** Ratio of the time limits for a complete request and for its head. */
@@ -103,7 +104,7 @@
     if (head.isErr) return refuse(response, head.error, id);
     if (guard.isFull()) {
       guard.record("requests");
-      return refuse(response, createOverloadFailure(), id);
+      return refuse(response, createFullFailure(), id);
     }
     if (readPhase() === "refusing") {
       return refuse(response, options.createStoppingFailure(), id);
@@ -157,22 +158,6 @@
   return socket.readableEnded || socket.destroyed;
 }
 
-function createOverloadFailure(): Failure {
-  return createFailure("overloaded", {
-    verdict: "not_run",
-    message: "the entry has too many requests in progress",
-    retryAfterMs: RETRY_AFTER_OVERLOAD,
-  });
-}
-
-function createMemoryFailure(): Failure {
-  return createFailure("overloaded", {
-    verdict: "not_run",
-    message: "the bodies of other requests take all memory for bodies",
-    retryAfterMs: RETRY_AFTER_OVERLOAD,
-  });
-}
-
 function failTooLarge(limit: number): Failure {
   return createFailure("too_large", {
     verdict: "not_run",
--- a/packages/shared/src/connections/body_collector.ts
+++ b/packages/shared/src/connections/body_collector.ts
@@ -18,12 +18,13 @@
 /** Smaller parts are copied. */
 const MIN_KEPT_BYTES = 4_096;
 const BLOCK_BYTES = 16_384;
+const EMPTY = Buffer.alloc(0);
 
 /** Creates the collector of one body. */
 export function createBodyCollector(): BodyCollector {
   let parts: Buffer[] = [];
   /** The unused rest of the last block. */
-  let free: Buffer = Buffer.alloc(0);
+  let free: Buffer = EMPTY;
   /** Bytes at its begin that are not in the parts yet. */
   let used = 0;
 
@@ -60,7 +61,7 @@
     },
     clear() {
       parts = [];
-      free = Buffer.alloc(0);
+      free = EMPTY;
       used = 0;
     },
   };
--- a/packages/shared/src/connections/connection_guard.ts
+++ b/packages/shared/src/connections/connection_guard.ts
@@ -21,7 +21,7 @@
   Exchange,
   ListenerLimits,
 } from "./connection_registry.ts";
-import { connections, guards } from "./connection_registry.ts";
+import { connections } from "./connection_registry.ts";
 import { chooseByAge, chooseByMemory } from "./eviction.ts";
 import type { LimitKind, LimitReport } from "./limit_reporter.ts";
 import { createLimitReporter } from "./limit_reporter.ts";
@@ -156,6 +156,7 @@
     const now = clock.now();
     const connection: Connection = {
       socket,
+      guard,
       listener,
       exchanges: new Set(),
       input: undefined,
@@ -176,7 +177,6 @@
       },
     };
     connections.set(socket, connection);
-    guards.set(socket, guard);
     open.add(connection);
     listener.count++;
     openInput(server, connection);
--- a/packages/shared/src/connections/connection_limits.ts
+++ b/packages/shared/src/connections/connection_limits.ts
@@ -23,7 +23,7 @@
     ),
   maxRequests: z.number().int().min(1).max(100_000).default(2_000)
     .describe(
-      "Requests of all connections served at once; more are refused with 503 and have not run",
+      "Requests of all connections served at once; more are refused and have not run",
     ),
   maxConnectionBytes: z.number().int().min(MEGABYTE).max(1_024 * MEGABYTE)
     .default(48 * MEGABYTE)
@@ -33,7 +33,7 @@
   maxBodyBytes: z.number().int().min(MEGABYTE).max(1_024 * MEGABYTE)
     .default(64 * MEGABYTE)
     .describe(
-      "Bodies of all requests, until their answers are sent; beyond it the largest unfinished one is refused with 503 and has not run",
+      "Bodies of all requests, until their answers are sent; beyond it the largest unfinished one is refused and has not run",
     ),
   maxPeerBytes: z.number().int().min(MEGABYTE).max(1_024 * MEGABYTE)
     .default(32 * MEGABYTE)
--- a/packages/shared/src/connections/connection_registry.ts
+++ b/packages/shared/src/connections/connection_registry.ts
@@ -18,22 +18,6 @@
   response: ServerResponse;
 }
 
-/** An open connection of one of the listeners. */
-export interface GuardedConnection {
-  readonly socket: Socket;
-  readonly exchanges: ReadonlySet<Exchange>;
-  /** Estimated memory, in bytes. */
-  readonly bytes: number;
-  /** When it last made progress. */
-  readonly activeAt: Millis;
-  /** Whether a request of it has been answered. */
-  readonly hasServed: boolean;
-  /** Whether it now speaks another protocol. */
-  readonly isUpgraded: boolean;
-  /** Whether it has not read its answers for a while. */
-  readonly isUnread: boolean;
-}
-
 /** The limits of one listener. */
 export interface ListenerLimits {
   maxConnections: number;
@@ -41,15 +25,22 @@
   maxRequestsAhead?: number | undefined;
 }
 
-/** An open connection with what its guard keeps of it. */
-export interface Connection extends GuardedConnection {
-  readonly exchanges: Set<Exchange>;
+/** An open connection of one of the listeners. */
+export interface Connection {
+  readonly socket: Socket;
+  readonly guard: ConnectionGuard;
   readonly listener: ListenerLimits & { count: number };
+  readonly exchanges: Set<Exchange>;
   input: RequestInput | undefined;
+  /** Estimated memory, in bytes. */
   bytes: number;
+  /** When it last made progress. */
   activeAt: Millis;
+  /** Whether a request of it has been answered. */
   hasServed: boolean;
+  /** Whether it now speaks another protocol. */
   isUpgraded: boolean;
+  /** Whether it has not read its answers for a while. */
   isUnread: boolean;
   /** Estimated from the heads of the exchanges. */
   exchangeBytes: number;
@@ -67,8 +58,6 @@
 
 /** The connections of all guards of the process. */
 export const connections = new WeakMap<Socket, Connection>();
-/** Their guards. */
-export const guards = new WeakMap<Socket, ConnectionGuard>();
 
 /** Lists the requests of a connection whose responses have not closed. */
 export function listExchanges(socket: Socket): readonly Exchange[] {
@@ -95,7 +84,7 @@
   socket: Duplex,
   onEnded: () => void,
 ): HeldPart | undefined {
-  const guard = guards.get(socket as Socket);
+  const guard = connections.get(socket as Socket)?.guard;
   return guard?.peerMessages.open(() => {
     guard.record("peer_bytes");
     onEnded();
@@ -121,10 +110,10 @@
   message: IncomingMessage,
   onEnded: () => void,
 ): BodyAccount | undefined {
-  const guard = guards.get(message.socket);
-  const exchange = listExchanges(message.socket)
-    .find((one) => one.message === message);
-  if (guard === undefined || exchange === undefined) return undefined;
+  const connection = connections.get(message.socket);
+  const exchange = findExchange(connection, message);
+  if (connection === undefined || exchange === undefined) return undefined;
+  const { guard } = connection;
   const part = guard.bodies.open(() => {
     guard.record("body_bytes");
     onEnded();
@@ -138,3 +127,13 @@
     },
   };
 }
+
+function findExchange(
+  connection: Connection | undefined,
+  message: IncomingMessage,
+): Exchange | undefined {
+  for (const exchange of connection?.exchanges ?? []) {
+    if (exchange.message === message) return exchange;
+  }
+  return undefined;
+}
--- a/packages/shared/src/connections/eviction.ts
+++ b/packages/shared/src/connections/eviction.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Millis } from "../clock.ts";
-import type { GuardedConnection } from "./connection_registry.ts";
+import type { Connection } from "./connection_registry.ts";
 
 /** What a connection does, in the order in which connections give way. */
 type Use =
@@ -30,7 +30,7 @@
 /** Peers exchange messages more often. */
 const SILENT_TIME: Millis = 15_000;
 
-function classifyUse(connection: GuardedConnection, now: Millis): Use {
+function classifyUse(connection: Connection, now: Millis): Use {
   const { exchanges, hasServed, isUpgraded, isUnread, activeAt } = connection;
   if (isUpgraded) return now - activeAt < SILENT_TIME ? "in_use" : "idle";
   if (isUnread) return "unread";
@@ -42,11 +42,14 @@
 }
 
 /** Chooses the one that gives way first, and of these the longest idle. */
-export function chooseByAge<T extends GuardedConnection>(
-  connections: Iterable<T>,
-  { now, mayClose }: { now: Millis; mayClose: (connection: T) => boolean },
-): T | undefined {
-  let chosen: T | undefined;
+export function chooseByAge(
+  connections: Iterable<Connection>,
+  { now, mayClose }: {
+    now: Millis;
+    mayClose: (connection: Connection) => boolean;
+  },
+): Connection | undefined {
+  let chosen: Connection | undefined;
   let chosenRank = ORDER.indexOf("in_use");
   for (const connection of connections) {
     if (!mayClose(connection)) continue;
@@ -62,15 +65,15 @@
 }
 
 /** Chooses the largest ones that give way, until enough bytes are freed. */
-export function chooseByMemory<T extends GuardedConnection>(
-  connections: Iterable<T>,
+export function chooseByMemory(
+  connections: Iterable<Connection>,
   { now, bytes }: { now: Millis; bytes: number },
-): T[] {
+): Connection[] {
   const candidates = [...connections]
     .filter((one) => !one.isUpgraded && classifyUse(one, now) !== "in_use")
     .sort((a, b) => b.bytes - a.bytes);
   let freed = 0;
-  const chosen: T[] = [];
+  const chosen: Connection[] = [];
   for (const connection of candidates) {
     if (freed >= bytes) break;
     freed += connection.bytes;
--- a/packages/shared/src/connections/request_input.ts
+++ b/packages/shared/src/connections/request_input.ts
@@ -73,8 +73,10 @@
   let state: State = "between";
   let waiting: Buffer | undefined;
   let headBytes = 0;
-  let headEnd: HeadEnd = createHeadEnd();
-  let joiner: ChunkJoiner = createChunkJoiner();
+  /** Of the head or the trailers that are being read. */
+  let headEnd: HeadEnd | undefined;
+  /** Of the body that is being read, if it has chunks. */
+  let joiner: ChunkJoiner | undefined;
   /** Of a body with a length. */
   let bytesLeft = 0;
   let current:
@@ -152,7 +154,7 @@
   }
 
   function readHead(part: Buffer, at: number): number {
-    const end = headEnd.find(part, at);
+    const end = headEnd!.find(part, at);
     const until = end < 0 ? part.length : end;
     headBytes += until - at;
     onHeld();
@@ -199,7 +201,7 @@
   }
 
   function readChunks(part: Buffer, from: number): number {
-    const joined = joiner.read(part, from);
+    const joined = joiner!.read(part, from);
     if (joined === undefined) {
       endMalformed();
       return part.length;
@@ -220,7 +222,7 @@
   }
 
   function readTrailers(part: Buffer, at: number): number {
-    const end = headEnd.find(part, at);
+    const end = headEnd!.find(part, at);
     const until = end < 0 ? part.length : end;
     if (end >= 0) endRequest();
     forwardPart(part.subarray(at, until));
--- a/soak/src/misbehaving_clients_site_test.ts
+++ b/soak/src/misbehaving_clients_site_test.ts
@@ -9,6 +9,7 @@
 import { readServerAddress } from "@mangoreach/shared";
 import type { ClientForm } from "@mangoreach/standins";
 import {
+  formatAhead,
   formatChunk,
   formatChunks,
   sendWhole,
@@ -38,7 +39,6 @@
 const CROWD_MS = 5_000;
 /** Before the time-out of connections without a request. */
 const IDLE_MS = 1_500;
-const ENDLESS = 268_435_456;
 /** Of the heap, in MB: less than a deployment has shows a fault to fewer. */
 const SMALL_HEAP_MB = 48;
 const ENDPOINTS = 4;
@@ -55,10 +55,6 @@
   return `${REQUEST_HEAD}${HEADER.requestId}: ${id}\r\n${framing}\r\n\r\n`;
 }
 
-function formatAhead(request: string): ClientForm {
-  return { start: "", repeated: request, limit: ENDLESS };
-}
-
 /** Stops one byte short of the limit. */
 function formatShort(size: number): ClientForm {
   const chunk = formatChunk(size);
--- a/standins/src/misbehaving_clients.ts
+++ b/standins/src/misbehaving_clients.ts
@@ -20,6 +20,14 @@
   limit: number;
 }
 
+/** More than a client sends while a test watches. */
+const ENDLESS = 268_435_456;
+
+/** A client that sends a request again and again, without a pause. */
+export function formatAhead(request: string): ClientForm {
+  return { start: "", repeated: request, limit: ENDLESS };
+}
+
 /** A crowd of clients. */
 export interface Crowd {
   /** Closes all connections. */
--- a/standins/src/mod.ts
+++ b/standins/src/mod.ts
@@ -47,6 +47,7 @@
   ProcessPeak,
 } from "./misbehaving_clients.ts";
 export {
+  formatAhead,
   formatChunk,
   formatChunks,
   sendWhole,
