test(soak): each run listens on a loopback address of its own

Runs find ports by listening and closing, and endpoints that end give up theirs, so with one common address another run may take a port meanwhile: its entries and endpoints then answer this run's requests.

--- a/soak/src/fault_proxy.ts
+++ b/soak/src/fault_proxy.ts
@@ -7,6 +7,7 @@
 import { connect, createServer } from "node:net";
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { LOOPBACK_HOST } from "./loopback_host.ts";
 
 /** How the proxy treats traffic. */
 export type ProxyMode =
@@ -84,7 +85,9 @@
     forward(client, upstream, false);
     forward(upstream, client, true);
   });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  await new Promise<void>((resolve) =>
+    server.listen(0, LOOPBACK_HOST, resolve)
+  );
   const { port } = server.address() as AddressInfo;
 
   function resetAll(): void {
@@ -92,7 +95,7 @@
   }
 
   return {
-    address: `127.0.0.1:${port}`,
+    address: `${LOOPBACK_HOST}:${port}`,
     setMode(next) {
       mode = next;
     },
@@ -103,7 +106,7 @@
     refuseConnections(isRefusing) {
       if (isClosed || isRefusing !== server.listening) return;
       if (isRefusing) server.close();
-      else server.listen(port, "127.0.0.1");
+      else server.listen(port, LOOPBACK_HOST);
     },
     close() {
       isClosed = true;
--- a/soak/src/free_ports.ts
+++ b/soak/src/free_ports.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { createServer } from "node:net";
+import { LOOPBACK_HOST } from "./loopback_host.ts";
 
 /**
  * Below the operating system's ephemeral port range: an outgoing connection
@@ -17,7 +18,7 @@
   const server = createServer();
   const isListening = await new Promise<boolean>((done) => {
     server.once("error", () => done(false));
-    server.listen(port, "127.0.0.1", () => done(true));
+    server.listen(port, LOOPBACK_HOST, () => done(true));
   });
   if (isListening) await new Promise((done) => server.close(done));
   return isListening;
@@ -28,7 +29,7 @@
   const found: string[] = [];
   while (found.length < count) {
     const port = FIRST_PORT + nextPort++ % PORT_COUNT;
-    if (await isFree(port)) found.push(`127.0.0.1:${port}`);
+    if (await isFree(port)) found.push(`${LOOPBACK_HOST}:${port}`);
   }
   return found;
 }
--- a/soak/src/soak_server.ts
+++ b/soak/src/soak_server.ts
@@ -6,6 +6,7 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { readBody, readServerAddress, startServer } from "@mangoreach/shared";
+import { LOOPBACK_HOST } from "./loopback_host.ts";
 
 /** A running server. */
 export interface SoakServer {
@@ -36,7 +37,7 @@
   const server = await startServer((request, response) => {
     // Fails when the caller disconnects, so no error response is sent.
     handle(request, response).catch(() => response.destroy());
-  }, { address: { host: "127.0.0.1", port: 0 }, limits: LIMITS });
+  }, { address: { host: LOOPBACK_HOST, port: 0 }, limits: LIMITS });
   return {
     address: readServerAddress(server),
     close() {
