fix(connections): descriptors come from the settings, not from what the system tells

Callers saw connections closed without an answer, and 150 connections at most at an entry whose machine has 4,200 descriptors.

The bound for connections is three quarters of what /proc/self/limits says. Where files and sockets are counted apart, it tells the limit of files alone (200), and the bound is 150.

--- a/packages/shared/src/connections/connection_guard.ts
+++ b/packages/shared/src/connections/connection_guard.ts
@@ -85,7 +85,7 @@
     onLimited,
   }: ConnectionGuardOptions = {},
 ): ConnectionGuard {
-  const maxConnections = computeMaxConnections(limits.maxConnections);
+  const maxConnections = computeMaxConnections(limits);
   const open = new Set<Connection>();
   const turns = createTurnQueue(clock);
   const record = createLimitReporter({ clock, onLimited });
--- a/packages/shared/src/connections/connection_limits.ts
+++ b/packages/shared/src/connections/connection_limits.ts
@@ -17,6 +17,10 @@
     .describe(
       "Connections to all listeners together, at most three quarters of the descriptors that the process may open; beyond it idle ones are closed",
     ),
+  maxDescriptors: z.number().int().min(100).optional()
+    .describe(
+      "Descriptors that the process may open, where the operating system does not tell; by default what it tells",
+    ),
   maxRequestsAhead: z.number().int().min(1).max(1_000).default(32)
     .describe(
       "Requests of one connection served at once; those sent ahead of more wait unread",
@@ -49,12 +53,19 @@
 export const DEFAULT_CONNECTION_LIMITS: ConnectionLimits =
   connectionLimitsSchema.parse({});
 
-/** Computes the connections that the process has descriptors for. */
-export function computeMaxConnections(configured: number): number {
-  return Math.min(
-    configured,
-    Math.floor(DESCRIPTOR_SHARE * readMaxDescriptors()),
-  );
+/**
+ * Computes the connections that the process has descriptors for. The operating
+ * system's limit may leave sockets out, so that a configured one comes first.
+ */
+export function computeMaxConnections(
+  { maxConnections, maxDescriptors }: Pick<
+    ConnectionLimits,
+    "maxConnections" | "maxDescriptors"
+  >,
+  readDescriptors = readMaxDescriptors,
+): number {
+  const descriptors = maxDescriptors ?? readDescriptors();
+  return Math.min(maxConnections, Math.floor(DESCRIPTOR_SHARE * descriptors));
 }
 
 /** Infinite if the system does not tell. */
