fix(config): an entry that starts asks its peers before it decides on keys

A peer's version was recorded with the next heartbeat, half a second after the first reply, and then tolerated for another second, as at an entry that runs and is about to read it. Nothing made an entry that had just started wait for a first reply.

Until it has run for five seconds, a newer version of a peer counts at once and with the message that brings it; and an entry that knows of others is not ready, for a second at most, until one of them has replied.

--- a/packages/serving/src/config_freshness.ts
+++ b/packages/serving/src/config_freshness.ts
@@ -5,7 +5,10 @@
  * @module
  */
 import type { Membership } from "@mangoreach/coordination";
-import { createPeerVersionTracker } from "@mangoreach/coordination";
+import {
+  createDiscoveryCheck,
+  createPeerVersionTracker,
+} from "@mangoreach/coordination";
 import type { ServingPeerClient } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
 import { createConfigAgeLog } from "./config_age_log.ts";
@@ -24,6 +27,8 @@
     SiteState,
     "readTable" | "configAge" | "applyPublished" | "describeConfigReads"
   >;
+  /** Whether peers may know a newer version, but none has replied yet. */
+  isAwaitingPeers: () => boolean;
 }
 
 /** The peers whose configurations are followed in addition to the store. */
@@ -38,6 +43,8 @@
   readVersion(): number;
   /** Records the newest version that a live peer has. */
   recordPeerVersion(version: number): void;
+  /** Records the version of one peer, which may be newer. */
+  noteVersion(version: number): void;
   /** Whether a peer has a version that this entry should have by now. */
   isBehindPeers(): boolean;
   /**
@@ -52,15 +59,28 @@
 
 /** Creates the check of an entry that knows no configuration yet. */
 export function createConfigFreshness(
-  { clock, random, log, metrics, siteState }: ConfigFreshnessOptions,
+  { clock, random, log, metrics, siteState, isAwaitingPeers }:
+    ConfigFreshnessOptions,
 ): ConfigFreshness {
   const versions = createPeerVersionTracker(clock);
+  const isDiscovering = createDiscoveryCheck(clock);
 
   function readVersion(): number {
     return siteState.readTable()?.config.version ?? 0;
   }
 
+  function noteVersion(version: number): void {
+    if (version > versions.readNewest()) versions.record(version);
+  }
+
+  /**
+   * What peers tell an entry that has just started is older than its own
+   * reading of the store, which may have come back from a copy.
+   */
   function isBehindPeers(): boolean {
+    if (isAwaitingPeers()) return true;
+    const isNewer = versions.readNewest() > readVersion();
+    if (isNewer && isDiscovering()) return true;
     return versions.isBehind(readVersion(), siteState.configAge.read());
   }
 
@@ -81,7 +101,7 @@
     });
     while (!signal.aborted) {
       ageLog.check();
-      if (isBehindPeers()) {
+      if (versions.readNewest() > readVersion() && isBehindPeers()) {
         await refreshFromPeer({
           random,
           listNewerPeers: () => listNewerPeers(membership),
@@ -107,6 +127,7 @@
   return {
     readVersion,
     recordPeerVersion: versions.record,
+    noteVersion,
     isBehindPeers,
     follow,
   };
--- a/packages/serving/src/peer_gossip.ts
+++ b/packages/serving/src/peer_gossip.ts
@@ -55,6 +55,8 @@
    * Called periodically with the newest configuration version among live peers.
    */
   recordPeerVersion: (version: number) => void;
+  /** Called with the configuration version of each record of a peer. */
+  noteVersion: (version: number) => void;
   limits: Pick<EndpointLimits, "chooseUpdates" | "applyUpdate">;
   brittle: Pick<BrittlePools, "listUpdates" | "applyUpdate">;
   /** Source and receiver of updates about quarantined contents. */
@@ -70,6 +72,11 @@
   readonly registry: MemberRegistry;
   /** Writes this entry's record again, which a restored store may lack. */
   republish(signal: AbortSignal): Promise<void>;
+  /**
+   * Whether this entry has just started beside others and none of them has
+   * replied yet.
+   */
+  isAwaitingPeers(): boolean;
   /** Starts the gossip exchange; it ends when the signal aborts. */
   start(signal: AbortSignal): ExchangeLoop;
   /**
@@ -94,6 +101,9 @@
 const FAST_GOSSIP_PEERS = 24;
 const MAX_TIMEOUT_FACTOR = 3;
 
+/** A peer that runs replies to an entry that starts within this time. */
+const FIRST_REPLY_TIME: Millis = 1_000;
+
 /** The size of answers is logged at most this often. */
 const ANSWER_SIZE_INTERVAL: Millis = 10_000;
 
@@ -106,6 +116,8 @@
   /** Incarnation and state of each peer as last logged. */
   const peerStates = new Map<string, string>();
   const isDiscovering = createDiscoveryCheck(clock);
+  const startedAt = clock.now();
+  let hasReply = false;
   let loggedSize = { count: 0, at: -Infinity };
 
   const self: PeerRecord = {
@@ -167,6 +179,15 @@
     if (!signal.aborted) await publishSelf(signal);
   }
 
+  function listSeeds(): string[] {
+    return [...settings.seeds, ...registry.listAddresses()];
+  }
+
+  function isAwaitingPeers(): boolean {
+    return !hasReply && clock.now() - startedAt < FIRST_REPLY_TIME &&
+      listSeeds().some((address) => address !== self.controlAddress);
+  }
+
   function start(signal: AbortSignal): ExchangeLoop {
     void publishSelf(signal);
     const exchange = startExchangeLoop({
@@ -186,8 +207,12 @@
           state: options.readState(),
         });
       },
-      listSeeds: () => [...settings.seeds, ...registry.listAddresses()],
-      exchange: (address, message) => peers.exchange(address, message),
+      listSeeds,
+      async exchange(address, message) {
+        const reply = await peers.exchange(address, message);
+        hasReply ||= reply.isOk;
+        return reply;
+      },
       markLeaving: ({ endpointKey, age, isSaid }) => {
         if (options.directory.markLeaving(endpointKey, { age, isSaid })) {
           log.record("endpoint_changed", {
@@ -215,8 +240,9 @@
 
   /** Logs changes only: heartbeats arrive many times a second. */
   function recordPeer(
-    { entry, incarnation, state, controlAddress }: PeerRecord,
+    { entry, incarnation, state, controlAddress, configVersion }: PeerRecord,
   ) {
+    options.noteVersion(configVersion);
     const now = `${incarnation} ${state}`;
     if (peerStates.get(entry) === now) return;
     peerStates.set(entry, now);
@@ -243,6 +269,7 @@
     peers,
     registry,
     republish,
+    isAwaitingPeers,
     start,
     chooseEntries(limit) {
       const state = options.readState();
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -218,6 +218,7 @@
     log,
     metrics,
     siteState,
+    isAwaitingPeers: () => gossip.isAwaitingPeers(),
   });
   const { isBehindPeers, readVersion } = freshness;
 
@@ -254,6 +255,7 @@
     countInFlight: () => tasks.size,
     readConfigVersion: readVersion,
     recordPeerVersion: freshness.recordPeerVersion,
+    noteVersion: freshness.noteVersion,
     limits: {
       chooseUpdates: (count) => limits.chooseUpdates(count),
       applyUpdate: (limitNews) => limits.applyUpdate(limitNews),
