fix(endpoints): an endpoint of a restored list counts once its record should have expired

The entry reads the copy from the store itself and leaves out an endpoint that it does not know, as it may have left; it counts once it registers again. But the entry reads on from a peer, and peers leave out registrations without a change. If the first one after the restore came before the entry's reading, no other ever reaches it.

An endpoint that was left out is accepted after five seconds, unless its record was removed meanwhile: the list removes what is silent for three heartbeats. While the list is unavailable it waits longer.

The new test fails before: e1 is never listed again.

--- a/packages/coordination/src/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry.ts
@@ -37,12 +37,19 @@
   /**
    * Records that the list was restored from an older copy of itself, which is
    * read next. An endpoint that is unknown here may have left since the copy
-   * was made; it counts once it registers again.
+   * was made; it counts once it registers again, or if its record has not
+   * expired.
    */
   handleRestored(): void;
   list(): EndpointInfo[];
 }
 
+/**
+ * The instance list removes an endpoint that has been silent for three
+ * heartbeats, of 1.2 s each.
+ */
+const EXPIRY_TIME: Millis = 5_000;
+
 /** Creates an empty registry. */
 export function createEndpointRegistry(
   { clock, recoveryGrace, onChange }: EndpointRegistryOptions,
@@ -50,6 +57,13 @@
   const endpoints = new Map<string, EndpointInfo>();
   /** Deferred removals: functions that cancel their timers, by endpoint id. */
   const deferred = new Map<string, () => void>();
+  /**
+   * Endpoints of a restored list that count once their records should have
+   * expired: functions that cancel their timers, by endpoint id. Their next
+   * registration may not be read here, as entries that relay the list leave out
+   * records without a change.
+   */
+  const unverified = new Map<string, () => void>();
   let isUnavailable = false;
   let recoveredAt = -Infinity;
   let isRestored = false;
@@ -58,7 +72,23 @@
     onChange([...endpoints.values()]);
   }
 
+  function cancelVerification(id: string): void {
+    unverified.get(id)?.();
+    unverified.delete(id);
+  }
+
+  function scheduleVerification(endpoint: EndpointInfo): void {
+    const { id } = endpoint;
+    cancelVerification(id);
+    const verify = () => {
+      if (isUnavailable) scheduleVerification(endpoint);
+      else put(endpoint);
+    };
+    unverified.set(id, clock.startTimer(EXPIRY_TIME, verify));
+  }
+
   function put(endpoint: EndpointInfo): boolean {
+    cancelVerification(endpoint.id);
     const known = endpoints.get(endpoint.id);
     // Records reach an entry on several paths, so an older one may arrive
     // later. It would restore the capacity, the marks and the address of an
@@ -76,6 +106,7 @@
   }
 
   function remove(id: string): void {
+    cancelVerification(id);
     const known = endpoints.get(id);
     if (known === undefined || deferred.has(id)) return;
     const graceLeft = recoveredAt + recoveryGrace - clock.now();
@@ -93,11 +124,13 @@
 
   function replaceAll(next: readonly EndpointInfo[]): void {
     const ids = new Set(next.map(({ id }) => id));
-    for (const id of [...endpoints.keys()]) if (!ids.has(id)) remove(id);
+    const known = [...endpoints.keys(), ...unverified.keys()];
+    for (const id of known) if (!ids.has(id)) remove(id);
     const isUnverified = isRestored && endpoints.size > 0;
     isRestored = false;
     for (const endpoint of next) {
       if (!isUnverified || endpoints.has(endpoint.id)) put(endpoint);
+      else scheduleVerification(endpoint);
     }
   }
 
--- a/packages/coordination/src/endpoint_registry_test.ts
+++ b/packages/coordination/src/endpoint_registry_test.ts
@@ -131,6 +131,31 @@
       expect(listIds()).to.have.members(["e1", "e2"]);
     });
 
+    // Guards against an endpoint that stays unknown for good, as entries that
+    // relay the list leave out registrations without a change.
+    it("accepts an unknown endpoint whose record does not expire", async () => {
+      const { clock, registry, listIds } = create();
+      registry.remove("e1");
+      registry.handleRestored();
+      registry.replaceAll([createEndpoint("e1"), createEndpoint("e2")]);
+      await clock.advance(5_000);
+      expect(listIds()).to.have.members(["e1", "e2"]);
+    });
+
+    it("waits longer while the list is unavailable", async () => {
+      const { clock, registry, listIds } = create();
+      registry.remove("e1");
+      registry.handleRestored();
+      registry.replaceAll([createEndpoint("e1"), createEndpoint("e2")]);
+      registry.handleUnavailable();
+      await clock.advance(8_000);
+      expect(listIds()).to.deep.equal(["e2"]);
+      registry.handleAvailable();
+      registry.remove("e1");
+      await clock.advance(8_000);
+      expect(listIds()).to.deep.equal(["e2"]);
+    });
+
     // An endpoint that started in the seconds missing from the copy registers
     // again soon.
     it("keeps an endpoint that the copy lacks for a while", async () => {
