fix: errors outside of requests are logged, counted and outlived

Callers would have lost all requests in progress with the entry. The process had no handler for what an event handler throws or for a rejection that nobody awaits, so that Node.js ended it with status 1.

The process now records them: 'unexpected_error' with source and stack, ten lines a second at most, and mangoreach_unexpected_errors_total{source}. Requests are tasks of their own and do not share state with what failed.

--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -141,6 +141,7 @@
   const { signal } = controller;
   const shutdown = createSharedController();
   const metrics = createServingMetrics(settings.entry);
+  if (options.errors) metrics.setErrorCounts(options.errors.counts);
   const log = createDecisionLog({
     clock,
     logger,
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -40,6 +40,8 @@
   countConnect(pool: string, outcome: string): void;
   /** A request that ended after the signal to stop. */
   countStopped(outcome: StopOutcome): void;
+  /** Sets the source of counts of unexpected errors, read when collected. */
+  setErrorCounts(counts: ReadonlyMap<string, number>): void;
   /** Sets the source of the bytes of answers held, read when collected. */
   setHeldBytes(readBytes: () => number): void;
   /** Sets the source of the use by client account, read when collected. */
@@ -181,6 +183,18 @@
     registers,
   });
 
+  let errorCounts: ReadonlyMap<string, number> = new Map();
+  new Counter({
+    name: "mangoreach_unexpected_errors_total",
+    help: "Errors outside of requests that the process outlived, by source",
+    labelNames: ["source"],
+    registers,
+    collect() {
+      this.reset();
+      for (const [source, count] of errorCounts) this.inc({ source }, count);
+    },
+  });
+
   let readHeldBytes = () => 0;
   new Gauge({
     name: "mangoreach_held_bytes",
@@ -249,6 +263,7 @@
     countRetry: (pool, outcome) => retries.inc({ pool, outcome }),
     countStopped: (outcome) => stopped.inc({ outcome }),
     countUndecodable: (topic) => undecodable.inc({ topic }),
+    setErrorCounts: (counts) => errorCounts = counts,
     setHeldBytes: (readBytes) => readHeldBytes = readBytes,
     setAccountUse: (list) => listUse = list,
   };
--- a/packages/serving/src/serving_options.ts
+++ b/packages/serving/src/serving_options.ts
@@ -13,6 +13,7 @@
   Clock,
   Connect,
   ConnectionLimits,
+  ErrorRecorder,
   HeldBytes,
   ListenAddress,
   Listening,
@@ -99,6 +100,8 @@
   /** Returns the time of day, which advances while the process is suspended. */
   readWallTime: () => Millis;
   logger: Logger;
+  /** Errors outside of requests, for the metrics. */
+  errors?: Pick<ErrorRecorder, "record" | "counts"> | undefined;
   random: () => number;
   /** Differs for every start of the process. */
   incarnation: string;
--- /dev/null
+++ b/packages/shared/src/error_recorder.ts
@@ -0,0 +1,82 @@
+/**
+ * Logs and counts errors that no request reports and that the process outlives.
+ *
+ * @module
+ */
+import process from "node:process";
+import type { Clock, Millis } from "./clock.ts";
+import type { Logger } from "./logger.ts";
+
+/** What an error came from. */
+export type ErrorSource =
+  | "uncaught_exception"
+  | "unhandled_rejection"
+  /** A listener after it was started, such as one that cannot accept. */
+  | "listener"
+  | "signal"
+  | "settings"
+  /** The graceful stop. */
+  | "stop";
+
+/** Records errors. */
+export interface ErrorRecorder {
+  record(source: ErrorSource, error: unknown): void;
+  /** Errors so far by source. */
+  readonly counts: ReadonlyMap<ErrorSource, number>;
+  /** Replaces the logger, once the settings name the process. */
+  setLogger(logger: Logger): void;
+}
+
+/** A line with its stack takes about 50 microseconds. */
+const MAX_LINES_PER_WINDOW = 10;
+const WINDOW: Millis = 1_000;
+
+/** Creates the recorder of one process. */
+export function createErrorRecorder(
+  { clock, logger }: { clock: Clock; logger: Logger },
+): ErrorRecorder {
+  const counts = new Map<ErrorSource, number>();
+  let log = logger;
+  let windowStart = clock.now();
+  let lines = 0;
+
+  function record(source: ErrorSource, error: unknown): void {
+    const count = (counts.get(source) ?? 0) + 1;
+    counts.set(source, count);
+    const now = clock.now();
+    if (now - windowStart >= WINDOW) {
+      windowStart = now;
+      lines = 0;
+    }
+    if (++lines > MAX_LINES_PER_WINDOW) return;
+    log.error("unexpected_error", { source, count, ...describeError(error) });
+  }
+
+  return {
+    record,
+    counts,
+    setLogger: (next) => log = next,
+  };
+}
+
+/** Outlives and records errors that nothing else handles. */
+export function handleProcessErrors(errors: ErrorRecorder): void {
+  process.on(
+    "uncaughtException",
+    (error) => errors.record("uncaught_exception", error),
+  );
+  process.on(
+    "unhandledRejection",
+    (reason) => errors.record("unhandled_rejection", reason),
+  );
+}
+
+/** Anything may be thrown, also what cannot be formatted. */
+function describeError(error: unknown): { error: string; stack?: string } {
+  try {
+    if (!(error instanceof Error)) return { error: String(error) };
+    return { error: String(error), stack: String(error.stack) };
+  } catch {
+    return { error: "an error that cannot be formatted" };
+  }
+}
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -48,6 +48,8 @@
   TimelineOptions,
 } from "./timeline.ts";
 export { createTimeline } from "./timeline.ts";
+export type { ErrorRecorder, ErrorSource } from "./error_recorder.ts";
+export { createErrorRecorder, handleProcessErrors } from "./error_recorder.ts";
 export type { TaskSet } from "./task_set.ts";
 export { createTaskSet } from "./task_set.ts";
 export type {
--- a/soak/src/process_faults_test.ts
+++ b/soak/src/process_faults_test.ts
@@ -2,13 +2,7 @@
 import { CONFIG_KEY, TOPIC } from "../../platform/src/wire_names.ts";
 import { createSoakConfig } from "./soak_config.ts";
 import type { StartedProcess, StartProcessOptions } from "./started_process.ts";
-import {
-  isReady,
-  readCounter,
-  startProcess,
-  waitForEnd,
-  waitUntil,
-} from "./started_process.ts";
+import { readCounter, startProcess, waitForEnd } from "./started_process.ts";
 import type { TopicStore } from "./topic_store.ts";
 import { startTopicStore } from "./topic_store.ts";
 
