test(shared): an output that cannot be written ends or hangs the process

Red on this code: expected { status: 0, stderr: 'alive' }, got { status: null, stderr: '' }: the process neither went on nor ended within 8 s. Its output is a file with a limit of 4 blocks (EFBIG), as a full disk would give ENOSPC.

--- a/packages/shared/src/logger_test.ts
+++ b/packages/shared/src/logger_test.ts
@@ -1,4 +1,7 @@
 import { spawnSync } from "node:child_process";
+import { mkdtempSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import process from "node:process";
 import { expect } from "chai";
 
@@ -35,4 +38,25 @@
       },
     ]);
   });
+
+  // A full disk or a limit on the size of files ended the process.
+  it("outlives an output that cannot be written", () => {
+    const code = `import { createLogger } from "${LOGGER}";
+      const logger = createLogger({ process: "p", level: "info", output: "stdout" });
+      let lines = 0;
+      const timer = setInterval(() => {
+        logger.info("line", { text: "x".repeat(9_000) });
+        if (++lines < 50) return;
+        clearInterval(timer);
+        process.stderr.write("alive");
+      }, 5);`;
+    const folder = mkdtempSync(join(tmpdir(), "mangoreach-logger-"));
+    const { status, stderr } = spawnSync("bash", [
+      "-c",
+      `ulimit -f 4; exec "$0" "$@" >${join(folder, "log")}`,
+      process.execPath,
+      ...["--import", "tsx", "--input-type=module", "-e", code],
+    ], { encoding: "utf8", timeout: 8_000, killSignal: "SIGKILL" });
+    expect({ status, stderr }).to.deep.equal({ status: 0, stderr: "alive" });
+  });
 });
--- a/soak/src/started_process.ts
+++ b/soak/src/started_process.ts
@@ -33,8 +33,6 @@
   formatSettings?: (settings: PlatformSettings) => string | undefined;
   /** A script that the process runs first. */
   preloaded?: string;
-  /** Largest size of a file that it may write, in blocks of 1,024 bytes. */
-  maxFileBlocks?: number;
   /** Called with the settings before the process starts. */
   onSettings?: (settings: PlatformSettings) => Promise<void>;
 }
@@ -48,7 +46,6 @@
     store,
     formatSettings = (settings) => JSON.stringify(settings),
     preloaded,
-    maxFileBlocks,
     onSettings,
   }: StartProcessOptions,
 ): Promise<StartedProcess> {
@@ -68,12 +65,9 @@
   const deploy = readFileSync("deploy/system.toml", "utf8");
   const [, command = ""] = /^run = "node (.*)"$/m.exec(deploy) ?? [];
   const first = preloaded === undefined ? "" : `--require ${preloadedFile} `;
-  const limit = maxFileBlocks === undefined
-    ? ""
-    : `ulimit -f ${maxFileBlocks}; `;
   const child = spawn("bash", [
     "-c",
-    `${limit}exec "$0" ${first}${command} >"$1" 2>&1`,
+    `exec "$0" ${first}${command} >"$1" 2>&1`,
     process.execPath,
     logFile,
   ], {
