fix(shared): an output that cannot be written neither ends nor hangs the process

The error of a write had no listener and was thrown as an uncaught exception; the flush at exit then retried without end, so that the process also did not end. Lines are now lost until a write succeeds again, and the flush at exit is left out while the last write has failed.

The test failed before: { status: null, stderr: '' } after 8 s. With a listener alone it still hung at exit: { status: null, stderr: 'alive' }.

--- a/packages/shared/src/logger.ts
+++ b/packages/shared/src/logger.ts
@@ -67,6 +67,11 @@
 ): Logger {
   const dest = output === "stdout" ? STANDARD_OUTPUT : STANDARD_ERROR;
   const stream = destination({ dest, ...WRITE_BUFFER });
+  const { flushSync } = stream;
+  // Lines are lost while the output cannot be written. The flush at exit would
+  // retry without end.
+  stream.on("error", () => stream.flushSync = () => {});
+  stream.on("write", () => stream.flushSync = flushSync);
   const options = { level, base: { process } };
   const paths = SECRET_FIELDS.map((field) => `*.${field}`);
   return wrapLogger(
