fix(peers): bound the answers of peers that are called over HTTP

A peer that refuses the upgrade, as builds without it do, is called over HTTP for a minute. Its answer was collected by the client library's text(), which has no limit, until the call timed out. One faulty peer that writes on and on took an entry to 1,420 MB within 4 s (limit of a machine: 350 MB), and the requests of its callers would have ended with it.

The answer is now read like those of the store: at most as large as a frame, and within the account of bytes that the process holds. The connection is closed at once beyond that.

Failed before: "lives and is ready: endless_refusal" and "endless_http_reply" (AssertionError: expected 1419.99609375, and 1296.08203125, to be within 1..250).

--- a/packages/peers/src/peer_caller.ts
+++ b/packages/peers/src/peer_caller.ts
@@ -7,11 +7,20 @@
  */
 import type { Failure } from "@mangoreach/coordination";
 import { createFailure } from "@mangoreach/coordination";
-import type { Clock, Millis, PersistentConnections } from "@mangoreach/shared";
-import { createPersistentConnections } from "@mangoreach/shared";
+import type {
+  Clock,
+  HeldBytes,
+  Millis,
+  PersistentConnections,
+} from "@mangoreach/shared";
+import {
+  createPersistentConnections,
+  readLimitedBody,
+} from "@mangoreach/shared";
 import type { AnyTRPCRouter, inferRouterInputs } from "@trpc/server";
 import type { TRPCResponse } from "@trpc/server/rpc";
 import { Result } from "true-myth";
+import { MAX_FRAME_BYTES } from "./frame_codec.ts";
 import type { OutgoingCall, PeerConnection } from "./peer_connection.ts";
 import { openPeerConnection } from "./peer_connection.ts";
 import { PEER_PATH } from "./peer_path.ts";
@@ -23,6 +32,8 @@
   clock: Clock;
   siteKey: string;
   connectTimeout: Millis;
+  /** Bounds the replies that this process holds; not bounded if left out. */
+  heldBytes?: HeldBytes | undefined;
   onBytes?: ObserveBytes;
 }
 
@@ -72,7 +83,7 @@
 
 /** Creates the caller for one process. */
 export function createPeerCaller<R extends AnyTRPCRouter>(
-  { clock, siteKey, connectTimeout, onBytes }: PeerCallerOptions,
+  { clock, siteKey, connectTimeout, heldBytes, onBytes }: PeerCallerOptions,
 ): PeerCaller<R> {
   /** For bulk replies and for all others, by address. */
   const bulkConnections = new Map<string, PeerConnection>();
@@ -143,7 +154,7 @@
   function startHttpCall(address: string, call: OutgoingCall): () => void {
     const controller = new AbortController();
     const { signal } = controller;
-    sendHttpCall({ address, siteKey, kept, call, signal })
+    sendHttpCall({ address, siteKey, kept, heldBytes, call, signal })
       .then(call.onReply, (error) => {
         call.onFailed(error instanceof Error ? error.message : String(error));
       });
@@ -231,10 +242,11 @@
 
 /** Sends one call in the form of tRPC's HTTP link and returns its data. */
 async function sendHttpCall(
-  { address, siteKey, kept, call, signal }: {
+  { address, siteKey, kept, heldBytes, call, signal }: {
     address: string;
     siteKey: string;
     kept: PersistentConnections;
+    heldBytes: HeldBytes | undefined;
     call: OutgoingCall;
     signal: AbortSignal;
   },
@@ -257,9 +269,17 @@
     body: isQuery ? null : text ?? null,
     signal,
   });
-  const replyText = await body.text();
-  call.onBytes("in", replyText.length);
-  const reply = JSON.parse(replyText) as TRPCResponse;
+  const read = await readLimitedBody(body, {
+    limit: MAX_FRAME_BYTES,
+    heldBytes,
+  });
+  if (read.isErr) {
+    throw new Error(`the reply was not read: ${read.error.fault}`);
+  }
+  const { bytes, release } = read.value;
+  release();
+  call.onBytes("in", bytes.length);
+  const reply = JSON.parse(bytes.toString()) as TRPCResponse;
   if ("error" in reply) throw new Error(reply.error.message);
   return reply.result.data;
 }
--- a/packages/peers/src/serving_peers.ts
+++ b/packages/peers/src/serving_peers.ts
@@ -6,7 +6,7 @@
  */
 import type { IncomingMessage, RequestListener, Server } from "node:http";
 import type { Failure } from "@mangoreach/coordination";
-import type { Clock, Millis } from "@mangoreach/shared";
+import type { Clock, HeldBytes, Millis } from "@mangoreach/shared";
 import type { Result } from "true-myth";
 import * as z from "zod";
 import type { ChannelFault } from "./frame_channel.ts";
@@ -286,9 +286,11 @@
 
 /** Creates the client. */
 export function createServingPeerClient(
-  { clock, siteKey, timeout, onExchangeBytes }: {
+  { clock, siteKey, timeout, heldBytes, onExchangeBytes }: {
     clock: Clock;
     siteKey: string;
+    /** Bounds the replies that this process holds; not bounded if left out. */
+    heldBytes?: HeldBytes | undefined;
     /** Timeout of short exchanges, which a healthy peer does not exceed. */
     timeout: Millis;
     /** Reports the sizes of the messages of exchanges. */
@@ -299,6 +301,7 @@
     clock,
     siteKey,
     connectTimeout: timeout,
+    heldBytes,
     onBytes: createExchangeObserver(onExchangeBytes),
   });
 
--- a/packages/serving/src/peer_gossip.ts
+++ b/packages/serving/src/peer_gossip.ts
@@ -23,6 +23,7 @@
 import { createServingPeerClient, startExchangeLoop } from "@mangoreach/peers";
 import type {
   Clock,
+  HeldBytes,
   ListenAddress,
   Listening,
   Millis,
@@ -45,6 +46,8 @@
   /** Differs for every start of the process. */
   incarnation: string;
   checkListening: (address: string) => Promise<Listening>;
+  /** Bounds the replies of peers that this process holds. */
+  heldBytes: HeldBytes;
   members: MemberStore;
   directory: EndpointDirectory;
   /** Whether callers may be sent to this entry. */
@@ -137,6 +140,7 @@
     clock,
     siteKey: "",
     timeout: PEER_TIMEOUT,
+    heldBytes: options.heldBytes,
     onExchangeBytes: metrics.countPeerBytes,
   });
 
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -248,6 +248,7 @@
     settings,
     incarnation: options.incarnation,
     checkListening: platform.checkListening,
+    heldBytes,
     members: platform.members,
     directory,
     readState,
