--- a/soak/src/faulty_peer.ts
+++ b/soak/src/faulty_peer.ts
@@ -27,7 +27,9 @@
   /** Replies whose values take far more memory than their text. */
   | "many_values"
   /** Replies with values inside each other. */
-  | "deep_values";
+  | "deep_values"
+  /** Records of a topic, none of which is valid. */
+  | "invalid_records";
 
 /** All faults. */
 export const PEER_FAULTS: readonly PeerFault[] = [
@@ -39,6 +41,7 @@
   "unfinished_frame",
   "many_values",
   "deep_values",
+  "invalid_records",
 ];
 
 /** A running peer. */
@@ -52,6 +55,7 @@
 
 const FRAME_BYTES = 8_388_608;
 const LENGTH_BYTES = 4;
+const INVALID_RECORDS = 115_000;
 const BLOCK = Buffer.alloc(65_536, "x");
 const FIELD = Buffer.from("x-filler: 0123456789\r\n");
 const PROVISIONAL = Buffer.from("HTTP/1.1 103 Early Hints\r\n\r\n");
@@ -84,6 +88,13 @@
   return "[".repeat(depth) + "]".repeat(depth);
 }
 
+/** A reply that is far smaller than it may be. */
+function createInvalidRecords(): string {
+  const records = `${"{},".repeat(INVALID_RECORDS)}{}`;
+  return `[{"kind":"records","records":[${records}],` +
+    `"next":{"era":0,"offset":0},"age":0}]`;
+}
+
 /** Writes the block again and again until the connection is closed. */
 function writeOnAndOn(socket: Socket, block: Buffer): void {
   if (socket.destroyed) return;
@@ -135,6 +146,8 @@
       return void answerCalls(socket, createManyValues()).catch(() => {});
     case "deep_values":
       return void answerCalls(socket, createDeepValues()).catch(() => {});
+    case "invalid_records":
+      return void answerCalls(socket, createInvalidRecords()).catch(() => {});
   }
 }
 
