fix: don't parse JSON whose values take the heap of a process

Messages of peers, answers of the store and replies of stages are limited in bytes (8, 8 and 4 MB), but 8 MB of '{},' become 2.8 million objects of 56 bytes, 157 MB, and the heap of the process is limited to 150. One such frame of a peer, or one page of the store, ended the process with status 134 inside JSON.parse, where no handler can help; its callers' requests ended with it. It is the same class as bytes without end: a limit of what comes in that is no limit of what it takes.

Text over half a megabyte is now scanned before it is parsed: objects, lists, names, strings and elements outside of strings, with what each takes in the heap. Beyond 32 MB it counts as malformed, which all callers handle already. Smaller text is parsed as before, without a scan. A configuration of 20,000 routes is parsed (test).

--- a/packages/peers/src/frame_codec.ts
+++ b/packages/peers/src/frame_codec.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { createBodyCollector } from "@mangoreach/shared";
+import { createBodyCollector, parseBoundedJson } from "@mangoreach/shared";
 
 /** Largest frame, without its length; about eight times a full snapshot. */
 export const MAX_FRAME_BYTES = 8 * 1_048_576;
@@ -58,12 +58,8 @@
       needed = LENGTH_BYTES + size;
       if (bytes.length - at < needed) break;
       const text = bytes.toString("utf8", at + LENGTH_BYTES, at + needed);
-      let message: unknown;
-      try {
-        message = JSON.parse(text);
-      } catch {
-        return "a frame is not JSON";
-      }
+      const message = parseBoundedJson(text);
+      if (message === undefined) return "a frame is not JSON";
       onFrame(message, needed);
       at += needed;
       needed = LENGTH_BYTES;
--- a/packages/peers/src/peer_caller.ts
+++ b/packages/peers/src/peer_caller.ts
@@ -15,6 +15,7 @@
 } from "@mangoreach/shared";
 import {
   createPersistentConnections,
+  parseBoundedJson,
   readLimitedBody,
 } from "@mangoreach/shared";
 import type { AnyTRPCRouter, inferRouterInputs } from "@trpc/server";
@@ -279,7 +280,8 @@
   const { bytes, release } = read.value;
   release();
   call.onBytes("in", bytes.length);
-  const reply = JSON.parse(bytes.toString()) as TRPCResponse;
+  const reply = parseBoundedJson(bytes.toString()) as TRPCResponse | undefined;
+  if (reply === undefined) throw new Error("the reply is malformed");
   if ("error" in reply) throw new Error(reply.error.message);
   return reply.result.data;
 }
--- a/packages/peers/src/peer_procedure.ts
+++ b/packages/peers/src/peer_procedure.ts
@@ -10,7 +10,7 @@
   RequestListener,
   ServerResponse,
 } from "node:http";
-import { readBody, sendJson } from "@mangoreach/shared";
+import { parseBoundedJson, readBody, sendJson } from "@mangoreach/shared";
 import type { AnyTRPCRouter } from "@trpc/server";
 import {
   callTRPCProcedure,
@@ -155,9 +155,7 @@
 
 function parseInput(text: string): unknown {
   if (text === "") return undefined;
-  try {
-    return JSON.parse(text);
-  } catch (cause) {
-    throw new TRPCError({ code: "PARSE_ERROR", cause });
-  }
+  const input = parseBoundedJson(text);
+  if (input === undefined) throw new TRPCError({ code: "PARSE_ERROR" });
+  return input;
 }
--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -16,7 +16,7 @@
 import type { Connect, ConnectFailure } from "./connection.ts";
 import { openConnection } from "./connection.ts";
 import type { HeldBytes } from "./held_bytes.ts";
-import { parseJson } from "./http_server.ts";
+import { parseBoundedJson } from "./bounded_json.ts";
 import { createPersistentConnections } from "./persistent_connections.ts";
 import { sendSingleUseCall } from "./single_use_call.ts";
 import { TIMED_OUT } from "./timeout.ts";
@@ -344,5 +344,5 @@
 
 /** Parses the JSON body of an answer; undefined if it is malformed. */
 export function readReplyJson(reply: HttpReply): unknown {
-  return parseJson(reply.text);
+  return parseBoundedJson(reply.text);
 }
