fix(peers): a malformed escape in a query fails the call, not the process

One request, GET /peers/ping?input=%, ended the process with status 1 and with it the requests of all its callers. The query was decoded in an async function that nobody awaits, before the part that answers errors: decodeURIComponent throws a URIError, and the rejection had no handler.

The input is now decoded where the procedure reads it, so that a malformed escape is answered with 400 like malformed JSON.

Failed before: 'an entry that gets malformed calls lives: calls to control' (URIError: URI malformed at readCall, handleCall).

--- a/packages/peers/src/peer_procedure.ts
+++ b/packages/peers/src/peer_procedure.ts
@@ -139,10 +139,11 @@
     : "";
   if (request.method === "GET") {
     const query = url.slice(end + 1);
-    const text = query.startsWith(INPUT_PARAMETER)
-      ? decodeURIComponent(query.slice(INPUT_PARAMETER.length))
+    const encoded = query.startsWith(INPUT_PARAMETER)
+      ? query.slice(INPUT_PARAMETER.length)
       : "";
-    return { path, type: "query", readInput: () => Promise.resolve(text) };
+    const readInput = () => readEncoded(encoded);
+    return { path, type: "query", readInput };
   }
   return { path, type: "mutation", readInput: () => readText(request) };
 }
@@ -159,3 +160,12 @@
   if (input === undefined) throw new TRPCError({ code: "PARSE_ERROR" });
   return input;
 }
+
+/** A malformed escape fails the call, like any other malformed input. */
+function readEncoded(encoded: string): Promise<string> {
+  try {
+    return Promise.resolve(decodeURIComponent(encoded));
+  } catch (cause) {
+    return Promise.reject(new TRPCError({ code: "PARSE_ERROR", cause }));
+  }
+}
