fix(peers): read the query of a tunnel from a target that is no URL

One request with the target // and an upgrade to a tunnel ended the process with status 1 (ERR_INVALID_URL, thrown in an async handler that nobody awaits), and with it the requests of its callers. The target is now split at the question mark, which cannot fail; without an endpoint the tunnel is refused with 503 as before.

Failed before: 'an entry that gets malformed calls lives: upgrades to a tunnel, to control' (TypeError: Invalid URL, input '//').

--- a/packages/peers/src/tunnel.ts
+++ b/packages/peers/src/tunnel.ts
@@ -156,7 +156,7 @@
   const ends = new Map<string, true>();
 
   return async (upgrade) => {
-    const { searchParams } = new URL(upgrade.request.url ?? "", "http://peer");
+    const searchParams = readQuery(upgrade.request.url ?? "");
     const ended = searchParams.get("ended");
     if (ended !== null) {
       const status = ends.delete(ended) ? STATUS_ENDED : STATUS_UNKNOWN;
@@ -176,6 +176,12 @@
   };
 }
 
+/** Reads the query of a target, which need not be a URL. */
+function readQuery(target: string): URLSearchParams {
+  const queryAt = target.indexOf("?");
+  return new URLSearchParams(queryAt < 0 ? "" : target.slice(queryAt + 1));
+}
+
 function refuseUpgrade({ socket }: UpgradeRequest, status: number): void {
   socket.end(
     `HTTP/1.1 ${status} No Tunnel\r\n` +
