--- a/packages/peers/src/peer_procedure.ts
+++ b/packages/peers/src/peer_procedure.ts
@@ -10,7 +10,7 @@
   RequestListener,
   ServerResponse,
 } from "node:http";
-import { readBody, sendJson } from "@mangoreach/shared";
+import { parseBoundedJson, readBody, sendJson } from "@mangoreach/shared";
 import type { AnyTRPCRouter } from "@trpc/server";
 import {
   callTRPCProcedure,
@@ -139,10 +139,11 @@
     : "";
   if (request.method === "GET") {
     const query = url.slice(end + 1);
-    const text = query.startsWith(INPUT_PARAMETER)
-      ? decodeURIComponent(query.slice(INPUT_PARAMETER.length))
+    const encoded = query.startsWith(INPUT_PARAMETER)
+      ? query.slice(INPUT_PARAMETER.length)
       : "";
-    return { path, type: "query", readInput: () => Promise.resolve(text) };
+    const readInput = () => readEncoded(encoded);
+    return { path, type: "query", readInput };
   }
   return { path, type: "mutation", readInput: () => readText(request) };
 }
@@ -155,9 +156,16 @@
 
 function parseInput(text: string): unknown {
   if (text === "") return undefined;
+  const input = parseBoundedJson(text);
+  if (input === undefined) throw new TRPCError({ code: "PARSE_ERROR" });
+  return input;
+}
+
+/** A malformed escape fails the call, like any other malformed input. */
+function readEncoded(encoded: string): Promise<string> {
   try {
-    return JSON.parse(text);
+    return Promise.resolve(decodeURIComponent(encoded));
   } catch (cause) {
-    throw new TRPCError({ code: "PARSE_ERROR", cause });
+    return Promise.reject(new TRPCError({ code: "PARSE_ERROR", cause }));
   }
 }
