test(soak): a request that crashes engines, at an entry whose messages get lost

Eight entries as processes. What one of them sends to the others gets lost, while they reach it, and it reaches the store and all engines. One request comes to it again and again. It is never refused.

--- a/soak/src/crashing_site.ts
+++ b/soak/src/crashing_site.ts
@@ -1,24 +1,32 @@
 /**
- * A site with in-process entries and engines that crash on a certain request
- * body, with real connections and the store of the soak test.
+ * A site with engines that crash on a certain request body, with real connections
+ * and the store of the soak test. Its entries run in the process of the test
+ * unless told otherwise.
  *
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
 import { CONFIG_KEY, HEADER, TOPIC } from "../../platform/src/wire_names.ts";
+import type { SiteEntries } from "./in_process_entries.ts";
 import { startInProcessEntries } from "./in_process_entries.ts";
+import type { TopicStore } from "./topic_store.ts";
 import { startTopicStore } from "./topic_store.ts";
 import { createSoakConfig } from "./soak_config.ts";
 import { readCompleteBody, startSoakServer } from "./soak_server.ts";
 
 /** A running site. */
-export interface CrashingSite {
+export interface CrashingSite<Entries extends SiteEntries = SiteEntries> {
+  readonly entries: Entries;
+  readonly store: TopicStore;
   /** Caller addresses of the entries. */
   readonly callers: readonly string[];
   /** Ids of the engines that crashed, in order. */
   readonly ended: readonly string[];
   /** Kills all entries at once and starts new ones without their state. */
   replaceEntries(): Promise<void>;
+  /** When requests that crash engines reached them, in order. */
+  readonly arrivedAt: readonly number[];
   stop(): Promise<void>;
 }
 
@@ -30,11 +38,21 @@
 /** Time until the record of a crashed engine is removed and the next one starts. */
 const REMOVAL_DELAY_MS = 50;
 const ENGINES = 10;
+/** All entries are to know a cause this long after the crash that shows it. */
+const SETTLE_MS = 3_000;
 
 /** Starts the site; resolves once all entries are ready. */
-export async function startCrashingSite(
+export function startCrashingSite(entryCount: number): Promise<CrashingSite> {
+  return createCrashingSite(entryCount, startInProcessEntries);
+}
+
+/** Starts the site with entries of another kind. */
+export async function createCrashingSite<Entries extends SiteEntries>(
   entryCount: number,
-): Promise<CrashingSite> {
+  startEntries: (
+    options: { count: number; store: string },
+  ) => Promise<Entries>,
+): Promise<CrashingSite<Entries>> {
   const store = await startTopicStore();
   store.put(
     TOPIC.operators,
@@ -42,21 +60,23 @@
     createSoakConfig(1, { isRevoked: false }),
   );
   const ended: string[] = [];
+  const arrivedAt: number[] = [];
   const closers = new Set<() => void>();
   let engineCount = 0;
   let isStopped = false;
 
   async function startEngine(): Promise<void> {
     const id = `i-${engineCount++}`;
-    const server = await startSoakServer(async (request, response) => {
-      const body = String(await readCompleteBody(request));
-      const requestId = String(request.headers[HEADER.requestId]);
+    const server = await startSoakServer(async (received, response) => {
+      const body = String(await readCompleteBody(received));
+      const requestId = String(received.headers[HEADER.requestId]);
       response.setHeader(HEADER.requestId, requestId);
       response.setHeader(HEADER.proof, "proof");
-      await sleep(WORK_MS);
-      const parts = String(request.headers[HEADER.promptParts] ?? "");
+      const parts = String(received.headers[HEADER.promptParts] ?? "");
       const isCrashing = body === CRASHING_BODY ||
         parts.split(",").some((part) => part.startsWith(CRASHING_PART));
+      if (isCrashing) arrivedAt.push(Date.now());
+      await sleep(WORK_MS);
       if (isCrashing) return void killEngine();
       response.end("id: 1\ndata: done\n\n");
     });
@@ -80,7 +100,7 @@
   }
 
   await Promise.all(Array.from({ length: ENGINES }, startEngine));
-  const entries = await startInProcessEntries({
+  const entries = await startEntries({
     count: entryCount,
     store: store.address,
   });
@@ -89,7 +109,10 @@
     get callers() {
       return entries.callers;
     },
+    entries,
+    store,
     ended,
+    arrivedAt,
     replaceEntries: entries.replace,
     async stop() {
       isStopped = true;
@@ -100,3 +123,34 @@
     },
   };
 }
+
+/** Sends a request that crashes engines; resolves with the status. */
+export async function sendCrashingRequest(
+  { callers }: Pick<CrashingSite, "callers">,
+  { entry, id }: { entry: number; id: string },
+): Promise<number> {
+  const reply = await request(`http://${callers[entry]}/once/x`, {
+    method: "POST",
+    body: CRASHING_BODY,
+    headers: {
+      host: "soak.example",
+      authorization: "Bearer key-1",
+      [HEADER.requestId]: id,
+      [HEADER.deadline]: "2000",
+    },
+  });
+  await reply.body.dump();
+  return reply.statusCode;
+}
+
+/**
+ * Counts the requests that reached engines later than all entries are to know
+ * their cause, after this many crashes.
+ */
+export function countLateArrivals(
+  { arrivedAt }: Pick<CrashingSite, "arrivedAt">,
+  crashes: number,
+): number {
+  const knownAt = (arrivedAt[crashes - 1] ?? Infinity) + SETTLE_MS;
+  return arrivedAt.filter((at) => at > knownAt).length;
+}
--- a/soak/src/cut_launcher.cjs
+++ b/soak/src/cut_launcher.cjs
@@ -1,7 +1,8 @@
 /**
  * Starts a program whose connections to some addresses can be cut from outside:
  * node soak/src/cut_launcher.cjs PROGRAM ARGUMENTS. The parent process sends
- * `{ mode, passing }`, where `passing` lists the addresses that stay reachable.
+ * `{ mode, passing }`, where `passing` lists the addresses that stay reachable,
+ * or `{ mode, blocked }`, where all but the listed ones do.
  *
  * A proxy cannot do this: all entries connect to the same endpoints, and it
  * accepts connections that should be refused or get no response.
@@ -20,9 +21,12 @@
 const connections = new Map();
 let mode = "none";
 let passing = new Set();
+/** Undefined while `passing` decides. */
+let blocked;
 
 function isCut(target) {
-  return mode !== "none" && !passing.has(target);
+  if (mode === "none") return false;
+  return blocked === undefined ? !passing.has(target) : blocked.has(target);
 }
 
 function createSilentSocket(options) {
@@ -69,6 +73,7 @@
   }
   mode = change.mode;
   passing = new Set(change.passing);
+  blocked = change.blocked && new Set(change.blocked);
   for (const [socket, target] of connections) {
     if (!isCut(target)) continue;
     if (mode === "reset") resetConnection(socket);
--- a/soak/src/in_process_entries.ts
+++ b/soak/src/in_process_entries.ts
@@ -10,7 +10,7 @@
 import { createEntrySettings, findEntryPorts } from "./entry_settings.ts";
 
 /** A set of running entries. */
-export interface InProcessEntries {
+export interface SiteEntries {
   /** Caller addresses of the entries. */
   readonly callers: readonly string[];
   /** Kills all entries at once and starts new ones without their state. */
@@ -29,7 +29,7 @@
     /** `ip:port`. */
     store: string;
   },
-): Promise<InProcessEntries> {
+): Promise<SiteEntries> {
   let entryNumber = 0;
 
   async function startEntry(): Promise<StartedEntry> {
--- a/soak/src/soak_entry.ts
+++ b/soak/src/soak_entry.ts
@@ -42,7 +42,7 @@
 export async function createEntry(
   name: string,
   { store, folder, stopS }: {
-    store: TopicStore;
+    store: Pick<TopicStore, "address">;
     folder: string;
     /** Time limit to stop, in seconds. */
     stopS?: number;
@@ -99,6 +99,15 @@
   if (child?.connected) child.send({ mode, passing }, () => {});
 }
 
+/** Cuts the connections that an entry opens to the listed addresses only. */
+export function sendBlock(
+  { child }: Entry,
+  mode: CutMode,
+  blocked: readonly string[],
+): void {
+  if (child?.connected) child.send({ mode, blocked }, () => {});
+}
+
 /** Resolves once the entry reports that it is ready. */
 export async function waitUntilReady({ name, ready }: Entry): Promise<void> {
   const limit = Date.now() + START_TIMEOUT_MS;
