fix: aggregators count the crashes that they read from the store

Callers saw 502 again and again for a request that crashes engines, and each time all other work of an engine was lost, when it came to an entry whose messages did not reach the others: 12 of 12 requests crashed an engine.

The cause: an entry reports crashes to three aggregators and writes them to the store, from which everyone reads them, but those counted only once another crash was reported. As the others still reached the entry, it took them for alive and never counted for itself.

An aggregator now counts what it reads from the store 0.2 s later, unless it was reported by then. Only traits with three crashes, or of an earlier quarantine, are looked at, so that the choice of aggregators is not computed for each trait of each crash at all entries. Crashes from before a process started, and those older than 30 s, count with the next one as before. A crash from before the release of a quarantine no longer makes it relapse, since a restored store is read again.

--- a/packages/coordination/src/crash_evidence.ts
+++ b/packages/coordination/src/crash_evidence.ts
@@ -79,7 +79,7 @@
  * A third in a row is no coincidence, and each crash loses all work of the
  * endpoint.
  */
-const CRASHES_TO_BLAME = 3;
+export const CRASHES_TO_BLAME = 3;
 /** By then, several causes among the later parts were blamed themselves. */
 const CRASHES_TO_BLAME_AMBIGUOUS = 5;
 /** Crashes that show that a known cause was described too narrowly. */
--- a/packages/coordination/src/crash_history.ts
+++ b/packages/coordination/src/crash_history.ts
@@ -1,7 +1,7 @@
 /**
  * Crashes that were read from the platform's store, some of them from before this
- * process started. They count once another crash with one of their traits is
- * recorded.
+ * process started. Those count once another crash with one of their traits is
+ * known.
  *
  * @module
  */
@@ -14,6 +14,8 @@
   isEmpty(): boolean;
   /** Adds a run under those of its traits that may still be to blame. */
   add(run: CrashedRun, traits: readonly string[]): void;
+  /** Counts the endpoints that crashed during runs with a trait. */
+  countEndpoints(trait: string): number;
   /** Removes and returns the runs with a trait, oldest first. */
   remove(trait: string): CrashedRun[];
   removeExpired(): void;
@@ -68,6 +70,8 @@
   return {
     isEmpty: () => byTrait.size === 0,
     add,
+    countEndpoints: (trait) =>
+      new Set(listRecent(trait).map(({ endpointKey }) => endpointKey)).size,
     remove,
     removeExpired() {
       for (const trait of [...byTrait.keys()]) {
--- a/packages/coordination/src/poison_quarantine.ts
+++ b/packages/coordination/src/poison_quarantine.ts
@@ -17,7 +17,11 @@
 import type { Clock, Millis } from "@mangoreach/shared";
 import { putBounded } from "@mangoreach/shared";
 import type { CommonCause, CrashedRun } from "./crash_evidence.ts";
-import { createCrashEvidence, EVIDENCE_TTL } from "./crash_evidence.ts";
+import {
+  CRASHES_TO_BLAME,
+  createCrashEvidence,
+  EVIDENCE_TTL,
+} from "./crash_evidence.ts";
 import { createCrashHistory } from "./crash_history.ts";
 import { formatTraits, isPartTrait, parseTraits } from "./request_traits.ts";
 
@@ -76,9 +80,13 @@
   recordCrash(trait: string, run: CrashedRun): SuspectedCause | undefined;
   /**
    * Notes a crash that the store has. It counts against its traits once another
-   * crash with them is recorded.
+   * crash with them is recorded, or with `recordNoted`.
    */
   noteCrash(run: CrashedRun): void;
+  /** Whether the known crashes with a trait may suffice to blame it. */
+  hasEnoughCrashes(trait: string): boolean;
+  /** Records the noted crashes with a trait, as `recordCrash` does. */
+  recordNoted(trait: string): SuspectedCause | undefined;
   /**
    * Confirms a cause by what entries know; returns the quarantine that begins,
    * if evidence remains.
@@ -191,11 +199,13 @@
     }
     const relapsed = findRelapsed(traits);
     if (relapsed !== undefined) {
+      const age = clock.now() - relapsed.releasedAt;
+      if (run.endedAgo > age) return undefined;
       return {
         trait,
         traits: [...relapsed.traits],
         endpointKeys: [endpointKey],
-        age: clock.now() - relapsed.releasedAt,
+        age,
         isAmbiguous: false,
         term: Math.min(MAX_TERM, 2 * relapsed.term),
         isRelapse: true,
@@ -217,6 +227,21 @@
     history.add(run, traits);
   }
 
+  function hasEnoughCrashes(trait: string): boolean {
+    const noted = history.countEndpoints(trait);
+    if (noted === 0) return false;
+    return noted + evidence.countCrashes(trait) >= CRASHES_TO_BLAME ||
+      [...known.values()].some(({ quarantinedAt, term, traits }) =>
+        quarantinedAt === undefined && term > 0 && traits.includes(trait)
+      );
+  }
+
+  function recordNoted(trait: string): SuspectedCause | undefined {
+    return history.remove(trait)
+      .map((run) => recordCrash(trait, run))
+      .findLast((cause) => cause !== undefined);
+  }
+
   function findSuspectedCause(trait: string): SuspectedCause | undefined {
     const earlier = [...byTrait.get(trait) ?? []]
       .map((content) => known.get(content)!.traits);
@@ -406,6 +431,8 @@
     countCrashes: evidence.countCrashes,
     recordCrash,
     noteCrash,
+    hasEnoughCrashes,
+    recordNoted,
     confirmCause,
     recordCompletion,
     listQuarantined: (traits) =>
--- a/packages/coordination/src/poison_quarantine_test.ts
+++ b/packages/coordination/src/poison_quarantine_test.ts
@@ -65,6 +65,40 @@
     expect(quarantine.readTimeLeft(["c"])).to.equal(10 * MINUTE);
   });
 
+  it("counts what the store has without another crash, once each", () => {
+    const clock = createFakeClock(10_000);
+    const quarantine = createPoisonQuarantine(clock);
+    const found = ["e1", "e2", "e2", "e3"].map((endpointKey, number) => {
+      const endedAgo = 4_000 - 1_000 * number;
+      const sentAgo = endedAgo + 100;
+      quarantine.noteCrash({ traits: ["c"], endpointKey, sentAgo, endedAgo });
+      return quarantine.hasEnoughCrashes("c");
+    });
+    expect(found).to.deep.equal([false, false, false, true]);
+    expect(quarantine.recordNoted("c")?.traits).to.deep.equal(["c"]);
+    expect(quarantine.countCrashes("c")).to.equal(3);
+  });
+
+  // Guards against old records of a restored store that renew a quarantine.
+  it("does not relapse by a crash from before its release", async () => {
+    const clock = createFakeClock(10_000);
+    const quarantine = createPoisonQuarantine(clock);
+    for (const endpointKey of ["e1", "e2", "e3"]) {
+      await clock.advance(1_000);
+      recordCrash(quarantine, endpointKey);
+    }
+    await clock.advance(10 * MINUTE);
+    quarantine.releaseExpired();
+    const relapse = quarantine.recordCrash("c", {
+      traits: ["c"],
+      endpointKey: "e4",
+      sentAgo: 5_100,
+      endedAgo: 5_000,
+    });
+    expect(relapse).to.equal(undefined);
+    expect(recordCrash(quarantine, "e9")).to.equal(true);
+  });
+
   it("does not count what the store had of a content that completed since", () => {
     const clock = createFakeClock(10_000);
     const quarantine = createPoisonQuarantine(clock);
--- a/packages/serving/src/quarantine_gossip.ts
+++ b/packages/serving/src/quarantine_gossip.ts
@@ -6,8 +6,9 @@
  * Gossip with one peer every half second would take seconds, while such a
  * request crashes about one endpoint a second. Before a quarantine begins, an
  * aggregator asks all entries what they know of its traits: a part of a prompt
- * that only happened to be there has completed at some of them. A new
- * quarantine is sent to all entries and written to the platform's store, from
+ * that only happened to be there has completed at some of them. Aggregators also
+ * count the crashes that others write to the platform's store, as an entry may be
+ * cut off from its peers. A new quarantine is sent to all entries and written to the platform's store, from
  * which entries read it that start later, with the crashes that do not amount to
  * one yet. Peers gossip it too, as messages may be lost and the store may be
  * unavailable.
@@ -96,6 +97,13 @@
  * endpoint within the window.
  */
 const BATCH_WINDOW: Millis = 20;
+/** Reports of peers come first, as their ages depend on no wall clock. */
+const STORED_DELAY: Millis = 200;
+/**
+ * Older crashes in the store are not counted by themselves: a restored store is
+ * read again, and completions since then may be forgotten.
+ */
+const MAX_STORED_AGE: Millis = 30_000;
 /** Later parts that may be the causes are decided and known by then. */
 const AMBIGUOUS_DELAY: Millis = 400;
 /** Maximum length of each list in a report to a peer. */
@@ -125,12 +133,15 @@
   /** Causes that the next question to the other entries is about, by trait. */
   const suspects = new Map<string, SuspectedCause>();
   let isChecking = false;
+  const startedAt = clock.now();
+  /** Traits of crashes that were read from the store and are not counted yet. */
+  const noted = new Set<string>();
   const crashRecords = createCrashRecords({
     clock,
     readWallTime: options.readWallTime,
     entry: membership.self.entry,
     write: (record) => void writeStore(() => store.writeCrash(record)),
-    onRead: quarantine.noteCrash,
+    onRead: noteStoredCrash,
     isResponsible: (entry) => {
       const [responsible] = listAggregators(entry);
       return responsible !== undefined && isSelf(responsible);
@@ -163,6 +174,34 @@
   function countCrash(trait: string, run: CrashedRun): void {
     const cause = quarantine.recordCrash(trait, run);
     recordCount(trait, run);
+    handleCause(cause);
+  }
+
+  /**
+   * Crashes from before this process started count with the next one only: what
+   * has completed since is not known here.
+   */
+  function noteStoredCrash(run: CrashedRun): void {
+    quarantine.noteCrash(run);
+    const age = clock.now() - startedAt;
+    if (run.endedAgo > Math.min(age, MAX_STORED_AGE)) return;
+    if (noted.size === 0) clock.startTimer(STORED_DELAY, countNoted);
+    run.traits.forEach((trait) => noted.add(trait));
+  }
+
+  function countNoted(): void {
+    const traits = [...noted].filter(quarantine.hasEnoughCrashes);
+    noted.clear();
+    for (const trait of traits) {
+      if (!listAggregators(trait).some(isSelf)) continue;
+      const cause = quarantine.recordNoted(trait);
+      const crashes = quarantine.countCrashes(trait);
+      log.record("crash_counted", { trait, crashes, source: "store" });
+      handleCause(cause);
+    }
+  }
+
+  function handleCause(cause: SuspectedCause | undefined): void {
     if (cause === undefined) return;
     if (cause.isAmbiguous) {
       clock.startTimer(AMBIGUOUS_DELAY, () => addSuspect(cause));
