--- a/soak/src/crash_count_cuts_test.ts
+++ b/soak/src/crash_count_cuts_test.ts
@@ -3,6 +3,7 @@
 import type { CrashingSite } from "./crashing_site.ts";
 import {
   countLateArrivals,
+  CRASHING_BODY,
   createCrashingSite,
   sendCrashingRequest,
 } from "./crashing_site.ts";
@@ -19,7 +20,10 @@
   let site: CrashingSite<EntryProcesses>;
 
   beforeEach(async () => {
-    site = await createCrashingSite(ENTRIES, startEntryProcesses);
+    site = await createCrashingSite(
+      { entryCount: ENTRIES },
+      startEntryProcesses,
+    );
     await sleep(DISCOVERY_MS);
   });
 
@@ -33,7 +37,12 @@
     for (let number = 0; number < count; number++) {
       const entry = entries[number % entries.length]!;
       const begin = Date.now();
-      last = await sendCrashingRequest(site, { entry, id: `r-${number}` });
+      last = await sendCrashingRequest(site, {
+        target: "/once/x",
+        body: CRASHING_BODY,
+        entry,
+        id: `r-${number}`,
+      });
       await sleep(Math.max(0, begin + gap - Date.now()));
     }
     return last;
--- a/soak/src/crash_count_restarts_test.ts
+++ b/soak/src/crash_count_restarts_test.ts
@@ -1,22 +1,17 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
-import { request } from "undici";
-import { HEADER } from "../../platform/src/wire_names.ts";
-import type { CrashingSite } from "./crashing_site.ts";
-import { CRASHING_BODY, startCrashingSite } from "./crashing_site.ts";
+import type { CrashingRequest, CrashingSite } from "./crashing_site.ts";
+import {
+  CRASHING_BODY,
+  sendCrashingRequest,
+  startCrashingSite,
+} from "./crashing_site.ts";
 
 const ENTRIES = 4;
 /** A record is in the store by then. */
 const GAP_MS = 700;
 const DISCOVERY_MS = 1_500;
 
-/** A request that crashes engines, by its number. */
-interface CrashingRequest {
-  target: string;
-  body: string;
-  parts?: readonly string[];
-}
-
 /**
  * Guards against counts of crashes that end with the entries which keep them:
  * all entries are replaced within a series of crashes, again and again.
@@ -31,28 +26,6 @@
 
   afterEach(() => site.stop());
 
-  async function call(number: number, sent: CrashingRequest): Promise<number> {
-    const { target, body, parts = [] } = sent;
-    const reply = await request(
-      `http://${site.callers[number % ENTRIES]}${target}`,
-      {
-        method: "POST",
-        body,
-        headers: {
-          host: "soak.example",
-          authorization: "Bearer key-1",
-          [HEADER.requestId]: `r-${number}`,
-          [HEADER.deadline]: "2000",
-          ...(parts.length === 0 ? {} : {
-            [HEADER.promptParts]: parts.map((part) => `${part}:100`).join(),
-          }),
-        },
-      },
-    );
-    await reply.body.dump();
-    return reply.statusCode;
-  }
-
   /** Replaces all entries after each of these crashes; returns all statuses. */
   async function sendSeries(
     create: (number: number) => CrashingRequest,
@@ -61,7 +34,13 @@
     const statuses: number[] = [];
     for (let number = 0; number < count; number++) {
       const before = site.ended.length;
-      statuses.push(await call(number, create(number)));
+      statuses.push(
+        await sendCrashingRequest(site, {
+          ...create(number),
+          entry: number % ENTRIES,
+          id: `r-${number}`,
+        }),
+      );
       await sleep(GAP_MS);
       const crashes = site.ended.length;
       if (crashes > before && replaceAfter.includes(crashes)) {
--- a/soak/src/crashing_site.ts
+++ b/soak/src/crashing_site.ts
@@ -9,6 +9,7 @@
 import { request } from "undici";
 import { CONFIG_KEY, HEADER, TOPIC } from "../../platform/src/wire_names.ts";
 import type { SiteEntries } from "./in_process_entries.ts";
+import { formatPlace } from "./entry_settings.ts";
 import { startInProcessEntries } from "./in_process_entries.ts";
 import type { TopicStore } from "./topic_store.ts";
 import { startTopicStore } from "./topic_store.ts";
@@ -25,6 +26,8 @@
   readonly ended: readonly string[];
   /** Kills all entries at once and starts new ones without their state. */
   replaceEntries(): Promise<void>;
+  /** When the engines crashed, in order. */
+  readonly endedAt: readonly number[];
   /** When requests that crash engines reached them, in order. */
   readonly arrivedAt: readonly number[];
   stop(): Promise<void>;
@@ -42,15 +45,18 @@
 const SETTLE_MS = 3_000;
 
 /** Starts the site; resolves once all entries are ready. */
-export function startCrashingSite(entryCount: number): Promise<CrashingSite> {
-  return createCrashingSite(entryCount, startInProcessEntries);
+export function startCrashingSite(
+  entryCount: number,
+  { places = 1 } = {},
+): Promise<CrashingSite> {
+  return createCrashingSite({ entryCount, places }, startInProcessEntries);
 }
 
 /** Starts the site with entries of another kind. */
 export async function createCrashingSite<Entries extends SiteEntries>(
-  entryCount: number,
+  { entryCount, places = 1 }: { entryCount: number; places?: number },
   startEntries: (
-    options: { count: number; store: string },
+    options: { count: number; store: string; places: number },
   ) => Promise<Entries>,
 ): Promise<CrashingSite<Entries>> {
   const store = await startTopicStore();
@@ -60,13 +66,15 @@
     createSoakConfig(1, { isRevoked: false }),
   );
   const ended: string[] = [];
+  const endedAt: number[] = [];
   const arrivedAt: number[] = [];
   const closers = new Set<() => void>();
   let engineCount = 0;
   let isStopped = false;
 
   async function startEngine(): Promise<void> {
-    const id = `i-${engineCount++}`;
+    const number = engineCount++;
+    const id = `i-${number}`;
     const server = await startSoakServer(async (received, response) => {
       const body = String(await readCompleteBody(received));
       const requestId = String(received.headers[HEADER.requestId]);
@@ -84,7 +92,7 @@
     store.put(TOPIC.endpoints, id, {
       service: "plain",
       address: server.address,
-      zone: "z",
+      zone: formatPlace(number % places),
       state: "ready",
       born: Date.now(),
     });
@@ -92,6 +100,7 @@
     async function killEngine(): Promise<void> {
       if (!closers.delete(server.close)) return;
       ended.push(id);
+      endedAt.push(Date.now());
       server.close();
       await sleep(REMOVAL_DELAY_MS);
       store.put(TOPIC.endpoints, id, undefined);
@@ -102,6 +111,7 @@
   await Promise.all(Array.from({ length: ENGINES }, startEngine));
   const entries = await startEntries({
     count: entryCount,
+    places,
     store: store.address,
   });
 
@@ -112,6 +122,7 @@
     entries,
     store,
     ended,
+    endedAt,
     arrivedAt,
     replaceEntries: entries.replace,
     async stop() {
@@ -124,19 +135,32 @@
   };
 }
 
-/** Sends a request that crashes engines; resolves with the status. */
+/** A request that crashes engines. */
+export interface CrashingRequest {
+  target: string;
+  body: string;
+  parts?: readonly string[];
+}
+
+/** Sends a request through an entry; resolves with the status. */
 export async function sendCrashingRequest(
   { callers }: Pick<CrashingSite, "callers">,
-  { entry, id }: { entry: number; id: string },
+  { entry, id, target, body, parts = [] }: CrashingRequest & {
+    entry: number;
+    id: string;
+  },
 ): Promise<number> {
-  const reply = await request(`http://${callers[entry]}/once/x`, {
+  const reply = await request(`http://${callers[entry]}${target}`, {
     method: "POST",
-    body: CRASHING_BODY,
+    body,
     headers: {
       host: "soak.example",
       authorization: "Bearer key-1",
       [HEADER.requestId]: id,
       [HEADER.deadline]: "2000",
+      ...(parts.length === 0 ? {} : {
+        [HEADER.promptParts]: parts.map((part) => `${part}:100`).join(),
+      }),
     },
   });
   await reply.body.dump();
@@ -148,9 +172,9 @@
  * their cause, after this many crashes.
  */
 export function countLateArrivals(
-  { arrivedAt }: Pick<CrashingSite, "arrivedAt">,
+  { arrivedAt, endedAt }: Pick<CrashingSite, "arrivedAt" | "endedAt">,
   crashes: number,
 ): number {
-  const knownAt = (arrivedAt[crashes - 1] ?? Infinity) + SETTLE_MS;
+  const knownAt = (endedAt[crashes - 1] ?? Infinity) + SETTLE_MS;
   return arrivedAt.filter((at) => at > knownAt).length;
 }
--- a/soak/src/entry_settings.ts
+++ b/soak/src/entry_settings.ts
@@ -24,6 +24,11 @@
   return { callers, ready, addresses, control, metrics };
 }
 
+/** Names a place by its number; 0 is that of all entries by default. */
+export function formatPlace(number: number): string {
+  return number === 0 ? "z" : `z${number}`;
+}
+
 /** Creates the settings of an entry that has one core to itself. */
 export function createEntrySettings(
   entry: string,
@@ -38,7 +43,7 @@
 ): PlatformSettings {
   return {
     entry,
-    place: "z",
+    place: formatPlace(0),
     coreShare: 1,
     coreSpeed: 1,
     logLevel,
--- a/soak/src/in_process_entries.ts
+++ b/soak/src/in_process_entries.ts
@@ -7,7 +7,11 @@
 import { createSilentLogger, createSystemClock } from "@mangoreach/shared";
 import type { PlatformEntry } from "../../platform/src/platform_entry.ts";
 import { startPlatformEntry } from "../../platform/src/platform_entry.ts";
-import { createEntrySettings, findEntryPorts } from "./entry_settings.ts";
+import {
+  createEntrySettings,
+  findEntryPorts,
+  formatPlace,
+} from "./entry_settings.ts";
 
 /** A set of running entries. */
 export interface SiteEntries {
@@ -24,24 +28,30 @@
 
 /** Starts entries with a store; resolves once all are ready. */
 export async function startInProcessEntries(
-  { count, store }: {
+  { count, store, places = 1 }: {
     count: number;
     /** `ip:port`. */
     store: string;
+    /** Number of places that the entries are in by turns. */
+    places?: number;
   },
 ): Promise<SiteEntries> {
   let entryNumber = 0;
 
   async function startEntry(): Promise<StartedEntry> {
+    const number = entryNumber++;
     const ports = await findEntryPorts();
     const entry = await startPlatformEntry({
       clock: createSystemClock(),
       logger: createSilentLogger(),
-      settings: createEntrySettings(`entry-${entryNumber++}`, {
-        ports,
-        store,
-        logLevel: "silent",
-      }),
+      settings: {
+        ...createEntrySettings(`entry-${number}`, {
+          ports,
+          store,
+          logLevel: "silent",
+        }),
+        place: formatPlace(number % places),
+      },
     });
     return { ...entry, callers: ports.callers };
   }
