fix(stages): a release is not sent again to an endpoint that is to be left alone

An endpoint that asked for a pause (503 with Retry-After) would see more than two requests of one entry within it: each release that had no answer within 1 s was sent a second time, whatever the endpoint had said meanwhile. paused_stage_endpoint_test (real connections) failed before with "expected 4 to be at most 2". The dispatcher now tells the client whether a second try is allowed, by the same check as for the first: neither a pause nor a limit. A release that is not sent again is lost, as before when both tries failed; its results expire.

--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -13,6 +13,7 @@
   ForwardedRequest,
   HeaderList,
   NotRunReason,
+  ReleaseOptions,
   RequestHead,
   ResumedStream,
   Signalled,
--- a/packages/serving/src/platform_interfaces.ts
+++ b/packages/serving/src/platform_interfaces.ts
@@ -140,6 +140,12 @@
   )
   & Signalled;
 
+/** Options of a release of results. */
+export interface ReleaseOptions {
+  /** Whether it may be sent once more if the first try has no answer. */
+  mayRepeat: () => boolean;
+}
+
 /** Client of stage endpoints. */
 export interface StageEndpoints {
   run(call: StageCall): Promise<Result<StageReply, HttpFault>>;
@@ -147,6 +153,7 @@
   release(
     address: string,
     results: readonly string[],
+    options: ReleaseOptions,
   ): Promise<Signalled>;
   /** Returns the address of the endpoint that stores a result. */
   findProducer(result: string): string;
--- a/packages/serving/src/stage_back_pressure_test.ts
+++ b/packages/serving/src/stage_back_pressure_test.ts
@@ -82,9 +82,9 @@
   /** Times at which it requested pauses. */
   const pausedAt: Millis[] = [];
   const release = stages.release;
-  stages.release = (address, results) => {
+  stages.release = (address, results, options) => {
     if (address === "first") arrivals.push(clock.now());
-    return release(address, results);
+    return release(address, results, options);
   };
   let answered = 0;
   for (let step = 0; clock.now() < duration; step++) {
--- a/packages/serving/src/stage_dispatcher.ts
+++ b/packages/serving/src/stage_dispatcher.ts
@@ -498,21 +498,25 @@
     for (const [address, list] of byProducer) {
       // A release counts against the endpoint's limit like any other request.
       // Results that are not released expire.
-      const isThrottled = options.listAt(address)
-        .some(options.allowance.isThrottled);
-      if (isThrottled) continue;
+      if (isThrottled(address)) continue;
       list.forEach(storage.remove);
       void releaseAt(address, list);
     }
     dispatch();
   }
 
+  function isThrottled(address: string): boolean {
+    return options.listAt(address).some(options.allowance.isThrottled);
+  }
+
   async function releaseAt(
     address: string,
     results: readonly string[],
   ): Promise<void> {
     const sentAt = clock.now();
-    const reply = await stages.release(address, results);
+    const reply = await stages.release(address, results, {
+      mayRepeat: () => !isThrottled(address),
+    });
     options.handleSignals(
       { way: "stage_release", to: address, sentAt },
       reply,
