fix(serving): a request is not sent if a pause was asked for while its connection opened

An endpoint that asked for a pause (503 with Retry-After) would see more than two requests of one entry from half a second later on: the pause was looked up when the endpoint was chosen, and opening the connection may take up to a second more, directly or through a peer. paused_endpoint_test (real connections, opened 0.7 s late) failed before with "expected 5 to be at most 2". The pause is now looked up again once the connection is open, in the same turn in which the request is written. Such an attempt counts as not run, says nothing about the endpoint's health, and needs no retry budget, as the endpoint has received nothing of it; its log line has the outcome "not sent after the connection was open".

--- a/packages/coordination/src/failure.ts
+++ b/packages/coordination/src/failure.ts
@@ -61,6 +61,7 @@
 
 const FAULT_KINDS = {
   unreachable: "unavailable",
+  withheld: "unavailable",
   aborted: "cancelled",
   cut: "unavailable",
   too_large: "bad_reply",
--- a/packages/coordination/src/send_allowance.ts
+++ b/packages/coordination/src/send_allowance.ts
@@ -41,6 +41,8 @@
   isRoomAwaited(endpoint: EndpointInfo): boolean;
   /** Whether an endpoint has published a limit or asked for a pause. */
   isThrottled(endpoint: EndpointInfo): boolean;
+  /** Whether an endpoint has asked for a pause that has not ended. */
+  isPaused(endpoint: EndpointInfo): boolean;
   /** Whether the endpoint's limit is old and should be confirmed. */
   isProbeDue(endpoint: EndpointInfo): boolean;
 }
@@ -88,6 +90,7 @@
     isThrottled: (endpoint) =>
       readPause(endpoint) > 0 || !limits.isEmpty() &&
         limits.find(formatEndpointKey(endpoint)) !== undefined,
+    isPaused: (endpoint) => readPause(endpoint) > 0,
     isProbeDue: (endpoint) =>
       !limits.isEmpty() && limits.isStale(formatEndpointKey(endpoint)),
   };
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -15,7 +15,7 @@
 } from "@mangoreach/coordination";
 import { createFailure, formatEndpointKey } from "@mangoreach/coordination";
 import { createEventBoundary, readLimitedBody } from "@mangoreach/shared";
-import type { EventPosition, Millis } from "@mangoreach/shared";
+import type { EventPosition, HttpFault, Millis } from "@mangoreach/shared";
 import type { AnswerEnd, ContentEnd } from "./answer_end.ts";
 import {
   classifyBody,
@@ -71,6 +71,8 @@
   message: string;
   load: AttemptResult;
   reason?: NotRunReason;
+  /** Whether the endpoint has received nothing of it. */
+  isUnsent?: boolean;
   /** An error response to forward if no later attempt succeeds. */
   fallback?: BufferedReply;
 }
@@ -158,7 +160,7 @@
     avoid.push(endpoint.id);
     last = end;
     if (end.verdict !== "not_run") runs++;
-    hasArrived ||= end.load !== "unreachable";
+    hasArrived ||= end.isUnsent !== true;
     if (end.reason === "other_instance") {
       state.directory.markLeaving(formatEndpointKey(endpoint));
     }
@@ -221,6 +223,9 @@
     account: admitted.account,
     priority: admitted.priority,
     inputs: results?.inputs,
+    // Opening the connection may take a second, in which the endpoint may ask
+    // for a pause.
+    maySend: () => !state.sendAllowance.isPaused(endpoint),
     signal: deadline.signal,
   });
   stopRelease();
@@ -242,10 +247,7 @@
     state.resumption.recordBegun({ head, route, account }, endpoint);
   };
   const end = answer.isErr
-    ? classifyFault(answer.error.sent, {
-      message: answer.error.message,
-      deadline,
-    })
+    ? classifyFault(answer.error, deadline)
     : await handleAnswer(options, answer.value, {
       state,
       handleStarted,
@@ -330,18 +332,25 @@
 }
 
 function classifyFault(
-  sent: "no" | "maybe",
-  { message, deadline }: { message: string; deadline: Deadline },
+  { kind, sent, message }: Pick<HttpFault, "kind" | "sent" | "message">,
+  deadline: Deadline,
 ): FailedAttempt {
-  const isAbortedHere = deadline.signal.aborted;
+  const isUnsent = sent === "no";
+  const isNeutral = deadline.signal.aborted || kind === "withheld";
   return {
     kind: "lost",
-    verdict: sent === "no" ? "not_run" : "may_have_run",
+    verdict: isUnsent ? "not_run" : "may_have_run",
     message,
-    load: isAbortedHere ? "neutral" : sent === "no" ? "unreachable" : "broken",
+    load: isNeutral ? "neutral" : isUnsent ? "unreachable" : "broken",
+    isUnsent,
   };
 }
 
+/** Classifies an answer that ended too early. */
+function classifyCut(message: string, deadline: Deadline): FailedAttempt {
+  return classifyFault({ kind: "cut", sent: "maybe", message }, deadline);
+}
+
 interface AnswerHandlers {
   state: Pick<ServingState, "clock" | "heldBytes">;
   /** Called before the caller receives the first bytes. */
@@ -411,10 +420,7 @@
     ? "cut"
     : await checkEnd(reply, classifyBody(body, classifyContent(headers)));
   if (body === undefined || end === "cut") {
-    return classifyFault("maybe", {
-      message: "the answer broke off",
-      deadline,
-    });
+    return classifyCut("the answer broke off", deadline);
   }
   handleStarted();
   const isUnproven = end === "unproven";
@@ -488,10 +494,10 @@
   // A broken stream must not look complete to the caller; the cause lies with
   // the endpoint.
   if (!response.isStarted) {
-    return classifyFault("maybe", {
-      message: "the stream broke off before its first event",
+    return classifyCut(
+      "the stream broke off before its first event",
       deadline,
-    });
+    );
   }
   response.endStream("cut");
   const load = deadline.signal.aborted ? "neutral" : "broken";
--- a/packages/serving/src/platform_interfaces.ts
+++ b/packages/serving/src/platform_interfaces.ts
@@ -69,6 +69,8 @@
   priority: number;
   /** Results of the last stages; undefined if the route has no stages. */
   inputs: readonly string[] | undefined;
+  /** Whether the endpoint still takes it once the connection is open. */
+  maySend: () => boolean;
   signal: AbortSignal;
 }
 
--- a/packages/serving/src/test_support.ts
+++ b/packages/serving/src/test_support.ts
@@ -292,6 +292,7 @@
     readShortestWait: (endpoints) => endpoints.length === 0 ? Infinity : 0,
     isRoomAwaited: () => false,
     isThrottled: () => false,
+    isPaused: () => false,
     isProbeDue: () => false,
   };
 }
--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -25,6 +25,8 @@
 export type HttpFaultKind =
   /** No connection: the call was never sent. */
   | "unreachable"
+  /** A connection, but the call was no longer wanted when it was open. */
+  | "withheld"
   /** Aborted by this side. */
   | "aborted"
   /** The connection ended before the answer was complete. */
@@ -74,6 +76,11 @@
    * take a second. Only for connections that are not reused.
    */
   createLateHeaders?: () => string[];
+  /**
+   * Whether it is still to be sent once the connection is open. Only for
+   * connections that are not reused.
+   */
+  maySend?: () => boolean;
   body?: string | Buffer;
   signal?: AbortSignal;
 }
--- a/packages/shared/src/single_use_call.ts
+++ b/packages/shared/src/single_use_call.ts
@@ -58,9 +58,18 @@
 ): Promise<Result<HttpStreamReply, HttpFault>> {
   const { address, signal } = call;
   const connection = await connect(address, { timeout, signal });
-  return connection.isOk
-    ? await sendOnConnection(call, watchSocket(connection.value))
-    : Result.err(classifyConnectFault(connection.error));
+  if (connection.isErr) {
+    return Result.err(classifyConnectFault(connection.error));
+  }
+  if (call.maySend?.() === false) {
+    connection.value.destroy();
+    return Result.err({
+      kind: "withheld",
+      sent: "no",
+      message: "not sent after the connection was open",
+    });
+  }
+  return await sendOnConnection(call, watchSocket(connection.value));
 }
 
 function classifyConnectFault({ failure, message }: ConnectFault): HttpFault {
