test(serving): a relay opens tunnels to an endpoint that has asked it for a pause

Red, in the simulation of paths. A relay that is asked for a pause while it connects for three peers hands all three connections over, and their requests reach the endpoint within the pause, where two are allowed: opened, opened, opened instead of unavailable.

--- a/packages/serving/src/endpoint_paths_test.ts
+++ b/packages/serving/src/endpoint_paths_test.ts
@@ -296,6 +296,25 @@
     expect(listRelays("10.0.0.0:1", fleet.clock.now())).to.deep.equal([]);
   });
 
+  // Guards against requests of peers that reach the endpoint within the pause,
+  // because the relay began to connect before it was asked for one.
+  it("are not opened for a peer by a relay that is asked for a pause meanwhile", async () => {
+    const fleet = new PathFleet(2, 1);
+    const { signal } = new AbortController();
+    const address = fleet.endpoints[0]!.address;
+    const tunnels = Array.from(
+      { length: 3 },
+      () => fleet.entries[1]!.connectForPeer({ id: address, address }, signal),
+    );
+    fleet.paused.add(1);
+    await fleet.clock.advance(100);
+    expect(
+      (await Promise.all(tunnels)).map((tunnel) =>
+        tunnel.isErr ? tunnel.error : "opened"
+      ),
+    ).to.deep.equal(["unavailable", "unavailable", "unavailable"]);
+  });
+
   it("end at endpoints that the entry does not know", async () => {
     const fleet = new PathFleet(2, 1);
     const { signal } = new AbortController();
