fix(serving): a relay looks up the pause again once its connection is open

Endpoints would see requests of peers within a pause that they asked the relay for: it looked the pause up before it connected, which takes 0.6 s at most. The relay now closes such a connection and answers "unavailable", upon which the peer tries another one, as if the pause had been known before.

--- a/packages/serving/src/endpoint_paths.ts
+++ b/packages/serving/src/endpoint_paths.ts
@@ -286,6 +286,11 @@
       );
     }
     connection.value.once("close", () => countForPeers--);
+    // The endpoint may have asked for a pause while the connection was opened.
+    if (options.isPaused(endpoint)) {
+      connection.value.destroy();
+      return Result.err("unavailable");
+    }
     return Result.ok(connection.value);
   }
 
