fix(coordination): an entry remembers the pauses of all endpoints of a large fleet

Endpoints of a fleet of more than 1,024 would get requests within the pause that they had asked for: the oldest pauses were evicted. The bound is now 4,096, as for the other maps by endpoint (health, paths); about 0.5 MB of an entry's memory at most, computed from key and number sizes, not measured.

--- a/packages/coordination/src/endpoint_pauses.ts
+++ b/packages/coordination/src/endpoint_pauses.ts
@@ -25,7 +25,7 @@
 }
 
 /** Maximum number of pauses; above it the oldest is evicted. */
-const MAX_KNOWN = 1_024;
+const MAX_KNOWN = 4_096;
 
 /** Creates a tracker that knows of no pause. */
 export function createEndpointPauses(clock: Clock): EndpointPauses {
