fix(stages): a refusal is known by its head, whatever becomes of its body

A stage endpoint that asks for a pause and whose answers are reset on the way would be called again and again: the whole answer was read before its signals, and a fault in the body discarded them (Server-Limit and Server-Leaving too). paused_stage_endpoint_test failed before with "expected 16 to be at most 2".

--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -85,6 +85,15 @@
   signal?: AbortSignal;
 }
 
+/** One call whose answer is buffered. */
+export interface BufferedCall extends HttpCall {
+  /**
+   * Whether the body of an answer with this status is read; by default of all.
+   * What breaks off in a body that is not read is no fault.
+   */
+  readsBody?: (status: number) => boolean;
+}
+
 /** Options of {@linkcode createHttpClient}. */
 export interface HttpClientOptions {
   /** Maximum size of an answer, in bytes; larger ones are faults. */
@@ -103,7 +112,7 @@
 
 /** An HTTP client. */
 export interface HttpClient {
-  call(call: HttpCall): Promise<Result<HttpReply, HttpFault>>;
+  call(call: BufferedCall): Promise<Result<HttpReply, HttpFault>>;
   callStream(call: HttpCall): Promise<Result<HttpStreamReply, HttpFault>>;
   close(): Promise<void>;
 }
@@ -164,11 +173,15 @@
   }
 
   async function call(
-    options: HttpCall,
+    { readsBody = () => true, ...options }: BufferedCall,
   ): Promise<Result<HttpReply, HttpFault>> {
     const reply = await callStream(options);
     if (reply.isErr) return Result.err(reply.error);
     const { status, headers, body, delimiter } = reply.value;
+    if (!readsBody(status)) {
+      discardBody(body);
+      return Result.ok({ status, headers, text: "", delimiter });
+    }
     const text = await readText(body, {
       maxReplyBytes,
       signal: options.signal,
@@ -185,6 +198,12 @@
   return { call, callStream, close: kept.close };
 }
 
+/** Destroys an unread body; the error event that this causes is ignored. */
+export function discardBody(body: Readable): void {
+  body.on("error", () => {});
+  body.destroy();
+}
+
 function createRequestOptions(
   { address, path, method, headers, body, signal }: HttpCall,
 ) {
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -76,6 +76,7 @@
 export { createEventBoundary } from "./event_boundary.ts";
 export type { BodyDelimiter } from "./body_delimiter.ts";
 export type {
+  BufferedCall,
   HttpCall,
   HttpClient,
   HttpClientOptions,
@@ -88,6 +89,7 @@
 } from "./http_client.ts";
 export {
   createHttpClient,
+  discardBody,
   readBodyBytes,
   readLimitedBody,
   readReplyJson,
