fix(stages): a dispatcher has no repeats of pieces saved up in a process's first 10 s

Pieces whose call reached nobody need no budget any more, as requests: otherwise an entry that has just started would fail them at the first endpoint that has ended. Whether the rule counts pieces is not known.

--- a/packages/serving/src/pool_components.ts
+++ b/packages/serving/src/pool_components.ts
@@ -129,6 +129,11 @@
   const startedAt = clock.now();
   let maxEntries = MIN_ENTRIES;
 
+  /** Whether all retries of this entry's predecessor are out of the window. */
+  function isSettled(): boolean {
+    return clock.now() - startedAt >= BUDGET_WINDOW;
+  }
+
   function observeRetries(pool: string): (isGranted: boolean) => void {
     return (isGranted) =>
       options.metrics.countRetry(pool, isGranted ? "granted" : "denied");
@@ -159,6 +164,7 @@
       budget: createRetryBudget({
         share: PIECE_RETRY_SHARE,
         max: PIECE_RETRY_SLACK,
+        isSettled,
         onWithdrawn: observeRetries(pool),
       }),
     });
@@ -188,7 +194,7 @@
       share: options.repeatShare,
       max: options.repeatSlack,
       readShare: computeBudgetShare,
-      isSettled: () => clock.now() - startedAt >= BUDGET_WINDOW,
+      isSettled,
       random: options.random,
       onWithdrawn: observeRetries(pool),
     })
--- a/packages/serving/src/stage_dispatcher.ts
+++ b/packages/serving/src/stage_dispatcher.ts
@@ -331,7 +331,9 @@
       if (reply.error.kind === "cut" && !isUnreachable) {
         await recordCrash(endpoint, { pieces, startedAt });
       }
-      pieces.forEach((piece) => retryPiece(piece, info, "unavailable"));
+      pieces.forEach((piece) =>
+        retryPiece(piece, info, { reason: "unavailable", isUnreachable })
+      );
     } else {
       const source = {
         way: "stage_call",
@@ -417,7 +419,7 @@
     for (const piece of pieces) {
       storage.addUsed(key, -piece.resultBytes);
       if (isFull) enqueueForStorage(piece);
-      else retryPiece(piece, info, "unavailable");
+      else retryPiece(piece, info, { reason: "unavailable" });
     }
   }
 
@@ -447,7 +449,7 @@
     if (reason === "late" || reason === "input_gone") {
       failGroup(piece.group, reason);
     } else if (reason === "no_room") enqueueForStorage(piece);
-    else retryPiece(piece, info, reason);
+    else retryPiece(piece, info, { reason });
   }
 
   /**
@@ -466,7 +468,11 @@
   function retryPiece(
     piece: DispatchedPiece,
     { id }: EndpointInfo,
-    reason: "error" | "unavailable",
+    { reason, isUnreachable = false }: {
+      reason: "error" | "unavailable";
+      /** Whether the endpoint has received nothing of the call. */
+      isUnreachable?: boolean;
+    },
   ): void {
     if (piece.isCancelled) return;
     piece.excluded.add(id);
@@ -475,9 +481,10 @@
     const others = loads.listHealthy(options.listEndpoints())
       .filter(({ info }) => !piece.excluded.has(info.id));
     if (others.length === 0) piece.excluded.clear();
-    if (piece.attempts >= MAX_ATTEMPTS || !budget.withdraw()) {
-      return failGroup(piece.group, reason);
-    }
+    // What never reached an endpoint is not repeated.
+    const mayRetry = piece.attempts < MAX_ATTEMPTS &&
+      (isUnreachable || budget.withdraw());
+    if (!mayRetry) return failGroup(piece.group, reason);
     enqueueAgain(piece);
   }
 
