fix(stages): a call is not sent if a pause was asked for while its connection opened

Stage endpoints that work on several calls at a time would get more than two requests of one entry within the pause that they asked for, as plain endpoints before. paused_stage_endpoint_test (real connections, opened 0.7 s late) failed before with "expected 3 to be at most 2". The pause is looked up again once the connection is open. Such a call says nothing about the endpoint's health; its pieces are queued again without the budget, as the endpoint has received nothing of them.

--- a/packages/serving/src/platform_interfaces.ts
+++ b/packages/serving/src/platform_interfaces.ts
@@ -125,6 +125,8 @@
   pieces: readonly CalledPiece[];
   /** The call is abandoned without an answer after this time. */
   timeout: Millis;
+  /** Whether the endpoint still takes it once the connection is open. */
+  maySend: () => boolean;
 }
 
 /** The outcome of one piece, as a stage endpoint reports it. */
--- a/packages/serving/src/stage_dispatcher.ts
+++ b/packages/serving/src/stage_dispatcher.ts
@@ -311,6 +311,9 @@
         remaining: deadlineAt - startedAt,
       })),
       timeout: CALL_TIMEOUT_FACTOR * expected + CALL_TIMEOUT_SLACK,
+      // Opening the connection may take a second, in which the endpoint may ask
+      // for a pause.
+      maySend: () => !options.allowance.isPaused(info),
     });
     cancelRelease();
     const isRejected = reply.isOk
@@ -319,8 +322,12 @@
     endpointCalls.end(endpoint, isRejected);
     const took = clock.now() - startedAt;
     if (reply.isErr) {
-      const isUnreachable = reply.error.sent === "no";
-      loads.end(info, isUnreachable ? "unreachable" : "failing");
+      const isUnsent = reply.error.sent === "no";
+      const isWithheld = reply.error.kind === "withheld";
+      loads.end(
+        info,
+        isWithheld ? "neutral" : isUnsent ? "unreachable" : "failing",
+      );
       // A call is aborted only by its timeout, a multiple of its expected time.
       if (reply.error.kind === "aborted") {
         endpointCalls.recordTime(endpoint, took / expected);
@@ -328,11 +335,11 @@
       storage.addUsed(key, -bytes);
       // The crash is recorded before the pieces are queued again: otherwise
       // they would share their next call with the piece that caused it.
-      if (reply.error.kind === "cut" && !isUnreachable) {
+      if (reply.error.kind === "cut" && !isUnsent) {
         await recordCrash(endpoint, { pieces, startedAt });
       }
       pieces.forEach((piece) =>
-        retryPiece(piece, info, { reason: "unavailable", isUnreachable })
+        retryPiece(piece, info, { reason: "unavailable", isUnsent })
       );
     } else {
       const source = {
@@ -468,10 +475,10 @@
   function retryPiece(
     piece: DispatchedPiece,
     { id }: EndpointInfo,
-    { reason, isUnreachable = false }: {
+    { reason, isUnsent = false }: {
       reason: "error" | "unavailable";
       /** Whether the endpoint has received nothing of the call. */
-      isUnreachable?: boolean;
+      isUnsent?: boolean;
     },
   ): void {
     if (piece.isCancelled) return;
@@ -483,7 +490,7 @@
     if (others.length === 0) piece.excluded.clear();
     // What never reached an endpoint is not repeated.
     const mayRetry = piece.attempts < MAX_ATTEMPTS &&
-      (isUnreachable || budget.withdraw());
+      (isUnsent || budget.withdraw());
     if (!mayRetry) return failGroup(piece.group, reason);
     enqueueAgain(piece);
   }
