test(shared): releases go on over tunnels of a peer that was asked for a pause

Releases of results reuse connections, those through peers too: five calls over one, "expected [ 5, 1 ] to deeply equal [ 1, 1, 1, 1, 1, 1 ]". An endpoint counts them as requests of the peer. If it asks that peer for a pause, the peer opens no new tunnel, but goes on passing bytes over open ones; and if it asks for one in an answer over such a tunnel, the peer is not told, as peers are looked up by when a connection was opened. Real connections, marked as tunnels are; found in the code, not seen in a site.

--- a/packages/shared/src/persistent_connections_test.ts
+++ b/packages/shared/src/persistent_connections_test.ts
@@ -1,5 +1,7 @@
 import type { Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
+import { openConnection, setEndConfirmation } from "./connection.ts";
 import { createPersistentConnections } from "./persistent_connections.ts";
 import { readServerAddress, startServer } from "./http_server.ts";
 
@@ -47,4 +49,44 @@
     server.closeAllConnections();
     server.close();
   });
+
+  // Guards against calls over a connection through a peer which the endpoint has
+  // asked for a pause since: the peer accepts no new connection then, and does
+  // not see the calls on those that are open.
+  it("are used for one call if they lead through a peer", async () => {
+    const calls = new Map<Socket, number>();
+    const server = await startServer((request, response) => {
+      calls.set(request.socket, (calls.get(request.socket) ?? 0) + 1);
+      response.end("answer");
+    }, { address: { host: "127.0.0.1", port: 0 }, limits: LIMITS });
+    const address = readServerAddress(server);
+    const kept = createPersistentConnections({
+      keepAlive: 4_000,
+      connectTimeout: 1_000,
+      async connect(...parameters) {
+        const connection = await openConnection(...parameters);
+        if (connection.isOk) {
+          setEndConfirmation(connection.value, () => Promise.resolve(true));
+        }
+        return connection;
+      },
+    });
+    const get = async () => {
+      const { body } = await kept.getPool(address).request({
+        path: "/",
+        method: "GET",
+      });
+      return await body.text();
+    };
+    const answers = await Promise.all([get(), get()]);
+    for (let call = 0; call < 4; call++) {
+      await sleep(30);
+      answers.push(await get());
+    }
+    await kept.close();
+    server.closeAllConnections();
+    server.close();
+    expect(answers).to.deep.equal(Array(6).fill("answer"));
+    expect([...calls.values()]).to.deep.equal(Array(6).fill(1));
+  });
 });
