fix(shared): a reused connection through a peer serves no further calls

An endpoint would see more than two requests of a peer within a pause that it asked the peer for: releases of results went on over tunnels that were open. As soon as a connection of a pool turns out to lead through a peer, the pool is closed in an orderly way and the next call opens another one, for which the peer looks the pause up. Direct connections are kept as before.

--- a/packages/shared/src/connection.ts
+++ b/packages/shared/src/connection.ts
@@ -90,6 +90,11 @@
   confirmations.set(socket, confirm);
 }
 
+/** Whether a connection leads through a relay. */
+export function isRelayed(socket: Socket): boolean {
+  return confirmations.has(socket);
+}
+
 /** Confirms the end of a connection; a direct one needs no confirmation. */
 export async function confirmEnd(socket: Socket): Promise<boolean> {
   return await (confirmations.get(socket)?.() ?? true);
--- a/packages/shared/src/persistent_connections.ts
+++ b/packages/shared/src/persistent_connections.ts
@@ -13,6 +13,7 @@
 import { Pool } from "undici";
 import type { Millis } from "./clock.ts";
 import type { Connect, ConnectFailure } from "./connection.ts";
+import { isRelayed } from "./connection.ts";
 
 /** The persistent connections to one kind of server. */
 export interface PersistentConnections {
@@ -40,11 +41,20 @@
 /** Adapts a function that opens connections to undici. */
 function createConnector(
   connect: Connect,
-  { address, connectTimeout }: { address: string; connectTimeout: Millis },
+  { address, connectTimeout, onRelayed }: {
+    address: string;
+    connectTimeout: Millis;
+    /** Called when a connection through a relay was opened. */
+    onRelayed: () => void;
+  },
 ): buildConnector.connector {
   return (_options, callback) => {
     void connect(address, { timeout: connectTimeout }).then((connection) => {
-      if (connection.isOk) return callback(null, connection.value);
+      if (connection.isOk) {
+        callback(null, connection.value);
+        if (isRelayed(connection.value)) onRelayed();
+        return;
+      }
       const { failure, message } = connection.error;
       callback(
         Object.assign(new Error(message), CONNECT_ERRORS[failure]),
@@ -81,7 +91,13 @@
         : { keepAliveMaxTimeout: maxKeepAlive }),
       connectTimeout,
       ...(connect === undefined ? {} : {
-        connect: createConnector(connect, { address, connectTimeout }),
+        connect: createConnector(connect, {
+          address,
+          connectTimeout,
+          // The relay does not see calls, and may have been asked for a pause
+          // before the next one. Calls that wait are completed.
+          onRelayed: () => dropPool(address, pool),
+        }),
       }),
       // Deadlines are enforced by abort signals, which also cover phases that
       // undici's own timeouts do not.
