--- a/packages/serving/src/stage_dispatcher.ts
+++ b/packages/serving/src/stage_dispatcher.ts
@@ -311,6 +311,9 @@
         remaining: deadlineAt - startedAt,
       })),
       timeout: CALL_TIMEOUT_FACTOR * expected + CALL_TIMEOUT_SLACK,
+      // Opening the connection may take a second, in which the endpoint may ask
+      // for a pause.
+      maySend: () => !options.allowance.isPaused(info),
     });
     cancelRelease();
     const isRejected = reply.isOk
@@ -319,8 +322,12 @@
     endpointCalls.end(endpoint, isRejected);
     const took = clock.now() - startedAt;
     if (reply.isErr) {
-      const isUnreachable = reply.error.sent === "no";
-      loads.end(info, isUnreachable ? "unreachable" : "failing");
+      const isUnsent = reply.error.sent === "no";
+      const isWithheld = reply.error.kind === "withheld";
+      loads.end(
+        info,
+        isWithheld ? "neutral" : isUnsent ? "unreachable" : "failing",
+      );
       // A call is aborted only by its timeout, a multiple of its expected time.
       if (reply.error.kind === "aborted") {
         endpointCalls.recordTime(endpoint, took / expected);
@@ -328,10 +335,12 @@
       storage.addUsed(key, -bytes);
       // The crash is recorded before the pieces are queued again: otherwise
       // they would share their next call with the piece that caused it.
-      if (reply.error.kind === "cut" && !isUnreachable) {
+      if (reply.error.kind === "cut" && !isUnsent) {
         await recordCrash(endpoint, { pieces, startedAt });
       }
-      pieces.forEach((piece) => retryPiece(piece, info, "unavailable"));
+      pieces.forEach((piece) =>
+        retryPiece(piece, info, { reason: "unavailable", isUnsent })
+      );
     } else {
       const source = {
         way: "stage_call",
@@ -417,7 +426,7 @@
     for (const piece of pieces) {
       storage.addUsed(key, -piece.resultBytes);
       if (isFull) enqueueForStorage(piece);
-      else retryPiece(piece, info, "unavailable");
+      else retryPiece(piece, info, { reason: "unavailable" });
     }
   }
 
@@ -447,7 +456,7 @@
     if (reason === "late" || reason === "input_gone") {
       failGroup(piece.group, reason);
     } else if (reason === "no_room") enqueueForStorage(piece);
-    else retryPiece(piece, info, reason);
+    else retryPiece(piece, info, { reason });
   }
 
   /**
@@ -466,7 +475,11 @@
   function retryPiece(
     piece: DispatchedPiece,
     { id }: EndpointInfo,
-    reason: "error" | "unavailable",
+    { reason, isUnsent = false }: {
+      reason: "error" | "unavailable";
+      /** Whether the endpoint has received nothing of the call. */
+      isUnsent?: boolean;
+    },
   ): void {
     if (piece.isCancelled) return;
     piece.excluded.add(id);
@@ -475,9 +488,10 @@
     const others = loads.listHealthy(options.listEndpoints())
       .filter(({ info }) => !piece.excluded.has(info.id));
     if (others.length === 0) piece.excluded.clear();
-    if (piece.attempts >= MAX_ATTEMPTS || !budget.withdraw()) {
-      return failGroup(piece.group, reason);
-    }
+    // What never reached an endpoint is not repeated.
+    const mayRetry = piece.attempts < MAX_ATTEMPTS &&
+      (isUnsent || budget.withdraw());
+    if (!mayRetry) return failGroup(piece.group, reason);
     enqueueAgain(piece);
   }
 
@@ -498,21 +512,25 @@
     for (const [address, list] of byProducer) {
       // A release counts against the endpoint's limit like any other request.
       // Results that are not released expire.
-      const isThrottled = options.listAt(address)
-        .some(options.allowance.isThrottled);
-      if (isThrottled) continue;
+      if (isThrottled(address)) continue;
       list.forEach(storage.remove);
       void releaseAt(address, list);
     }
     dispatch();
   }
 
+  function isThrottled(address: string): boolean {
+    return options.listAt(address).some(options.allowance.isThrottled);
+  }
+
   async function releaseAt(
     address: string,
     results: readonly string[],
   ): Promise<void> {
     const sentAt = clock.now();
-    const reply = await stages.release(address, results);
+    const reply = await stages.release(address, results, {
+      mayRepeat: () => !isThrottled(address),
+    });
     options.handleSignals(
       { way: "stage_release", to: address, sentAt },
       reply,
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -79,6 +79,7 @@
 export { createEventBoundary } from "./event_boundary.ts";
 export type { BodyDelimiter } from "./body_delimiter.ts";
 export type {
+  BufferedCall,
   HttpCall,
   HttpClient,
   HttpClientOptions,
@@ -91,6 +92,7 @@
 } from "./http_client.ts";
 export {
   createHttpClient,
+  discardBody,
   readBodyBytes,
   readLimitedBody,
   readReplyJson,
