fix(serving): pass on no late request that a stop may cut off

Callers saw: in a planned stop of one entry, in calm, streams that were sent more than 3 s after the signal were passed on and cut at the end of the time to stop; requests that must not run twice were passed on at any time after the signal and given up with 502, so that callers may not repeat them.

Cause: an entry that stops accepts what the longest of the last 32 answers of the route, with a quarter on top, leaves time for. That says nothing of an answer that takes longer than all before, nor of a stream whose caller does not tell its length.

Evidence: with work of 60 ms before the signal and up to 9 s after it, 8 s to stop: 'talk of 4000 ms, sent 3003 ms after the signal, ended after 7248 ms with 200, cut', 'job of 4000 ms, sent 4420 ms after the signal, ended after 7248 ms with 502'; the same with 4 and 2 s to stop, with a second SIGTERM and a SIGHUP, and without a history.

Now, while another entry serves, estimates do not decide on new requests that must not run twice, nor from 2.5 s after the signal on those whose length nobody says: they are passed on only if their deadline ends them before the cut, and are refused at once otherwise, as not run. If no other entry serves, estimates decide as before.

--- a/packages/serving/src/stop_admission.ts
+++ b/packages/serving/src/stop_admission.ts
@@ -46,6 +46,11 @@
  * elsewhere.
  */
 const WAITING_REQUEST: Caution = { share: 0.8, slowdown: 1 };
+/**
+ * After this time, callers in touch with the platform look for other entries,
+ * and what is cut off is lost.
+ */
+const LATE_AFTER: Millis = 2_500;
 /** Time to forward the last bytes, also when short of processor time. */
 const FORWARD_TIME: Millis = 150;
 /** A caller that retries after this time reaches another entry. */
@@ -65,6 +70,9 @@
   // The deadline ends it before it is cut off.
   if (deadline.remaining() <= left) return undefined;
   const isNew = stopWindow.hasBegunBefore(admittedAt);
+  if (isNew && isCertaintyNeeded(state, { head, admittedAt, admitted })) {
+    return createStoppingFailure(state);
+  }
   const { share, slowdown } = isNew ? NEW_REQUEST : WAITING_REQUEST;
   const expected = readExpectedAnswer(state, { head, admitted });
   const time = findCompletion(admitted.route.name)
@@ -74,6 +82,25 @@
   return longest <= left ? undefined : createStoppingFailure(state, longest);
 }
 
+/**
+ * Whether only the deadline can tell that the answer to a new request ends in
+ * time, as estimates may be wrong and another entry can serve it. So it is for
+ * requests that must not run twice, and for late ones whose answers nobody says
+ * the length of.
+ */
+function isCertaintyNeeded(
+  { stopWindow, membership }: Pick<ServingState, "stopWindow" | "membership">,
+  { head, admittedAt, admitted: { route } }: Pick<
+    StopCheckOptions,
+    "head" | "admittedAt" | "admitted"
+  >,
+): boolean {
+  const isLate = stopWindow.hasBegunBefore(admittedAt - LATE_AFTER);
+  const isBounded = route.kind === "stream" && head.outputTokens !== undefined;
+  return (route.kind === "non_idempotent" || (isLate && !isBounded)) &&
+    hasLivePeer(membership);
+}
+
 /** Whether another entry serves callers and reaches endpoints itself. */
 export function hasLivePeer(membership: Pick<Membership, "list">): boolean {
   return membership.list().some(({ health, record }) =>
