test(soak): streams resumed at an entry that is out of step in a release

Three entries; one is cut off from peers, from the store, from both, or frozen for 2, 4 and 6 s, while one, some or all new endpoints join and old ones leave. Streams that begin at the other entries break and are resumed at the one that is out of step, with and without a name, and with an entry that began them killed.

--- a/soak/src/endpoint_slot.ts
+++ b/soak/src/endpoint_slot.ts
@@ -93,11 +93,21 @@
 /** Starts endpoints of these versions that serve resumable streams. */
 export function startChatEndpoints(
   store: TopicStore,
-  { versions, logs }: { versions: readonly string[]; logs: EndpointLogs },
+  { versions, logs, firstIndex = 0 }: {
+    versions: readonly string[];
+    logs: EndpointLogs;
+    /** The number of endpoints that were started before. */
+    firstIndex?: number;
+  },
 ): Promise<EndpointSlot[]> {
   return Promise.all(
     versions.map((version, index) =>
-      startSlot(store, { pool: CHAT_POOL, index, logs, version })
+      startSlot(store, {
+        pool: CHAT_POOL,
+        index: firstIndex + index,
+        logs,
+        version,
+      })
     ),
   );
 }
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -62,6 +62,10 @@
   readonly endpointCuts: readonly EndpointCut[];
   /** Cuts entries off from all endpoints; resolves once the cut has ended. */
   applyCut(cut: PlannedCut, duration: number): Promise<void>;
+  /** Cuts an entry off from others, in both directions; from none, the cut ends. */
+  applyIsolation(isolation: EntryIsolation): void;
+  /** Starts further endpoints of these versions that serve resumable streams. */
+  addChatEndpoints(versions: readonly string[]): Promise<void>;
   /** Injects a fault; resolves once it has ended. */
   applyFault(fault: PlannedFault): Promise<void>;
   /** Stops all processes, proxies and stand-ins of the site. */
@@ -78,6 +82,15 @@
   from?: "endpoints" | "peers";
 }
 
+/** An entry to cut off from other processes. */
+export interface EntryIsolation {
+  /** Index of the entry. */
+  target: number;
+  mode: CutMode;
+  /** What it no longer reaches, and what no longer reaches it. */
+  from: readonly ("peers" | "store")[];
+}
+
 /** Time between the copy and the start of the store's outage. */
 const COPY_AGE_MS = 1_500;
 /** Exceeds the time limit after which an evacuated place gets no new work. */
@@ -334,6 +347,33 @@
     cut.forEach((entry) => sendCut(entry, "none", []));
   }
 
+  function applyIsolation({ target, mode, from }: EntryIsolation): void {
+    const isolated = entries[target]!;
+    const cutsPeers = from.includes("peers");
+    for (const entry of entries) {
+      const isTarget = entry === isolated;
+      const reached = entries.filter((other) =>
+        !cutsPeers || (!isTarget && other !== isolated)
+      );
+      const reachesStore = !isTarget || !from.includes("store");
+      sendCut(entry, from.length === 0 ? "none" : mode, [
+        ...(reachesStore ? [entry.storeProxy.address] : []),
+        ...reached.map(({ control }) => control),
+        ...[...endpoints, ...chatEndpoints].map((slot) => slot.proxy.address),
+      ]);
+    }
+  }
+
+  async function addChatEndpoints(versions: readonly string[]): Promise<void> {
+    chatEndpoints.push(
+      ...await startChatEndpoints(store, {
+        versions,
+        logs,
+        firstIndex: chatEndpoints.length,
+      }),
+    );
+  }
+
   /** A fault of a link to an endpoint delays the requests of all entries to it. */
   function recordEntryFault(
     { kind, duration }: PlannedFault,
@@ -402,6 +442,8 @@
     entryFaults,
     endpointCuts,
     applyCut,
+    applyIsolation,
+    addChatEndpoints,
     get revokedAt() {
       return revokedAt;
     },
