--- a/packages/serving/src/platform_interfaces.ts
+++ b/packages/serving/src/platform_interfaces.ts
@@ -69,6 +69,8 @@
   priority: number;
   /** Results of the last stages; undefined if the route has no stages. */
   inputs: readonly string[] | undefined;
+  /** Whether the endpoint still takes it once the connection is open. */
+  maySend: () => boolean;
   signal: AbortSignal;
 }
 
@@ -123,6 +125,8 @@
   pieces: readonly CalledPiece[];
   /** The call is abandoned without an answer after this time. */
   timeout: Millis;
+  /** Whether the endpoint still takes it once the connection is open. */
+  maySend: () => boolean;
 }
 
 /** The outcome of one piece, as a stage endpoint reports it. */
@@ -140,6 +144,12 @@
   )
   & Signalled;
 
+/** Options of a release of results. */
+export interface ReleaseOptions {
+  /** Whether it may be sent once more if the first try has no answer. */
+  mayRepeat: () => boolean;
+}
+
 /** Client of stage endpoints. */
 export interface StageEndpoints {
   run(call: StageCall): Promise<Result<StageReply, HttpFault>>;
@@ -147,6 +157,7 @@
   release(
     address: string,
     results: readonly string[],
+    options: ReleaseOptions,
   ): Promise<Signalled>;
   /** Returns the address of the endpoint that stores a result. */
   findProducer(result: string): string;
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -141,6 +141,7 @@
   const { signal } = controller;
   const shutdown = createSharedController();
   const metrics = createServingMetrics(settings.entry);
+  if (options.errors) metrics.setErrorCounts(options.errors.counts);
   const log = createDecisionLog({
     clock,
     logger,
@@ -218,6 +219,7 @@
     log,
     metrics,
     siteState,
+    isAwaitingPeers: () => gossip.isAwaitingPeers(),
   });
   const { isBehindPeers, readVersion } = freshness;
 
@@ -248,12 +250,14 @@
     settings,
     incarnation: options.incarnation,
     checkListening: platform.checkListening,
+    heldBytes,
     members: platform.members,
     directory,
     readState,
     countInFlight: () => tasks.size,
     readConfigVersion: readVersion,
     recordPeerVersion: freshness.recordPeerVersion,
+    noteVersion: freshness.noteVersion,
     limits: {
       chooseUpdates: (count) => limits.chooseUpdates(count),
       applyUpdate: (limitNews) => limits.applyUpdate(limitNews),
--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -16,7 +16,7 @@
 import type { Connect, ConnectFailure } from "./connection.ts";
 import { openConnection } from "./connection.ts";
 import type { HeldBytes } from "./held_bytes.ts";
-import { parseJson } from "./http_server.ts";
+import { parseBoundedJson } from "./bounded_json.ts";
 import { createPersistentConnections } from "./persistent_connections.ts";
 import { sendSingleUseCall } from "./single_use_call.ts";
 import { TIMED_OUT } from "./timeout.ts";
@@ -25,6 +25,8 @@
 export type HttpFaultKind =
   /** No connection: the call was never sent. */
   | "unreachable"
+  /** A connection, but the call was no longer wanted when it was open. */
+  | "withheld"
   /** Aborted by this side. */
   | "aborted"
   /** The connection ended before the answer was complete. */
@@ -74,10 +76,24 @@
    * take a second. Only for connections that are not reused.
    */
   createLateHeaders?: () => string[];
+  /**
+   * Whether it is still to be sent once the connection is open. Only for
+   * connections that are not reused.
+   */
+  maySend?: () => boolean;
   body?: string | Buffer;
   signal?: AbortSignal;
 }
 
+/** One call whose answer is buffered. */
+export interface BufferedCall extends HttpCall {
+  /**
+   * Whether the body of an answer with this status is read; by default of all.
+   * What breaks off in a body that is not read is no fault.
+   */
+  readsBody?: (status: number) => boolean;
+}
+
 /** Options of {@linkcode createHttpClient}. */
 export interface HttpClientOptions {
   /** Maximum size of an answer, in bytes; larger ones are faults. */
@@ -96,7 +112,7 @@
 
 /** An HTTP client. */
 export interface HttpClient {
-  call(call: HttpCall): Promise<Result<HttpReply, HttpFault>>;
+  call(call: BufferedCall): Promise<Result<HttpReply, HttpFault>>;
   callStream(call: HttpCall): Promise<Result<HttpStreamReply, HttpFault>>;
   close(): Promise<void>;
 }
@@ -157,11 +173,15 @@
   }
 
   async function call(
-    options: HttpCall,
+    { readsBody = () => true, ...options }: BufferedCall,
   ): Promise<Result<HttpReply, HttpFault>> {
     const reply = await callStream(options);
     if (reply.isErr) return Result.err(reply.error);
     const { status, headers, body, delimiter } = reply.value;
+    if (!readsBody(status)) {
+      discardBody(body);
+      return Result.ok({ status, headers, text: "", delimiter });
+    }
     const text = await readText(body, {
       maxReplyBytes,
       signal: options.signal,
@@ -178,6 +198,12 @@
   return { call, callStream, close: kept.close };
 }
 
+/** Destroys an unread body; the error event that this causes is ignored. */
+export function discardBody(body: Readable): void {
+  body.on("error", () => {});
+  body.destroy();
+}
+
 function createRequestOptions(
   { address, path, method, headers, body, signal }: HttpCall,
 ) {
@@ -344,5 +370,5 @@
 
 /** Parses the JSON body of an answer; undefined if it is malformed. */
 export function readReplyJson(reply: HttpReply): unknown {
-  return parseJson(reply.text);
+  return parseBoundedJson(reply.text);
 }
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export { parseBoundedJson } from "./bounded_json.ts";
 export type { AddressParts } from "./address.ts";
 export { parseAddress } from "./address.ts";
 export { parseAmount } from "./amount.ts";
@@ -48,6 +49,8 @@
   TimelineOptions,
 } from "./timeline.ts";
 export { createTimeline } from "./timeline.ts";
+export type { ErrorRecorder, ErrorSource } from "./error_recorder.ts";
+export { createErrorRecorder, handleProcessErrors } from "./error_recorder.ts";
 export type { TaskSet } from "./task_set.ts";
 export { createTaskSet } from "./task_set.ts";
 export type {
@@ -76,6 +79,7 @@
 export { createEventBoundary } from "./event_boundary.ts";
 export type { BodyDelimiter } from "./body_delimiter.ts";
 export type {
+  BufferedCall,
   HttpCall,
   HttpClient,
   HttpClientOptions,
@@ -88,6 +92,7 @@
 } from "./http_client.ts";
 export {
   createHttpClient,
+  discardBody,
   readBodyBytes,
   readLimitedBody,
   readReplyJson,
@@ -107,6 +112,7 @@
 } from "./connections/connection_guard.ts";
 export { createConnectionGuard } from "./connections/connection_guard.ts";
 export {
+  isLastRequest,
   openMessages,
   recordUse,
   releaseConnection,
