--- a/soak/src/started_process.ts
+++ b/soak/src/started_process.ts
@@ -53,6 +53,7 @@
   const settingsFile = join(folder, "settings.jsonc");
   const logFile = join(folder, "log");
   const preloadedFile = join(folder, "preloaded.cjs");
+  writeFileSync(logFile, "");
   writeFileSync(preloadedFile, preloaded ?? "");
   const settings = createEntrySettings("entry-0", {
     ports: await findEntryPorts(),
