--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -29,7 +29,11 @@
 export { createSharedController } from "./shared_controller.ts";
 export type { Subject } from "./subject.ts";
 export { createSubject } from "./subject.ts";
-export type { SettingsFault, SettingsSource } from "./settings.ts";
+export type {
+  ParseSettingsOptions,
+  SettingsFault,
+  SettingsSource,
+} from "./settings.ts";
 export { formatSettingsFault, parseSettings } from "./settings.ts";
 export type { Logger, LoggerOptions, LogLevel, LogPart } from "./logger.ts";
 export { createLogger, createSilentLogger } from "./logger.ts";
--- a/packages/shared/src/settings.ts
+++ b/packages/shared/src/settings.ts
@@ -28,6 +28,14 @@
   text: string;
 }
 
+/** Options of {@linkcode parseSettings}. */
+export interface ParseSettingsOptions {
+  /** Called for each unknown key, which is passed over instead of rejected. */
+  onUnknownKey?: (fault: SettingsFault) => void;
+  /** Changes the values before they are checked. */
+  prepare?: (value: unknown) => unknown;
+}
+
 const MAX_FOUND_LENGTH = 60;
 
 /**
@@ -36,7 +44,9 @@
  */
 export function parseSettings<T>(
   schema: z.ZodType<T>,
-  { file, text }: SettingsSource,
+  { file, text, onUnknownKey, prepare = (value) => value }:
+    & SettingsSource
+    & ParseSettingsOptions,
 ): Result<T, SettingsFault[]> {
   const syntaxErrors: ParseError[] = [];
   const root = parseTree(text, syntaxErrors, { allowTrailingComma: true });
@@ -56,7 +66,18 @@
       faults.length > 0 ? faults : [locate(0, "the file is empty")],
     );
   }
-  const checked = schema.safeParse(readValue(root));
+  const value = prepare(readValue(root));
+  let checked = schema.safeParse(value);
+  if (!checked.success && onUnknownKey !== undefined) {
+    for (const issue of checked.error.issues) {
+      if (issue.code !== "unrecognized_keys") continue;
+      removeKeys(value, issue);
+      describeIssue(issue, root).forEach(({ offset, message }) =>
+        onUnknownKey(locate(offset, message))
+      );
+    }
+    checked = schema.safeParse(value);
+  }
   if (checked.success) return Result.ok(checked.data);
   const faults = checked.error.issues.flatMap((issue) =>
     describeIssue(issue, root).map(({ offset, message }) =>
@@ -97,6 +118,17 @@
   }];
 }
 
+function removeKeys(
+  value: unknown,
+  { path, keys }: z.core.$ZodIssueUnrecognizedKeys,
+): void {
+  const parent = path.reduce<unknown>(
+    (inner, part) => (inner as Record<PropertyKey, unknown>)[part],
+    value,
+  ) as Record<string, unknown>;
+  for (const key of keys) delete parent[key];
+}
+
 function describeAllowed(issue: z.core.$ZodIssue): string {
   switch (issue.code) {
     case "invalid_type":
