fix(platform): signals are handled from the first instruction on; strange ones are outlived

Callers would lose all requests in progress with an entry that gets SIGINT, SIGUSR2, SIGALRM, SIGVTALRM, SIGIO or SIGPWR, and the platform would see a process that it stops while it loads end by a signal, as one that failed.

Fatal signals, and SIGPIPE, which Node.js ignores, are left alone.

--- a/scripts/launcher.cjs
+++ b/scripts/launcher.cjs
@@ -8,16 +8,33 @@
  */
 "use strict";
 
+const process = require("node:process");
+
+// By default these signals would end a process that is still loading. The
+// program sets its own handlers before the event loop delivers them.
+for (
+  const signal of [
+    "SIGHUP",
+    "SIGTERM",
+    "SIGINT",
+    "SIGQUIT",
+    "SIGUSR1",
+    "SIGUSR2",
+    "SIGALRM",
+    "SIGVTALRM",
+    "SIGPROF",
+    "SIGIO",
+    "SIGPWR",
+    "SIGSTKFLT",
+    "SIGXCPU",
+  ]
+) process.on(signal, () => {});
+
 const { existsSync, readFileSync } = require("node:fs");
 const { wrap } = require("node:module");
 const { dirname, join } = require("node:path");
-const process = require("node:process");
 const { Script } = require("node:vm");
 
-// The program handles this signal once it runs. By default it would end a
-// process that is still loading.
-process.on("SIGHUP", () => {});
-
 const BUNDLE = join(__dirname, "mangoreach-platform.bundle.cjs");
 const COMPILED = join(__dirname, "mangoreach-platform.compiled");
 
