fix: crashes of one moment count, once two moments blame a content

Callers of a request that crashes engines heard 502 too often, and too many engines were lost, when several callers sent it in step to entries of several places: 12 engines crashed under 12 requests, 15 under 15 with one first part.

The cause: crashes within 500 ms counted once, so that a content that is at all endpoints which fail together is not blamed, while the bound counts each crash.

Up to three crashes of a moment now count. A known cause is widened after two moments, as before. One moment alone blames nothing: of four or more requests that come in step every 3 s or more, those of the second moment still reach endpoints.

--- a/packages/coordination/src/crash_evidence.ts
+++ b/packages/coordination/src/crash_evidence.ts
@@ -30,6 +30,8 @@
 interface Crash {
   endpointKey: string;
   at: Millis;
+  /** When the first known of those requests was sent there. */
+  sentAt: Millis;
   /** The traits of each of those requests. */
   runs: (readonly string[])[];
 }
@@ -82,17 +84,24 @@
 export const CRASHES_TO_BLAME = 3;
 /** By then, several causes among the later parts were blamed themselves. */
 const CRASHES_TO_BLAME_AMBIGUOUS = 5;
-/** Crashes that show that a known cause was described too narrowly. */
-const CRASHES_TO_WIDEN = 2;
+/** Moments of crashes that show that a known cause was described too narrowly. */
+const MOMENTS_TO_WIDEN = 2;
 /**
- * Crashes within this time count once: they may have a common cause, and a
- * trait that many requests have may be at all of these endpoints.
+ * Crashes within this time belong to one moment: they may have a common cause,
+ * and a trait that many requests have may be at all of these endpoints.
  */
 const SIMULTANEOUS_WINDOW: Millis = 500;
+/**
+ * Crashes must be of several moments, between which a trait that is not to blame
+ * completes. Few requests have the same content, but many may share a part.
+ */
+const CONTENT_MOMENTS = 2;
+const PART_MOMENTS = 3;
 /** Crashes further apart are unrelated. */
 export const EVIDENCE_TTL: Millis = 600_000;
-/** The newest crashes of a trait that are kept, and runs of one of them. */
-const MAX_CRASHES = CRASHES_TO_BLAME_AMBIGUOUS;
+/** Crashes of a trait that are kept, those of one moment, and runs of a crash. */
+const MAX_CRASHES = 12;
+const MAX_CRASHES_OF_MOMENT = 3;
 const MAX_RUNS = 6;
 /** Some kilobytes each at most; evicts those with the oldest evidence. */
 const MAX_TRAITS = 512;
@@ -114,12 +123,15 @@
     );
     // Several requests with the trait may have run there.
     if (present !== undefined) return addRun(present, run.traits);
-    if (crashes.some((crash) => isSimultaneous(crash, run))) return;
-    crashes.push({
+    const crash = {
       endpointKey: run.endpointKey,
       at: clock.now() - run.endedAgo,
+      sentAt: clock.now() - run.sentAgo,
       runs: [run.traits],
-    });
+    };
+    const beside = crashes.filter((other) => isSimultaneous(other, crash));
+    if (beside.length >= MAX_CRASHES_OF_MOMENT) return;
+    crashes.push(crash);
     // Crashes that are read from the store may be older.
     crashes.sort((a, b) => a.at - b.at);
     known.delete(trait);
@@ -136,21 +148,18 @@
     if (!isKnown && runs.length < MAX_RUNS) runs.push(traits);
   }
 
-  function isSimultaneous({ at }: Crash, run: CrashedRun): boolean {
-    const now = clock.now();
-    return now - run.sentAgo < at &&
-      Math.abs(now - run.endedAgo - at) < SIMULTANEOUS_WINDOW;
-  }
-
   function findCause(
     trait: string,
     earlier: readonly (readonly string[])[],
   ): CommonCause | undefined {
     const crashes = listRecent(trait);
+    const moments = isPartTrait(trait) ? PART_MOMENTS : CONTENT_MOMENTS;
     if (crashes.length < CRASHES_TO_BLAME) return undefined;
+    if (countMoments(crashes) < moments) return undefined;
     const isWider = earlier.every((traits) =>
-      crashes.filter(({ runs }) => !runs.some((run) => hasAll(run, traits)))
-        .length >= CRASHES_TO_WIDEN
+      countMoments(
+        crashes.filter(({ runs }) => !runs.some((run) => hasAll(run, traits))),
+      ) >= MOMENTS_TO_WIDEN
     );
     if (!isWider) return undefined;
     const [first, ...others] = crashes;
@@ -208,6 +217,23 @@
   };
 }
 
+/** Whether a crash may have had the same cause as an earlier one. */
+function isSimultaneous(earlier: Crash, { at, sentAt }: Crash): boolean {
+  return sentAt < earlier.at &&
+    Math.abs(at - earlier.at) < SIMULTANEOUS_WINDOW;
+}
+
+/** Counts the moments of crashes, which are ordered by their time. */
+function countMoments(crashes: readonly Crash[]): number {
+  const firsts: Crash[] = [];
+  for (const crash of crashes) {
+    if (!firsts.some((first) => isSimultaneous(first, crash))) {
+      firsts.push(crash);
+    }
+  }
+  return firsts.length;
+}
+
 /** Whether a run had a part after the trait besides those in common. */
 function hasLaterPart(
   run: readonly string[],
--- a/packages/coordination/src/crash_evidence_test.ts
+++ b/packages/coordination/src/crash_evidence_test.ts
@@ -86,6 +86,27 @@
     }).to.deep.equal({ bad: [FIRST, BAD, false], beside: undefined });
   });
 
+  // Guards against a part that many requests share and that is blamed for two
+  // outages of several endpoints.
+  it("blames a part after three moments at least", async () => {
+    const clock = createFakeClock(0);
+    const evidence = createCrashEvidence(clock);
+    const causes = [];
+    for (const moment of [1, 2, 3]) {
+      await clock.advance(1_000);
+      for (const endpoint of [1, 2]) {
+        evidence.record(BAD, {
+          traits: [`c${moment}${endpoint}`, BAD],
+          endpointKey: `e${moment}${endpoint}`,
+          sentAgo: 9,
+          endedAgo: 0,
+        });
+      }
+      causes.push(evidence.findCause(BAD, [])?.traits);
+    }
+    expect(causes).to.deep.equal([undefined, undefined, [BAD]]);
+  });
+
   it("widens a known cause after two crashes without one of its traits", async () => {
     const known = [1, 2, 3].map((number) => [run(number, FIRST, BAD)]);
     const wider = [4, 5].map((number) => [run(number, "part:4", BAD)]);
--- a/packages/coordination/src/poison_quarantine_test.ts
+++ b/packages/coordination/src/poison_quarantine_test.ts
@@ -121,6 +121,16 @@
     expect(quarantine.readTimeLeft(["c"])).to.equal(0);
   });
 
+  it("begins with the second moment, at which three endpoints have crashed", async () => {
+    const clock = createFakeClock(1_000);
+    const quarantine = createPoisonQuarantine(clock);
+    recordCrash(quarantine, "e1");
+    recordCrash(quarantine, "e2");
+    await clock.advance(1_000);
+    expect(recordCrash(quarantine, "e3")).to.equal(true);
+    expect(quarantine.readTimeLeft(["c"])).to.equal(10 * MINUTE);
+  });
+
   it("ignores crashes that are far apart", async () => {
     const clock = createFakeClock(0);
     const quarantine = createPoisonQuarantine(clock);
