test(soak): a request that crashes engines which are back at once

An engine that crashes closes its connection, its address goes on accepting, and 50 ms later another engine is listed there in its place.

--- a/soak/src/crashing_site.ts
+++ b/soak/src/crashing_site.ts
@@ -44,17 +44,27 @@
 /** All entries are to know a cause this long after the crash that shows it. */
 const SETTLE_MS = 3_000;
 
+/** Options of a site. */
+export interface SiteOptions {
+  /** Number of places that entries and engines are in by turns. */
+  places?: number;
+  /** Whether another engine listens at the address of one that crashed at once. */
+  isBackAtOnce?: boolean;
+}
+
 /** Starts the site; resolves once all entries are ready. */
 export function startCrashingSite(
   entryCount: number,
-  { places = 1 } = {},
+  options: SiteOptions = {},
 ): Promise<CrashingSite> {
-  return createCrashingSite({ entryCount, places }, startInProcessEntries);
+  return createCrashingSite({ entryCount, ...options }, startInProcessEntries);
 }
 
 /** Starts the site with entries of another kind. */
 export async function createCrashingSite<Entries extends SiteEntries>(
-  { entryCount, places = 1 }: { entryCount: number; places?: number },
+  { entryCount, places = 1, isBackAtOnce = false }: SiteOptions & {
+    entryCount: number;
+  },
   startEntries: (
     options: { count: number; store: string; places: number },
   ) => Promise<Entries>,
@@ -74,7 +84,7 @@
 
   async function startEngine(): Promise<void> {
     const number = engineCount++;
-    const id = `i-${number}`;
+    let id = `i-${number}`;
     const server = await startSoakServer(async (received, response) => {
       const body = String(await readCompleteBody(received));
       const requestId = String(received.headers[HEADER.requestId]);
@@ -85,22 +95,44 @@
         parts.split(",").some((part) => part.startsWith(CRASHING_PART));
       if (isCrashing) arrivedAt.push(Date.now());
       await sleep(WORK_MS);
+      if (isCrashing && isBackAtOnce) {
+        received.socket.destroy();
+        return void replaceEngine();
+      }
       if (isCrashing) return void killEngine();
       response.end("id: 1\ndata: done\n\n");
     });
     closers.add(server.close);
-    store.put(TOPIC.endpoints, id, {
-      service: "plain",
-      address: server.address,
-      zone: formatPlace(number % places),
-      state: "ready",
-      born: Date.now(),
-    });
+    publishRecord();
 
-    async function killEngine(): Promise<void> {
-      if (!closers.delete(server.close)) return;
+    function publishRecord(): void {
+      store.put(TOPIC.endpoints, id, {
+        service: "plain",
+        address: server.address,
+        zone: formatPlace(number % places),
+        state: "ready",
+        born: Date.now(),
+      });
+    }
+
+    function recordEnd(): void {
       ended.push(id);
       endedAt.push(Date.now());
+    }
+
+    /** Another engine listens at the address before anyone may notice. */
+    async function replaceEngine(): Promise<void> {
+      recordEnd();
+      const before = id;
+      id = `i-${engineCount++}`;
+      await sleep(REMOVAL_DELAY_MS);
+      store.put(TOPIC.endpoints, before, undefined);
+      publishRecord();
+    }
+
+    async function killEngine(): Promise<void> {
+      if (!closers.delete(server.close)) return;
+      recordEnd();
       server.close();
       await sleep(REMOVAL_DELAY_MS);
       store.put(TOPIC.endpoints, id, undefined);
