test(soak): stage endpoints that ask a relay for a pause

Eight real processes, seven of which reach endpoints through the eighth, streams with stages; the stage endpoints of the soak can now refuse calls and ask for a pause, and log all calls and releases.

--- a/soak/src/endpoint_slot.ts
+++ b/soak/src/endpoint_slot.ts
@@ -11,7 +11,7 @@
 import type { FaultProxy } from "./fault_proxy.ts";
 import { startFaultProxy } from "./fault_proxy.ts";
 import type { TopicStore } from "./topic_store.ts";
-import type { RunLog, SoakEndpoint } from "./soak_endpoints.ts";
+import type { RunLog, SoakEndpoint, StageArrival } from "./soak_endpoints.ts";
 import { startServingEndpoint, startStageEndpoint } from "./soak_endpoints.ts";
 
 const HEARTBEAT_MS = 400;
@@ -68,6 +68,7 @@
   runs: RunLog;
   arrivals: ObservedArrival[];
   pieceArrivals: PieceArrival[];
+  stageArrivals: StageArrival[];
   /** When endpoints ended, by their key. */
   endpointEnds: Map<string, number>;
   /** Whether some streams have neither a length nor chunks. */
@@ -126,7 +127,8 @@
     return pool === "stage"
       ? startStageEndpoint(id, {
         position: index,
-        pieceArrivals: logs.pieceArrivals,
+        ...logs,
+        readSignals: () => signals,
       })
       : startServingEndpoint(id, {
         ...logs,
--- a/soak/src/soak_endpoints.ts
+++ b/soak/src/soak_endpoints.ts
@@ -258,18 +258,39 @@
   piece: number;
 }
 
+/** A call to a stage endpoint, of pieces or a release of results. */
+export interface StageArrival {
+  endpoint: string;
+  at: number;
+  /** Milliseconds for which its answer asks to be left alone. */
+  pause: number | undefined;
+}
+
+/** Options of {@linkcode startStageEndpoint}. */
+export interface StageEndpointOptions {
+  position: number;
+  /** Log of all pieces that reach the endpoint. */
+  pieceArrivals: PieceArrival[];
+  /** Log of all calls that reach it. */
+  stageArrivals: StageArrival[];
+  /** Reads the back-pressure signals; it refuses calls while it pauses. */
+  readSignals: () => SoakSignals;
+}
+
 /** Starts an endpoint that runs pieces; its results exist as long as it does. */
 export async function startStageEndpoint(
   id: string,
-  { position, pieceArrivals }: {
-    position: number;
-    /** Log of all pieces that reach the endpoint. */
-    pieceArrivals: PieceArrival[];
-  },
+  { position, pieceArrivals, stageArrivals, readSignals }: StageEndpointOptions,
 ): Promise<SoakEndpoint> {
   const callTime = STAGE_CALL_MS[position % STAGE_CALL_MS.length];
   const endpoint = await startEndpoint(id, async (request, response) => {
     const body = JSON.parse(String(await readCompleteBody(request)) || "{}");
+    const { pause } = readSignals();
+    stageArrivals.push({ endpoint: id, at: Date.now(), pause });
+    if (pause !== undefined) {
+      writeSignals(response, { pause });
+      return void response.writeHead(503, { [HEADER.notRun]: "1" }).end();
+    }
     if (request.url === PATH.stageFree) return void response.end("{}");
     if (readHeader(request, HEADER.targetInstance) !== id) {
       return void response.writeHead(421, { [HEADER.notRun]: "1" }).end();
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -29,7 +29,7 @@
 import { startTopicStore } from "./topic_store.ts";
 import type { EndpointSpan, StoreFaultSpan } from "./guarantees.ts";
 import { createSoakConfig } from "./soak_config.ts";
-import type { RunLog } from "./soak_endpoints.ts";
+import type { RunLog, StageArrival } from "./soak_endpoints.ts";
 import type { Entry } from "./soak_entry.ts";
 import {
   createEntry,
@@ -51,6 +51,10 @@
   readonly arrivals: readonly ObservedArrival[];
   /** All pieces that reached stage endpoints. */
   readonly pieceArrivals: readonly PieceArrival[];
+  /** All calls that reached stage endpoints. */
+  readonly stageArrivals: readonly StageArrival[];
+  /** Lets all stage endpoints refuse calls and ask for a pause of `pause` ms. */
+  pauseStages(pause: number, duration: number): Promise<void>;
   /** When endpoints ended, by their key. */
   readonly endpointEnds: ReadonlyMap<string, number>;
   readonly entryFaults: readonly EntryFaultSpan[];
@@ -161,7 +165,15 @@
   publish();
   const pieceArrivals: PieceArrival[] = [];
   const endpointEnds = new Map<string, number>();
-  const logs = { runs, arrivals, pieceArrivals, endpointEnds, hasUnframed };
+  const stageArrivals: StageArrival[] = [];
+  const logs = {
+    runs,
+    arrivals,
+    pieceArrivals,
+    stageArrivals,
+    endpointEnds,
+    hasUnframed,
+  };
   const endpoints = await startEndpoints(store, logs);
   const chatEndpoints = await startChatEndpoints(store, {
     versions: chatVersions,
@@ -294,6 +306,13 @@
     );
   }
 
+  async function pauseStages(pause: number, duration: number): Promise<void> {
+    await Promise.all(
+      endpoints.filter(({ pool }) => pool === "stage")
+        .map((slot) => slot.sendSignals({ pause }, duration)),
+    );
+  }
+
   async function killAllEntries(duration: number): Promise<void> {
     const from = Date.now();
     entryFaults.push(...entries.map(({ callerProxy }) => ({
@@ -398,6 +417,8 @@
     runs,
     arrivals,
     pieceArrivals,
+    stageArrivals,
+    pauseStages,
     endpointEnds,
     entryFaults,
     endpointCuts,
--- a/soak/src/stop_endpoints.ts
+++ b/soak/src/stop_endpoints.ts
@@ -119,6 +119,8 @@
     const id = `i-stage-${index}`;
     const server = await startStageEndpoint(id, {
       position: 0,
+      stageArrivals: [],
+      readSignals: () => ({}),
       pieceArrivals: [],
     });
     running.push(server);
