--- a/soak/src/relayed_stage_pause_site_test.ts
+++ b/soak/src/relayed_stage_pause_site_test.ts
@@ -38,7 +38,7 @@
       CUT_MS,
     );
     await sleep(CUT_SETTLE_MS);
-    await site.pauseStages(PAUSE_MS, PAUSE_MS);
+    await site.applyStagePause(PAUSE_MS, PAUSE_MS);
     await Promise.all([cut, load]);
     const { stageArrivals } = site;
     const paused = stageArrivals.filter(({ pause }) => pause !== undefined);
--- a/soak/src/soak_site.ts
+++ b/soak/src/soak_site.ts
@@ -54,7 +54,7 @@
   /** All calls that reached stage endpoints. */
   readonly stageArrivals: readonly StageArrival[];
   /** Lets all stage endpoints refuse calls and ask for a pause of `pause` ms. */
-  pauseStages(pause: number, duration: number): Promise<void>;
+  applyStagePause(pause: number, duration: number): Promise<void>;
   /** When endpoints ended, by their key. */
   readonly endpointEnds: ReadonlyMap<string, number>;
   readonly entryFaults: readonly EntryFaultSpan[];
@@ -306,7 +306,10 @@
     );
   }
 
-  async function pauseStages(pause: number, duration: number): Promise<void> {
+  async function applyStagePause(
+    pause: number,
+    duration: number,
+  ): Promise<void> {
     await Promise.all(
       endpoints.filter(({ pool }) => pool === "stage")
         .map((slot) => slot.sendSignals({ pause }, duration)),
@@ -418,7 +421,7 @@
     arrivals,
     pieceArrivals,
     stageArrivals,
-    pauseStages,
+    applyStagePause,
     endpointEnds,
     entryFaults,
     endpointCuts,
