test(soak): a restart beside an entry that is out of step has its own test

An entry that is killed as a version joins and is back within a second begins streams at that version at once.

--- a/soak/src/release_site_test.ts
+++ b/soak/src/release_site_test.ts
@@ -153,6 +153,11 @@
   });
 
   it("hold events of one version when some endpoints are replaced", async () => {
+    const release = { joining: 4, leaving: 2 };
+    expect(await listAllMixed({ release, isNamed: true })).to.deep.equal([]);
+  });
+
+  it("hold events of one version when an entry that began them restarts", async () => {
     const release = { joining: 4, leaving: 2 };
     expect(await listAllMixed({ release, isNamed: true, isFirstKilled: true }))
       .to.deep.equal([]);
