fix(serving): begin no stream at a version that an entry may not know

Callers would see: a stream that began at a new version breaks, is resumed at an entry that reaches neither its peers nor the store, and goes on at the old version.

Cause: streams begin at a new version 2.5 s after it appears, as an entry trusts its view of the endpoints for 2 s; but at once if no other version takes work. When all endpoints of a pool are replaced, the old ones do not, as they leave, and still serve whoever sends to them.

Evidence: real processes, four new endpoints join as four old ones begin to leave: 's3 holds events of v2 and v1'.

Until the version is settled, streams that may be resumed begin only at the others, also at those that have just begun to leave, as resumed ones may; if none is left they are refused as not run, with the time left.

--- a/packages/serving/src/endpoint_choice.ts
+++ b/packages/serving/src/endpoint_choice.ts
@@ -46,7 +46,9 @@
 ): EndpointInfo | undefined {
   const { clock, loads, membership, findEngineChoice, random } = state;
   const { sendAllowance, history } = state;
-  const usable = listUsable(state, admitted);
+  const usable = mayBeResumed(admitted)
+    ? listForNewStream(state, admitted)
+    : listUsable(state, admitted);
   const inUse = loads.listHealthy(
     usable.filter(({ id }) => !avoid.includes(id)),
   );
@@ -94,6 +96,24 @@
   return route.kind === "stream" && route.isResumable && version === undefined;
 }
 
+/**
+ * Lists the endpoints at which a stream may begin that its caller may resume:
+ * not those of a version that some entry may not know yet, as it would let the
+ * stream go on at the version that it knows. If no others are left, those that
+ * have just begun to leave.
+ */
+function listForNewStream(
+  { directory, history }: Pick<ServingState, "directory" | "history">,
+  { pool }: Pick<AdmittedRoute, "pool">,
+): EndpointInfo[] {
+  const mayBegin = (endpoint: EndpointInfo) =>
+    history.readTimeToSettle(endpoint) === 0;
+  const staying = directory.listUsable(pool).filter(mayBegin);
+  return staying.length > 0
+    ? staying
+    : directory.listLeaving(pool, MAX_LEAVING_AGE).filter(mayBegin);
+}
+
 /**
  * Lists endpoints last at whose version a stream could not be resumed: those
  * whose version no other endpoint has, and those of a version that other
@@ -187,14 +207,32 @@
   }
 }
 
+/** Returns the time until some endpoint of a pool may begin a stream. */
+function readTimeToSettle(
+  { directory, history }: Pick<ServingState, "directory" | "history">,
+  admitted: AdmittedRoute,
+): Millis {
+  if (!mayBeResumed(admitted)) return 0;
+  const times = directory.listUsable(admitted.pool).map(
+    history.readTimeToSettle,
+  );
+  return times.length === 0 ? 0 : Math.min(...times);
+}
+
 /**
  * Returns when the caller should retry, with jitter. An infinite wait counts as
  * none, as another entry may be able to send to the pool sooner than this one.
  */
 export function computeRetryAfter(
   state: ServingState,
-  admitted: Pick<AdmittedRoute, "pool" | "version">,
+  admitted: AdmittedRoute,
 ): Millis {
   const wait = readShortestWait(state, admitted);
-  return spreadRetryAfter(Number.isFinite(wait) ? wait : 0, state.random);
+  return spreadRetryAfter(
+    Math.max(
+      Number.isFinite(wait) ? wait : 0,
+      readTimeToSettle(state, admitted),
+    ),
+    state.random,
+  );
 }
