fix(coordination): settle no version whose record comes before its endpoints

Callers would see: streams begin at a new version before all entries know it, so that one that is out of step may let them go on at the old version.

Cause: an entry counts a version that it reads in the record of the store as settled. The record is written 0.2 s after the version appears and arrives by long polls; the endpoints are polled each 0.45 s and through other entries, so it may come first.

Read in the code and shown by the unit test, which failed before ('expected [ true, true ] to deeply equal [ false, true ]'); not seen with real processes. Records that an entry reads before the endpoints, as it starts, count as settled as before: what it then knows is all that is known.

--- a/packages/coordination/src/resumption/version_history.ts
+++ b/packages/coordination/src/resumption/version_history.ts
@@ -139,10 +139,12 @@
     recorded.add(pool);
     const sightings = findSightings(pool);
     const now = clock.now();
+    // The record of a new version may arrive before its first endpoint does.
+    const firstAt = watchedSince === undefined ? -Infinity : now;
     for (const version of versions) {
       if (sightings.has(version)) continue;
       sightings.set(version, {
-        firstAt: -Infinity,
+        firstAt,
         lastAt: now,
         isRegistered: false,
       });
--- a/packages/coordination/src/resumption/version_history_test.ts
+++ b/packages/coordination/src/resumption/version_history_test.ts
@@ -166,6 +166,18 @@
     expect([first, found]).to.deep.equal([true, [false, false, true]]);
   });
 
+  // Streams would begin at a version that other entries do not know yet.
+  it("settles no version whose record comes before its endpoints", async () => {
+    const { clock, history, update } = createHistory();
+    const isSettled = () => history.isSettled(createEndpoint("b", "v2"));
+    update({ a: "v1" });
+    history.adoptRecorded("pool", ["v1", "v2"]);
+    update({ a: "v1", b: "v2" });
+    const found = [isSettled()];
+    await clock.advance(SETTLED);
+    expect([...found, isSettled()]).to.deep.equal([false, true]);
+  });
+
   it("settles none of several versions that it finds at its start", async () => {
     const { clock, history, update } = createHistory();
     update({ a: "v1", b: "v2" });
