test(soak): errors of peers' calls and tunnels that nothing handles

Before errors outside of requests were outlived, each of them ended the process with all its requests.

--- a/soak/src/process_faults_test.ts
+++ b/soak/src/process_faults_test.ts
@@ -1,8 +1,15 @@
+import { connect } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import { CONFIG_KEY, TOPIC } from "../../platform/src/wire_names.ts";
 import { createSoakConfig } from "./soak_config.ts";
 import type { StartedProcess, StartProcessOptions } from "./started_process.ts";
-import { readCounter, startProcess, waitForEnd } from "./started_process.ts";
+import {
+  readCounter,
+  startProcess,
+  waitForEnd,
+  waitUntil,
+} from "./started_process.ts";
 import type { TopicStore } from "./topic_store.ts";
 import { startTopicStore } from "./topic_store.ts";
 
@@ -56,4 +63,50 @@
     started.child.kill("SIGTERM");
     expect(await waitForEnd(started, START_TIMEOUT_MS)).to.equal("status 0");
   });
+
+  const TUNNEL = "connection: Upgrade\r\nupgrade: mangoreach-tunnel\r\n";
+
+  /** Sends a request to the peers' listener and resets the connection. */
+  async function sendAndReset(head: string, delay: number): Promise<void> {
+    const [host, port] = started.settings.control.split(":");
+    const socket = connect(Number(port), host);
+    socket.on("error", () => {});
+    await new Promise((resolve) => socket.once("connect", resolve));
+    socket.write(`${head}\r\n`);
+    await sleep(delay);
+    socket.resetAndDestroy();
+  }
+
+  for (
+    const { name, head } of [
+      {
+        name: "a call with a malformed target",
+        head: "GET /peers/x?input=% HTTP/1.1\r\nhost: x\r\n",
+      },
+      {
+        name: "a tunnel with a malformed target",
+        head: `GET // HTTP/1.1\r\nhost: x\r\n${TUNNEL}`,
+      },
+      {
+        name: "a query for a tunnel's end, and a reset,",
+        head: `GET /peers/tunnel?ended=1 HTTP/1.1\r\nhost: x\r\n${TUNNEL}`,
+      },
+      {
+        name: "another protocol, and a reset,",
+        head:
+          "GET /peers/x HTTP/1.1\r\nhost: x\r\nconnection: Upgrade\r\nupgrade: x\r\n",
+      },
+    ]
+  ) {
+    // Nothing handled the error, which ended the process with all its requests.
+    it(`do not come from ${name} of a peer`, async () => {
+      await start();
+      const hasStarted = () => started.readLog().includes("process_started");
+      expect(await waitUntil(hasStarted, SETTLE_MS * 5)).to.equal(true);
+      for (let n = 0; n < 60; n++) await sendAndReset(head, n % 6);
+      await sleep(SETTLE_MS / 2);
+      expect(started.readEnd()).to.equal(undefined);
+      expect(await readCounter(started, { name: ERRORS })).to.equal(0);
+    });
+  }
 });
