fix(peers): calls and tunnels of peers leave no error unhandled

An upgraded connection has no error listener of the HTTP server any more, and a query for a tunnel's end was answered without one: a peer's reset was thrown as an uncaught exception (ECONNRESET, EPIPE). A query input that cannot be decoded, and a target that is no URL, were rejections that nobody awaited. Each ended the process with all its requests.

Upgraded connections have a listener from the start; a malformed target is refused like an unknown tunnel, and a malformed input like any other.

The tests failed before: 60, 108 and 7 unexpected errors, expected 0.

--- a/packages/peers/src/peer_connection_server.ts
+++ b/packages/peers/src/peer_connection_server.ts
@@ -70,6 +70,8 @@
     head: Buffer,
   ): void {
     releaseConnection(socket);
+    // The HTTP server has removed its own listener.
+    socket.on("error", () => socket.destroy());
     const protocol = request.headers.upgrade?.toLowerCase() ?? "";
     const serveUpgrade = new Map(Object.entries(upgrades)).get(protocol);
     if (protocol !== UPGRADE_PROTOCOL && serveUpgrade === undefined) {
--- a/packages/peers/src/peer_procedure.ts
+++ b/packages/peers/src/peer_procedure.ts
@@ -139,14 +139,18 @@
     : "";
   if (request.method === "GET") {
     const query = url.slice(end + 1);
-    const text = query.startsWith(INPUT_PARAMETER)
-      ? decodeURIComponent(query.slice(INPUT_PARAMETER.length))
-      : "";
-    return { path, type: "query", readInput: () => Promise.resolve(text) };
+    return { path, type: "query", readInput: () => readInputOf(query) };
   }
   return { path, type: "mutation", readInput: () => readText(request) };
 }
 
+/** Rejects what cannot be decoded, which the peer is told like other faults. */
+async function readInputOf(query: string): Promise<string> {
+  if (!query.startsWith(INPUT_PARAMETER)) return "";
+  return await Promise.resolve(query.slice(INPUT_PARAMETER.length))
+    .then(decodeURIComponent);
+}
+
 async function readText(request: IncomingMessage): Promise<string> {
   const read = await readBody(request, MAX_BODY_BYTES);
   if (read.kind === "whole") return read.body.toString();
--- a/packages/peers/src/tunnel.ts
+++ b/packages/peers/src/tunnel.ts
@@ -156,7 +156,11 @@
   const ends = new Map<string, true>();
 
   return async (upgrade) => {
-    const { searchParams } = new URL(upgrade.request.url ?? "", "http://peer");
+    const { url = "" } = upgrade.request;
+    if (!URL.canParse(url, "http://peer")) {
+      return refuseUpgrade(upgrade, STATUS_UNKNOWN);
+    }
+    const { searchParams } = new URL(url, "http://peer");
     const ended = searchParams.get("ended");
     if (ended !== null) {
       const status = ends.delete(ended) ? STATUS_ENDED : STATUS_UNKNOWN;
