test(soak): a process goes on although it was told to stop

Red on this code: expected 'lives' to equal 'status 1', after the 8 s that a process has to stop. Before errors outside of requests were outlived, the rejected stop ended the process.

--- a/soak/src/process_faults_test.ts
+++ b/soak/src/process_faults_test.ts
@@ -30,6 +30,15 @@
 setTimeout(fail, begin);
 `;
 
+/** The signal's first listener runs before that of the program. */
+const FAILING_STOP = `
+process.on("SIGTERM", () => {
+  AbortController.prototype.abort = () => {
+    throw new Error("the stop fails");
+  };
+});
+`;
+
 describe("errors outside of requests", () => {
   let store: TopicStore;
   let started: StartedProcess;
@@ -109,4 +118,15 @@
       expect(await readCounter(started, { name: ERRORS })).to.equal(0);
     });
   }
+
+  // A process that is told to stop must not go on as if nothing had happened.
+  it("end a process in time if they come from its stop", async () => {
+    await start({ preloaded: FAILING_STOP });
+    const hasStarted = () => started.readLog().includes("process_started");
+    expect(await waitUntil(hasStarted, SETTLE_MS * 5)).to.equal(true);
+    started.child.kill("SIGTERM");
+    expect(await waitForEnd(started, 1_000 * started.settings.stopS))
+      .to.equal("status 1");
+    expect(started.readLog()).to.contain('"source":"stop"');
+  });
 });
