fix(entry): mangoreach-entry logs and outlives errors outside of requests

Callers lost all requests in progress with the entry when an event handler threw or a rejection was not awaited; a stop that failed was such a rejection. Errors are recorded as in mangoreach-platform; a stop that fails ends with status 1.

The test failed before: expected 1 to equal 7. Its preloaded script also ran in the thread of the module loader, where its error ends the process in any case; it is limited to the main thread, and failed in the same way without this fix.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -8,9 +8,11 @@
 import process from "node:process";
 import { parseArgs } from "node:util";
 import {
+  createErrorRecorder,
   createLogger,
   createSystemClock,
   formatSettingsFault,
+  handleProcessErrors,
 } from "@mangoreach/shared";
 import { startEntry } from "./entry.ts";
 import type { EntrySettings } from "./entry_settings.ts";
@@ -67,14 +69,20 @@
     process: settings.entry,
     level: settings.logLevel,
   });
+  const clock = createSystemClock();
+  const errors = createErrorRecorder({
+    clock,
+    logger: logger.forPart("entry"),
+  });
+  handleProcessErrors(errors);
   let isStopping = false;
   const entry = await startEntry({
     settings,
-    clock: createSystemClock(),
+    clock,
     logger,
     random: Math.random,
     createUniqueText: () => randomBytes(UNIQUE_BYTES).toString("hex"),
-    onDrain: () => void stop(),
+    onDrain: handleStop,
   });
   process.stdout.write(`${
     JSON.stringify({
@@ -100,8 +108,15 @@
     process.exit(cutOff === 0 ? 0 : EXIT_FAILED);
   }
 
-  process.on("SIGTERM", () => void stop());
-  process.on("SIGINT", () => void stop());
+  function handleStop(): void {
+    stop().catch((error) => {
+      errors.record("stop", error);
+      process.exit(EXIT_FAILED);
+    });
+  }
+
+  process.on("SIGTERM", handleStop);
+  process.on("SIGINT", handleStop);
 }
 
 try {
--- a/packages/entry/src/main_test.ts
+++ b/packages/entry/src/main_test.ts
@@ -20,7 +20,7 @@
 };
 /** The last line shows that the process lives on. */
 const THROWING = `
-{
+if (require("node:worker_threads").isMainThread) {
   setTimeout(() => { throw new Error("nobody catches"); }, 4_000);
   setTimeout(() => Promise.reject(new Error("nobody awaits")), 4_000);
   setTimeout(() => process.exit(7), 6_000);
