fix(serving): bound the dispatchers that peers can name

A peer names the pool and the partition whose waits it asks for, whose results it releases or whose pieces are to run, and a dispatcher was created for each name. A faulty peer that names ever new ones took the heap: the process ended with status 134 within 40,000 calls, and its callers' requests with it.

Beyond 4,096 dispatchers a peer's call for another one fails; the entry's own requests, whose pools its configuration names, are not bounded.

--- a/packages/serving/src/pool_components.ts
+++ b/packages/serving/src/pool_components.ts
@@ -62,6 +62,12 @@
 export interface PoolComponents {
   /** Returns the dispatcher of one partition of a pool. */
   findDispatcher(pool: string, partition: string): StageDispatcher;
+  /**
+   * Returns the dispatcher that a peer names.
+   *
+   * @throws {Error} if it would be one too many.
+   */
+  findPeerDispatcher(pool: string, partition: string): StageDispatcher;
   findBudget(pool: string): RetryBudget;
   findDelays(pool: string): DelayModel;
   findEngineChoice(pool: string): EngineSelector;
@@ -95,6 +101,9 @@
   resultLifetime: 4_000,
 };
 
+/** A fleet has some hundred partitions; a faulty peer may name any number. */
+const MAX_PEER_DISPATCHERS = 4_096;
+
 /** Client accounts that the metrics report for each dispatcher. */
 const REPORTED_ACCOUNTS = 10;
 
@@ -166,6 +175,17 @@
     return dispatcher;
   }
 
+  function findPeerDispatcher(
+    pool: string,
+    partition: string,
+  ): StageDispatcher {
+    const isKnown = dispatchers.has(`${pool}/${partition}`);
+    if (isKnown || dispatchers.size < MAX_PEER_DISPATCHERS) {
+      return findDispatcher(pool, partition);
+    }
+    throw new Error("too many partitions are in use");
+  }
+
   /**
    * Returns the largest number of entries known at any time: entries that are
    * missing now may only be unreachable.
@@ -209,6 +229,7 @@
 
   return {
     findDispatcher,
+    findPeerDispatcher,
     findBudget,
     findDelays,
     findEngineChoice,
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -423,7 +423,7 @@
     repeatShare: settings.repeatShare,
     repeatSlack: settings.repeatSlack,
   });
-  const { findDispatcher } = pools;
+  const { findDispatcher, findPeerDispatcher } = pools;
   metrics.setAccountUse(pools.listAccountUse);
   metrics.setHeldBytes(() => heldBytes.size);
   const router = createPieceRouter({
@@ -525,7 +525,7 @@
         answerWaitsQuery(
           query,
           (priority) =>
-            findDispatcher(query.pool, query.partition)
+            findPeerDispatcher(query.pool, query.partition)
               .readWaits(priority, query.account),
         ),
       reportPause({ endpointKey, pause }) {
@@ -538,7 +538,7 @@
         });
       },
       releaseResults: ({ pool, partition, results }) =>
-        findDispatcher(pool, partition).release(results),
+        findPeerDispatcher(pool, partition).release(results),
     },
     onExchangeBytes: metrics.countPeerBytes,
   };
@@ -572,7 +572,7 @@
   }
 
   function runForPeer(run: PieceRun, stop: AbortSignal) {
-    const reply = findDispatcher(run.pool, run.partition).run(run, stop);
+    const reply = findPeerDispatcher(run.pool, run.partition).run(run, stop);
     tasks.add(reply);
     return reply;
   }
