--- a/soak/src/program_process.ts
+++ b/soak/src/program_process.ts
@@ -24,6 +24,8 @@
   seeds?: readonly string[];
   /** The limit of descriptors; that of this process if left out. */
   maxDescriptors?: number;
+  /** The core that it is bound to; any if left out. */
+  core?: number;
   /** Further arguments for Node.js. */
   nodeArguments?: readonly string[];
 }
@@ -55,7 +57,7 @@
 
 /** Starts the program on free ports. */
 export async function startProgram(
-  { name, store, folder, seeds = [], maxDescriptors, nodeArguments = [] }:
+  { name, store, folder, seeds = [], maxDescriptors, core, nodeArguments = [] }:
     ProgramOptions,
 ): Promise<ProgramProcess> {
   const ports = await findEntryPorts();
@@ -69,6 +71,7 @@
   writeFileSync(settingsFile, JSON.stringify({ ...settings, seeds }));
   const [, ...rest] = readCommand();
   const command = [
+    ...(core === undefined ? [] : ["taskset", "-c", String(core)]),
     process.execPath,
     ...nodeArguments,
     ...rest,
