--- a/soak/src/extreme_messages_site_test.ts
+++ b/soak/src/extreme_messages_site_test.ts
@@ -21,6 +21,10 @@
 const NAMES = 40_000;
 /** Each is told to all others. */
 const MEMBERS = 3_000;
+/** Endpoints that start and end together, again and again. */
+const SERIES = 20;
+const SERIES_ENDPOINTS = 500;
+const SERIES_MS = 400;
 const FRAME_BYTES = 8_000_000;
 const HUGE = 1e308;
 const UPGRADE = "GET /peers/ HTTP/1.1\r\nhost: x\r\n" +
@@ -250,6 +254,43 @@
     });
   }
 
+  it("lives: ever new accounts in readWaits", async () => {
+    const socket = openConnection();
+    for (let name = 0; name < NAMES; name++) {
+      const account = `account-${name}`;
+      const query = { pool: "stage", partition: "", priority: 1, account };
+      if (!sendCall(socket, "readWaits", query)) {
+        await Promise.race([
+          new Promise((resolve) => socket.once("drain", resolve)),
+          sleep(SETTLE_MS),
+        ]);
+      }
+    }
+    await checkLives();
+  });
+
+  it("lives: ever new endpoints", async () => {
+    for (let series = 0; series < SERIES; series++) {
+      for (let index = 0; index < SERIES_ENDPOINTS; index++) {
+        const id = `i-${series}-${index}`;
+        store.put(TOPIC.endpoints, id, {
+          service: "plain",
+          address: `127.0.${series}.1:${1_000 + index}`,
+          zone: "z",
+          state: "ready",
+          version: `v${series}`,
+          born: Date.now(),
+        });
+      }
+      await sleep(SERIES_MS);
+      for (let index = 0; index < SERIES_ENDPOINTS; index++) {
+        store.put(TOPIC.endpoints, `i-${series}-${index}`, undefined);
+      }
+      await sleep(SERIES_MS);
+    }
+    await checkLives();
+  });
+
   it("lives: unfinished frames on many connections", async () => {
     const part = createFrame("x".repeat(FRAME_BYTES)).subarray(0, -1);
     for (let index = 0; index < CONNECTIONS; index++) {
