fix: an endpoint that is replaced at its address has crashed

Callers heard 502 again and again for a request that crashes engines, if another engine listened at the address before the entry could probe it: none of 12 requests was refused. It is the same for an address that accepts and resets, or whose machine is silent after the crash.

The cause: a crash counted only if the address refused a connection right after the break.

If the address accepts or is silent, the entry now looks four times within 2 s whether the endpoint is listed there no more and another one, or another incarnation, is. Its run counts then, with the time of the break. An endpoint that had said that it leaves is not watched, as its end was planned. One look-up by address each, shared by the runs at one endpoint; no body is held meanwhile. Not counted, as before: one whose replacement has another address or comes later than 2 s, if its old address never refuses.

--- a/packages/serving/src/crash_detector.ts
+++ b/packages/serving/src/crash_detector.ts
@@ -19,7 +19,8 @@
 import type { EndpointCrash } from "@mangoreach/peers";
 import type { Clock, Millis } from "@mangoreach/shared";
 import type { DecisionLog } from "./decision_log.ts";
-import type { EndpointCheck } from "./endpoint_check.ts";
+import type { EndpointCheck, EndpointCondition } from "./endpoint_check.ts";
+import type { EndpointReplacement } from "./endpoint_replacement.ts";
 import type { QuarantineGossip } from "./quarantine_gossip.ts";
 import type { ForwardedRequest } from "./platform_interfaces.ts";
 
@@ -38,9 +39,19 @@
   answeringSince: Millis | undefined;
 }
 
+/** What is kept of a broken run while its endpoint is checked. */
+interface EndedRun extends Omit<BrokenRun, "request"> {
+  id: string;
+  traits: readonly string[];
+  endedAt: Millis;
+}
+
 /** Tracks the runs of one entry. */
 export interface CrashDetector {
-  /** Resolves once the endpoint was checked and a crash was recorded. */
+  /**
+   * Resolves once the endpoint was checked, which may take some seconds, and a
+   * crash was recorded.
+   */
   handleBrokenRun(run: BrokenRun): Promise<void>;
   /** Records crashes of stage endpoints that their dispatcher found. */
   recordStageCrashes(
@@ -57,6 +68,7 @@
   clock: Clock;
   log: DecisionLog;
   endpointCheck: EndpointCheck;
+  replacement: EndpointReplacement;
   quarantine: Pick<PoisonQuarantine, "isEmpty" | "readTimeLeft">;
   gossip: Pick<QuarantineGossip, "recordCrash" | "recordCompletion">;
 }
@@ -69,7 +81,8 @@
 
 /** Creates the detector of one entry. */
 export function createCrashDetector(
-  { clock, log, endpointCheck, quarantine, gossip }: CrashDetectorOptions,
+  { clock, log, endpointCheck, replacement, quarantine, gossip }:
+    CrashDetectorOptions,
 ): CrashDetector {
   const digests = new WeakMap<ForwardedRequest, string>();
 
@@ -95,15 +108,38 @@
     return [computeDigest(tracked), ...parts];
   }
 
-  async function handleBrokenRun(run: BrokenRun): Promise<void> {
+  /** Holds no body while the endpoint is checked. */
+  function handleBrokenRun(run: BrokenRun): Promise<void> {
     const { request, account, endpoint, sentAt, answeringSince } = run;
-    const endedAt = clock.now();
+    return checkBrokenRun({
+      id: request.head.id,
+      traits: listTraits(run),
+      account,
+      endpoint,
+      sentAt,
+      endedAt: clock.now(),
+      answeringSince,
+    });
+  }
+
+  async function checkCrash(
+    endpoint: EndpointInfo,
+  ): Promise<EndpointCondition | "replaced"> {
     const condition = await endpointCheck.checkCondition(endpoint);
-    const traits = listTraits(run);
+    if (condition === "ended") return condition;
+    const isReplaced = await replacement.waitForReplacement(endpoint);
+    return isReplaced ? "replaced" : condition;
+  }
+
+  async function checkBrokenRun(
+    { id, traits, account, endpoint, sentAt, endedAt, answeringSince }:
+      EndedRun,
+  ): Promise<void> {
+    const condition = await checkCrash(endpoint);
     const hasBegun = answeringSince !== undefined &&
       endedAt - answeringSince >= BEGUN_AFTER;
     log.record("run_broken", {
-      request: request.head.id,
+      request: id,
       content: traits[0],
       parts: traits.filter(isPartTrait),
       answeredFor: answeringSince && endedAt - answeringSince,
@@ -113,7 +149,7 @@
       ranFor: endedAt - sentAt,
       outcome: condition,
     });
-    if (condition !== "ended") return;
+    if (condition !== "ended" && condition !== "replaced") return;
     const now = clock.now();
     if (hasBegun) gossip.recordCompletion(traits.filter(isPartTrait));
     gossip.recordCrash({
--- a/packages/serving/src/crash_detector_test.ts
+++ b/packages/serving/src/crash_detector_test.ts
@@ -16,7 +16,11 @@
   return { account, request: { head, body: Buffer.from(body) } };
 }
 
-function createDetector(clock: FakeClock, condition: EndpointCondition) {
+function createDetector(
+  clock: FakeClock,
+  condition: EndpointCondition,
+  isReplaced = false,
+) {
   const ended: CrashedRun[] = [];
   const completed: (readonly string[])[] = [];
   const quarantine = createPoisonQuarantine(clock);
@@ -29,6 +33,7 @@
         return condition;
       },
     },
+    replacement: { waitForReplacement: () => Promise.resolve(isReplaced) },
     quarantine,
     gossip: {
       recordCrash: (run) => ended.push(run),
@@ -39,9 +44,9 @@
 }
 
 describe("crash detector", () => {
-  async function noteBroken(condition: EndpointCondition) {
+  async function noteBroken(condition: EndpointCondition, isReplaced = false) {
     const clock = createFakeClock(0);
-    const { detector, ended } = createDetector(clock, condition);
+    const { detector, ended } = createDetector(clock, condition, isReplaced);
     await clock.advance(300);
     const noted = detector.handleBrokenRun({
       ...createTracked(),
@@ -67,6 +72,10 @@
     it(`records no crash if the endpoint is ${condition}`, async () => {
       expect(await noteBroken(condition)).to.deep.equal([]);
     });
+
+    it(`records a crash if it is ${condition} and then replaced`, async () => {
+      expect(await noteBroken(condition, true)).to.have.length(1);
+    });
   }
 
   it("identifies content by path, account and body, not by id", async () => {
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -48,6 +48,7 @@
 import { createEndpointCheck } from "./endpoint_check.ts";
 import { createEndpointLoads } from "./endpoint_load.ts";
 import { createSignalHandler } from "./endpoint_signals.ts";
+import { createEndpointReplacement } from "./endpoint_replacement.ts";
 import { createEndpointPaths } from "./endpoint_paths.ts";
 import { createPeerGossip } from "./peer_gossip.ts";
 import { createPieceRouter } from "./piece_router.ts";
@@ -469,6 +470,12 @@
       clock,
       log,
       endpointCheck,
+      replacement: createEndpointReplacement({
+        clock,
+        listAt: siteState.listAt,
+        isLeaving: directory.isLeaving,
+        signal,
+      }),
       quarantine,
       gossip: quarantineGossip,
     }),
--- a/packages/serving/src/test_fleet.ts
+++ b/packages/serving/src/test_fleet.ts
@@ -14,6 +14,7 @@
 import type { FakeClock, HttpFault, Millis } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import { createSilentDecisionLog } from "./decision_log.ts";
+import { createEndpointReplacement } from "./endpoint_replacement.ts";
 import { createEndpointCheck } from "./endpoint_check.ts";
 import type { QuarantineGossip } from "./quarantine_gossip.ts";
 import { createQuarantineGossip } from "./quarantine_gossip.ts";
@@ -246,6 +247,13 @@
                 : "refused",
             ),
         }),
+        replacement: createEndpointReplacement({
+          clock,
+          listAt: (address) =>
+            runningEndpoints.filter((other) => other.address === address),
+          isLeaving: directory.isLeaving,
+          signal: new AbortController().signal,
+        }),
         quarantine,
         gossip: quarantineGossip,
       }),
