fix(serving): ask callers back while the log of streams is being read

Callers saw: after a restart of all entries, resumed streams were refused as unknown without a time to return, though the entry knew them 20 ms later.

Cause: an entry waits for the store's log for 0.3 s; the first read of an entry that has just started took longer. A read that goes on did not count as knowledge that is still missing, as a peer that does not reply does.

Evidence: a trace of 'all entries restarted' with four sites at a time: stream_resumed with outcome unknown and without 'partial' for s0 to s6, 20 to 50 ms before origin for s7 to s23 at the same entries.

Such a refusal now says to come back after 0.3 s, as for a silent peer.

The test failed before: 'expected [ false, false ] to deeply equal [ true, false ]'.

--- a/packages/serving/src/stream_log.ts
+++ b/packages/serving/src/stream_log.ts
@@ -43,6 +43,8 @@
    * Returns none if the store can't be read soon, or was read a moment ago.
    */
   readRows(): Promise<readonly StreamRow[]>;
+  /** Whether the store is being read, so that more may be known soon. */
+  isReading(): boolean;
 }
 
 const MIN_WRITE_INTERVAL: Millis = 250;
@@ -116,7 +118,7 @@
     return [];
   }
 
-  return { write, readRows };
+  return { write, readRows, isReading: () => reading !== undefined };
 }
 
 /** Lists the rows that have time left, which is what they say from now on. */
--- a/packages/serving/src/stream_origin_gossip.ts
+++ b/packages/serving/src/stream_origin_gossip.ts
@@ -52,7 +52,7 @@
   origin: StreamOrigin | undefined;
   /** The versions of each pool, as seen by this entry and by peers. */
   histories: readonly ReadonlyMap<string, PoolVersions>[];
-  /** Whether a peer that may know more did not reply. */
+  /** Whether a peer that may know more, or the store, did not reply yet. */
   isPartial: boolean;
 }
 
@@ -157,7 +157,8 @@
     if (known.origin !== undefined) return known;
     const origin = key === undefined ? undefined : await findLogged(key);
     // An entry that has just started may not know its peers yet.
-    const isPartial = peers.length === 0 || replies.length < peers.length;
+    const isPartial = peers.length === 0 || replies.length < peers.length ||
+      (origin === undefined && options.streamLog.isReading());
     return { ...known, origin, isPartial };
   }
 
--- a/packages/serving/src/stream_origin_gossip_test.ts
+++ b/packages/serving/src/stream_origin_gossip_test.ts
@@ -6,13 +6,18 @@
 import type { FakeClock, Millis } from "@mangoreach/shared";
 import { createFakeClock } from "@mangoreach/shared";
 import { expect } from "chai";
+import type { StreamLog } from "./stream_log.ts";
 import type { StreamOriginGossip } from "./stream_origin_gossip.ts";
 import { createStreamOriginGossip } from "./stream_origin_gossip.ts";
 import { createTestEndpoint, createTestPeer } from "./test_support.ts";
 
 const DELIVERY: Millis = 5;
 const QUERY_TIMEOUT: Millis = 200;
-const NO_LOG = { write: () => {}, readRows: () => Promise.resolve([]) };
+const NO_LOG: StreamLog = {
+  write: () => {},
+  readRows: () => Promise.resolve([]),
+  isReading: () => false,
+};
 const ORIGIN = { pool: "pool", endpoint: "a", version: "v1" };
 
 interface Fleet {
@@ -27,7 +32,7 @@
 }
 
 /** Entries that deliver each other's messages after some milliseconds. */
-function createFleet(size: number): Fleet {
+function createFleet(size: number, streamLog = NO_LOG): Fleet {
   const clock = createFakeClock(0);
   const silent = new Set<number>();
   const lost = new Set<number>();
@@ -55,7 +60,7 @@
             age: 0,
           })).filter((_view, index) => index !== self),
       },
-      streamLog: NO_LOG,
+      streamLog,
       send: async (address, rows) => (await reach(address))?.handleRows(rows),
       query: async (address, query) => {
         const peer = await reach(address);
@@ -170,6 +175,19 @@
     });
   });
 
+  // Callers were not told to come back, though it was known soon after.
+  it("says that it may not know all while the log is being read", async () => {
+    const partial: boolean[] = [];
+    for (const isReading of [true, false]) {
+      const log = { ...NO_LOG, isReading: () => isReading };
+      const { clock, gossips } = createFleet(8, log);
+      const found = gossips[0]!.find("unknown", ["pool"]);
+      await clock.advance(1_000);
+      partial.push((await found).isPartial);
+    }
+    expect(partial).to.deep.equal([true, false]);
+  });
+
   it("says that it may not know all if it knows no peer", async () => {
     const { gossips } = createFleet(1);
     const { isPartial } = await gossips[0]!.find("unknown", ["pool"]);
