fix(peers): close a connection that brings replies to calls never made

An id that was never issued is now malformed, and the connection is closed. Replies to abandoned calls are still dropped.

--- a/packages/peers/src/peer_connection.ts
+++ b/packages/peers/src/peer_connection.ts
@@ -144,6 +144,7 @@
   ): string | undefined {
     const reply = decodeReplyFrame(message);
     if (reply === undefined) return "not a reply";
+    if (reply.id < 0 || reply.id >= nextId) return "a reply to no call";
     const call = calls.get(reply.id);
     // The call was abandoned before its reply arrived.
     if (call === undefined) return undefined;
