fix: a restart of all entries costs no request that had a place before

- A dispatcher has no repeats saved up in the first ten seconds of a process, so that requests whose pieces found no storage ("no_room": results of the entries before) failed at once.
Such pieces, which did not run, have the ten of before until others are saved up.
The new test fails before (1 call, not 3).

--- a/packages/serving/src/pool_components.ts
+++ b/packages/serving/src/pool_components.ts
@@ -176,6 +176,7 @@
         isSettled,
         onWithdrawn: observeRetries(pool),
       }),
+      storageBudget: createStartBudget(pool),
     });
     dispatchers.set(key, dispatcher);
     return dispatcher;
@@ -192,6 +193,20 @@
     throw new Error("too many partitions are in use");
   }
 
+  /**
+   * Creates the retries of pieces that a dispatcher has until others are saved
+   * up: the results of its predecessor, which nobody releases, still use the
+   * endpoints' storage.
+   */
+  function createStartBudget(pool: string): Pick<RetryBudget, "withdraw"> {
+    const budget = createRetryBudget({
+      share: 0,
+      max: PIECE_RETRY_SLACK,
+      onWithdrawn: observeRetries(pool),
+    });
+    return { withdraw: () => !isSettled() && budget.withdraw() };
+  }
+
   /**
    * Returns the largest number of entries known at any time: entries that are
    * missing now may only be unreachable.
--- a/packages/serving/src/pool_components_test.ts
+++ b/packages/serving/src/pool_components_test.ts
@@ -5,6 +5,7 @@
 import { createSilentDecisionLog } from "./decision_log.ts";
 import { createEndpointLoads } from "./endpoint_load.ts";
 import { createPoolComponents } from "./pool_components.ts";
+import type { StageReply } from "./platform_interfaces.ts";
 import type { StageDispatcher } from "./stage_dispatcher.ts";
 import type { FakeStages } from "./test_support.ts";
 import {
@@ -19,6 +20,7 @@
 async function countCalls(
   dispatcher: StageDispatcher,
   stages: FakeStages,
+  reply: StageReply = { kind: "invalid", reason: "status 500" },
 ): Promise<number> {
   const before = stages.calls.length;
   const { signal } = new AbortController();
@@ -35,7 +37,7 @@
     pieces: [{ stage: 0, piece: 0, source: { kind: "key", key: "k" } }],
   }, signal);
   for (let call = before; call < stages.calls.length; call++) {
-    stages.calls[call]!.end({ kind: "invalid", reason: "status 500" });
+    stages.calls[call]!.end(reply);
     await settlePromises();
   }
   return stages.calls.length - before;
@@ -132,6 +134,18 @@
     expect(calls - first).to.be.at.most(0.1 * first + 56);
   });
 
+  // Guards against requests that fail after a restart of all entries, because
+  // results of their predecessors still use the endpoints' storage.
+  it("retry pieces that find no storage soon after a start", async () => {
+    const { findDispatcher, stages } = create({ entries: 8 });
+    const dispatcher = findDispatcher("pool", "");
+    const noRoom: StageReply = {
+      kind: "results",
+      results: [{ kind: "failed", reason: "no_room" }],
+    };
+    expect(await countCalls(dispatcher, stages, noRoom)).to.equal(3);
+  });
+
   // All 86 instances of a site restart while an endpoint fails. If each entry,
   // which knows only itself, used the complete slack of the pool, the endpoint
   // would get many times the retries that the operators allow.
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -220,7 +220,9 @@
     log,
     metrics,
     siteState,
-    isAwaitingPeers: () => gossip.isAwaitingPeers(),
+    // What a store says that was never restored needs no confirmation.
+    isAwaitingPeers: () =>
+      (platform.isStoreRestored?.() ?? false) && gossip.isAwaitingPeers(),
   });
   const { isBehindPeers, readVersion } = freshness;
 
--- a/packages/serving/src/serving_options.ts
+++ b/packages/serving/src/serving_options.ts
@@ -81,6 +81,8 @@
   versions: VersionStore;
   /** Where streams began, for entries that start later. */
   streams: StreamStore;
+  /** Whether the store has told that it came back from an older copy. */
+  isStoreRestored?: () => boolean;
   /** Creates the clients of endpoints, which open connections by `connect`. */
   createEndpointClients: (connect: Connect) => EndpointClients;
   /** Opens a connection to an endpoint or a peer. */
--- a/packages/serving/src/stage_dispatcher.ts
+++ b/packages/serving/src/stage_dispatcher.ts
@@ -76,6 +76,8 @@
   endpointCheck: EndpointCheck;
   /** Limits the retries of pieces. */
   budget: RetryBudget;
+  /** Further retries of pieces that found no storage; none if left out. */
+  storageBudget?: Pick<RetryBudget, "withdraw">;
   /** Releases results of another pool through the dispatcher of that pool. */
   releaseInputs: (pool: string, results: readonly string[]) => void;
   /** Use of the partition by client account; a new record if left out. */
@@ -468,7 +470,8 @@
    */
   function enqueueForStorage(piece: DispatchedPiece): void {
     if (piece.isCancelled) return;
-    if (budget.withdraw()) enqueueAgain(piece);
+    const mayRetry = budget.withdraw() || options.storageBudget?.withdraw();
+    if (mayRetry) enqueueAgain(piece);
     else failGroup(piece.group, "no_room");
   }
 
