fix(shared): the estimate of JSON counts names that are indices, and has a margin

V8 allocates a list up to an index that is the name of a property, which the estimate did not count, and the bound of 32 MiB had no margin for estimates that are too low by a factor of two or three.

Such a name counts 6 KiB, text from 16 KB on is estimated, and the bound is 16 MiB, above the 13 to 14 MiB of a configuration of 20,000 routes.

--- a/packages/shared/src/bounded_json.ts
+++ b/packages/shared/src/bounded_json.ts
@@ -6,11 +6,16 @@
  */
 
 /** Shorter text is parsed without an estimate, whatever it holds. */
-const MIN_ESTIMATED_LENGTH = 524_288;
-/** A fifth of the heap, as several may be parsed before memory is reclaimed. */
-const MAX_VALUES_BYTES = 33_554_432;
+const MIN_ESTIMATED_LENGTH = 16_384;
+/**
+ * A ninth of the heap: values may take three times their estimate, and several
+ * may be parsed before memory is reclaimed.
+ */
+const MAX_VALUES_BYTES = 16_777_216;
 
 const QUOTE = 34;
+const ZERO = 48;
+const NINE = 57;
 const COMMA = 44;
 const COLON = 58;
 const BRACKET = 91;
@@ -24,6 +29,10 @@
 /** The entry in the table of an object whose names occur only once. */
 const PROPERTY_BYTES = 24;
 const STRING_BYTES = 24;
+/** V8 allocates a list up to an index that is the name of a property. */
+const INDEX_NAME_BYTES = 6_144;
+const MAX_INDEX_DIGITS = 10;
+const COLON_BEHIND = /^\s*:/;
 
 /**
  * Parses JSON; undefined if it is malformed, or if its values would take too
@@ -44,10 +53,14 @@
   let bytes = 0;
   for (let at = 0; at < text.length; at++) {
     switch (text.charCodeAt(at)) {
-      case QUOTE:
-        bytes += STRING_BYTES;
-        at = findStringEnd(text, at + 1);
+      case QUOTE: {
+        const end = findStringEnd(text, at + 1);
+        bytes += isIndexName(text, at + 1, end)
+          ? INDEX_NAME_BYTES
+          : STRING_BYTES;
+        at = end;
         break;
+      }
       case COMMA:
         bytes += ELEMENT_BYTES;
         break;
@@ -65,6 +78,17 @@
   return bytes;
 }
 
+/** Whether a string is short, begins and ends with a digit, and names a property. */
+function isIndexName(text: string, start: number, end: number): boolean {
+  return end > start && end - start <= MAX_INDEX_DIGITS &&
+    isDigit(text.charCodeAt(start)) && isDigit(text.charCodeAt(end - 1)) &&
+    COLON_BEHIND.test(text.slice(end + 1, end + 3));
+}
+
+function isDigit(code: number): boolean {
+  return code >= ZERO && code <= NINE;
+}
+
 /** Returns the index of the quote that ends a string, or the text's length. */
 function findStringEnd(text: string, start: number): number {
   let end = text.indexOf('"', start);
