--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -13,6 +13,7 @@
   createSystemClock,
   formatSettingsFault,
   handleProcessErrors,
+  handleSignals,
 } from "@mangoreach/shared";
 import { startEntry } from "./entry.ts";
 import type { EntrySettings } from "./entry_settings.ts";
@@ -115,8 +116,12 @@
     });
   }
 
-  process.on("SIGTERM", handleStop);
-  process.on("SIGINT", handleStop);
+  handleSignals({
+    onStop: handleStop,
+    // Settings are read at the start only.
+    onReload: () => errors.record("signal", "SIGHUP"),
+    onIgnored: (signal) => errors.record("signal", signal),
+  });
 }
 
 try {
