--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -37,6 +37,7 @@
   createConnectionGuard,
   createSharedController,
   createTaskSet,
+  keepRunning,
   readServerAddress,
   startServer,
   stopServer,
@@ -170,6 +171,11 @@
   });
   let phase: ListenerPhase = "open";
 
+  function recordLoopError(error: unknown): void {
+    logger.error("A loop failed and starts again.", { error: String(error) });
+    options.errors?.record("loop", error);
+  }
+
   const loads = createEndpointLoads(clock);
   const siteState = createSiteState({
     clock,
@@ -195,6 +201,7 @@
       pools.refreshDispatchers();
       versionRecords.update();
     },
+    onError: recordLoopError,
     onRestored() {
       if (phase !== "open") return;
       void gossip.republish(signal);
@@ -595,23 +602,14 @@
     return reply;
   }
 
-  siteState.follow(signal).catch((error) =>
-    logger.error("Follower of the platform's store failed.", {
-      error: String(error),
-    })
-  );
-
-  freshness.follow(signal, { membership, peers }).catch((error) =>
-    logger.error("Configuration freshness check failed.", {
-      error: String(error),
-    })
-  );
-
-  quarantineGossip.releaseExpired().catch((error) =>
-    logger.error("Quarantine expiry check failed.", {
-      error: String(error),
-    })
-  );
+  const loops = [
+    () => siteState.follow(signal),
+    () => freshness.follow(signal, { membership, peers }),
+    () => quarantineGossip.releaseExpired(),
+  ];
+  for (const loop of loops) {
+    void keepRunning(loop, { clock, signal, onError: recordLoopError });
+  }
 
   log.record("process_started", {
     incarnation: options.incarnation,
--- a/packages/serving/src/site_state.ts
+++ b/packages/serving/src/site_state.ts
@@ -27,6 +27,7 @@
 } from "@mangoreach/coordination";
 import type { TopicName } from "@mangoreach/peers";
 import type { Clock, Logger, Millis } from "@mangoreach/shared";
+import { keepRunning } from "@mangoreach/shared";
 import type { DecisionFields, DecisionLog } from "./decision_log.ts";
 import type { TopicSink } from "./topic_follower.ts";
 import { followTopic } from "./topic_follower.ts";
@@ -69,6 +70,8 @@
    * writes.
    */
   onRestored: () => void;
+  /** Called when following a topic has failed, before it starts again. */
+  onError: (error: unknown) => void;
 }
 
 /** An entry's local copy of the state of its site. */
@@ -409,16 +412,17 @@
     };
     const topics = Object.keys(sinks) as TopicName[];
     await Promise.all(topics.map((topic) =>
-      followTopic({
-        clock,
-        random,
-        signal,
-        source: relays[topic].source,
-        sink: sinks[topic],
-        readTime: configAge.readTime,
-        wait: TOPIC_TIMINGS[topic].wait,
-        pause: TOPIC_TIMINGS[topic].pause,
-      })
+      keepRunning(() =>
+        followTopic({
+          clock,
+          random,
+          signal,
+          source: relays[topic].source,
+          sink: sinks[topic],
+          readTime: configAge.readTime,
+          wait: TOPIC_TIMINGS[topic].wait,
+          pause: TOPIC_TIMINGS[topic].pause,
+        }), { clock, signal, onError: options.onError })
     ));
   }
 
--- a/packages/serving/src/site_state_test.ts
+++ b/packages/serving/src/site_state_test.ts
@@ -71,6 +71,7 @@
       onConfig: () => {},
       onEndpoints: () => {},
       members: { replaceAll: () => {}, apply: () => {} },
+      onError: () => {},
       onRestored: () => {},
     });
     const controller = new AbortController();
--- a/packages/shared/src/error_recorder.ts
+++ b/packages/shared/src/error_recorder.ts
@@ -15,6 +15,8 @@
   | "listener"
   | "signal"
   | "settings"
+  /** A loop that runs as long as the process, and is started again. */
+  | "loop"
   /** The graceful stop. */
   | "stop";
 
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -54,6 +54,8 @@
 } from "./timeline.ts";
 export { createTimeline } from "./timeline.ts";
 export type { ListenFaults } from "./listen_retry.ts";
+export type { KeepRunningOptions } from "./restarted_loop.ts";
+export { keepRunning } from "./restarted_loop.ts";
 export type { SignalHandlers } from "./process_signals.ts";
 export { handleSignals } from "./process_signals.ts";
 export type { ErrorRecorder, ErrorSource } from "./error_recorder.ts";
