--- a/packages/serving/src/quarantine_gossip.ts
+++ b/packages/serving/src/quarantine_gossip.ts
@@ -7,11 +7,11 @@
  * request crashes about one endpoint a second. Before a quarantine begins, an
  * aggregator asks all entries what they know of its traits: a part of a prompt
  * that only happened to be there has completed at some of them. Aggregators also
- * count the crashes that others write to the platform's store, as an entry may be
- * cut off from its peers. A new quarantine is sent to all entries and written to the platform's store, from
- * which entries read it that start later, with the crashes that do not amount to
- * one yet. Peers gossip it too, as messages may be lost and the store may be
- * unavailable.
+ * count the crashes that others write to the platform's store, as an entry may
+ * be cut off from its peers. A new quarantine is sent to all entries and written
+ * to the platform's store, from which entries read it that start later, with the
+ * crashes that do not amount to one yet. Peers gossip it too, as messages may be
+ * lost and the store may be unavailable.
  *
  * @module
  */
--- a/packages/shared/src/process_signals.ts
+++ b/packages/shared/src/process_signals.ts
@@ -15,12 +15,13 @@
   onIgnored: (signal: string) => void;
 }
 
-const STOP_SIGNALS = ["SIGTERM", "SIGINT", "SIGQUIT"] as const;
+/** Signals to stop. */
+export const STOP_SIGNALS = ["SIGTERM", "SIGINT", "SIGQUIT"] as const;
 /**
  * Their default action ends the process, or for SIGUSR1 opens a port for
  * debuggers. The launcher has the same list.
  */
-const IGNORED_SIGNALS = [
+export const IGNORED_SIGNALS = [
   "SIGUSR1",
   "SIGUSR2",
   "SIGALRM",
