fix(coordination): an entry remembers the limits of all endpoints of a large fleet

The test fails before with 1024 of 2100 ("expected 1024 to equal 2100"). The bound is 4,096, twice the endpoints that the design is for.

--- a/packages/coordination/src/endpoint_limits.ts
+++ b/packages/coordination/src/endpoint_limits.ts
@@ -76,7 +76,7 @@
  */
 const STALE_AFTER: Millis = 5_000;
 /** Maximum number of reports; above it the oldest is evicted. */
-const MAX_KNOWN = 1_024;
+const MAX_KNOWN = 4_096;
 
 /** Creates a tracker that knows of no limit. */
 export function createEndpointLimits(
--- a/packages/coordination/src/endpoint_limits_test.ts
+++ b/packages/coordination/src/endpoint_limits_test.ts
@@ -18,6 +18,17 @@
 }
 
 describe("limits that endpoints announce", () => {
+  // Guards against limits that are forgotten where all endpoints of a large
+  // fleet announce one.
+  it("are all known in a large fleet", () => {
+    const clock = createFakeClock(0);
+    const limits = createEndpointLimits({ clock, random: () => 0.5 });
+    const keys = Array.from({ length: 2_100 }, (_, index) => `i-${index}`);
+    keys.forEach((key) => limits.record(key, 1, 0));
+    expect(keys.filter((key) => limits.find(key) === 1).length)
+      .to.equal(keys.length);
+  });
+
   const CASES: readonly Case[] = [
     { name: "nothing", report: () => {}, expected: undefined },
     {
