fix(endpoints): an endpoint that has left is not accepted from a restored list

Those that left are remembered and wait for their registration. The new test fails before: e1 is listed after five seconds.

--- a/packages/coordination/src/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry.ts
@@ -11,6 +11,7 @@
  * @module
  */
 import type { Clock, Millis } from "@mangoreach/shared";
+import { putBounded } from "@mangoreach/shared";
 import type { EndpointInfo } from "./endpoint.ts";
 import { isOlderIncarnation } from "./endpoint.ts";
 
@@ -49,6 +50,7 @@
  * heartbeats, of 1.2 s each.
  */
 const EXPIRY_TIME: Millis = 5_000;
+const MAX_REMOVED = 4_096;
 
 /** Creates an empty registry. */
 export function createEndpointRegistry(
@@ -64,6 +66,8 @@
    * records without a change.
    */
   const unverified = new Map<string, () => void>();
+  /** Endpoints that left; an older copy of the list may still have them. */
+  const removed = new Map<string, true>();
   let isUnavailable = false;
   let recoveredAt = -Infinity;
   let isRestored = false;
@@ -80,6 +84,7 @@
   function scheduleVerification(endpoint: EndpointInfo): void {
     const { id } = endpoint;
     cancelVerification(id);
+    if (removed.has(id)) return;
     const verify = () => {
       if (isUnavailable) scheduleVerification(endpoint);
       else put(endpoint);
@@ -89,6 +94,7 @@
 
   function put(endpoint: EndpointInfo): boolean {
     cancelVerification(endpoint.id);
+    removed.delete(endpoint.id);
     const known = endpoints.get(endpoint.id);
     // Records reach an entry on several paths, so an older one may arrive
     // later. It would restore the capacity, the marks and the address of an
@@ -119,6 +125,7 @@
 
   function drop(id: string): void {
     deferred.delete(id);
+    putBounded(removed, [id, true], MAX_REMOVED);
     if (endpoints.delete(id)) notifyChange();
   }
 
--- a/packages/coordination/src/endpoint_registry_test.ts
+++ b/packages/coordination/src/endpoint_registry_test.ts
@@ -135,25 +135,36 @@
     // relay the list leave out registrations without a change.
     it("accepts an unknown endpoint whose record does not expire", async () => {
       const { clock, registry, listIds } = create();
-      registry.remove("e1");
       registry.handleRestored();
-      registry.replaceAll([createEndpoint("e1"), createEndpoint("e2")]);
-      await clock.advance(5_000);
+      registry.replaceAll(["e1", "e2", "e3"].map((id) => createEndpoint(id)));
       expect(listIds()).to.have.members(["e1", "e2"]);
+      await clock.advance(5_000);
+      expect(listIds()).to.have.members(["e1", "e2", "e3"]);
     });
 
     it("waits longer while the list is unavailable", async () => {
       const { clock, registry, listIds } = create();
-      registry.remove("e1");
       registry.handleRestored();
-      registry.replaceAll([createEndpoint("e1"), createEndpoint("e2")]);
+      registry.replaceAll(["e1", "e2", "e3"].map((id) => createEndpoint(id)));
       registry.handleUnavailable();
       await clock.advance(8_000);
-      expect(listIds()).to.deep.equal(["e2"]);
+      expect(listIds()).to.have.members(["e1", "e2"]);
       registry.handleAvailable();
+      registry.remove("e3");
+      await clock.advance(8_000);
+      expect(listIds()).to.have.members(["e1", "e2"]);
+    });
+
+    // Guards against requests to an endpoint that an entry has seen leave.
+    it("does not accept one that has left before it registers again", async () => {
+      const { clock, registry, listIds } = create();
       registry.remove("e1");
+      registry.handleRestored();
+      registry.replaceAll([createEndpoint("e1"), createEndpoint("e2")]);
       await clock.advance(8_000);
       expect(listIds()).to.deep.equal(["e2"]);
+      registry.put(createEndpoint("e1"));
+      expect(listIds()).to.have.members(["e1", "e2"]);
     });
 
     // An endpoint that started in the seconds missing from the copy registers
