--- a/scripts/missed_floors.ts
+++ b/scripts/missed_floors.ts
@@ -21,7 +21,8 @@
   site: z.string().nullish(),
   days: z.array(z.object({
     name: z.string(),
-    seed: z.number(),
+    // Days that a hunt mixes have none.
+    seed: z.number().nullish(),
     short: z.array(z.string()).nullish(),
   })).nullish(),
 });
@@ -43,7 +44,9 @@
     played++;
     for (const floor of short ?? []) {
       missed++;
-      process.stdout.write(`${entry.data.site} ${name} ${seed}: ${floor}\n`);
+      process.stdout.write(
+        `${entry.data.site} ${name} ${seed ?? "-"}: ${floor}\n`,
+      );
     }
   }
 }
