revert: dispatchers have their repeats of pieces saved up from the start again

What it cost: requests fail in the first seconds of an entry where a stage endpoint fails or has no storage, as their pieces have no repeat.

--- a/packages/serving/src/pool_components.ts
+++ b/packages/serving/src/pool_components.ts
@@ -138,11 +138,6 @@
   const startedAt = clock.now();
   let maxEntries = MIN_ENTRIES;
 
-  /** Whether all retries of this entry's predecessor are out of the window. */
-  function isSettled(): boolean {
-    return clock.now() - startedAt >= BUDGET_WINDOW;
-  }
-
   function observeRetries(pool: string): (isGranted: boolean) => void {
     return (isGranted) =>
       options.metrics.countRetry(pool, isGranted ? "granted" : "denied");
@@ -173,10 +168,8 @@
       budget: createRetryBudget({
         share: PIECE_RETRY_SHARE,
         max: PIECE_RETRY_SLACK,
-        isSettled,
         onWithdrawn: observeRetries(pool),
       }),
-      storageBudget: createStartBudget(pool),
     });
     dispatchers.set(key, dispatcher);
     return dispatcher;
@@ -193,20 +186,6 @@
     throw new Error("too many partitions are in use");
   }
 
-  /**
-   * Creates the retries of pieces that a dispatcher has until others are saved
-   * up: the results of its predecessor, which nobody releases, still use the
-   * endpoints' storage.
-   */
-  function createStartBudget(pool: string): Pick<RetryBudget, "withdraw"> {
-    const budget = createRetryBudget({
-      share: 0,
-      max: PIECE_RETRY_SLACK,
-      onWithdrawn: observeRetries(pool),
-    });
-    return { withdraw: () => !isSettled() && budget.withdraw() };
-  }
-
   /**
    * Returns the largest number of entries known at any time: entries that are
    * missing now may only be unreachable.
@@ -229,7 +208,7 @@
       share: options.repeatShare,
       max: options.repeatSlack,
       readShare: computeBudgetShare,
-      isSettled,
+      isSettled: () => clock.now() - startedAt >= BUDGET_WINDOW,
       random: options.random,
       onWithdrawn: observeRetries(pool),
     })
--- a/packages/serving/src/stage_dispatcher.ts
+++ b/packages/serving/src/stage_dispatcher.ts
@@ -76,8 +76,6 @@
   endpointCheck: EndpointCheck;
   /** Limits the retries of pieces. */
   budget: RetryBudget;
-  /** Further retries of pieces that found no storage; none if left out. */
-  storageBudget?: Pick<RetryBudget, "withdraw">;
   /** Releases results of another pool through the dispatcher of that pool. */
   releaseInputs: (pool: string, results: readonly string[]) => void;
   /** Use of the partition by client account; a new record if left out. */
@@ -470,8 +468,7 @@
    */
   function enqueueForStorage(piece: DispatchedPiece): void {
     if (piece.isCancelled) return;
-    const mayRetry = budget.withdraw() || options.storageBudget?.withdraw();
-    if (mayRetry) enqueueAgain(piece);
+    if (budget.withdraw()) enqueueAgain(piece);
     else failGroup(piece.group, "no_room");
   }
 
