fix(shared): names that are indices are counted however they are written

A name with more than one blank before its colon, or with escaped digits, was estimated as any other, so that objects with an index as name could still fill the heap. The estimate now looks at the last string when it comes to a colon, which needs no look ahead and no pattern. What was counted before still is.

--- a/packages/shared/src/bounded_json.ts
+++ b/packages/shared/src/bounded_json.ts
@@ -32,7 +32,8 @@
 /** V8 allocates a list up to an index that is the name of a property. */
 const INDEX_NAME_BYTES = 6_144;
 const MAX_INDEX_DIGITS = 10;
-const COLON_BEHIND = /^\s*:/;
+/** A digit has six characters if it is escaped. */
+const MAX_ESCAPED_LENGTH = 6 * MAX_INDEX_DIGITS;
 
 /**
  * Parses JSON; undefined if it is malformed, or if its values would take too
@@ -51,13 +52,14 @@
 /** Estimates the memory of the values, without the characters of strings. */
 function estimateValueBytes(text: string): number {
   let bytes = 0;
+  /** Whether the last string may be an index; before a colon it is a name. */
+  let isIndex = false;
   for (let at = 0; at < text.length; at++) {
     switch (text.charCodeAt(at)) {
       case QUOTE: {
         const end = findStringEnd(text, at + 1);
-        bytes += isIndexName(text, at + 1, end)
-          ? INDEX_NAME_BYTES
-          : STRING_BYTES;
+        bytes += STRING_BYTES;
+        isIndex = mayBeIndex(text, at + 1, end);
         at = end;
         break;
       }
@@ -65,7 +67,7 @@
         bytes += ELEMENT_BYTES;
         break;
       case COLON:
-        bytes += PROPERTY_BYTES;
+        bytes += isIndex ? INDEX_NAME_BYTES : PROPERTY_BYTES;
         break;
       case BRACKET:
         bytes += ARRAY_BYTES;
@@ -78,11 +80,13 @@
   return bytes;
 }
 
-/** Whether a string is short, begins and ends with a digit, and names a property. */
-function isIndexName(text: string, start: number, end: number): boolean {
-  return end > start && end - start <= MAX_INDEX_DIGITS &&
-    isDigit(text.charCodeAt(start)) && isDigit(text.charCodeAt(end - 1)) &&
-    COLON_BEHIND.test(text.slice(end + 1, end + 3));
+/** Whether a string may be an index, of which digits may be escaped. */
+function mayBeIndex(text: string, start: number, end: number): boolean {
+  const first = text.charCodeAt(start);
+  const maxLength = first === BACKSLASH ? MAX_ESCAPED_LENGTH : MAX_INDEX_DIGITS;
+  return end > start && end - start <= maxLength &&
+    (first === BACKSLASH || isDigit(first)) &&
+    isDigit(text.charCodeAt(end - 1));
 }
 
 function isDigit(code: number): boolean {
--- a/packages/shared/src/bounded_json_test.ts
+++ b/packages/shared/src/bounded_json_test.ts
@@ -15,6 +15,19 @@
     );
   });
 
+  it("rejects names that are indices, however they are written", () => {
+    const names = ['"35":', '"35"  \t:', '"\\u0033\\u0035":', '"\\u00335" :'];
+    const texts = names.map((name) =>
+      `[${`{${name}1},`.repeat(10_000)}{"a":1}]`
+    );
+    expect(texts.map((text) => JSON.parse(text)[0])).to.deep.equal(
+      names.map(() => ({ 35: 1 })),
+    );
+    expect(texts.map(parseBoundedJson)).to.deep.equal(
+      texts.map(() => undefined),
+    );
+  });
+
   it("parses a large configuration", () => {
     const routes = Array.from({ length: 20_000 }, (_route, index) => ({
       name: `route-${index}`,
