--- a/packages/shared/src/persistent_connections_test.ts
+++ b/packages/shared/src/persistent_connections_test.ts
@@ -50,9 +50,8 @@
     server.close();
   });
 
-  // Guards against calls over a connection through a peer which the endpoint has
-  // asked for a pause since: the peer accepts no new connection then, and does
-  // not see the calls on those that are open.
+  // Guards against calls through a peer that the endpoint has asked for a pause,
+  // on connections that were open before.
   it("are used for one call if they lead through a peer", async () => {
     const calls = new Map<Socket, number>();
     const server = await startServer((request, response) => {
--- a/soak/src/descriptor_limit_site_test.ts
+++ b/soak/src/descriptor_limit_site_test.ts
@@ -15,6 +15,7 @@
 import type { TopicStore } from "./topic_store.ts";
 import { startTopicStore } from "./topic_store.ts";
 
+const REQUEST_ID = new RegExp(`${HEADER.requestId}: (\\S+)`, "i");
 const START_MS = 15_000;
 const FAULT_MS = 5_000;
 const RECOVER_MS = 6_000;
@@ -39,7 +40,7 @@
       socket.once("close", () => sockets.delete(socket));
       socket.once("data", (data) => {
         if (isHanging) return;
-        const id = /x-attempt-id: (\S+)/i.exec(String(data))?.[1];
+        const id = REQUEST_ID.exec(String(data))?.[1];
         socket.end(
           `HTTP/1.1 200 OK\r\n${HEADER.requestId}: ${id}\r\n` +
             `${HEADER.proof}: proof\r\ncontent-length: 2\r\n\r\nok`,
