--- a/soak/src/answer_ends_site.ts
+++ b/soak/src/answer_ends_site.ts
@@ -8,7 +8,12 @@
 import { connect, createServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { readServerAddress } from "@mangoreach/shared";
-import { CONFIG_KEY, HEADER, TOPIC } from "../../platform/src/wire_names.ts";
+import {
+  CONFIG_KEY,
+  HEADER,
+  PATH,
+  TOPIC,
+} from "../../platform/src/wire_names.ts";
 import { startInProcessEntries } from "./in_process_entries.ts";
 import { createSoakConfig } from "./soak_config.ts";
 import { startTopicStore } from "./topic_store.ts";
@@ -19,6 +24,8 @@
   | "closes"
   /** It resets the connection and serves on. */
   | "resets"
+  /** The same, a moment later. */
+  | "resets_soon"
   /** Its process ends, which closes all connections in an orderly way. */
   | "crashes"
   /** The same, after it announced that it leaves. */
@@ -26,11 +33,22 @@
   /** It keeps the connection. */
   | "keeps";
 
-/** An answer of the endpoints. */
+/** An answer of the endpoints; its text is written in latin1. */
 export interface ScriptedAnswer {
+  /** A success if left out. */
+  statusLine?: string;
   /** Lines of the head besides status, id and proof. */
   head: readonly string[];
   body: string;
+  /** How many bytes of the answer are sent; all if left out. */
+  sentBytes?: number;
+  /** Whether it is sent before the request's body is read, which never is. */
+  isEarly?: boolean;
+  /**
+   * Whether calls of stages get it, with the results as the body, and requests
+   * a sound one.
+   */
+  isForStages?: boolean;
   end: EndpointEnd;
 }
 
@@ -44,33 +62,53 @@
   endedAfterMs: number;
 }
 
+/** What a caller sends. */
+export interface SentRequest {
+  /** Further lines of the head. */
+  head?: readonly string[];
+  /** Size of the body in bytes. */
+  uploadBytes?: number;
+}
+
 /** A running site. */
 export interface AnswerEndsSite {
   /** Sends a request on a route whose endpoints all give this answer. */
-  call(route: string, answer: ScriptedAnswer): Promise<ReceivedAnswer>;
+  call(
+    route: string,
+    answer: ScriptedAnswer,
+    options?: SentRequest,
+  ): Promise<ReceivedAnswer>;
   /** Requests that reached endpoints since the last call of this function. */
   countArrivals(): number;
   stop(): void;
 }
 
 const ENDPOINTS_PER_POOL = 5;
-const POOLS = ["plain", "chat"];
+const POOLS = ["plain", "chat", "stage", "engine"];
+const SOUND_ANSWER: ScriptedAnswer = {
+  head: ["Content-Type: text/event-stream", "Content-Length: 7"],
+  body: "id: 1\n\n",
+  end: "closes",
+};
 /** Time from the announcement of an endpoint that leaves to its end. */
 const LEAVING_MS = 1_200;
 /** Time from the end of an endpoint to the start of its successor. */
 const RESTART_MS = 250;
 /** Time in which the entry learns of the successor. */
 const LEARNING_MS = 1_000;
+/** The bytes before a reset have arrived by then, the upload has not. */
+const RESET_DELAY_MS = 1;
+const MAX_UPLOAD_BYTES = 8_388_608;
 const LAST_CHUNK = "0\r\n\r\n";
 
 /** Starts a site with one entry. */
 export async function startAnswerEndsSite(): Promise<AnswerEndsSite> {
   const store = await startTopicStore();
-  store.put(
-    TOPIC.operators,
-    CONFIG_KEY,
-    createSoakConfig(1, { isRevoked: false }),
-  );
+  const config = createSoakConfig(1, { isRevoked: false });
+  store.put(TOPIC.operators, CONFIG_KEY, {
+    ...config,
+    limits: { ...config.limits, maxBodyBytes: MAX_UPLOAD_BYTES },
+  });
   const servers = new Set<Server>();
   const sockets = new Set<Socket>();
   let answer: ScriptedAnswer = { head: [], body: "", end: "keeps" };
@@ -87,14 +125,20 @@
       own.add(socket);
       sockets.add(socket);
       socket.on("error", () => {});
-      socket.once("data", (head) => {
-        arrivals++;
-        const { end } = answer;
-        socket.write(formatAnswer(answer, String(head)), () => {
+      socket.once("data", (data) => {
+        const request = String(data);
+        const isRelease = request.startsWith(`POST ${PATH.stageFree}`);
+        if (!isRelease) arrivals++;
+        const scripted = chooseAnswer(answer, request);
+        const { end, isEarly = false } = scripted;
+        if (isEarly) socket.pause();
+        socket.write(formatAnswer(scripted, request), "latin1", () => {
           answeredAt = Date.now();
           if (end === "closes") socket.end();
           else if (end === "resets") socket.resetAndDestroy();
-          else if (end !== "keeps") void endProcess();
+          else if (end === "resets_soon") {
+            setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+          } else if (end !== "keeps") void endProcess();
         });
       });
     });
@@ -110,6 +154,7 @@
         service: pool,
         address,
         zone: "z",
+        version: "1",
         state,
         born: 1,
       });
@@ -139,10 +184,14 @@
   });
 
   return {
-    async call(route, scripted) {
+    async call(route, scripted, options = {}) {
       answer = scripted;
       const id = `r-${requestCount++}`;
-      const received = await callRaw(entries.callers[0]!, { route, id });
+      const received = await callRaw(entries.callers[0]!, {
+        route,
+        id,
+        ...options,
+      });
       const endedAfterMs = Date.now() - answeredAt;
       const hasEnded = ["crashes", "leaves"].includes(scripted.end);
       if (hasEnded) await sleep(RESTART_MS + LEARNING_MS);
@@ -163,21 +212,48 @@
   };
 }
 
-function formatAnswer({ head, body }: ScriptedAnswer, request: string): string {
+function chooseAnswer(
+  answer: ScriptedAnswer,
+  request: string,
+): ScriptedAnswer {
+  const { isForStages = false } = answer;
+  const isRun = request.startsWith(`POST ${PATH.stageRun}`);
+  if (isRun !== isForStages) {
+    return isRun
+      ? { head: [], body: formatResults(request), end: "closes" }
+      : SOUND_ANSWER;
+  }
+  return isRun ? { ...answer, body: formatResults(request) } : answer;
+}
+
+/** Formats the reply to a call of a stage. */
+function formatResults(request: string): string {
+  const [, body = ""] = request.split("\r\n\r\n");
+  const { items } = JSON.parse(body) as { items: { id: string }[] };
+  const handles = items.map(({ id }) => ({ handle: `10.0.0.1:1/${id}` }));
+  return JSON.stringify({ items: handles });
+}
+
+function formatAnswer(
+  { statusLine = "HTTP/1.1 200 OK", head, body, sentBytes }: ScriptedAnswer,
+  request: string,
+): string {
   const id = new RegExp(`${HEADER.requestId}: (\\S+)`, "i").exec(request)?.[1];
   return [
-    "HTTP/1.1 200 OK",
+    statusLine,
     `${HEADER.requestId}: ${id}`,
     `${HEADER.proof}: proof`,
     ...head,
     "",
     body,
-  ].join("\r\n");
+  ].join("\r\n").slice(0, sentBytes);
 }
 
 function callRaw(
   address: string,
-  { route, id }: { route: string; id: string },
+  { route, id, head = [], uploadBytes = 0 }:
+    & SentRequest
+    & { route: string; id: string },
 ): Promise<Omit<ReceivedAnswer, "endedAfterMs">> {
   const [host = "", port = ""] = address.split(":");
   return new Promise((resolve) => {
@@ -191,9 +267,10 @@
         "Authorization: Bearer key-1",
         `${HEADER.requestId}: ${id}`,
         `${HEADER.deadline}: 2000`,
-        "Content-Length: 0",
-        "",
+        ...head,
+        `Content-Length: ${uploadBytes}`,
         "",
+        "x".repeat(uploadBytes),
       ].join("\r\n")));
     socket.on("data", (chunk) => {
       text += String(chunk);
--- a/soak/src/soak_config.ts
+++ b/soak/src/soak_config.ts
@@ -25,11 +25,17 @@
   };
 }
 
+/** A configuration in the platform's format. */
+export interface SoakConfig {
+  limits: Record<string, number>;
+  [name: string]: unknown;
+}
+
 /** Creates a configuration in the platform's format. */
 export function createSoakConfig(
   version: number,
   { isRevoked }: { isRevoked: boolean },
-): object {
+): SoakConfig {
   const stages = [
     { service: "stage", after: [], bytes: 10 },
     { service: "stage", after: [0], bytes: 10 },
