fix(shared): an answer that ends while its request is written is cut

Callers got a part of an answer as complete, with status 200, where an endpoint answered a long upload at once, without a length, and reset the connection while the upload was still being written.

Cause: an answer without a length ends with its connection. When it ends, the client writes two bytes, whose failure shows a reset. Beside an upload these bytes wait behind it; the write of the upload fails first, and theirs then fails as ERR_STREAM_DESTROYED. That error comes from no system call, and only those from one counted as a reset.

Evidence: with a line for each probe, all ten answers that passed in 200 had that error, the other 190 had a system call's.

Now an error of these bytes counts whatever it is, and an answer is cut at once if its connection ends before its request was written. A server that closes without having received the request shows nothing about the rest of its answer, and its reset comes after the end or, if it only ends its own side, not at all. An early answer with a length or in chunks is accepted as before, also one without whose connection ends after the request was written.

--- a/packages/shared/src/single_use_call.ts
+++ b/packages/shared/src/single_use_call.ts
@@ -36,9 +36,11 @@
 /** A connection and what is known about its end. */
 interface WatchedSocket {
   socket: Socket;
-  /** Whether a system call failed, as after a reset. */
-  isReset: boolean;
-  /** Set when the connection ended; resolves when `isReset` is known. */
+  /**
+   * Whether the connection was reset, or ended before the request was written.
+   */
+  isCut: boolean;
+  /** Set when the connection ended; resolves when `isCut` is known. */
   probe: Promise<void> | undefined;
 }
 
@@ -170,18 +172,25 @@
  * reset arrives together with the last bytes. So this listens to the socket
  * before node:http does, and when the socket ends it writes two bytes, which
  * succeeds only if the connection was closed normally.
+ *
+ * A server that closes before it has received the request may have been going to
+ * send more, and a reset that follows comes too late for the answer.
  */
 function watchSocket(socket: Socket): WatchedSocket {
-  const watched: WatchedSocket = { socket, isReset: false, probe: undefined };
-  const recordError = (error: Error) => {
+  const watched: WatchedSocket = { socket, isCut: false, probe: undefined };
+  socket.on("error", (error) => {
     // Errors that node:http raises itself come from no system call.
-    if ("syscall" in error) watched.isReset = true;
-  };
-  socket.on("error", recordError);
+    if ("syscall" in error) watched.isCut = true;
+  });
   socket.once("end", () => {
+    if (socket.writableLength > 0) {
+      watched.isCut = true;
+      return;
+    }
     watched.probe = new Promise((resolve) =>
       socket.write(PROBE, (error) => {
-        if (error) recordError(error);
+        // Whatever the error: the bytes were not written.
+        if (error) watched.isCut = true;
         resolve();
       })
     );
@@ -225,7 +234,7 @@
   return headers;
 }
 
-/** Creates a body that fails if the connection was reset. */
+/** Creates a body that fails if the connection did not end in order. */
 function createVerifiedBody(
   response: IncomingMessage,
   watched: WatchedSocket,
@@ -246,8 +255,8 @@
   response.pause();
   response.once("end", async () => {
     await watched.probe;
-    if (watched.isReset) {
-      return void body.destroy(new Error("the connection was reset"));
+    if (watched.isCut) {
+      return void body.destroy(new Error("the connection was cut"));
     }
     const isConfirmed = await confirmEnd(watched.socket);
     if (body.destroyed) return;
--- a/packages/shared/src/single_use_call_test.ts
+++ b/packages/shared/src/single_use_call_test.ts
@@ -213,6 +213,43 @@
     expect(reply.isOk && reply.value.text).to.equal("body");
   });
 
+  // Guards against a part that passes as whole, and against waiting for a write
+  // that never ends: the reset comes after the orderly end, or not at all.
+  it("cuts an answer whose connection ends before the request is written", async () => {
+    const address = await listen((socket) => {
+      socket.once("data", () => {
+        socket.pause();
+        socket.end(`${OK}\r\npart`);
+      });
+    });
+    const reply = await http.call({
+      method: "POST",
+      address,
+      path: "/",
+      body: Buffer.alloc(BIG),
+    });
+    expect(reply.isErr && reply.error.kind).to.equal("cut");
+  });
+
+  // Guards against whole answers that are cut only because they began early.
+  it("accepts an early answer that ends after the request is written", async () => {
+    const address = await listen((socket) => {
+      let received = 0;
+      socket.once("data", () => socket.write(`${OK}\r\nwhole`));
+      socket.on("data", ({ length }) => {
+        received += length;
+        if (received > BIG) socket.end();
+      });
+    });
+    const reply = await http.call({
+      method: "POST",
+      address,
+      path: "/",
+      body: Buffer.alloc(BIG),
+    });
+    expect(reply.isOk && reply.value.text).to.equal("whole");
+  });
+
   // A call that is reported as unsent is sent to another endpoint, even if it
   // must not run twice.
   it("reports that nothing was sent if no connection is made in time", async () => {
--- a/soak/src/broken_answers_site_test.ts
+++ b/soak/src/broken_answers_site_test.ts
@@ -3,6 +3,9 @@
 import { startAnswerEndsSite } from "./answer_ends_site.ts";
 
 const TEST_TIMEOUT_MS = 60_000;
+const UPLOAD_BYTES = 4_000_000;
+/** A part passed as whole in one of some thirty such answers. */
+const EARLY_ANSWERS = 200;
 const BODY = "id: 1\n\n";
 const SIZED = `Content-Length: ${BODY.length}`;
 const EVENTS = "Content-Type: text/event-stream";
@@ -44,6 +47,23 @@
     return accepted;
   }
 
+  // Guards against a part that passes as whole because its connection was reset
+  // while the request was still being written.
+  it("an early answer that is reset beside the upload is cut", async () => {
+    const received: Record<string, number> = {};
+    for (let count = 0; count < EARLY_ANSWERS; count++) {
+      const { status, proof } = await site.call("once", {
+        head: [],
+        body: "part",
+        isEarly: true,
+        end: "resets_soon",
+      }, { uploadBytes: UPLOAD_BYTES });
+      const outcome = `${status} by ${proof}`;
+      received[outcome] = (received[outcome] ?? 0) + 1;
+    }
+    expect(received).to.deep.equal({ "502 by length": EARLY_ANSWERS });
+  });
+
   // Guards against lines of a head that parsers read in different ways.
   it("an answer with a malformed header line is refused", async () => {
     const lines = [
