fix(shared): one reader decides whether the head of an answer is one

Callers got answers with status 600 and 999 as they were, answers of HTTP/0.9 and HTTP/2.0 as 200, and answers in an unknown transfer coding (xchunked; chunked, gzip) as 200 with the coded bytes as the body, framed as whole. The same heads gave a stream its second part, and a stage its results.

Cause: the parsers of node:http and undici refuse malformed lines, but not these; only statuses below 200 were refused, and only in calls that use their connection once.

Evidence: endpoints that write raw bytes over real connections. Status 000 and what else is no number of three digits was refused before.

readAnswerHead reads the head of each answer now: to calls that use their connection once, to those on persistent connections (the store, releases, product clients) and to tRPC over HTTP between entries. It accepts HTTP/1.0 and 1.1, statuses from 200 to 599 and no transfer coding but chunked, which HTTP/1.0 does not have. Such an answer, and what the parsers refuse, is a fault of its own kind, malformed. undici does not tell the version, so that it is not checked on persistent connections.

Tests changed: single-use calls expected the bytes of 'Transfer-Encoding: gzip' as the body, which they are not: the case is replaced by its refusal, for five codings and both ends. Others expect malformed instead of cut.

--- a/packages/coordination/src/failure.ts
+++ b/packages/coordination/src/failure.ts
@@ -64,5 +64,6 @@
   withheld: "unavailable",
   aborted: "cancelled",
   cut: "unavailable",
+  malformed: "unavailable",
   too_large: "bad_reply",
 } as const;
--- a/packages/peers/src/peer_caller.ts
+++ b/packages/peers/src/peer_caller.ts
@@ -15,7 +15,9 @@
 } from "@mangoreach/shared";
 import {
   createPersistentConnections,
+  discardBody,
   parseBoundedJson,
+  readAnswerHead,
   readLimitedBody,
 } from "@mangoreach/shared";
 import type { AnyTRPCRouter, inferRouterInputs } from "@trpc/server";
@@ -260,9 +262,10 @@
     ? `?input=${encodeURIComponent(text)}`
     : "";
   call.onBytes("out", text?.length ?? 0);
-  const { body } = await kept.getPool(address).request({
+  const method = isQuery ? "GET" : "POST";
+  const { body, headers, statusCode } = await kept.getPool(address).request({
     path: `${PEER_PATH}${call.path}${query}`,
-    method: isQuery ? "GET" : "POST",
+    method,
     headers: {
       authorization: `Bearer ${siteKey}`,
       ...(isQuery ? {} : { "content-type": "application/json" }),
@@ -270,6 +273,11 @@
     body: isQuery ? null : text ?? null,
     signal,
   });
+  const head = readAnswerHead({ method, status: statusCode, headers });
+  if (head.isErr) {
+    discardBody(body);
+    throw new Error(`the reply is malformed: ${head.error}`);
+  }
   const read = await readLimitedBody(body, {
     limit: MAX_FRAME_BYTES,
     heldBytes,
--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -11,8 +11,8 @@
 import { Result } from "true-myth";
 import type { Dispatcher } from "undici";
 import type { Clock, Millis } from "./clock.ts";
-import type { BodyDelimiter } from "./body_delimiter.ts";
-import { classifyDelimiter } from "./body_delimiter.ts";
+import type { BodyDelimiter } from "./answer_head.ts";
+import { isParseError, readAnswerHead } from "./answer_head.ts";
 import type { Connect, ConnectFailure } from "./connection.ts";
 import { openConnection } from "./connection.ts";
 import type { HeldBytes } from "./held_bytes.ts";
@@ -31,6 +31,8 @@
   | "aborted"
   /** The connection ended before the answer was complete. */
   | "cut"
+  /** What came is no HTTP/1 response. */
+  | "malformed"
   /** The answer is larger than allowed. */
   | "too_large";
 
@@ -160,11 +162,21 @@
     try {
       const { statusCode, headers, body } = await kept.getPool(call.address)
         .request(createRequestOptions(call));
-      const delimiter = classifyDelimiter({
+      const head = readAnswerHead({
         method: call.method,
         status: statusCode,
         headers,
       });
+      if (head.isErr) {
+        // Also closes the connection, as its next bytes are no answer either.
+        discardBody(body);
+        return Result.err({
+          kind: "malformed",
+          sent: "maybe",
+          message: head.error,
+        });
+      }
+      const delimiter = head.value;
       return Result.ok({ status: statusCode, headers, body, delimiter });
     } catch (error) {
       if (call.signal?.reason === TIMED_OUT) kept.discard(call.address);
@@ -354,7 +366,8 @@
     return { kind: "unreachable", sent: "no", message };
   }
   // The call may have been sent before the connection was reset.
-  return { kind: "cut", sent: "maybe", message };
+  const kind = isParseError(error) ? "malformed" : "cut";
+  return { kind, sent: "maybe", message };
 }
 
 /** The same codes occur on established connections, from a read or a write. */
--- a/packages/shared/src/http_client_test.ts
+++ b/packages/shared/src/http_client_test.ts
@@ -137,3 +137,49 @@
     });
   }
 });
+
+describe("heads on persistent connections", () => {
+  const LENGTH = "Content-Length: 4\r\n";
+  // Guards against calls of the store and of peers that take for an answer what
+  // the parser accepts and HTTP does not have.
+  for (
+    const [name, head] of [
+      ["a status of 600", `HTTP/1.1 600 x\r\n${LENGTH}`],
+      ["a status of 999", `HTTP/1.1 999 x\r\n${LENGTH}`],
+      ["another coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n"],
+      ["a name with a blank", `HTTP/1.1 200 OK\r\nX Y: 1\r\n${LENGTH}`],
+      [
+        "a name with a control byte",
+        `HTTP/1.1 200 OK\r\nX\x01: 1\r\n${LENGTH}`,
+      ],
+    ] as const
+  ) {
+    it(`are refused for ${name}, and the next call is answered`, async () => {
+      const http = createHttpClient();
+      let count = 0;
+      const server = createServer((socket) => {
+        socket.on("error", () => {});
+        socket.on("data", () => {
+          const sound = `HTTP/1.1 200 OK\r\n${LENGTH}`;
+          socket.write(`${count++ === 0 ? head : sound}\r\nbody`);
+        });
+      });
+      await new Promise<void>((resolve) =>
+        server.listen(0, "127.0.0.1", () => resolve())
+      );
+      const { port } = server.address() as AddressInfo;
+      const call = async () => {
+        const reply = await http.call({
+          method: "GET",
+          address: `127.0.0.1:${port}`,
+          path: "/",
+        });
+        return reply.isOk ? reply.value.text : reply.error.kind;
+      };
+      const outcomes = [await call(), await call()];
+      await http.close();
+      server.close();
+      expect(outcomes).to.deep.equal(["malformed", "body"]);
+    });
+  }
+});
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -86,7 +86,8 @@
 } from "./server_sent_events.ts";
 export type { EventBoundary, EventPosition } from "./event_boundary.ts";
 export { createEventBoundary } from "./event_boundary.ts";
-export type { BodyDelimiter } from "./body_delimiter.ts";
+export type { AnswerHead, BodyDelimiter } from "./answer_head.ts";
+export { readAnswerHead } from "./answer_head.ts";
 export type {
   BufferedCall,
   HttpCall,
--- a/packages/shared/src/single_use_call.ts
+++ b/packages/shared/src/single_use_call.ts
@@ -13,7 +13,7 @@
 import { Readable as NodeReadable } from "node:stream";
 import { Result } from "true-myth";
 import type { Millis } from "./clock.ts";
-import { classifyDelimiter } from "./body_delimiter.ts";
+import { isParseError, readAnswerHead } from "./answer_head.ts";
 import type { Connect, ConnectFault } from "./connection.ts";
 import { confirmEnd } from "./connection.ts";
 import type {
@@ -30,9 +30,6 @@
 /** Methods whose requests announce an empty body. */
 const METHODS_WITH_BODY = new Set(["POST", "PUT", "PATCH"]);
 
-/** Lower ones are provisional. */
-const FIRST_FINAL_STATUS = 200;
-
 /** A connection and what is known about its end. */
 interface WatchedSocket {
   socket: Socket;
@@ -93,9 +90,13 @@
     let body: NodeReadable | undefined;
     let stopWatching = () => {};
 
-    function fail(error: Error): void {
+    function settleFault(fault: HttpFault): void {
       finish();
-      resolve(Result.err(classifyFailure(error, signal)));
+      resolve(Result.err(fault));
+    }
+
+    function fail(error: Error): void {
+      settleFault(classifyFailure(error, signal));
     }
 
     function finish(): void {
@@ -126,15 +127,22 @@
       request.once("response", (response: IncomingMessage) => {
         stopWatching();
         const status = response.statusCode ?? 0;
-        // node:http accepts 000 to 099, but throws when one is forwarded.
-        if (status < FIRST_FINAL_STATUS) {
+        const headers = listHeaders(response.rawHeaders);
+        const head = readAnswerHead({
+          method: call.method,
+          version: response.httpVersion,
+          status,
+          headers,
+        });
+        if (head.isErr) {
           request?.destroy();
-          fail(new Error(`the status ${status} is invalid`));
-          return;
+          return settleFault({
+            kind: "malformed",
+            sent: "maybe",
+            message: head.error,
+          });
         }
-        const headers = listHeaders(response.rawHeaders);
-        const { method } = call;
-        const delimiter = classifyDelimiter({ method, status, headers });
+        const delimiter = head.value;
         if (delimiter === "connection") {
           body = createVerifiedBody(response, watched);
         } else {
@@ -273,10 +281,12 @@
 }
 
 function classifyFailure(
-  { message }: Error,
+  error: Error,
   signal: AbortSignal | undefined,
 ): HttpFault {
-  return signal?.aborted
-    ? { kind: "aborted", sent: "maybe", message: "given up" }
-    : { kind: "cut", sent: "maybe", message };
+  if (signal?.aborted) {
+    return { kind: "aborted", sent: "maybe", message: "given up" };
+  }
+  const kind = isParseError(error) ? "malformed" : "cut";
+  return { kind, sent: "maybe", message: error.message };
 }
--- a/packages/shared/src/single_use_call_test.ts
+++ b/packages/shared/src/single_use_call_test.ts
@@ -101,34 +101,50 @@
       outcome: "body",
     },
     { name: "without body", text: `${OK}\r\n`, end: close, outcome: "" },
+    ...["gzip", "chunked, gzip", "xchunked", "identity", ""].flatMap((
+      coding,
+    ) =>
+      [close, reset].map((end) => ({
+        name: `in the transfer coding "${coding}", ${end.name}`,
+        text: `${OK}Transfer-Encoding: ${coding}\r\n\r\nbody`,
+        end,
+        outcome: "malformed maybe",
+      }))
+    ),
     {
-      name: "in another transfer coding",
-      text: `${OK}Transfer-Encoding: gzip\r\n\r\nbody`,
-      end: close,
-      outcome: "body",
+      name: "in chunks twice",
+      text: CHUNKED.replace("chunked", "chunked, chunked") + "\r\n",
+      outcome: "malformed maybe",
     },
+    ...["042", "600", "999"].map((status) => ({
+      name: `whose status is ${status}`,
+      text: SIZED.replace("200", status),
+      outcome: "malformed maybe",
+    })),
+    ...["0.9", "2.0"].map((version) => ({
+      name: `of version ${version}`,
+      text: SIZED.replace("1.1", version),
+      outcome: "malformed maybe",
+    })),
     {
-      name: "in another transfer coding, reset with its last bytes",
-      text: `${OK}Transfer-Encoding: gzip\r\n\r\nbody`,
-      end: reset,
-      outcome: "cut maybe",
+      name: "of version 1.0",
+      text: SIZED.replace("1.1", "1.0"),
+      outcome: "body",
     },
     {
-      name: "in chunks that are coded again, reset with its last bytes",
-      text: `${OK}Transfer-Encoding: chunked, gzip\r\n\r\nbody`,
-      end: reset,
-      outcome: "cut maybe",
+      name: "of version 1.0, in chunks",
+      text: CHUNKED.replace("1.1", "1.0") + "\r\n",
+      outcome: "malformed maybe",
     },
     {
-      name: "whose status is invalid",
-      text: SIZED.replace("200", "042"),
-      outcome: "cut maybe",
+      name: "that is not HTTP",
+      text: "SSH-2.0-x\r\n",
+      outcome: "malformed maybe",
     },
-    { name: "that is not HTTP", text: "SSH-2.0-x\r\n", outcome: "cut maybe" },
     {
       name: "that both has a length and is in chunks",
       text: CHUNKED.replace("\r\n", "\r\nContent-Length: 4\r\n") + "\r\n",
-      outcome: "cut maybe",
+      outcome: "malformed maybe",
     },
     {
       name: "that switches protocols",
--- a/soak/src/broken_answers_site_test.ts
+++ b/soak/src/broken_answers_site_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { HEADER } from "../../platform/src/wire_names.ts";
 import type { AnswerEndsSite, ScriptedAnswer } from "./answer_ends_site.ts";
 import { startAnswerEndsSite } from "./answer_ends_site.ts";
 
@@ -64,6 +65,30 @@
     expect(received).to.deep.equal({ "502 by length": EARLY_ANSWERS });
   });
 
+  // Guards against statuses that HTTP does not have.
+  it("an answer with an invalid status is refused", async () => {
+    const lines = [
+      ...["000", "001", "099", "20", "-20", "+20", "2O0", "2000", "600", "999"]
+        .map((status) => `HTTP/1.1 ${status} OK`),
+      "HTTP/1.1  200 OK",
+      "HTTP/1.1 101 Switching Protocols",
+    ];
+    const answers = Object.fromEntries(
+      lines.map((statusLine) => [statusLine, { statusLine }]),
+    );
+    expect(await listAccepted(answers)).to.deep.equal([]);
+  });
+
+  // Guards against a version whose messages are framed in another way.
+  it("an answer of another version of HTTP is refused", async () => {
+    const answers = Object.fromEntries(
+      ["HTTP/0.9", "HTTP/1.2", "HTTP/2.0", "http/1.1", "ICY"].map((
+        version,
+      ) => [version, { statusLine: `${version} 200 OK` }]),
+    );
+    expect(await listAccepted(answers)).to.deep.equal([]);
+  });
+
   // Guards against lines of a head that parsers read in different ways.
   it("an answer with a malformed header line is refused", async () => {
     const lines = [
@@ -81,6 +106,31 @@
     expect(await listAccepted(answers)).to.deep.equal([]);
   });
 
+  // Guards against the bytes of a coding that are taken for the body.
+  it("an answer in an unknown transfer coding is refused", async () => {
+    const codings = [
+      ...["xchunked", "chunked, gzip", "gzip, chunked", "gzip", "identity"],
+      ...["chunked, chunked", "chunked;a=b", '"chunked"', ""],
+    ];
+    const body = `7\r\n${BODY}\r\n0\r\n\r\n`;
+    const answers = Object.fromEntries(
+      codings.map((coding) => [
+        coding,
+        { head: [EVENTS, `Transfer-Encoding: ${coding}`], body },
+      ]),
+    );
+    expect(
+      await listAccepted({
+        ...answers,
+        "HTTP/1.0": {
+          statusLine: "HTTP/1.0 200 OK",
+          head: [EVENTS, "Transfer-Encoding: chunked"],
+          body,
+        },
+      }),
+    ).to.deep.equal([]);
+  });
+
   // Guards against a trailer that is malformed like a line of a head.
   it("an answer with a malformed trailer is refused", async () => {
     const answers = Object.fromEntries(
@@ -116,4 +166,67 @@
     expect(head.length).to.be.below(80);
     expect(await listAccepted(answers)).to.deep.equal([]);
   });
+
+  // Guards against the same at an endpoint that takes a stream up.
+  it("a stream is not resumed by a broken answer", async () => {
+    const begun = await site.call("chat", SIZED_ANSWER);
+    site.countArrivals();
+    const head = [`${HEADER.resumes}: r-0`, `${HEADER.lastEvent}: 1`];
+    const outcomes: string[] = [];
+    for (
+      const answer of [
+        {},
+        { statusLine: "HTTP/1.1 600 OK" },
+        { statusLine: "HTTP/2.0 200 OK" },
+        { head: [EVENTS, "Transfer-Encoding: xchunked"] },
+        { head: [EVENTS, SIZED, "X Y: 1"] },
+        { sentBytes: 40 },
+      ]
+    ) {
+      const { status, proof } = await site.call(
+        "chat",
+        { ...SIZED_ANSWER, ...answer },
+        { head },
+      );
+      const isSent = site.countArrivals() > 0;
+      outcomes.push(`${isSent ? "sent" : "not sent"}: ${status} by ${proof}`);
+    }
+    expect(begun.status).to.equal(200);
+    expect(outcomes).to.deep.equal([
+      "sent: 200 by chunks",
+      ...Array.from({ length: 5 }, () => "sent: 502 by length"),
+    ]);
+  });
+
+  // Guards against results that are taken from a broken answer.
+  it("a stage takes no results from a broken answer", async () => {
+    const head = [
+      `${HEADER.pieceCounts}: 1,0`,
+      `${HEADER.pieceKey}: abc`,
+    ];
+    const outcomes: string[] = [];
+    for (
+      const answer of [
+        {},
+        { statusLine: "HTTP/2.0 200 OK" },
+        { head: ["Transfer-Encoding: xchunked"] },
+        { head: ["X Y: 1"] },
+        { sentBytes: 40 },
+      ]
+    ) {
+      const { status } = await site.call("draft", {
+        head: [],
+        body: "",
+        end: "closes",
+        isForStages: true,
+        ...answer,
+      }, { head });
+      const isSent = site.countArrivals() > 0;
+      outcomes.push(`${isSent ? "sent" : "not sent"}: ${status === 200}`);
+    }
+    expect(outcomes).to.deep.equal([
+      "sent: true",
+      ...Array.from({ length: 4 }, () => "sent: false"),
+    ]);
+  });
 });
