--- a/packages/shared/src/answer_head.ts
+++ b/packages/shared/src/answer_head.ts
@@ -63,10 +63,14 @@
   return Result.ok(hasLength ? "length" : "connection");
 }
 
+/** Begins the codes of node:http, which undici does not always set. */
 const PARSE_ERROR_PREFIX = "HPE_";
+/** The name of undici's errors. */
+const PARSE_ERROR_NAME = "HTTPParserError";
 
 /** Whether an error of node:http or undici is about the syntax of a response. */
 export function isParseError(error: unknown): boolean {
-  return error instanceof Error && "code" in error &&
-    String(error.code).startsWith(PARSE_ERROR_PREFIX);
+  if (!(error instanceof Error)) return false;
+  return error.name === PARSE_ERROR_NAME ||
+    "code" in error && String(error.code).startsWith(PARSE_ERROR_PREFIX);
 }
