fix(peers): a tunnel is cut if its endpoint ends while the request is written

Callers whose entry reaches an endpoint through a peer waited for their whole deadline where the endpoint answered a long upload early, without a length, ended its side and read no more. The same cause as at direct connections: the peer writes its probe behind the rest of the upload, which is never written.

The peer resets the tunnel now if bytes of the request are left when the endpoint's side ends.

--- a/packages/peers/src/tunnel.ts
+++ b/packages/peers/src/tunnel.ts
@@ -229,9 +229,15 @@
   far.pipe(near, { end: false });
   // The client of a call never closes its side alone: it has given up.
   near.once("end", () => far.destroy());
-  // libuv reports a normal end if a reset arrives together with the last bytes;
-  // a write fails then.
   far.once("end", () => {
+    // The endpoint has not received the request, so that nothing shows whether
+    // its answer is whole.
+    if (far.writableLength > 0) {
+      far.destroy();
+      return void near.resetAndDestroy();
+    }
+    // libuv reports a normal end if a reset arrives together with the last
+    // bytes; a write fails then.
     far.write(PROBE, (error) => {
       if (error) return void near.resetAndDestroy();
       recordEnd();
--- a/packages/peers/src/tunnel_test.ts
+++ b/packages/peers/src/tunnel_test.ts
@@ -20,6 +20,9 @@
 const OK = "HTTP/1.1 200 OK\r\n";
 /** Time in which a peer relays some bytes. */
 const RELAYED_MS = 30;
+/** More than the kernel buffers on both sides of the peer. */
+const UPLOAD_BYTES = 50_000_000;
+const UPLOAD_MS = 3_000;
 
 describe("a tunnel through a peer", () => {
   let servers: (NetServer | Server)[] = [];
@@ -190,6 +193,30 @@
     expect(await call(peer, endpoint)).to.equal("cut maybe");
   });
 
+  // Guards against a caller who waits for its deadline, as the peer waits for the
+  // rest of an upload that the endpoint does not read.
+  it("cuts an answer that ends while the request is written", async () => {
+    const peer = await startPeer();
+    const server = createServer({ allowHalfOpen: true }, (socket) => {
+      sockets.push(socket);
+      socket.on("error", () => {});
+      socket.once("data", () => {
+        socket.pause();
+        socket.end(`${OK}\r\npart`);
+      });
+    });
+    const address = readServerAddress(await listen(server));
+    const signal = AbortSignal.timeout(UPLOAD_MS);
+    const reply = await createClient(peer).call({
+      method: "POST",
+      address,
+      path: "/",
+      body: Buffer.alloc(UPLOAD_BYTES),
+      signal,
+    });
+    expect(reply.isErr && reply.error.kind).to.equal("cut");
+  });
+
   it("confirms no end twice, and none that it did not see", async () => {
     const peer = await startPeer();
     const endpoint = await startEndpoint("", (socket) => void socket.end());
