fix(peers): an upgrade to another protocol is neither a tunnel nor a peer

Callers could get bytes as an endpoint's answer that no endpoint sent: an entry that asked an address for a tunnel took any answer with status 101 for one. Whatever had come to listen at a peer's former address and switched to a protocol of its own was read as the endpoint.

The protocol that the answer names has to be the one asked for, at tunnels and at connections between entries.

--- a/packages/peers/src/peer_connection.ts
+++ b/packages/peers/src/peer_connection.ts
@@ -12,6 +12,7 @@
 import type { CallFrame } from "./peer_frames.ts";
 import { decodeReplyFrame, UPGRADE_PROTOCOL } from "./peer_frames.ts";
 import { PEER_PATH } from "./peer_path.ts";
+import { isSwitchTo } from "./upgrade_answer.ts";
 
 /** Options of {@linkcode openPeerConnection}. */
 export interface PeerConnectionOptions {
@@ -105,8 +106,12 @@
       end("the peer refused the connection");
       refused.forEach((call) => call.onRefused());
     });
-    upgrade.once("upgrade", (_response, socket, head) => {
+    upgrade.once("upgrade", (response, socket, head) => {
       if (isEnded) return void socket.destroy();
+      if (!isSwitchTo(response, UPGRADE_PROTOCOL)) {
+        socket.destroy();
+        return end("the peer switched to another protocol");
+      }
       channel = openFrameChannel(socket, {
         head,
         idleTimeout,
--- a/packages/peers/src/tunnel.ts
+++ b/packages/peers/src/tunnel.ts
@@ -15,6 +15,7 @@
 import { Result } from "true-myth";
 import type { UpgradeRequest } from "./peer_connection_server.ts";
 import { PEER_PATH } from "./peer_path.ts";
+import { isSwitchTo } from "./upgrade_answer.ts";
 
 /** The protocol name in the upgrade of a connection that becomes a tunnel. */
 export const TUNNEL_PROTOCOL = "mangoreach-tunnel";
@@ -129,7 +130,8 @@
       headers: { connection: "Upgrade", upgrade: TUNNEL_PROTOCOL },
       createConnection: () => socket,
     });
-    request.once("upgrade", (_response, _socket, head) => {
+    request.once("upgrade", (response, _socket, head) => {
+      if (!isSwitchTo(response, TUNNEL_PROTOCOL)) return fail("unavailable");
       if (head.length > 0) socket.unshift(head);
       finish(Result.ok(socket));
     });
--- a/packages/peers/src/tunnel_test.ts
+++ b/packages/peers/src/tunnel_test.ts
@@ -217,6 +217,22 @@
     expect(reply.isErr && reply.error.kind).to.equal("cut");
   });
 
+  // Guards against bytes of a server that is no peer and pass as an answer of the
+  // endpoint.
+  it("takes no other protocol for a tunnel", async () => {
+    const server = createServer((socket) => {
+      sockets.push(socket);
+      socket.on("error", () => {});
+      socket.once("data", () =>
+        socket.write(
+          "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n" +
+            `Upgrade: other\r\n\r\n${OK}Content-Length: 4\r\n\r\nbody`,
+        ));
+    });
+    const peer = readServerAddress(await listen(server));
+    expect(await call(peer, "127.0.0.1:1")).to.equal("unreachable no");
+  });
+
   it("confirms no end twice, and none that it did not see", async () => {
     const peer = await startPeer();
     const endpoint = await startEndpoint("", (socket) => void socket.end());
