fix(services): an answer that is reset is not forwarded as one

Cause: the client of plain services keeps its connections, by undici, which takes a reset for the end of a body that only the connection delimits. Other clients of the product read JSON or streams with an end event, which show where they end; these answers are any bytes.

Evidence: six calls, three delays before the reset, with a body of 10 bytes and of 4 MB: all six passed as answers before (the new test), none does now.

Calls to plain services use a connection each, as those of the platform's endpoints do, whose reader tells a reset from an end. That costs a connection for each call; the other clients keep theirs.

--- a/packages/services/src/service_client.ts
+++ b/packages/services/src/service_client.ts
@@ -57,7 +57,9 @@
 export function createServiceClient(
   { clock, onAnswer, onDropped }: ServiceClientOptions,
 ): ServiceClient {
-  const http = createHttpClient();
+  // Answers may be any bytes, so that nothing in them shows where they end or
+  // which call they answer.
+  const http = createHttpClient({ connections: "single" });
 
   async function call(
     serviceCall: ServiceCall,
--- a/packages/services/src/service_contract_test.ts
+++ b/packages/services/src/service_contract_test.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
+import { createServer as createNetServer } from "node:net";
 import process from "node:process";
 import { createSystemClock } from "@mangoreach/shared";
 import type { EndpointStandin } from "@mangoreach/standins";
@@ -36,7 +37,10 @@
     await standin.stop();
   });
 
-  function call(address = EXTERNAL ?? standin.address) {
+  function call(
+    address = EXTERNAL ?? standin.address,
+    body = Buffer.from(BODY),
+  ) {
     return services.call({
       endpoint: {
         id: "billing-1",
@@ -51,7 +55,7 @@
       attempt: 1,
       path: "notice",
       contentType: "application/json",
-      body: Buffer.from(BODY),
+      body,
       causalTime: "1.0",
       signal: AbortSignal.timeout(300),
     });
@@ -113,4 +117,38 @@
     }
     expect(found).to.deep.equal(ANSWERS);
   });
+
+  /** Answers each call with raw bytes, then ends its connection. */
+  async function callRaw(
+    text: string,
+    { delay, size }: { delay: number; size: number },
+  ): Promise<string> {
+    const server = createNetServer((socket) => {
+      socket.on("error", () => {});
+      socket.once("data", () => {
+        socket.pause();
+        socket.write(text, () => {
+          setTimeout(() => socket.resetAndDestroy(), delay);
+        });
+      });
+    });
+    await new Promise<void>((resolve) => server.listen(0, resolve));
+    const { port } = server.address() as AddressInfo;
+    const reply = await call(`127.0.0.1:${port}`, Buffer.alloc(size));
+    server.close();
+    return reply.isErr ? reply.error.verdict : "an answer";
+  }
+
+  // Guards against a part of an answer that is forwarded because undici takes a
+  // reset for the end of the body.
+  it("forwards no answer whose connection is reset", async () => {
+    const part = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\npart";
+    const found: string[] = [];
+    for (const size of [10, 4_000_000]) {
+      for (const delay of [0, 1, 20]) {
+        found.push(await callRaw(part, { delay, size }));
+      }
+    }
+    expect(found).to.deep.equal(found.map(() => "may_have_run"));
+  });
 });
--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -103,7 +103,9 @@
   connectTimeoutMs: Millis;
   /**
    * Whether a connection is reused. A connection for a single call cannot
-   * deliver a late or duplicate answer to the next call.
+   * deliver a late or duplicate answer to the next call. On one that is kept,
+   * undici takes a reset for the end of a body that only the connection
+   * delimits, so that the content has to show its end.
    */
   connections: "kept" | "single";
   /** Opens connections; direct ones if left out. */
