--- a/soak/src/topic_store.ts
+++ b/soak/src/topic_store.ts
@@ -21,6 +21,8 @@
   setMode(mode: StoreMode): void;
   /** Writes a record; without a value the key is removed. */
   put(topic: string, key: string, value: object | undefined): void;
+  /** Writes a record whose value need not be JSON. */
+  putText(topic: string, key: string, value: string): void;
   /**
    * Restores a copy that is `age` milliseconds old. Records that operators wrote
    * since are rewritten shortly afterwards.
@@ -226,6 +228,7 @@
         key,
         value === undefined ? undefined : JSON.stringify(value),
       ),
+    putText: write,
     restore: restoreCopy,
     putUnreadable: (topic) =>
       append(findTopic(topic), {
