feat(shared): malformed answers are logged and counted

A head that is refused shows as answer_malformed, ten lines a second at most, and in mangoreach_answers_malformed_total by its source: endpoint, release or store; at mangoreach-entry those of engines, stages and services. The count of errors outside of requests and this one share their limit of lines.

--- a/packages/engines/src/engine_client.ts
+++ b/packages/engines/src/engine_client.ts
@@ -23,6 +23,7 @@
   HttpCall,
   HttpClient,
   HttpReply,
+  MalformedAnswer,
   Millis,
 } from "@mangoreach/shared";
 import {
@@ -69,6 +70,8 @@
   onAnswer: OnAnswer;
   /** Called when a response is dropped because it belongs to another call. */
   onDropped: (call: CallIdentity) => void;
+  /** Called for each answer whose head is malformed. */
+  onMalformed?: (answer: MalformedAnswer) => void;
   /** Time-out of load reports, cache events and cancels. */
   timeoutMs: Millis;
 }
@@ -109,9 +112,10 @@
 
 /** Creates the client. */
 export function createEngineClient(
-  { clock, onAnswer, onDropped, timeoutMs }: EngineClientOptions,
+  { clock, onAnswer, onDropped, onMalformed = () => {}, timeoutMs }:
+    EngineClientOptions,
 ): EngineClient {
-  const http = createHttpClient();
+  const http = createHttpClient({ onMalformed });
 
   async function* generate(
     call: GenerateCall,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -30,8 +30,14 @@
 import type { EntryStatus } from "@mangoreach/operators";
 import type { StoredAnswer } from "@mangoreach/peers";
 import { acceptPeers, createPeerListener } from "@mangoreach/peers";
-import type { Clock, Logger, Millis } from "@mangoreach/shared";
+import type {
+  Clock,
+  Logger,
+  MalformedAnswer,
+  Millis,
+} from "@mangoreach/shared";
 import {
+  createAnswerRecorder,
   createCausalClock,
   createConnectionGuard,
   createTaskSet,
@@ -132,6 +138,11 @@
   });
   const demand = createDemandTracker(clock);
   const affinity = createPrefixAffinity({ clock, capacity: AFFINITY_CAPACITY });
+  const answers = createAnswerRecorder({
+    clock,
+    logger: logger.forPart("endpoints"),
+  });
+  metrics.setMalformedCounts(answers.counts);
   const endpointOptions = {
     onAnswer: ({ endpoint, headers, sentAt }: AnsweredCall) => {
       const key = formatEndpointKey(endpoint);
@@ -144,6 +155,8 @@
       metrics.countDropped();
       timeline.record("stage_result_dropped", { request: requestId, stage });
     },
+    onMalformed: (answer: MalformedAnswer) =>
+      answers.record("endpoint", answer),
   };
   const clients = createSiteClients(context, endpointOptions);
   const { log, engines, orders, weights, peers } = clients;
--- a/packages/entry/src/entry_metrics.ts
+++ b/packages/entry/src/entry_metrics.ts
@@ -22,6 +22,8 @@
   setConfigVersion(version: number): void;
   setInFlight(count: number): void;
   setLogReachable(isReachable: boolean): void;
+  /** Sets the source of counts of malformed answers, read when collected. */
+  setMalformedCounts(counts: ReadonlyMap<string, number>): void;
 }
 
 const LATENCY_BUCKETS = [
@@ -109,6 +111,19 @@
     help: "1 while the log can be read",
     registers,
   });
+  let malformedCounts: ReadonlyMap<string, number> = new Map();
+  new Counter({
+    name: "mangoreach_answers_malformed_total",
+    help: "Answers refused as their head is none of HTTP/1, by source",
+    labelNames: ["source"],
+    registers,
+    collect() {
+      this.reset();
+      for (const [source, count] of malformedCounts) {
+        this.inc({ source }, count);
+      }
+    },
+  });
   return {
     registry,
     countRequest: (className, outcome) =>
@@ -124,5 +139,6 @@
     setConfigVersion: (value) => version.set(value),
     setInFlight: (count) => inFlight.set(count),
     setLogReachable: (isReachable) => logReachable.set(isReachable ? 1 : 0),
+    setMalformedCounts: (counts) => malformedCounts = counts,
   };
 }
--- a/packages/services/src/service_client.ts
+++ b/packages/services/src/service_client.ts
@@ -11,7 +11,7 @@
 import { createCallFailure, createFailure } from "@mangoreach/coordination";
 import type { CallIdentity, OnAnswer } from "@mangoreach/endpoints";
 import { createReplyFailure, ENDPOINT_HEADERS } from "@mangoreach/endpoints";
-import type { Clock } from "@mangoreach/shared";
+import type { Clock, MalformedAnswer } from "@mangoreach/shared";
 import { createHttpClient, readReplyJson } from "@mangoreach/shared";
 import { Result } from "true-myth";
 
@@ -41,6 +41,8 @@
   onAnswer: OnAnswer;
   /** Called if a result is dropped because its echo does not match the call. */
   onDropped: (call: CallIdentity) => void;
+  /** Called for each answer whose head is malformed. */
+  onMalformed?: (answer: MalformedAnswer) => void;
 }
 
 /** A client of all plain-service endpoints of a site. */
@@ -55,11 +57,11 @@
 
 /** Creates the client. */
 export function createServiceClient(
-  { clock, onAnswer, onDropped }: ServiceClientOptions,
+  { clock, onAnswer, onDropped, onMalformed = () => {} }: ServiceClientOptions,
 ): ServiceClient {
   // Answers may be any bytes, so that nothing in them shows where they end or
   // which call they answer.
-  const http = createHttpClient({ connections: "single" });
+  const http = createHttpClient({ connections: "single", onMalformed });
 
   async function call(
     serviceCall: ServiceCall,
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -144,6 +144,8 @@
   const shutdown = createSharedController();
   const metrics = createServingMetrics(settings.entry);
   if (options.errors) metrics.setErrorCounts(options.errors.counts);
+  const { malformedAnswers } = options;
+  if (malformedAnswers) metrics.setMalformedCounts(malformedAnswers);
   const log = createDecisionLog({
     clock,
     logger,
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -42,6 +42,8 @@
   countStopped(outcome: StopOutcome): void;
   /** Sets the source of counts of unexpected errors, read when collected. */
   setErrorCounts(counts: ReadonlyMap<string, number>): void;
+  /** Sets the source of counts of malformed answers, read when collected. */
+  setMalformedCounts(counts: ReadonlyMap<string, number>): void;
   /** Sets the source of the bytes of answers held, read when collected. */
   setHeldBytes(readBytes: () => number): void;
   /** Sets the source of the use by client account, read when collected. */
@@ -183,16 +185,30 @@
     registers,
   });
 
-  let errorCounts: ReadonlyMap<string, number> = new Map();
-  new Counter({
+  /** Adds a counter whose values are counted elsewhere. */
+  const addSourceCounter = (
+    { name, help }: { name: string; help: string },
+  ) => {
+    let counts: ReadonlyMap<string, number> = new Map();
+    new Counter({
+      name,
+      help,
+      labelNames: ["source"],
+      registers,
+      collect() {
+        this.reset();
+        for (const [source, count] of counts) this.inc({ source }, count);
+      },
+    });
+    return (next: ReadonlyMap<string, number>) => void (counts = next);
+  };
+  const setErrorCounts = addSourceCounter({
     name: "mangoreach_unexpected_errors_total",
     help: "Errors outside of requests that the process outlived, by source",
-    labelNames: ["source"],
-    registers,
-    collect() {
-      this.reset();
-      for (const [source, count] of errorCounts) this.inc({ source }, count);
-    },
+  });
+  const setMalformedCounts = addSourceCounter({
+    name: "mangoreach_answers_malformed_total",
+    help: "Answers refused as their head is none of HTTP/1, by source",
   });
 
   let readHeldBytes = () => 0;
@@ -263,7 +279,8 @@
     countRetry: (pool, outcome) => retries.inc({ pool, outcome }),
     countStopped: (outcome) => stopped.inc({ outcome }),
     countUndecodable: (topic) => undecodable.inc({ topic }),
-    setErrorCounts: (counts) => errorCounts = counts,
+    setErrorCounts,
+    setMalformedCounts,
     setHeldBytes: (readBytes) => readHeldBytes = readBytes,
     setAccountUse: (list) => listUse = list,
   };
--- a/packages/serving/src/serving_options.ts
+++ b/packages/serving/src/serving_options.ts
@@ -10,6 +10,7 @@
   ServingConfig,
 } from "@mangoreach/coordination";
 import type {
+  AnswerRecorder,
   Clock,
   Connect,
   ConnectionLimits,
@@ -105,6 +106,8 @@
   logger: Logger;
   /** Errors outside of requests, for the metrics. */
   errors?: Pick<ErrorRecorder, "record" | "counts"> | undefined;
+  /** Malformed answers by their source, for the metrics. */
+  malformedAnswers?: AnswerRecorder["counts"] | undefined;
   /** An address that is not available is an error if left out. */
   listenFaults?: ListenFaults | undefined;
   random: () => number;
--- a/packages/shared/src/error_recorder.ts
+++ b/packages/shared/src/error_recorder.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import process from "node:process";
-import type { Clock, Millis } from "./clock.ts";
+import type { Clock } from "./clock.ts";
+import { createLineLimiter } from "./line_limiter.ts";
 import type { Logger } from "./logger.ts";
 
 /** What an error came from. */
@@ -29,34 +30,22 @@
   setLogger(logger: Logger): void;
 }
 
-/** A line with its stack takes about 50 microseconds. */
-const MAX_LINES_PER_WINDOW = 10;
-const WINDOW: Millis = 1_000;
-
 /** Creates the recorder of one process. */
 export function createErrorRecorder(
   { clock, logger }: { clock: Clock; logger: Logger },
 ): ErrorRecorder {
-  const counts = new Map<ErrorSource, number>();
+  const lines = createLineLimiter<ErrorSource>(clock);
   let log = logger;
-  let windowStart = clock.now();
-  let lines = 0;
 
   function record(source: ErrorSource, error: unknown): void {
-    const count = (counts.get(source) ?? 0) + 1;
-    counts.set(source, count);
-    const now = clock.now();
-    if (now - windowStart >= WINDOW) {
-      windowStart = now;
-      lines = 0;
-    }
-    if (++lines > MAX_LINES_PER_WINDOW) return;
+    const count = lines.record(source);
+    if (count === undefined) return;
     log.error("unexpected_error", { source, count, ...describeError(error) });
   }
 
   return {
     record,
-    counts,
+    counts: lines.counts,
     setLogger: (next) => log = next,
   };
 }
--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -13,6 +13,7 @@
 import type { Clock, Millis } from "./clock.ts";
 import type { BodyDelimiter } from "./answer_head.ts";
 import { isParseError, readAnswerHead } from "./answer_head.ts";
+import type { MalformedAnswer } from "./answer_recorder.ts";
 import type { Connect, ConnectFailure } from "./connection.ts";
 import { openConnection } from "./connection.ts";
 import type { HeldBytes } from "./held_bytes.ts";
@@ -112,6 +113,8 @@
   connect: Connect;
   /** Bounds the answers that this process holds, of all clients together. */
   heldBytes: HeldBytes;
+  /** Called for each answer whose head is malformed. */
+  onMalformed: (answer: MalformedAnswer) => void;
 }
 
 /** An HTTP client. */
@@ -141,6 +144,7 @@
     connections = "kept",
     connect,
     heldBytes,
+    onMalformed = () => {},
   }: Partial<HttpClientOptions> = {},
 ): HttpClient {
   const kept = createPersistentConnections({
@@ -151,6 +155,16 @@
 
   async function callStream(
     call: HttpCall,
+  ): Promise<Result<HttpStreamReply, HttpFault>> {
+    const reply = await sendCall(call);
+    if (reply.isErr && reply.error.kind === "malformed") {
+      onMalformed({ address: call.address, reason: reply.error.message });
+    }
+    return reply;
+  }
+
+  async function sendCall(
+    call: HttpCall,
   ): Promise<Result<HttpStreamReply, HttpFault>> {
     if (call.signal?.aborted) {
       return Result.err({ kind: "aborted", sent: "no", message: "given up" });
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -58,6 +58,12 @@
 export { keepRunning } from "./restarted_loop.ts";
 export type { SignalHandlers } from "./process_signals.ts";
 export { handleSignals } from "./process_signals.ts";
+export type {
+  AnswerRecorder,
+  AnswerSource,
+  MalformedAnswer,
+} from "./answer_recorder.ts";
+export { createAnswerRecorder } from "./answer_recorder.ts";
 export type { ErrorRecorder, ErrorSource } from "./error_recorder.ts";
 export { createErrorRecorder, handleProcessErrors } from "./error_recorder.ts";
 export type { TaskSet } from "./task_set.ts";
--- a/packages/stages/src/stage_client.ts
+++ b/packages/stages/src/stage_client.ts
@@ -17,7 +17,7 @@
   formatEcho,
   isEchoOf,
 } from "@mangoreach/endpoints";
-import type { Clock } from "@mangoreach/shared";
+import type { Clock, MalformedAnswer } from "@mangoreach/shared";
 import { createHttpClient, readReplyJson } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import * as z from "zod";
@@ -50,6 +50,8 @@
   onAnswer: OnAnswer;
   /** Called if a result is dropped because its echo does not match the call. */
   onDropped: (call: CallIdentity) => void;
+  /** Called for each answer whose head is malformed. */
+  onMalformed?: (answer: MalformedAnswer) => void;
 }
 
 /** A client of all stage endpoints of a site. */
@@ -63,9 +65,9 @@
 
 /** Creates the client. */
 export function createStageClient(
-  { clock, onAnswer, onDropped }: StageClientOptions,
+  { clock, onAnswer, onDropped, onMalformed = () => {} }: StageClientOptions,
 ): StageClient {
-  const http = createHttpClient();
+  const http = createHttpClient({ onMalformed });
 
   async function call(
     stageCall: StageCall,
--- a/soak/src/answer_ends_site.ts
+++ b/soak/src/answer_ends_site.ts
@@ -80,6 +80,8 @@
   ): Promise<ReceivedAnswer>;
   /** Requests that reached endpoints since the last call of this function. */
   countArrivals(): number;
+  /** Returns the lines of a metric that have values. */
+  readMetric(name: string): Promise<string[]>;
   stop(): void;
 }
 
@@ -202,6 +204,11 @@
       arrivals = 0;
       return count;
     },
+    async readMetric(name) {
+      const reply = await fetch(`http://${entries.metrics[0]}/metrics`);
+      const lines = (await reply.text()).split("\n");
+      return lines.filter((line) => line.startsWith(name));
+    },
     stop() {
       isStopped = true;
       entries.kill();
--- a/soak/src/broken_answers_site_test.ts
+++ b/soak/src/broken_answers_site_test.ts
@@ -229,4 +229,17 @@
       ...Array.from({ length: 4 }, () => "sent: false"),
     ]);
   });
+
+  // Guards against refused answers that operators cannot see.
+  it("malformed heads are counted", async () => {
+    for (
+      const statusLine of ["HTTP/1.1 600 OK", "HTTP/2.0 200 OK", "SSH-2.0-x"]
+    ) {
+      await site.call("once", { ...SIZED_ANSWER, statusLine });
+    }
+    const [line = ""] = await site.readMetric(
+      "mangoreach_answers_malformed_total",
+    );
+    expect(line).to.match(/source="endpoint".* 3$/);
+  });
 });
--- a/soak/src/in_process_entries.ts
+++ b/soak/src/in_process_entries.ts
@@ -22,7 +22,13 @@
   kill(): void;
 }
 
-type StartedEntry = PlatformEntry & { callers: string };
+/** Entries in the process of a test. */
+export interface InProcessEntries extends SiteEntries {
+  /** Addresses of the entries' metrics. */
+  readonly metrics: readonly string[];
+}
+
+type StartedEntry = PlatformEntry & { callers: string; metrics: string };
 
 const POLL_MS = 10;
 
@@ -35,7 +41,7 @@
     /** Number of places that the entries are in by turns. */
     places?: number;
   },
-): Promise<SiteEntries> {
+): Promise<InProcessEntries> {
   let entryNumber = 0;
 
   async function startEntry(): Promise<StartedEntry> {
@@ -53,7 +59,7 @@
         place: formatPlace(number % places),
       },
     });
-    return { ...entry, callers: ports.callers };
+    return { ...entry, callers: ports.callers, metrics: ports.metrics };
   }
 
   async function startEntries(): Promise<StartedEntry[]> {
@@ -79,6 +85,9 @@
     get callers() {
       return entries.map(({ callers }) => callers);
     },
+    get metrics() {
+      return entries.map(({ metrics }) => metrics);
+    },
     async replace() {
       kill();
       entries = await startEntries();
