fix(callers): a part of a service's answer is no success without a body

callService returned a success whose body was undefined where the answer ended with its connection in the middle of JSON: an entry passes such answers on without a length if it cannot tell that they are whole.

The new test fails on the commit before. An answer that only its connection delimits and that is not JSON is an unreadable one now, which may have run.

--- a/packages/callers/src/caller_client.ts
+++ b/packages/callers/src/caller_client.ts
@@ -285,8 +285,12 @@
       if (reply.isErr) {
         return Result.err(createCallFailure(attempt.entry.entry, reply.error));
       }
-      const { status, headers } = reply.value;
+      const { status, headers, delimiter } = reply.value;
       const body = readReplyJson(reply.value);
+      // Only its content shows where such an answer ends.
+      if (body === undefined && delimiter === "connection") {
+        return Result.err(parseFailure(undefined, status));
+      }
       if (headers[CALLER_HEADERS.verdict] !== "ran") {
         return Result.err(parseFailure(body, status));
       }
