--- a/soak/src/answer_ends_site.ts
+++ b/soak/src/answer_ends_site.ts
@@ -266,7 +266,8 @@
   return new Promise((resolve) => {
     let text = "";
     let isReset = false;
-    const socket = connect(Number(port), host, () =>
+    const target = { host, port: Number(port), allowHalfOpen: true };
+    const socket = connect(target, () =>
       socket.write([
         // Contents differ, as those that crash endpoints again are refused.
         `POST /${route}/${id} HTTP/1.1`,
@@ -285,6 +286,13 @@
       if (proof !== "none") socket.destroy();
     });
     socket.on("error", () => isReset = true);
+    // libuv reports a normal end if a reset arrives together with the last bytes;
+    // a write fails then.
+    socket.once("end", () =>
+      socket.write("\r\n", (error) => {
+        if (error) isReset = true;
+        socket.destroy();
+      }));
     socket.once(
       "close",
       () => resolve(parseAnswer(text, { isClosed: !isReset })),
