--- a/packages/peers/src/peer_connection_test.ts
+++ b/packages/peers/src/peer_connection_test.ts
@@ -308,6 +308,36 @@
     await waitUntil(() => sockets[0]!.destroyed);
   });
 
+  // Guards against bytes of a server that is no peer and pass as replies.
+  it("takes no replies of another protocol", async () => {
+    const reply = encodeFrame({ id: 0, data: WAITS });
+    const { address } = await startRaw((socket) =>
+      socket.once("data", () => {
+        socket.write(ACCEPTED.replace("mangoreach-peer", "other"));
+        socket.write(reply!);
+      })
+    );
+    const waits = await client.readWaits(address, QUERY);
+    expect(waits.isErr && waits.error.message).to.contain("another protocol");
+  });
+
+  // Guards against the same at a peer that is called over HTTP.
+  it("takes no replies whose head is malformed", async () => {
+    const body = JSON.stringify({ result: { data: WAITS } });
+    const { address } = await startRaw((socket) =>
+      socket.on("data", (data) => {
+        const isUpgrade = String(data).includes("Upgrade");
+        socket.write(
+          isUpgrade
+            ? "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n"
+            : `HTTP/1.1 600 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`,
+        );
+      })
+    );
+    const waits = await client.readWaits(address, QUERY);
+    expect(waits.isErr && waits.error.message).to.contain("malformed");
+  });
+
   // Guards against a connection that stays open as no call times out on it.
   it("closes a connection without calls whose upgrade is not answered", async () => {
     const { address, sockets } = await startRaw((socket) => socket.resume());
