--- a/packages/peers/src/tunnel.ts
+++ b/packages/peers/src/tunnel.ts
@@ -11,7 +11,7 @@
 import { request as sendRequest } from "node:http";
 import type { Socket } from "node:net";
 import type { Connect, ConnectOptions, Millis } from "@mangoreach/shared";
-import { putBounded, setEndConfirmation } from "@mangoreach/shared";
+import { probeEnd, putBounded, setEndConfirmation } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { UpgradeRequest } from "./peer_connection_server.ts";
 import { PEER_PATH } from "./peer_path.ts";
@@ -56,8 +56,6 @@
   silent: 504,
   unavailable: 503,
 };
-/** An empty line between requests, which servers ignore. */
-const PROBE = "\r\n";
 
 /** Longer than a busy peer takes to reply. */
 const CONFIRM_TIMEOUT: Millis = 500;
@@ -231,20 +229,10 @@
   far.pipe(near, { end: false });
   // The client of a call never closes its side alone: it has given up.
   near.once("end", () => far.destroy());
-  far.once("end", () => {
-    // The endpoint has not received the request, so that nothing shows whether
-    // its answer is whole.
-    if (far.writableLength > 0) {
-      far.destroy();
-      return void near.resetAndDestroy();
-    }
-    // libuv reports a normal end if a reset arrives together with the last
-    // bytes; a write fails then.
-    far.write(PROBE, (error) => {
-      if (error) return void near.resetAndDestroy();
-      recordEnd();
-      near.end();
-    });
+  far.once("end", async () => {
+    if (!await probeEnd(far)) return void near.resetAndDestroy();
+    recordEnd();
+    near.end();
   });
   const closed = [near, far].map((socket, index, both) =>
     new Promise<void>((resolve) => {
--- a/packages/shared/src/connection.ts
+++ b/packages/shared/src/connection.ts
@@ -77,6 +77,24 @@
   });
 };
 
+/** An empty line between requests, which servers ignore. */
+const PROBE = "\r\n";
+
+/**
+ * Tells whether a socket that has just ended was closed in order, by a server
+ * that has received all that was written. One that closes before may have been
+ * going to send more, and a reset that follows comes too late. Otherwise two
+ * bytes are written, which fails after a reset: libuv reports a normal end if a
+ * reset arrives together with the last bytes.
+ */
+export function probeEnd(socket: Socket): Promise<boolean> {
+  if (socket.writableLength > 0) return Promise.resolve(false);
+  return new Promise((resolve) => {
+    // Whatever the error: the bytes were not written.
+    socket.write(PROBE, (error) => resolve(!error));
+  });
+}
+
 /**
  * Confirms that the other side of a relayed connection has ended it, and not
  * the relay, whose own end looks the same.
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -24,6 +24,7 @@
 export {
   confirmEnd,
   openConnection,
+  probeEnd,
   setEndConfirmation,
 } from "./connection.ts";
 export { endWithBody } from "./message_body.ts";
--- a/packages/shared/src/single_use_call.ts
+++ b/packages/shared/src/single_use_call.ts
@@ -15,7 +15,7 @@
 import type { Millis } from "./clock.ts";
 import { isParseError, readAnswerHead } from "./answer_head.ts";
 import type { Connect, ConnectFault } from "./connection.ts";
-import { confirmEnd } from "./connection.ts";
+import { confirmEnd, probeEnd } from "./connection.ts";
 import type {
   HttpCall,
   HttpFault,
@@ -25,20 +25,16 @@
 import { watchHead } from "./head_guard.ts";
 import { endWithBody } from "./message_body.ts";
 
-/** An empty line between requests, which servers ignore. */
-const PROBE = "\r\n";
 /** Methods whose requests announce an empty body. */
 const METHODS_WITH_BODY = new Set(["POST", "PUT", "PATCH"]);
 
 /** A connection and what is known about its end. */
 interface WatchedSocket {
   socket: Socket;
-  /**
-   * Whether the connection was reset, or ended before the request was written.
-   */
-  isCut: boolean;
-  /** Set when the connection ended; resolves when `isCut` is known. */
-  probe: Promise<void> | undefined;
+  /** Whether a system call failed, as after a reset. */
+  isReset: boolean;
+  /** Set when the connection ended; whether it did so in order. */
+  probe: Promise<boolean> | undefined;
 }
 
 /** Options of {@linkcode sendSingleUseCall}. */
@@ -178,31 +174,15 @@
  * ends with its connection, so after a reset a part of it would look complete:
  * node:http ends the body in both cases, and libuv reports a normal end if the
  * reset arrives together with the last bytes. So this listens to the socket
- * before node:http does, and when the socket ends it writes two bytes, which
- * succeeds only if the connection was closed normally.
- *
- * A server that closes before it has received the request may have been going to
- * send more, and a reset that follows comes too late for the answer.
+ * before node:http does, and probes the connection when the socket ends.
  */
 function watchSocket(socket: Socket): WatchedSocket {
-  const watched: WatchedSocket = { socket, isCut: false, probe: undefined };
+  const watched: WatchedSocket = { socket, isReset: false, probe: undefined };
   socket.on("error", (error) => {
     // Errors that node:http raises itself come from no system call.
-    if ("syscall" in error) watched.isCut = true;
-  });
-  socket.once("end", () => {
-    if (socket.writableLength > 0) {
-      watched.isCut = true;
-      return;
-    }
-    watched.probe = new Promise((resolve) =>
-      socket.write(PROBE, (error) => {
-        // Whatever the error: the bytes were not written.
-        if (error) watched.isCut = true;
-        resolve();
-      })
-    );
+    if ("syscall" in error) watched.isReset = true;
   });
+  socket.once("end", () => watched.probe = probeEnd(socket));
   return watched;
 }
 
@@ -262,8 +242,8 @@
   });
   response.pause();
   response.once("end", async () => {
-    await watched.probe;
-    if (watched.isCut) {
+    const isOrderly = await watched.probe ?? true;
+    if (watched.isReset || !isOrderly) {
       return void body.destroy(new Error("the connection was cut"));
     }
     const isConfirmed = await confirmEnd(watched.socket);
