refactor(shared): faults, JSON that broke off and the callback are one piece each

How an error becomes the fault of a call stood in both clients, with a line for malformed answers in each: answer_fault.ts holds it. Four clients had a callback that does nothing as a default: it may be left out instead.

--- a/packages/callers/src/caller_client.ts
+++ b/packages/callers/src/caller_client.ts
@@ -11,7 +11,11 @@
   formatBoundId,
 } from "@mangoreach/coordination";
 import type { Clock, Millis } from "@mangoreach/shared";
-import { createHttpClient, readReplyJson } from "@mangoreach/shared";
+import {
+  createHttpClient,
+  hasJsonBrokenOff,
+  readReplyJson,
+} from "@mangoreach/shared";
 import { Result } from "true-myth";
 import { createAddressBook } from "./address_book.ts";
 import type {
@@ -285,12 +289,11 @@
       if (reply.isErr) {
         return Result.err(createCallFailure(attempt.entry.entry, reply.error));
       }
-      const { status, headers, delimiter } = reply.value;
-      const body = readReplyJson(reply.value);
-      // Only its content shows where such an answer ends.
-      if (body === undefined && delimiter === "connection") {
+      const { status, headers } = reply.value;
+      if (hasJsonBrokenOff(reply.value)) {
         return Result.err(parseFailure(undefined, status));
       }
+      const body = readReplyJson(reply.value);
       if (headers[CALLER_HEADERS.verdict] !== "ran") {
         return Result.err(parseFailure(body, status));
       }
--- a/packages/engines/src/engine_client.ts
+++ b/packages/engines/src/engine_client.ts
@@ -71,7 +71,7 @@
   /** Called when a response is dropped because it belongs to another call. */
   onDropped: (call: CallIdentity) => void;
   /** Called for each answer whose head is malformed. */
-  onMalformed?: (answer: MalformedAnswer) => void;
+  onMalformed?: ((answer: MalformedAnswer) => void) | undefined;
   /** Time-out of load reports, cache events and cancels. */
   timeoutMs: Millis;
 }
@@ -112,8 +112,7 @@
 
 /** Creates the client. */
 export function createEngineClient(
-  { clock, onAnswer, onDropped, onMalformed = () => {}, timeoutMs }:
-    EngineClientOptions,
+  { clock, onAnswer, onDropped, onMalformed, timeoutMs }: EngineClientOptions,
 ): EngineClient {
   const http = createHttpClient({ onMalformed });
 
--- a/packages/services/src/service_client.ts
+++ b/packages/services/src/service_client.ts
@@ -12,7 +12,7 @@
 import type { CallIdentity, OnAnswer } from "@mangoreach/endpoints";
 import { createReplyFailure, ENDPOINT_HEADERS } from "@mangoreach/endpoints";
 import type { Clock, MalformedAnswer } from "@mangoreach/shared";
-import { createHttpClient, readReplyJson } from "@mangoreach/shared";
+import { createHttpClient, hasJsonBrokenOff } from "@mangoreach/shared";
 import { Result } from "true-myth";
 
 /** One call of a plain service. */
@@ -42,7 +42,7 @@
   /** Called if a result is dropped because its echo does not match the call. */
   onDropped: (call: CallIdentity) => void;
   /** Called for each answer whose head is malformed. */
-  onMalformed?: (answer: MalformedAnswer) => void;
+  onMalformed?: ((answer: MalformedAnswer) => void) | undefined;
 }
 
 /** A client of all plain-service endpoints of a site. */
@@ -57,7 +57,7 @@
 
 /** Creates the client. */
 export function createServiceClient(
-  { clock, onAnswer, onDropped, onMalformed = () => {} }: ServiceClientOptions,
+  { clock, onAnswer, onDropped, onMalformed }: ServiceClientOptions,
 ): ServiceClient {
   // Answers may be any bytes, so that nothing in them shows where they end or
   // which call they answer.
@@ -100,16 +100,14 @@
     }
     const type = headers["content-type"];
     const answerType = typeof type === "string" ? type : DEFAULT_CONTENT_TYPE;
-    // A service that ends closes its connections in an orderly way too.
-    const isDelimited = reply.value.delimiter !== "connection";
     const isJson = JSON_TYPE.test(answerType);
-    if (!isDelimited && isJson && readReplyJson(reply.value) === undefined) {
+    if (isJson && hasJsonBrokenOff(reply.value)) {
       return Result.err(createFailure("bad_reply", {
         verdict: "may_have_run",
         message: `${endpoint.id}: the answer broke off`,
       }));
     }
-    const isUnproven = !isDelimited && !isJson;
+    const isUnproven = !isJson && reply.value.delimiter === "connection";
     return Result.ok({ status, contentType: answerType, text, isUnproven });
   }
 
--- a/packages/shared/src/answer_head.ts
+++ b/packages/shared/src/answer_head.ts
@@ -48,12 +48,13 @@
   const isStatus = status >= FIRST_FINAL_STATUS && status <= LAST_STATUS;
   if (!isStatus) return Result.err(`status ${status} is invalid`);
   const coding = headers["transfer-encoding"];
-  const isChunked = String(coding).toLowerCase() === "chunked";
-  if (coding !== undefined && !isChunked) {
-    return Result.err("the transfer coding is unknown");
-  }
-  if (coding !== undefined && version === VERSION_WITHOUT_CODINGS) {
-    return Result.err("the version has no transfer codings");
+  if (coding !== undefined) {
+    if (String(coding).toLowerCase() !== "chunked") {
+      return Result.err("the transfer coding is unknown");
+    }
+    if (version === VERSION_WITHOUT_CODINGS) {
+      return Result.err("the version has no transfer codings");
+    }
   }
   if (method === "HEAD" || STATUSES_WITHOUT_BODY.has(status)) {
     return Result.ok("length");
@@ -62,15 +63,3 @@
   const hasLength = headers["content-length"] !== undefined;
   return Result.ok(hasLength ? "length" : "connection");
 }
-
-/** Begins the codes of node:http, which undici does not always set. */
-const PARSE_ERROR_PREFIX = "HPE_";
-/** The name of undici's errors. */
-const PARSE_ERROR_NAME = "HTTPParserError";
-
-/** Whether an error of node:http or undici is about the syntax of a response. */
-export function isParseError(error: unknown): boolean {
-  if (!(error instanceof Error)) return false;
-  return error.name === PARSE_ERROR_NAME ||
-    "code" in error && String(error.code).startsWith(PARSE_ERROR_PREFIX);
-}
--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -12,7 +12,8 @@
 import type { Dispatcher } from "undici";
 import type { Clock, Millis } from "./clock.ts";
 import type { BodyDelimiter } from "./answer_head.ts";
-import { isParseError, readAnswerHead } from "./answer_head.ts";
+import { readAnswerHead } from "./answer_head.ts";
+import { classifyAnswerError, createMalformedFault } from "./answer_fault.ts";
 import type { MalformedAnswer } from "./answer_recorder.ts";
 import type { Connect, ConnectFailure } from "./connection.ts";
 import { openConnection } from "./connection.ts";
@@ -114,7 +115,7 @@
   /** Bounds the answers that this process holds, of all clients together. */
   heldBytes: HeldBytes;
   /** Called for each answer whose head is malformed. */
-  onMalformed: (answer: MalformedAnswer) => void;
+  onMalformed: ((answer: MalformedAnswer) => void) | undefined;
 }
 
 /** An HTTP client. */
@@ -144,7 +145,7 @@
     connections = "kept",
     connect,
     heldBytes,
-    onMalformed = () => {},
+    onMalformed,
   }: Partial<HttpClientOptions> = {},
 ): HttpClient {
   const kept = createPersistentConnections({
@@ -158,7 +159,7 @@
   ): Promise<Result<HttpStreamReply, HttpFault>> {
     const reply = await sendCall(call);
     if (reply.isErr && reply.error.kind === "malformed") {
-      onMalformed({ address: call.address, reason: reply.error.message });
+      onMalformed?.({ address: call.address, reason: reply.error.message });
     }
     return reply;
   }
@@ -186,11 +187,7 @@
       if (head.isErr) {
         // Also closes the connection, as its next bytes are no answer either.
         discardBody(body);
-        return Result.err({
-          kind: "malformed",
-          sent: "maybe",
-          message: head.error,
-        });
+        return Result.err(createMalformedFault(head.error));
       }
       const delimiter = head.value;
       return Result.ok({ status: statusCode, headers, body, delimiter });
@@ -373,17 +370,13 @@
   error: unknown,
   signal: AbortSignal | undefined,
 ): HttpFault {
-  if (signal?.aborted) {
-    return { kind: "aborted", sent: "maybe", message: "given up" };
-  }
+  const fault = classifyAnswerError(error, signal);
+  if (fault.kind === "aborted") return fault;
   const code = readErrorCode(error);
-  const message = error instanceof Error ? error.message : String(error);
-  if (code === CONNECT_TIMEOUT_CODE || isConnectError(error, code)) {
-    return { kind: "unreachable", sent: "no", message };
-  }
-  // The call may have been sent before the connection was reset.
-  const kind = isParseError(error) ? "malformed" : "cut";
-  return { kind, sent: "maybe", message };
+  // Otherwise the call may have been sent before the connection was reset.
+  return code === CONNECT_TIMEOUT_CODE || isConnectError(error, code)
+    ? { kind: "unreachable", sent: "no", message: fault.message }
+    : fault;
 }
 
 /** The same codes occur on established connections, from a read or a write. */
@@ -397,6 +390,15 @@
   return String(error.code);
 }
 
+/**
+ * Whether an answer of JSON has broken off. Only its content shows where an
+ * answer ends that its connection delimits: a process that ends closes its
+ * connections in an orderly way too.
+ */
+export function hasJsonBrokenOff(reply: HttpReply): boolean {
+  return reply.delimiter === "connection" && readReplyJson(reply) === undefined;
+}
+
 /** Parses the JSON body of an answer; undefined if it is malformed. */
 export function readReplyJson(reply: HttpReply): unknown {
   return parseBoundedJson(reply.text);
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -110,6 +110,7 @@
 export {
   createHttpClient,
   discardBody,
+  hasJsonBrokenOff,
   readBodyBytes,
   readLimitedBody,
   readReplyJson,
--- a/packages/shared/src/single_use_call.ts
+++ b/packages/shared/src/single_use_call.ts
@@ -13,7 +13,8 @@
 import { Readable as NodeReadable } from "node:stream";
 import { Result } from "true-myth";
 import type { Millis } from "./clock.ts";
-import { isParseError, readAnswerHead } from "./answer_head.ts";
+import { classifyAnswerError, createMalformedFault } from "./answer_fault.ts";
+import { readAnswerHead } from "./answer_head.ts";
 import type { Connect, ConnectFault } from "./connection.ts";
 import { confirmEnd, probeEnd } from "./connection.ts";
 import type {
@@ -92,7 +93,7 @@
     }
 
     function fail(error: Error): void {
-      settleFault(classifyFailure(error, signal));
+      settleFault(classifyAnswerError(error, signal));
     }
 
     function finish(): void {
@@ -132,11 +133,7 @@
         });
         if (head.isErr) {
           request?.destroy();
-          return settleFault({
-            kind: "malformed",
-            sent: "maybe",
-            message: head.error,
-          });
+          return settleFault(createMalformedFault(head.error));
         }
         const delimiter = head.value;
         if (delimiter === "connection") {
@@ -259,14 +256,3 @@
   });
   return body;
 }
-
-function classifyFailure(
-  error: Error,
-  signal: AbortSignal | undefined,
-): HttpFault {
-  if (signal?.aborted) {
-    return { kind: "aborted", sent: "maybe", message: "given up" };
-  }
-  const kind = isParseError(error) ? "malformed" : "cut";
-  return { kind, sent: "maybe", message: error.message };
-}
--- a/packages/stages/src/stage_client.ts
+++ b/packages/stages/src/stage_client.ts
@@ -51,7 +51,7 @@
   /** Called if a result is dropped because its echo does not match the call. */
   onDropped: (call: CallIdentity) => void;
   /** Called for each answer whose head is malformed. */
-  onMalformed?: (answer: MalformedAnswer) => void;
+  onMalformed?: ((answer: MalformedAnswer) => void) | undefined;
 }
 
 /** A client of all stage endpoints of a site. */
@@ -65,7 +65,7 @@
 
 /** Creates the client. */
 export function createStageClient(
-  { clock, onAnswer, onDropped, onMalformed = () => {} }: StageClientOptions,
+  { clock, onAnswer, onDropped, onMalformed }: StageClientOptions,
 ): StageClient {
   const http = createHttpClient({ onMalformed });
 
