refactor(soak): stand-ins use what is there; no results outside loopback

The stand-in of the answer sites named 10.0.0.1:1 as the endpoint of stage results: an entry that releases one could have connected to an address that is not this machine's. Results name the endpoint behind the socket now, by the one formatResults that two other tests had copies of. A single request to an entry stood in two tests and was written a third time: callEntry.

--- a/packages/peers/src/tunnel_test.ts
+++ b/packages/peers/src/tunnel_test.ts
@@ -197,15 +197,10 @@
   // rest of an upload that the endpoint does not read.
   it("cuts an answer that ends while the request is written", async () => {
     const peer = await startPeer();
-    const server = createServer({ allowHalfOpen: true }, (socket) => {
-      sockets.push(socket);
-      socket.on("error", () => {});
-      socket.once("data", () => {
-        socket.pause();
-        socket.end(`${OK}\r\npart`);
-      });
+    const address = await startEndpoint(`${OK}\r\npart`, (socket) => {
+      socket.pause();
+      socket.end();
     });
-    const address = readServerAddress(await listen(server));
     const signal = AbortSignal.timeout(UPLOAD_MS);
     const reply = await createClient(peer).call({
       method: "POST",
@@ -220,16 +215,10 @@
   // Guards against bytes of a server that is no peer and pass as an answer of the
   // endpoint.
   it("takes no other protocol for a tunnel", async () => {
-    const server = createServer((socket) => {
-      sockets.push(socket);
-      socket.on("error", () => {});
-      socket.once("data", () =>
-        socket.write(
-          "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n" +
-            `Upgrade: other\r\n\r\n${OK}Content-Length: 4\r\n\r\nbody`,
-        ));
-    });
-    const peer = readServerAddress(await listen(server));
+    const peer = await startEndpoint(
+      "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n" +
+        `Upgrade: other\r\n\r\n${OK}Content-Length: 4\r\n\r\nbody`,
+    );
     expect(await call(peer, "127.0.0.1:1")).to.equal("unreachable no");
   });
 
--- a/soak/src/answer_ends_site.ts
+++ b/soak/src/answer_ends_site.ts
@@ -16,6 +16,7 @@
 } from "../../platform/src/wire_names.ts";
 import { startInProcessEntries } from "./in_process_entries.ts";
 import { createSoakConfig } from "./soak_config.ts";
+import { formatResults } from "./stage_results.ts";
 import { startTopicStore } from "./topic_store.ts";
 
 /** What an endpoint does after the last byte of an answer. */
@@ -90,6 +91,7 @@
 
 const ENDPOINTS_PER_POOL = 5;
 const POOLS = ["plain", "chat", "stage", "engine"];
+const SOUND_REPLY: ScriptedAnswer = { head: [], body: "", end: "closes" };
 const SOUND_ANSWER: ScriptedAnswer = {
   head: ["Content-Type: text/event-stream", "Content-Length: 7"],
   body: "id: 1\n\n",
@@ -134,7 +136,7 @@
         const request = String(data);
         const isRelease = request.startsWith(`POST ${PATH.stageFree}`);
         if (!isRelease) arrivals++;
-        const scripted = chooseAnswer(answer, request);
+        const scripted = chooseAnswer(answer, { socket, request });
         const { end, isEarly = false } = scripted;
         if (isEarly) socket.pause();
         socket.write(formatAnswer(scripted, request), "latin1", () => {
@@ -222,26 +224,17 @@
   };
 }
 
+/** Replies to calls of stages have their results as the body. */
 function chooseAnswer(
   answer: ScriptedAnswer,
-  request: string,
+  { socket, request }: { socket: Socket; request: string },
 ): ScriptedAnswer {
   const { isForStages = false } = answer;
-  const isRun = request.startsWith(`POST ${PATH.stageRun}`);
-  if (isRun !== isForStages) {
-    return isRun
-      ? { head: [], body: formatResults(request), end: "closes" }
-      : SOUND_ANSWER;
+  if (!request.startsWith(`POST ${PATH.stageRun}`)) {
+    return isForStages ? SOUND_ANSWER : answer;
   }
-  return isRun ? { ...answer, body: formatResults(request) } : answer;
-}
-
-/** Formats the reply to a call of a stage. */
-function formatResults(request: string): string {
-  const [, body = ""] = request.split("\r\n\r\n");
-  const { items } = JSON.parse(body) as { items: { id: string }[] };
-  const handles = items.map(({ id }) => ({ handle: `10.0.0.1:1/${id}` }));
-  return JSON.stringify({ items: handles });
+  const reply = isForStages ? answer : SOUND_REPLY;
+  return { ...reply, body: formatResults(socket, request) };
 }
 
 function formatAnswer(
--- a/soak/src/crashing_request_test.ts
+++ b/soak/src/crashing_request_test.ts
@@ -1,9 +1,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
-import { request } from "undici";
-import { HEADER } from "../../platform/src/wire_names.ts";
 import type { CrashingSite } from "./crashing_site.ts";
 import { CRASHING_BODY, startCrashingSite } from "./crashing_site.ts";
+import { callEntry } from "./entry_call.ts";
 
 /**
  * Guards against a request that crashes every engine that runs it and is repeated
@@ -22,20 +21,8 @@
 
   after(() => site.stop());
 
-  async function call(id: string, { entry = 0, body = CRASHING_BODY } = {}) {
-    const reply = await request(`http://${site.callers[entry]}/once/x`, {
-      method: "POST",
-      body,
-      headers: {
-        host: "soak.example",
-        authorization: "Bearer key-1",
-        [HEADER.requestId]: id,
-        [HEADER.deadline]: "2000",
-      },
-    });
-    await reply.body.dump();
-    const retryAfter = Number(reply.headers[HEADER.retryAfter] ?? 0);
-    return { status: reply.statusCode, retryAfter };
+  function call(id: string, { entry = 0, body = CRASHING_BODY } = {}) {
+    return callEntry(site.callers[entry]!, { path: "once/x", id, body });
   }
 
   async function callRepeatedly(times: number) {
--- a/soak/src/descriptor_limit_site_test.ts
+++ b/soak/src/descriptor_limit_site_test.ts
@@ -6,8 +6,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { readServerAddress } from "@mangoreach/shared";
 import { expect } from "chai";
-import { request } from "undici";
 import { CONFIG_KEY, HEADER, TOPIC } from "../../platform/src/wire_names.ts";
+import { callEntry } from "./entry_call.ts";
 import { LOOPBACK_HOST } from "./loopback_host.ts";
 import type { ProgramProcess } from "./program_process.ts";
 import { startProgram } from "./program_process.ts";
@@ -94,18 +94,8 @@
 
   async function callOnce(): Promise<number> {
     const id = `a-${Math.random()}`;
-    const reply = await request(`http://${entry.ports.callers}/plain/${id}`, {
-      method: "POST",
-      body: "x",
-      headers: {
-        host: "soak.example",
-        authorization: "Bearer key-1",
-        [HEADER.requestId]: id,
-        [HEADER.deadline]: "2000",
-      },
-    });
-    await reply.body.dump();
-    return reply.statusCode;
+    const call = { path: `plain/${id}`, id, body: "x" };
+    return (await callEntry(entry.ports.callers, call)).status;
   }
 
   it("lives, and serves again afterwards", async () => {
--- a/soak/src/endless_answers_site_test.ts
+++ b/soak/src/endless_answers_site_test.ts
@@ -18,6 +18,7 @@
 import { createSoakConfig } from "./soak_config.ts";
 import type { Entry } from "./soak_entry.ts";
 import { createEntry, startEntry, waitUntilReady } from "./soak_entry.ts";
+import { formatResults } from "./stage_results.ts";
 import type { TopicStore } from "./topic_store.ts";
 import { startTopicStore } from "./topic_store.ts";
 
@@ -52,9 +53,8 @@
 
   /** Writes an answer of the endpoints that are not faulty. */
   function serveAnswer(socket: Socket, received: string, headers: string) {
-    const [, body = ""] = received.split("\r\n\r\n");
     const answer = received.startsWith(`POST ${PATH.stageRun}`)
-      ? JSON.stringify({ items: listHandles(socket, body) })
+      ? formatResults(socket, received)
       : "id: 1\ndata: x\n\n";
     socket.end(
       `HTTP/1.1 200 OK\r\n${headers}content-length: ${answer.length}\r\n\r\n` +
@@ -228,10 +228,3 @@
     expect(peak).to.be.within(1, MAX_MEMORY_MB);
   });
 });
-
-function listHandles(socket: Socket, body: string): { handle: string }[] {
-  const { items } = JSON.parse(body) as { items: { id: string }[] };
-  return items.map(({ id }) => ({
-    handle: `${socket.localAddress}:${socket.localPort}/${id}`,
-  }));
-}
--- a/soak/src/faulty_stages_site_test.ts
+++ b/soak/src/faulty_stages_site_test.ts
@@ -18,6 +18,7 @@
 import type { ProgramProcess } from "./program_process.ts";
 import { startProgram } from "./program_process.ts";
 import { createSoakConfig } from "./soak_config.ts";
+import { formatResults } from "./stage_results.ts";
 import type { TopicStore } from "./topic_store.ts";
 import { startTopicStore } from "./topic_store.ts";
 
@@ -65,12 +66,7 @@
   }
 
   function sendHandles(socket: Socket, received: string): void {
-    const [, body = ""] = received.split("\r\n\r\n");
-    const { items } = JSON.parse(body) as { items: { id: string }[] };
-    const handles = items.map(({ id }) => ({
-      handle: `${socket.localAddress}:${socket.localPort}/${id}`,
-    }));
-    sendBody(socket, JSON.stringify({ items: handles }));
+    sendBody(socket, formatResults(socket, received));
   }
 
   function sendAnswer(socket: Socket, received: string): void {
--- a/soak/src/odd_records_site_test.ts
+++ b/soak/src/odd_records_site_test.ts
@@ -1,16 +1,15 @@
 import { mkdtempSync } from "node:fs";
-import type { Server } from "node:http";
-import { createServer } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
-import { readServerAddress } from "@mangoreach/shared";
 import { expect } from "chai";
-import { request } from "undici";
 import { CONFIG_KEY, HEADER, TOPIC } from "../../platform/src/wire_names.ts";
+import { callEntry } from "./entry_call.ts";
 import type { ProgramProcess } from "./program_process.ts";
 import { startProgram } from "./program_process.ts";
 import { createSoakConfig } from "./soak_config.ts";
+import type { SoakServer } from "./soak_server.ts";
+import { readCompleteBody, startSoakServer } from "./soak_server.ts";
 import type { TopicStore } from "./topic_store.ts";
 import { startTopicStore } from "./topic_store.ts";
 
@@ -77,22 +76,19 @@
   this.timeout(60_000);
   let store: TopicStore;
   let folder = "";
-  const servers: Server[] = [];
+  const servers: SoakServer[] = [];
   const entries: ProgramProcess[] = [];
   let hits: string[] = [];
 
   async function startEndpoint(id: string): Promise<void> {
-    const server = createServer((message, response) => {
+    const server = await startSoakServer(async (message, response) => {
       hits.push(id);
-      message.resume();
+      await readCompleteBody(message);
       response.setHeader(HEADER.requestId, message.headers[HEADER.requestId]!);
       response.setHeader(HEADER.proof, "proof").end("whole");
     });
     servers.push(server);
-    await new Promise<void>((resolve) =>
-      server.listen(0, "127.0.0.1", () => resolve())
-    );
-    const address = readServerAddress(server);
+    const { address } = server;
     store.putText(TOPIC.endpoints, id, formatRecord({ address }));
   }
 
@@ -108,17 +104,9 @@
     let served = 0;
     for (let call = 0; call < CALLS; call++) {
       const id = `r-${count++}`;
-      const reply = await request(`http://${entry.ports.callers}/once/${id}`, {
-        method: "POST",
-        headers: {
-          host: "soak.example",
-          authorization: "Bearer key-1",
-          [HEADER.requestId]: id,
-          [HEADER.deadline]: "2000",
-        },
-      });
-      await reply.body.dump();
-      if (reply.statusCode === 200) served++;
+      const path = `once/${id}`;
+      const { status } = await callEntry(entry.ports.callers, { path, id });
+      if (status === 200) served++;
     }
     return served;
   }
@@ -134,10 +122,7 @@
 
   afterEach(() => {
     entries.splice(0).forEach((entry) => entry.kill());
-    servers.splice(0).forEach((server) => {
-      server.closeAllConnections();
-      server.close();
-    });
+    servers.splice(0).forEach((server) => server.close());
     store.close();
   });
 
