feat(serving): count what endpoints' answers cost

Logs and metrics tell the bytes of an answer, if they tell anything: not how many parts the HTTP parser passed on, nor whether parts came after its end.

--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -144,8 +144,9 @@
   const shutdown = createSharedController();
   const metrics = createServingMetrics(settings.entry);
   if (options.errors) metrics.setErrorCounts(options.errors.counts);
-  const { malformedAnswers } = options;
+  const { malformedAnswers, answerCosts } = options;
   if (malformedAnswers) metrics.setMalformedCounts(malformedAnswers);
+  if (answerCosts) metrics.setAnswerCosts(answerCosts);
   const log = createDecisionLog({
     clock,
     logger,
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -42,6 +42,8 @@
   countStopped(outcome: StopOutcome): void;
   /** Sets the source of counts of unexpected errors, read when collected. */
   setErrorCounts(counts: ReadonlyMap<string, number>): void;
+  /** Sets the source of the costs of answers, read when collected. */
+  setAnswerCosts(counts: ReadonlyMap<string, number>): void;
   /** Sets the source of counts of malformed answers, read when collected. */
   setMalformedCounts(counts: ReadonlyMap<string, number>): void;
   /** Sets the source of the bytes of answers held, read when collected. */
@@ -187,17 +189,23 @@
 
   /** Adds a counter whose values are counted elsewhere. */
   const addSourceCounter = (
-    { name, help }: { name: string; help: string },
+    { name, help, label = "source" }: {
+      name: string;
+      help: string;
+      label?: string;
+    },
   ) => {
     let counts: ReadonlyMap<string, number> = new Map();
     new Counter({
       name,
       help,
-      labelNames: ["source"],
+      labelNames: [label],
       registers,
       collect() {
         this.reset();
-        for (const [source, count] of counts) this.inc({ source }, count);
+        for (const [value, count] of counts) {
+          this.inc({ [label]: value }, count);
+        }
       },
     });
     return (next: ReadonlyMap<string, number>) => void (counts = next);
@@ -211,6 +219,12 @@
     help: "Answers refused as their head is none of HTTP/1, by source",
   });
 
+  const setAnswerCosts = addSourceCounter({
+    name: "mangoreach_answer_costs_total",
+    help: "What endpoints' answers cost: bytes with framing, parts of bodies",
+    label: "cost",
+  });
+
   let readHeldBytes = () => 0;
   new Gauge({
     name: "mangoreach_held_bytes",
@@ -281,6 +295,7 @@
     countUndecodable: (topic) => undecodable.inc({ topic }),
     setErrorCounts,
     setMalformedCounts,
+    setAnswerCosts,
     setHeldBytes: (readBytes) => readHeldBytes = readBytes,
     setAccountUse: (list) => listUse = list,
   };
--- a/packages/serving/src/serving_options.ts
+++ b/packages/serving/src/serving_options.ts
@@ -10,6 +10,7 @@
   ServingConfig,
 } from "@mangoreach/coordination";
 import type {
+  AnswerMeter,
   AnswerRecorder,
   Clock,
   Connect,
@@ -108,6 +109,8 @@
   errors?: Pick<ErrorRecorder, "record" | "counts"> | undefined;
   /** Malformed answers by their source, for the metrics. */
   malformedAnswers?: AnswerRecorder["counts"] | undefined;
+  /** What answers cost, for the metrics. */
+  answerCosts?: AnswerMeter["totals"] | undefined;
   /** An address that is not available is an error if left out. */
   listenFaults?: ListenFaults | undefined;
   random: () => number;
--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -14,6 +14,7 @@
 import type { BodyDelimiter } from "./answer_head.ts";
 import { readAnswerHead } from "./answer_head.ts";
 import { classifyAnswerError, createMalformedFault } from "./answer_fault.ts";
+import type { AnswerMeter } from "./answer_meter.ts";
 import type { MalformedAnswer } from "./answer_recorder.ts";
 import type { Connect, ConnectFailure } from "./connection.ts";
 import { openConnection } from "./connection.ts";
@@ -116,6 +117,8 @@
   heldBytes: HeldBytes;
   /** Called for each answer whose head is malformed. */
   onMalformed: ((answer: MalformedAnswer) => void) | undefined;
+  /** Counts what answers on connections for a single call cost. */
+  meter: AnswerMeter | undefined;
 }
 
 /** An HTTP client. */
@@ -146,6 +149,7 @@
     connect,
     heldBytes,
     onMalformed,
+    meter,
   }: Partial<HttpClientOptions> = {},
 ): HttpClient {
   const kept = createPersistentConnections({
@@ -174,6 +178,7 @@
       return await sendSingleUseCall(call, {
         connect: connect ?? openConnection,
         connectTimeout: connectTimeoutMs,
+        meter,
       });
     }
     try {
--- a/packages/shared/src/single_use_call.ts
+++ b/packages/shared/src/single_use_call.ts
@@ -23,6 +23,7 @@
   HttpHeaders,
   HttpStreamReply,
 } from "./http_client.ts";
+import type { AnswerMeter } from "./answer_meter.ts";
 import { watchHead } from "./head_guard.ts";
 import { endWithBody } from "./message_body.ts";
 
@@ -42,6 +43,8 @@
 export interface SingleUseCallOptions {
   connect: Connect;
   connectTimeout: Millis;
+  /** Counts what answers cost; not counted if left out. */
+  meter?: AnswerMeter | undefined;
 }
 
 /**
@@ -50,7 +53,7 @@
  */
 export async function sendSingleUseCall(
   call: HttpCall,
-  { connect, connectTimeout: timeout }: SingleUseCallOptions,
+  { connect, connectTimeout: timeout, meter }: SingleUseCallOptions,
 ): Promise<Result<HttpStreamReply, HttpFault>> {
   const { address, signal } = call;
   const connection = await connect(address, { timeout, signal });
@@ -65,7 +68,11 @@
       message: "not sent after the connection was open",
     });
   }
-  return await sendOnConnection(call, watchSocket(connection.value));
+  const socket = connection.value;
+  const response = sendOnConnection(call, watchSocket(socket), (message) => {
+    if (meter !== undefined) countCosts(meter, { address, socket, message });
+  });
+  return await response;
 }
 
 function classifyConnectFault({ failure, message }: ConnectFault): HttpFault {
@@ -80,6 +87,7 @@
 function sendOnConnection(
   call: HttpCall,
   watched: WatchedSocket,
+  onResponse: (response: IncomingMessage) => void,
 ): Promise<Result<HttpStreamReply, HttpFault>> {
   return new Promise((resolve) => {
     const { signal } = call;
@@ -123,6 +131,7 @@
       });
       request.once("response", (response: IncomingMessage) => {
         stopWatching();
+        onResponse(response);
         const status = response.statusCode ?? 0;
         const headers = listHeaders(response.rawHeaders);
         const head = readAnswerHead({
@@ -183,6 +192,31 @@
   return watched;
 }
 
+/** Counts what an answer costs until its connection has closed. */
+function countCosts(
+  meter: AnswerMeter,
+  { address, socket, message }: {
+    address: string;
+    socket: Socket;
+    message: IncomingMessage;
+  },
+): void {
+  const costs = meter.open(address);
+  const push = message.push.bind(message);
+  // The parser passes each part of the body on by this function.
+  message.push = (chunk, encoding) => {
+    if (chunk !== null) {
+      const isLate = message.destroyed || socket.destroyed;
+      costs.add(isLate ? "late_parts" : "parts", 1);
+    }
+    return push(chunk, encoding);
+  };
+  socket.once("close", () => {
+    costs.add("bytes", socket.bytesRead);
+    costs.close();
+  });
+}
+
 /** Creates alternating names and values, which node:http sends unchanged. */
 function createHeaders(
   { method, address, headers = [], createLateHeaders, body }: HttpCall,
