test(soak): answers without end that cost more than their bytes

Endpoints that pour small chunks end the process of an entry or make it stand still, and the requests of other clients end with it.

14 forms behind 200 and 500, at a plain request, a stream and the call of a stage together, 14 callers each for 1.5 s, half of the four endpoints of each service pour; five ordinary callers of another service; three forms at 0.675 of a core. One real process by the command of deploy/system.toml on one core.

--- /dev/null
+++ b/soak/src/pouring_answers_site_test.ts
@@ -0,0 +1,87 @@
+import { expect } from "chai";
+import type { PouringFormName } from "./pouring_forms.ts";
+import { POURING_FORMS } from "./pouring_forms.ts";
+import type { LoadReport, PouringSite } from "./pouring_site.ts";
+import { startPouringSite } from "./pouring_site.ts";
+
+/** Of the smallest machine. */
+const MAX_MEMORY_MB = 210;
+/** Of ordinary requests, those that may take longer than their target. */
+const MAX_LATE_SHARE = 0.1;
+const ROUTES = ["once", "chat", "draft"] as const;
+const CALLERS = 14;
+const LOAD_MS = 1_500;
+/** Of the pages' machines. */
+const CORE_SHARE = 0.675;
+const TEST_TIMEOUT_MS = 40_000;
+
+/** Lists what a load has broken. */
+function listViolations(
+  { isAlive, peakMb, poured, ordinary }: LoadReport,
+): string[] {
+  const { sent, served, late, slowest } = ordinary;
+  return [
+    ...(isAlive ? [] : ["the process ended"]),
+    ...(peakMb <= MAX_MEMORY_MB ? [] : [`it took ${peakMb} MB`]),
+    ...(poured > 0 ? [] : ["no answer without end was begun"]),
+    ...(served === sent ? [] : [`${sent - served} of ${sent} not served`]),
+    ...(late <= MAX_LATE_SHARE * sent
+      ? []
+      : [`${late} of ${sent} were late, by up to ${slowest} ms`]),
+  ];
+}
+
+/** Guards against answers that cost more than their bytes and have no end. */
+describe("an entry whose endpoints pour", function () {
+  this.timeout(TEST_TIMEOUT_MS);
+  let site: PouringSite | undefined;
+
+  async function runLoad(
+    { form, status, coreShare }: {
+      form: PouringFormName;
+      status: number;
+      coreShare?: number;
+    },
+  ): Promise<string[]> {
+    site = await startPouringSite(
+      coreShare === undefined ? {} : { coreShare },
+    );
+    const report = await site.runLoad({
+      form,
+      status,
+      routes: ROUTES,
+      callers: CALLERS,
+      durationMs: LOAD_MS,
+    });
+    return listViolations(report);
+  }
+
+  // Endpoints that have poured are left alone for a while.
+  afterEach(() => {
+    site?.stop();
+    site = undefined;
+  });
+
+  for (const form of Object.keys(POURING_FORMS) as PouringFormName[]) {
+    for (const status of [200, 500]) {
+      it(`serves other clients: ${form}, ${status}`, async () => {
+        expect(await runLoad({ form, status })).to.deep.equal([]);
+      });
+    }
+  }
+
+  describe("with a share of a core", () => {
+    for (
+      const form of [
+        "chunks of one byte",
+        "events in a chunk each",
+        "events, many in a chunk",
+      ] as const
+    ) {
+      it(`serves other clients: ${form}`, async () => {
+        expect(await runLoad({ form, status: 200, coreShare: CORE_SHARE }))
+          .to.deep.equal([]);
+      });
+    }
+  });
+});
--- /dev/null
+++ b/soak/src/pouring_site.ts
@@ -0,0 +1,332 @@
+/**
+ * A site with one entry, started by the command of the deploy file. Half of the
+ * endpoints of three services pour answers without end; those of another one
+ * are healthy.
+ *
+ * @module
+ */
+import type { ChildProcess } from "node:child_process";
+import { fork } from "node:child_process";
+import { mkdtempSync, readFileSync } from "node:fs";
+import type { Server, Socket } from "node:net";
+import { createServer } from "node:net";
+import { availableParallelism, tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { readServerAddress } from "@mangoreach/shared";
+import { request } from "undici";
+import {
+  CONFIG_KEY,
+  HEADER,
+  PATH,
+  TOPIC,
+} from "../../platform/src/wire_names.ts";
+import type { PouringMessage, PouringOrder } from "./pouring_endpoints.ts";
+import type { PouringFormName } from "./pouring_forms.ts";
+import type { ProgramProcess } from "./program_process.ts";
+import { startProgram } from "./program_process.ts";
+import { createSoakConfig } from "./soak_config.ts";
+import { formatResults } from "./stage_results.ts";
+import { startTopicStore } from "./topic_store.ts";
+
+/** Routes whose endpoints may pour. */
+export type PouredRoute = "once" | "chat" | "draft";
+
+/** What callers of one route saw. */
+export interface CallerCounts {
+  sent: number;
+  served: number;
+  /** Those that were answered after the target latency. */
+  late: number;
+  /** Time of the slowest answer, in milliseconds. */
+  slowest: number;
+}
+
+/** What one load did to the entry. */
+export interface LoadReport {
+  isAlive: boolean;
+  /** The most memory that the process has taken so far, in MB. */
+  peakMb: number;
+  /** Processor seconds of the process meanwhile. */
+  processorS: number;
+  /** Answers without end that were begun. */
+  poured: number;
+  ordinary: CallerCounts;
+}
+
+/** One load. */
+export interface PouringLoad {
+  form: PouringFormName;
+  status: number;
+  routes: readonly PouredRoute[];
+  /** Callers of each route. */
+  callers: number;
+  durationMs: number;
+}
+
+/** A running site. */
+export interface PouringSite {
+  readonly program: ProgramProcess;
+  runLoad(load: PouringLoad): Promise<LoadReport>;
+  stop(): void;
+}
+
+/** Options of {@linkcode startPouringSite}. */
+export interface PouringSiteOptions {
+  /** The share of a core that the entry gets. */
+  coreShare?: number;
+  /** How many of a service's endpoints pour, and how many are sound. */
+  pouring?: number;
+  sound?: number;
+}
+
+const POURED_POOLS = ["plain", "chat", "stage"] as const;
+const SOUND_POOLS = ["calm", "engine"];
+const DEADLINE_MS = 6_000;
+/** Of the routes. */
+const TARGET_LATENCY_MS = 1_000;
+const ORDINARY_CALLERS = 5;
+const ORDINARY_GAP_MS = 20;
+const START_MS = 15_000;
+/** Before a failed caller calls again. */
+const RETRY_MS = 20;
+const SOUND_BODY = "id: 1\ndata: x\n\n";
+const REQUEST_ID = new RegExp(`${HEADER.requestId}: (\\S+)`, "i");
+const SHARE_PERIOD_MS = 20;
+const TICKS_PER_SECOND = 100;
+
+/** Starts the site. */
+export async function startPouringSite(
+  { coreShare = 1, pouring = 2, sound = 2 }: PouringSiteOptions = {},
+): Promise<PouringSite> {
+  const store = await startTopicStore();
+  const config = createSoakConfig(1, { isRevoked: false });
+  const routes = config.routes as { name: string }[];
+  const services = config.services as { name: string }[];
+  const calm = routes.find(({ name }) => name === "once")!;
+  store.put(TOPIC.operators, CONFIG_KEY, {
+    ...config,
+    routes: [...routes, {
+      ...calm,
+      name: "calm",
+      pathPrefix: "/calm/",
+      service: "calm",
+    }],
+    services: [
+      // Endpoints without a cold time, as this is not a test of that.
+      ...services.map(({ name, ...service }) => {
+        const { coldS: _cold, coldPerS: _rate, ...rest } = service as Record<
+          string,
+          unknown
+        >;
+        return { name, ...rest };
+      }),
+      { name: "calm", maxConns: 100 },
+    ],
+  });
+  const pourers = fork("soak/src/pouring_endpoints.ts", [
+    String(POURED_POOLS.length * pouring),
+  ], { execArgv: ["--import", "tsx"] });
+  const first = await readMessage(pourers);
+  const addresses = first.kind === "listening" ? [...first.addresses] : [];
+  const servers: Server[] = [];
+  const sockets = new Set<Socket>();
+  let endpointCount = 0;
+
+  function publish(pool: string, address: string): void {
+    store.put(TOPIC.endpoints, `i-${endpointCount++}`, {
+      service: pool,
+      address,
+      zone: "z",
+      state: "ready",
+      born: 1,
+    });
+  }
+
+  for (const pool of POURED_POOLS) {
+    for (let one = 0; one < pouring; one++) publish(pool, addresses.shift()!);
+    for (let one = 0; one < sound; one++) {
+      publish(pool, await startSoundEndpoint({ servers, sockets }));
+    }
+  }
+  for (const pool of SOUND_POOLS) {
+    publish(pool, await startSoundEndpoint({ servers, sockets }));
+    publish(pool, await startSoundEndpoint({ servers, sockets }));
+  }
+  const program = await startProgram({
+    name: "entry-0",
+    store: store.address,
+    folder: mkdtempSync(join(tmpdir(), "mangoreach-pouring-")),
+    // A machine has one core.
+    core: process.pid % availableParallelism(),
+  });
+  const isReady = await program.waitUntilReady(START_MS);
+  if (!isReady) throw new Error(`not ready: ${program.readLog()}`);
+  const stopThrottling = coreShare < 1
+    ? startThrottling(program.child, coreShare)
+    : () => {};
+
+  let requestCount = 0;
+  async function callOnce(
+    route: string,
+  ): Promise<{ isServed: boolean; took: number }> {
+    const id = `p-${requestCount++}`;
+    const sentAt = Date.now();
+    try {
+      const reply = await request(
+        `http://${program.ports.callers}/${route}/${id}`,
+        {
+          method: "POST",
+          body: "question",
+          headers: {
+            host: "soak.example",
+            authorization: "Bearer key-1",
+            [HEADER.requestId]: id,
+            [HEADER.deadline]: String(DEADLINE_MS),
+            [HEADER.pieceCounts]: "1,0",
+            [HEADER.pieceKey]: "abc",
+          },
+          signal: AbortSignal.timeout(DEADLINE_MS + 1_000),
+        },
+      );
+      await reply.body.dump({ limit: Infinity });
+      return { isServed: reply.statusCode === 200, took: Date.now() - sentAt };
+    } catch {
+      return { isServed: false, took: Date.now() - sentAt };
+    }
+  }
+
+  async function runCaller(
+    route: string,
+    { until, gap, counts }: {
+      until: number;
+      gap: number;
+      counts: CallerCounts;
+    },
+  ): Promise<void> {
+    while (Date.now() < until && program.isAlive()) {
+      counts.sent++;
+      const { isServed, took } = await callOnce(route);
+      if (isServed) counts.served++;
+      if (took > TARGET_LATENCY_MS) counts.late++;
+      counts.slowest = Math.max(counts.slowest, took);
+      await sleep(isServed ? gap : Math.max(gap, RETRY_MS));
+    }
+  }
+
+  return {
+    program,
+    async runLoad({ form, status, routes: poured, callers, durationMs }) {
+      await sendOrder(pourers, { form, status });
+      const before = readProcessorS(program.child.pid);
+      const until = Date.now() + durationMs;
+      const others: CallerCounts = { sent: 0, served: 0, late: 0, slowest: 0 };
+      const ordinary: CallerCounts = {
+        sent: 0,
+        served: 0,
+        late: 0,
+        slowest: 0,
+      };
+      const run = (count: number, route: string, counts: CallerCounts) =>
+        Array.from({ length: count }, () =>
+          runCaller(route, {
+            until,
+            gap: counts === ordinary ? ORDINARY_GAP_MS : 0,
+            counts,
+          }));
+      const loads = poured.flatMap((route) => run(callers, route, others));
+      // Pours go on for as long as their callers wait.
+      await Promise.all(run(ORDINARY_CALLERS, "calm", ordinary));
+      const processorS = readProcessorS(program.child.pid) - before;
+      const begun = await sendOrder(pourers, { form, status });
+      const isAlive = program.isAlive();
+      const report = {
+        isAlive,
+        peakMb: Math.round(program.readPeakMemory()),
+        processorS: isAlive ? Math.round(10 * processorS) / 10 : 0,
+        poured: begun,
+        ordinary,
+      };
+      await Promise.all(loads);
+      return { ...report, isAlive: program.isAlive() };
+    },
+    stop() {
+      stopThrottling();
+      program.kill();
+      pourers.kill("SIGKILL");
+      sockets.forEach((socket) => socket.destroy());
+      servers.forEach((server) => server.close());
+      store.close();
+    },
+  };
+}
+
+function readMessage(child: ChildProcess): Promise<PouringMessage> {
+  return new Promise((resolve) => child.once("message", resolve));
+}
+
+/** Returns how many answers were begun by the order before. */
+async function sendOrder(
+  child: ChildProcess,
+  order: PouringOrder,
+): Promise<number> {
+  child.send(order);
+  const message = await readMessage(child);
+  return message.kind === "ordered" ? message.poured : 0;
+}
+
+async function startSoundEndpoint(
+  { servers, sockets }: { servers: Server[]; sockets: Set<Socket> },
+): Promise<string> {
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => {});
+    socket.once("close", () => sockets.delete(socket));
+    socket.once("data", (data) => {
+      const received = String(data);
+      const body = received.startsWith(`POST ${PATH.stageRun}`)
+        ? formatResults(socket, received)
+        : SOUND_BODY;
+      const id = REQUEST_ID.exec(received)?.[1];
+      socket.end(
+        `HTTP/1.1 200 OK\r\n${HEADER.requestId}: ${id}\r\n` +
+          `${HEADER.proof}: proof\r\nContent-Length: ${body.length}\r\n\r\n` +
+          body,
+      );
+    });
+  });
+  servers.push(server);
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  return readServerAddress(server);
+}
+
+/** Returns the processor seconds of a process; 0 once it has ended. */
+function readProcessorS(pid: number | undefined): number {
+  try {
+    const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
+    const [, , ...fields] = stat.slice(stat.lastIndexOf(")")).split(" ");
+    return (Number(fields[10]) + Number(fields[11])) / TICKS_PER_SECOND;
+  } catch {
+    return 0;
+  }
+}
+
+/** Stops a process for a part of each period, as a share of a core would. */
+function startThrottling(child: ChildProcess, share: number): () => void {
+  let isRunning = true;
+  const timer = setInterval(() => {
+    child.kill("SIGSTOP");
+    setTimeout(
+      () => isRunning && child.kill("SIGCONT"),
+      (1 - share) * SHARE_PERIOD_MS,
+    );
+  }, SHARE_PERIOD_MS);
+  return () => {
+    isRunning = false;
+    clearInterval(timer);
+    child.kill("SIGCONT");
+  };
+}
