fix(shared): join the chunks of answers before they are parsed, read long ones in turns

Callers saw requests unserved while an endpoint of another service sent an answer without end in small chunks: the process ended with its heap full, took over 300 MB, or stood still.

Cause: node:http and undici create an object and call back for each chunk, and each layer behind them passes it on. What is limited is the length of the data. mangoreach_answer_costs_total on: 737,472 parts for 4.4 MB received, at 339 MB; a stream 1,209,725 parts for 7.3 MB in 3.4 s of processor. No part came after the end of its answer, so work after the end is not the cause.

- answer_framing.ts follows the framing and joins the chunks of each read into one.
- answer_input.ts stands where the socket fills its buffer, so that node:http, undici and pipes all read through it.
- Bodies are collected in blocks, and held bytes are those of the blocks.
- What exceeds a limit is 'too_large', which counts against the endpoint as failing and not as a crash; it is logged (answer_costly) and counted (mangoreach_answers_limited_total).

--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -14,7 +14,11 @@
   Verdict,
 } from "@mangoreach/coordination";
 import { createFailure, formatEndpointKey } from "@mangoreach/coordination";
-import { createEventBoundary, readLimitedBody } from "@mangoreach/shared";
+import {
+  AnswerLimitError,
+  createEventBoundary,
+  readLimitedBody,
+} from "@mangoreach/shared";
 import type { EventPosition, HttpFault, Millis } from "@mangoreach/shared";
 import type { AnswerEnd, ContentEnd } from "./answer_end.ts";
 import {
@@ -337,11 +341,12 @@
 ): FailedAttempt {
   const isUnsent = sent === "no";
   const isNeutral = deadline.signal.aborted || kind === "withheld";
+  const broken = kind === "too_large" ? "failing" : "broken";
   return {
     kind: "lost",
     verdict: isUnsent ? "not_run" : "may_have_run",
     message,
-    load: isNeutral ? "neutral" : isUnsent ? "unreachable" : "broken",
+    load: isNeutral ? "neutral" : isUnsent ? "unreachable" : broken,
     isUnsent,
   };
 }
@@ -493,13 +498,17 @@
   }
   // A broken stream must not look complete to the caller; the cause lies with
   // the endpoint.
+  const isEndless = length > MAX_ANSWER_BYTES ||
+    body.errored instanceof AnswerLimitError;
   if (!response.isStarted) {
-    return classifyCut(
-      "the stream broke off before its first event",
-      deadline,
-    );
+    return classifyFault({
+      kind: isEndless ? "too_large" : "cut",
+      sent: "maybe",
+      message: "the stream broke off before its first event",
+    }, deadline);
   }
   response.endStream("cut");
-  const load = deadline.signal.aborted ? "neutral" : "broken";
+  const broken = isEndless ? "failing" : "broken";
+  const load = deadline.signal.aborted ? "neutral" : broken;
   return { kind: "answered", status, end: "cut", position, load };
 }
--- a/packages/serving/src/serving_entry.ts
+++ b/packages/serving/src/serving_entry.ts
@@ -144,9 +144,9 @@
   const shutdown = createSharedController();
   const metrics = createServingMetrics(settings.entry);
   if (options.errors) metrics.setErrorCounts(options.errors.counts);
-  const { malformedAnswers, answerCosts } = options;
+  const { malformedAnswers, answerMeter } = options;
   if (malformedAnswers) metrics.setMalformedCounts(malformedAnswers);
-  if (answerCosts) metrics.setAnswerCosts(answerCosts);
+  if (answerMeter) metrics.setAnswerMeter(answerMeter);
   const log = createDecisionLog({
     clock,
     logger,
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { AccountUse } from "@mangoreach/coordination";
-import type { Millis } from "@mangoreach/shared";
+import type { AnswerMeter, Millis } from "@mangoreach/shared";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { StopOutcome } from "./stop_window.ts";
 
@@ -43,7 +43,7 @@
   /** Sets the source of counts of unexpected errors, read when collected. */
   setErrorCounts(counts: ReadonlyMap<string, number>): void;
   /** Sets the source of the costs of answers, read when collected. */
-  setAnswerCosts(counts: ReadonlyMap<string, number>): void;
+  setAnswerMeter(meter: Pick<AnswerMeter, "totals" | "exceeded">): void;
   /** Sets the source of counts of malformed answers, read when collected. */
   setMalformedCounts(counts: ReadonlyMap<string, number>): void;
   /** Sets the source of the bytes of answers held, read when collected. */
@@ -221,9 +221,14 @@
 
   const setAnswerCosts = addSourceCounter({
     name: "mangoreach_answer_costs_total",
-    help: "What endpoints' answers cost: bytes with framing, parts of bodies",
+    help: "What answers to this process cost: bytes, framing, reads",
     label: "cost",
   });
+  const setExceededCounts = addSourceCounter({
+    name: "mangoreach_answers_limited_total",
+    help: "Answers given up as they cost too much, by limit",
+    label: "limit",
+  });
 
   let readHeldBytes = () => 0;
   new Gauge({
@@ -295,7 +300,10 @@
     countUndecodable: (topic) => undecodable.inc({ topic }),
     setErrorCounts,
     setMalformedCounts,
-    setAnswerCosts,
+    setAnswerMeter({ totals, exceeded }) {
+      setAnswerCosts(totals);
+      setExceededCounts(exceeded);
+    },
     setHeldBytes: (readBytes) => readHeldBytes = readBytes,
     setAccountUse: (list) => listUse = list,
   };
--- a/packages/serving/src/serving_options.ts
+++ b/packages/serving/src/serving_options.ts
@@ -110,7 +110,7 @@
   /** Malformed answers by their source, for the metrics. */
   malformedAnswers?: AnswerRecorder["counts"] | undefined;
   /** What answers cost, for the metrics. */
-  answerCosts?: AnswerMeter["totals"] | undefined;
+  answerMeter?: AnswerMeter | undefined;
   /** An address that is not available is an error if left out. */
   listenFaults?: ListenFaults | undefined;
   random: () => number;
--- a/packages/shared/src/answer_fault.ts
+++ b/packages/shared/src/answer_fault.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { AnswerLimitError } from "./answers/answer_input.ts";
 import type { HttpFault } from "./http_client.ts";
 
 /** Begins the codes of node:http, which undici does not always set. */
@@ -32,5 +33,8 @@
   }
   const message = error instanceof Error ? error.message : String(error);
   if (isParseError(error)) return createMalformedFault(message);
+  if (error instanceof AnswerLimitError) {
+    return { kind: "too_large", sent: "maybe", message };
+  }
   return { kind: "cut", sent: "maybe", message };
 }
--- a/packages/shared/src/answer_meter.ts
+++ b/packages/shared/src/answer_meter.ts
@@ -1,27 +1,28 @@
 /**
- * Counts what answers cost: the bytes received, and the parts of bodies that the
- * HTTP parser passes on, each of which is an object and a pass through all
- * layers.
+ * Counts what answers cost and which of them exceed a limit.
  *
  * @module
  */
+import type { AnswerLimit } from "./answers/answer_framing.ts";
 import type { Clock, Millis } from "./clock.ts";
 import { createLineLimiter } from "./line_limiter.ts";
 import type { Logger } from "./logger.ts";
 
 /** What is counted. */
 export type AnswerCost =
-  /** Bytes received, with their framing. */
+  /** Bytes received. */
   | "bytes"
-  /** Parts of bodies. */
-  | "parts"
-  /** Parts after the end of their answer. */
-  | "late_parts";
+  /** Those of them that are no data of a body. */
+  | "framing"
+  /** Reads, each of which passes through all layers. */
+  | "reads";
 
 /** Counts the cost of one answer. */
 export interface AnswerCosts {
   add(cost: AnswerCost, count: number): void;
-  /** Logs an answer that cost more than its bytes. */
+  /** Records that the answer is given up at a limit. */
+  exceed(limit: AnswerLimit): void;
+  /** Logs an answer that cost more than its data. */
   close(): void;
 }
 
@@ -29,37 +30,53 @@
 export interface AnswerMeter {
   /** Costs so far. */
   readonly totals: ReadonlyMap<AnswerCost, number>;
+  /** Answers so far that were given up at each limit. */
+  readonly exceeded: ReadonlyMap<AnswerLimit, number>;
   /** Opens the account of an answer from `ip:port`. */
   open(address: string): AnswerCosts;
 }
 
-/** Answers of more parts are logged. */
-const MANY_PARTS = 4_096;
+/** Answers of more reads or framing are logged. */
+const MANY_READS = 4_096;
+const MUCH_FRAMING = 1_048_576;
 
 /** Creates the meter of one process. */
 export function createAnswerMeter(
   { clock, logger }: { clock: Clock; logger: Logger },
 ): AnswerMeter {
   const totals = new Map<AnswerCost, number>();
+  const exceeded = new Map<AnswerLimit, number>();
   const lines = createLineLimiter<"costly">(clock);
 
   function open(address: string): AnswerCosts {
     const startedAt: Millis = clock.now();
-    const own = { bytes: 0, parts: 0, late_parts: 0 };
+    const own = { bytes: 0, framing: 0, reads: 0 };
+    let limit: AnswerLimit | undefined;
+
+    function isCostly(): boolean {
+      return limit !== undefined || own.reads > MANY_READS ||
+        own.framing > MUCH_FRAMING;
+    }
+
     return {
       add(cost, count) {
         own[cost] += count;
-        totals.set(cost, (totals.get(cost) ?? 0) + count);
+      },
+      exceed(kind) {
+        limit = kind;
+        exceeded.set(kind, (exceeded.get(kind) ?? 0) + 1);
       },
       close() {
-        if (own.parts + own.late_parts < MANY_PARTS) return;
-        const count = lines.record("costly");
+        for (const cost of ["bytes", "framing", "reads"] as const) {
+          totals.set(cost, (totals.get(cost) ?? 0) + own[cost]);
+        }
+        const count = isCostly() ? lines.record("costly") : undefined;
         if (count === undefined) return;
         const took = Math.round(clock.now() - startedAt);
-        logger.warn("answer_costly", { count, address, took, ...own });
+        logger.warn("answer_costly", { count, address, took, ...own, limit });
       },
     };
   }
 
-  return { totals, open };
+  return { totals, exceeded, open };
 }
--- /dev/null
+++ b/packages/shared/src/answers/answer_input_test.ts
@@ -0,0 +1,128 @@
+import { Buffer } from "node:buffer";
+import type { AddressInfo, Server, Socket } from "node:net";
+import { createServer } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "chai";
+import { createHttpClient, readLimitedBody } from "../http_client.ts";
+import { createSystemClock } from "../clock.ts";
+import { createAnswerMeter } from "../answer_meter.ts";
+import { createSilentLogger } from "../logger.ts";
+
+const BODY_BYTES = 1_500_000;
+const LIMIT = 8_388_608;
+const CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const HEADS = {
+  length: `HTTP/1.1 200 OK\r\nContent-Length: ${BODY_BYTES}\r\n\r\n`,
+  connection: "HTTP/1.1 200 OK\r\n\r\n",
+};
+
+function createBody(): Buffer {
+  return Buffer.from(
+    Array.from({ length: BODY_BYTES }, (_, index) => index * 7 % 251),
+  );
+}
+
+function formatChunks(body: Buffer, size: number): Buffer {
+  const parts: Buffer[] = [];
+  for (let at = 0; at < body.length; at += size) {
+    const data = body.subarray(at, at + size);
+    parts.push(Buffer.from(`${data.length.toString(16)}\r\n`));
+    parts.push(data, Buffer.from("\r\n"));
+  }
+  return Buffer.concat([...parts, Buffer.from("0\r\n\r\n")]);
+}
+
+/** Guards against answers that are read slower than they are sent, or faster. */
+describe("the input of answers", function () {
+  this.timeout(20_000);
+  const body = createBody();
+  const meter = createAnswerMeter({
+    clock: createSystemClock(),
+    logger: createSilentLogger(),
+  });
+  let server: Server;
+  let address = "";
+  let write: (socket: Socket) => void = () => {};
+
+  before(async () => {
+    server = createServer((socket) => {
+      socket.on("error", () => {});
+      socket.on("data", () => write(socket));
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", () => resolve())
+    );
+    address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  });
+
+  after(() => server.close());
+
+  for (const connections of ["single", "kept"] as const) {
+    const client = createHttpClient({ connections, meter });
+    after(() => client.close());
+
+    async function openStream() {
+      const reply = await client.callStream({
+        method: "GET",
+        address,
+        path: "/",
+      });
+      if (reply.isErr) throw new Error(reply.error.message);
+      return reply.value.body;
+    }
+
+    for (
+      const [name, text] of Object.entries({
+        "with a length": () => [HEADS.length, body],
+        "that its connection ends": () => [HEADS.connection, body],
+        "in chunks of one byte": () => [CHUNKED, formatChunks(body, 1)],
+        "in chunks of 15 bytes": () => [CHUNKED, formatChunks(body, 15)],
+        "in large chunks": () => [CHUNKED, formatChunks(body, 100_000)],
+      })
+    ) {
+      it(`passes on an answer ${name}, ${connections}`, async () => {
+        write = (socket) => {
+          for (const part of text()) socket.write(part);
+          if (name.includes("ends")) socket.end();
+        };
+        const read = await readLimitedBody(await openStream(), {
+          limit: LIMIT,
+        });
+        if (read.isErr) throw new Error(read.error.fault);
+        expect(read.value.bytes.equals(body)).to.equal(true);
+      });
+
+      it(`goes on after pauses of its reader: ${name}, ${connections}`, async () => {
+        write = (socket) => {
+          for (const part of text()) socket.write(part);
+          if (name.includes("ends")) socket.end();
+        };
+        const stream = await openStream();
+        const parts: Buffer[] = [];
+        let count = 0;
+        for await (const part of stream as AsyncIterable<Buffer>) {
+          parts.push(part);
+          if (++count % 10 === 0) await sleep(5);
+        }
+        expect(Buffer.concat(parts).equals(body)).to.equal(true);
+      });
+    }
+
+    it(`gives up what costs more than any answer, ${connections}`, async () => {
+      const block = formatChunks(Buffer.alloc(20_000, "x"), 1).subarray(0, -5);
+      write = (socket) => {
+        socket.write(CHUNKED);
+        const writeNext = () => {
+          if (socket.destroyed) return;
+          if (socket.write(block)) setImmediate(writeNext);
+          else socket.once("drain", writeNext);
+        };
+        writeNext();
+      };
+      const limited = meter.exceeded.get("framing") ?? 0;
+      const read = await readLimitedBody(await openStream(), { limit: LIMIT });
+      expect(read.isErr && read.error.fault).to.equal("too_large");
+      expect(meter.exceeded.get("framing")).to.equal(limited + 1);
+    });
+  }
+});
--- a/packages/shared/src/http_client.ts
+++ b/packages/shared/src/http_client.ts
@@ -5,7 +5,6 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
-import { Buffer as NodeBuffer } from "node:buffer";
 import type { Readable } from "node:stream";
 import { Readable as NodeReadable } from "node:stream";
 import { Result } from "true-myth";
@@ -20,6 +19,8 @@
 import { openConnection } from "./connection.ts";
 import type { HeldBytes } from "./held_bytes.ts";
 import { parseBoundedJson } from "./bounded_json.ts";
+import { createBodyCollector } from "./connections/body_collector.ts";
+import { AnswerLimitError } from "./answers/answer_input.ts";
 import { createPersistentConnections } from "./persistent_connections.ts";
 import { sendSingleUseCall } from "./single_use_call.ts";
 import { TIMED_OUT } from "./timeout.ts";
@@ -117,7 +118,7 @@
   heldBytes: HeldBytes;
   /** Called for each answer whose head is malformed. */
   onMalformed: ((answer: MalformedAnswer) => void) | undefined;
-  /** Counts what answers on connections for a single call cost. */
+  /** Counts what answers cost. */
   meter: AnswerMeter | undefined;
 }
 
@@ -156,6 +157,7 @@
     keepAlive: KEEP_ALIVE,
     connectTimeout: connectTimeoutMs,
     ...(connect === undefined ? {} : { connect }),
+    meter,
   });
 
   async function callStream(
@@ -251,7 +253,7 @@
 export type BodyFault =
   /** It was truncated, or this side gave it up. */
   | "cut"
-  /** It is larger than allowed, or this process holds too much. */
+  /** It costs more than allowed, or this process holds too much. */
   | "too_large"
   /** It trickles and may have no end. */
   | "trickling";
@@ -289,21 +291,22 @@
   { limit, heldBytes, clock }: BodyOptions,
 ): Promise<Result<LimitedBody, { fault: BodyFault; error?: Error }>> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const collector = createBodyCollector();
     let length = 0;
+    let pieces = 0;
     let hasEnded = false;
     const startedAt = clock?.now() ?? 0;
     const part = heldBytes?.open(() => fail("too_large"));
 
     function fail(fault: BodyFault, error?: Error): void {
       part?.release();
-      chunks.length = 0;
+      collector.clear();
       resolve(Result.err({ fault, ...(error === undefined ? {} : { error }) }));
       body.destroy();
     }
 
     function isTrickling(): boolean {
-      if (clock === undefined || chunks.length <= MAX_PIECES) return false;
+      if (clock === undefined || pieces <= MAX_PIECES) return false;
       const elapsed = clock.now() - startedAt;
       return elapsed > TRICKLE_TIME && 1_000 * length / elapsed < MIN_BODY_RATE;
     }
@@ -312,19 +315,21 @@
       if (body.destroyed) return;
       length += chunk.length;
       if (length > limit) return fail("too_large");
-      chunks.push(chunk);
-      part?.add(chunk.length);
+      pieces++;
+      const taken = collector.add(chunk);
+      if (taken > 0) part?.add(taken);
       if (isTrickling()) fail("trickling");
     });
     body.once("end", () => {
       hasEnded = true;
       part?.keep();
-      const bytes = chunks.length === 1
-        ? chunks[0]!
-        : NodeBuffer.concat(chunks);
+      const bytes = collector.join();
+      collector.clear();
       resolve(Result.ok({ bytes, release: () => part?.release() }));
     });
-    body.on("error", (error) => fail("cut", error));
+    body.on("error", (error) => {
+      fail(error instanceof AnswerLimitError ? "too_large" : "cut", error);
+    });
     // Destroyed before its end, possibly before this call.
     const onClose = () => {
       if (!hasEnded) fail("cut", new Error("the body was cut"));
--- a/packages/shared/src/persistent_connections.ts
+++ b/packages/shared/src/persistent_connections.ts
@@ -9,8 +9,10 @@
  *
  * @module
  */
-import type { buildConnector } from "undici";
-import { Pool } from "undici";
+import { buildConnector, Pool } from "undici";
+import type { AnswerMeter } from "./answer_meter.ts";
+import { createAnswerFraming } from "./answers/answer_framing.ts";
+import { openMeteredInput } from "./answers/answer_input.ts";
 import type { Millis } from "./clock.ts";
 import type { Connect, ConnectFailure } from "./connection.ts";
 import { isRelayed } from "./connection.ts";
@@ -36,6 +38,8 @@
   connectTimeout: Millis;
   /** Opens connections; undici's own ones if left out. */
   connect?: Connect;
+  /** Counts what answers cost; not counted if left out. */
+  meter?: AnswerMeter | undefined;
 }
 
 /** Adapts a function that opens connections to undici. */
@@ -75,10 +79,28 @@
 
 /** Creates an empty set of connection pools. */
 export function createPersistentConnections(
-  { keepAlive, maxKeepAlive, connectTimeout, connect }:
+  { keepAlive, maxKeepAlive, connectTimeout, connect, meter }:
     PersistentConnectionsOptions,
 ): PersistentConnections {
   const pools = new Map<string, Pool>();
+  const connectDirectly = buildConnector({ timeout: connectTimeout });
+
+  /** Answers on the connections are read through an input. */
+  function addInput(
+    address: string,
+    open: buildConnector.connector,
+  ): buildConnector.connector {
+    return (options, callback) =>
+      open(options, (error, socket) => {
+        if (error !== null) return callback(error, null);
+        openMeteredInput(socket, {
+          address,
+          framing: createAnswerFraming({ method: "GET", isSingle: false }),
+          meter,
+        });
+        callback(null, socket);
+      });
+  }
 
   function getPool(address: string): Pool {
     const present = pools.get(address);
@@ -89,16 +111,16 @@
       ...(maxKeepAlive === undefined
         ? {}
         : { keepAliveMaxTimeout: maxKeepAlive }),
-      connectTimeout,
-      ...(connect === undefined ? {} : {
-        connect: createConnector(connect, {
+      connect: addInput(
+        address,
+        connect === undefined ? connectDirectly : createConnector(connect, {
           address,
           connectTimeout,
           // The relay does not see calls, and may have been asked for a pause
           // before the next one. Calls that wait are completed.
           onRelayed: () => dropPool(address, pool),
         }),
-      }),
+      ),
       // Deadlines are enforced by abort signals, which also cover phases that
       // undici's own timeouts do not.
       headersTimeout: 0,
--- a/packages/shared/src/single_use_call.ts
+++ b/packages/shared/src/single_use_call.ts
@@ -24,6 +24,8 @@
   HttpStreamReply,
 } from "./http_client.ts";
 import type { AnswerMeter } from "./answer_meter.ts";
+import { createAnswerFraming } from "./answers/answer_framing.ts";
+import { openMeteredInput } from "./answers/answer_input.ts";
 import { watchHead } from "./head_guard.ts";
 import { endWithBody } from "./message_body.ts";
 
@@ -68,11 +70,7 @@
       message: "not sent after the connection was open",
     });
   }
-  const socket = connection.value;
-  const response = sendOnConnection(call, watchSocket(socket), (message) => {
-    if (meter !== undefined) countCosts(meter, { address, socket, message });
-  });
-  return await response;
+  return await sendOnConnection(call, watchSocket(connection.value), meter);
 }
 
 function classifyConnectFault({ failure, message }: ConnectFault): HttpFault {
@@ -87,13 +85,20 @@
 function sendOnConnection(
   call: HttpCall,
   watched: WatchedSocket,
-  onResponse: (response: IncomingMessage) => void,
+  meter: AnswerMeter | undefined,
 ): Promise<Result<HttpStreamReply, HttpFault>> {
   return new Promise((resolve) => {
     const { signal } = call;
     let request: ClientRequest | undefined;
     let body: NodeReadable | undefined;
     let stopWatching = () => {};
+    openMeteredInput(watched.socket, {
+      address: call.address,
+      framing: createAnswerFraming({ method: call.method, isSingle: true }),
+      meter,
+      // The error of the socket would reach neither of them.
+      onExceeded: (error) => (body ?? request)?.destroy(error),
+    });
 
     function settleFault(fault: HttpFault): void {
       finish();
@@ -131,7 +136,6 @@
       });
       request.once("response", (response: IncomingMessage) => {
         stopWatching();
-        onResponse(response);
         const status = response.statusCode ?? 0;
         const headers = listHeaders(response.rawHeaders);
         const head = readAnswerHead({
@@ -192,31 +196,6 @@
   return watched;
 }
 
-/** Counts what an answer costs until its connection has closed. */
-function countCosts(
-  meter: AnswerMeter,
-  { address, socket, message }: {
-    address: string;
-    socket: Socket;
-    message: IncomingMessage;
-  },
-): void {
-  const costs = meter.open(address);
-  const push = message.push.bind(message);
-  // The parser passes each part of the body on by this function.
-  message.push = (chunk, encoding) => {
-    if (chunk !== null) {
-      const isLate = message.destroyed || socket.destroyed;
-      costs.add(isLate ? "late_parts" : "parts", 1);
-    }
-    return push(chunk, encoding);
-  };
-  socket.once("close", () => {
-    costs.add("bytes", socket.bytesRead);
-    costs.close();
-  });
-}
-
 /** Creates alternating names and values, which node:http sends unchanged. */
 function createHeaders(
   { method, address, headers = [], createLateHeaders, body }: HttpCall,
