--- a/packages/shared/src/answers/answer_input.ts
+++ b/packages/shared/src/answers/answer_input.ts
@@ -76,7 +76,7 @@
     if (isLong) answerTurns.spend(performance.now() - startedAt);
     turnCost += Math.max(part.length, READ_COST);
     if (turnCost < TURN_BYTES) return isWritable;
-    rest();
+    waitTurn();
     return false;
   }
 
@@ -93,7 +93,7 @@
   }
 
   /** The socket reads no more once this has been called from a push. */
-  function rest(): void {
+  function waitTurn(): void {
     turnCost = 0;
     isLong = true;
     isResting = true;
--- a/packages/shared/src/answers/answer_input_test.ts
+++ b/packages/shared/src/answers/answer_input_test.ts
@@ -1,8 +1,10 @@
 import { Buffer } from "node:buffer";
 import type { AddressInfo, Server, Socket } from "node:net";
 import { createServer } from "node:net";
+import type { Readable } from "node:stream";
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
+import type { HttpClient } from "../http_client.ts";
 import { createHttpClient, readLimitedBody } from "../http_client.ts";
 import { createSystemClock } from "../clock.ts";
 import { createAnswerMeter } from "../answer_meter.ts";
@@ -57,20 +59,20 @@
 
   after(() => server.close());
 
+  async function openStream(client: HttpClient): Promise<Readable> {
+    const reply = await client.callStream({
+      method: "GET",
+      address,
+      path: "/",
+    });
+    if (reply.isErr) throw new Error(reply.error.message);
+    return reply.value.body;
+  }
+
   for (const connections of ["single", "kept"] as const) {
     const client = createHttpClient({ connections, meter });
     after(() => client.close());
 
-    async function openStream() {
-      const reply = await client.callStream({
-        method: "GET",
-        address,
-        path: "/",
-      });
-      if (reply.isErr) throw new Error(reply.error.message);
-      return reply.value.body;
-    }
-
     for (
       const [name, text] of Object.entries({
         "with a length": () => [HEADS.length, body],
@@ -85,7 +87,7 @@
           for (const part of text()) socket.write(part);
           if (name.includes("ends")) socket.end();
         };
-        const read = await readLimitedBody(await openStream(), {
+        const read = await readLimitedBody(await openStream(client), {
           limit: LIMIT,
         });
         if (read.isErr) throw new Error(read.error.fault);
@@ -97,7 +99,7 @@
           for (const part of text()) socket.write(part);
           if (name.includes("ends")) socket.end();
         };
-        const stream = await openStream();
+        const stream = await openStream(client);
         const parts: Buffer[] = [];
         let count = 0;
         for await (const part of stream as AsyncIterable<Buffer>) {
@@ -120,7 +122,9 @@
         writeNext();
       };
       const limited = meter.exceeded.get("framing") ?? 0;
-      const read = await readLimitedBody(await openStream(), { limit: LIMIT });
+      const read = await readLimitedBody(await openStream(client), {
+        limit: LIMIT,
+      });
       expect(read.isErr && read.error.fault).to.equal("too_large");
       expect(meter.exceeded.get("framing")).to.equal(limited + 1);
     });
