test(soak): a share of a core by a process of its own; late is what the entry delays

At a load of 20 the timers that stopped and continued the entry were late, so that it got a quarter of a core instead of 0.675, and its first requests took over a second with sound endpoints only as well (6 of 17 late in one run without any pouring endpoint). So the share is given by its own process, time in which others used the core does not count, and code is warm before the load.

--- a/soak/src/pouring_site.ts
+++ b/soak/src/pouring_site.ts
@@ -37,7 +37,7 @@
 export interface CallerCounts {
   sent: number;
   served: number;
-  /** Those that were answered after the target latency. */
+  /** Answered after the target latency, without waits for the core. */
   late: number;
   /** Time of the slowest answer, in milliseconds. */
   slowest: number;
@@ -87,13 +87,14 @@
 /** Of the routes. */
 const TARGET_LATENCY_MS = 1_000;
 const ORDINARY_CALLERS = 5;
+const WARM_UP_CALLS = 10;
 const ORDINARY_GAP_MS = 20;
 const START_MS = 15_000;
 /** Before a failed caller calls again. */
 const RETRY_MS = 20;
 const SOUND_BODY = "id: 1\ndata: x\n\n";
 const REQUEST_ID = new RegExp(`${HEADER.requestId}: (\\S+)`, "i");
-const SHARE_PERIOD_MS = 20;
+const NANOS_PER_MILLI = 1_000_000;
 const TICKS_PER_SECOND = 100;
 
 /** Starts the site. */
@@ -163,16 +164,20 @@
   });
   const isReady = await program.waitUntilReady(START_MS);
   if (!isReady) throw new Error(`not ready: ${program.readLog()}`);
-  const stopThrottling = coreShare < 1
-    ? startThrottling(program.child, coreShare)
-    : () => {};
+  const throttle = coreShare < 1
+    ? fork("soak/src/core_share.cjs", [
+      String(program.child.pid),
+      String(coreShare),
+    ])
+    : undefined;
 
   let requestCount = 0;
   async function callOnce(
     route: string,
   ): Promise<{ isServed: boolean; took: number }> {
     const id = `p-${requestCount++}`;
-    const sentAt = Date.now();
+    const sentAt = Date.now() - readWaited(program.child.pid);
+    const readTook = () => Date.now() - readWaited(program.child.pid) - sentAt;
     try {
       const reply = await request(
         `http://${program.ports.callers}/${route}/${id}`,
@@ -191,9 +196,9 @@
         },
       );
       await reply.body.dump({ limit: Infinity });
-      return { isServed: reply.statusCode === 200, took: Date.now() - sentAt };
+      return { isServed: reply.statusCode === 200, took: readTook() };
     } catch {
-      return { isServed: false, took: Date.now() - sentAt };
+      return { isServed: false, took: readTook() };
     }
   }
 
@@ -210,11 +215,16 @@
       const { isServed, took } = await callOnce(route);
       if (isServed) counts.served++;
       if (took > TARGET_LATENCY_MS) counts.late++;
-      counts.slowest = Math.max(counts.slowest, took);
+      counts.slowest = Math.max(counts.slowest, Math.round(took));
       await sleep(isServed ? gap : Math.max(gap, RETRY_MS));
     }
   }
 
+  // Code that has not run yet takes several times as long.
+  await Promise.all(Array.from({ length: ORDINARY_CALLERS }, async () => {
+    for (let call = 0; call < WARM_UP_CALLS; call++) await callOnce("calm");
+  }));
+
   return {
     program,
     async runLoad({ form, status, routes: poured, callers, durationMs }) {
@@ -252,7 +262,7 @@
       return { ...report, isAlive: program.isAlive() };
     },
     stop() {
-      stopThrottling();
+      throttle?.disconnect();
       program.kill();
       pourers.kill("SIGKILL");
       sockets.forEach((socket) => socket.destroy());
@@ -303,6 +313,21 @@
   return readServerAddress(server);
 }
 
+/**
+ * Returns how long a process has waited for its core while others used it, in
+ * milliseconds; such time is none of its own.
+ */
+function readWaited(pid: number | undefined): number {
+  try {
+    const [, waited] = readFileSync(`/proc/${pid}/schedstat`, "utf8").split(
+      " ",
+    );
+    return Number(waited) / NANOS_PER_MILLI;
+  } catch {
+    return 0;
+  }
+}
+
 /** Returns the processor seconds of a process; 0 once it has ended. */
 function readProcessorS(pid: number | undefined): number {
   try {
@@ -313,20 +338,3 @@
     return 0;
   }
 }
-
-/** Stops a process for a part of each period, as a share of a core would. */
-function startThrottling(child: ChildProcess, share: number): () => void {
-  let isRunning = true;
-  const timer = setInterval(() => {
-    child.kill("SIGSTOP");
-    setTimeout(
-      () => isRunning && child.kill("SIGCONT"),
-      (1 - share) * SHARE_PERIOD_MS,
-    );
-  }, SHARE_PERIOD_MS);
-  return () => {
-    isRunning = false;
-    clearInterval(timer);
-    child.kill("SIGCONT");
-  };
-}
