fix(peers): give up answers to upgrades that have no end

An address that should be a peer's could answer an upgrade with provisional answers or empty lines without end. Callers saw 'no reply in time', a tunnel was 'silent', and a connection whose calls had all been abandoned stayed open: the process read from it for as long as the address sent.

Cause: node:http has no limit for either, and the timer of an idle connection starts again with each read.

The upgrade is read through an answer input with a framing, which is detached before the socket is handed on. A tunnel whose peer answers so is 'unavailable'.

--- /dev/null
+++ b/packages/peers/src/endless_upgrade_test.ts
@@ -0,0 +1,138 @@
+import type { AddressInfo, Server, Socket } from "node:net";
+import { createServer } from "node:net";
+import { createSystemClock, openConnection } from "@mangoreach/shared";
+import { expect } from "chai";
+import type { OutgoingCall } from "./peer_connection.ts";
+import { openPeerConnection } from "./peer_connection.ts";
+import { openTunnel } from "./tunnel.ts";
+
+/** Longer than any of the answers takes to exceed its limit. */
+const TIMEOUT = 4_000;
+/** More than a limit permits and the kernel buffers. */
+const MAX_POURED_BYTES = 33_554_432;
+const CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const CHUNKS = "1\r\nx\r\n".repeat(10_000);
+
+/** What is written once, and then again and again. */
+interface Pour {
+  head: string;
+  block: string | Uint8Array;
+}
+
+const UPGRADE_POURS: Readonly<Record<string, Pour>> = {
+  "provisional answers": {
+    head: "",
+    block: "HTTP/1.1 100 Continue\r\n\r\n".repeat(2_000),
+  },
+  "empty lines": { head: "", block: "\r\n".repeat(20_000) },
+  "header lines": { head: "HTTP/1.1 101 X\r\n", block: "a: b\r\n".repeat(900) },
+  "a header line": { head: "HTTP/1.1 101 X\r\na: ", block: "b".repeat(9_000) },
+  "an answer in chunks of one byte": { head: CHUNKED, block: CHUNKS },
+};
+
+/**
+ * Guards against an address that should be a peer's and keeps the process at work
+ * by an answer without end.
+ */
+describe("answers without end of what should be a peer", function () {
+  this.timeout(20_000);
+  const clock = createSystemClock();
+  let server: Server;
+  let address = "";
+  let poured = 0;
+  let pour: Pour = { head: "", block: "" };
+  const sockets = new Set<Socket>();
+
+  before(async () => {
+    server = createServer((socket) => {
+      sockets.add(socket);
+      socket.on("error", () => {});
+      socket.once("close", () => sockets.delete(socket));
+      socket.once("data", () => writePour(socket));
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", () => resolve())
+    );
+    address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  });
+
+  beforeEach(() => poured = 0);
+
+  afterEach(() => sockets.forEach((socket) => socket.destroy()));
+
+  after(() => server.close());
+
+  function writePour(socket: Socket): void {
+    const { head, block } = pour;
+    socket.write(head);
+    const writeNext = () => {
+      if (socket.destroyed) return;
+      poured += block.length;
+      if (socket.write(block)) setImmediate(writeNext);
+      else socket.once("drain", writeNext);
+    };
+    writeNext();
+  }
+
+  async function waitUntilClosed(): Promise<void> {
+    for (let tries = 0; sockets.size > 0; tries++) {
+      if (tries > TIMEOUT / 10) throw new Error("still open");
+      await clock.sleep(10);
+    }
+    expect(poured).to.be.below(MAX_POURED_BYTES);
+  }
+
+  function open() {
+    return openPeerConnection({
+      clock,
+      address,
+      siteKey: "",
+      connectTimeout: TIMEOUT,
+      idleTimeout: TIMEOUT,
+      onRefused: () => {},
+      onClosed: () => {},
+    });
+  }
+
+  function createCall(outcomes: string[]): OutgoingCall {
+    return {
+      type: "query",
+      path: "ping",
+      input: undefined,
+      onReply: () => outcomes.push("reply"),
+      onFailed: (message) => outcomes.push(message),
+      onRefused: () => outcomes.push("refused"),
+      onBytes: () => {},
+    };
+  }
+
+  for (const [name, one] of Object.entries(UPGRADE_POURS)) {
+    // No call is left to time out.
+    it(`closes a connection whose calls were abandoned: ${name}`, async () => {
+      pour = one;
+      open().call(createCall([]))();
+      while (poured === 0) await clock.sleep(5);
+      await waitUntilClosed();
+    });
+
+    it(`fails a call before it times out: ${name}`, async () => {
+      pour = one;
+      const outcomes: string[] = [];
+      open().call(createCall(outcomes));
+      while (outcomes.length === 0) await clock.sleep(5);
+      expect(outcomes).to.have.length(1);
+      await waitUntilClosed();
+    });
+
+    it(`opens no tunnel: ${name}`, async () => {
+      pour = one;
+      const tunnel = await openTunnel({ id: "i-1", address: "127.0.0.1:1" }, {
+        peer: address,
+        connect: openConnection,
+        timeout: TIMEOUT,
+      });
+      expect(tunnel.isErr && tunnel.error).to.equal("unavailable");
+      await waitUntilClosed();
+    });
+  }
+});
--- a/packages/peers/src/peer_connection.ts
+++ b/packages/peers/src/peer_connection.ts
@@ -5,14 +5,19 @@
  * @module
  */
 import { request as sendHttpRequest } from "node:http";
-import type { Clock, Millis } from "@mangoreach/shared";
+import type {
+  AnswerInput,
+  AnswerMeter,
+  Clock,
+  Millis,
+} from "@mangoreach/shared";
 import { parseAddress } from "@mangoreach/shared";
 import type { FrameChannel } from "./frame_channel.ts";
 import { closeIdleSocket, openFrameChannel } from "./frame_channel.ts";
 import type { CallFrame } from "./peer_frames.ts";
 import { decodeReplyFrame, UPGRADE_PROTOCOL } from "./peer_frames.ts";
 import { PEER_PATH } from "./peer_path.ts";
-import { isSwitchTo } from "./upgrade_answer.ts";
+import { isSwitchTo, openUpgradeInput } from "./upgrade_answer.ts";
 
 /** Options of {@linkcode openPeerConnection}. */
 export interface PeerConnectionOptions {
@@ -22,6 +27,8 @@
   siteKey: string;
   connectTimeout: Millis;
   idleTimeout: Millis;
+  /** Counts what answers cost; not counted if left out. */
+  meter?: AnswerMeter | undefined;
   /** The peer is of a build that supports only HTTP. */
   onRefused: () => void;
   onClosed: () => void;
@@ -63,7 +70,8 @@
 export function openPeerConnection(
   options: PeerConnectionOptions,
 ): PeerConnection {
-  const { clock, address, siteKey, idleTimeout, onRefused, onClosed } = options;
+  const { clock, address, siteKey, idleTimeout, meter } = options;
+  const { onRefused, onClosed } = options;
   const calls = new Map<number, OutgoingCall>();
   let channel: FrameChannel | undefined;
   let nextId = 0;
@@ -94,8 +102,14 @@
     });
     // A peer that is short of processor time accepts the connection in time,
     // but may answer the upgrade late; the time-outs of the calls apply then.
+    let input: AnswerInput | undefined;
     upgrade.once("socket", (socket) => {
       socket.once("connect", stopTimer);
+      input = openUpgradeInput(socket, {
+        address,
+        meter,
+        onExceeded: (error) => end(error.message),
+      });
       // No call is left to time out if all of them were abandoned.
       closeIdleSocket(socket, { idleTimeout, isBusy });
     });
@@ -107,6 +121,7 @@
       refused.forEach((call) => call.onRefused());
     });
     upgrade.once("upgrade", (response, socket, head) => {
+      input?.detach();
       if (isEnded) return void socket.destroy();
       if (!isSwitchTo(response, UPGRADE_PROTOCOL)) {
         socket.destroy();
--- a/packages/peers/src/tunnel.ts
+++ b/packages/peers/src/tunnel.ts
@@ -10,12 +10,17 @@
 import { randomUUID } from "node:crypto";
 import { request as sendRequest } from "node:http";
 import type { Socket } from "node:net";
-import type { Connect, ConnectOptions, Millis } from "@mangoreach/shared";
+import type {
+  AnswerMeter,
+  Connect,
+  ConnectOptions,
+  Millis,
+} from "@mangoreach/shared";
 import { probeEnd, putBounded, setEndConfirmation } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { UpgradeRequest } from "./peer_connection_server.ts";
 import { PEER_PATH } from "./peer_path.ts";
-import { isSwitchTo } from "./upgrade_answer.ts";
+import { isSwitchTo, openUpgradeInput } from "./upgrade_answer.ts";
 
 /** The protocol name in the upgrade of a connection that becomes a tunnel. */
 export const TUNNEL_PROTOCOL = "mangoreach-tunnel";
@@ -43,6 +48,8 @@
   peer: string;
   /** Opens the connection to the peer. */
   connect: Connect;
+  /** Counts what answers of the peer cost; not counted if left out. */
+  meter?: AnswerMeter | undefined;
 }
 
 /** Connects to an endpoint for a peer. */
@@ -85,12 +92,13 @@
 /** Whether the endpoint at the other side has ended a tunnel. */
 async function confirmTunnelEnd(
   ended: string,
-  { peer, connect }: TunnelOptions,
+  { peer, connect, meter }: TunnelOptions,
 ): Promise<boolean> {
   const reply = await sendUpgrade(new URLSearchParams({ ended }), {
     peer,
     connect,
     timeout: CONFIRM_TIMEOUT,
+    meter,
   });
   if (reply.isErr) return false;
   if (typeof reply.value !== "number") reply.value.destroy();
@@ -100,12 +108,17 @@
 /** Sends an upgrade request; resolves with the tunnel or another status. */
 async function sendUpgrade(
   query: URLSearchParams,
-  { peer, connect, timeout, signal }: TunnelOptions,
+  { peer, connect, meter, timeout, signal }: TunnelOptions,
 ): Promise<Result<Socket | number, "silent" | "unavailable">> {
   const connection = await connect(peer, { timeout, signal });
   if (connection.isErr) return Result.err("unavailable");
   const socket = connection.value;
   return await new Promise((resolve) => {
+    const input = openUpgradeInput(socket, {
+      address: peer,
+      meter,
+      onExceeded: () => fail("unavailable"),
+    });
     const timer = setTimeout(() => fail("silent"), timeout);
     const abort = () => fail("unavailable");
 
@@ -129,6 +142,7 @@
       createConnection: () => socket,
     });
     request.once("upgrade", (response, _socket, head) => {
+      input.detach();
       if (!isSwitchTo(response, TUNNEL_PROTOCOL)) return fail("unavailable");
       if (head.length > 0) socket.unshift(head);
       finish(Result.ok(socket));
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -95,7 +95,12 @@
 export type { AnswerMeter } from "./answer_meter.ts";
 export { createAnswerMeter } from "./answer_meter.ts";
 export { createAnswerFraming } from "./answers/answer_framing.ts";
-export { AnswerLimitError, openAnswerInput } from "./answers/answer_input.ts";
+export type { AnswerInput } from "./answers/answer_input.ts";
+export {
+  AnswerLimitError,
+  openAnswerInput,
+  openMeteredInput,
+} from "./answers/answer_input.ts";
 export { createEventBoundary } from "./event_boundary.ts";
 export type { AnswerHead, BodyDelimiter } from "./answer_head.ts";
 export { readAnswerHead } from "./answer_head.ts";
