fix(peers): close a connection with more replies than calls

A peer could send replies to calls that had ended, without end: the connection stayed open, was never idle, and each frame was parsed.

Cause: a reply to a call that is not in progress was taken for one that was on its way when the call was abandoned, however many came.

--- a/packages/peers/src/endless_upgrade_test.ts
+++ b/packages/peers/src/endless_answers_test.ts
@@ -1,8 +1,10 @@
+import { Buffer } from "node:buffer";
 import type { AddressInfo, Server, Socket } from "node:net";
 import { createServer } from "node:net";
 import { createSystemClock, openConnection } from "@mangoreach/shared";
 import { expect } from "chai";
-import type { OutgoingCall } from "./peer_connection.ts";
+import { encodeFrame } from "./frame_codec.ts";
+import type { OutgoingCall, PeerConnection } from "./peer_connection.ts";
 import { openPeerConnection } from "./peer_connection.ts";
 import { openTunnel } from "./tunnel.ts";
 
@@ -10,6 +12,8 @@
 const TIMEOUT = 4_000;
 /** More than a limit permits and the kernel buffers. */
 const MAX_POURED_BYTES = 33_554_432;
+const ACCEPTED = "HTTP/1.1 101 X\r\nconnection: Upgrade\r\n" +
+  "upgrade: mangoreach-peer\r\n\r\n";
 const CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const CHUNKS = "1\r\nx\r\n".repeat(10_000);
 
@@ -17,6 +21,8 @@
 interface Pour {
   head: string;
   block: string | Uint8Array;
+  /** Frames follow the first call, and are not repeated if `isOnce` is set. */
+  isOnce?: boolean;
 }
 
 const UPGRADE_POURS: Readonly<Record<string, Pour>> = {
@@ -63,15 +69,17 @@
   after(() => server.close());
 
   function writePour(socket: Socket): void {
-    const { head, block } = pour;
+    const { head, block, isOnce } = pour;
     socket.write(head);
     const writeNext = () => {
       if (socket.destroyed) return;
       poured += block.length;
+      if (isOnce === true) return void socket.write(block);
       if (socket.write(block)) setImmediate(writeNext);
       else socket.once("drain", writeNext);
     };
-    writeNext();
+    if (head === ACCEPTED) socket.once("data", writeNext);
+    else writeNext();
   }
 
   async function waitUntilClosed(): Promise<void> {
@@ -94,6 +102,18 @@
     });
   }
 
+  /** Sends a call on an open connection, and abandons it. */
+  async function sendAbandoned(connection: PeerConnection): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const abandon = connection.call({
+        ...createCall([]),
+        onBytes: (direction) => {
+          if (direction === "out") queueMicrotask(() => resolve(abandon()));
+        },
+      });
+    });
+  }
+
   function createCall(outcomes: string[]): OutgoingCall {
     return {
       type: "query",
@@ -135,4 +155,59 @@
       await waitUntilClosed();
     });
   }
+
+  for (
+    const [name, message] of Object.entries({
+      "an abandoned call": { id: 0 },
+      "an abandoned call, with deep data": {
+        id: 0,
+        data: JSON.parse("[".repeat(3_000) + "]".repeat(3_000)),
+      },
+    })
+  ) {
+    it(`closes a connection with replies without end to ${name}`, async () => {
+      const frame = encodeFrame(message)!;
+      const count = Math.ceil(60_000 / frame.length);
+      pour = {
+        head: ACCEPTED,
+        block: Buffer.concat(Array.from({ length: count }, () => frame)),
+      };
+      await sendAbandoned(open());
+      while (poured === 0) await clock.sleep(5);
+      await waitUntilClosed();
+    });
+  }
+
+  it("closes a connection with more than one reply to a call", async () => {
+    const frame = encodeFrame({ id: 0, data: "x" })!;
+    pour = { head: ACCEPTED, block: frame };
+    const outcomes: string[] = [];
+    open().call(createCall(outcomes));
+    while (outcomes.length === 0) await clock.sleep(5);
+    expect(outcomes).to.deep.equal(["reply"]);
+    await waitUntilClosed();
+  });
+
+  // Guards against a connection that is closed for a reply which was on its way
+  // when its call was abandoned.
+  it("keeps a connection with one reply to each abandoned call", async () => {
+    const replies = Array.from(
+      { length: 50 },
+      (_, id) => encodeFrame({ id, data: "x" })!,
+    );
+    pour = { head: ACCEPTED, block: Buffer.concat(replies), isOnce: true };
+    const outcomes: string[] = [];
+    const connection = open();
+    // The replies arrive later than all calls are sent.
+    await sendAbandoned(connection);
+    for (let id = 1; id < 49; id++) connection.call(createCall([]))();
+    connection.call(createCall(outcomes));
+    while (outcomes.length === 0) await clock.sleep(5);
+    connection.call(createCall(outcomes));
+    await clock.sleep(50);
+    expect(outcomes).to.deep.equal(["reply"]);
+    expect(sockets.size).to.equal(1);
+    connection.close();
+    await waitUntilClosed();
+  });
 });
--- a/packages/peers/src/peer_connection.ts
+++ b/packages/peers/src/peer_connection.ts
@@ -75,6 +75,8 @@
   const calls = new Map<number, OutgoingCall>();
   let channel: FrameChannel | undefined;
   let nextId = 0;
+  /** Abandoned calls whose replies may still be on their way. */
+  let abandoned = 0;
   let isRetired = false;
   let isEnded = false;
   const request = sendUpgrade();
@@ -166,8 +168,12 @@
     if (reply === undefined) return "not a reply";
     if (reply.id < 0 || reply.id >= nextId) return "a reply to no call";
     const call = calls.get(reply.id);
-    // The call was abandoned before its reply arrived.
-    if (call === undefined) return undefined;
+    if (call === undefined) {
+      // A peer could otherwise send replies to nobody without end.
+      if (abandoned === 0) return "more replies than calls";
+      abandoned--;
+      return undefined;
+    }
     removeCall(reply.id);
     call.onBytes("in", bytes);
     if (reply.error === undefined) call.onReply(reply.data);
@@ -203,6 +209,7 @@
     return () => {
       if (!calls.has(id)) return;
       channel?.send({ id, cancel: true });
+      if (channel !== undefined) abandoned = Math.min(MAX_CALLS, abandoned + 1);
       removeCall(id);
     };
   }
