--- a/packages/peers/src/peer_connection.ts
+++ b/packages/peers/src/peer_connection.ts
@@ -5,14 +5,19 @@
  * @module
  */
 import { request as sendHttpRequest } from "node:http";
-import type { Clock, Millis } from "@mangoreach/shared";
+import type {
+  AnswerInput,
+  AnswerMeter,
+  Clock,
+  Millis,
+} from "@mangoreach/shared";
 import { parseAddress } from "@mangoreach/shared";
 import type { FrameChannel } from "./frame_channel.ts";
 import { closeIdleSocket, openFrameChannel } from "./frame_channel.ts";
 import type { CallFrame } from "./peer_frames.ts";
 import { decodeReplyFrame, UPGRADE_PROTOCOL } from "./peer_frames.ts";
 import { PEER_PATH } from "./peer_path.ts";
-import { isSwitchTo } from "./upgrade_answer.ts";
+import { isSwitchTo, openUpgradeInput } from "./upgrade_answer.ts";
 
 /** Options of {@linkcode openPeerConnection}. */
 export interface PeerConnectionOptions {
@@ -22,6 +27,8 @@
   siteKey: string;
   connectTimeout: Millis;
   idleTimeout: Millis;
+  /** Counts what answers cost; not counted if left out. */
+  meter?: AnswerMeter | undefined;
   /** The peer is of a build that supports only HTTP. */
   onRefused: () => void;
   onClosed: () => void;
@@ -63,10 +70,13 @@
 export function openPeerConnection(
   options: PeerConnectionOptions,
 ): PeerConnection {
-  const { clock, address, siteKey, idleTimeout, onRefused, onClosed } = options;
+  const { clock, address, siteKey, idleTimeout, meter } = options;
+  const { onRefused, onClosed } = options;
   const calls = new Map<number, OutgoingCall>();
   let channel: FrameChannel | undefined;
   let nextId = 0;
+  /** Abandoned calls whose replies may still be on their way. */
+  let abandoned = 0;
   let isRetired = false;
   let isEnded = false;
   const request = sendUpgrade();
@@ -94,8 +104,14 @@
     });
     // A peer that is short of processor time accepts the connection in time,
     // but may answer the upgrade late; the time-outs of the calls apply then.
+    let input: AnswerInput | undefined;
     upgrade.once("socket", (socket) => {
       socket.once("connect", stopTimer);
+      input = openUpgradeInput(socket, {
+        address,
+        meter,
+        onExceeded: (error) => end(error.message),
+      });
       // No call is left to time out if all of them were abandoned.
       closeIdleSocket(socket, { idleTimeout, isBusy });
     });
@@ -107,6 +123,7 @@
       refused.forEach((call) => call.onRefused());
     });
     upgrade.once("upgrade", (response, socket, head) => {
+      input?.detach();
       if (isEnded) return void socket.destroy();
       if (!isSwitchTo(response, UPGRADE_PROTOCOL)) {
         socket.destroy();
@@ -151,8 +168,12 @@
     if (reply === undefined) return "not a reply";
     if (reply.id < 0 || reply.id >= nextId) return "a reply to no call";
     const call = calls.get(reply.id);
-    // The call was abandoned before its reply arrived.
-    if (call === undefined) return undefined;
+    if (call === undefined) {
+      // A peer could otherwise send replies to nobody without end.
+      if (abandoned === 0) return "more replies than calls";
+      abandoned--;
+      return undefined;
+    }
     removeCall(reply.id);
     call.onBytes("in", bytes);
     if (reply.error === undefined) call.onReply(reply.data);
@@ -188,6 +209,7 @@
     return () => {
       if (!calls.has(id)) return;
       channel?.send({ id, cancel: true });
+      if (channel !== undefined) abandoned = Math.min(MAX_CALLS, abandoned + 1);
       removeCall(id);
     };
   }
