fix(shared): search only new text for the end of a server-sent event

A reader of events whose peer sends single characters stood still: each chunk was appended to the text so far, which was searched from its start again.

Only the new chunk is searched, and the text is joined once when its event ends. Many parts are joined to blocks meanwhile, as each of them takes an object.

--- a/packages/shared/src/server_sent_events.ts
+++ b/packages/shared/src/server_sent_events.ts
@@ -21,24 +21,78 @@
 /** Maximum length of a valid event, in UTF-16 code units. */
 const MAX_EVENT_LENGTH = 1_048_576;
 
+/** Chunks of an incomplete event that are kept before they are joined. */
+const MAX_PARTS = 1_024;
+const LINE_BREAK = "\n";
+const EVENT_END = "\n\n";
+
 /** Creates a parser for one connection. */
 export function createServerSentEventParser(): ServerSentEventParser {
-  let rest = "";
+  const rest = createTextCollector();
+
   return {
     parse(chunk) {
-      rest += chunk;
       const events: ServerSentEvent[] = [];
+      let from = 0;
+      // Only new text is searched: an event may come in any number of chunks.
+      if (rest.endsWithBreak() && chunk.startsWith(LINE_BREAK)) {
+        events.push(parseEvent(rest.take().slice(0, -1)));
+        from = 1;
+      }
       for (;;) {
-        const end = rest.indexOf("\n\n");
+        const end = chunk.indexOf(EVENT_END, from);
         if (end < 0) break;
-        events.push(parseEvent(rest.slice(0, end)));
-        rest = rest.slice(end + 2);
+        events.push(parseEvent(rest.take() + chunk.slice(from, end)));
+        from = end + EVENT_END.length;
       }
+      rest.add(chunk.slice(from));
       return rest.length > MAX_EVENT_LENGTH ? "too_large" : events;
     },
   };
 }
 
+/** Text in parts that are joined when it is taken. */
+interface TextCollector {
+  readonly length: number;
+  add(part: string): void;
+  /** Returns the text and starts again. */
+  take(): string;
+  endsWithBreak(): boolean;
+}
+
+/** Creates a collector; joins many parts into one, as each takes an object. */
+function createTextCollector(): TextCollector {
+  let blocks: string[] = [];
+  let parts: string[] = [];
+  let length = 0;
+
+  return {
+    get length() {
+      return length;
+    },
+    add(part) {
+      if (part === "") return;
+      length += part.length;
+      parts.push(part);
+      if (parts.length < MAX_PARTS) return;
+      blocks.push(parts.join(""));
+      parts = [];
+    },
+    take() {
+      if (length === 0) return "";
+      const text = [...blocks, ...parts].join("");
+      blocks = [];
+      parts = [];
+      length = 0;
+      return text;
+    },
+    endsWithBreak() {
+      const last = parts.at(-1) ?? blocks.at(-1);
+      return last?.endsWith(LINE_BREAK) ?? false;
+    },
+  };
+}
+
 /** Formats an event for the wire. `data` must not contain line breaks. */
 export function formatServerSentEvent(event: ServerSentEvent): string {
   return `event: ${event.event}\nid: ${event.id}\ndata: ${event.data}\n\n`;
--- a/packages/shared/src/shared_test.ts
+++ b/packages/shared/src/shared_test.ts
@@ -69,6 +69,33 @@
     expect(createServerSentEventParser().parse("x".repeat(1_100_000)))
       .to.equal("too_large");
   });
+
+  it("parses events whose text is empty or ends with a line break", () => {
+    const text = "\n\n\n\n\ndata: 1\n\n\n\n\n";
+    const whole = createServerSentEventParser().parse(text);
+    const parser = createServerSentEventParser();
+    const events = [...text].flatMap((char) => {
+      const parsed = parser.parse(char);
+      return parsed === "too_large" ? [] : parsed;
+    });
+    expect(events).to.deep.equal(whole);
+    expect(whole).to.have.length(4);
+  });
+
+  // Guards against work for each chunk that grows with the event so far: then a
+  // peer that sends single characters occupies the process.
+  it("takes time in proportion to the text, however small its chunks", () => {
+    const parser = createServerSentEventParser();
+    let early = 0;
+    const startedAt = performance.now();
+    for (let part = 0; part < 300_000; part++) {
+      early += parser.parse("x").length;
+    }
+    const took = performance.now() - startedAt;
+    expect(early).to.equal(0);
+    expect(parser.parse("\n\n")).to.have.length(1);
+    expect(took).to.be.below(3_000);
+  });
 });
 
 describe("subject", () => {
