--- /dev/null
+++ b/packages/callers/src/endless_replies_test.ts
@@ -0,0 +1,47 @@
+import { Buffer } from "node:buffer";
+import { Readable } from "node:stream";
+import type { HttpStreamReply } from "@mangoreach/shared";
+import { expect } from "chai";
+import { readFailure } from "./caller_failures.ts";
+
+const MAX_READ_BYTES = 16_777_216;
+/** More than any reader may read; ends the test if one does. */
+const ENDLESS_BYTES = 67_108_864;
+
+/** Creates a reply that goes on until it is closed, and counts what is read. */
+function createEndlessReply(
+  status: number,
+  createPart: (index: number) => string,
+) {
+  let readBytes = 0;
+  let index = 0;
+  const body = new Readable({
+    read() {
+      const part = Buffer.from(createPart(index++));
+      readBytes += part.length;
+      this.push(readBytes > ENDLESS_BYTES ? null : part);
+    },
+  });
+  const reply: HttpStreamReply = {
+    status,
+    headers: {},
+    body,
+    delimiter: "chunks",
+  };
+  return { reply, countRead: () => readBytes };
+}
+
+/** Guards against memory that grows for as long as an entry sends. */
+describe("replies without end of an entry", function () {
+  this.timeout(20_000);
+
+  it("gives up a failure that has no end", async () => {
+    const part = "x".repeat(65_536);
+    const { reply, countRead } = createEndlessReply(500, () => part);
+    const failure = await readFailure(reply);
+    expect(failure.kind).to.equal("bad_reply");
+    expect(failure.verdict).to.equal("may_have_run");
+    expect(reply.body.destroyed).to.equal(true);
+    expect(countRead()).to.be.below(MAX_READ_BYTES);
+  });
+});
