fix(callers): give up a stream of tokens that has no end

A caller kept all tokens that an entry sent, without a limit of their number or length, up to the deadline of the call.

Evidence: on the code before this change the new tests, long tokens and empty ones, read all 64 MB that their replies have (the stream counts as cut) and fail; with it, the stream fails within 16 MB.

Up to 262,144 tokens and 4 Mi characters are kept, over all connections of a stream. A longer one is a failure, not a cut: it isn't resumed.

--- a/packages/callers/src/caller_client.ts
+++ b/packages/callers/src/caller_client.ts
@@ -398,6 +398,7 @@
       requestId: attempt.id,
       resumeToken: undefined,
       tokens: [],
+      textLength: 0,
     };
     const end = await readCallerStream(reply.value, { progress, onToken });
     if (end.kind === "failed") return Result.err(end.failure);
--- a/packages/callers/src/endless_replies_test.ts
+++ b/packages/callers/src/endless_replies_test.ts
@@ -3,6 +3,7 @@
 import type { HttpStreamReply } from "@mangoreach/shared";
 import { expect } from "chai";
 import { readFailure } from "./caller_failures.ts";
+import { readCallerStream } from "./stream_reader.ts";
 
 const MAX_READ_BYTES = 16_777_216;
 /** More than any reader may read; ends the test if one does. */
@@ -31,6 +32,19 @@
   return { reply, countRead: () => readBytes };
 }
 
+function createProgress() {
+  return {
+    requestId: "r",
+    resumeToken: undefined,
+    tokens: [] as string[],
+    textLength: 0,
+  };
+}
+
+function formatToken(sequence: number, text: string): string {
+  return `event: token\nid: ${sequence}\ndata: {"text":"${text}"}\n\n`;
+}
+
 /** Guards against memory that grows for as long as an entry sends. */
 describe("replies without end of an entry", function () {
   this.timeout(20_000);
@@ -44,4 +58,28 @@
     expect(reply.body.destroyed).to.equal(true);
     expect(countRead()).to.be.below(MAX_READ_BYTES);
   });
+
+  for (
+    const [name, createPart] of Object.entries({
+      "long tokens": (index: number) => formatToken(index, "x".repeat(10_000)),
+      "empty tokens": (index: number) =>
+        Array.from(
+          { length: 1_000 },
+          (_, offset) => formatToken(1_000 * index + offset, ""),
+        ).join(""),
+    })
+  ) {
+    it(`gives up a stream of ${name}`, async () => {
+      const { reply, countRead } = createEndlessReply(200, createPart);
+      const progress = createProgress();
+      const end = await readCallerStream(reply, {
+        progress,
+        onToken: () => {},
+      });
+      // It would have no end at another entry either.
+      expect(end.kind).to.equal("failed");
+      expect(reply.body.destroyed).to.equal(true);
+      expect(countRead()).to.be.below(MAX_READ_BYTES);
+    });
+  }
 });
--- a/packages/callers/src/stream_reader.ts
+++ b/packages/callers/src/stream_reader.ts
@@ -8,7 +8,10 @@
 import type { Failure } from "@mangoreach/coordination";
 import { createFailure } from "@mangoreach/coordination";
 import type { HttpStreamReply, ServerSentEvent } from "@mangoreach/shared";
-import { createServerSentEventParser, parseJson } from "@mangoreach/shared";
+import {
+  createServerSentEventParser,
+  parseBoundedJson,
+} from "@mangoreach/shared";
 import {
   parseFailure,
   streamEndSchema,
@@ -21,6 +24,8 @@
   requestId: string;
   resumeToken: string | undefined;
   tokens: string[];
+  /** Of all tokens, in UTF-16 code units. */
+  textLength: number;
 }
 
 /** How reading from one connection ended. */
@@ -37,6 +42,11 @@
   onToken: (token: string, sequence: number) => void;
 }
 
+/** More than models generate for a request. */
+const MAX_TOKENS = 262_144;
+/** As long as the largest response that is not streamed. */
+const MAX_TEXT_LENGTH = 4_194_304;
+
 /** Appends the events of one connection to `progress`. */
 export async function readCallerStream(
   reply: HttpStreamReply,
@@ -84,6 +94,10 @@
           `token ${progress.tokens.length} is missing or malformed`,
         );
       }
+      progress.textLength += token.data.text.length;
+      const isTooLong = sequence >= MAX_TOKENS ||
+        progress.textLength > MAX_TEXT_LENGTH;
+      if (isTooLong) return createTooLongFailure();
       progress.tokens.push(token.data.text);
       onToken(token.data.text, sequence);
       return undefined;
@@ -107,6 +121,15 @@
   return { kind: "cut", message };
 }
 
+/** The stream is not resumed: it would have no end at another entry either. */
+function createTooLongFailure(): StreamEnd {
+  const failure = createFailure("bad_reply", {
+    verdict: "may_have_run",
+    message: "the stream is longer than any response",
+  });
+  return { kind: "failed", failure };
+}
+
 function createMismatchFailure(requestId: string): StreamEnd {
   const failure = createFailure("bad_reply", {
     verdict: "may_have_run",
