fix(callers): bound the memory of the values of events

An event of a stream may hold 1 Mi characters, whose values can take twenty times as much memory; it was parsed without a bound.

--- a/packages/callers/src/endless_replies_test.ts
+++ b/packages/callers/src/endless_replies_test.ts
@@ -82,4 +82,17 @@
       expect(countRead()).to.be.below(MAX_READ_BYTES);
     });
   }
+
+  // Guards against values that take twenty times the memory of their text.
+  it("parses no event whose values take too much memory", async () => {
+    const data = `{"text":"","more":[${"{},".repeat(300_000)}{}]}`;
+    const { reply } = createEndlessReply(
+      200,
+      (index) => `event: token\nid: ${index}\ndata: ${data}\n\n`,
+    );
+    const progress = createProgress();
+    const end = await readCallerStream(reply, { progress, onToken: () => {} });
+    expect(end.kind).to.equal("cut");
+    expect(progress.tokens).to.have.length(0);
+  });
 });
--- a/packages/callers/src/stream_reader.ts
+++ b/packages/callers/src/stream_reader.ts
@@ -75,7 +75,7 @@
   event: ServerSentEvent,
   { progress, onToken }: ReadStreamOptions,
 ): StreamEnd | undefined {
-  const data = parseJson(event.data);
+  const data = parseBoundedJson(event.data);
   switch (event.event) {
     case "start": {
       const start = streamStartSchema.safeParse(data);
