fix(engines): give up a generation that has no end

The reader of a generation passed on tokens for as long as an engine sent them, without a limit of their number or length.

Up to 262,144 tokens, counted over all connections of a stream, and 4 Mi characters of one connection are passed on.

--- a/packages/engines/src/generation.ts
+++ b/packages/engines/src/generation.ts
@@ -33,6 +33,11 @@
 const tokenSchema = z.object({ text: z.string() });
 const endSchema = z.object({ count: z.number().int().min(0) });
 
+/** More than models generate for a request. */
+const MAX_TOKENS = 262_144;
+/** Of the tokens of one connection, in UTF-16 code units. */
+const MAX_TEXT_LENGTH = 4_194_304;
+
 /** Reads a generation from the token with sequence number `next` on. */
 export async function* readGeneration(
   reply: HttpStreamReply,
@@ -41,6 +46,7 @@
   const parser = createServerSentEventParser();
   const decoder = new TextDecoder();
   let expected = next;
+  let textLength = 0;
   try {
     for await (const chunk of reply.body as AsyncIterable<Buffer>) {
       const parsed = parser.parse(decoder.decode(chunk, { stream: true }));
@@ -50,6 +56,11 @@
       }
       const batch = parseBatch(parsed, expected);
       expected += batch.tokens.length;
+      textLength += sumTextLength(batch.tokens);
+      if (expected > MAX_TOKENS || textLength > MAX_TEXT_LENGTH) {
+        yield createBrokenEvent(peer, "the stream is too long");
+        return;
+      }
       if (batch.start !== undefined) yield batch.start;
       if (batch.tokens.length > 0) {
         yield { kind: "tokens", tokens: batch.tokens };
@@ -112,6 +123,10 @@
   return batch;
 }
 
+function sumTextLength(tokens: readonly Token[]): number {
+  return tokens.reduce((sum, { text }) => sum + text.length, 0);
+}
+
 function createBrokenEvent(peer: string, message: string): GenerationEvent {
   return {
     kind: "broken",
