fix(engines): bound the memory of the values of events

An event of a generation may hold 1 Mi characters, whose values can take twenty times as much memory; it was parsed without a bound.

Evidence: on the code before this change the new test, 300,001 objects in an event of 900 kB, gets tokens from such events and fails; with parseBoundedJson the first one counts as malformed.

--- a/packages/engines/src/endless_generations_test.ts
+++ b/packages/engines/src/endless_generations_test.ts
@@ -56,4 +56,14 @@
       expect(readBytes).to.be.below(MAX_READ_BYTES);
     });
   }
+
+  // Guards against values that take twenty times the memory of their text.
+  it("have no event whose values take too much memory", async () => {
+    const data = `{"text":"","more":[${"{},".repeat(300_000)}{}]}`;
+    const { tokens, message } = await readEndless((index) =>
+      `event: token\nid: ${index}\ndata: ${data}\n\n`
+    );
+    expect(tokens).to.equal(0);
+    expect(message).to.equal("engine: token 0 is missing or malformed");
+  });
 });
--- a/packages/engines/src/generation.ts
+++ b/packages/engines/src/generation.ts
@@ -13,7 +13,10 @@
 import { createFailure } from "@mangoreach/coordination";
 import { echoSchema } from "@mangoreach/endpoints";
 import type { HttpStreamReply, ServerSentEvent } from "@mangoreach/shared";
-import { createServerSentEventParser, parseJson } from "@mangoreach/shared";
+import {
+  createServerSentEventParser,
+  parseBoundedJson,
+} from "@mangoreach/shared";
 import * as z from "zod";
 
 /** One token of a stream. */
@@ -97,7 +100,7 @@
   const batch: Batch = { tokens: [] };
   let expected = firstExpected;
   for (const event of events) {
-    const data = parseJson(event.data);
+    const data = parseBoundedJson(event.data);
     if (event.event === "token") {
       const token = tokenSchema.safeParse(data);
       if (!token.success || Number(event.id) !== expected) {
