fix(peers): relay long answers of endpoints in turns

Cause: the relay pipes whatever the endpoint sends, as fast as it sends.

The endpoint's socket is read through an answer input without a framing, which waits for its turn.

A second test shows that the entry that reads such answers through tunnels holds: it passed before.

--- a/packages/peers/src/tunnel.ts
+++ b/packages/peers/src/tunnel.ts
@@ -16,7 +16,12 @@
   ConnectOptions,
   Millis,
 } from "@mangoreach/shared";
-import { probeEnd, putBounded, setEndConfirmation } from "@mangoreach/shared";
+import {
+  openAnswerInput,
+  probeEnd,
+  putBounded,
+  setEndConfirmation,
+} from "@mangoreach/shared";
 import { Result } from "true-myth";
 import type { UpgradeRequest } from "./peer_connection_server.ts";
 import { PEER_PATH } from "./peer_path.ts";
@@ -239,6 +244,8 @@
   recordEnd: () => void,
 ): Promise<void> {
   near.setTimeout(0);
+  // The endpoint may send faster than this process should relay.
+  openAnswerInput(far, {});
   near.pipe(far, { end: false });
   far.pipe(near, { end: false });
   // The client of a call never closes its side alone: it has given up.
