feat(peers): count answers and frames for which a peer is given up

Operators saw nothing of a peer that this entry, as the client, had given up: answers of peers had no meter, and only the accepted side of a connection counted its faults.

- Answers to upgrades, to calls over HTTP and of peers that open tunnels are metered: mangoreach_answers_limited_total and answer_costly.
- A connection that this side closes for malformed frames, or more replies than calls, counts in mangoreach_peer_connection_faults_total.

Evidence: the five tests added to endless_answers_test.ts fail without the change, as nothing is counted. In those of calls over HTTP the call itself was given up at the limit before.

--- a/packages/peers/src/endless_answers_test.ts
+++ b/packages/peers/src/endless_answers_test.ts
@@ -1,15 +1,30 @@
 import { Buffer } from "node:buffer";
 import type { AddressInfo, Server, Socket } from "node:net";
 import { createServer } from "node:net";
-import { createSystemClock, openConnection } from "@mangoreach/shared";
+import {
+  createAnswerMeter,
+  createSilentLogger,
+  createSystemClock,
+  openConnection,
+} from "@mangoreach/shared";
 import { expect } from "chai";
 import { encodeFrame } from "./frame_codec.ts";
 import type { OutgoingCall, PeerConnection } from "./peer_connection.ts";
 import { openPeerConnection } from "./peer_connection.ts";
+import type { PeerExchange } from "./peer_protocol.ts";
+import { createServingPeerClient } from "./serving_peers.ts";
 import { openTunnel } from "./tunnel.ts";
 
 /** Longer than any of the answers takes to exceed its limit. */
 const TIMEOUT = 4_000;
+/** Of a call whose time-out is that of the client. */
+const EXCHANGE: PeerExchange = {
+  heartbeats: [],
+  introductions: [],
+  leaving: [],
+  known: 0,
+};
+const REFUSED = "HTTP/1.1 404 X\r\ncontent-length: 0\r\n\r\n";
 /** More than a limit permits and the kernel buffers. */
 const MAX_POURED_BYTES = 33_554_432;
 const ACCEPTED = "HTTP/1.1 101 X\r\nconnection: Upgrade\r\n" +
@@ -23,6 +38,7 @@
   block: string | Uint8Array;
   /** Frames follow the first call, and are not repeated if `isOnce` is set. */
   isOnce?: boolean;
+  isUpgradeRefused?: boolean;
 }
 
 const UPGRADE_POURS: Readonly<Record<string, Pour>> = {
@@ -54,7 +70,11 @@
       sockets.add(socket);
       socket.on("error", () => {});
       socket.once("close", () => sockets.delete(socket));
-      socket.once("data", () => writePour(socket));
+      socket.once("data", (data) => {
+        const isRefused = pour.isUpgradeRefused && data.includes("Upgrade");
+        if (isRefused) socket.end(REFUSED);
+        else writePour(socket);
+      });
     });
     await new Promise<void>((resolve) =>
       server.listen(0, "127.0.0.1", () => resolve())
@@ -90,6 +110,19 @@
     expect(poured).to.be.below(MAX_POURED_BYTES);
   }
 
+  function createClient() {
+    const meter = createAnswerMeter({ clock, logger: createSilentLogger() });
+    const faults: string[] = [];
+    const client = createServingPeerClient({
+      clock,
+      siteKey: "",
+      timeout: TIMEOUT,
+      meter,
+      onFault: (fault) => faults.push(fault),
+    });
+    return { client, meter, faults };
+  }
+
   function open() {
     return openPeerConnection({
       clock,
@@ -210,4 +243,53 @@
     connection.close();
     await waitUntilClosed();
   });
+
+  describe("of calls over HTTP", () => {
+    for (
+      const [name, one] of Object.entries({
+        "a body in chunks of one byte": { head: CHUNKED, block: CHUNKS },
+        "provisional answers": UPGRADE_POURS["provisional answers"]!,
+        "empty lines": UPGRADE_POURS["empty lines"]!,
+      })
+    ) {
+      // A peer of an older build refuses the upgrade and is called over HTTP.
+      it(`are given up at a limit: ${name}`, async () => {
+        pour = { ...one, isUpgradeRefused: true };
+        const { client, meter } = createClient();
+        const reply = await client.exchange(address, EXCHANGE);
+        expect(reply.isErr && reply.error.message).to.match(
+          /too_large|exceeds the limit/,
+        );
+        expect([...meter.exceeded.values()]).to.deep.equal([1]);
+        await client.close();
+        await waitUntilClosed();
+      });
+    }
+  });
+
+  // Guards against a peer that is given up without a trace.
+  it("count as answers that exceed a limit", async () => {
+    pour = UPGRADE_POURS["provisional answers"]!;
+    const { client, meter, faults } = createClient();
+    await client.exchange(address, EXCHANGE);
+    expect([...meter.exceeded]).to.deep.equal([["provisional_answers", 1]]);
+    await openTunnel({ id: "i-1", address: "127.0.0.1:1" }, {
+      peer: address,
+      connect: openConnection,
+      timeout: TIMEOUT,
+      meter,
+    });
+    expect(meter.exceeded.get("provisional_answers")).to.equal(2);
+    expect(faults).to.deep.equal([]);
+    await client.close();
+  });
+
+  it("count as a fault of the peer once the connection is open", async () => {
+    pour = { head: ACCEPTED, block: encodeFrame({ id: 0, data: EXCHANGE })! };
+    const { client, faults } = createClient();
+    await client.exchange(address, EXCHANGE);
+    await waitUntilClosed();
+    expect(faults).to.deep.equal(["malformed"]);
+    await client.close();
+  });
 });
--- a/packages/peers/src/peer_caller.ts
+++ b/packages/peers/src/peer_caller.ts
@@ -8,6 +8,7 @@
 import type { Failure } from "@mangoreach/coordination";
 import { createFailure } from "@mangoreach/coordination";
 import type {
+  AnswerMeter,
   Clock,
   HeldBytes,
   Millis,
@@ -23,6 +24,7 @@
 import type { AnyTRPCRouter, inferRouterInputs } from "@trpc/server";
 import type { TRPCResponse } from "@trpc/server/rpc";
 import { Result } from "true-myth";
+import type { ChannelFault } from "./frame_channel.ts";
 import { MAX_FRAME_BYTES } from "./frame_codec.ts";
 import type { OutgoingCall, PeerConnection } from "./peer_connection.ts";
 import { openPeerConnection } from "./peer_connection.ts";
@@ -37,6 +39,10 @@
   connectTimeout: Millis;
   /** Bounds the replies that this process holds; not bounded if left out. */
   heldBytes?: HeldBytes | undefined;
+  /** Counts what answers over HTTP cost; not counted if left out. */
+  meter?: AnswerMeter | undefined;
+  /** Called when a connection is closed for a fault of the peer. */
+  onFault?: ((fault: ChannelFault) => void) | undefined;
   onBytes?: ObserveBytes;
 }
 
@@ -86,7 +92,8 @@
 
 /** Creates the caller for one process. */
 export function createPeerCaller<R extends AnyTRPCRouter>(
-  { clock, siteKey, connectTimeout, heldBytes, onBytes }: PeerCallerOptions,
+  { clock, siteKey, connectTimeout, heldBytes, meter, onFault, onBytes }:
+    PeerCallerOptions,
 ): PeerCaller<R> {
   /** For bulk replies and for all others, by address. */
   const bulkConnections = new Map<string, PeerConnection>();
@@ -97,6 +104,7 @@
     keepAlive: KEEP_ALIVE,
     maxKeepAlive: KEEP_ALIVE,
     connectTimeout,
+    meter,
   });
 
   /** Returns the connection to a peer; undefined if it supports only HTTP. */
@@ -117,6 +125,8 @@
       siteKey,
       connectTimeout,
       idleTimeout: KEEP_ALIVE,
+      meter,
+      onFault,
       onRefused: () => keepHttp(address),
       onClosed() {
         if (open.get(address) === connection) open.delete(address);
--- a/packages/peers/src/peer_connection.ts
+++ b/packages/peers/src/peer_connection.ts
@@ -12,7 +12,7 @@
   Millis,
 } from "@mangoreach/shared";
 import { parseAddress } from "@mangoreach/shared";
-import type { FrameChannel } from "./frame_channel.ts";
+import type { ChannelFault, FrameChannel } from "./frame_channel.ts";
 import { closeIdleSocket, openFrameChannel } from "./frame_channel.ts";
 import type { CallFrame } from "./peer_frames.ts";
 import { decodeReplyFrame, UPGRADE_PROTOCOL } from "./peer_frames.ts";
@@ -31,6 +31,8 @@
   meter?: AnswerMeter | undefined;
   /** The peer is of a build that supports only HTTP. */
   onRefused: () => void;
+  /** Called when this side closes the connection for a fault of the peer. */
+  onFault?: ((fault: ChannelFault) => void) | undefined;
   onClosed: () => void;
 }
 
@@ -134,12 +136,11 @@
         idleTimeout,
         isBusy,
         onMessage: handleMessage,
-        onClosed: (fault) =>
-          end(
-            fault === undefined
-              ? "the connection was closed"
-              : `the connection was closed: ${fault}`,
-          ),
+        onClosed(fault) {
+          if (fault === undefined) return end("the connection was closed");
+          options.onFault?.(fault);
+          end(`the connection was closed: ${fault}`);
+        },
       });
       for (const [id, call] of calls) sendCall(id, call);
     });
--- a/packages/peers/src/serving_peers.ts
+++ b/packages/peers/src/serving_peers.ts
@@ -6,7 +6,7 @@
  */
 import type { IncomingMessage, RequestListener, Server } from "node:http";
 import type { Failure } from "@mangoreach/coordination";
-import type { Clock, HeldBytes, Millis } from "@mangoreach/shared";
+import type { AnswerMeter, Clock, HeldBytes, Millis } from "@mangoreach/shared";
 import type { Result } from "true-myth";
 import * as z from "zod";
 import type { ChannelFault } from "./frame_channel.ts";
@@ -286,11 +286,15 @@
 
 /** Creates the client. */
 export function createServingPeerClient(
-  { clock, siteKey, timeout, heldBytes, onExchangeBytes }: {
+  { clock, siteKey, timeout, heldBytes, meter, onFault, onExchangeBytes }: {
     clock: Clock;
     siteKey: string;
     /** Bounds the replies that this process holds; not bounded if left out. */
     heldBytes?: HeldBytes | undefined;
+    /** Counts what answers over HTTP cost; not counted if left out. */
+    meter?: AnswerMeter | undefined;
+    /** Called when a connection is closed for a fault of the peer. */
+    onFault?: ((fault: ChannelFault) => void) | undefined;
     /** Timeout of short exchanges, which a healthy peer does not exceed. */
     timeout: Millis;
     /** Reports the sizes of the messages of exchanges. */
@@ -302,6 +306,8 @@
     siteKey,
     connectTimeout: timeout,
     heldBytes,
+    meter,
+    onFault,
     onBytes: createExchangeObserver(onExchangeBytes),
   });
 
--- a/packages/serving/src/peer_gossip.ts
+++ b/packages/serving/src/peer_gossip.ts
@@ -22,6 +22,7 @@
 import type { ExchangeLoop, ServingPeerClient } from "@mangoreach/peers";
 import { createServingPeerClient, startExchangeLoop } from "@mangoreach/peers";
 import type {
+  AnswerMeter,
   Clock,
   HeldBytes,
   ListenAddress,
@@ -48,6 +49,8 @@
   checkListening: (address: string) => Promise<Listening>;
   /** Bounds the replies of peers that this process holds. */
   heldBytes: HeldBytes;
+  /** Counts what answers of peers cost; not counted if left out. */
+  answerMeter?: AnswerMeter | undefined;
   members: MemberStore;
   directory: EndpointDirectory;
   /** Whether callers may be sent to this entry. */
@@ -153,6 +156,8 @@
     siteKey: "",
     timeout: PEER_TIMEOUT,
     heldBytes: options.heldBytes,
+    meter: options.answerMeter,
+    onFault: metrics.countPeerFault,
     onExchangeBytes: metrics.countPeerBytes,
   });
 
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -94,7 +94,7 @@
   const peerFaults = new Counter({
     name: "mangoreach_peer_connection_faults_total",
     help:
-      "Connections from peers closed for malformed frames or unread replies",
+      "Connections with peers closed for malformed frames or unread messages",
     labelNames: ["fault"],
     registers,
   });
