fix(peers): bound the arrays of replies

The other messages between entries had bounds. Left: the results and pools of the source of a piece, which are in the requests of peers and not in replies.

--- a/packages/peers/src/piece_protocol.ts
+++ b/packages/peers/src/piece_protocol.ts
@@ -32,6 +32,8 @@
 export type PieceOrder = z.infer<typeof pieceOrderSchema>;
 
 const MAX_PIECES = 1_024;
+/** Crashes during one run; more than a place has endpoints. */
+const MAX_ENDS = 16_384;
 
 /** Maximum length of the name of a client account in a message. */
 export const MAX_ACCOUNT_LENGTH = 128;
@@ -127,12 +129,12 @@
 
 /** The outcomes of a run, in the order of its pieces. */
 export const pieceRunReplySchema = z.object({
-  outcomes: z.array(pieceOutcomeSchema),
+  outcomes: z.array(pieceOutcomeSchema).max(MAX_PIECES),
   waits: pieceWaitsSchema,
   /** The inputs have been released. */
   freedInputs: z.boolean(),
   /** Endpoints that crashed during calls with its pieces; left out if none. */
-  ends: z.array(endpointCrashSchema).optional(),
+  ends: z.array(endpointCrashSchema).max(MAX_ENDS).optional(),
 });
 
 /** The outcomes of a run, in the order of its pieces. */
--- a/packages/peers/src/run_protocol.ts
+++ b/packages/peers/src/run_protocol.ts
@@ -7,6 +7,8 @@
 import * as z from "zod";
 
 const MAX_ROWS = 256;
+/** More than the contents and traits of a report. */
+const MAX_REPLY_ROWS = 16_384;
 const MAX_ENDPOINT_KEYS = 16;
 /** Traits of one request: its content and the parts of its prompt. */
 const MAX_TRAITS = 16;
@@ -66,7 +68,7 @@
 
 /** The contents of a report that are quarantined. */
 export const runReportReplySchema = z.object({
-  quarantined: z.array(quarantinedSchema),
+  quarantined: z.array(quarantinedSchema).max(MAX_REPLY_ROWS),
 });
 
 /** The contents of a report that are quarantined. */
--- a/packages/peers/src/topic_protocol.ts
+++ b/packages/peers/src/topic_protocol.ts
@@ -57,8 +57,14 @@
   offset: offsetSchema.optional(),
 });
 
+/**
+ * A full snapshot takes about 1 MiB, and a record more than 32 bytes. The schema
+ * describes the fault of each record, which takes some 450 bytes.
+ */
+const MAX_RECORDS = 32_768;
+
 const topicRecordsSchema = z.object({
-  records: z.array(topicRecordSchema),
+  records: z.array(topicRecordSchema).max(MAX_RECORDS),
   /** Where to continue to read. */
   next: positionSchema,
   /**
@@ -82,7 +88,7 @@
 ]);
 
 /** What the replying entry has read, in the order of the requests. */
-export const topicRepliesSchema = z.array(topicReplySchema);
+export const topicRepliesSchema = z.array(topicReplySchema).max(MAX_REQUESTS);
 
 /** What the replying entry has read of the topic. */
 export type TopicReply = z.infer<typeof topicReplySchema>;
