fix(peers): bound the length of the messages of peers

A peer that explained its failure by megabytes of text made them part of the failure of each call, which callers of it log.

Evidence: the test added to endless_answers_test.ts gets a message of 7,000,000 characters without the bound, as the whole text is taken over; with it at most 1,024 of them, and the test passes.

--- a/packages/peers/src/endless_answers_test.ts
+++ b/packages/peers/src/endless_answers_test.ts
@@ -25,6 +25,7 @@
   known: 0,
 };
 const REFUSED = "HTTP/1.1 404 X\r\ncontent-length: 0\r\n\r\n";
+const MAX_MESSAGE_LENGTH = 2_000;
 /** More than a limit permits and the kernel buffers. */
 const MAX_POURED_BYTES = 33_554_432;
 const ACCEPTED = "HTTP/1.1 101 X\r\nconnection: Upgrade\r\n" +
@@ -292,4 +293,21 @@
     expect(faults).to.deep.equal(["malformed"]);
     await client.close();
   });
+
+  // Guards against log lines of megabytes, one for each call.
+  it("are explained by a message of bounded length", async () => {
+    const error = "x".repeat(7_000_000);
+    pour = {
+      head: ACCEPTED,
+      block: encodeFrame({ id: 0, error })!,
+      isOnce: true,
+    };
+    const { client } = createClient();
+    const reply = await client.exchange(address, EXCHANGE);
+    expect(reply.isErr && reply.error.message).to.match(/: x{1000,}/);
+    expect(reply.isErr && reply.error.message.length).to.be.below(
+      MAX_MESSAGE_LENGTH,
+    );
+    await client.close();
+  });
 });
--- a/packages/peers/src/peer_caller.ts
+++ b/packages/peers/src/peer_caller.ts
@@ -89,6 +89,8 @@
  * than the message does.
  */
 const KEEP_ALIVE: Millis = 60_000;
+/** Messages of peers may have the length of a frame, and are logged. */
+const MAX_MESSAGE_LENGTH = 1_024;
 
 /** Creates the caller for one process. */
 export function createPeerCaller<R extends AnyTRPCRouter>(
@@ -307,6 +309,6 @@
 function fail(address: string, message: string): Failure {
   return createFailure("unavailable", {
     verdict: "may_have_run",
-    message: `peer ${address}: ${message}`,
+    message: `peer ${address}: ${message.slice(0, MAX_MESSAGE_LENGTH)}`,
   });
 }
