--- a/packages/peers/src/endless_answers_test.ts
+++ b/packages/peers/src/endless_answers_test.ts
@@ -304,10 +304,9 @@
     };
     const { client } = createClient();
     const reply = await client.exchange(address, EXCHANGE);
-    expect(reply.isErr && reply.error.message).to.match(/: x{1000,}/);
-    expect(reply.isErr && reply.error.message.length).to.be.below(
-      MAX_MESSAGE_LENGTH,
-    );
+    const message = reply.isErr ? reply.error.message : "";
+    expect(message.includes(`: ${"x".repeat(1_000)}`)).to.equal(true);
+    expect(message.length).to.be.below(MAX_MESSAGE_LENGTH);
     await client.close();
   });
 });
