--- a/packages/peers/src/endless_answers_test.ts
+++ b/packages/peers/src/endless_answers_test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Server, Socket } from "node:net";
 import { createServer } from "node:net";
 import {
+  confirmEnd,
   createAnswerMeter,
   createSilentLogger,
   createSystemClock,
@@ -13,7 +14,7 @@
 import { openPeerConnection } from "./peer_connection.ts";
 import type { PeerExchange } from "./peer_protocol.ts";
 import { createServingPeerClient } from "./serving_peers.ts";
-import { openTunnel } from "./tunnel.ts";
+import { openTunnel, TUNNEL_PROTOCOL } from "./tunnel.ts";
 
 /** Longer than any of the answers takes to exceed its limit. */
 const TIMEOUT = 4_000;
@@ -30,6 +31,7 @@
 const MAX_POURED_BYTES = 33_554_432;
 const ACCEPTED = "HTTP/1.1 101 X\r\nconnection: Upgrade\r\n" +
   "upgrade: mangoreach-peer\r\n\r\n";
+const ACCEPTED_TUNNEL = ACCEPTED.replace("mangoreach-peer", TUNNEL_PROTOCOL);
 const CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const CHUNKS = "1\r\nx\r\n".repeat(10_000);
 
@@ -309,4 +311,23 @@
     expect(message.length).to.be.below(MAX_MESSAGE_LENGTH);
     await client.close();
   });
+
+  // Guards against the same in the question for the end of a tunnel.
+  it("confirm no end of a tunnel", async () => {
+    pour = { head: ACCEPTED_TUNNEL, block: "", isOnce: true };
+    const { client, meter } = createClient();
+    const tunnel = await openTunnel({ id: "i-1", address: "127.0.0.1:1" }, {
+      peer: address,
+      connect: openConnection,
+      timeout: TIMEOUT,
+      meter,
+    });
+    const socket = tunnel.unwrapOrElse(() => expect.fail("no tunnel"));
+    pour = UPGRADE_POURS["provisional answers"]!;
+    expect(await confirmEnd(socket)).to.equal(false);
+    expect([...meter.exceeded]).to.deep.equal([["provisional_answers", 1]]);
+    socket.destroy();
+    await client.close();
+    await waitUntilClosed();
+  });
 });
