--- a/soak/src/pouring_endpoints.ts
+++ b/soak/src/pouring_endpoints.ts
@@ -19,6 +19,8 @@
 export interface PouringOrder {
   form: PouringFormName;
   status: number;
+  /** Index of the endpoint that it is for; for all if left out. */
+  endpoint?: number;
 }
 
 /** What the process sends. */
@@ -33,13 +35,15 @@
 const POURING_TIME_MS = 8_000;
 
 let order: PouringOrder = { form: "a body without a length", status: 200 };
+/** Orders of single endpoints. */
+const ownOrders = new Map<number, PouringOrder>();
 /** Answers since the last order. */
 let poured = 0;
 
-function formatHead(form: PouringForm, id: string): string {
+function formatHead(form: PouringForm, status: number, id: string): string {
   const { headers, hasBody, first } = form;
   const lines = [
-    `HTTP/1.1 ${order.status} Any`,
+    `HTTP/1.1 ${status} Any`,
     `${HEADER.requestId}: ${id}`,
     `${HEADER.proof}: proof`,
     ...headers,
@@ -50,8 +54,12 @@
   return lines.join("\r\n") + (hasBody ? "\r\n" : "") + first;
 }
 
-function sendEndless(socket: Socket, received: string): void {
-  const form: PouringForm = POURING_FORMS[order.form];
+function sendEndless(
+  socket: Socket,
+  received: string,
+  { form: name, status }: PouringOrder,
+): void {
+  const form: PouringForm = POURING_FORMS[name];
   const id = REQUEST_ID.exec(received)?.[1] ?? "";
   const count = form.isSpaced === true
     ? 1
@@ -60,7 +68,7 @@
   const until = Date.now() + POURING_TIME_MS;
   poured++;
   socket.setNoDelay(true);
-  socket.write(formatHead(form, id), "latin1");
+  socket.write(formatHead(form, status, id), "latin1");
 
   function writeNext(): void {
     if (socket.destroyed) return;
@@ -75,10 +83,14 @@
   writeNext();
 }
 
-function startEndpoint(): Promise<string> {
+function startEndpoint(index: number): Promise<string> {
   const server = createServer((socket) => {
     socket.on("error", () => {});
-    socket.once("data", (data) => sendEndless(socket, String(data)));
+    socket.once(
+      "data",
+      (data) =>
+        sendEndless(socket, String(data), ownOrders.get(index) ?? order),
+    );
   });
   return new Promise((resolve) =>
     server.listen(0, "127.0.0.1", () => resolve(readServerAddress(server)))
@@ -90,13 +102,16 @@
 }
 
 process.on("message", (next: PouringOrder) => {
-  order = next;
+  if (next.endpoint === undefined) {
+    order = next;
+    ownOrders.clear();
+  } else ownOrders.set(next.endpoint, next);
   sendMessage({ kind: "ordered", poured });
   poured = 0;
 });
 process.once("disconnect", () => process.exit());
 const count = Number(process.argv[2]);
 const addresses = await Promise.all(
-  Array.from({ length: count }, startEndpoint),
+  Array.from({ length: count }, (_, index) => startEndpoint(index)),
 );
 sendMessage({ kind: "listening", addresses });
