feat(entry): count what answers to mangoreach-entry cost

Its clients of the log, the instance list, the weight store, engines, stages and services were not counted: answer_costly and the two counters existed on the platform only, so that an answer given up at a limit left no trace.

The meter is passed to each client beside onMalformed, logged under endpoints and collected by mangoreach_answer_costs_total and mangoreach_answers_limited_total.

--- a/packages/engines/src/engine_client.ts
+++ b/packages/engines/src/engine_client.ts
@@ -19,6 +19,7 @@
   isEchoOf,
 } from "@mangoreach/endpoints";
 import type {
+  AnswerMeter,
   Clock,
   HttpCall,
   HttpClient,
@@ -72,6 +73,8 @@
   onDropped: (call: CallIdentity) => void;
   /** Called for each answer whose head is malformed. */
   onMalformed?: ((answer: MalformedAnswer) => void) | undefined;
+  /** Counts what answers cost. */
+  meter?: AnswerMeter | undefined;
   /** Time-out of load reports, cache events and cancels. */
   timeoutMs: Millis;
 }
@@ -112,9 +115,10 @@
 
 /** Creates the client. */
 export function createEngineClient(
-  { clock, onAnswer, onDropped, onMalformed, timeoutMs }: EngineClientOptions,
+  { clock, onAnswer, onDropped, onMalformed, meter, timeoutMs }:
+    EngineClientOptions,
 ): EngineClient {
-  const http = createHttpClient({ onMalformed });
+  const http = createHttpClient({ onMalformed, meter });
 
   async function* generate(
     call: GenerateCall,
--- a/packages/engines/src/engine_orders.ts
+++ b/packages/engines/src/engine_orders.ts
@@ -11,7 +11,13 @@
  */
 import type { EndpointInfo, Failure } from "@mangoreach/coordination";
 import { createCallFailure, createFailure } from "@mangoreach/coordination";
-import type { Clock, HttpCall, HttpReply, Millis } from "@mangoreach/shared";
+import type {
+  AnswerMeter,
+  Clock,
+  HttpCall,
+  HttpReply,
+  Millis,
+} from "@mangoreach/shared";
 import {
   createHttpClient,
   readReplyJson,
@@ -62,6 +68,8 @@
 export interface EngineOrderClientOptions {
   clock: Clock;
   timeoutMs: Millis;
+  /** Counts what answers cost; not counted if left out. */
+  meter?: AnswerMeter | undefined;
 }
 
 /** Sends orders to engines and reads their state and cached prefixes. */
@@ -90,9 +98,9 @@
 
 /** Creates a client for the orders to all engines. */
 export function createEngineOrderClient(
-  { clock, timeoutMs }: EngineOrderClientOptions,
+  { clock, timeoutMs, meter }: EngineOrderClientOptions,
 ): EngineOrderClient {
-  const http = createHttpClient();
+  const http = createHttpClient({ meter });
 
   async function callEngine(
     endpoint: EndpointInfo,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -37,6 +37,7 @@
   Millis,
 } from "@mangoreach/shared";
 import {
+  createAnswerMeter,
   createAnswerRecorder,
   createCausalClock,
   createConnectionGuard,
@@ -143,6 +144,11 @@
     logger: logger.forPart("endpoints"),
   });
   metrics.setMalformedCounts(answers.counts);
+  const meter = createAnswerMeter({
+    clock,
+    logger: logger.forPart("endpoints"),
+  });
+  metrics.setAnswerMeter(meter);
   const endpointOptions = {
     onAnswer: ({ endpoint, headers, sentAt }: AnsweredCall) => {
       const key = formatEndpointKey(endpoint);
@@ -157,6 +163,7 @@
     },
     onMalformed: (answer: MalformedAnswer) =>
       answers.record("endpoint", answer),
+    meter,
   };
   const clients = createSiteClients(context, endpointOptions);
   const { log, engines, orders, weights, peers } = clients;
--- a/packages/entry/src/site_clients.ts
+++ b/packages/entry/src/site_clients.ts
@@ -46,26 +46,34 @@
   { settings, clock }: EntryContext,
   endpointOptions: Omit<StageClientOptions, "clock">,
 ): SiteClients {
+  const { meter } = endpointOptions;
   const log = createLogClient({
     clock,
     address: settings.logAddress,
     appendTimeoutMs: PLATFORM_TIMEOUT,
+    meter,
   });
   const instanceList = createInstanceListClient({
     clock,
     address: settings.instanceListAddress,
     timeoutMs: PLATFORM_TIMEOUT,
+    meter,
   });
   const peers = createPeerClient({
     clock,
     siteKey: settings.siteKey,
     timeoutMs: PEER_TIMEOUT,
   });
-  const orders = createEngineOrderClient({ clock, timeoutMs: ENGINE_TIMEOUT });
+  const orders = createEngineOrderClient({
+    clock,
+    timeoutMs: ENGINE_TIMEOUT,
+    meter,
+  });
   const weights = createWeightStoreClient({
     clock,
     address: settings.weightStoreAddress,
     timeoutMs: PLATFORM_TIMEOUT,
+    meter,
   });
   const engines = createEngineClient({
     clock,
--- a/packages/instance_list/src/instance_list_client.ts
+++ b/packages/instance_list/src/instance_list_client.ts
@@ -8,7 +8,7 @@
  */
 import type { EndpointInfo, Failure } from "@mangoreach/coordination";
 import { createCallFailure, createFailure } from "@mangoreach/coordination";
-import type { Clock, Millis } from "@mangoreach/shared";
+import type { AnswerMeter, Clock, Millis } from "@mangoreach/shared";
 import {
   createHttpClient,
   createSubject,
@@ -48,6 +48,8 @@
   /** `ip:port`. */
   address: string;
   timeoutMs: Millis;
+  /** Counts what answers cost; not counted if left out. */
+  meter?: AnswerMeter | undefined;
 }
 
 /** A client of the instance list. */
@@ -72,9 +74,9 @@
 
 /** Creates the client; it connects on the first call. */
 export function createInstanceListClient(
-  { clock, address, timeoutMs }: InstanceListClientOptions,
+  { clock, address, timeoutMs, meter }: InstanceListClientOptions,
 ): InstanceListClient {
-  const http = createHttpClient();
+  const http = createHttpClient({ meter });
 
   async function read(
     after: number,
--- a/packages/log/src/log_client.ts
+++ b/packages/log/src/log_client.ts
@@ -5,7 +5,7 @@
  */
 import type { Failure } from "@mangoreach/coordination";
 import { createCallFailure, createFailure } from "@mangoreach/coordination";
-import type { Clock, HttpReply, Millis } from "@mangoreach/shared";
+import type { AnswerMeter, Clock, HttpReply, Millis } from "@mangoreach/shared";
 import {
   createHttpClient,
   readReplyJson,
@@ -23,6 +23,8 @@
   address: string;
   /** Timeout of an append; after it the record may or may not be in the log. */
   appendTimeoutMs: Millis;
+  /** Counts what answers cost; not counted if left out. */
+  meter?: AnswerMeter | undefined;
 }
 
 /** Options of {@linkcode LogClient.read}. */
@@ -56,9 +58,9 @@
 
 /** Creates the client; it connects on the first call. */
 export function createLogClient(
-  { clock, address, appendTimeoutMs }: LogClientOptions,
+  { clock, address, appendTimeoutMs, meter }: LogClientOptions,
 ): LogClient {
-  const http = createHttpClient();
+  const http = createHttpClient({ meter });
 
   async function append(
     stream: LogStream,
--- a/packages/services/src/service_client.ts
+++ b/packages/services/src/service_client.ts
@@ -11,7 +11,7 @@
 import { createCallFailure, createFailure } from "@mangoreach/coordination";
 import type { CallIdentity, OnAnswer } from "@mangoreach/endpoints";
 import { createReplyFailure, ENDPOINT_HEADERS } from "@mangoreach/endpoints";
-import type { Clock, MalformedAnswer } from "@mangoreach/shared";
+import type { AnswerMeter, Clock, MalformedAnswer } from "@mangoreach/shared";
 import { createHttpClient, hasJsonBrokenOff } from "@mangoreach/shared";
 import { Result } from "true-myth";
 
@@ -43,6 +43,8 @@
   onDropped: (call: CallIdentity) => void;
   /** Called for each answer whose head is malformed. */
   onMalformed?: ((answer: MalformedAnswer) => void) | undefined;
+  /** Counts what answers cost. */
+  meter?: AnswerMeter | undefined;
 }
 
 /** A client of all plain-service endpoints of a site. */
@@ -57,11 +59,15 @@
 
 /** Creates the client. */
 export function createServiceClient(
-  { clock, onAnswer, onDropped, onMalformed }: ServiceClientOptions,
+  { clock, onAnswer, onDropped, onMalformed, meter }: ServiceClientOptions,
 ): ServiceClient {
   // Answers may be any bytes, so that nothing in them shows where they end or
   // which call they answer.
-  const http = createHttpClient({ connections: "single", onMalformed });
+  const http = createHttpClient({
+    connections: "single",
+    onMalformed,
+    meter,
+  });
 
   async function call(
     serviceCall: ServiceCall,
--- a/packages/stages/src/stage_client.ts
+++ b/packages/stages/src/stage_client.ts
@@ -17,7 +17,7 @@
   formatEcho,
   isEchoOf,
 } from "@mangoreach/endpoints";
-import type { Clock, MalformedAnswer } from "@mangoreach/shared";
+import type { AnswerMeter, Clock, MalformedAnswer } from "@mangoreach/shared";
 import { createHttpClient, readReplyJson } from "@mangoreach/shared";
 import { Result } from "true-myth";
 import * as z from "zod";
@@ -52,6 +52,8 @@
   onDropped: (call: CallIdentity) => void;
   /** Called for each answer whose head is malformed. */
   onMalformed?: ((answer: MalformedAnswer) => void) | undefined;
+  /** Counts what answers cost. */
+  meter?: AnswerMeter | undefined;
 }
 
 /** A client of all stage endpoints of a site. */
@@ -65,9 +67,9 @@
 
 /** Creates the client. */
 export function createStageClient(
-  { clock, onAnswer, onDropped, onMalformed }: StageClientOptions,
+  { clock, onAnswer, onDropped, onMalformed, meter }: StageClientOptions,
 ): StageClient {
-  const http = createHttpClient({ onMalformed });
+  const http = createHttpClient({ onMalformed, meter });
 
   async function call(
     stageCall: StageCall,
--- a/packages/weight_store/src/weight_store_client.ts
+++ b/packages/weight_store/src/weight_store_client.ts
@@ -9,7 +9,7 @@
  */
 import type { Failure } from "@mangoreach/coordination";
 import { createCallFailure, createFailure } from "@mangoreach/coordination";
-import type { Clock, Millis } from "@mangoreach/shared";
+import type { AnswerMeter, Clock, Millis } from "@mangoreach/shared";
 import {
   createHttpClient,
   readReplyJson,
@@ -33,6 +33,8 @@
   /** `ip:port`. */
   address: string;
   timeoutMs: Millis;
+  /** Counts what answers cost; not counted if left out. */
+  meter?: AnswerMeter | undefined;
 }
 
 /** A client of the weight store. */
@@ -52,9 +54,9 @@
 
 /** Creates the client; it connects on the first call. */
 export function createWeightStoreClient(
-  { clock, address, timeoutMs }: WeightStoreClientOptions,
+  { clock, address, timeoutMs, meter }: WeightStoreClientOptions,
 ): WeightStoreClient {
-  const http = createHttpClient();
+  const http = createHttpClient({ meter });
 
   async function find(name: string): Promise<Result<WeightInfo, Failure>> {
     const timeout = startTimeout(clock, timeoutMs);
