fix(shared): count the costs of answers and not of connections

Operators saw a warning (answer_costly) for a sound server once a connection that is kept for reuse had carried some 4,096 answers: costs were added up until the connection closed, and the counters showed them only then.

Evidence: 10,000 answers of 40 bytes over the two connections of a pool; on the code before this change the new test gets two such lines and fails.

The framing tells how many answers have ended, and the account of each is closed then. 110 tests of the parts that it touches pass.

--- a/packages/shared/src/answer_meter.ts
+++ b/packages/shared/src/answer_meter.ts
@@ -17,12 +17,14 @@
   /** Reads, each of which passes through all layers. */
   | "reads";
 
-/** Counts the cost of one answer. */
+/** Counts the cost of the answers on one connection. */
 export interface AnswerCosts {
   add(cost: AnswerCost, count: number): void;
   /** Records that the answer is given up at a limit. */
   exceed(limit: AnswerLimit): void;
-  /** Logs an answer that cost more than its data. */
+  /** Logs an answer that cost more than its data; what follows is another's. */
+  endAnswer(): void;
+  /** Ends the last answer. */
   close(): void;
 }
 
@@ -32,7 +34,7 @@
   readonly totals: ReadonlyMap<AnswerCost, number>;
   /** Answers so far that were given up at each limit. */
   readonly exceeded: ReadonlyMap<AnswerLimit, number>;
-  /** Opens the account of an answer from `ip:port`. */
+  /** Opens the account of a connection to `ip:port`. */
   open(address: string): AnswerCosts;
 }
 
@@ -49,8 +51,9 @@
   const lines = createLineLimiter<"costly">(clock);
 
   function open(address: string): AnswerCosts {
-    const startedAt: Millis = clock.now();
-    const own = { bytes: 0, framing: 0, reads: 0 };
+    /** Of an answer after the first: when its first bytes came. */
+    let startedAt: Millis | undefined = clock.now();
+    let own = { bytes: 0, framing: 0, reads: 0 };
     let limit: AnswerLimit | undefined;
 
     function isCostly(): boolean {
@@ -58,23 +61,31 @@
         own.framing > MUCH_FRAMING;
     }
 
+    function endAnswer(): void {
+      for (const cost of ["bytes", "framing", "reads"] as const) {
+        totals.set(cost, (totals.get(cost) ?? 0) + own[cost]);
+      }
+      const count = isCostly() ? lines.record("costly") : undefined;
+      if (count !== undefined) {
+        const took = Math.round(clock.now() - (startedAt ?? clock.now()));
+        logger.warn("answer_costly", { count, address, took, ...own, limit });
+      }
+      startedAt = undefined;
+      own = { bytes: 0, framing: 0, reads: 0 };
+      limit = undefined;
+    }
+
     return {
       add(cost, count) {
+        startedAt ??= clock.now();
         own[cost] += count;
       },
       exceed(kind) {
         limit = kind;
         exceeded.set(kind, (exceeded.get(kind) ?? 0) + 1);
       },
-      close() {
-        for (const cost of ["bytes", "framing", "reads"] as const) {
-          totals.set(cost, (totals.get(cost) ?? 0) + own[cost]);
-        }
-        const count = isCostly() ? lines.record("costly") : undefined;
-        if (count === undefined) return;
-        const took = Math.round(clock.now() - startedAt);
-        logger.warn("answer_costly", { count, address, took, ...own, limit });
-      },
+      endAnswer,
+      close: endAnswer,
     };
   }
 
--- a/packages/shared/src/answers/answer_framing.ts
+++ b/packages/shared/src/answers/answer_framing.ts
@@ -24,6 +24,8 @@
 export interface AnswerFraming {
   /** Bytes that were no data, of all answers so far. */
   readonly framingBytes: number;
+  /** Answers of which all was read. */
+  readonly answers: number;
   /** The limit that the current answer exceeds. */
   readonly exceeded: AnswerLimit | undefined;
   /** Returns what the parser is to get of a part; may be empty. */
@@ -84,6 +86,7 @@
   /** Of the current answer. */
   let framing = 0;
   let framingBytes = 0;
+  let answers = 0;
   let exceeded: AnswerLimit | undefined;
 
   function addFraming(count: number): void {
@@ -98,6 +101,7 @@
     headEnd = createHeadEnd();
     provisional = 0;
     framing = 0;
+    answers++;
   }
 
   function startBody(): void {
@@ -216,6 +220,9 @@
     get framingBytes() {
       return framingBytes;
     },
+    get answers() {
+      return answers;
+    },
     get exceeded() {
       return exceeded;
     },
--- a/packages/shared/src/answers/answer_input.ts
+++ b/packages/shared/src/answers/answer_input.ts
@@ -59,6 +59,7 @@
   /** Whether the stream has asked for more than it has got. */
   let isReadWanted = false;
   let counted = 0;
+  let answers = 0;
 
   function pushPart(part: Buffer): boolean {
     costs?.add("bytes", part.length);
@@ -70,6 +71,7 @@
       endExceeded(framing.exceeded);
       return false;
     }
+    if (framing !== undefined) countAnswers(framing);
     // Nothing is pushed for a part of a head or chunk, which is to be continued.
     isReadWanted = bytes.length === 0;
     const isWritable = isReadWanted || push.call(socket, bytes);
@@ -85,6 +87,12 @@
     counted = framingBytes;
   }
 
+  function countAnswers(framing: AnswerFraming): void {
+    if (framing.answers === answers) return;
+    answers = framing.answers;
+    costs?.endAnswer();
+  }
+
   function endExceeded(limit: AnswerLimit): void {
     costs?.exceed(limit);
     const error = new AnswerLimitError(limit);
--- a/packages/shared/src/answers/answer_input_test.ts
+++ b/packages/shared/src/answers/answer_input_test.ts
@@ -129,4 +129,27 @@
       expect(meter.exceeded.get("framing")).to.equal(limited + 1);
     });
   }
+
+  // Guards against warnings of a connection that is merely used for long.
+  it("finds no cost in many short answers on a connection", async () => {
+    const lines: string[] = [];
+    const logger = createSilentLogger();
+    const counting = createAnswerMeter({
+      clock: createSystemClock(),
+      logger: { ...logger, warn: (line) => void lines.push(line) },
+    });
+    const client = createHttpClient({ meter: counting });
+    write = (socket) =>
+      socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    // A pool of connections shares them.
+    for (let call = 0; call < 10_000; call++) {
+      await client.call({ method: "GET", address, path: "/" });
+    }
+    await client.close();
+    for (let turn = 0; turn < 200 && counting.totals.size === 0; turn++) {
+      await sleep(5);
+    }
+    expect(counting.totals.get("reads")).to.be.at.least(10_000);
+    expect(lines).to.deep.equal([]);
+  });
 });
