fix(shared): refuse a list at its first malformed item

An engine, the log, the instance list or an entry could take a gigabyte of its reader by a complete answer within the limit of its size: the schema of a list described what is wrong with each of a million items.

It is used for the lists of cache events, log records, instances, models and their adapters, and entries' addresses.

--- a/packages/callers/src/caller_protocol.ts
+++ b/packages/callers/src/caller_protocol.ts
@@ -6,6 +6,7 @@
  */
 import type { Failure } from "@mangoreach/coordination";
 import { createFailure } from "@mangoreach/coordination";
+import { createListSchema } from "@mangoreach/shared";
 import * as z from "zod";
 
 /** Names of the headers, lower case. */
@@ -69,7 +70,7 @@
 
 /** The response to `GET /v1/addresses`, preferred address first. */
 export const addressAnswerSchema = z.object({
-  addresses: z.array(entryAddressSchema),
+  addresses: createListSchema(entryAddressSchema),
   /** How long the response may be cached. */
   keep_ms: z.number().min(0),
   /** When to refresh it, which is before it expires. */
--- a/packages/engines/src/engine_client.ts
+++ b/packages/engines/src/engine_client.ts
@@ -29,6 +29,7 @@
 } from "@mangoreach/shared";
 import {
   createHttpClient,
+  createListSchema,
   readReplyJson,
   startTimeout,
 } from "@mangoreach/shared";
@@ -104,7 +105,7 @@
 });
 
 const cacheEventsSchema = z.object({
-  events: z.array(z.object({
+  events: createListSchema(z.object({
     sequence: z.number().int().min(0),
     kind: z.enum(["stored", "evicted"]),
     prefix: z.string(),
--- a/packages/engines/src/engine_orders.ts
+++ b/packages/engines/src/engine_orders.ts
@@ -20,6 +20,7 @@
 } from "@mangoreach/shared";
 import {
   createHttpClient,
+  createListSchema,
   readReplyJson,
   startTimeout,
 } from "@mangoreach/shared";
@@ -45,10 +46,10 @@
 const stateSchema = z.object({
   incarnation: z.string(),
   fence: z.number().int(),
-  models: z.array(z.object({
+  models: createListSchema(z.object({
     name: z.string(),
     version: z.string(),
-    adapters: z.array(z.string()),
+    adapters: createListSchema(z.string()),
   })),
   role: z.enum(["both", "prefill", "decode"]),
 });
--- a/packages/instance_list/src/instance_list_client.ts
+++ b/packages/instance_list/src/instance_list_client.ts
@@ -11,6 +11,7 @@
 import type { AnswerMeter, Clock, Millis } from "@mangoreach/shared";
 import {
   createHttpClient,
+  createListSchema,
   createSubject,
   readReplyJson,
   startTimeout,
@@ -33,7 +34,7 @@
 
 const snapshotSchema = z.object({
   version: z.number().int().min(0),
-  instances: z.array(listedInstanceSchema),
+  instances: createListSchema(listedInstanceSchema),
 });
 
 /** The list as read at one time. */
--- a/packages/log/src/records.ts
+++ b/packages/log/src/records.ts
@@ -9,6 +9,7 @@
  *
  * @module
  */
+import { createListSchema } from "@mangoreach/shared";
 import * as z from "zod";
 
 /** The streams that the system stores in the log. */
@@ -43,7 +44,7 @@
   first: z.number().int().min(0),
   /** The offset after the last record of this page. */
   next: z.number().int().min(0),
-  records: z.array(logRecordSchema),
+  records: createListSchema(logRecordSchema),
 }).refine(
   ({ records, next }) =>
     records.every(({ offset }, i) =>
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export { parseBoundedJson } from "./bounded_json.ts";
+export { createListSchema } from "./list_schema.ts";
 export type { AddressParts } from "./address.ts";
 export { parseAddress } from "./address.ts";
 export { parseAmount } from "./amount.ts";
