--- a/packages/engines/src/engine_client.ts
+++ b/packages/engines/src/engine_client.ts
@@ -19,6 +19,7 @@
   isEchoOf,
 } from "@mangoreach/endpoints";
 import type {
+  AnswerMeter,
   Clock,
   HttpCall,
   HttpClient,
@@ -28,6 +29,7 @@
 } from "@mangoreach/shared";
 import {
   createHttpClient,
+  createListSchema,
   readReplyJson,
   startTimeout,
 } from "@mangoreach/shared";
@@ -72,6 +74,8 @@
   onDropped: (call: CallIdentity) => void;
   /** Called for each answer whose head is malformed. */
   onMalformed?: ((answer: MalformedAnswer) => void) | undefined;
+  /** Counts what answers cost. */
+  meter?: AnswerMeter | undefined;
   /** Time-out of load reports, cache events and cancels. */
   timeoutMs: Millis;
 }
@@ -101,7 +105,7 @@
 });
 
 const cacheEventsSchema = z.object({
-  events: z.array(z.object({
+  events: createListSchema(z.object({
     sequence: z.number().int().min(0),
     kind: z.enum(["stored", "evicted"]),
     prefix: z.string(),
@@ -112,9 +116,10 @@
 
 /** Creates the client. */
 export function createEngineClient(
-  { clock, onAnswer, onDropped, onMalformed, timeoutMs }: EngineClientOptions,
+  { clock, onAnswer, onDropped, onMalformed, meter, timeoutMs }:
+    EngineClientOptions,
 ): EngineClient {
-  const http = createHttpClient({ onMalformed });
+  const http = createHttpClient({ onMalformed, meter });
 
   async function* generate(
     call: GenerateCall,
--- a/packages/engines/src/engine_orders.ts
+++ b/packages/engines/src/engine_orders.ts
@@ -11,9 +11,16 @@
  */
 import type { EndpointInfo, Failure } from "@mangoreach/coordination";
 import { createCallFailure, createFailure } from "@mangoreach/coordination";
-import type { Clock, HttpCall, HttpReply, Millis } from "@mangoreach/shared";
+import type {
+  AnswerMeter,
+  Clock,
+  HttpCall,
+  HttpReply,
+  Millis,
+} from "@mangoreach/shared";
 import {
   createHttpClient,
+  createListSchema,
   readReplyJson,
   startTimeout,
 } from "@mangoreach/shared";
@@ -39,10 +46,10 @@
 const stateSchema = z.object({
   incarnation: z.string(),
   fence: z.number().int(),
-  models: z.array(z.object({
+  models: createListSchema(z.object({
     name: z.string(),
     version: z.string(),
-    adapters: z.array(z.string()),
+    adapters: createListSchema(z.string()),
   })),
   role: z.enum(["both", "prefill", "decode"]),
 });
@@ -62,6 +69,8 @@
 export interface EngineOrderClientOptions {
   clock: Clock;
   timeoutMs: Millis;
+  /** Counts what answers cost; not counted if left out. */
+  meter?: AnswerMeter | undefined;
 }
 
 /** Sends orders to engines and reads their state and cached prefixes. */
@@ -90,9 +99,9 @@
 
 /** Creates a client for the orders to all engines. */
 export function createEngineOrderClient(
-  { clock, timeoutMs }: EngineOrderClientOptions,
+  { clock, timeoutMs, meter }: EngineOrderClientOptions,
 ): EngineOrderClient {
-  const http = createHttpClient();
+  const http = createHttpClient({ meter });
 
   async function callEngine(
     endpoint: EndpointInfo,
--- a/packages/instance_list/src/instance_list_client.ts
+++ b/packages/instance_list/src/instance_list_client.ts
@@ -8,9 +8,10 @@
  */
 import type { EndpointInfo, Failure } from "@mangoreach/coordination";
 import { createCallFailure, createFailure } from "@mangoreach/coordination";
-import type { Clock, Millis } from "@mangoreach/shared";
+import type { AnswerMeter, Clock, Millis } from "@mangoreach/shared";
 import {
   createHttpClient,
+  createListSchema,
   createSubject,
   readReplyJson,
   startTimeout,
@@ -33,7 +34,7 @@
 
 const snapshotSchema = z.object({
   version: z.number().int().min(0),
-  instances: z.array(listedInstanceSchema),
+  instances: createListSchema(listedInstanceSchema),
 });
 
 /** The list as read at one time. */
@@ -48,6 +49,8 @@
   /** `ip:port`. */
   address: string;
   timeoutMs: Millis;
+  /** Counts what answers cost; not counted if left out. */
+  meter?: AnswerMeter | undefined;
 }
 
 /** A client of the instance list. */
@@ -72,9 +75,9 @@
 
 /** Creates the client; it connects on the first call. */
 export function createInstanceListClient(
-  { clock, address, timeoutMs }: InstanceListClientOptions,
+  { clock, address, timeoutMs, meter }: InstanceListClientOptions,
 ): InstanceListClient {
-  const http = createHttpClient();
+  const http = createHttpClient({ meter });
 
   async function read(
     after: number,
