test(soak): seeded runs meet answers without end in small chunks

ENDLESS_SHAPES gets three forms of pouring_forms.ts, many in each write: chunks of one byte, an event in a chunk each, pieces that complete no event. They stand at the end, as endpoints send the shapes by turns: the schedules of existing seeds are as before, and so are the first six such answers of each endpoint; from the seventh on they differ.

--- a/soak/src/endless_answers.ts
+++ b/soak/src/endless_answers.ts
@@ -5,6 +5,14 @@
  */
 import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
+import { createPouringBlock, POURING_FORMS } from "./pouring_forms.ts";
+
+/** Forms of chunks so small that they cost more than their bytes. */
+const SMALL_CHUNK_FORMS = [
+  "chunks of one byte",
+  "events in a chunk each",
+  "pieces of a stream that complete no event",
+] as const;
 
 /** What has no end. */
 export type EndlessShape =
@@ -19,9 +27,14 @@
   /** A body in chunks. */
   | "chunks"
   /** A body, one byte at a time. */
-  | "slow_body";
+  | "slow_body"
+  /** Many small chunks in each write. */
+  | typeof SMALL_CHUNK_FORMS[number];
 
-/** All shapes. */
+/**
+ * All shapes. Endpoints of the soak test send them by turns, so that further ones
+ * belong at the end: the first answers of existing seeds then stay the same.
+ */
 export const ENDLESS_SHAPES: readonly EndlessShape[] = [
   "provisional",
   "slow_head",
@@ -29,6 +42,7 @@
   "body",
   "chunks",
   "slow_body",
+  ...SMALL_CHUNK_FORMS,
 ];
 
 const SLOW_GAP_MS = 20;
@@ -77,6 +91,14 @@
         next: Buffer.from("x"),
         gap: SLOW_GAP_MS,
       };
+    default: {
+      const form = POURING_FORMS[shape];
+      return {
+        first: `${start}${form.headers.join("\r\n")}\r\n\r\n`,
+        next: createPouringBlock(form),
+        gap: 0,
+      };
+    }
   }
 }
 
--- a/soak/src/pouring_endpoints.ts
+++ b/soak/src/pouring_endpoints.ts
@@ -6,14 +6,13 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
 import { createServer } from "node:net";
 import process from "node:process";
 import { readServerAddress } from "@mangoreach/shared";
 import { HEADER } from "../../platform/src/wire_names.ts";
 import type { PouringForm, PouringFormName } from "./pouring_forms.ts";
-import { POURING_FORMS } from "./pouring_forms.ts";
+import { createPouringBlock, POURING_FORMS } from "./pouring_forms.ts";
 
 /** What the parent sends. */
 export interface PouringOrder {
@@ -26,7 +25,6 @@
   | { kind: "listening"; addresses: readonly string[] }
   | { kind: "ordered"; poured: number };
 
-const WRITE_BYTES = 65_536;
 /** Writes that are made before others have their turn. */
 const SPACED_WRITES = 64;
 const REQUEST_ID = new RegExp(`${HEADER.requestId}: (\\S+)`, "i");
@@ -53,10 +51,7 @@
 function sendEndless(socket: Socket, received: string): void {
   const form: PouringForm = POURING_FORMS[order.form];
   const id = REQUEST_ID.exec(received)?.[1] ?? "";
-  const count = form.isSpaced === true
-    ? 1
-    : Math.ceil(WRITE_BYTES / form.repeated.length);
-  const block = Buffer.from(form.repeated.repeat(count), "latin1");
+  const block = createPouringBlock(form);
   const until = Date.now() + POURING_TIME_MS;
   poured++;
   socket.setNoDelay(true);
--- a/soak/src/pouring_forms.ts
+++ b/soak/src/pouring_forms.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { Buffer } from "node:buffer";
 
 /** One form, as text in latin1. */
 export interface PouringForm {
@@ -17,8 +18,9 @@
   isSpaced?: boolean;
 }
 
+const WRITE_BYTES = 65_536;
 const CHUNKED = "Transfer-Encoding: chunked";
-const BLOCK = "x".repeat(65_536);
+const BLOCK = "x".repeat(WRITE_BYTES);
 
 function formatChunk(data: string, extension = ""): string {
   return `${data.length.toString(16)}${extension}\r\n${data}\r\n`;
@@ -87,3 +89,11 @@
 
 /** The name of a form. */
 export type PouringFormName = keyof typeof POURING_FORMS;
+
+/** Creates the bytes of one write. */
+export function createPouringBlock(
+  { repeated, isSpaced = false }: PouringForm,
+): Buffer {
+  const count = isSpaced ? 1 : Math.ceil(WRITE_BYTES / repeated.length);
+  return Buffer.from(repeated.repeat(count), "latin1");
+}
