fix(soak): answers without end hold no events that count as a caller's

The seeded shape is now one comment in a chunk each, which costs as much, and the caller's parser skips blocks of comments, which are no events.

--- a/soak/src/endless_answers.ts
+++ b/soak/src/endless_answers.ts
@@ -7,10 +7,13 @@
 import type { Socket } from "node:net";
 import { createPouringBlock, POURING_FORMS } from "./pouring_forms.ts";
 
-/** Forms of chunks so small that they cost more than their bytes. */
+/**
+ * Forms of chunks so small that they cost more than their bytes. They hold no
+ * event with fields, which callers of streams could not tell from a sound one.
+ */
 const SMALL_CHUNK_FORMS = [
   "chunks of one byte",
-  "events in a chunk each",
+  "comments of a stream in a chunk each",
   "pieces of a stream that complete no event",
 ] as const;
 
--- a/soak/src/pouring_forms.ts
+++ b/soak/src/pouring_forms.ts
@@ -82,6 +82,9 @@
     formatChunk("data: x\n"),
   ),
   "events in a chunk each": createChunked(formatChunk("id: 1\ndata: x\n\n")),
+  "comments of a stream in a chunk each": createChunked(
+    formatChunk(": x\n\n"),
+  ),
   "events, many in a chunk": createChunked(
     formatChunk("id: 1\ndata: x\n\n".repeat(4_000)),
   ),
--- a/soak/src/stream_callers.ts
+++ b/soak/src/stream_callers.ts
@@ -138,8 +138,13 @@
   };
 }
 
-function parseEvents(text: string): ReceivedEvent[] {
-  return text.split("\n\n").map((event) => {
+/** A block of comments only, which is no event (WHATWG HTML, section 9.2.6). */
+const COMMENTS = /^(:.*(\n|$))+$/;
+
+/** Parses complete events, separated by empty lines. */
+export function parseEvents(text: string): ReceivedEvent[] {
+  const blocks = text.split("\n\n").filter((block) => !COMMENTS.test(block));
+  return blocks.map((event) => {
     const [, number = "0", version = ""] =
       /^id: (\d+)\ndata: (\S+)/.exec(event) ??
         [];
