test(soak): parts of early answers and invalid statuses, with a real process

Guards two faults that other systems had: an answer without a length that is reset beside a long upload passes as whole, and an answer with the status 000 (00, 0000, 600, 999) is taken for one. Until now only in-process entries were tested so.

--- /dev/null
+++ b/bench/src/broken_answers_test.ts
@@ -0,0 +1,190 @@
+import type { ChildProcess } from "node:child_process";
+import { spawn } from "node:child_process";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import type { Server } from "node:net";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { createInterface } from "node:readline";
+import { CALLER_HEADERS, CALLER_PATHS } from "@mangoreach/callers";
+import { readServerAddress } from "@mangoreach/shared";
+import { expect } from "chai";
+import { request } from "undici";
+import { DRAFT_TEXT } from "./draft_call.ts";
+import type { LocalSite } from "./local_site.ts";
+import { LOCAL_KEYS, startLocalSite } from "./local_site.ts";
+
+const TEST_TIMEOUT_MS = 90_000;
+const START_MS = 15_000;
+const UPLOADS = 200;
+const UPLOAD_BYTES = 4_000_000;
+const MAX_BODY_BYTES = 4_194_304;
+const PART = "bytes of a part";
+const STATUSES = ["000", "00", "0000", "600", "999"];
+/** Endpoints of each pool that are replaced by ones that break. */
+const BROKEN = ["billing-1", "billing-2", "encoder-1", "encoder-2"];
+const JSON_ANSWER = "Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
+
+interface BrokenAnswer {
+  text: string;
+  /** Until the connection is reset; closed in order if left out. */
+  resetAfter?: number;
+}
+
+/** Guards against bytes of endpoints that are no answer and reach callers. */
+describe("broken answers to a process of mangoreach-entry", function () {
+  this.timeout(TEST_TIMEOUT_MS);
+  let site: LocalSite;
+  let server: Server;
+  let child: ChildProcess;
+  let callers = "";
+  let answer: BrokenAnswer = { text: "" };
+  let arrivals = 0;
+
+  beforeEach(async () => {
+    site = await startLocalSite({ entries: 0 });
+    server = createServer((socket) => {
+      socket.on("error", () => {});
+      socket.once("data", () => {
+        const { text, resetAfter } = answer;
+        arrivals++;
+        // The rest of the request is not read.
+        if (resetAfter !== undefined) socket.pause();
+        socket.write(text, () => {
+          if (resetAfter === undefined) socket.end();
+          else if (resetAfter === 0) socket.resetAndDestroy();
+          else setTimeout(() => socket.resetAndDestroy(), resetAfter);
+        });
+      });
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", () => resolve())
+    );
+    const file = join(
+      mkdtempSync(join(tmpdir(), "mangoreach-broken-")),
+      "entry.jsonc",
+    );
+    writeFileSync(
+      file,
+      JSON.stringify({
+        entry: "entry-1",
+        place: "odda",
+        dataCentre: "odda-a",
+        callerAddress: { host: "127.0.0.1", port: 0 },
+        controlAddress: { host: "127.0.0.1", port: 0 },
+        logAddress: site.log.address,
+        instanceListAddress: site.instanceList.address,
+        weightStoreAddress: site.weightStore.address,
+        siteKey: "site-key-of-local-tests",
+        operatorKey: "operator-key-of-local-tests",
+        accounts: [{ name: "handlers", key: LOCAL_KEYS.handlers }],
+        limits: { maxBodyBytes: MAX_BODY_BYTES, requestTimeoutMs: 20_000 },
+        timing: { instanceListMs: 50, loadReportMs: 50 },
+        logLevel: "error",
+      }),
+    );
+    child = spawn(process.execPath, [
+      "dist/mangoreach-entry.mjs",
+      "--settings",
+      file,
+    ], { stdio: ["ignore", "pipe", "ignore"] });
+    const line = await new Promise<string>((resolve) =>
+      createInterface(child.stdout!).once("line", resolve)
+    );
+    callers = (JSON.parse(line) as { callers: string }).callers;
+    for (const id of BROKEN) {
+      await site.putInstance(id, {
+        incarnation: "2",
+        pool: id.split("-")[0],
+        place: "odda",
+        address: readServerAddress(server),
+        state: "live",
+      });
+    }
+    answer = { text: `HTTP/1.1 200 OK\r\n${JSON_ANSWER}` };
+    const until = Date.now() + START_MS;
+    arrivals = 0;
+    while (arrivals === 0 && Date.now() < until) await call("service", "{}");
+    expect(arrivals).to.be.greaterThan(0);
+  });
+
+  afterEach(async () => {
+    child.kill("SIGKILL");
+    server.close();
+    await site.stop();
+  });
+
+  /** Returns the answer's status and body; "cut" if it has no proven end. */
+  async function call(
+    kind: "service" | "pipeline",
+    body: string,
+  ): Promise<{ status: number; body: string }> {
+    const path = kind === "service"
+      ? `${CALLER_PATHS.services}billing/notice`
+      : `${CALLER_PATHS.pipelines}embed`;
+    const reply = await request(`http://${callers}${path}`, {
+      method: "POST",
+      headers: {
+        authorization: `Bearer handlers:${LOCAL_KEYS.handlers}`,
+        "content-type": "application/json",
+        [CALLER_HEADERS.className]: "rulings",
+        [CALLER_HEADERS.deadlineMs]: "2000",
+        [CALLER_HEADERS.idempotent]: "true",
+      },
+      body,
+    });
+    return { status: reply.statusCode, body: await reply.body.text() };
+  }
+
+  /** Lists answers that hold what an endpoint sent, or pass for a success. */
+  async function listAccepted(
+    broken: BrokenAnswer,
+    { kind, body, count }: {
+      kind: "service" | "pipeline";
+      body: string;
+      count: number;
+    },
+  ): Promise<string[]> {
+    const accepted: string[] = [];
+    answer = broken;
+    arrivals = 0;
+    for (let sent = 0; sent < count; sent++) {
+      const reply = await call(kind, body);
+      if (reply.status < 400 || reply.body.includes(PART)) {
+        accepted.push(`${kind}: ${reply.status} ${reply.body}`);
+      }
+    }
+    return accepted;
+  }
+
+  // Guards against a part that passes as whole because its connection was reset
+  // while the request was still being written.
+  for (const resetAfter of [0, 1, 5]) {
+    it(`an early answer is cut if reset after ${resetAfter} ms`, async () => {
+      const text = `HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n${PART}`;
+      const body = JSON.stringify({ text: "x".repeat(UPLOAD_BYTES) });
+      const accepted = await listAccepted({ text, resetAfter }, {
+        kind: "service",
+        body,
+        count: UPLOADS,
+      });
+      expect(accepted).to.deep.equal([]);
+      expect(arrivals).to.be.at.least(UPLOADS);
+      expect(child.exitCode ?? child.signalCode).to.equal(null);
+    });
+  }
+
+  // Guards against statuses that HTTP does not have.
+  for (const kind of ["service", "pipeline"] as const) {
+    it(`an answer with an invalid status is refused: ${kind}`, async () => {
+      const body = JSON.stringify({ text: DRAFT_TEXT });
+      for (const status of STATUSES) {
+        const text = `HTTP/1.1 ${status} OK\r\n${JSON_ANSWER}`;
+        const accepted = await listAccepted({ text }, { kind, body, count: 2 });
+        expect(accepted, status).to.deep.equal([]);
+        expect(arrivals, status).to.be.greaterThan(0);
+      }
+    });
+  }
+});
--- a/soak/src/answer_ends_site.ts
+++ b/soak/src/answer_ends_site.ts
@@ -4,8 +4,11 @@
  *
  * @module
  */
+import { mkdtempSync } from "node:fs";
 import type { Server, Socket } from "node:net";
 import { connect, createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { readServerAddress } from "@mangoreach/shared";
 import {
@@ -15,6 +18,7 @@
   TOPIC,
 } from "../../platform/src/wire_names.ts";
 import { startInProcessEntries } from "./in_process_entries.ts";
+import { startProgram } from "./program_process.ts";
 import { createSoakConfig } from "./soak_config.ts";
 import { formatResults } from "./stage_results.ts";
 import { startTopicStore } from "./topic_store.ts";
@@ -25,7 +29,7 @@
   | "closes"
   /** It resets the connection and serves on. */
   | "resets"
-  /** The same, a moment later. */
+  /** The same, `resetDelayMs` later. */
   | "resets_soon"
   /** Its process ends, which closes all connections in an orderly way. */
   | "crashes"
@@ -54,6 +58,8 @@
    */
   isForStages?: boolean;
   end: EndpointEnd;
+  /** Of `resets_soon`; a millisecond if left out. */
+  resetDelayMs?: number;
 }
 
 /** What a caller received. */
@@ -86,6 +92,8 @@
   countArrivals(): number;
   /** Returns the lines of a metric that have values. */
   readMetric(name: string): Promise<string[]>;
+  /** Whether the entry's process has neither exited nor been ended. */
+  isAlive(): boolean;
   stop(): void;
 }
 
@@ -105,11 +113,46 @@
 const LEARNING_MS = 1_000;
 /** The bytes before a reset have arrived by then, the upload has not. */
 const RESET_DELAY_MS = 1;
+const START_MS = 15_000;
 const MAX_UPLOAD_BYTES = 8_388_608;
 const LAST_CHUNK = "0\r\n\r\n";
 
-/** Starts a site with one entry. */
-export async function startAnswerEndsSite(): Promise<AnswerEndsSite> {
+/** The entry of a site. */
+interface SiteEntry {
+  callers: string;
+  metrics: string;
+  isAlive(): boolean;
+  kill(): void;
+}
+
+async function startEntryInProcess(store: string): Promise<SiteEntry> {
+  const entries = await startInProcessEntries({ count: 1, store });
+  return {
+    callers: entries.callers[0]!,
+    metrics: entries.metrics[0]!,
+    isAlive: () => true,
+    kill: () => entries.kill(),
+  };
+}
+
+async function startEntryProcess(store: string): Promise<SiteEntry> {
+  const program = await startProgram({
+    name: "entry-0",
+    store,
+    folder: mkdtempSync(join(tmpdir(), "mangoreach-ends-")),
+  });
+  const isReady = await program.waitUntilReady(START_MS);
+  if (!isReady) throw new Error(`not ready: ${program.readLog()}`);
+  return { ...program, ...program.ports };
+}
+
+/**
+ * Starts a site with one entry, in this process or as one of its own, with the
+ * command of the deploy file.
+ */
+export async function startAnswerEndsSite(
+  { isProcess = false }: { isProcess?: boolean } = {},
+): Promise<AnswerEndsSite> {
   const store = await startTopicStore();
   const config = createSoakConfig(1, { isRevoked: false });
   store.put(TOPIC.operators, CONFIG_KEY, {
@@ -137,14 +180,15 @@
         const isRelease = request.startsWith(`POST ${PATH.stageFree}`);
         if (!isRelease) arrivals++;
         const scripted = chooseAnswer(answer, { socket, request });
-        const { end, isEarly = false } = scripted;
+        const { end, isEarly = false, resetDelayMs = RESET_DELAY_MS } =
+          scripted;
         if (isEarly) socket.pause();
         socket.write(formatAnswer(scripted, request), "latin1", () => {
           answeredAt = Date.now();
           if (end === "closes") socket.end();
           else if (end === "resets") socket.resetAndDestroy();
           else if (end === "resets_soon") {
-            setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+            setTimeout(() => socket.resetAndDestroy(), resetDelayMs);
           } else if (end !== "keeps") void endProcess();
         });
       });
@@ -185,16 +229,15 @@
     Array.from({ length: ENDPOINTS_PER_POOL }, () => startEndpoint(pool))
   );
   await Promise.all(started);
-  const entries = await startInProcessEntries({
-    count: 1,
-    store: store.address,
-  });
+  const entry = isProcess
+    ? await startEntryProcess(store.address)
+    : await startEntryInProcess(store.address);
 
   return {
     async call(route, scripted, options = {}) {
       answer = scripted;
       const id = `r-${requestCount++}`;
-      const received = await callRaw(entries.callers[0]!, {
+      const received = await callRaw(entry.callers, {
         route,
         id,
         ...options,
@@ -210,13 +253,14 @@
       return count;
     },
     async readMetric(name) {
-      const reply = await fetch(`http://${entries.metrics[0]}/metrics`);
+      const reply = await fetch(`http://${entry.metrics}/metrics`);
       const lines = (await reply.text()).split("\n");
       return lines.filter((line) => line.startsWith(name));
     },
+    isAlive: () => entry.isAlive(),
     stop() {
       isStopped = true;
-      entries.kill();
+      entry.kill();
       sockets.forEach((socket) => socket.destroy());
       servers.forEach((server) => server.close());
       store.close();
