--- a/bench/src/broken_answers_test.ts
+++ b/bench/src/broken_answers_test.ts
@@ -24,7 +24,8 @@
 const STATUSES = ["000", "00", "0000", "600", "999"];
 /** Endpoints of each pool that are replaced by ones that break. */
 const BROKEN = ["billing-1", "billing-2", "encoder-1", "encoder-2"];
-const JSON_ANSWER = "Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
+const JSON_ANSWER =
+  "Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
 
 interface BrokenAnswer {
   text: string;
