fix(serving): parse the JSON of an answer only where its connection delimits it, and bounded

Callers saw late answers and the process took 249 to 306 MB while an endpoint of another service answered with JSON of 8 MB whose values are small.

Cause: classifyBody parsed every buffered answer of type JSON, also those whose length or chunks show their end, and by the unbounded parser. The values of `[[],[],...` and `[{"1":0},...` take many times their bytes.

- The content is only read where the connection delimits the answer.
- JSON whose values would take too much memory is not parsed.
Whether a list or an object is still open at its end is checked instead: a part of valid JSON always has one open, so it still counts as cut.
Text that is malformed otherwise, but balanced, counts as whole from that size on.

--- a/packages/serving/src/answer_end.ts
+++ b/packages/serving/src/answer_end.ts
@@ -18,7 +18,12 @@
   EventPosition,
   Millis,
 } from "@mangoreach/shared";
-import { createEventBoundary, parseJson } from "@mangoreach/shared";
+import {
+  createEventBoundary,
+  hasJsonEnd,
+  isBoundedJson,
+  parseJson,
+} from "@mangoreach/shared";
 import type { EndpointCheck } from "./endpoint_check.ts";
 import type { HeaderList } from "./platform_interfaces.ts";
 
@@ -39,7 +44,8 @@
 export interface EndedAnswer {
   endpoint: EndpointInfo;
   delimiter: BodyDelimiter;
-  content: ContentEnd;
+  /** Tells what the content shows; only called if that matters. */
+  readContent: () => ContentEnd;
 }
 
 /** Options of {@linkcode classifyEnd}. */
@@ -74,7 +80,7 @@
   return position === "between_events" ? position : "cut";
 }
 
-/** Classifies what a body shows about its end. */
+/** Classifies what a body shows about its end, which may take long. */
 export function classifyBody(body: Buffer, kind: ContentKind): ContentEnd {
   if (kind === "opaque") return "unknown";
   if (kind === "json") return classifyJson(body);
@@ -84,7 +90,11 @@
 }
 
 function classifyJson(body: Buffer): ContentEnd {
-  const value = parseJson(body.toString());
+  const text = body.toString();
+  // The values of 8 MiB may fill the heap. That no list or object is open is
+  // enough, as it breaks off inside of one.
+  if (!isBoundedJson(text)) return hasJsonEnd(text) ? "whole" : "cut";
+  const value = parseJson(text);
   if (value === undefined) return "cut";
   // The first digits of a number are a number too.
   return typeof value === "number" ? "unknown" : "whole";
@@ -95,10 +105,12 @@
 
 /** Classifies the end of an answer, by its endpoint too where that matters. */
 export async function classifyEnd(
-  { endpoint, delimiter, content }: EndedAnswer,
+  { endpoint, delimiter, readContent }: EndedAnswer,
   { clock, endpointCheck, directory }: AnswerEndOptions,
 ): Promise<AnswerEnd> {
-  if (delimiter !== "connection" || content === "whole") return "whole";
+  if (delimiter !== "connection") return "whole";
+  const content = readContent();
+  if (content === "whole") return "whole";
   if (content === "cut") return "cut";
   let condition = await endpointCheck.checkCondition(endpoint);
   if (condition === "listening") {
--- a/packages/serving/src/answer_end_test.ts
+++ b/packages/serving/src/answer_end_test.ts
@@ -43,6 +43,43 @@
     expect(found).to.deep.equal(BODIES);
   });
 
+  // Guards against large parts that count as whole because they are not parsed.
+  it("shows in JSON whose values would take too much memory", () => {
+    const items = '[],{"a]":"\\\\\\"}"},'.repeat(300_000);
+    const found = [
+      `[${items}[]] \n`,
+      `[${items}`,
+      `[${items}[]`,
+      `[${items}"`,
+      `[${items}"]`,
+      `[${items}[]]]`,
+      `[${items}[]],1`,
+    ].map((text) => classifyBody(Buffer.from(text), "json"));
+    expect(found).to.deep.equal(["whole", ...Array(6).fill("cut")]);
+  });
+
+  // Guards against bodies of megabytes that are parsed without need.
+  it("is not looked for where the length or chunks delimit it", async () => {
+    let reads = 0;
+    const found = await Promise.all(
+      (["length", "chunks"] as const).map((delimiter) =>
+        classifyEnd({
+          endpoint: createTestEndpoint("e1"),
+          delimiter,
+          readContent() {
+            reads++;
+            return "cut";
+          },
+        }, {
+          clock: { sleep: () => Promise.resolve() },
+          endpointCheck: { checkCondition: () => Promise.resolve("ended") },
+          directory: { isLeaving: () => false },
+        })
+      ),
+    );
+    expect([found, reads]).to.deep.equal([["whole", "whole"], 0]);
+  });
+
   const ENDS: [ContentEnd, EndpointCondition, boolean, AnswerEnd][] = [
     ["whole", "ended", false, "whole"],
     ["cut", "listening", false, "cut"],
@@ -62,7 +99,11 @@
         content,
         condition,
         isLeaving,
-        await classifyEnd({ endpoint, delimiter: "connection", content }, {
+        await classifyEnd({
+          endpoint,
+          delimiter: "connection",
+          readContent: () => content,
+        }, {
           clock: { sleep: () => Promise.resolve() },
           endpointCheck: { checkCondition: () => Promise.resolve(condition) },
           directory: { isLeaving: () => isLeaving },
@@ -78,7 +119,7 @@
     const end = await classifyEnd({
       endpoint: createTestEndpoint("e1"),
       delimiter: "connection",
-      content: "between_events",
+      readContent: () => "between_events",
     }, {
       clock: { sleep: () => Promise.resolve() },
       endpointCheck: {
--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -256,8 +256,8 @@
       state,
       handleStarted,
       handleFirstEvent,
-      checkEnd: ({ delimiter }, content) =>
-        classifyEnd({ endpoint, delimiter, content }, state),
+      checkEnd: ({ delimiter }, readContent) =>
+        classifyEnd({ endpoint, delimiter, readContent }, state),
     });
   loads.end(endpoint, end.load);
   const isRejected = end.kind === "lost" && end.reason === "full";
@@ -363,7 +363,10 @@
   /** Called instead before the caller receives the first event of a stream. */
   handleFirstEvent: () => void;
   /** Classifies an orderly end, by what the content shows and the endpoint. */
-  checkEnd: (reply: EndpointReply, content: ContentEnd) => Promise<AnswerEnd>;
+  checkEnd: (
+    reply: EndpointReply,
+    readContent: () => ContentEnd,
+  ) => Promise<AnswerEnd>;
 }
 
 async function handleAnswer(
@@ -423,7 +426,7 @@
   if (read.isOk) response.onceClosed(read.value.release);
   const end = body === undefined
     ? "cut"
-    : await checkEnd(reply, classifyBody(body, classifyContent(headers)));
+    : await checkEnd(reply, () => classifyBody(body, classifyContent(headers)));
   if (body === undefined || end === "cut") {
     return classifyCut("the answer broke off", deadline);
   }
@@ -482,7 +485,9 @@
   const content = position === undefined
     ? "unknown"
     : classifyPosition(position);
-  const end = forwarded === "cut" ? "cut" : await checkEnd(reply, content);
+  const end = forwarded === "cut"
+    ? "cut"
+    : await checkEnd(reply, () => content);
   if (end !== "cut") {
     if (!response.isStarted) {
       response.startStream({ status, headers, isUnproven });
--- a/packages/shared/src/bounded_json.ts
+++ b/packages/shared/src/bounded_json.ts
@@ -21,7 +21,9 @@
 const COLON = 58;
 const BRACKET = 91;
 const BACKSLASH = 92;
+const CLOSING_BRACKET = 93;
 const BRACE = 123;
+const CLOSING_BRACE = 125;
 
 /** What values take in V8's heap, about. */
 const OBJECT_BYTES = 56;
@@ -36,14 +38,45 @@
 /** A digit has six characters if it is escaped. */
 const MAX_ESCAPED_LENGTH = 6 * MAX_INDEX_DIGITS;
 
+/** Whether the values of a text take little enough memory to be parsed. */
+export function isBoundedJson(text: string): boolean {
+  return text.length <= MIN_ESTIMATED_LENGTH ||
+    estimateValueBytes(text) <= MAX_VALUES_BYTES;
+}
+
 /**
  * Parses JSON; undefined if it is malformed, or if its values would take too
  * much memory.
  */
 export function parseBoundedJson(text: string): unknown {
-  const isLong = text.length > MIN_ESTIMATED_LENGTH;
-  if (isLong && estimateValueBytes(text) > MAX_VALUES_BYTES) return undefined;
-  return parseJson(text);
+  return isBoundedJson(text) ? parseJson(text) : undefined;
+}
+
+/**
+ * Whether all lists and objects of a text are closed at its end and not before,
+ * without parsing it. A part from the start of valid JSON that is a list or an
+ * object never is; whether the text is valid is not checked.
+ */
+export function hasJsonEnd(text: string): boolean {
+  let depth = 0;
+  for (let at = 0; at < text.length; at++) {
+    switch (text.charCodeAt(at)) {
+      case QUOTE:
+        at = findStringEnd(text, at + 1);
+        if (at === text.length) return false;
+        break;
+      case BRACKET:
+      case BRACE:
+        depth++;
+        break;
+      case CLOSING_BRACKET:
+      case CLOSING_BRACE:
+        depth--;
+        if (depth <= 0) return depth === 0 && text.slice(at + 1).trim() === "";
+        break;
+    }
+  }
+  return false;
 }
 
 /** Estimates the memory of the values, without the characters of strings. */
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-export { parseBoundedJson } from "./bounded_json.ts";
+export { hasJsonEnd, isBoundedJson, parseBoundedJson } from "./bounded_json.ts";
 export type { AddressParts } from "./address.ts";
 export { parseAddress } from "./address.ts";
 export { parseAmount } from "./amount.ts";
--- a/soak/src/pouring_endpoints.ts
+++ b/soak/src/pouring_endpoints.ts
@@ -13,7 +13,7 @@
 import { readServerAddress } from "@mangoreach/shared";
 import { HEADER } from "../../platform/src/wire_names.ts";
 import type { PouringForm, PouringFormName } from "./pouring_forms.ts";
-import { POURING_FORMS } from "./pouring_forms.ts";
+import { ALL_FORMS } from "./pouring_forms.ts";
 
 /** What the parent sends. */
 export interface PouringOrder {
@@ -50,12 +50,17 @@
   return lines.join("\r\n") + (hasBody ? "\r\n" : "") + first;
 }
 
+function computeBlockCount({ repeated }: PouringForm): number {
+  return Math.ceil(WRITE_BYTES / repeated.length);
+}
+
 function sendEndless(socket: Socket, received: string): void {
-  const form: PouringForm = POURING_FORMS[order.form];
+  const form: PouringForm = ALL_FORMS[order.form];
   const id = REQUEST_ID.exec(received)?.[1] ?? "";
   const count = form.isSpaced === true
     ? 1
-    : Math.ceil(WRITE_BYTES / form.repeated.length);
+    : Math.min(form.count ?? Infinity, computeBlockCount(form));
+  let left = form.count ?? Infinity;
   const block = Buffer.from(form.repeated.repeat(count), "latin1");
   const until = Date.now() + POURING_TIME_MS;
   poured++;
@@ -67,6 +72,11 @@
     if (Date.now() > until) return void socket.destroy();
     const writes = form.isSpaced === true ? SPACED_WRITES : 1;
     for (let made = 0; made < writes; made++) {
+      if (left < count) {
+        const rest = form.repeated.repeat(left) + (form.last ?? "");
+        return void socket.end(rest, "latin1");
+      }
+      left -= count;
       if (!socket.write(block)) return void socket.once("drain", writeNext);
     }
     setImmediate(writeNext);
--- a/soak/src/pouring_forms.ts
+++ b/soak/src/pouring_forms.ts
@@ -15,6 +15,10 @@
   repeated: string;
   /** Whether each repetition is a write of its own, which takes a segment. */
   isSpaced?: boolean;
+  /** How many repetitions come before the answer ends; no end if left out. */
+  count?: number;
+  /** Sent once, behind the last repetition. */
+  last?: string;
 }
 
 const CHUNKED = "Transfer-Encoding: chunked";
@@ -31,7 +35,7 @@
   return { headers: [CHUNKED], hasBody: true, first, repeated, isSpaced };
 }
 
-/** All forms by name. */
+/** Forms of answers without end by name. */
 export const POURING_FORMS = {
   "a header line that never ends": {
     headers: [],
@@ -85,5 +89,88 @@
   ),
 } as const satisfies Record<string, PouringForm>;
 
+/** As much as an answer may have. */
+const LARGEST_BODY = 8_388_608;
+const JSON_TYPE = "Content-Type: application/json";
+
+/** Creates a body that is sound but as large as permitted. */
+function createLargest(
+  repeated: string,
+  { headers = [], first = "", last = "", isSized = true, limit = LARGEST_BODY }:
+    {
+      headers?: readonly string[];
+      first?: string;
+      last?: string;
+      isSized?: boolean;
+      limit?: number;
+    } = {},
+): PouringForm {
+  const count = Math.floor(
+    (limit - first.length - last.length) / repeated.length,
+  );
+  const length = first.length + count * repeated.length + last.length;
+  return {
+    headers: [...headers, ...isSized ? [`Content-Length: ${length}`] : []],
+    hasBody: true,
+    first,
+    repeated,
+    count,
+    last,
+  };
+}
+
+function createLargestJson(
+  item: string,
+  { isSized = true }: { isSized?: boolean } = {},
+): PouringForm {
+  return createLargest(`${item},`, {
+    headers: [JSON_TYPE],
+    first: "[",
+    last: `${item}]`,
+    isSized,
+  });
+}
+
+/** Forms of answers that end, whose contents or heads cost more than bytes. */
+export const COSTLY_FORMS = {
+  "JSON of empty lists with a length": createLargestJson("[]"),
+  "JSON of names that are indices with a length": createLargestJson(
+    '{"1":0}',
+  ),
+  "JSON of empty lists without a length": createLargestJson("[]", {
+    isSized: false,
+  }),
+  "JSON of names that are indices without a length": createLargestJson(
+    '{"1":0}',
+    { isSized: false },
+  ),
+  "the largest body": createLargest("x"),
+  "the largest body of events": createLargest("id: 1\ndata: x\n\n", {
+    headers: ["Content-Type: text/event-stream"],
+    isSized: false,
+  }),
+  "a small body": createLargest("x".repeat(16), { limit: 1_024 }),
+  "short header lines": {
+    headers: ["Content-Length: 1"],
+    hasBody: false,
+    first: "b:\r\n",
+    repeated: "a:\r\n",
+    count: 3_900,
+    last: "\r\nx",
+  },
+  "trailers without end": {
+    headers: [CHUNKED],
+    hasBody: true,
+    first: "1\r\nx\r\n0\r\n",
+    repeated: "a:\r\n",
+  },
+  "the extension of a chunk without end": createChunked("x", {
+    first: "1;",
+  }),
+} as const satisfies Record<string, PouringForm>;
+
+/** All forms by name. */
+export const ALL_FORMS = { ...POURING_FORMS, ...COSTLY_FORMS } as const;
+
 /** The name of a form. */
-export type PouringFormName = keyof typeof POURING_FORMS;
+export type PouringFormName = keyof typeof ALL_FORMS;
--- a/soak/src/pouring_site.ts
+++ b/soak/src/pouring_site.ts
@@ -63,6 +63,8 @@
   /** Callers of each route. */
   callers: number;
   durationMs: number;
+  /** Whether these callers read the bodies of answers; they do if left out. */
+  mayRead?: boolean;
 }
 
 /** A running site. */
@@ -170,6 +172,7 @@
   let requestCount = 0;
   async function callOnce(
     route: string,
+    { mayRead = true, until }: { mayRead?: boolean; until: number },
   ): Promise<{ isServed: boolean; took: number }> {
     const id = `p-${requestCount++}`;
     const sentAt = Date.now();
@@ -190,7 +193,11 @@
           signal: AbortSignal.timeout(DEADLINE_MS + 1_000),
         },
       );
-      await reply.body.dump({ limit: Infinity });
+      if (mayRead) await reply.body.dump({ limit: Infinity });
+      else {
+        await sleep(Math.max(0, until - Date.now()));
+        reply.body.on("error", () => {}).destroy();
+      }
       return { isServed: reply.statusCode === 200, took: Date.now() - sentAt };
     } catch {
       return { isServed: false, took: Date.now() - sentAt };
@@ -199,15 +206,16 @@
 
   async function runCaller(
     route: string,
-    { until, gap, counts }: {
+    { until, gap, counts, mayRead = true }: {
       until: number;
       gap: number;
       counts: CallerCounts;
+      mayRead?: boolean;
     },
   ): Promise<void> {
     while (Date.now() < until && program.isAlive()) {
       counts.sent++;
-      const { isServed, took } = await callOnce(route);
+      const { isServed, took } = await callOnce(route, { mayRead, until });
       if (isServed) counts.served++;
       if (took > TARGET_LATENCY_MS) counts.late++;
       counts.slowest = Math.max(counts.slowest, took);
@@ -217,7 +225,9 @@
 
   return {
     program,
-    async runLoad({ form, status, routes: poured, callers, durationMs }) {
+    async runLoad(
+      { form, status, routes: poured, callers, durationMs, mayRead = true },
+    ) {
       await sendOrder(pourers, { form, status });
       const before = readProcessorS(program.child.pid);
       const until = Date.now() + durationMs;
@@ -234,6 +244,7 @@
             until,
             gap: counts === ordinary ? ORDINARY_GAP_MS : 0,
             counts,
+            mayRead: mayRead || counts === ordinary,
           }));
       const loads = poured.flatMap((route) => run(callers, route, others));
       // Pours go on for as long as their callers wait.
