--- a/soak/src/costly_answers_site_test.ts
+++ b/soak/src/costly_answers_site_test.ts
@@ -28,6 +28,7 @@
 ];
 const COSTLY_FRAMING: readonly PouringFormName[] = [
   "short header lines",
+  "header lines that the connection header names",
   "trailers without end",
   "the extension of a chunk without end",
 ];
--- a/soak/src/pouring_forms.ts
+++ b/soak/src/pouring_forms.ts
@@ -158,6 +158,18 @@
     count: 3_900,
     last: "\r\nx",
   },
+  "header lines that the connection header names": {
+    headers: [
+      "Content-Length: 1",
+      `Connection: ${"a,".repeat(4_800)}a`,
+      ...Array.from({ length: 900 }, (_, at) => `${at}:`),
+    ],
+    hasBody: false,
+    first: "b:\r\n",
+    repeated: "c:\r\n",
+    count: 1,
+    last: "\r\nx",
+  },
   "trailers without end": {
     headers: [CHUNKED],
     hasBody: true,
