test(soak): stop the processes of a pouring site that does not get ready

The error was thrown before the caller had a handle to stop it, so the program went on for as long as the machine did: three such processes were left of runs at a load of 20 to 26 and were ended by their ids.

--- a/soak/src/pouring_site.ts
+++ b/soak/src/pouring_site.ts
@@ -163,8 +163,20 @@
     // A machine has one core.
     core: process.pid % availableParallelism(),
   });
+
+  function stopProcesses(): void {
+    program.kill();
+    pourers.kill("SIGKILL");
+    sockets.forEach((socket) => socket.destroy());
+    servers.forEach((server) => server.close());
+    store.close();
+  }
+
   const isReady = await program.waitUntilReady(START_MS);
-  if (!isReady) throw new Error(`not ready: ${program.readLog()}`);
+  if (!isReady) {
+    stopProcesses();
+    throw new Error(`not ready: ${program.readLog()}`);
+  }
   const stopThrottling = coreShare < 1
     ? startThrottling(program.child, coreShare)
     : () => {};
@@ -264,11 +276,7 @@
     },
     stop() {
       stopThrottling();
-      program.kill();
-      pourers.kill("SIGKILL");
-      sockets.forEach((socket) => socket.destroy());
-      servers.forEach((server) => server.close());
-      store.close();
+      stopProcesses();
     },
   };
 }
