--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-export { parseBoundedJson } from "./bounded_json.ts";
+export { hasJsonEnd, isBoundedJson, parseBoundedJson } from "./bounded_json.ts";
 export { createListSchema } from "./list_schema.ts";
 export type { AddressParts } from "./address.ts";
 export { parseAddress } from "./address.ts";
--- a/soak/src/endless_answers.ts
+++ b/soak/src/endless_answers.ts
@@ -98,7 +98,7 @@
       const form = POURING_FORMS[shape];
       return {
         first: `${start}${form.headers.join("\r\n")}\r\n\r\n`,
-        next: createPouringBlock(form),
+        next: createPouringBlock(form).block,
         gap: 0,
       };
     }
--- a/soak/src/pouring_endpoints.ts
+++ b/soak/src/pouring_endpoints.ts
@@ -12,7 +12,7 @@
 import { readServerAddress } from "@mangoreach/shared";
 import { HEADER } from "../../platform/src/wire_names.ts";
 import type { PouringForm, PouringFormName } from "./pouring_forms.ts";
-import { createPouringBlock, POURING_FORMS } from "./pouring_forms.ts";
+import { ALL_FORMS, createPouringBlock } from "./pouring_forms.ts";
 
 /** What the parent sends. */
 export interface PouringOrder {
@@ -57,9 +57,10 @@
   received: string,
   { form: name, status }: PouringOrder,
 ): void {
-  const form: PouringForm = POURING_FORMS[name];
+  const form: PouringForm = ALL_FORMS[name];
   const id = REQUEST_ID.exec(received)?.[1] ?? "";
-  const block = createPouringBlock(form);
+  const { block, count } = createPouringBlock(form);
+  let left = form.count ?? Infinity;
   const until = Date.now() + POURING_TIME_MS;
   poured++;
   socket.setNoDelay(true);
@@ -70,6 +71,11 @@
     if (Date.now() > until) return void socket.destroy();
     const writes = form.isSpaced === true ? SPACED_WRITES : 1;
     for (let made = 0; made < writes; made++) {
+      if (left < count) {
+        const rest = form.repeated.repeat(left) + (form.last ?? "");
+        return void socket.end(rest, "latin1");
+      }
+      left -= count;
       if (!socket.write(block)) return void socket.once("drain", writeNext);
     }
     setImmediate(writeNext);
--- a/soak/src/pouring_site.ts
+++ b/soak/src/pouring_site.ts
@@ -63,6 +63,8 @@
   /** Callers of each route. */
   callers: number;
   durationMs: number;
+  /** Whether these callers read the bodies of answers; they do if left out. */
+  mayRead?: boolean;
 }
 
 /** A running site. */
@@ -162,8 +164,20 @@
     // A machine has one core.
     core: process.pid % availableParallelism(),
   });
+
+  function stopProcesses(): void {
+    program.kill();
+    pourers.kill("SIGKILL");
+    sockets.forEach((socket) => socket.destroy());
+    servers.forEach((server) => server.close());
+    store.close();
+  }
+
   const isReady = await program.waitUntilReady(START_MS);
-  if (!isReady) throw new Error(`not ready: ${program.readLog()}`);
+  if (!isReady) {
+    stopProcesses();
+    throw new Error(`not ready: ${program.readLog()}`);
+  }
   const throttle = coreShare < 1
     ? fork("soak/src/core_share.cjs", [
       String(program.child.pid),
@@ -174,6 +188,7 @@
   let requestCount = 0;
   async function callOnce(
     route: string,
+    { mayRead = true, until }: { mayRead?: boolean; until: number },
   ): Promise<{ isServed: boolean; took: number }> {
     const id = `p-${requestCount++}`;
     const sentAt = Date.now() - readWaited(program.child.pid);
@@ -195,7 +210,11 @@
           signal: AbortSignal.timeout(DEADLINE_MS + 1_000),
         },
       );
-      await reply.body.dump({ limit: Infinity });
+      if (mayRead) await reply.body.dump({ limit: Infinity });
+      else {
+        await sleep(Math.max(0, until - Date.now()));
+        reply.body.on("error", () => {}).destroy();
+      }
       return { isServed: reply.statusCode === 200, took: readTook() };
     } catch {
       return { isServed: false, took: readTook() };
@@ -204,15 +223,16 @@
 
   async function runCaller(
     route: string,
-    { until, gap, counts }: {
+    { until, gap, counts, mayRead = true }: {
       until: number;
       gap: number;
       counts: CallerCounts;
+      mayRead?: boolean;
     },
   ): Promise<void> {
     while (Date.now() < until && program.isAlive()) {
       counts.sent++;
-      const { isServed, took } = await callOnce(route);
+      const { isServed, took } = await callOnce(route, { mayRead, until });
       if (isServed) counts.served++;
       if (took > TARGET_LATENCY_MS) counts.late++;
       counts.slowest = Math.max(counts.slowest, Math.round(took));
@@ -222,12 +242,16 @@
 
   // Code that has not run yet takes several times as long.
   await Promise.all(Array.from({ length: ORDINARY_CALLERS }, async () => {
-    for (let call = 0; call < WARM_UP_CALLS; call++) await callOnce("calm");
+    for (let call = 0; call < WARM_UP_CALLS; call++) {
+      await callOnce("calm", { until: 0 });
+    }
   }));
 
   return {
     program,
-    async runLoad({ form, status, routes: poured, callers, durationMs }) {
+    async runLoad(
+      { form, status, routes: poured, callers, durationMs, mayRead = true },
+    ) {
       await sendOrder(pourers, { form, status });
       const before = readProcessorS(program.child.pid);
       const until = Date.now() + durationMs;
@@ -244,6 +268,7 @@
             until,
             gap: counts === ordinary ? ORDINARY_GAP_MS : 0,
             counts,
+            mayRead: mayRead || counts === ordinary,
           }));
       const loads = poured.flatMap((route) => run(callers, route, others));
       // Pours go on for as long as their callers wait.
@@ -263,11 +288,7 @@
     },
     stop() {
       throttle?.disconnect();
-      program.kill();
-      pourers.kill("SIGKILL");
-      sockets.forEach((socket) => socket.destroy());
-      servers.forEach((server) => server.close());
-      store.close();
+      stopProcesses();
     },
   };
 }
