test(shared): failing tests of heads that the framing and the parser read differently

- Behind a head with more than 16 KiB of blanks, which come in a read of their own, the framing does not see the transfer coding: chunks pass unjoined and unlimited.
- Behind a 204 with an unknown coding the framing drops the next answer of the connection, which node:http's parser reads.

--- a/packages/shared/src/answers/answer_framing_test.ts
+++ b/packages/shared/src/answers/answer_framing_test.ts
@@ -167,4 +167,26 @@
     expect(read(early.repeat(5)).framing.exceeded)
       .to.equal("provisional_answers");
   });
+
+  // Guards against chunks that pass unjoined: the parsers do not count blanks
+  // before a value towards the limit of a head.
+  it("joins chunks behind a head with many blanks", () => {
+    const framing = createAnswerFraming({ method: "GET", isSingle: true });
+    const begin = `HTTP/1.1 200 OK\r\nX: ${" ".repeat(17_000)}`;
+    const end = "a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    framing.read(Buffer.from(begin));
+    framing.read(Buffer.from(end));
+    if (framing.exceeded !== undefined) return;
+    const output = framing.read(Buffer.from("1\r\na\r\n1\r\nb\r\n"));
+    expect(output.toString()).to.equal("2\r\nab\r\n");
+  });
+
+  // Guards against a connection whose next answer is dropped: the parsers read
+  // no body of 204 whatever its coding, and undici reuses the connection.
+  it("reads the next answer behind a 204 with another coding", () => {
+    const text = "HTTP/1.1 204 No Content\r\nTransfer-Encoding: gzip\r\n\r\n" +
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const framing = createAnswerFraming({ method: "GET", isSingle: false });
+    expect(framing.read(Buffer.from(text)).toString()).to.equal(text);
+  });
 });
