test(peers): memory and delay of tunnels' callers are a test each

The test of the caller's side was flaky at a load of 22 to 26 on 8 cores: a timer of 10 ms was 585 ms late (limit 500) in one of 14 runs of the two tests whose values were seen, and one more run failed without its values being kept.

The assertions and limits are unchanged; the delay is a test of its own, so that the other one doesn't fail with it.

--- a/packages/peers/src/tunnel_turns_test.ts
+++ b/packages/peers/src/tunnel_turns_test.ts
@@ -137,9 +137,8 @@
     expect(utilization).to.be.below(MAX_SHARE);
   });
 
-  // Guards against an object for each chunk, and one pass through all layers, in
-  // the entry that reads the answer.
-  it("cost their caller no more than a limit permits", async () => {
+  /** Calls the endpoint through tunnels until all answers are given up. */
+  async function runCallers() {
     const address = await startEndpoint();
     const peer = readServerAddress(server);
     const meter = createAnswerMeter({
@@ -183,9 +182,20 @@
       }),
     );
     clearInterval(timer);
+    return { outcomes, meter, slowest, held: mostBytes - bytesBefore };
+  }
+
+  // Guards against an object for each chunk.
+  it("cost their caller no more memory than a limit permits", async () => {
+    const { outcomes, meter, held } = await runCallers();
     expect(new Set(outcomes)).to.deep.equal(new Set(["too_large"]));
     expect(meter.exceeded.get("framing")).to.equal(TUNNELS);
+    expect(held).to.be.below(MAX_HELD_BYTES);
+  });
+
+  // Guards against one pass through all layers for each chunk.
+  it("leave time for other work of their caller", async () => {
+    const { slowest } = await runCallers();
     expect(slowest).to.be.below(MAX_DELAY_MS);
-    expect(mostBytes - bytesBefore).to.be.below(MAX_HELD_BYTES);
   });
 });
