test(bench): refusals of mangoreach-entry are its own, in its form

The draft took each status from 400 on for a refusal, so that a forwarded 600 would have passed; now it has to be a 5xx with a verdict and without the endpoint's bytes.

--- a/bench/src/broken_answers_test.ts
+++ b/bench/src/broken_answers_test.ts
@@ -24,7 +24,8 @@
 const STATUSES = ["000", "00", "0000", "600", "999"];
 /** Endpoints of each pool that are replaced by ones that break. */
 const BROKEN = ["billing-1", "billing-2", "encoder-1", "encoder-2"];
-const JSON_ANSWER = "Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
+const JSON_ANSWER =
+  "Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
 
 interface BrokenAnswer {
   text: string;
@@ -151,7 +152,9 @@
     arrivals = 0;
     for (let sent = 0; sent < count; sent++) {
       const reply = await call(kind, body);
-      if (reply.status < 400 || reply.body.includes(PART)) {
+      const isRefused = reply.status >= 500 && reply.status <= 599 &&
+        !reply.body.includes(PART) && reply.body.includes('"verdict"');
+      if (!isRefused) {
         accepted.push(`${kind}: ${reply.status} ${reply.body}`);
       }
     }
