fix(shared): read nothing for a paused body of a call

While callers do not read a stream, the process takes far more memory than the 160 KB that are accounted for it, if its endpoint sends small segments.

Cause: a paused body is still filled up to the high-water marks, which count bytes. A part of one byte is an object of some 500 bytes.

The input of the socket stops with the body now, as it does between turns. The end of such a connection is noticed once the body is resumed or given up.

--- a/packages/shared/src/answers/answer_input.ts
+++ b/packages/shared/src/answers/answer_input.ts
@@ -36,6 +36,12 @@
 
 /** The input of one socket. */
 export interface AnswerInput {
+  /**
+   * Reads nothing until `resume`. Otherwise parts of one byte, as objects, would
+   * be buffered up to a high-water mark that counts their bytes.
+   */
+  pause(): void;
+  resume(): void;
   /** Leaves the socket as it was. */
   detach(): void;
 }
@@ -56,6 +62,7 @@
   /** Whether the answer is long enough to be read in turns. */
   let isLong = false;
   let isResting = false;
+  let isPaused = false;
   /** Whether the stream has asked for more than it has got. */
   let isReadWanted = false;
   let counted = 0;
@@ -75,7 +82,7 @@
     const isWritable = isReadWanted || push.call(socket, bytes);
     if (isLong) answerTurns.spend(performance.now() - startedAt);
     turnCost += Math.max(part.length, READ_COST);
-    if (turnCost < TURN_BYTES) return isWritable;
+    if (turnCost < TURN_BYTES) return isWritable && !keepWanted();
     waitTurn();
     return false;
   }
@@ -92,6 +99,18 @@
     socket.destroy(error);
   }
 
+  /** Keeps what the stream asks for until it is resumed. */
+  function keepWanted(): boolean {
+    isReadWanted ||= isPaused;
+    return isPaused;
+  }
+
+  function readWanted(): void {
+    if (isResting || isPaused || !isReadWanted || socket.destroyed) return;
+    isReadWanted = false;
+    read.call(socket, socket.readableHighWaterMark);
+  }
+
   /** The socket reads no more once this has been called from a push. */
   function waitTurn(): void {
     turnCost = 0;
@@ -99,9 +118,7 @@
     isResting = true;
     answerTurns.wait(() => {
       isResting = false;
-      if (!isReadWanted || socket.destroyed) return;
-      isReadWanted = false;
-      read.call(socket, socket.readableHighWaterMark);
+      readWanted();
     });
   }
 
@@ -111,14 +128,21 @@
       : push.call(socket, chunk, encoding);
   socket._read = (size) => {
     isReadWanted = true;
-    if (!isResting) read.call(socket, size);
+    if (!isResting && !isPaused) read.call(socket, size);
   };
 
   return {
+    pause() {
+      isPaused = true;
+    },
+    resume() {
+      isPaused = false;
+      readWanted();
+    },
     detach() {
       socket.push = push;
       socket._read = read;
-      if (isResting && isReadWanted) {
+      if ((isResting || isPaused) && isReadWanted) {
         read.call(socket, socket.readableHighWaterMark);
       }
     },
--- a/packages/shared/src/single_use_call.ts
+++ b/packages/shared/src/single_use_call.ts
@@ -92,7 +92,7 @@
     let request: ClientRequest | undefined;
     let body: NodeReadable | undefined;
     let stopWatching = () => {};
-    openMeteredInput(watched.socket, {
+    const input = openMeteredInput(watched.socket, {
       address: call.address,
       framing: createAnswerFraming({ method: call.method, isSingle: true }),
       meter,
@@ -158,6 +158,10 @@
           response.prependOnceListener("end", () => watched.socket.destroy());
         }
         body.once("close", finish);
+        const reader = body;
+        reader.on("pause", () => input.pause());
+        // The event comes a tick late; it may be paused again by then.
+        reader.on("resume", () => reader.isPaused() || input.resume());
         resolve(Result.ok({
           status,
           headers,
--- a/packages/shared/src/single_use_call_test.ts
+++ b/packages/shared/src/single_use_call_test.ts
@@ -350,6 +350,39 @@
     });
   }
 
+  // Guards against a buffer for each byte up to the high-water mark, which takes
+  // hundreds of times what a paused stream is accounted for.
+  for (const framing of ["", "Content-Length: 1000\r\n"]) {
+    it(`holds few parts of a paused body, ${framing || "no length"}`, async () => {
+      let written = 0;
+      const address = await answerRaw(`${OK}${framing}\r\nx`, (socket) => {
+        socket.setNoDelay(true);
+        const timer = setInterval(() => {
+          if (++written < 1_000) return void socket.write("x");
+          clearInterval(timer);
+          socket.end();
+        }, 1);
+        socket.once("close", () => clearInterval(timer));
+      });
+      const reply = await http.callStream({
+        method: "GET",
+        address,
+        path: "/",
+      });
+      const body = (reply.isOk ? reply.value.body : undefined) as Readable;
+      let received = 0;
+      body.on("data", (part: Buffer) => {
+        if (received === 0) body.pause();
+        received += part.length;
+      });
+      while (written < 200) await sleep(10);
+      expect(body.readableLength).to.be.lessThan(20);
+      body.resume();
+      await new Promise((resolve) => body.once("end", resolve));
+      expect(received).to.equal(1_000);
+    });
+  }
+
   // Entries spend most of their processor time on calls to endpoints.
   it("takes less processor time than an undici client for each call", async () => {
     const address = await answerRaw(SIZED);
