perf(shared): the framing of sound answers makes no copies; tests leave out waits for the core

- A part that the parser gets unchanged is passed on as it is; a decoder of chunks is made for bodies with chunks only.
The check of a load is one function for both files, at the median of the target latency.

--- a/packages/shared/src/answers/answer_framing.ts
+++ b/packages/shared/src/answers/answer_framing.ts
@@ -78,10 +78,11 @@
   { method, isSingle }: AnswerFramingOptions,
 ): AnswerFraming {
   let state: State = "head";
-  let headEnd: HeadEnd = createHeadEnd();
+  let headEnd: HeadEnd | undefined;
   /** The head as far as it was received. */
   let head = "";
-  let joiner: ChunkJoiner = createChunkJoiner();
+  /** Of the body that is being read, if it has chunks. */
+  let joiner: ChunkJoiner | undefined;
   /** Of a body with a length. */
   let bytesLeft = 0;
   let provisional = 0;
@@ -89,6 +90,8 @@
   let framing = 0;
   let framingBytes = 0;
   let answers = 0;
+  /** Whether the parser gets other bytes than those of the current part. */
+  let isChanged = false;
   let exceeded: AnswerLimit | undefined;
 
   function addFraming(count: number): void {
@@ -99,8 +102,6 @@
 
   function endAnswer(): void {
     state = isSingle ? "ended" : "head";
-    head = "";
-    headEnd = createHeadEnd();
     provisional = 0;
     framing = 0;
     answers++;
@@ -111,7 +112,6 @@
     const codings = [...head.matchAll(TRANSFER_CODING)];
     const length = CONTENT_LENGTH.exec(head)?.[1]?.trim() ?? "";
     head = "";
-    headEnd = createHeadEnd();
     if (status === STATUS_SWITCHING) state = "unframed";
     else if (status < FIRST_FINAL_STATUS) {
       if (++provisional > MAX_PROVISIONAL) exceeded = "provisional_answers";
@@ -131,7 +131,7 @@
   }
 
   function readHead(part: Buffer, from: number): number {
-    const end = headEnd.find(part, from);
+    const end = headEnd!.find(part, from);
     const until = end < 0 ? part.length : end;
     addFraming(until - from);
     head += part.toString("latin1", from, until);
@@ -142,7 +142,7 @@
 
   /** Reads what precedes or follows the data of a body, unchanged. */
   function readTrailers(part: Buffer, from: number): number {
-    const end = headEnd.find(part, from);
+    const end = headEnd!.find(part, from);
     const until = end < 0 ? part.length : end;
     addFraming(until - from);
     if (end >= 0) endAnswer();
@@ -158,7 +158,8 @@
 
   /** Reads chunks; adds what the parser is to get instead to `output`. */
   function readChunks(part: Buffer, from: number, output: Buffer[]): number {
-    const joined = joiner.read(part, from);
+    isChanged = true;
+    const joined = joiner!.read(part, from);
     if (joined === undefined) {
       output.push(MALFORMED_SIZE);
       state = "ended";
@@ -179,6 +180,7 @@
     if (state === "chunks") return readChunks(part, from, output);
     let begin = from;
     if (state === "head" && head === "") {
+      headEnd = createHeadEnd();
       begin = findNonEmptyLine(part, from);
       addFraming(begin - from);
       if (begin > from) output.push(part.subarray(from, begin));
@@ -206,14 +208,17 @@
     // Most parts are of a body that needs no change.
     if (state === "unframed") return part;
     const output: Buffer[] = [];
+    isChanged = false;
     let at = 0;
     while (at < part.length && exceeded === undefined) {
       if (state === "ended") {
         addFraming(part.length - at);
+        isChanged = true;
         break;
       }
       at = readState(part, at, output);
     }
+    if (!isChanged) return part;
     if (output.length === 0) return EMPTY;
     return output.length === 1 ? output[0]! : Buffer.concat(output);
   }
--- a/soak/src/pouring_site.ts
+++ b/soak/src/pouring_site.ts
@@ -26,6 +26,7 @@
 import type { PouringFormName } from "./pouring_forms.ts";
 import type { ProgramProcess } from "./program_process.ts";
 import { startProgram } from "./program_process.ts";
+import { readCoreWait } from "./core_wait.ts";
 import { createSoakConfig } from "./soak_config.ts";
 import { formatResults } from "./stage_results.ts";
 import { startTopicStore } from "./topic_store.ts";
@@ -96,9 +97,29 @@
 const RETRY_MS = 20;
 const SOUND_BODY = "id: 1\ndata: x\n\n";
 const REQUEST_ID = new RegExp(`${HEADER.requestId}: (\\S+)`, "i");
-const NANOS_PER_MILLI = 1_000_000;
 const TICKS_PER_SECOND = 100;
 
+/** Of the smallest machine. */
+const MAX_MEMORY_MB = 210;
+/** Ordinary requests keep their target at the median. */
+const MAX_LATE_SHARE = 0.5;
+
+/** Lists what a load has broken. */
+export function listLoadViolations(
+  { isAlive, peakMb, poured, ordinary }: LoadReport,
+): string[] {
+  const { sent, served, late, slowest } = ordinary;
+  return [
+    ...(isAlive ? [] : ["the process ended"]),
+    ...(peakMb <= MAX_MEMORY_MB ? [] : [`it took ${peakMb} MB`]),
+    ...(poured > 0 ? [] : ["no such answer was begun"]),
+    ...(served === sent ? [] : [`${sent - served} of ${sent} not served`]),
+    ...(late <= MAX_LATE_SHARE * sent
+      ? []
+      : [`${late} of ${sent} were late, by up to ${slowest} ms`]),
+  ];
+}
+
 /** Starts the site. */
 export async function startPouringSite(
   { coreShare = 1, pouring = 2, sound = 2 }: PouringSiteOptions = {},
@@ -191,8 +212,9 @@
     { mayRead = true, until }: { mayRead?: boolean; until: number },
   ): Promise<{ isServed: boolean; took: number }> {
     const id = `p-${requestCount++}`;
-    const sentAt = Date.now() - readWaited(program.child.pid);
-    const readTook = () => Date.now() - readWaited(program.child.pid) - sentAt;
+    const sentAt = Date.now() - readCoreWait(program.child.pid);
+    const readTook = () =>
+      Date.now() - readCoreWait(program.child.pid) - sentAt;
     try {
       const reply = await request(
         `http://${program.ports.callers}/${route}/${id}`,
@@ -334,21 +356,6 @@
   return readServerAddress(server);
 }
 
-/**
- * Returns how long a process has waited for its core while others used it, in
- * milliseconds; such time is none of its own.
- */
-function readWaited(pid: number | undefined): number {
-  try {
-    const [, waited] = readFileSync(`/proc/${pid}/schedstat`, "utf8").split(
-      " ",
-    );
-    return Number(waited) / NANOS_PER_MILLI;
-  } catch {
-    return 0;
-  }
-}
-
 /** Returns the processor seconds of a process; 0 once it has ended. */
 function readProcessorS(pid: number | undefined): number {
   try {
