refactor(shared): requests and answers find heads and last chunks by one piece each

The framing of answers wrote again what the input of requests had: the search for the first line of a head, what the line of the last chunk matches of an end, and the last chunk. It also gives up provisional answers before the parser sees the fifth, so that the same count in the watch of heads never acted; it is gone.

No behaviour meant to change: 199 tests of shared and 12 of endless answers with a real process pass, formatter, linter, types and names too.

--- a/packages/shared/src/answers/answer_framing.ts
+++ b/packages/shared/src/answers/answer_framing.ts
@@ -10,9 +10,13 @@
  */
 import { Buffer } from "node:buffer";
 import type { ChunkJoiner } from "../connections/chunk_joiner.ts";
-import { createChunkJoiner } from "../connections/chunk_joiner.ts";
+import { createChunkJoiner, LAST_CHUNK } from "../connections/chunk_joiner.ts";
 import type { HeadEnd } from "../connections/head_end.ts";
-import { createHeadEnd } from "../connections/head_end.ts";
+import {
+  createHeadEnd,
+  findNonEmptyLine,
+  MATCHED_BY_LINE,
+} from "../connections/head_end.ts";
 
 /** A limit that an answer exceeds. */
 export type AnswerLimit =
@@ -58,12 +62,7 @@
 const MAX_FRAMING_BYTES = 8_388_608;
 /** The parsers permit 16 KiB, but do not count blanks and separators. */
 const MAX_HEAD_BYTES = 65_536;
-/** Bytes of the end of a head that the last chunk's line has. */
-const MATCHED_BY_LINE = 2;
-const CR = 13;
-const LF = 10;
 const EMPTY = Buffer.alloc(0);
-const LAST_CHUNK = Buffer.from("0\r\n");
 /** No parser takes it for the size of a chunk. */
 const MALFORMED_SIZE = Buffer.from("\r\n");
 const STATUS_LINE = /^HTTP\/\d\.\d (\d{3})/;
@@ -140,7 +139,7 @@
     return until;
   }
 
-  /** Reads what precedes or follows the data of a body, unchanged. */
+  /** Reads what follows the last chunk. */
   function readTrailers(part: Buffer, from: number): number {
     const end = headEnd!.find(part, from);
     const until = end < 0 ? part.length : end;
@@ -242,12 +241,6 @@
     codings[0]?.[1]?.trim().toLowerCase() === "chunked";
 }
 
-function findNonEmptyLine(part: Buffer, from: number): number {
-  let at = from;
-  while (part[at] === CR || part[at] === LF) at++;
-  return at;
-}
-
 /** Copies the data: the joiner's may be a view of a larger block. */
 function formatChunk(data: Buffer): Buffer {
   const size = `${data.length.toString(16)}\r\n`;
--- a/packages/shared/src/connections/chunk_joiner.ts
+++ b/packages/shared/src/connections/chunk_joiner.ts
@@ -23,6 +23,9 @@
   read(part: Buffer, from: number): JoinedChunks | undefined;
 }
 
+/** Marks the end of a body; trailers and an empty line follow. */
+export const LAST_CHUNK = Buffer.from("0\r\n");
+
 type State =
   | "size_start"
   | "size"
--- a/packages/shared/src/connections/head_end.ts
+++ b/packages/shared/src/connections/head_end.ts
@@ -10,6 +10,10 @@
 /** How many bytes of the end follow in order, after each count of them. */
 const BYTES = [13, 10, 13, 10];
 
+const [CR, LF] = BYTES;
+/** Bytes of the end that a line before it has, such as that of the last chunk. */
+export const MATCHED_BY_LINE = 2;
+
 /** Searches one message. */
 export interface HeadEnd {
   /** Returns the offset behind the end, or -1 if it is not in this part. */
@@ -46,3 +50,10 @@
 
   return { find };
 }
+
+/** Returns the offset behind empty lines, which may precede a message. */
+export function findNonEmptyLine(part: Buffer, from: number): number {
+  let at = from;
+  while (part[at] === CR || part[at] === LF) at++;
+  return at;
+}
--- a/packages/shared/src/connections/request_input.ts
+++ b/packages/shared/src/connections/request_input.ts
@@ -12,9 +12,13 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { ChunkJoiner } from "./chunk_joiner.ts";
-import { createChunkJoiner } from "./chunk_joiner.ts";
+import { createChunkJoiner, LAST_CHUNK } from "./chunk_joiner.ts";
 import type { HeadEnd } from "./head_end.ts";
-import { createHeadEnd } from "./head_end.ts";
+import {
+  createHeadEnd,
+  findNonEmptyLine,
+  MATCHED_BY_LINE,
+} from "./head_end.ts";
 
 /** Options of {@linkcode createRequestInput}. */
 export interface RequestInputOptions {
@@ -56,12 +60,7 @@
   /** The connection ends with its last answer; what follows is ignored. */
   | "ended";
 
-const CR = 13;
-const LF = 10;
-const LAST_CHUNK = Buffer.from("0\r\n");
 const LINE_END = Buffer.from("\r\n");
-/** Bytes of the end of a head that the line before has. */
-const MATCHED_BY_LINE = 2;
 
 /** Puts the input between a connection and its HTTP parser. */
 export function createRequestInput(
@@ -121,7 +120,7 @@
     let hasBegun = false;
     while (at < part.length && isOpen()) {
       if (state === "between") {
-        const begin = dropEmptyLines(part, at);
+        const begin = findNonEmptyLine(part, at);
         if (begin > at) onDropped(begin - at);
         at = begin;
         if (at === part.length) return;
@@ -256,9 +255,3 @@
     },
   };
 }
-
-function dropEmptyLines(part: Buffer, from: number): number {
-  let at = from;
-  while (part[at] === CR || part[at] === LF) at++;
-  return at;
-}
--- a/packages/shared/src/head_guard.ts
+++ b/packages/shared/src/head_guard.ts
@@ -1,7 +1,6 @@
 /**
- * Ends calls whose answer never gets to its head: provisional answers without
- * end, or a head that comes in pieces for ever. Silence is no fault: whoever
- * works on a call sends nothing meanwhile.
+ * Ends calls whose answer never gets to its head, as it comes in pieces for ever.
+ * Silence is no fault: whoever works on a call sends nothing meanwhile.
  *
  * @module
  */
@@ -9,8 +8,6 @@
 import type { Socket } from "node:net";
 import type { Millis } from "./clock.ts";
 
-/** Provisional answers to one call; servers send one, if any. */
-const MAX_PROVISIONAL = 4;
 /** A head is sent at once; its segments come within this time. */
 const SEGMENTS_TIME: Millis = 500;
 /** If more come in this time after it, the head has no end. */
@@ -24,7 +21,6 @@
   request: ClientRequest,
   onFault: (error: Error) => void,
 ): () => void {
-  let provisional = 0;
   /** Whether the segments of a head should have come. */
   let isLate = false;
   let hasLate = false;
@@ -44,7 +40,7 @@
     dropSegments();
     socket?.off("data", handleSegment);
     request.off("socket", handleSocket);
-    request.off("information", handleProvisional);
+    request.off("information", dropSegments);
   }
 
   function fail(message: string): void {
@@ -67,14 +63,6 @@
     }, LATE_TIME);
   }
 
-  function handleProvisional(): void {
-    // What came so far was a whole head.
-    dropSegments();
-    if (++provisional > MAX_PROVISIONAL) {
-      fail("provisional answers have no end");
-    }
-  }
-
   function handleSocket(connected: Socket): void {
     socket = connected;
     // Behind the listener of node:http, which may have found the head by then.
@@ -82,6 +70,7 @@
   }
 
   request.once("socket", handleSocket);
-  request.on("information", handleProvisional);
+  // What came before a provisional answer was a whole head.
+  request.on("information", dropSegments);
   return stop;
 }
