refactor(shared): answers wait in the turn queue that bodies of requests use

The turns of answers wrote the queue of turns again, with a rest. It is an option of that queue now. The input of answers derives what an answer adds to the costs from the framing instead of keeping counts beside it, reads its time from the clock of the turns, and has one function less that both asks and acts; the meter has one way to end an answer; a broken stream is classified like other faults.

--- a/packages/serving/src/attempt_loop.ts
+++ b/packages/serving/src/attempt_loop.ts
@@ -505,15 +505,12 @@
   // the endpoint.
   const isEndless = length > MAX_ANSWER_BYTES ||
     body.errored instanceof AnswerLimitError;
-  if (!response.isStarted) {
-    return classifyFault({
-      kind: isEndless ? "too_large" : "cut",
-      sent: "maybe",
-      message: "the stream broke off before its first event",
-    }, deadline);
-  }
+  const fault = classifyFault({
+    kind: isEndless ? "too_large" : "cut",
+    sent: "maybe",
+    message: "the stream broke off before its first event",
+  }, deadline);
+  if (!response.isStarted) return fault;
   response.endStream("cut");
-  const broken = isEndless ? "failing" : "broken";
-  const load = deadline.signal.aborted ? "neutral" : broken;
-  return { kind: "answered", status, end: "cut", position, load };
+  return { kind: "answered", status, end: "cut", position, load: fault.load };
 }
--- a/packages/shared/src/answer_meter.ts
+++ b/packages/shared/src/answer_meter.ts
@@ -24,8 +24,6 @@
   exceed(limit: AnswerLimit): void;
   /** Logs an answer that cost more than its data; what follows is another's. */
   endAnswer(): void;
-  /** Ends the last answer. */
-  close(): void;
 }
 
 /** Counts the costs of all answers. */
@@ -85,7 +83,6 @@
         exceeded.set(kind, (exceeded.get(kind) ?? 0) + 1);
       },
       endAnswer,
-      close: endAnswer,
     };
   }
 
--- a/packages/shared/src/answers/answer_input.ts
+++ b/packages/shared/src/answers/answer_input.ts
@@ -65,39 +65,40 @@
   let isPaused = false;
   /** Whether the stream has asked for more than it has got. */
   let isReadWanted = false;
-  let counted = 0;
-  let answers = 0;
 
   function pushPart(part: Buffer): boolean {
-    costs?.add("bytes", part.length);
-    costs?.add("reads", 1);
-    const startedAt = isLong ? performance.now() : 0;
-    const bytes = framing === undefined ? part : framing.read(part);
-    if (framing !== undefined) countFraming(framing);
-    if (framing?.exceeded !== undefined) {
-      endExceeded(framing.exceeded);
-      return false;
-    }
-    if (framing !== undefined) countAnswers(framing);
+    const startedAt = isLong ? answerTurns.now() : 0;
+    const bytes = readPart(part);
+    if (bytes === undefined) return false;
     // Nothing is pushed for a part of a head or chunk, which is to be continued.
     isReadWanted = bytes.length === 0;
     const isWritable = isReadWanted || push.call(socket, bytes);
-    if (isLong) answerTurns.spend(performance.now() - startedAt);
+    if (isLong) answerTurns.spend(answerTurns.now() - startedAt);
     turnCost += Math.max(part.length, READ_COST);
-    if (turnCost < TURN_BYTES) return isWritable && !keepWanted();
-    waitTurn();
+    if (turnCost >= TURN_BYTES) {
+      waitTurn();
+      return false;
+    }
+    if (!isPaused || !isWritable) return isWritable;
+    // The stream was told to go on, and may not ask again.
+    isReadWanted = true;
     return false;
   }
 
-  function countFraming({ framingBytes }: AnswerFraming): void {
-    costs?.add("framing", framingBytes - counted);
-    counted = framingBytes;
-  }
-
-  function countAnswers(framing: AnswerFraming): void {
-    if (framing.answers === answers) return;
-    answers = framing.answers;
-    costs?.endAnswer();
+  /** Returns what the reader is to get; undefined if a limit is exceeded. */
+  function readPart(part: Buffer): Buffer | undefined {
+    costs?.add("bytes", part.length);
+    costs?.add("reads", 1);
+    if (framing === undefined) return part;
+    const { framingBytes, answers } = framing;
+    const bytes = framing.read(part);
+    costs?.add("framing", framing.framingBytes - framingBytes);
+    if (framing.exceeded !== undefined) {
+      endExceeded(framing.exceeded);
+      return undefined;
+    }
+    if (framing.answers > answers) costs?.endAnswer();
+    return bytes;
   }
 
   function endExceeded(limit: AnswerLimit): void {
@@ -107,12 +108,6 @@
     socket.destroy(error);
   }
 
-  /** Keeps what the stream asks for until it is resumed. */
-  function keepWanted(): boolean {
-    isReadWanted ||= isPaused;
-    return isPaused;
-  }
-
   function readWanted(): void {
     if (isResting || isPaused || !isReadWanted || socket.destroyed) return;
     isReadWanted = false;
@@ -177,6 +172,6 @@
   },
 ): AnswerInput {
   const costs = meter?.open(address);
-  if (costs !== undefined) socket.once("close", () => costs.close());
+  if (costs !== undefined) socket.once("close", costs.endAnswer);
   return openAnswerInput(socket, { ...options, costs });
 }
--- a/packages/shared/src/answers/answer_turns.ts
+++ b/packages/shared/src/answers/answer_turns.ts
@@ -6,9 +6,12 @@
  */
 import type { Clock, Millis } from "../clock.ts";
 import { createSystemClock } from "../clock.ts";
+import { createTurnQueue } from "../connections/turn_queue.ts";
 
 /** The turns of the answers that a process reads. */
 export interface AnswerTurns {
+  /** Reads the clock by which time is spent. */
+  now(): Millis;
   /** Calls `resume` when the turn of its answer has come. */
   wait(resume: () => void): void;
   /** Records time that was spent on a part of a long answer. */
@@ -26,17 +29,10 @@
 
 /** Creates turns for which nobody waits. */
 export function createAnswerTurns(clock: Clock): AnswerTurns {
-  let waiting: (() => void)[] = [];
   /** Time spent on long answers since then, and since when it is counted. */
   let spent: Millis = 0;
   let since = clock.now();
-  let isScheduled = false;
-
-  function schedule(): void {
-    if (isScheduled || waiting.length === 0) return;
-    isScheduled = true;
-    setImmediate(runTurn);
-  }
+  const queue = createTurnQueue(clock, { maxWorks: MAX_RESUMED, computeRest });
 
   function startCount(): void {
     spent = 0;
@@ -48,28 +44,18 @@
     return clock.now() - since - spent >= spent;
   }
 
-  function runTurn(): void {
-    if (spent >= MIN_REST) {
-      const rest = isContended() ? Math.min(MAX_REST, spent) : 0;
-      startCount();
-      if (rest > 0) return void clock.startTimer(rest, resumeNext);
-    }
-    resumeNext();
-  }
-
-  function resumeNext(): void {
-    isScheduled = false;
-    const resumed = waiting.slice(0, MAX_RESUMED);
-    waiting = waiting.slice(MAX_RESUMED);
-    resumed.forEach((resume) => resume());
-    schedule();
+  function computeRest(): Millis {
+    if (spent < MIN_REST) return 0;
+    const rest = isContended() ? Math.min(MAX_REST, spent) : 0;
+    startCount();
+    return rest;
   }
 
   return {
+    now: clock.now,
     wait(resume) {
       if (clock.now() - since > MAX_AGE) startCount();
-      waiting.push(resume);
-      schedule();
+      queue.add(resume, resume);
     },
     spend(time) {
       spent += time;
--- a/packages/shared/src/connections/turn_queue.ts
+++ b/packages/shared/src/connections/turn_queue.ts
@@ -12,12 +12,23 @@
   add(key: object, work: () => void): void;
 }
 
+/** Options of {@linkcode createTurnQueue}. */
+export interface TurnQueueOptions {
+  /** Works in one turn of the event loop. */
+  maxWorks?: number;
+  /** Computes how long to rest before a turn; there is no rest if left out. */
+  computeRest?: () => Millis;
+}
+
 /** Works in one turn of the event loop, the most of them and their time. */
 const MAX_WORKS = 4;
 const MAX_TIME: Millis = 1;
 
 /** Creates an empty queue. */
-export function createTurnQueue(clock: Clock): TurnQueue {
+export function createTurnQueue(
+  clock: Clock,
+  { maxWorks = MAX_WORKS, computeRest = () => 0 }: TurnQueueOptions = {},
+): TurnQueue {
   const waiting = new Map<object, () => void>();
   let isScheduled = false;
 
@@ -28,13 +39,19 @@
   }
 
   function runTurn(): void {
+    const rest = computeRest();
+    if (rest > 0) clock.startTimer(rest, runWorks);
+    else runWorks();
+  }
+
+  function runWorks(): void {
     isScheduled = false;
     const until = clock.now() + MAX_TIME;
     let count = 0;
     for (const [key, work] of waiting) {
       waiting.delete(key);
       work();
-      if (++count === MAX_WORKS || clock.now() >= until) break;
+      if (++count === maxWorks || clock.now() >= until) break;
     }
     if (waiting.size > 0) schedule();
   }
