refactor(shared): callers and engines limit streams of tokens by one function

Both wrote the same two limits, and their tests the same reply without end and the same parts of it; these are a stand-in now.

--- a/packages/callers/src/endless_replies_test.ts
+++ b/packages/callers/src/endless_replies_test.ts
@@ -1,36 +1,13 @@
-import { Buffer } from "node:buffer";
-import { Readable } from "node:stream";
-import type { HttpStreamReply } from "@mangoreach/shared";
+import {
+  createCostlyTokens,
+  createEndlessReply,
+  ENDLESS_TOKENS,
+} from "@mangoreach/standins";
 import { expect } from "chai";
 import { readFailure } from "./caller_failures.ts";
 import { readCallerStream } from "./stream_reader.ts";
 
 const MAX_READ_BYTES = 16_777_216;
-/** More than any reader may read; ends the test if one does. */
-const ENDLESS_BYTES = 67_108_864;
-
-/** Creates a reply that goes on until it is closed, and counts what is read. */
-function createEndlessReply(
-  status: number,
-  createPart: (index: number) => string,
-) {
-  let readBytes = 0;
-  let index = 0;
-  const body = new Readable({
-    read() {
-      const part = Buffer.from(createPart(index++));
-      readBytes += part.length;
-      this.push(readBytes > ENDLESS_BYTES ? null : part);
-    },
-  });
-  const reply: HttpStreamReply = {
-    status,
-    headers: {},
-    body,
-    delimiter: "chunks",
-  };
-  return { reply, countRead: () => readBytes };
-}
 
 function createProgress() {
   return {
@@ -41,10 +18,6 @@
   };
 }
 
-function formatToken(sequence: number, text: string): string {
-  return `event: token\nid: ${sequence}\ndata: {"text":"${text}"}\n\n`;
-}
-
 /** Guards against memory that grows for as long as an entry sends. */
 describe("replies without end of an entry", function () {
   this.timeout(20_000);
@@ -59,16 +32,7 @@
     expect(countRead()).to.be.below(MAX_READ_BYTES);
   });
 
-  for (
-    const [name, createPart] of Object.entries({
-      "long tokens": (index: number) => formatToken(index, "x".repeat(10_000)),
-      "empty tokens": (index: number) =>
-        Array.from(
-          { length: 1_000 },
-          (_, offset) => formatToken(1_000 * index + offset, ""),
-        ).join(""),
-    })
-  ) {
+  for (const [name, createPart] of Object.entries(ENDLESS_TOKENS)) {
     it(`gives up a stream of ${name}`, async () => {
       const { reply, countRead } = createEndlessReply(200, createPart);
       const progress = createProgress();
@@ -85,11 +49,7 @@
 
   // Guards against values that take twenty times the memory of their text.
   it("parses no event whose values take too much memory", async () => {
-    const data = `{"text":"","more":[${"{},".repeat(300_000)}{}]}`;
-    const { reply } = createEndlessReply(
-      200,
-      (index) => `event: token\nid: ${index}\ndata: ${data}\n\n`,
-    );
+    const { reply } = createEndlessReply(200, createCostlyTokens);
     const progress = createProgress();
     const end = await readCallerStream(reply, { progress, onToken: () => {} });
     expect(end.kind).to.equal("cut");
--- a/packages/callers/src/stream_reader.ts
+++ b/packages/callers/src/stream_reader.ts
@@ -10,6 +10,7 @@
 import type { HttpStreamReply, ServerSentEvent } from "@mangoreach/shared";
 import {
   createServerSentEventParser,
+  isTokenStreamTooLong,
   parseBoundedJson,
 } from "@mangoreach/shared";
 import {
@@ -42,11 +43,6 @@
   onToken: (token: string, sequence: number) => void;
 }
 
-/** More than models generate for a request. */
-const MAX_TOKENS = 262_144;
-/** As long as the largest response that is not streamed. */
-const MAX_TEXT_LENGTH = 4_194_304;
-
 /** Appends the events of one connection to `progress`. */
 export async function readCallerStream(
   reply: HttpStreamReply,
@@ -95,9 +91,10 @@
         );
       }
       progress.textLength += token.data.text.length;
-      const isTooLong = sequence >= MAX_TOKENS ||
-        progress.textLength > MAX_TEXT_LENGTH;
-      if (isTooLong) return createTooLongFailure();
+      const { textLength } = progress;
+      if (isTokenStreamTooLong({ tokens: sequence + 1, textLength })) {
+        return createTooLongFailure();
+      }
       progress.tokens.push(token.data.text);
       onToken(token.data.text, sequence);
       return undefined;
--- a/packages/engines/src/generation.ts
+++ b/packages/engines/src/generation.ts
@@ -15,6 +15,7 @@
 import type { HttpStreamReply, ServerSentEvent } from "@mangoreach/shared";
 import {
   createServerSentEventParser,
+  isTokenStreamTooLong,
   parseBoundedJson,
 } from "@mangoreach/shared";
 import * as z from "zod";
@@ -36,11 +37,6 @@
 const tokenSchema = z.object({ text: z.string() });
 const endSchema = z.object({ count: z.number().int().min(0) });
 
-/** More than models generate for a request. */
-const MAX_TOKENS = 262_144;
-/** Of the tokens of one connection, in UTF-16 code units. */
-const MAX_TEXT_LENGTH = 4_194_304;
-
 /** Reads a generation from the token with sequence number `next` on. */
 export async function* readGeneration(
   reply: HttpStreamReply,
@@ -60,7 +56,7 @@
       const batch = parseBatch(parsed, expected);
       expected += batch.tokens.length;
       textLength += sumTextLength(batch.tokens);
-      if (expected > MAX_TOKENS || textLength > MAX_TEXT_LENGTH) {
+      if (isTokenStreamTooLong({ tokens: expected, textLength })) {
         yield createBrokenEvent(peer, "the stream is too long");
         return;
       }
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -5,6 +5,7 @@
  */
 export { hasJsonEnd, isBoundedJson, parseBoundedJson } from "./bounded_json.ts";
 export { createListSchema } from "./list_schema.ts";
+export { isTokenStreamTooLong } from "./token_stream_limit.ts";
 export type { AddressParts } from "./address.ts";
 export { parseAddress } from "./address.ts";
 export { parseAmount } from "./amount.ts";
--- a/standins/src/mod.ts
+++ b/standins/src/mod.ts
@@ -54,3 +54,9 @@
   startCrowd,
   watchProcess,
 } from "./misbehaving_clients.ts";
+export type { CreatePart, EndlessReply } from "./endless_reply.ts";
+export {
+  createCostlyTokens,
+  createEndlessReply,
+  ENDLESS_TOKENS,
+} from "./endless_reply.ts";
