--- a/bench/src/broken_answers_test.ts
+++ b/bench/src/broken_answers_test.ts
@@ -1,17 +1,12 @@
 import type { ChildProcess } from "node:child_process";
-import { spawn } from "node:child_process";
-import { mkdtempSync, writeFileSync } from "node:fs";
 import type { Server } from "node:net";
 import { createServer } from "node:net";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import process from "node:process";
-import { createInterface } from "node:readline";
 import { CALLER_HEADERS, CALLER_PATHS } from "@mangoreach/callers";
 import { readServerAddress } from "@mangoreach/shared";
 import { expect } from "chai";
 import { request } from "undici";
 import { DRAFT_TEXT } from "./draft_call.ts";
+import { startEntryProcess } from "./entry_process.ts";
 import type { LocalSite } from "./local_site.ts";
 import { LOCAL_KEYS, startLocalSite } from "./local_site.ts";
 
@@ -19,7 +14,6 @@
 const START_MS = 15_000;
 const UPLOADS = 200;
 const UPLOAD_BYTES = 4_000_000;
-const MAX_BODY_BYTES = 4_194_304;
 const PART = "bytes of a part";
 const STATUSES = ["000", "00", "0000", "600", "999"];
 /** Endpoints of each pool that are replaced by ones that break. */
@@ -62,38 +56,9 @@
     await new Promise<void>((resolve) =>
       server.listen(0, "127.0.0.1", () => resolve())
     );
-    const file = join(
-      mkdtempSync(join(tmpdir(), "mangoreach-broken-")),
-      "entry.jsonc",
-    );
-    writeFileSync(
-      file,
-      JSON.stringify({
-        entry: "entry-1",
-        place: "odda",
-        dataCentre: "odda-a",
-        callerAddress: { host: "127.0.0.1", port: 0 },
-        controlAddress: { host: "127.0.0.1", port: 0 },
-        logAddress: site.log.address,
-        instanceListAddress: site.instanceList.address,
-        weightStoreAddress: site.weightStore.address,
-        siteKey: "site-key-of-local-tests",
-        operatorKey: "operator-key-of-local-tests",
-        accounts: [{ name: "handlers", key: LOCAL_KEYS.handlers }],
-        limits: { maxBodyBytes: MAX_BODY_BYTES, requestTimeoutMs: 20_000 },
-        timing: { instanceListMs: 50, loadReportMs: 50 },
-        logLevel: "error",
-      }),
-    );
-    child = spawn(process.execPath, [
-      "dist/mangoreach-entry.mjs",
-      "--settings",
-      file,
-    ], { stdio: ["ignore", "pipe", "ignore"] });
-    const line = await new Promise<string>((resolve) =>
-      createInterface(child.stdout!).once("line", resolve)
-    );
-    callers = (JSON.parse(line) as { callers: string }).callers;
+    const started = await startEntryProcess(site);
+    child = started.child;
+    callers = started.addresses.callers!;
     for (const id of BROKEN) {
       await site.putInstance(id, {
         incarnation: "2",
--- a/bench/src/misbehaving_clients_test.ts
+++ b/bench/src/misbehaving_clients_test.ts
@@ -1,10 +1,4 @@
 import type { ChildProcess } from "node:child_process";
-import { spawn } from "node:child_process";
-import { mkdtempSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import process from "node:process";
-import { createInterface } from "node:readline";
 import { CALLER_HEADERS, CALLER_PATHS } from "@mangoreach/callers";
 import { OPERATOR_PATHS } from "@mangoreach/operators";
 import type { ClientForm } from "@mangoreach/standins";
@@ -18,6 +12,7 @@
 } from "@mangoreach/standins";
 import { expect } from "chai";
 import { DRAFT_TEXT } from "./draft_call.ts";
+import { MAX_BODY_BYTES, startEntryProcess } from "./entry_process.ts";
 import type { LocalSite } from "./local_site.ts";
 import { LOCAL_KEYS, startLocalSite } from "./local_site.ts";
 
@@ -27,7 +22,6 @@
 /** Of the old space; of a deployment, and one that shows a fault to fewer. */
 const HEAP_MB = 150;
 const SMALL_HEAP_MB = 48;
-const MAX_BODY_BYTES = 4_194_304;
 const ANSWER_TIMEOUT_MS = 20_000;
 const DEADLINE_MS = 60_000;
 const CROWD_MS = 5_000;
@@ -112,37 +106,11 @@
 
   async function start(heap = HEAP_MB): Promise<void> {
     site = await startLocalSite({ entries: 0 });
-    const folder = mkdtempSync(join(tmpdir(), "mangoreach-misbehaving-"));
-    const file = join(folder, "entry.jsonc");
-    writeFileSync(
-      file,
-      JSON.stringify({
-        entry: "entry-1",
-        place: "odda",
-        dataCentre: "odda-a",
-        callerAddress: { host: "127.0.0.1", port: 0 },
-        controlAddress: { host: "127.0.0.1", port: 0 },
-        logAddress: site.log.address,
-        instanceListAddress: site.instanceList.address,
-        weightStoreAddress: site.weightStore.address,
-        siteKey: "site-key-of-local-tests",
-        operatorKey: "operator-key-of-local-tests",
-        accounts: [{ name: "handlers", key: LOCAL_KEYS.handlers }],
-        limits: { maxBodyBytes: MAX_BODY_BYTES, requestTimeoutMs: 20_000 },
-        timing: { instanceListMs: 50, loadReportMs: 50 },
-        logLevel: "error",
-      }),
-    );
-    child = spawn(process.execPath, [
+    const started = await startEntryProcess(site, [
       `--max-old-space-size=${heap}`,
-      "dist/mangoreach-entry.mjs",
-      "--settings",
-      file,
-    ], { stdio: ["ignore", "pipe", "ignore"] });
-    const line = await new Promise<string>((resolve) =>
-      createInterface(child.stdout!).once("line", resolve)
-    );
-    addresses = JSON.parse(line) as typeof addresses;
+    ]);
+    child = started.child;
+    addresses = started.addresses as typeof addresses;
     await waitUntilServing();
   }
 
