--- a/soak/src/endless_answers_site_test.ts
+++ b/soak/src/endless_answers_site_test.ts
@@ -13,6 +13,7 @@
   PATH,
   TOPIC,
 } from "../../platform/src/wire_names.ts";
+import { createCallHeaders, STAGE_HEADERS } from "./entry_call.ts";
 import type { EndlessShape } from "./endless_answers.ts";
 import { ENDLESS_SHAPES, writeEndless } from "./endless_answers.ts";
 import { createSoakConfig } from "./soak_config.ts";
@@ -137,14 +138,7 @@
       {
         method: "POST",
         body: "question",
-        headers: {
-          host: "soak.example",
-          authorization: "Bearer key-1",
-          [HEADER.requestId]: id,
-          [HEADER.deadline]: String(DEADLINE_MS),
-          [HEADER.pieceCounts]: "1,0",
-          [HEADER.pieceKey]: "abc",
-        },
+        headers: { ...createCallHeaders(id, DEADLINE_MS), ...STAGE_HEADERS },
       },
     );
   }
--- a/soak/src/entry_call.ts
+++ b/soak/src/entry_call.ts
@@ -23,6 +23,25 @@
 
 const DEADLINE_MS = 2_000;
 
+/** Further headers of a request whose route has stages, of one piece each. */
+export const STAGE_HEADERS: Readonly<Record<string, string>> = {
+  [HEADER.pieceCounts]: "1,0",
+  [HEADER.pieceKey]: "abc",
+};
+
+/** Creates the headers of a request of the account that is never revoked. */
+export function createCallHeaders(
+  id: string,
+  deadlineMs: number,
+): Record<string, string> {
+  return {
+    host: "soak.example",
+    authorization: "Bearer key-1",
+    [HEADER.requestId]: id,
+    [HEADER.deadline]: String(deadlineMs),
+  };
+}
+
 /** Sends a request to `ip:port` and reads the answer to its end. */
 export async function callEntry(
   address: string,
@@ -31,12 +50,7 @@
   const reply = await request(`http://${address}/${path}`, {
     method: "POST",
     ...(body === undefined ? {} : { body }),
-    headers: {
-      host: "soak.example",
-      authorization: "Bearer key-1",
-      [HEADER.requestId]: id,
-      [HEADER.deadline]: String(DEADLINE_MS),
-    },
+    headers: createCallHeaders(id, DEADLINE_MS),
   });
   await reply.body.dump();
   const retryAfter = Number(reply.headers[HEADER.retryAfter] ?? 0);
--- a/soak/src/faulty_stages_site_test.ts
+++ b/soak/src/faulty_stages_site_test.ts
@@ -13,6 +13,7 @@
   PATH,
   TOPIC,
 } from "../../platform/src/wire_names.ts";
+import { createCallHeaders, STAGE_HEADERS } from "./entry_call.ts";
 import { ENDLESS_SHAPES, writeEndless } from "./endless_answers.ts";
 import { LOOPBACK_HOST } from "./loopback_host.ts";
 import type { ProgramProcess } from "./program_process.ts";
@@ -140,14 +141,7 @@
     const reply = await request(`http://${entry.ports.callers}/draft/${id}`, {
       method: "POST",
       body: "question",
-      headers: {
-        host: "soak.example",
-        authorization: "Bearer key-1",
-        [HEADER.requestId]: id,
-        [HEADER.deadline]: String(DEADLINE_MS),
-        [HEADER.pieceCounts]: "1,0",
-        [HEADER.pieceKey]: "abc",
-      },
+      headers: { ...createCallHeaders(id, DEADLINE_MS), ...STAGE_HEADERS },
     });
     await reply.body.dump();
     return reply.statusCode;
--- a/soak/src/pouring_site.ts
+++ b/soak/src/pouring_site.ts
@@ -7,7 +7,7 @@
  */
 import type { ChildProcess } from "node:child_process";
 import { fork } from "node:child_process";
-import { mkdtempSync, readFileSync } from "node:fs";
+import { mkdtempSync } from "node:fs";
 import type { Server, Socket } from "node:net";
 import { createServer } from "node:net";
 import { availableParallelism, tmpdir } from "node:os";
@@ -22,6 +22,7 @@
   PATH,
   TOPIC,
 } from "../../platform/src/wire_names.ts";
+import { createCallHeaders, STAGE_HEADERS } from "./entry_call.ts";
 import type { PouringMessage, PouringOrder } from "./pouring_endpoints.ts";
 import type { PouringFormName } from "./pouring_forms.ts";
 import type { ProgramProcess } from "./program_process.ts";
@@ -49,8 +50,6 @@
   isAlive: boolean;
   /** The most memory that the process has taken so far, in MB. */
   peakMb: number;
-  /** Processor seconds of the process meanwhile. */
-  processorS: number;
   /** Answers without end that were begun. */
   poured: number;
   ordinary: CallerCounts;
@@ -79,13 +78,12 @@
 export interface PouringSiteOptions {
   /** The share of a core that the entry gets. */
   coreShare?: number;
-  /** How many of a service's endpoints pour, and how many are sound. */
-  pouring?: number;
-  sound?: number;
 }
 
 const POURED_POOLS = ["plain", "chat", "stage"] as const;
 const SOUND_POOLS = ["calm", "engine"];
+/** Endpoints of a poured service that pour, and as many that are sound. */
+const HALF = 2;
 const DEADLINE_MS = 6_000;
 /** Of the routes. */
 const TARGET_LATENCY_MS = 1_000;
@@ -97,7 +95,6 @@
 const RETRY_MS = 20;
 const SOUND_BODY = "id: 1\ndata: x\n\n";
 const REQUEST_ID = new RegExp(`${HEADER.requestId}: (\\S+)`, "i");
-const TICKS_PER_SECOND = 100;
 
 /** Of the smallest machine. */
 const MAX_MEMORY_MB = 210;
@@ -122,7 +119,7 @@
 
 /** Starts the site. */
 export async function startPouringSite(
-  { coreShare = 1, pouring = 2, sound = 2 }: PouringSiteOptions = {},
+  { coreShare = 1 }: PouringSiteOptions = {},
 ): Promise<PouringSite> {
   const store = await startTopicStore();
   const config = createSoakConfig(1, { isRevoked: false });
@@ -150,7 +147,7 @@
     ],
   });
   const pourers = fork("soak/src/pouring_endpoints.ts", [
-    String(POURED_POOLS.length * pouring),
+    String(POURED_POOLS.length * HALF),
   ], { execArgv: ["--import", "tsx"] });
   const first = await readMessage(pourers);
   const addresses = first.kind === "listening" ? [...first.addresses] : [];
@@ -169,15 +166,13 @@
   }
 
   for (const pool of POURED_POOLS) {
-    for (let one = 0; one < pouring; one++) publish(pool, addresses.shift()!);
-    for (let one = 0; one < sound; one++) {
+    for (let one = 0; one < HALF; one++) publish(pool, addresses.shift()!);
+  }
+  for (const pool of [...POURED_POOLS, ...SOUND_POOLS]) {
+    for (let one = 0; one < HALF; one++) {
       publish(pool, await startSoundEndpoint({ servers, sockets }));
     }
   }
-  for (const pool of SOUND_POOLS) {
-    publish(pool, await startSoundEndpoint({ servers, sockets }));
-    publish(pool, await startSoundEndpoint({ servers, sockets }));
-  }
   const program = await startProgram({
     name: "entry-0",
     store: store.address,
@@ -221,14 +216,7 @@
         {
           method: "POST",
           body: "question",
-          headers: {
-            host: "soak.example",
-            authorization: "Bearer key-1",
-            [HEADER.requestId]: id,
-            [HEADER.deadline]: String(DEADLINE_MS),
-            [HEADER.pieceCounts]: "1,0",
-            [HEADER.pieceKey]: "abc",
-          },
+          headers: { ...createCallHeaders(id, DEADLINE_MS), ...STAGE_HEADERS },
           signal: AbortSignal.timeout(DEADLINE_MS + 1_000),
         },
       );
@@ -275,15 +263,9 @@
       { form, status, routes: poured, callers, durationMs, mayRead = true },
     ) {
       await sendOrder(pourers, { form, status });
-      const before = readProcessorS(program.child.pid);
       const until = Date.now() + durationMs;
-      const others: CallerCounts = { sent: 0, served: 0, late: 0, slowest: 0 };
-      const ordinary: CallerCounts = {
-        sent: 0,
-        served: 0,
-        late: 0,
-        slowest: 0,
-      };
+      const others = createCounts();
+      const ordinary = createCounts();
       const run = (count: number, route: string, counts: CallerCounts) =>
         Array.from({ length: count }, () =>
           runCaller(route, {
@@ -295,18 +277,10 @@
       const loads = poured.flatMap((route) => run(callers, route, others));
       // Pours go on for as long as their callers wait.
       await Promise.all(run(ORDINARY_CALLERS, "calm", ordinary));
-      const processorS = readProcessorS(program.child.pid) - before;
       const begun = await sendOrder(pourers, { form, status });
-      const isAlive = program.isAlive();
-      const report = {
-        isAlive,
-        peakMb: Math.round(program.readPeakMemory()),
-        processorS: isAlive ? Math.round(10 * processorS) / 10 : 0,
-        poured: begun,
-        ordinary,
-      };
+      const peakMb = Math.round(program.readPeakMemory());
       await Promise.all(loads);
-      return { ...report, isAlive: program.isAlive() };
+      return { isAlive: program.isAlive(), peakMb, poured: begun, ordinary };
     },
     stop() {
       throttle?.disconnect();
@@ -315,6 +289,10 @@
   };
 }
 
+function createCounts(): CallerCounts {
+  return { sent: 0, served: 0, late: 0, slowest: 0 };
+}
+
 function readMessage(child: ChildProcess): Promise<PouringMessage> {
   return new Promise((resolve) => child.once("message", resolve));
 }
@@ -355,14 +333,3 @@
   );
   return readServerAddress(server);
 }
-
-/** Returns the processor seconds of a process; 0 once it has ended. */
-function readProcessorS(pid: number | undefined): number {
-  try {
-    const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
-    const [, , ...fields] = stat.slice(stat.lastIndexOf(")")).split(" ");
-    return (Number(fields[10]) + Number(fields[11])) / TICKS_PER_SECOND;
-  } catch {
-    return 0;
-  }
-}
