refactor(shared): both programs count answers by one set of metrics

The counters of malformed, costly and limited answers stood in both programs' metrics, with the counter that reads its values elsewhere. They are in @mangoreach/shared/metrics, apart from mod.ts, so that programs without metrics do not load prom-client. Names, labels and help texts are the same.

--- a/packages/entry/src/entry_metrics.ts
+++ b/packages/entry/src/entry_metrics.ts
@@ -5,11 +5,12 @@
  * @module
  */
 import type { RequestOutcome } from "@mangoreach/coordination";
-import type { AnswerMeter } from "@mangoreach/shared";
+import type { AnswerMetrics } from "@mangoreach/shared/metrics";
+import { addAnswerMetrics } from "@mangoreach/shared/metrics";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 /** Records the metrics of an entry. */
-export interface EntryMetrics {
+export interface EntryMetrics extends AnswerMetrics {
   readonly registry: Registry;
   countRequest(className: string, outcome: RequestOutcome): void;
   countRefusal(reason: string): void;
@@ -23,10 +24,6 @@
   setConfigVersion(version: number): void;
   setInFlight(count: number): void;
   setLogReachable(isReachable: boolean): void;
-  /** Sets the source of counts of malformed answers, read when collected. */
-  setMalformedCounts(counts: ReadonlyMap<string, number>): void;
-  /** Sets the source of counts of what answers cost, read when collected. */
-  setAnswerMeter(meter: Pick<AnswerMeter, "totals" | "exceeded">): void;
 }
 
 const LATENCY_BUCKETS = [
@@ -114,42 +111,6 @@
     help: "1 while the log can be read",
     registers,
   });
-  const setMalformedCounts = addCounter({
-    name: "mangoreach_answers_malformed_total",
-    help: "Answers refused as their head is none of HTTP/1, by source",
-    label: "source",
-  });
-  const setAnswerCosts = addCounter({
-    name: "mangoreach_answer_costs_total",
-    help: "What answers to this process cost: bytes, framing, reads",
-    label: "cost",
-  });
-  const setExceededCounts = addCounter({
-    name: "mangoreach_answers_limited_total",
-    help: "Answers given up as they cost too much, by limit",
-    label: "limit",
-  });
-
-  /** Adds a counter that is read when collected; returns how to set its source. */
-  function addCounter(
-    { name, help, label }: { name: string; help: string; label: string },
-  ): (counts: ReadonlyMap<string, number>) => void {
-    let source: ReadonlyMap<string, number> = new Map();
-    new Counter({
-      name,
-      help,
-      labelNames: [label],
-      registers,
-      collect() {
-        this.reset();
-        for (const [value, count] of source) {
-          this.inc({ [label]: value }, count);
-        }
-      },
-    });
-    return (counts) => source = counts;
-  }
-
   return {
     registry,
     countRequest: (className, outcome) =>
@@ -165,10 +126,6 @@
     setConfigVersion: (value) => version.set(value),
     setInFlight: (count) => inFlight.set(count),
     setLogReachable: (isReachable) => logReachable.set(isReachable ? 1 : 0),
-    setMalformedCounts,
-    setAnswerMeter({ totals, exceeded }) {
-      setAnswerCosts(totals);
-      setExceededCounts(exceeded);
-    },
+    ...addAnswerMetrics(registry),
   };
 }
--- a/packages/serving/src/serving_metrics.ts
+++ b/packages/serving/src/serving_metrics.ts
@@ -4,7 +4,9 @@
  * @module
  */
 import type { AccountUse } from "@mangoreach/coordination";
-import type { AnswerMeter, Millis } from "@mangoreach/shared";
+import type { Millis } from "@mangoreach/shared";
+import type { AnswerMetrics } from "@mangoreach/shared/metrics";
+import { addAnswerMetrics, addSourceCounter } from "@mangoreach/shared/metrics";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { StopOutcome } from "./stop_window.ts";
 
@@ -15,7 +17,7 @@
 }
 
 /** Metrics of one entry. */
-export interface ServingMetrics {
+export interface ServingMetrics extends AnswerMetrics {
   readonly registry: Registry;
   countRequest(route: string, outcome: string): void;
   observeRequest(route: string, seconds: number): void;
@@ -42,10 +44,6 @@
   countStopped(outcome: StopOutcome): void;
   /** Sets the source of counts of unexpected errors, read when collected. */
   setErrorCounts(counts: ReadonlyMap<string, number>): void;
-  /** Sets the source of the costs of answers, read when collected. */
-  setAnswerMeter(meter: Pick<AnswerMeter, "totals" | "exceeded">): void;
-  /** Sets the source of counts of malformed answers, read when collected. */
-  setMalformedCounts(counts: ReadonlyMap<string, number>): void;
   /** Sets the source of the bytes of answers held, read when collected. */
   setHeldBytes(readBytes: () => number): void;
   /** Sets the source of the use by client account, read when collected. */
@@ -187,48 +185,10 @@
     registers,
   });
 
-  /** Adds a counter whose values are counted elsewhere. */
-  const addSourceCounter = (
-    { name, help, label = "source" }: {
-      name: string;
-      help: string;
-      label?: string;
-    },
-  ) => {
-    let counts: ReadonlyMap<string, number> = new Map();
-    new Counter({
-      name,
-      help,
-      labelNames: [label],
-      registers,
-      collect() {
-        this.reset();
-        for (const [value, count] of counts) {
-          this.inc({ [label]: value }, count);
-        }
-      },
-    });
-    return (next: ReadonlyMap<string, number>) => void (counts = next);
-  };
-  const setErrorCounts = addSourceCounter({
+  const setErrorCounts = addSourceCounter(registry, {
     name: "mangoreach_unexpected_errors_total",
     help: "Errors outside of requests that the process outlived, by source",
   });
-  const setMalformedCounts = addSourceCounter({
-    name: "mangoreach_answers_malformed_total",
-    help: "Answers refused as their head is none of HTTP/1, by source",
-  });
-
-  const setAnswerCosts = addSourceCounter({
-    name: "mangoreach_answer_costs_total",
-    help: "What answers to this process cost: bytes, framing, reads",
-    label: "cost",
-  });
-  const setExceededCounts = addSourceCounter({
-    name: "mangoreach_answers_limited_total",
-    help: "Answers given up as they cost too much, by limit",
-    label: "limit",
-  });
 
   let readHeldBytes = () => 0;
   new Gauge({
@@ -299,11 +259,7 @@
     countStopped: (outcome) => stopped.inc({ outcome }),
     countUndecodable: (topic) => undecodable.inc({ topic }),
     setErrorCounts,
-    setMalformedCounts,
-    setAnswerMeter({ totals, exceeded }) {
-      setAnswerCosts(totals);
-      setExceededCounts(exceeded);
-    },
+    ...addAnswerMetrics(registry),
     setHeldBytes: (readBytes) => readHeldBytes = readBytes,
     setAccountUse: (list) => listUse = list,
   };
--- a/soak/src/pouring_answers_site_test.ts
+++ b/soak/src/pouring_answers_site_test.ts
@@ -7,7 +7,7 @@
 const ROUTES = ["once", "chat", "draft"] as const;
 const CALLERS = 14;
 const LOAD_MS = 1_500;
-/** Of the pages' machines. */
+/** Of a core, for each machine of a small deployment. */
 const CORE_SHARE = 0.675;
 const TEST_TIMEOUT_MS = 40_000;
 
